Set up the build and fix the interfaces between packages

Cause: an empty repository; the packages are to grow side by side, so their typed records and ports come first.

--- /dev/null
+++ b/bench/src/main/java/org/lacewingthread/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Root package of the bench module. */
+package org.lacewingthread.bench;
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/id/DataCentreId.java
@@ -0,0 +1,23 @@
+package org.lacewingthread.core.id;
+
+/**
+ * Names one data centre.
+ *
+ * @param value lower-case letters, digits, dots, underscores and hyphens, at most 64 characters
+ */
+public record DataCentreId(String value) implements Comparable<DataCentreId> {
+    /** Checks the syntax. */
+    public DataCentreId {
+        Identifiers.require("data centre id", value);
+    }
+
+    @Override
+    public int compareTo(DataCentreId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/id/Identifiers.java
@@ -0,0 +1,26 @@
+package org.lacewingthread.core.id;
+
+import java.util.regex.Pattern;
+
+/** Syntax shared by all textual identifiers. */
+final class Identifiers {
+    private static final int MAX_LENGTH_CHARS = 64;
+    private static final Pattern SYNTAX = Pattern.compile("[a-z0-9][a-z0-9._-]*");
+
+    private Identifiers() {}
+
+    static String require(String kind, String value) {
+        if (value == null) {
+            throw new IllegalArgumentException(kind + " is missing");
+        }
+        if (value.length() > MAX_LENGTH_CHARS) {
+            throw new IllegalArgumentException(
+                    kind + " \"" + value + "\" is longer than " + MAX_LENGTH_CHARS + " characters; shorten it");
+        }
+        if (!SYNTAX.matcher(value).matches()) {
+            throw new IllegalArgumentException(kind + " \"" + value
+                    + "\" is not valid; use lower-case letters, digits, dots, underscores and hyphens");
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/id/VmId.java
@@ -0,0 +1,23 @@
+package org.lacewingthread.core.id;
+
+/**
+ * Names one entry VM.
+ *
+ * @param value lower-case letters, digits, dots, underscores and hyphens, at most 64 characters
+ */
+public record VmId(String value) implements Comparable<VmId> {
+    /** Checks the syntax. */
+    public VmId {
+        Identifiers.require("VM id", value);
+    }
+
+    @Override
+    public int compareTo(VmId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/id/WriterId.java
@@ -0,0 +1,23 @@
+package org.lacewingthread.core.id;
+
+/**
+ * Names one writer of log records; unique for each start of a process.
+ *
+ * @param value lower-case letters, digits, dots, underscores and hyphens, at most 64 characters
+ */
+public record WriterId(String value) implements Comparable<WriterId> {
+    /** Checks the syntax. */
+    public WriterId {
+        Identifiers.require("writer id", value);
+    }
+
+    @Override
+    public int compareTo(WriterId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/log/LogRecord.java
@@ -0,0 +1,139 @@
+package org.lacewingthread.core.log;
+
+import java.util.List;
+import org.lacewingthread.core.config.RoutingConfiguration;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.id.Term;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.id.VmStart;
+
+/**
+ * A record of the platform's log. Each kind states the condition under which {@link LogReplica}
+ * accepts it; a record that fails its condition is dropped, and every replica drops the same ones.
+ */
+public sealed interface LogRecord {
+    /**
+     * Replaces the routing configuration.
+     *
+     * @param baseRevision accepted only if this is the revision in force
+     * @param configuration the new configuration
+     */
+    record ConfigurationPublished(LogOffset baseRevision, RoutingConfiguration configuration) implements LogRecord {}
+
+    /**
+     * Adds or removes one entry VM of a data centre's roster.
+     *
+     * @param dataCentre the data centre
+     * @param baseRevision accepted only if this is the roster's revision
+     * @param members the new roster in order of succession; differs by one member from the old
+     */
+    record RosterChanged(DataCentreId dataCentre, LogOffset baseRevision, List<RosterMember> members)
+            implements LogRecord {}
+
+    /**
+     * Replaces a roster of which a majority is gone for good.
+     *
+     * @param dataCentre the data centre
+     * @param baseRevision accepted only if this is the roster's revision
+     * @param members the new roster
+     * @param reason the platform's word or the operator's order that allows it
+     */
+    record RosterReset(DataCentreId dataCentre, LogOffset baseRevision, List<RosterMember> members, String reason)
+            implements LogRecord {}
+
+    /**
+     * Claims a data centre's leadership. The record's offset becomes the claim offset of the new term.
+     *
+     * @param dataCentre the data centre
+     * @param followsClaim accepted only if this is the offset of the newest accepted claim
+     * @param claimant the claiming process; must be in the roster
+     */
+    record LeaderClaimed(DataCentreId dataCentre, LogOffset followsClaim, VmStart claimant) implements LogRecord {}
+
+    /**
+     * Assigns shards to backend servers of one data centre.
+     *
+     * @param dataCentre the data centre that governs the shards
+     * @param term accepted only if its claim offset is that of the newest claim and it is not below
+     *     the highest term that has recorded assignments
+     * @param assignments the assignments; each must be of a shard that no other data centre governs
+     */
+    record AssignmentsRecorded(DataCentreId dataCentre, Term term, List<ShardAssignment> assignments)
+            implements LogRecord {}
+
+    /**
+     * Gives up shards in favour of another data centre; no lease on them may be running.
+     *
+     * @param dataCentre the data centre that governs them
+     * @param term as for {@link AssignmentsRecorded}
+     * @param target the data centre that may adopt them
+     * @param shards the shards
+     */
+    record ShardsReleased(DataCentreId dataCentre, Term term, DataCentreId target, List<ShardId> shards)
+            implements LogRecord {}
+
+    /**
+     * Hands all shards of a lost data centre to another.
+     *
+     * @param from the lost data centre
+     * @param target the data centre that may adopt its shards
+     * @param reason the operator's reason
+     */
+    record DataCentreHandedOver(DataCentreId from, DataCentreId target, String reason) implements LogRecord {}
+
+    /**
+     * Starts or ends the drain of a backend server.
+     *
+     * @param server the server
+     * @param draining whether it is to be drained
+     */
+    record ServerDrainSet(ServerId server, boolean draining) implements LogRecord {}
+
+    /**
+     * Starts or ends the drain of an entry VM.
+     *
+     * @param vm the entry VM
+     * @param draining whether it is to be drained
+     */
+    record VmDrainSet(VmId vm, boolean draining) implements LogRecord {}
+
+    /**
+     * Gives hot keys shards of their own. They stay with the owner of the shard they came from until moved.
+     *
+     * @param dataCentre the data centre that governs the shards they came from
+     * @param term as for {@link AssignmentsRecorded}
+     * @param application the application
+     * @param keyHashes hashes of the keys
+     */
+    record KeysSplit(DataCentreId dataCentre, Term term, ApplicationId application, List<Long> keyHashes)
+            implements LogRecord {}
+
+    /**
+     * Merges split-out keys back; each must again be owned by the owner of the shard it came from.
+     *
+     * @param dataCentre the data centre that governs them
+     * @param term as for {@link AssignmentsRecorded}
+     * @param application the application
+     * @param keyHashes hashes of the keys
+     */
+    record KeysMerged(DataCentreId dataCentre, Term term, ApplicationId application, List<Long> keyHashes)
+            implements LogRecord {}
+
+    /**
+     * The state after every record below a position, so that a replica can start without them.
+     *
+     * @param state the state
+     */
+    record SnapshotTaken(ReplicaState state) implements LogRecord {}
+
+    /**
+     * A record that could not be decoded.
+     *
+     * @param reason what was wrong
+     */
+    record Unreadable(String reason) implements LogRecord {}
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/log/package-info.java
@@ -0,0 +1,2 @@
+/** Typed log records and the replica that folds them into state. */
+package org.lacewingthread.core.log;
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/ownership/OwnershipStep.java
@@ -0,0 +1,28 @@
+package org.lacewingthread.core.ownership;
+
+import java.util.List;
+import java.util.Optional;
+import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.control.ServerOrder;
+import org.lacewingthread.core.log.LogRecord;
+
+/**
+ * What a leader does next about ownership.
+ *
+ * @param plan a changed route plan, to be handed to the entry VMs
+ * @param records records to append; the next inputs show whether they were accepted
+ * @param orders orders to send to backend servers that check tokens
+ * @param notes steps taken while the log is out, for the audit trail
+ */
+public record OwnershipStep(
+        Optional<RoutePlan> plan, List<LogRecord> records, List<ServerOrder> orders, List<String> notes) {
+    /** Nothing to do. */
+    public static final OwnershipStep NONE = new OwnershipStep(Optional.empty(), List.of(), List.of(), List.of());
+
+    /** Copies the lists. */
+    public OwnershipStep {
+        records = List.copyOf(records);
+        orders = List.copyOf(orders);
+        notes = List.copyOf(notes);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which backend server and entry VM a request goes to. */
+package org.lacewingthread.core.routing;
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/traffic/package-info.java
@@ -0,0 +1,2 @@
+/** Pure decisions on requests: result codes, admission, retries, idempotency. */
+package org.lacewingthread.core.traffic;
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Root package of the daemon module. */
+package org.lacewingthread.daemon;
--- /dev/null
+++ b/daemon/src/main/launcher/header.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec java ${LACEWINGTHREAD_JAVA_OPTIONS:-} -jar "$0" "$@"
--- /dev/null
+++ b/standin/src/main/java/org/lacewingthread/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Root package of the standin module. */
+package org.lacewingthread.standin;
