Link entry VMs over Netty with protobuf

Control messages and relayed requests travel on connections of their own, so that bulk answers never hold up a heartbeat.

--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerNetwork.java
@@ -0,0 +1,151 @@
+package org.lacewingthread.daemon.peer;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.control.PeerMessage;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.RosterMember;
+import org.lacewingthread.daemon.exchange.RequestHandler;
+import org.lacewingthread.daemon.peer.wire.PeerWire;
+
+/**
+ * Links of this entry VM to all others: control messages and relayed requests, on connections of
+ * their own, so that bulk answers never hold up a heartbeat.
+ *
+ * <pre>{@code
+ * PeerNetwork network = new PeerNetwork(self, dataCentre, codec, control::receive, dispatcher, clock);
+ * network.start("10.0.0.7", 7400);
+ * network.send(member, heartbeat);
+ * network.relayTo(member).handle(request, sink);
+ * }</pre>
+ */
+public final class PeerNetwork implements AutoCloseable {
+    /** Takes control messages; called on event loops, so it must not block. */
+    @FunctionalInterface
+    public interface MessageListener {
+        /** A message arrived from another entry VM. */
+        void onMessage(VmStart sender, PeerMessage message);
+    }
+
+    private static final int EVENT_LOOPS = 2;
+    private static final long SHUTDOWN_TIMEOUT_MILLIS = 1_000;
+
+    private final VmStart self;
+    private final DataCentreId dataCentre;
+    private final PeerMessageCodec codec;
+    private final LongSupplier clockMillis;
+    private final PeerServer server;
+    private final EventLoopGroup group;
+    private final Map<VmStart, PeerLink> controlLinks = new ConcurrentHashMap<>();
+    private final Map<VmStart, Relay> relays = new ConcurrentHashMap<>();
+
+    /** A relay with its link. */
+    private record Relay(PeerLink link, RelayClient client) {}
+
+    /**
+     * Creates the network without opening anything.
+     *
+     * @param self this process
+     * @param dataCentre its data centre
+     * @param logEntries codec of log records handed on between VMs
+     * @param listener takes control messages
+     * @param handler takes requests that other entry VMs relay to this one
+     * @param clockMillis monotonic clock in milliseconds
+     */
+    public PeerNetwork(
+            VmStart self,
+            DataCentreId dataCentre,
+            LogEntryCodec logEntries,
+            MessageListener listener,
+            RequestHandler handler,
+            LongSupplier clockMillis) {
+        this.self = self;
+        this.dataCentre = dataCentre;
+        this.codec = new PeerMessageCodec(logEntries);
+        this.clockMillis = clockMillis;
+        this.server = new PeerServer(codec, listener, handler, clockMillis);
+        this.group = new NioEventLoopGroup(EVENT_LOOPS);
+    }
+
+    /**
+     * Accepts connections.
+     *
+     * @throws IOException if the address can't be bound
+     */
+    public void start(String host, int port) throws IOException {
+        server.start(group, host, port);
+    }
+
+    /** Returns the port that accepts connections. */
+    public int port() {
+        return server.port();
+    }
+
+    /** Sends a control message; it may be lost. */
+    public void send(RosterMember member, PeerMessage message) {
+        controlLinks
+                .computeIfAbsent(member.start(), start -> openLink(member, PeerWire.Purpose.CONTROL, new Discard()))
+                .send(codec.encode(message), () -> {});
+    }
+
+    /** Returns the handler that relays requests to another entry VM. */
+    public RequestHandler relayTo(RosterMember member) {
+        return relays.computeIfAbsent(member.start(), start -> openRelay(member))
+                .client();
+    }
+
+    /** Closes the links to all processes but these. */
+    public void retainOnly(Set<VmStart> members) {
+        controlLinks.entrySet().removeIf(entry -> {
+            boolean gone = !members.contains(entry.getKey());
+            if (gone) {
+                entry.getValue().close();
+            }
+            return gone;
+        });
+        relays.entrySet().removeIf(entry -> {
+            boolean gone = !members.contains(entry.getKey());
+            if (gone) {
+                entry.getValue().link().close();
+            }
+            return gone;
+        });
+    }
+
+    private Relay openRelay(RosterMember member) {
+        RelayClient client = new RelayClient(clockMillis);
+        PeerLink link = openLink(member, PeerWire.Purpose.TRAFFIC, client);
+        client.attach(link);
+        return new Relay(link, client);
+    }
+
+    private PeerLink openLink(RosterMember member, PeerWire.Purpose purpose, PeerLink.Listener listener) {
+        PeerWire.Frame hello = PeerProtocol.hello(self, dataCentre, purpose);
+        return new PeerLink(member, hello, group.next(), clockMillis, listener);
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        controlLinks.values().forEach(PeerLink::close);
+        relays.values().forEach(relay -> relay.link().close());
+        group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly();
+    }
+
+    /** Control links carry nothing back but pongs. */
+    private static final class Discard implements PeerLink.Listener {
+        @Override
+        public void onFrame(PeerWire.Frame frame) {}
+
+        @Override
+        public void onDisconnected() {}
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerServer.java
@@ -0,0 +1,128 @@
+package org.lacewingthread.daemon.peer;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.daemon.exchange.RequestHandler;
+import org.lacewingthread.daemon.peer.wire.PeerWire;
+
+/**
+ * Accepts connections from other entry VMs. A peer that does not begin with a hello of this protocol
+ * version, or sends what can't be read, is refused and logged.
+ */
+final class PeerServer {
+    private static final System.Logger LOG = System.getLogger(PeerServer.class.getName());
+
+    private final PeerMessageCodec codec;
+    private final PeerNetwork.MessageListener listener;
+    private final RequestHandler handler;
+    private final LongSupplier clockMillis;
+    private Channel channel;
+
+    PeerServer(
+            PeerMessageCodec codec,
+            PeerNetwork.MessageListener listener,
+            RequestHandler handler,
+            LongSupplier clockMillis) {
+        this.codec = codec;
+        this.listener = listener;
+        this.handler = handler;
+        this.clockMillis = clockMillis;
+    }
+
+    void start(EventLoopGroup group, String host, int port) throws IOException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel socket) {
+                        PeerProtocol.addFraming(socket.pipeline());
+                        socket.pipeline().addLast(new Session());
+                    }
+                });
+        var bound = bootstrap.bind(host, port).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new IOException("peer address " + host + ":" + port + " can't be bound", bound.cause());
+        }
+        channel = bound.channel();
+    }
+
+    int port() {
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close().awaitUninterruptibly();
+        }
+    }
+
+    /** One accepted connection. */
+    private final class Session extends SimpleChannelInboundHandler<PeerWire.Frame> {
+        private VmStart sender;
+        private RelayServer relay;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, PeerWire.Frame frame) {
+            if (sender == null) {
+                greet(context, frame);
+                return;
+            }
+            if (frame.hasPing()) {
+                context.writeAndFlush(PeerProtocol.pong(frame.getPing().getNumber()));
+                return;
+            }
+            if (relay != null) {
+                relay.onFrame(frame);
+                return;
+            }
+            codec.decode(frame).ifPresent(message -> listener.onMessage(sender, message));
+        }
+
+        private void greet(ChannelHandlerContext context, PeerWire.Frame frame) {
+            if (!frame.hasHello()) {
+                throw new IllegalArgumentException("first frame is " + frame.getBodyCase() + ", not a hello");
+            }
+            PeerWire.Hello hello = frame.getHello();
+            if (hello.getProtocolVersion() != PeerProtocol.VERSION) {
+                throw new IllegalArgumentException("protocol version " + hello.getProtocolVersion() + " is not "
+                        + PeerProtocol.VERSION + "; run the same release on both VMs");
+            }
+            sender = PlanCodec.decode(hello.getSender());
+            if (hello.getPurpose() == PeerWire.Purpose.TRAFFIC) {
+                relay = new RelayServer(context.channel(), handler, clockMillis);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            if (relay != null) {
+                relay.onDisconnected();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "refused entry VM {0} at {1}: {2}",
+                    sender,
+                    context.channel().remoteAddress(),
+                    cause.getMessage());
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayServer.java
@@ -0,0 +1,122 @@
+package org.lacewingthread.daemon.peer;
+
+import com.google.protobuf.ByteString;
+import io.netty.channel.Channel;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.function.LongSupplier;
+import org.lacewingthread.daemon.exchange.Failure;
+import org.lacewingthread.daemon.exchange.HeaderField;
+import org.lacewingthread.daemon.exchange.RequestHandler;
+import org.lacewingthread.daemon.exchange.ResponseSink;
+import org.lacewingthread.daemon.exchange.RoutedRequest;
+import org.lacewingthread.daemon.peer.wire.PeerWire;
+
+/** Answers the requests that another entry VM relays over one connection; runs on its event loop. */
+final class RelayServer {
+    private final Channel channel;
+    private final RequestHandler handler;
+    private final LongSupplier clockMillis;
+    private final Map<Long, Exchange> exchanges = new HashMap<>();
+
+    RelayServer(Channel channel, RequestHandler handler, LongSupplier clockMillis) {
+        this.channel = channel;
+        this.handler = handler;
+        this.clockMillis = clockMillis;
+    }
+
+    void onFrame(PeerWire.Frame frame) {
+        switch (frame.getBodyCase()) {
+            case REQUEST_START -> start(frame.getRequestStart());
+            case REQUEST_CANCEL -> cancel(frame.getRequestCancel().getStream());
+            case RESPONSE_CONSUMED -> consumed(frame.getResponseConsumed().getStream());
+            default -> throw new IllegalArgumentException(
+                    "frame " + frame.getBodyCase() + " is not expected on a traffic link");
+        }
+    }
+
+    private void start(PeerWire.RequestStart start) {
+        RoutedRequest request = RequestCodec.decode(start, clockMillis.getAsLong());
+        Exchange exchange = new Exchange(start.getStream());
+        exchanges.put(start.getStream(), exchange);
+        exchange.cancellation = handler.handle(request, exchange);
+    }
+
+    private void cancel(long stream) {
+        Exchange exchange = exchanges.remove(stream);
+        if (exchange != null && exchange.cancellation != null) {
+            exchange.cancellation.cancel();
+        }
+    }
+
+    private void consumed(long stream) {
+        Exchange exchange = exchanges.get(stream);
+        Runnable next = exchange == null ? null : exchange.unconsumed.poll();
+        if (next != null) {
+            next.run();
+        }
+    }
+
+    void onDisconnected() {
+        List<Exchange> open = List.copyOf(exchanges.values());
+        exchanges.clear();
+        open.stream().filter(exchange -> exchange.cancellation != null).forEach(e -> e.cancellation.cancel());
+    }
+
+    /** Writes one answer to the link. */
+    private final class Exchange implements ResponseSink {
+        private final long stream;
+        private final Queue<Runnable> unconsumed = new ArrayDeque<>();
+        private RequestHandler.Cancellation cancellation;
+
+        Exchange(long stream) {
+            this.stream = stream;
+        }
+
+        @Override
+        public void onHead(int status, List<HeaderField> headers) {
+            PeerWire.ResponseHead.Builder head =
+                    PeerWire.ResponseHead.newBuilder().setStream(stream).setStatus(status);
+            headers.forEach(header -> head.addHeaders(RequestCodec.encode(header)));
+            write(PeerWire.Frame.newBuilder().setResponseHead(head).build());
+        }
+
+        @Override
+        public void onBody(byte[] chunk, Runnable consumed) {
+            PeerWire.Frame frame = PeerWire.Frame.newBuilder()
+                    .setResponseBody(
+                            PeerWire.ResponseBody.newBuilder().setStream(stream).setChunk(ByteString.copyFrom(chunk)))
+                    .build();
+            channel.eventLoop().execute(() -> {
+                unconsumed.add(consumed);
+                channel.writeAndFlush(frame, channel.voidPromise());
+            });
+        }
+
+        @Override
+        public void onEnd() {
+            finish(PeerWire.Frame.newBuilder()
+                    .setResponseEnd(PeerWire.ResponseEnd.newBuilder().setStream(stream))
+                    .build());
+        }
+
+        @Override
+        public void onFailure(Failure failure) {
+            finish(RequestCodec.encode(stream, failure));
+        }
+
+        private void write(PeerWire.Frame frame) {
+            channel.eventLoop().execute(() -> channel.writeAndFlush(frame, channel.voidPromise()));
+        }
+
+        private void finish(PeerWire.Frame frame) {
+            channel.eventLoop().execute(() -> {
+                exchanges.remove(stream);
+                channel.writeAndFlush(frame, channel.voidPromise());
+            });
+        }
+    }
+}
