--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/cli/Commands.java
@@ -0,0 +1,12 @@
+package org.lacewingthread.daemon.cli;
+
+import java.util.List;
+
+/** The commands in the order in which help lists them. */
+final class Commands {
+    private Commands() {}
+
+    static List<Command> all() {
+        return List.of(new CheckCommand(), new VersionCommand());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/entry/ControlThread.java
@@ -0,0 +1,92 @@
+package org.lacewingthread.daemon.entry;
+
+import java.util.List;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.control.ControlAction;
+import org.lacewingthread.core.control.ControlEvent;
+import org.lacewingthread.core.control.EntryVmControl;
+
+/**
+ * The one thread that owns control state. Others hand it events; it hands actions on. A full queue
+ * drops events, which the control treats like lost messages.
+ */
+final class ControlThread implements AutoCloseable {
+    /** Carries out actions without blocking. */
+    @FunctionalInterface
+    interface ActionHandler {
+        /** Carries out one action. */
+        void perform(ControlAction action);
+    }
+
+    private static final System.Logger LOG = System.getLogger(ControlThread.class.getName());
+    private static final int MAX_WAITING_EVENTS = 16_384;
+    private static final long TICK_MILLIS = 25;
+    private static final long JOIN_TIMEOUT_MILLIS = 2_000;
+
+    private final EntryVmControl control;
+    private final ActionHandler actions;
+    private final LongSupplier clockMillis;
+    private final LinkedBlockingQueue<ControlEvent> events = new LinkedBlockingQueue<>(MAX_WAITING_EVENTS);
+    private final Thread thread = new Thread(this::run, "control");
+    private volatile boolean closed;
+
+    ControlThread(EntryVmControl control, ActionHandler actions, LongSupplier clockMillis) {
+        this.control = control;
+        this.actions = actions;
+        this.clockMillis = clockMillis;
+        thread.setDaemon(true);
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    /** Hands an event to the control; never blocks. */
+    void offer(ControlEvent event) {
+        if (!events.offer(event)) {
+            LOG.log(System.Logger.Level.WARNING, "control queue is full; dropped {0}", event.getClass());
+        }
+    }
+
+    private void run() {
+        long nextTickMillis = clockMillis.getAsLong();
+        while (!closed) {
+            try {
+                long waitMillis = Math.max(0, nextTickMillis - clockMillis.getAsLong());
+                ControlEvent event = events.poll(waitMillis, TimeUnit.MILLISECONDS);
+                if (event == null) {
+                    nextTickMillis = clockMillis.getAsLong() + TICK_MILLIS;
+                    event = new ControlEvent.Tick();
+                }
+                handle(event);
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private void handle(ControlEvent event) {
+        try {
+            List<ControlAction> wanted = control.handle(event, clockMillis.getAsLong());
+            wanted.forEach(actions::perform);
+        } catch (RuntimeException e) {
+            LOG.log(
+                    System.Logger.Level.ERROR,
+                    "control failed on " + event.getClass().getSimpleName(),
+                    e);
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        thread.interrupt();
+        try {
+            thread.join(JOIN_TIMEOUT_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/operator/VmStatus.java
@@ -0,0 +1,80 @@
+package org.lacewingthread.daemon.operator;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.lacewingthread.core.control.ControlView;
+import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.log.DataCentreState;
+
+/**
+ * What one entry VM knows, as the operator port shows it.
+ *
+ * @param vm this VM
+ * @param startNumber start number of its process
+ * @param dataCentre its data centre
+ * @param ready whether it serves callers
+ * @param leaving whether it hands over its work
+ * @param appliedOffset offset of the newest log record it applied
+ * @param configurationRevision revision of the configuration in force here
+ * @param roster entry VMs of its data centre in order of succession
+ * @param leader VM that leads its data centre, empty if unknown
+ * @param term term of the route plan, empty before the first plan
+ * @param planVersion version of the route plan, -1 before the first
+ * @param dispatchLeaseMillis how long its dispatch lease still runs, 0 if it ran out
+ * @param servers backend servers of its data centre
+ */
+public record VmStatus(
+        String vm,
+        long startNumber,
+        String dataCentre,
+        boolean ready,
+        boolean leaving,
+        long appliedOffset,
+        long configurationRevision,
+        List<String> roster,
+        String leader,
+        String term,
+        long planVersion,
+        long dispatchLeaseMillis,
+        Map<String, ServerStatus> servers) {
+    /**
+     * One backend server of the data centre.
+     *
+     * @param dispatcher entry VM that sends requests to it
+     * @param shards number of shards that it owns
+     */
+    public record ServerStatus(String dispatcher, long shards) {}
+
+    /** Describes a view. */
+    public static VmStatus of(ControlView view, long nowMillis) {
+        DataCentreState dataCentre = view.state().dataCentre(view.dataCentre());
+        return new VmStatus(
+                view.self().vm().value(),
+                view.self().startNumber(),
+                view.dataCentre().value(),
+                view.ready(),
+                view.leaving(),
+                view.state().appliedOffset().value(),
+                view.state().configurationRevision().value(),
+                dataCentre.members().stream()
+                        .map(member -> member.start().toString())
+                        .toList(),
+                view.plan().map(plan -> plan.term().leader().vm().value()).orElse(""),
+                view.plan().map(plan -> plan.term().toString()).orElse(""),
+                view.plan().map(RoutePlan::version).orElse(-1L),
+                Math.max(0, view.dispatchDeadlineMillis() - nowMillis),
+                view.plan().map(VmStatus::servers).orElse(Map.of()));
+    }
+
+    private static Map<String, ServerStatus> servers(RoutePlan plan) {
+        Map<String, Long> shards = plan.owners().values().stream()
+                .collect(Collectors.groupingBy(owner -> owner.server().value(), Collectors.counting()));
+        Map<String, ServerStatus> servers = new TreeMap<>();
+        plan.dispatchers()
+                .forEach((server, vm) -> servers.put(
+                        server.value(), new ServerStatus(vm.vm().value(), shards.getOrDefault(server.value(), 0L))));
+        return servers;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operator port: health, readiness, metrics, status and audit trail over HTTP. */
+package org.lacewingthread.daemon.operator;
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings files: JSON with comments, strictly checked. */
+package org.lacewingthread.daemon.settings;
--- /dev/null
+++ b/daemon/src/test/java/org/lacewingthread/daemon/peer/PeerNetworkTest.java
@@ -0,0 +1,344 @@
+package org.lacewingthread.daemon.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingthread.core.config.RequestClass;
+import org.lacewingthread.core.control.PeerMessage;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.LogEntry;
+import org.lacewingthread.core.log.RosterMember;
+import org.lacewingthread.core.traffic.ResultCode;
+import org.lacewingthread.daemon.exchange.Failure;
+import org.lacewingthread.daemon.exchange.HeaderField;
+import org.lacewingthread.daemon.exchange.RequestHandler;
+import org.lacewingthread.daemon.exchange.ResponseSink;
+import org.lacewingthread.daemon.exchange.RoutedRequest;
+import org.lacewingthread.daemon.peer.wire.PeerWire;
+
+class PeerNetworkTest {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final VmStart SENDER = new VmStart(new VmId("maras-1"), 1);
+    private static final VmStart RECEIVER = new VmStart(new VmId("maras-2"), 2);
+    private static final DataCentreId MARAS = new DataCentreId("maras");
+    private static final PeerMessage MESSAGE =
+            new PeerMessage.ProgressReported(MARAS, new LogOffset(5), LogOffset.NONE);
+
+    private final List<PeerMessage> received = new CopyOnWriteArrayList<>();
+    private final List<VmStart> senders = new CopyOnWriteArrayList<>();
+    private final AtomicInteger cancelled = new AtomicInteger();
+    private RequestHandler handler = PeerNetworkTest::echo;
+    private PeerNetwork sender;
+    private PeerNetwork receiver;
+
+    @BeforeEach
+    void open() throws IOException {
+        sender = network(SENDER);
+        receiver = network(RECEIVER);
+        receiver.start(LOOPBACK, 0);
+    }
+
+    @AfterEach
+    void close() {
+        sender.close();
+        receiver.close();
+    }
+
+    @Test
+    void controlMessageArrivesWithItsSender() {
+        sender.send(member(receiver.port()), MESSAGE);
+        await().untilAsserted(() -> assertThat(received).containsExactly(MESSAGE));
+        assertThat(senders).containsExactly(SENDER);
+    }
+
+    @Test
+    void relayedRequestGetsItsWholeAnswer() {
+        RecordingSink sink = new RecordingSink();
+        sender.relayTo(member(receiver.port())).handle(request("a", 10_000), sink);
+        await().until(() -> sink.ended);
+        assertThat(sink.status).isEqualTo(200);
+        assertThat(sink.body).containsExactly("POST /holds a");
+    }
+
+    @Test
+    void concurrentRequestsOverOneLinkDoNotCross() {
+        List<RecordingSink> sinks =
+                Stream.generate(RecordingSink::new).limit(200).toList();
+        for (int i = 0; i < sinks.size(); i++) {
+            sender.relayTo(member(receiver.port())).handle(request("r" + i, 10_000), sinks.get(i));
+        }
+        await().until(() -> sinks.stream().allMatch(sink -> sink.ended));
+        for (int i = 0; i < sinks.size(); i++) {
+            assertThat(sinks.get(i).body).containsExactly("POST /holds r" + i);
+        }
+    }
+
+    @Test
+    void requestToAVmThatIsGoneIsNotRun() {
+        int unused = receiver.port();
+        receiver.close();
+        RecordingSink sink = new RecordingSink();
+        sender.relayTo(member(unused)).handle(request("a", 10_000), sink);
+        await().until(() -> sink.failure != null);
+        assertThat(sink.failure.code().knowledge()).isEqualTo(ResultCode.Knowledge.NOT_RUN);
+    }
+
+    @Test
+    void requestWhoseLinkIsLostAfterSendingIsUnknown() {
+        AtomicInteger arrived = new AtomicInteger();
+        handler = (request, sink) -> {
+            arrived.incrementAndGet();
+            return cancelled::incrementAndGet;
+        };
+        RecordingSink sink = new RecordingSink();
+        sender.relayTo(member(receiver.port())).handle(request("a", 10_000), sink);
+        await().until(() -> arrived.get() == 1);
+        receiver.close();
+        await().until(() -> sink.failure != null);
+        assertThat(sink.failure.code()).isEqualTo(ResultCode.RELAY_LOST);
+    }
+
+    @Test
+    void requestPastItsDeadlineIsNotRelayed() {
+        RecordingSink sink = new RecordingSink();
+        sender.relayTo(member(receiver.port())).handle(request("a", -1), sink);
+        await().until(() -> sink.failure != null);
+        assertThat(sink.failure.code()).isEqualTo(ResultCode.DEADLINE_PASSED);
+    }
+
+    @Test
+    void cancellationReachesTheOtherVm() {
+        AtomicInteger arrived = new AtomicInteger();
+        handler = (request, sink) -> {
+            arrived.incrementAndGet();
+            return cancelled::incrementAndGet;
+        };
+        RequestHandler.Cancellation cancellation =
+                sender.relayTo(member(receiver.port())).handle(request("a", 10_000), new RecordingSink());
+        await().until(() -> arrived.get() == 1);
+        cancellation.cancel();
+        await().until(() -> cancelled.get() == 1);
+    }
+
+    @Test
+    void silentLinkIsReplacedByAWorkingOne() throws IOException {
+        try (SilentServer silent = new SilentServer()) {
+            RecordingSink first = new RecordingSink();
+            sender.relayTo(member(silent.port())).handle(request("a", 10_000), first);
+            await().until(() -> first.failure != null);
+            assertThat(first.failure.code()).isEqualTo(ResultCode.RELAY_LOST);
+            assertThat(silent.accepted()).isEqualTo(1);
+            sender.relayTo(member(silent.port())).handle(request("b", 10_000), new RecordingSink());
+            await().until(() -> silent.accepted() == 2);
+        }
+    }
+
+    static Stream<Arguments> garbage() {
+        return Stream.of(
+                Arguments.of("not a frame", "GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII)),
+                Arguments.of(
+                        "a frame above the limit",
+                        ByteBuffer.allocate(4).putInt(Integer.MAX_VALUE).array()),
+                Arguments.of("no hello first", framed(PeerProtocol.ping(1))),
+                Arguments.of("another version", framed(helloOfVersion(PeerProtocol.VERSION + 1))),
+                Arguments.of("an invalid VM id", framed(helloFrom("MARAS 1"))));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("garbage")
+    void peerThatSendsGarbageIsRefused(String name, byte[] bytes) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), receiver.port())) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(10));
+            OutputStream out = socket.getOutputStream();
+            out.write(bytes);
+            out.flush();
+            InputStream in = socket.getInputStream();
+            assertThat(endOf(in)).as("connection is closed").isTrue();
+        }
+        assertThat(received).isEmpty();
+    }
+
+    private static boolean endOf(InputStream in) {
+        try {
+            return in.read() < 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    private static byte[] framed(PeerWire.Frame frame) {
+        byte[] body = frame.toByteArray();
+        return ByteBuffer.allocate(body.length + 4)
+                .putInt(body.length)
+                .put(body)
+                .array();
+    }
+
+    private static PeerWire.Frame helloOfVersion(int version) {
+        PeerWire.Hello hello =
+                PeerProtocol.hello(SENDER, MARAS, PeerWire.Purpose.CONTROL).getHello();
+        return PeerWire.Frame.newBuilder()
+                .setHello(hello.toBuilder().setProtocolVersion(version))
+                .build();
+    }
+
+    private static PeerWire.Frame helloFrom(String vm) {
+        PeerWire.Hello hello =
+                PeerProtocol.hello(SENDER, MARAS, PeerWire.Purpose.CONTROL).getHello();
+        return PeerWire.Frame.newBuilder()
+                .setHello(hello.toBuilder()
+                        .setSender(hello.getSender().toBuilder().setVm(vm)))
+                .build();
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private PeerNetwork network(VmStart self) {
+        PeerNetwork.MessageListener listener = (from, message) -> {
+            senders.add(from);
+            received.add(message);
+        };
+        return new PeerNetwork(
+                self,
+                MARAS,
+                new NoLogEntries(),
+                listener,
+                (request, sink) -> handler.handle(request, sink),
+                PeerNetworkTest::nowMillis);
+    }
+
+    private static RosterMember member(int port) {
+        return new RosterMember(RECEIVER, LOOPBACK, port);
+    }
+
+    private static RoutedRequest request(String id, long remainingMillis) {
+        return new RoutedRequest(
+                id,
+                new ShardId(new ApplicationId("ledger"), 3),
+                77,
+                RequestClass.NON_REPEATABLE,
+                "POST",
+                "/holds",
+                List.of(new HeaderField("Content-Type", "text/plain")),
+                new byte[0],
+                nowMillis() + remainingMillis,
+                Optional.of("key"),
+                0);
+    }
+
+    private static RequestHandler.Cancellation echo(RoutedRequest request, ResponseSink sink) {
+        sink.onHead(200, request.headers());
+        String text = request.method() + " " + request.path() + " " + request.requestId();
+        sink.onBody(text.getBytes(StandardCharsets.UTF_8), () -> {});
+        sink.onEnd();
+        return () -> {};
+    }
+
+    /** Control messages of these tests carry no log entries. */
+    private static final class NoLogEntries implements LogEntryCodec {
+        @Override
+        public byte[] encode(LogEntry entry) {
+            throw new IllegalStateException("no log entries are sent here");
+        }
+
+        @Override
+        public LogEntry decode(LogOffset offset, byte[] data) {
+            throw new IllegalStateException("no log entries are received here");
+        }
+    }
+
+    /** Accepts connections and never answers. */
+    private static final class SilentServer implements AutoCloseable {
+        private final ServerSocket socket = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+        private final List<Socket> accepted = new CopyOnWriteArrayList<>();
+        private final Thread thread = new Thread(this::acceptAll, "silent-server");
+
+        SilentServer() throws IOException {
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void acceptAll() {
+            try {
+                while (true) {
+                    accepted.add(socket.accept());
+                }
+            } catch (IOException e) {
+                // Closed by the test.
+                return;
+            }
+        }
+
+        int port() {
+            return socket.getLocalPort();
+        }
+
+        int accepted() {
+            return accepted.size();
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+            for (Socket connection : accepted) {
+                connection.close();
+            }
+        }
+    }
+
+    /** Remembers one answer. */
+    private static final class RecordingSink implements ResponseSink {
+        private final List<String> body = new CopyOnWriteArrayList<>();
+        private volatile int status;
+        private volatile boolean ended;
+        private volatile Failure failure;
+
+        @Override
+        public void onHead(int newStatus, List<HeaderField> headers) {
+            status = newStatus;
+        }
+
+        @Override
+        public void onBody(byte[] chunk, Runnable consumed) {
+            body.add(new String(chunk, StandardCharsets.UTF_8));
+            consumed.run();
+        }
+
+        @Override
+        public void onEnd() {
+            ended = true;
+        }
+
+        @Override
+        public void onFailure(Failure newFailure) {
+            failure = newFailure;
+        }
+    }
+}
