--- a/core/src/main/java/org/lacewingthread/core/control/PeerMessage.java
+++ b/core/src/main/java/org/lacewingthread/core/control/PeerMessage.java
@@ -1,12 +1,14 @@
 package org.lacewingthread.core.control;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.Term;
 import org.lacewingthread.core.log.LogEntry;
+import org.lacewingthread.core.log.RosterMember;
 
 /** Control messages between entry VMs. Times in them are the sender's own and are only echoed back. */
 public sealed interface PeerMessage {
@@ -93,4 +95,25 @@
      */
     record ProgressReported(DataCentreId dataCentre, LogOffset appliedOffset, LogOffset configurationRevision)
             implements PeerMessage {}
+
+    /**
+     * Asks the leader to add the sender to the roster, or to take its work away and then remove it.
+     *
+     * @param dataCentre the data centre
+     * @param member the sender as the roster is to name it
+     * @param leaving whether the sender wants to leave
+     */
+    record MembershipRequested(DataCentreId dataCentre, RosterMember member, boolean leaving) implements PeerMessage {}
+
+    /**
+     * Tells the leader the newest condition of the servers that the sender dispatches for.
+     *
+     * @param conditions condition of each server
+     */
+    record ServersObserved(Map<ServerId, ServerCondition> conditions) implements PeerMessage {
+        /** Copies the map. */
+        public ServersObserved {
+            conditions = Map.copyOf(conditions);
+        }
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/lease/DispatchLeaseLedger.java
@@ -0,0 +1,82 @@
+package org.lacewingthread.core.lease;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.lacewingthread.core.control.PeerMessage.HeartbeatReply;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.ownership.DispatchLedger;
+
+/** A leader's account of the dispatch leases that its heartbeats of one term may have started. */
+final class DispatchLeaseLedger implements DispatchLedger {
+    /** What is known of one VM. */
+    private static final class Account {
+        private final TreeMap<Long, Long> lastPermissionByVersion = new TreeMap<>();
+        private long repliedAtMillis = -1;
+        private long appliedVersion = DispatchLease.NO_VERSION;
+        private long releasedVersion = DispatchLease.NO_VERSION;
+    }
+
+    private final VmContext context;
+    private final HeldLeases held;
+    private final long predecessorEndMillis;
+    private final Map<VmStart, Account> accounts = new HashMap<>();
+
+    DispatchLeaseLedger(VmContext context, HeldLeases held, long predecessorEndMillis) {
+        this.context = context;
+        this.held = held;
+        this.predecessorEndMillis = predecessorEndMillis;
+    }
+
+    @Override
+    public boolean isLive(VmStart vm, long nowMillis) {
+        return context.rosterMember(vm).isPresent() && held.holds(vm, nowMillis);
+    }
+
+    @Override
+    public boolean hasLeft(VmStart vm, long planVersion, long nowMillis) {
+        Account account = accounts.get(vm);
+        if (account == null) {
+            return nowMillis >= predecessorEndMillis;
+        }
+        if (account.releasedVersion >= planVersion) {
+            return true;
+        }
+        long lastPermission = account.lastPermissionByVersion.headMap(planVersion).values().stream()
+                .reduce(predecessorEndMillis, Math::max);
+        return nowMillis >= lastPermission;
+    }
+
+    /** Takes in a reply of this term; returns whether the VM applied a plan that no echo has named yet. */
+    boolean replied(VmStart vm, HeartbeatReply reply) {
+        Account account = accounts.computeIfAbsent(vm, v -> new Account());
+        account.releasedVersion = Math.max(account.releasedVersion, reply.releasedPlanVersion());
+        if (reply.repliedAtMillis() < account.repliedAtMillis || reply.appliedPlanVersion() < account.appliedVersion) {
+            return false;
+        }
+        boolean isNews = reply.appliedPlanVersion() > account.appliedVersion;
+        account.repliedAtMillis = reply.repliedAtMillis();
+        account.appliedVersion = reply.appliedPlanVersion();
+        return isNews;
+    }
+
+    /** Returns the version that a VM's newest reply stated as applied. */
+    long appliedVersion(VmStart vm) {
+        Account account = accounts.get(vm);
+        return account == null ? DispatchLease.NO_VERSION : account.appliedVersion;
+    }
+
+    /** Returns the time that a VM's newest reply stated, or -1. */
+    long repliedAtMillis(VmStart vm) {
+        Account account = accounts.get(vm);
+        return account == null ? -1 : account.repliedAtMillis;
+    }
+
+    /** Takes in that a heartbeat with an echo is about to be sent. */
+    void echoed(VmStart vm, long planVersion, long nowMillis) {
+        if (planVersion != DispatchLease.NO_VERSION) {
+            long end = context.lengths().dispatchGivenUntil(nowMillis);
+            accounts.get(vm).lastPermissionByVersion.put(planVersion, end);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/lease/LeaderElection.java
@@ -0,0 +1,252 @@
+package org.lacewingthread.core.lease;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.lacewingthread.core.control.PeerMessage.Heartbeat;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.Term;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.DataCentreState;
+import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.RosterMember;
+
+/**
+ * Decides whether this VM leads its data centre.
+ *
+ * <p>A candidate first collects the leases of a majority under a raised ordinal. With the log up it then
+ * claims the leadership there, collects the leases again under the claim's term, and leads. With the log out
+ * it leads under the raised ordinal. Only a VM that holds a majority's leases ever claims, so that a claim
+ * does not unseat a leader that is heard.
+ */
+final class LeaderElection {
+    /** How far this VM has come. */
+    enum Phase {
+        /** Leaves the leadership to another. */
+        FOLLOWING,
+        /** Collects leases. */
+        ASKING,
+        /** Holds a majority's leases and waits to read its claim back. */
+        CLAIMING,
+        /** Leads while it holds a majority's leases. */
+        LEADING
+    }
+
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final long NO_CLAIM = -1;
+
+    private final VmContext context;
+    private final LeaseGiver giver;
+    private final HeldLeases held;
+    private final AppendQueue appends;
+    private Phase phase = Phase.FOLLOWING;
+    private Term term;
+    private final Map<VmStart, Long> refusedSinceMillis = new HashMap<>();
+    private long candidateAtMillis = NEVER;
+    private long askingUntilMillis;
+    private long claimUntilMillis;
+    private long claimSequence = NO_CLAIM;
+
+    LeaderElection(VmContext context, LeaseGiver giver, HeldLeases held, AppendQueue appends) {
+        this.context = context;
+        this.giver = giver;
+        this.held = held;
+        this.appends = appends;
+    }
+
+    Phase phase() {
+        return phase;
+    }
+
+    /** Returns the term in which this VM leads, if it does. */
+    Optional<Term> leadingTerm() {
+        return phase == Phase.LEADING ? Optional.of(term) : Optional.empty();
+    }
+
+    /** Returns the term under which this VM asks for leases, if it does. */
+    Optional<Term> askingTerm() {
+        return phase == Phase.FOLLOWING ? Optional.empty() : Optional.of(term);
+    }
+
+    /** Ends a leadership whose leases have run out; called before anything else is decided. */
+    void checkDeadlines(long nowMillis) {
+        boolean needsMajority = phase == Phase.LEADING || phase == Phase.CLAIMING;
+        if (needsMajority && !held.hasMajority(context.roster(), nowMillis)) {
+            stopLeading();
+            candidateAtMillis = nowMillis + context.settings().electionMillis();
+        }
+    }
+
+    /** Lets another candidate with a higher term have the lease that this one gave to itself in vain. */
+    void yieldTo(VmStart asker, Heartbeat ask) {
+        if (phase == Phase.ASKING && !asker.equals(context.self()) && ask.term().isAfter(term)) {
+            giver.withdrawOwn();
+            held.dropOwn();
+            stopLeading();
+            candidateAtMillis = NEVER;
+        }
+    }
+
+    /** Takes in whether a member answered a heartbeat with its lease. */
+    void answered(VmStart member, boolean granted, Term highestTerm, long nowMillis) {
+        giver.noteTerm(highestTerm);
+        if (granted || term == null || !highestTerm.isAfter(term)) {
+            refusedSinceMillis.remove(member);
+        } else {
+            refusedSinceMillis.putIfAbsent(member, nowMillis);
+        }
+    }
+
+    /** Moves on as far as the leases and the log allow. */
+    void advance(boolean current, boolean logReachable, long nowMillis) {
+        if (!current || !context.isMember()) {
+            stopLeading();
+            candidateAtMillis = NEVER;
+            return;
+        }
+        switch (phase) {
+            case FOLLOWING -> considerAsking(nowMillis);
+            case ASKING -> considerLeading(logReachable, nowMillis);
+            case CLAIMING -> considerClaim(logReachable, nowMillis);
+            case LEADING -> keepLeading(logReachable, nowMillis);
+            default -> throw new IllegalStateException("phase " + phase + " is not handled");
+        }
+    }
+
+    private void considerAsking(long nowMillis) {
+        Optional<Long> givenUntil = giver.givenToOtherUntil(nowMillis);
+        if (givenUntil.isPresent()) {
+            candidateAtMillis = givenUntil.get() + successionDelayMillis();
+            return;
+        }
+        if (candidateAtMillis == NEVER) {
+            candidateAtMillis = nowMillis + firstDelayMillis();
+        }
+        if (nowMillis >= candidateAtMillis) {
+            ask(raisedOrdinal(), nowMillis);
+        }
+    }
+
+    private long firstDelayMillis() {
+        if (context.roster().size() == 1) {
+            return 0;
+        }
+        return 2 * context.settings().heartbeatMillis() + successionDelayMillis();
+    }
+
+    /** Candidates ask one after another, in the order of the roster. */
+    private long successionDelayMillis() {
+        List<RosterMember> roster = context.roster();
+        int position = 0;
+        while (!roster.get(position).start().equals(context.self())) {
+            position++;
+        }
+        return position * context.settings().electionMillis() / roster.size();
+    }
+
+    private Term raisedOrdinal() {
+        Term lowest = new Term(context.dataCentre().claimOffset(), 0, context.self());
+        Term base = giver.highestTerm().filter(t -> t.isAfter(lowest)).orElse(lowest);
+        return new Term(base.claimOffset(), base.ordinal() + 1, context.self());
+    }
+
+    private void ask(Term newTerm, long nowMillis) {
+        term = newTerm;
+        phase = Phase.ASKING;
+        askingUntilMillis = nowMillis + context.settings().leaderLeaseMillis();
+        held.clear();
+    }
+
+    private void considerLeading(boolean logReachable, long nowMillis) {
+        if (held.hasMajority(context.roster(), nowMillis)) {
+            if (logReachable && !isClaimed()) {
+                claim(nowMillis);
+            } else {
+                lead();
+            }
+            return;
+        }
+        boolean outbid = giver.highestTerm().filter(t -> t.isAfter(term)).isPresent();
+        if (outbid || nowMillis >= askingUntilMillis) {
+            ask(raisedOrdinal(), nowMillis);
+        }
+    }
+
+    /** Returns whether the term is that of this VM's own claim, the newest in the log. */
+    private boolean isClaimed() {
+        DataCentreState dataCentre = context.dataCentre();
+        return term.ordinal() == 0
+                && context.self().equals(dataCentre.claimant())
+                && dataCentre.claimOffset().equals(term.claimOffset());
+    }
+
+    private void claim(long nowMillis) {
+        phase = Phase.CLAIMING;
+        claimUntilMillis = nowMillis + context.settings().electionMillis();
+        appendClaim();
+    }
+
+    private void appendClaim() {
+        if (appends.isPending(claimSequence)) {
+            return;
+        }
+        LogOffset newest = context.dataCentre().claimOffset();
+        claimSequence =
+                appends.add(new LogRecord.LeaderClaimed(context.identity().dataCentre(), newest, context.self()));
+    }
+
+    private void considerClaim(boolean logReachable, long nowMillis) {
+        if (hasNewerOwnClaim()) {
+            askUnderClaim(nowMillis);
+        } else if (!logReachable || nowMillis >= claimUntilMillis) {
+            lead();
+        } else {
+            appendClaim();
+        }
+    }
+
+    private boolean hasNewerOwnClaim() {
+        DataCentreState dataCentre = context.dataCentre();
+        return dataCentre.claimOffset().isAfter(term.claimOffset())
+                && context.self().equals(dataCentre.claimant());
+    }
+
+    private void askUnderClaim(long nowMillis) {
+        ask(new Term(context.dataCentre().claimOffset(), 0, context.self()), nowMillis);
+    }
+
+    /** A leader's records are accepted only under the newest claim, so it follows a newer one with its own. */
+    private void keepLeading(boolean logReachable, long nowMillis) {
+        if (hasNewerOwnClaim()) {
+            askUnderClaim(nowMillis);
+        } else if (isOutbid(nowMillis)) {
+            ask(raisedOrdinal(), nowMillis);
+        } else if (logReachable && context.dataCentre().claimOffset().isAfter(term.claimOffset())) {
+            appendClaim();
+        }
+    }
+
+    /** Returns whether a member keeps refusing because a failed candidate with a higher term had its lease. */
+    private boolean isOutbid(long nowMillis) {
+        long patienceMillis = 2 * context.settings().leaderLeaseMillis();
+        return refusedSinceMillis.entrySet().stream()
+                .anyMatch(e -> nowMillis - e.getValue() >= patienceMillis
+                        && context.rosterMember(e.getKey()).isPresent());
+    }
+
+    private void lead() {
+        phase = Phase.LEADING;
+        giver.raiseFloor(term);
+        refusedSinceMillis.clear();
+        context.outbox().audit("leader-elected", context.identity().dataCentre() + " term " + term);
+    }
+
+    private void stopLeading() {
+        if (phase == Phase.LEADING) {
+            context.outbox().audit("leader-stepped-down", context.identity().dataCentre() + " term " + term);
+        }
+        appends.giveUp(claimSequence);
+        phase = Phase.FOLLOWING;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/lease/LeaderTerm.java
@@ -0,0 +1,132 @@
+package org.lacewingthread.core.lease;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.lacewingthread.core.control.PeerMessage.HeartbeatReply;
+import org.lacewingthread.core.control.PlanUpdate;
+import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.control.ServerCondition;
+import org.lacewingthread.core.control.ServerLoad;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.Term;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.RosterMember;
+import org.lacewingthread.core.ownership.OwnershipCoordinator;
+import org.lacewingthread.core.ownership.OwnershipInputs;
+
+/** What a leader knows and has handed out in one term. */
+final class LeaderTerm {
+    private final VmContext context;
+    private final Term term;
+    private final OwnershipCoordinator coordinator;
+    private final DispatchLeaseLedger ledger;
+    private final long predecessorEndMillis;
+    private final Map<VmStart, Optional<RoutePlan>> held = new HashMap<>();
+    private final Map<ServerId, ServerCondition> conditions = new HashMap<>();
+    private final Map<ServerId, ServerLoad> loads = new HashMap<>();
+    private RoutePlan plan;
+    private RoutePlan previousPlan;
+
+    LeaderTerm(VmContext context, Term term, OwnershipCoordinator coordinator, HeldLeases leases, long nowMillis) {
+        this.context = context;
+        this.term = term;
+        this.coordinator = coordinator;
+        boolean waits = context.rules().contains(ProtocolRule.WAIT_BEFORE_TAKEOVER);
+        this.predecessorEndMillis = waits ? context.lengths().predecessorEnd(nowMillis) : nowMillis;
+        this.ledger = new DispatchLeaseLedger(context, leases, predecessorEndMillis);
+    }
+
+    Term term() {
+        return term;
+    }
+
+    OwnershipCoordinator coordinator() {
+        return coordinator;
+    }
+
+    DispatchLeaseLedger ledger() {
+        return ledger;
+    }
+
+    Optional<RoutePlan> plan() {
+        return Optional.ofNullable(plan);
+    }
+
+    /** Takes in a changed plan. */
+    void replacePlan(RoutePlan changed) {
+        previousPlan = plan;
+        plan = changed;
+    }
+
+    /** Takes in a reply to a heartbeat of this term; returns whether its sender waits for an echo. */
+    boolean replied(VmStart vm, HeartbeatReply reply) {
+        held.putIfAbsent(vm, reply.held());
+        reply.load().forEach(l -> loads.put(l.server(), l));
+        noteUnreachable(vm, new HashSet<>(reply.unreachableServers()));
+        return ledger.replied(vm, reply);
+    }
+
+    private void noteUnreachable(VmStart vm, Set<ServerId> unreachable) {
+        unreachable.forEach(s -> conditions.put(s, ServerCondition.UNREACHABLE));
+        if (plan == null) {
+            return;
+        }
+        conditions.replaceAll((server, condition) -> {
+            boolean dispatches = vm.equals(plan.dispatchers().get(server));
+            boolean answersAgain = dispatches && !unreachable.contains(server) && !condition.isAnswering();
+            return answersAgain ? ServerCondition.REACHABLE : condition;
+        });
+    }
+
+    /** Takes in conditions that a dispatcher observed. */
+    void observed(Map<ServerId, ServerCondition> observed) {
+        conditions.putAll(observed);
+    }
+
+    /** Returns the change of plan that a VM lacks. */
+    Optional<PlanUpdate> updateFor(VmStart vm) {
+        long applied = ledger.appliedVersion(vm);
+        if (plan == null || applied == plan.version()) {
+            return Optional.empty();
+        }
+        if (previousPlan != null && applied == previousPlan.version()) {
+            return Optional.of(PlanUpdates.between(previousPlan, plan));
+        }
+        return Optional.of(PlanUpdates.whole(plan));
+    }
+
+    /** Returns whether a VM dispatches for no server any more and has ended what it sent before. */
+    boolean hasHandedOver(VmStart vm, long nowMillis) {
+        if (plan == null) {
+            return nowMillis >= predecessorEndMillis;
+        }
+        return !plan.dispatchers().containsValue(vm) && ledger.hasLeft(vm, plan.version(), nowMillis);
+    }
+
+    /** Returns what the coordinator decides on. */
+    OwnershipInputs inputs(Set<VmStart> leaving, boolean logReachable, long nowMillis) {
+        List<VmStart> roster =
+                context.roster().stream().map(RosterMember::start).toList();
+        List<VmStart> members = roster.stream()
+                .filter(vm -> ledger.isLive(vm, nowMillis))
+                .filter(vm -> !leaving.contains(vm))
+                .toList();
+        return new OwnershipInputs(
+                context.identity().dataCentre(),
+                context.self(),
+                term,
+                context.state(),
+                logReachable,
+                members,
+                ledger,
+                predecessorEndMillis,
+                Map.copyOf(held),
+                held.keySet().containsAll(roster),
+                Map.copyOf(conditions),
+                Map.copyOf(loads));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/lease/LogReading.java
@@ -0,0 +1,116 @@
+package org.lacewingthread.core.lease;
+
+import java.util.function.Consumer;
+import org.lacewingthread.core.control.ControlAction;
+import org.lacewingthread.core.control.ControlEvent;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.log.LogEntry;
+import org.lacewingthread.core.log.LogRecord;
+
+/** Reads the platform's log at a steady pace, faster while a record of this VM is to be read back. */
+final class LogReading {
+    private static final long READ_BACK_MILLIS = 20;
+    private static final long ANSWER_TIMEOUT_MILLIS = 1_000;
+    private static final int SILENT_READS = 5;
+
+    private final VmContext context;
+    private final Consumer<LogEntry> applier;
+    private long nextReadMillis = Long.MIN_VALUE;
+    private long answerDeadlineMillis = Long.MIN_VALUE;
+    private long reachableUntilMillis = Long.MIN_VALUE;
+    private LogOffset endOffset = LogOffset.NONE;
+    private LogOffset skipTo = LogOffset.NONE;
+    private LogOffset lastSnapshot = LogOffset.NONE;
+    private boolean answeredOnce;
+
+    LogReading(VmContext context, Consumer<LogEntry> applier) {
+        this.context = context;
+        this.applier = applier;
+    }
+
+    /** Asks for more records when it is time. */
+    void advance(boolean awaitsReadBack, long nowMillis) {
+        if (nowMillis < answerDeadlineMillis) {
+            return;
+        }
+        if (awaitsReadBack) {
+            nextReadMillis = Math.min(nextReadMillis, nowMillis + READ_BACK_MILLIS);
+        }
+        if (nowMillis < nextReadMillis) {
+            return;
+        }
+        LogOffset next = context.state().appliedOffset().next();
+        context.outbox().add(new ControlAction.ReadLog(skipTo.isAfter(next) ? skipTo : next));
+        answerDeadlineMillis = nowMillis + ANSWER_TIMEOUT_MILLIS;
+        nextReadMillis = nowMillis + context.settings().logReadMillis();
+    }
+
+    /** Applies what was read. Records that the log no longer keeps are made up for by its next snapshot. */
+    void read(ControlEvent.LogRead read, long nowMillis) {
+        answerDeadlineMillis = Long.MIN_VALUE;
+        reachableUntilMillis = nowMillis + SILENT_READS * context.settings().logReadMillis();
+        answeredOnce = true;
+        if (read.endOffset().isAfter(endOffset)) {
+            endOffset = read.endOffset();
+        }
+        if (read.oldestOffset().isAfter(context.state().appliedOffset().next())
+                && read.entries().isEmpty()) {
+            skipTo = read.oldestOffset();
+        }
+        for (LogEntry entry : read.entries()) {
+            apply(entry);
+        }
+        if (endOffset.isAfter(context.state().appliedOffset())) {
+            nextReadMillis = nowMillis;
+        }
+    }
+
+    /** Applies one record in its turn; returns whether the state advanced. */
+    boolean apply(LogEntry entry) {
+        LogOffset applied = context.state().appliedOffset();
+        if (!entry.offset().isAfter(applied)) {
+            return false;
+        }
+        if (entry.body() instanceof LogRecord.SnapshotTaken) {
+            lastSnapshot = entry.offset();
+        }
+        if (entry.offset().equals(applied.next())) {
+            applier.accept(entry);
+            return true;
+        }
+        if (entry.body() instanceof LogRecord.SnapshotTaken snapshot
+                && snapshot.state().appliedOffset().isAfter(applied)) {
+            context.replica().restore(snapshot.state());
+            skipTo = LogOffset.NONE;
+            return true;
+        }
+        if (entry.offset().value() >= skipTo.value()) {
+            skipTo = entry.offset().next();
+        }
+        return false;
+    }
+
+    /** Takes in that the log is out. */
+    void unavailable(long nowMillis) {
+        answerDeadlineMillis = Long.MIN_VALUE;
+        reachableUntilMillis = nowMillis;
+        nextReadMillis = nowMillis + context.settings().logReadMillis();
+    }
+
+    boolean isReachable(long nowMillis) {
+        return nowMillis < reachableUntilMillis;
+    }
+
+    /** Returns whether the log was read to its end at least once. */
+    boolean reachedEnd() {
+        return answeredOnce && !endOffset.isAfter(context.state().appliedOffset());
+    }
+
+    LogOffset endOffset() {
+        return endOffset;
+    }
+
+    LogOffset lastSnapshot() {
+        return lastSnapshot;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/lease/PlanUpdates.java
@@ -0,0 +1,75 @@
+package org.lacewingthread.core.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.lacewingthread.core.control.PlanUpdate;
+import org.lacewingthread.core.control.RoutePlan;
+
+/** Makes and applies differences between route plans. */
+final class PlanUpdates {
+    private PlanUpdates() {}
+
+    /** Returns an update that carries a whole plan. */
+    static PlanUpdate whole(RoutePlan plan) {
+        return new PlanUpdate(
+                plan.term(),
+                PlanUpdate.WHOLE_PLAN,
+                plan.version(),
+                plan.dispatchers(),
+                List.of(),
+                plan.owners(),
+                List.of());
+    }
+
+    /** Returns the difference between two plans of one term. */
+    static PlanUpdate between(RoutePlan from, RoutePlan to) {
+        return new PlanUpdate(
+                to.term(),
+                from.version(),
+                to.version(),
+                changed(from.dispatchers(), to.dispatchers()),
+                removed(from.dispatchers(), to.dispatchers()),
+                changed(from.owners(), to.owners()),
+                removed(from.owners(), to.owners()));
+    }
+
+    /** Applies an update to the plan held so far; empty if it does not follow from it. */
+    static Optional<RoutePlan> apply(Optional<RoutePlan> held, PlanUpdate update) {
+        if (update.fromVersion() == PlanUpdate.WHOLE_PLAN) {
+            RoutePlan plan = new RoutePlan(update.term(), update.toVersion(), update.dispatchers(), update.owners());
+            return Optional.of(plan).filter(p -> held.isEmpty() || p.isAfter(held.get()));
+        }
+        return held.filter(p -> p.term().equals(update.term()) && p.version() == update.fromVersion())
+                .map(p -> new RoutePlan(
+                        p.term(),
+                        update.toVersion(),
+                        patched(p.dispatchers(), update.dispatchers(), update.removedDispatchers()),
+                        patched(p.owners(), update.owners(), update.removedOwners())));
+    }
+
+    private static <K, V> Map<K, V> changed(Map<K, V> from, Map<K, V> to) {
+        Map<K, V> changed = new HashMap<>();
+        to.forEach((key, value) -> {
+            if (!value.equals(from.get(key))) {
+                changed.put(key, value);
+            }
+        });
+        return changed;
+    }
+
+    private static <K, V> List<K> removed(Map<K, V> from, Map<K, V> to) {
+        List<K> removed = new ArrayList<>(from.keySet());
+        removed.removeAll(to.keySet());
+        return removed;
+    }
+
+    private static <K, V> Map<K, V> patched(Map<K, V> base, Map<K, V> changed, List<K> removed) {
+        Map<K, V> patched = new HashMap<>(base);
+        patched.keySet().removeAll(removed);
+        patched.putAll(changed);
+        return patched;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/lease/RosterKeeper.java
@@ -0,0 +1,210 @@
+package org.lacewingthread.core.lease;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.lacewingthread.core.control.PeerMessage.HeartbeatReply;
+import org.lacewingthread.core.control.PeerMessage.MembershipRequested;
+import org.lacewingthread.core.id.Term;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.DataCentreState;
+import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.RosterMember;
+
+/**
+ * Keeps the roster in step with the VMs that run. The leader adds and removes one VM a record; a VM without a
+ * roster to join starts one; a roster whose majority is gone for good is reset.
+ */
+final class RosterKeeper {
+    private static final long REQUEST_MILLIS = 250;
+    private static final long REQUEST_KEPT_MILLIS = 2_000;
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final long NO_APPEND = -1;
+
+    /** A request to join or leave, with the time until which it counts. */
+    private record Request(RosterMember member, boolean leaving, long deadlineMillis) {}
+
+    private final VmContext context;
+    private final AppendQueue appends;
+    private final VmWatch watch;
+    private final RosterAcknowledgements acknowledgements = new RosterAcknowledgements();
+    private final Map<VmStart, Request> requests = new LinkedHashMap<>();
+    private boolean leaving;
+    private long nextRequestMillis = Long.MIN_VALUE;
+    private long goneSinceMillis = NEVER;
+    private long appendSequence = NO_APPEND;
+    private long nextAppendMillis = Long.MIN_VALUE;
+
+    RosterKeeper(VmContext context, AppendQueue appends, VmWatch watch) {
+        this.context = context;
+        this.appends = appends;
+        this.watch = watch;
+    }
+
+    /** Takes in that this VM is to leave. */
+    void leave() {
+        leaving = true;
+        nextRequestMillis = Long.MIN_VALUE;
+    }
+
+    /** Returns whether this VM is handing over its work. */
+    boolean isLeaving() {
+        return leaving || isLeaving(context.self());
+    }
+
+    void replied(VmStart member, HeartbeatReply reply) {
+        if (reply.acknowledgedRoster()) {
+            acknowledgements.acknowledged(member, reply.rosterRevision());
+        }
+    }
+
+    /** Takes in another VM's request; a VM outside the roster answers with its own, so that both know of each other. */
+    void requested(MembershipRequested request, long nowMillis) {
+        VmStart vm = request.member().start();
+        boolean isNew = !requests.containsKey(vm);
+        requests.put(vm, new Request(request.member(), request.leaving(), nowMillis + REQUEST_KEPT_MILLIS));
+        if (context.rosterMember(vm).isPresent() || vm.equals(context.self())) {
+            return;
+        }
+        watch.started(vm);
+        if (isNew && !context.isMember()) {
+            context.outbox().send(request.member(), ownRequest());
+        }
+    }
+
+    private MembershipRequested ownRequest() {
+        return new MembershipRequested(
+                context.identity().dataCentre(), context.identity().member(), leaving);
+    }
+
+    /** Returns the VMs that are to be given no work. */
+    Set<VmStart> leavingVms() {
+        Set<VmStart> vms = new HashSet<>();
+        for (RosterMember member : context.roster()) {
+            if (isLeaving(member.start())) {
+                vms.add(member.start());
+            }
+        }
+        return vms;
+    }
+
+    private boolean isLeaving(VmStart vm) {
+        Request request = requests.get(vm);
+        boolean asked = request != null && request.leaving();
+        boolean isSelf = vm.equals(context.self());
+        return asked
+                || (isSelf && leaving)
+                || watch.isListedLeaving(vm.vm())
+                || context.state().drainingVms().contains(vm.vm());
+    }
+
+    /** Sends requests and appends the change that is due, if any. */
+    void advance(Optional<LeaderTerm> leading, boolean reachedLogEnd, boolean logReachable, long nowMillis) {
+        requests.values().removeIf(r -> !r.leaving() && nowMillis >= r.deadlineMillis());
+        sendRequest(nowMillis);
+        if (!logReachable || !reachedLogEnd || appends.isPending(appendSequence) || nowMillis < nextAppendMillis) {
+            return;
+        }
+        DataCentreState dataCentre = context.dataCentre();
+        if (dataCentre.members().isEmpty()) {
+            bootstrap(dataCentre, nowMillis);
+        } else if (leading.isPresent()) {
+            changeByOne(dataCentre, leading.get(), nowMillis);
+        } else {
+            considerReset(dataCentre, nowMillis);
+        }
+    }
+
+    private void sendRequest(long nowMillis) {
+        boolean wantsIn = !context.isMember() && !isLeaving();
+        boolean wantsOut = context.isMember() && leaving;
+        if (nowMillis < nextRequestMillis || !(wantsIn || wantsOut)) {
+            return;
+        }
+        nextRequestMillis = nowMillis + REQUEST_MILLIS;
+        context.roster().forEach(m -> context.outbox().send(m, ownRequest()));
+    }
+
+    private void bootstrap(DataCentreState dataCentre, long nowMillis) {
+        if (!isLeaving()) {
+            change(dataCentre, List.of(context.identity().member()), Optional.empty(), nowMillis);
+        }
+    }
+
+    private void changeByOne(DataCentreState dataCentre, LeaderTerm leader, long nowMillis) {
+        boolean mayChange = !context.rules().contains(ProtocolRule.MAJORITY_BEFORE_NEXT_CHANGE)
+                || acknowledgements.hasMajority(dataCentre);
+        if (!mayChange) {
+            return;
+        }
+        Optional<RosterMember> leaver = dataCentre.members().stream()
+                .filter(m -> dataCentre.members().size() > 1)
+                .filter(m -> isToBeRemoved(m.start(), leader, nowMillis))
+                .findFirst();
+        if (leaver.isPresent()) {
+            List<RosterMember> members = new ArrayList<>(dataCentre.members());
+            members.remove(leaver.get());
+            change(dataCentre, members, Optional.of(leader.term()), nowMillis);
+            return;
+        }
+        Optional<RosterMember> newcomer = requests.values().stream()
+                .filter(r -> !isLeaving(r.member().start()))
+                .map(Request::member)
+                .filter(m -> dataCentre.member(m.start()).isEmpty())
+                .findFirst();
+        if (newcomer.isPresent()) {
+            List<RosterMember> members = new ArrayList<>(dataCentre.members());
+            members.add(newcomer.get());
+            change(dataCentre, members, Optional.of(leader.term()), nowMillis);
+        }
+    }
+
+    private boolean isToBeRemoved(VmStart vm, LeaderTerm leader, long nowMillis) {
+        if (!leader.ledger().isLive(vm, nowMillis)) {
+            return watch.isGone(vm, nowMillis);
+        }
+        return isLeaving(vm) && leader.hasHandedOver(vm, nowMillis);
+    }
+
+    private void considerReset(DataCentreState dataCentre, long nowMillis) {
+        List<RosterMember> survivors = dataCentre.members().stream()
+                .filter(m -> !watch.isGone(m.start(), nowMillis))
+                .toList();
+        boolean mayReset = 2 * survivors.size() <= dataCentre.members().size()
+                && (survivors.isEmpty() || dataCentre.member(context.self()).isPresent())
+                && !isLeaving();
+        if (!mayReset) {
+            goneSinceMillis = NEVER;
+            return;
+        }
+        goneSinceMillis = Math.min(goneSinceMillis, nowMillis);
+        if (context.lengths().leaderGivenUntil(goneSinceMillis) > nowMillis) {
+            return;
+        }
+        List<RosterMember> members =
+                survivors.isEmpty() ? List.of(context.identity().member()) : survivors;
+        appendSequence = appends.add(new LogRecord.RosterReset(
+                context.identity().dataCentre(),
+                dataCentre.rosterRevision(),
+                members,
+                "platform lists no majority of the roster"));
+        goneSinceMillis = NEVER;
+        backOff(nowMillis);
+    }
+
+    private void change(DataCentreState base, List<RosterMember> members, Optional<Term> term, long nowMillis) {
+        LogRecord record = new LogRecord.RosterChanged(context.identity().dataCentre(), base.rosterRevision(), members);
+        appendSequence = appends.add(record, term);
+        backOff(nowMillis);
+    }
+
+    /** Waits before the next attempt, each VM for another time. */
+    private void backOff(long nowMillis) {
+        long spreadMillis = context.self().startNumber() % REQUEST_MILLIS;
+        nextAppendMillis = nowMillis + context.settings().heartbeatMillis() + spreadMillis;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/lease/VmContext.java
@@ -0,0 +1,44 @@
+package org.lacewingthread.core.lease;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.lacewingthread.core.control.ControlSettings;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.DataCentreState;
+import org.lacewingthread.core.log.ReplicaState;
+import org.lacewingthread.core.log.RosterMember;
+
+/** What all parts of one entry VM's control share. */
+record VmContext(
+        EntryVmIdentity identity,
+        ControlSettings settings,
+        Replica replica,
+        Outbox outbox,
+        LeaseLengths lengths,
+        Set<ProtocolRule> rules) {
+    VmStart self() {
+        return identity.self();
+    }
+
+    ReplicaState state() {
+        return replica.state();
+    }
+
+    /** Returns the recorded state of this VM's data centre. */
+    DataCentreState dataCentre() {
+        return replica.state().dataCentre(identity.dataCentre());
+    }
+
+    List<RosterMember> roster() {
+        return dataCentre().members();
+    }
+
+    Optional<RosterMember> rosterMember(VmStart start) {
+        return dataCentre().member(start);
+    }
+
+    boolean isMember() {
+        return rosterMember(self()).isPresent();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/lease/VmWatch.java
@@ -0,0 +1,71 @@
+package org.lacewingthread.core.lease;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.lacewingthread.core.control.ControlEvent;
+import org.lacewingthread.core.control.ControlSettings;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.RosterMember;
+
+/**
+ * Judges which entry VMs are gone for good. Silence never suffices: the platform's list must have stopped
+ * showing the VM, or another process must have started on it.
+ */
+final class VmWatch {
+    private static final int LEASES_UNTIL_GONE = 4;
+    private static final int LEASES_UNTIL_GONE_IF_NEVER_LISTED = 20;
+    private static final long LIST_KEPT_MILLIS = 30_000;
+
+    private final ControlSettings settings;
+    private final Map<VmId, Long> lastListedMillis = new HashMap<>();
+    private final Map<VmStart, Long> lastHeardMillis = new HashMap<>();
+    private final Map<VmId, VmStart> newestStart = new HashMap<>();
+    private Set<VmId> leaving = Set.of();
+    private long firstListMillis = Long.MAX_VALUE;
+    private long lastListMillis = Long.MIN_VALUE;
+
+    VmWatch(ControlSettings settings, RosterMember self) {
+        this.settings = settings;
+        newestStart.put(self.start().vm(), self.start());
+    }
+
+    void listRead(ControlEvent.VmListRead list, long nowMillis) {
+        firstListMillis = Math.min(firstListMillis, nowMillis);
+        lastListMillis = nowMillis;
+        list.live().forEach(vm -> lastListedMillis.put(vm, nowMillis));
+        list.leaving().forEach(vm -> lastListedMillis.put(vm, nowMillis));
+        leaving = new HashSet<>(list.leaving());
+    }
+
+    void heard(VmStart vm, long nowMillis) {
+        lastHeardMillis.put(vm, nowMillis);
+    }
+
+    /** Takes in that a process which is not in the roster runs on its VM. */
+    void started(VmStart newcomer) {
+        newestStart.put(newcomer.vm(), newcomer);
+    }
+
+    boolean isListedLeaving(VmId vm) {
+        return leaving.contains(vm);
+    }
+
+    /** Returns whether a member no longer exists. */
+    boolean isGone(VmStart member, long nowMillis) {
+        VmStart newest = newestStart.get(member.vm());
+        if (newest != null && !newest.equals(member)) {
+            return true;
+        }
+        if (lastListMillis == Long.MIN_VALUE || nowMillis - lastListMillis > LIST_KEPT_MILLIS) {
+            return false;
+        }
+        Long listed = lastListedMillis.get(member.vm());
+        int leases = listed == null ? LEASES_UNTIL_GONE_IF_NEVER_LISTED : LEASES_UNTIL_GONE;
+        long unseenSince = Math.max(
+                listed == null ? firstListMillis : listed, lastHeardMillis.getOrDefault(member, Long.MIN_VALUE));
+        return lastListMillis - unseenSince >= leases * settings.leaderLeaseMillis();
+    }
+}
