Record the offset of each writer's newest record in the replica state

Cause: the set of remembered writers must be bounded by a deterministic rule, and a highest sequence alone does not tell which writer wrote last. ReplicaState gains lastOffsets; the kinds of LogRecord check their parts when they are made, so that a decoder finds a bad record at once.

--- a/core/src/main/java/org/lacewingthread/core/log/LogRecord.java
+++ b/core/src/main/java/org/lacewingthread/core/log/LogRecord.java
@@ -22,7 +22,13 @@
      * @param baseRevision accepted only if this is the revision in force
      * @param configuration the new configuration
      */
-    record ConfigurationPublished(LogOffset baseRevision, RoutingConfiguration configuration) implements LogRecord {}
+    record ConfigurationPublished(LogOffset baseRevision, RoutingConfiguration configuration) implements LogRecord {
+        /** Checks that both parts are present. */
+        public ConfigurationPublished {
+            require(baseRevision, "base revision");
+            require(configuration, "configuration");
+        }
+    }
 
     /**
      * Adds or removes one entry VM of a data centre's roster.
@@ -32,7 +38,14 @@
      * @param members the new roster in order of succession; differs by one member from the old
      */
     record RosterChanged(DataCentreId dataCentre, LogOffset baseRevision, List<RosterMember> members)
-            implements LogRecord {}
+            implements LogRecord {
+        /** Copies the roster. */
+        public RosterChanged {
+            require(dataCentre, "data centre");
+            require(baseRevision, "base revision");
+            members = List.copyOf(members);
+        }
+    }
 
     /**
      * Replaces a roster of which a majority is gone for good.
@@ -43,7 +56,15 @@
      * @param reason the platform's word or the operator's order that allows it
      */
     record RosterReset(DataCentreId dataCentre, LogOffset baseRevision, List<RosterMember> members, String reason)
-            implements LogRecord {}
+            implements LogRecord {
+        /** Copies the roster. */
+        public RosterReset {
+            require(dataCentre, "data centre");
+            require(baseRevision, "base revision");
+            members = List.copyOf(members);
+            require(reason, "reason");
+        }
+    }
 
     /**
      * Claims a data centre's leadership. The record's offset becomes the claim offset of the new term.
@@ -52,7 +73,14 @@
      * @param followsClaim accepted only if this is the offset of the newest accepted claim
      * @param claimant the claiming process; must be in the roster
      */
-    record LeaderClaimed(DataCentreId dataCentre, LogOffset followsClaim, VmStart claimant) implements LogRecord {}
+    record LeaderClaimed(DataCentreId dataCentre, LogOffset followsClaim, VmStart claimant) implements LogRecord {
+        /** Checks that every part is present. */
+        public LeaderClaimed {
+            require(dataCentre, "data centre");
+            require(followsClaim, "claim that it follows");
+            require(claimant, "claimant");
+        }
+    }
 
     /**
      * Assigns shards to backend servers of one data centre.
@@ -63,7 +91,14 @@
      * @param assignments the assignments; each must be of a shard that no other data centre governs
      */
     record AssignmentsRecorded(DataCentreId dataCentre, Term term, List<ShardAssignment> assignments)
-            implements LogRecord {}
+            implements LogRecord {
+        /** Copies the assignments. */
+        public AssignmentsRecorded {
+            require(dataCentre, "data centre");
+            require(term, "term");
+            assignments = List.copyOf(assignments);
+        }
+    }
 
     /**
      * Gives up shards in favour of another data centre; no lease on them may be running.
@@ -74,7 +109,15 @@
      * @param shards the shards
      */
     record ShardsReleased(DataCentreId dataCentre, Term term, DataCentreId target, List<ShardId> shards)
-            implements LogRecord {}
+            implements LogRecord {
+        /** Copies the shards. */
+        public ShardsReleased {
+            require(dataCentre, "data centre");
+            require(term, "term");
+            require(target, "target data centre");
+            shards = List.copyOf(shards);
+        }
+    }
 
     /**
      * Hands all shards of a lost data centre to another.
@@ -83,7 +126,14 @@
      * @param target the data centre that may adopt its shards
      * @param reason the operator's reason
      */
-    record DataCentreHandedOver(DataCentreId from, DataCentreId target, String reason) implements LogRecord {}
+    record DataCentreHandedOver(DataCentreId from, DataCentreId target, String reason) implements LogRecord {
+        /** Checks that every part is present. */
+        public DataCentreHandedOver {
+            require(from, "lost data centre");
+            require(target, "target data centre");
+            require(reason, "reason");
+        }
+    }
 
     /**
      * Starts or ends the drain of a backend server.
@@ -91,7 +141,12 @@
      * @param server the server
      * @param draining whether it is to be drained
      */
-    record ServerDrainSet(ServerId server, boolean draining) implements LogRecord {}
+    record ServerDrainSet(ServerId server, boolean draining) implements LogRecord {
+        /** Checks that the server is named. */
+        public ServerDrainSet {
+            require(server, "server");
+        }
+    }
 
     /**
      * Starts or ends the drain of an entry VM.
@@ -99,7 +154,12 @@
      * @param vm the entry VM
      * @param draining whether it is to be drained
      */
-    record VmDrainSet(VmId vm, boolean draining) implements LogRecord {}
+    record VmDrainSet(VmId vm, boolean draining) implements LogRecord {
+        /** Checks that the VM is named. */
+        public VmDrainSet {
+            require(vm, "VM");
+        }
+    }
 
     /**
      * Gives hot keys shards of their own. They stay with the owner of the shard they came from until moved.
@@ -110,7 +170,15 @@
      * @param keyHashes hashes of the keys
      */
     record KeysSplit(DataCentreId dataCentre, Term term, ApplicationId application, List<Long> keyHashes)
-            implements LogRecord {}
+            implements LogRecord {
+        /** Copies the hashes. */
+        public KeysSplit {
+            require(dataCentre, "data centre");
+            require(term, "term");
+            require(application, "application");
+            keyHashes = List.copyOf(keyHashes);
+        }
+    }
 
     /**
      * Merges split-out keys back; each must again be owned by the owner of the shard it came from.
@@ -121,14 +189,27 @@
      * @param keyHashes hashes of the keys
      */
     record KeysMerged(DataCentreId dataCentre, Term term, ApplicationId application, List<Long> keyHashes)
-            implements LogRecord {}
+            implements LogRecord {
+        /** Copies the hashes. */
+        public KeysMerged {
+            require(dataCentre, "data centre");
+            require(term, "term");
+            require(application, "application");
+            keyHashes = List.copyOf(keyHashes);
+        }
+    }
 
     /**
      * The state after every record below a position, so that a replica can start without them.
      *
      * @param state the state
      */
-    record SnapshotTaken(ReplicaState state) implements LogRecord {}
+    record SnapshotTaken(ReplicaState state) implements LogRecord {
+        /** Checks that the state is present. */
+        public SnapshotTaken {
+            require(state, "state");
+        }
+    }
 
     /**
      * A record that could not be decoded.
@@ -136,4 +217,10 @@
      * @param reason what was wrong
      */
     record Unreadable(String reason) implements LogRecord {}
+
+    private static void require(Object part, String name) {
+        if (part == null) {
+            throw new IllegalArgumentException("record lacks its " + name);
+        }
+    }
 }
--- a/core/src/main/java/org/lacewingthread/core/log/ReplicaState.java
+++ b/core/src/main/java/org/lacewingthread/core/log/ReplicaState.java
@@ -1,9 +1,11 @@
 package org.lacewingthread.core.log;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.lacewingthread.core.config.RoutingConfiguration;
+import org.lacewingthread.core.config.ServerSpec;
 import org.lacewingthread.core.id.ApplicationId;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.LogOffset;
@@ -18,10 +20,12 @@
  * @param configurationRevision offset of the configuration in force
  * @param configuration the configuration in force
  * @param dataCentres roster and leader claim of each data centre
- * @param shardTables shard table of each application
+ * @param shardTables shard table of each application, also of one that was removed: should it come
+ *     back, its owners and tokens are still known
  * @param drainingServers backend servers to be drained
  * @param drainingVms entry VMs to be drained
- * @param lastSequences highest sequence accepted from each writer, to drop duplicates
+ * @param lastSequences highest sequence seen of each of the latest writers, to drop duplicates
+ * @param lastOffsets offset of the record that carried it; has the same writers
  */
 public record ReplicaState(
         LogOffset appliedOffset,
@@ -31,7 +35,8 @@
         Map<ApplicationId, ShardTable> shardTables,
         Set<ServerId> drainingServers,
         Set<VmId> drainingVms,
-        Map<WriterId, Long> lastSequences) {
+        Map<WriterId, Long> lastSequences,
+        Map<WriterId, LogOffset> lastOffsets) {
     /** The state before the first record. */
     public static final ReplicaState EMPTY = new ReplicaState(
             LogOffset.NONE,
@@ -41,6 +46,7 @@
             Map.of(),
             Set.of(),
             Set.of(),
+            Map.of(),
             Map.of());
 
     /** Copies the collections. */
@@ -50,6 +56,7 @@
         drainingServers = Set.copyOf(drainingServers);
         drainingVms = Set.copyOf(drainingVms);
         lastSequences = Map.copyOf(lastSequences);
+        lastOffsets = Map.copyOf(lastOffsets);
     }
 
     /** Returns a data centre's state, empty if the log does not name it. */
@@ -61,4 +68,104 @@
     public List<RosterMember> roster(DataCentreId id) {
         return dataCentre(id).members();
     }
+
+    /** Returns the shard table of an application, or null if the application was never configured. */
+    public ShardTable shardTable(ApplicationId id) {
+        return shardTables.get(id);
+    }
+
+    /** Returns a backend server as configured, or null if it is not configured. */
+    public ServerSpec server(ServerId id) {
+        return configuration.server(id).orElse(null);
+    }
+
+    /** Returns whether a backend server is the recorded owner of any shard. */
+    public boolean ownsShards(ServerId id) {
+        return shardTables.values().stream()
+                .flatMap(table -> table.entries().stream())
+                .anyMatch(entry -> entry != null
+                        && entry.assignment() != null
+                        && entry.assignment().owner().equals(id));
+    }
+
+    ReplicaState withAppliedOffset(LogOffset offset) {
+        return new ReplicaState(
+                offset,
+                configurationRevision,
+                configuration,
+                dataCentres,
+                shardTables,
+                drainingServers,
+                drainingVms,
+                lastSequences,
+                lastOffsets);
+    }
+
+    ReplicaState withConfiguration(
+            LogOffset revision,
+            RoutingConfiguration newConfiguration,
+            Map<ApplicationId, ShardTable> newTables,
+            Set<ServerId> newDrainingServers) {
+        return new ReplicaState(
+                appliedOffset,
+                revision,
+                newConfiguration,
+                dataCentres,
+                newTables,
+                newDrainingServers,
+                drainingVms,
+                lastSequences,
+                lastOffsets);
+    }
+
+    ReplicaState withDataCentre(DataCentreId id, DataCentreState dataCentre) {
+        Map<DataCentreId, DataCentreState> changed = new HashMap<>(dataCentres);
+        changed.put(id, dataCentre);
+        return new ReplicaState(
+                appliedOffset,
+                configurationRevision,
+                configuration,
+                changed,
+                shardTables,
+                drainingServers,
+                drainingVms,
+                lastSequences,
+                lastOffsets);
+    }
+
+    ReplicaState withShardTables(Map<ApplicationId, ShardTable> newTables) {
+        return withConfiguration(configurationRevision, configuration, newTables, drainingServers);
+    }
+
+    ReplicaState withShardTable(ApplicationId id, ShardTable table) {
+        Map<ApplicationId, ShardTable> changed = new HashMap<>(shardTables);
+        changed.put(id, table);
+        return withShardTables(changed);
+    }
+
+    ReplicaState withDraining(Set<ServerId> servers, Set<VmId> vms) {
+        return new ReplicaState(
+                appliedOffset,
+                configurationRevision,
+                configuration,
+                dataCentres,
+                shardTables,
+                servers,
+                vms,
+                lastSequences,
+                lastOffsets);
+    }
+
+    ReplicaState withWriters(Map<WriterId, Long> sequences, Map<WriterId, LogOffset> offsets) {
+        return new ReplicaState(
+                appliedOffset,
+                configurationRevision,
+                configuration,
+                dataCentres,
+                shardTables,
+                drainingServers,
+                drainingVms,
+                sequences,
+                offsets);
+    }
 }
