--- a/core/src/main/java/org/lacewingthread/core/config/RequestSelector.java
+++ b/core/src/main/java/org/lacewingthread/core/config/RequestSelector.java
@@ -7,7 +7,8 @@
  *
  * @param name unique within the application
  * @param methods HTTP methods that match; empty for all
- * @param pathPrefix prefix of the path that matches; the longest match over all applications wins
+ * @param pathPrefix prefix of the path that matches, by whole segments: {@code /rugs} matches {@code
+ *     /rugs/4711} but not {@code /rugsale}; the longest match over all applications wins
  * @param requestClass class of the matching requests
  * @param key where the matching requests carry their key
  */
--- a/core/src/main/java/org/lacewingthread/core/config/ServerSpec.java
+++ b/core/src/main/java/org/lacewingthread/core/config/ServerSpec.java
@@ -46,4 +46,12 @@
         }
         labels = labels == null ? List.of() : List.copyOf(labels);
     }
+
+    /** Returns whether another specification means the same process: data centre, address and token checking agree. */
+    public boolean isSameProcessAs(ServerSpec other) {
+        return dataCentre.equals(other.dataCentre)
+                && host.equals(other.host)
+                && port == other.port
+                && checksTokens == other.checksTokens;
+    }
 }
--- a/core/src/main/java/org/lacewingthread/core/log/DataCentreState.java
+++ b/core/src/main/java/org/lacewingthread/core/log/DataCentreState.java
@@ -34,4 +34,16 @@
     public Optional<RosterMember> member(VmStart start) {
         return members.stream().filter(m -> m.start().equals(start)).findFirst();
     }
+
+    DataCentreState withRoster(LogOffset revision, List<RosterMember> newMembers) {
+        return new DataCentreState(revision, newMembers, claimOffset, claimant, recordedTerm);
+    }
+
+    DataCentreState withClaim(LogOffset offset, VmStart newClaimant) {
+        return new DataCentreState(rosterRevision, members, offset, newClaimant, recordedTerm);
+    }
+
+    DataCentreState withRecordedTerm(Term term) {
+        return new DataCentreState(rosterRevision, members, claimOffset, claimant, term);
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/log/DrainFold.java
@@ -0,0 +1,50 @@
+package org.lacewingthread.core.log;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.VmId;
+
+/** Folds drains of backend servers and entry VMs. */
+final class DrainFold {
+    /** Above this number, marks of VMs that are in no roster are dropped. */
+    private static final int MAX_VM_MARKS = 1024;
+
+    private DrainFold() {}
+
+    static ReplicaState drainServer(ReplicaState state, LogRecord.ServerDrainSet record)
+            throws RejectedRecordException {
+        if (record.draining() && state.server(record.server()) == null) {
+            throw RejectedRecordException.conflict("server \"" + record.server() + "\" is not configured");
+        }
+        Set<ServerId> servers = new HashSet<>(state.drainingServers());
+        set(servers, record.server(), record.draining());
+        return state.withDraining(servers, state.drainingVms());
+    }
+
+    static ReplicaState drainVm(ReplicaState state, LogRecord.VmDrainSet record) throws RejectedRecordException {
+        if (record.draining() && !isInRoster(state, record.vm())) {
+            throw RejectedRecordException.conflict("VM \"" + record.vm() + "\" is in no roster");
+        }
+        Set<VmId> vms = new HashSet<>(state.drainingVms());
+        set(vms, record.vm(), record.draining());
+        if (vms.size() > MAX_VM_MARKS) {
+            vms.removeIf(vm -> !isInRoster(state, vm));
+        }
+        return state.withDraining(state.drainingServers(), vms);
+    }
+
+    private static <T> void set(Set<T> marks, T element, boolean marked) {
+        if (marked) {
+            marks.add(element);
+        } else {
+            marks.remove(element);
+        }
+    }
+
+    private static boolean isInRoster(ReplicaState state, VmId vm) {
+        return state.dataCentres().values().stream()
+                .flatMap(dataCentre -> dataCentre.members().stream())
+                .anyMatch(member -> member.start().vm().equals(vm));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/log/LogReplica.java
@@ -0,0 +1,138 @@
+package org.lacewingthread.core.log;
+
+import java.util.Optional;
+import org.lacewingthread.core.id.LogOffset;
+
+/**
+ * Folds the platform's log into {@link ReplicaState}. Every replica that is fed the same entries, in
+ * whatever batches, reaches the same state: entries are taken at rising offsets without gaps, records
+ * that their writer appended twice are dropped, and a record that fails the condition stated with its
+ * kind in {@link LogRecord} changes nothing.
+ *
+ * <pre>{@code
+ * LogReplica replica = new LogReplica();
+ * for (LogEntry entry : entries) {
+ *     ApplyResult result = replica.apply(entry);
+ *     if (result.outcome() == ApplyResult.Outcome.GAP) {
+ *         replica.restore(snapshotFromPeer);
+ *     }
+ * }
+ * ReplicaState state = replica.state();
+ * }</pre>
+ *
+ * <p>Not safe for use by several threads; the states it returns are immutable and may be shared.
+ */
+public final class LogReplica {
+    private ReplicaState state;
+    private LogOffset newestSnapshotOffset = LogOffset.NONE;
+    private long malformedCount;
+    private long snapshotDifferenceCount;
+
+    /** Creates a replica at the state before the first record. */
+    public LogReplica() {
+        this(ReplicaState.EMPTY);
+    }
+
+    /** Creates a replica that starts from a snapshot. */
+    public LogReplica(ReplicaState snapshot) {
+        state = snapshot;
+    }
+
+    /** Returns the state after the last entry applied. */
+    public ReplicaState state() {
+        return state;
+    }
+
+    /** Returns the offset of the next entry that the replica takes. */
+    public LogOffset nextOffset() {
+        return state.appliedOffset().next();
+    }
+
+    /**
+     * Returns the offset of the newest snapshot record that the replica has passed, {@link
+     * LogOffset#NONE} if it passed none.
+     */
+    public LogOffset newestSnapshotOffset() {
+        return newestSnapshotOffset;
+    }
+
+    /** Returns how many malformed records the replica has skipped. */
+    public long malformedCount() {
+        return malformedCount;
+    }
+
+    /** Returns how many snapshot records contradicted the replica's own state at their position. */
+    public long snapshotDifferenceCount() {
+        return snapshotDifferenceCount;
+    }
+
+    /**
+     * Takes in a snapshot if it is ahead of the present state; a state never goes back.
+     *
+     * @return whether the snapshot was taken in
+     */
+    public boolean restore(ReplicaState snapshot) {
+        if (!snapshot.appliedOffset().isAfter(state.appliedOffset())) {
+            return false;
+        }
+        state = snapshot;
+        return true;
+    }
+
+    /** Returns the snapshot that an entry carries, if it is ahead of the present state. */
+    public Optional<ReplicaState> snapshotAhead(LogEntry entry) {
+        boolean ahead = entry.body() instanceof LogRecord.SnapshotTaken snapshot
+                && snapshot.state().appliedOffset().isAfter(state.appliedOffset());
+        return ahead ? Optional.of(((LogRecord.SnapshotTaken) entry.body()).state()) : Optional.empty();
+    }
+
+    /** Applies an entry. */
+    public ApplyResult apply(LogEntry entry) {
+        if (!entry.offset().isAfter(state.appliedOffset())) {
+            return new ApplyResult(
+                    ApplyResult.Outcome.ALREADY_APPLIED, "offset " + state.appliedOffset() + " was reached before");
+        }
+        if (!entry.offset().equals(nextOffset())) {
+            return new ApplyResult(
+                    ApplyResult.Outcome.GAP,
+                    "entry " + entry.offset() + " does not follow " + state.appliedOffset() + "; read from "
+                            + nextOffset() + " or restore a snapshot");
+        }
+        ApplyResult result = applyNext(entry);
+        state = state.withAppliedOffset(entry.offset());
+        if (result.outcome() == ApplyResult.Outcome.MALFORMED) {
+            malformedCount++;
+        }
+        return result;
+    }
+
+    private ApplyResult applyNext(LogEntry entry) {
+        if (entry.body() instanceof LogRecord.Unreadable unreadable) {
+            return new ApplyResult(ApplyResult.Outcome.MALFORMED, unreadable.reason());
+        }
+        if (WriterWindow.isDuplicate(state, entry.header())) {
+            return new ApplyResult(
+                    ApplyResult.Outcome.DUPLICATE,
+                    "writer \"" + entry.header().writer() + "\" wrote sequence "
+                            + entry.header().sequence() + " or a later one before");
+        }
+        if (entry.body() instanceof LogRecord.SnapshotTaken snapshot) {
+            passSnapshot(entry.offset(), snapshot.state());
+        }
+        state = WriterWindow.record(state, entry.header(), entry.offset());
+        try {
+            state = RecordFold.fold(state, entry);
+            return ApplyResult.ACCEPTED;
+        } catch (RejectedRecordException e) {
+            return e.result();
+        }
+    }
+
+    private void passSnapshot(LogOffset offset, ReplicaState snapshot) {
+        newestSnapshotOffset = offset;
+        boolean comparable = snapshot.appliedOffset().equals(state.appliedOffset());
+        if (comparable && !snapshot.equals(state)) {
+            snapshotDifferenceCount++;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/log/RosterFold.java
@@ -0,0 +1,88 @@
+package org.lacewingthread.core.log;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.id.VmStart;
+
+/** Folds changes and resets of a data centre's roster. */
+final class RosterFold {
+    private RosterFold() {}
+
+    static ReplicaState change(ReplicaState state, LogRecord.RosterChanged record, LogOffset offset)
+            throws RejectedRecordException {
+        requireBase(state, record.dataCentre(), record.baseRevision());
+        requireSound(state, record.dataCentre(), record.members());
+        requireOneMemberDifference(state.roster(record.dataCentre()), record.members());
+        return withRoster(state, record.dataCentre(), record.members(), offset);
+    }
+
+    static ReplicaState reset(ReplicaState state, LogRecord.RosterReset record, LogOffset offset)
+            throws RejectedRecordException {
+        if (record.reason().isBlank()) {
+            throw RejectedRecordException.malformed("roster reset of \"" + record.dataCentre() + "\" states no reason");
+        }
+        requireBase(state, record.dataCentre(), record.baseRevision());
+        requireSound(state, record.dataCentre(), record.members());
+        return withRoster(state, record.dataCentre(), record.members(), offset);
+    }
+
+    private static void requireBase(ReplicaState state, DataCentreId id, LogOffset base)
+            throws RejectedRecordException {
+        LogOffset revision = state.dataCentre(id).rosterRevision();
+        if (!base.equals(revision)) {
+            throw RejectedRecordException.conflict(
+                    "roster of \"" + id + "\" is at revision " + revision + ", not at " + base);
+        }
+    }
+
+    private static void requireSound(ReplicaState state, DataCentreId id, List<RosterMember> members)
+            throws RejectedRecordException {
+        if (members.isEmpty()) {
+            throw RejectedRecordException.malformed("roster of \"" + id + "\" would be empty");
+        }
+        Set<VmStart> seen = new HashSet<>();
+        for (RosterMember member : members) {
+            if (!seen.add(member.start())) {
+                throw RejectedRecordException.malformed(
+                        "roster of \"" + id + "\" names \"" + member.start() + "\" twice");
+            }
+        }
+        for (var other : state.dataCentres().entrySet()) {
+            boolean elsewhere = !other.getKey().equals(id)
+                    && other.getValue().members().stream().anyMatch(m -> seen.contains(m.start()));
+            if (elsewhere) {
+                throw RejectedRecordException.conflict(
+                        "roster of \"" + id + "\" names an entry VM that is in the roster of another data centre");
+            }
+        }
+    }
+
+    /** The first roster of a data centre differs by one member from none. */
+    private static void requireOneMemberDifference(List<RosterMember> old, List<RosterMember> changed)
+            throws RejectedRecordException {
+        List<RosterMember> longer = old.size() > changed.size() ? old : changed;
+        List<RosterMember> shorter = old.size() > changed.size() ? changed : old;
+        List<RosterMember> rest = new ArrayList<>(longer);
+        rest.removeIf(member -> !shorter.contains(member));
+        if (longer.size() != shorter.size() + 1 || !rest.equals(shorter)) {
+            throw RejectedRecordException.malformed(
+                    "roster must differ by one added or removed member and keep the order of the others");
+        }
+    }
+
+    private static ReplicaState withRoster(
+            ReplicaState state, DataCentreId id, List<RosterMember> members, LogOffset offset) {
+        DataCentreState old = state.dataCentre(id);
+        Set<VmId> draining = new HashSet<>(state.drainingVms());
+        members.stream()
+                .filter(member -> old.member(member.start()).isEmpty())
+                .forEach(member -> draining.remove(member.start().vm()));
+        return state.withDraining(state.drainingServers(), draining)
+                .withDataCentre(id, old.withRoster(offset, members));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/log/ShardFold.java
@@ -0,0 +1,144 @@
+package org.lacewingthread.core.log;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.lacewingthread.core.config.RoutingConfiguration;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.id.Term;
+
+/** Folds records that assign shards or hand them from one data centre to another. */
+final class ShardFold {
+    private ShardFold() {}
+
+    static ReplicaState assign(ReplicaState state, LogRecord.AssignmentsRecorded record)
+            throws RejectedRecordException {
+        ReplicaState next = LeadershipFold.recordTerm(state, record.dataCentre(), record.term());
+        ShardTableEdits edits = new ShardTableEdits(next);
+        Map<ServerId, DataCentreId> places = placesOf(state.configuration());
+        for (ShardAssignment assignment : record.assignments()) {
+            requireServersOf(places, record.dataCentre(), assignment);
+            ShardTable.Entry entry = edits.entry(assignment.shard());
+            requireAssignable(entry, record, assignment);
+            edits.set(assignment.shard(), new ShardTable.Entry(record.dataCentre(), null, assignment));
+        }
+        return edits.apply();
+    }
+
+    private static Map<ServerId, DataCentreId> placesOf(RoutingConfiguration configuration) {
+        Map<ServerId, DataCentreId> places = new HashMap<>();
+        configuration.servers().forEach(server -> places.put(server.id(), server.dataCentre()));
+        return places;
+    }
+
+    /** A server that is not configured any more may have been assigned before the change was known. */
+    private static void requireServersOf(
+            Map<ServerId, DataCentreId> places, DataCentreId dataCentre, ShardAssignment assignment)
+            throws RejectedRecordException {
+        requireServerOf(places, dataCentre, assignment, assignment.owner());
+        for (ServerId server : assignment.failover()) {
+            requireServerOf(places, dataCentre, assignment, server);
+        }
+    }
+
+    private static void requireServerOf(
+            Map<ServerId, DataCentreId> places, DataCentreId dataCentre, ShardAssignment assignment, ServerId server)
+            throws RejectedRecordException {
+        DataCentreId place = places.getOrDefault(server, dataCentre);
+        if (!place.equals(dataCentre)) {
+            throw RejectedRecordException.conflict("server \"" + server + "\" named for shard \"" + assignment.shard()
+                    + "\" stands in \"" + place + "\", not in \"" + dataCentre + "\"");
+        }
+    }
+
+    private static void requireAssignable(
+            ShardTable.Entry entry, LogRecord.AssignmentsRecorded record, ShardAssignment assignment)
+            throws RejectedRecordException {
+        Term tokenTerm = assignment.token().term();
+        if (tokenTerm.isAfter(record.term())) {
+            throw RejectedRecordException.malformed("token " + assignment.token() + " of shard \"" + assignment.shard()
+                    + "\" is above the record's term " + record.term());
+        }
+        if (entry.home() == null || isAdoption(entry, record.dataCentre())) {
+            return;
+        }
+        requireGoverned(entry, record.dataCentre(), assignment.shard());
+        requireNewer(entry.assignment(), assignment);
+    }
+
+    /** Tokens of two data centres are not comparable; the release proves that no older lease runs. */
+    private static boolean isAdoption(ShardTable.Entry entry, DataCentreId dataCentre) {
+        return dataCentre.equals(entry.adopter());
+    }
+
+    static void requireGoverned(ShardTable.Entry entry, DataCentreId dataCentre, ShardId shard)
+            throws RejectedRecordException {
+        if (!dataCentre.equals(entry.home())) {
+            throw RejectedRecordException.conflict(
+                    "shard \"" + shard + "\" is governed by \"" + entry.home() + "\", not by \"" + dataCentre + "\"");
+        }
+        if (entry.adopter() != null) {
+            throw RejectedRecordException.conflict(
+                    "shard \"" + shard + "\" was released to \"" + entry.adopter() + "\"");
+        }
+    }
+
+    private static void requireNewer(ShardAssignment recorded, ShardAssignment assignment)
+            throws RejectedRecordException {
+        int order = assignment.token().compareTo(recorded.token());
+        if (order < 0) {
+            throw RejectedRecordException.conflict("token " + assignment.token() + " of shard \"" + assignment.shard()
+                    + "\" is below the recorded " + recorded.token());
+        }
+        if (order == 0 && !assignment.owner().equals(recorded.owner())) {
+            throw RejectedRecordException.conflict("token " + assignment.token() + " of shard \"" + assignment.shard()
+                    + "\" was recorded for owner \"" + recorded.owner() + "\", not \"" + assignment.owner() + "\"");
+        }
+    }
+
+    static ReplicaState release(ReplicaState state, LogRecord.ShardsReleased record) throws RejectedRecordException {
+        ReplicaState next = LeadershipFold.recordTerm(state, record.dataCentre(), record.term());
+        requireRoster(state, record.target());
+        boolean withdrawn = record.target().equals(record.dataCentre());
+        ShardTableEdits edits = new ShardTableEdits(next);
+        for (ShardId shard : record.shards()) {
+            ShardTable.Entry entry = edits.entry(shard);
+            if (!record.dataCentre().equals(entry.home())) {
+                throw RejectedRecordException.conflict("shard \"" + shard + "\" is governed by \"" + entry.home()
+                        + "\", not by \"" + record.dataCentre() + "\"");
+            }
+            edits.set(shard, entry.withAdopter(withdrawn ? null : record.target()));
+        }
+        return edits.apply();
+    }
+
+    static ReplicaState handOver(ReplicaState state, LogRecord.DataCentreHandedOver record)
+            throws RejectedRecordException {
+        if (record.from().equals(record.target())) {
+            throw RejectedRecordException.malformed(
+                    "data centre \"" + record.from() + "\" is handed over to itself; name another target");
+        }
+        requireRoster(state, record.target());
+        ShardTableEdits edits = new ShardTableEdits(state);
+        Map<ApplicationId, ShardTable> tables = new TreeMap<>(state.shardTables());
+        for (var table : tables.entrySet()) {
+            int index = 0;
+            for (ShardTable.Entry entry : table.getValue().entries()) {
+                if (entry != null && entry.isGovernedBy(record.from())) {
+                    edits.set(new ShardId(table.getKey(), index), entry.withAdopter(record.target()));
+                }
+                index++;
+            }
+        }
+        return edits.apply();
+    }
+
+    private static void requireRoster(ReplicaState state, DataCentreId dataCentre) throws RejectedRecordException {
+        if (state.roster(dataCentre).isEmpty()) {
+            throw RejectedRecordException.conflict("data centre \"" + dataCentre + "\" has no entry VMs on record");
+        }
+    }
+}
