--- a/core/src/main/java/org/lacewingthread/core/lease/CatchUp.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/CatchUp.java
@@ -6,7 +6,6 @@
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.log.LogEntry;
-import org.lacewingthread.core.log.LogRecord;
 import org.lacewingthread.core.log.ReplicaState;
 import org.lacewingthread.core.log.RosterMember;
 
@@ -38,13 +37,13 @@
         return log.reachedEnd() || reachedPeers;
     }
 
-    /** Takes in how far a peer is; asks it for what is missing here if the log can't be read. */
+    /** Takes in how far a peer is; asks it for what can't be read from the log. */
     void heard(RosterMember peer, LogOffset appliedOffset, boolean logReachable, long nowMillis) {
         if (appliedOffset.isAfter(highestHeard)) {
             highestHeard = appliedOffset;
         }
         LogOffset applied = context.state().appliedOffset();
-        if (logReachable || nowMillis < nextWantedMillis || !appliedOffset.isAfter(applied)) {
+        if ((logReachable && !log.hasGap()) || nowMillis < nextWantedMillis || !appliedOffset.isAfter(applied)) {
             return;
         }
         nextWantedMillis = nowMillis + WANTED_RETRY_MILLIS;
@@ -60,31 +59,19 @@
     void offered(Optional<RosterMember> peer, PeerMessage.LogRecordsOffered offer, boolean logReachable, long now) {
         peerAnswered = true;
         for (LogEntry entry : offer.entries()) {
-            applyOffered(entry);
+            log.apply(entry);
         }
         nextWantedMillis = Long.MIN_VALUE;
         peer.ifPresent(p -> heard(p, offer.endOffset(), logReachable, now));
     }
 
-    private void applyOffered(LogEntry entry) {
-        boolean isNext = entry.offset().equals(context.state().appliedOffset().next());
-        if (!isNext && entry.body() instanceof LogRecord.SnapshotTaken snapshot) {
-            ReplicaState state = snapshot.state();
-            if (state.appliedOffset().isAfter(context.state().appliedOffset())) {
-                context.replica().restore(state);
-            }
-        } else {
-            log.apply(entry);
-        }
-    }
-
     /** Reports progress to other data centres if this VM leads, and asks seeds if nothing else is known. */
     void advance(boolean leading, boolean logReachable, long nowMillis) {
         if (leading && nowMillis >= nextProgressMillis) {
             nextProgressMillis = nowMillis + PROGRESS_MILLIS;
             reportProgress();
         }
-        if (!isCurrent() && !logReachable && nowMillis >= nextSeedMillis) {
+        if (!isCurrent() && (!logReachable || log.hasGap()) && nowMillis >= nextSeedMillis) {
             nextSeedMillis = nowMillis + PROGRESS_MILLIS;
             context.identity().seeds().stream()
                     .filter(s -> !s.start().vm().equals(context.self().vm()))
--- a/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
@@ -12,7 +12,9 @@
 import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.Term;
 import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.ApplyResult;
 import org.lacewingthread.core.log.LogEntry;
+import org.lacewingthread.core.log.LogReplica;
 import org.lacewingthread.core.ownership.OwnershipCoordinator;
 
 /**
@@ -21,7 +23,8 @@
  * <p>Feed it every event with the VM's monotonic time and carry out the actions it returns, in order:
  *
  * <pre>{@code
- * EntryVmControl control = new EntryVmStateMachine(identity, ControlSettings.DEFAULT, replica, coordinators);
+ * EntryVmControl control =
+ *         new EntryVmStateMachine(identity, ControlSettings.DEFAULT, new LogReplica(), coordinators);
  * for (ControlAction action : control.handle(new ControlEvent.Tick(), nowMillis)) {
  *     shell.carryOut(action);
  * }
@@ -45,7 +48,7 @@
     private final LeaderDuties duties;
     private final VmWatch watch;
     private final RosterKeeper roster;
-    private final SnapshotPolicy snapshots;
+    private final SnapshotAppender snapshots;
     private final ViewPublisher views;
     private boolean current;
     private long lastHandledMillis = Long.MIN_VALUE;
@@ -55,13 +58,13 @@
      *
      * @param identity who it is
      * @param settings lengths of leases
-     * @param replica folds the log; empty
+     * @param replica folds the log
      * @param coordinators makes the ownership coordinator of each term in which this VM leads
      */
     public EntryVmStateMachine(
             EntryVmIdentity identity,
             ControlSettings settings,
-            Replica replica,
+            LogReplica replica,
             Function<Term, OwnershipCoordinator> coordinators) {
         this(identity, settings, replica, coordinators, EnumSet.allOf(ProtocolRule.class));
     }
@@ -69,7 +72,7 @@
     EntryVmStateMachine(
             EntryVmIdentity identity,
             ControlSettings settings,
-            Replica replica,
+            LogReplica replica,
             Function<Term, OwnershipCoordinator> coordinators,
             Set<ProtocolRule> rules) {
         LeaseLengths lengths = new LeaseLengths(settings, rules);
@@ -88,7 +91,7 @@
         duties = new LeaderDuties(context, held, appends, heartbeats, coordinators);
         watch = new VmWatch(settings, identity.member());
         roster = new RosterKeeper(context, appends, watch);
-        snapshots = new SnapshotPolicy(context, appends, log);
+        snapshots = new SnapshotAppender(context, appends, log);
         views = new ViewPublisher(context, dispatch);
     }
 
@@ -130,10 +133,10 @@
     }
 
     private void apply(LogEntry entry) {
-        boolean accepted = context.replica().apply(entry);
+        ApplyResult result = context.replica().apply(entry);
         recent.add(entry);
         appends.readBack(entry);
-        LogAudit.write(entry, accepted, context.outbox());
+        LogAudit.write(entry, result, context.outbox());
     }
 
     private void take(ControlEvent event, long nowMillis) {
--- a/core/src/main/java/org/lacewingthread/core/lease/LogAudit.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LogAudit.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.lacewingthread.core.control.AuditLine;
 import org.lacewingthread.core.control.ControlAction;
+import org.lacewingthread.core.log.ApplyResult;
 import org.lacewingthread.core.log.LogEntry;
 import org.lacewingthread.core.log.LogRecord;
 import org.lacewingthread.core.log.RosterMember;
@@ -12,15 +13,20 @@
 final class LogAudit {
     private LogAudit() {}
 
-    static void write(LogEntry entry, boolean accepted, Outbox outbox) {
-        describe(entry.body())
-                .ifPresent(d -> outbox.add(new ControlAction.Audit(new AuditLine(
-                        entry.offset(),
-                        entry.header().author(),
-                        entry.header().writtenAtEpochMillis(),
-                        d.kind(),
-                        accepted,
-                        d.detail()))));
+    static void write(LogEntry entry, ApplyResult result, Outbox outbox) {
+        Optional<Description> description = describe(entry.body());
+        if (description.isEmpty() || result.outcome() == ApplyResult.Outcome.DUPLICATE) {
+            return;
+        }
+        String suffix = result.isAccepted() ? "" : "; rejected: " + result.reason();
+        AuditLine line = new AuditLine(
+                entry.offset(),
+                entry.header().author(),
+                entry.header().writtenAtEpochMillis(),
+                description.get().kind(),
+                result.isAccepted(),
+                description.get().detail() + suffix);
+        outbox.add(new ControlAction.Audit(line));
     }
 
     private record Description(String kind, String detail) {}
--- a/core/src/main/java/org/lacewingthread/core/lease/LogReading.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LogReading.java
@@ -5,7 +5,7 @@
 import org.lacewingthread.core.control.ControlEvent;
 import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.log.LogEntry;
-import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.LogReplica;
 
 /** Reads the platform's log at a steady pace, faster while a record of this VM is to be read back. */
 final class LogReading {
@@ -20,7 +20,7 @@
     private long reachableUntilMillis = Long.MIN_VALUE;
     private LogOffset endOffset = LogOffset.NONE;
     private LogOffset skipTo = LogOffset.NONE;
-    private LogOffset lastSnapshot = LogOffset.NONE;
+    private LogOffset oldestOffset = LogOffset.NONE;
     private boolean answeredOnce;
 
     LogReading(VmContext context, Consumer<LogEntry> applier) {
@@ -39,7 +39,7 @@
         if (nowMillis < nextReadMillis) {
             return;
         }
-        LogOffset next = context.state().appliedOffset().next();
+        LogOffset next = context.replica().nextOffset();
         context.outbox().add(new ControlAction.ReadLog(skipTo.isAfter(next) ? skipTo : next));
         answerDeadlineMillis = nowMillis + ANSWER_TIMEOUT_MILLIS;
         nextReadMillis = nowMillis + context.settings().logReadMillis();
@@ -50,6 +50,7 @@
         answerDeadlineMillis = Long.MIN_VALUE;
         reachableUntilMillis = nowMillis + SILENT_READS * context.settings().logReadMillis();
         answeredOnce = true;
+        oldestOffset = read.oldestOffset();
         if (read.endOffset().isAfter(endOffset)) {
             endOffset = read.endOffset();
         }
@@ -60,34 +61,27 @@
         for (LogEntry entry : read.entries()) {
             apply(entry);
         }
-        if (endOffset.isAfter(context.state().appliedOffset())) {
+        boolean mayHaveMore = endOffset.isAfter(context.state().appliedOffset());
+        if (mayHaveMore && !read.entries().isEmpty()) {
             nextReadMillis = nowMillis;
         }
     }
 
-    /** Applies one record in its turn; returns whether the state advanced. */
-    boolean apply(LogEntry entry) {
-        LogOffset applied = context.state().appliedOffset();
-        if (!entry.offset().isAfter(applied)) {
-            return false;
-        }
-        if (entry.body() instanceof LogRecord.SnapshotTaken) {
-            lastSnapshot = entry.offset();
-        }
-        if (entry.offset().equals(applied.next())) {
+    /** Applies one record in its turn; after a gap, only a snapshot that is ahead. */
+    void apply(LogEntry entry) {
+        LogReplica replica = context.replica();
+        if (entry.offset().equals(replica.nextOffset())) {
             applier.accept(entry);
-            return true;
+            return;
         }
-        if (entry.body() instanceof LogRecord.SnapshotTaken snapshot
-                && snapshot.state().appliedOffset().isAfter(applied)) {
-            context.replica().restore(snapshot.state());
-            skipTo = LogOffset.NONE;
-            return true;
+        if (!entry.offset().isAfter(replica.nextOffset())) {
+            return;
         }
-        if (entry.offset().value() >= skipTo.value()) {
+        if (replica.snapshotAhead(entry).filter(replica::restore).isPresent()) {
+            skipTo = LogOffset.NONE;
+        } else if (entry.offset().value() >= skipTo.value()) {
             skipTo = entry.offset().next();
         }
-        return false;
     }
 
     /** Takes in that the log is out. */
@@ -106,11 +100,12 @@
         return answeredOnce && !endOffset.isAfter(context.state().appliedOffset());
     }
 
-    LogOffset endOffset() {
-        return endOffset;
+    /** Returns whether the log no longer keeps the next record. */
+    boolean hasGap() {
+        return skipTo.isAfter(context.replica().nextOffset());
     }
 
-    LogOffset lastSnapshot() {
-        return lastSnapshot;
+    LogOffset oldestOffset() {
+        return oldestOffset;
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/lease/SnapshotPolicy.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/SnapshotAppender.java
@@ -6,7 +6,7 @@
 import org.lacewingthread.core.log.ReplicaState;
 
 /** Lets leaders append snapshots well before the records that they replace expire. */
-final class SnapshotPolicy {
+final class SnapshotAppender {
     private static final long MAX_AGE_MILLIS = 600_000;
     private static final long NO_APPEND = -1;
 
@@ -17,7 +17,7 @@
     private long countedSinceMillis = Long.MIN_VALUE;
     private long appendSequence = NO_APPEND;
 
-    SnapshotPolicy(VmContext context, AppendQueue appends, LogReading log) {
+    SnapshotAppender(VmContext context, AppendQueue appends, LogReading log) {
         this.context = context;
         this.appends = appends;
         this.log = log;
@@ -25,8 +25,9 @@
 
     /** Appends a snapshot if one is due. Data centres take turns, so that normally only the first one does. */
     void advance(LeaderTerm leading, boolean logReachable, long nowMillis) {
-        if (countedSinceMillis == Long.MIN_VALUE || log.lastSnapshot().isAfter(countedFrom)) {
-            countedFrom = log.lastSnapshot();
+        if (countedSinceMillis == Long.MIN_VALUE
+                || context.replica().newestSnapshotOffset().isAfter(countedFrom)) {
+            countedFrom = context.replica().newestSnapshotOffset();
             countedSinceMillis = nowMillis;
         }
         ReplicaState state = context.state();
--- a/core/src/main/java/org/lacewingthread/core/lease/VmContext.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/VmContext.java
@@ -6,6 +6,7 @@
 import org.lacewingthread.core.control.ControlSettings;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.DataCentreState;
+import org.lacewingthread.core.log.LogReplica;
 import org.lacewingthread.core.log.ReplicaState;
 import org.lacewingthread.core.log.RosterMember;
 
@@ -13,7 +14,7 @@
 record VmContext(
         EntryVmIdentity identity,
         ControlSettings settings,
-        Replica replica,
+        LogReplica replica,
         Outbox outbox,
         LeaseLengths lengths,
         Set<ProtocolRule> rules) {
