--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/log/AuditTrail.java
@@ -0,0 +1,151 @@
+package org.lacewingthread.core.log;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.lacewingthread.core.config.ConfigurationDiff;
+import org.lacewingthread.core.control.AuditLine;
+
+/**
+ * Describes log entries for the audit trail: who changed what, when, on which base, and whether it
+ * took hold or why not.
+ *
+ * <pre>{@code
+ * ReplicaState before = replica.state();
+ * ApplyResult result = replica.apply(entry);
+ * AuditTrail.describe(before, entry, result).ifPresent(this::write);
+ * }</pre>
+ */
+public final class AuditTrail {
+    private static final int MAX_LISTED = 5;
+    private static final int MAX_LISTED_CHANGES = 50;
+    private static final String NOBODY = "unknown";
+
+    private AuditTrail() {}
+
+    /**
+     * Returns the line of an entry; empty if the replica did not consume it.
+     *
+     * @param before state before the entry
+     * @param entry the entry
+     * @param result what the replica did with it
+     */
+    public static Optional<AuditLine> describe(ReplicaState before, LogEntry entry, ApplyResult result) {
+        if (!result.outcome().isConsumed()) {
+            return Optional.empty();
+        }
+        RecordHeader header = entry.header();
+        String difference = differenceOf(before, entry.body());
+        return Optional.of(new AuditLine(
+                entry.offset(),
+                header == null ? NOBODY : header.author(),
+                header == null ? 0 : header.writtenAtEpochMillis(),
+                kindOf(entry.body()),
+                result.isAccepted(),
+                result.isAccepted() ? difference : rejection(result, difference)));
+    }
+
+    private static String rejection(ApplyResult result, String difference) {
+        String outcome = result.outcome().name().toLowerCase(Locale.ROOT);
+        return outcome + ": " + result.reason() + (difference.isEmpty() ? "" : "; wanted: " + difference);
+    }
+
+    /** Returns the kind of a record in lower case with hyphens, for example {@code leader-claimed}. */
+    public static String kindOf(LogRecord body) {
+        return kindOf(body.getClass());
+    }
+
+    static String kindOf(Class<?> kind) {
+        return kind.getSimpleName().replaceAll("(?<=[a-z])(?=[A-Z])", "-").toLowerCase(Locale.ROOT);
+    }
+
+    private static String differenceOf(ReplicaState before, LogRecord body) {
+        if (body instanceof LogRecord.ConfigurationPublished record) {
+            return "base " + record.baseRevision() + ": " + configurationChanges(before, record);
+        }
+        if (body instanceof LogRecord.RosterChanged record) {
+            return rosterChange(
+                    before.roster(record.dataCentre()), record.members(), "roster of " + record.dataCentre());
+        }
+        if (body instanceof LogRecord.RosterReset record) {
+            return rosterChange(
+                            before.roster(record.dataCentre()), record.members(), "roster of " + record.dataCentre())
+                    + " (" + record.reason() + ")";
+        }
+        if (body instanceof LogRecord.LeaderClaimed record) {
+            return record.claimant() + " leads " + record.dataCentre() + " after claim " + record.followsClaim();
+        }
+        if (body instanceof LogRecord.AssignmentsRecorded record) {
+            return "term " + record.term() + ": " + assignmentChanges(before, record);
+        }
+        return otherDifferenceOf(body);
+    }
+
+    private static String otherDifferenceOf(LogRecord body) {
+        if (body instanceof LogRecord.ShardsReleased record) {
+            return record.dataCentre() + " releases to " + record.target() + ": " + listed(record.shards());
+        }
+        if (body instanceof LogRecord.DataCentreHandedOver record) {
+            return record.from() + " is handed over to " + record.target() + " (" + record.reason() + ")";
+        }
+        if (body instanceof LogRecord.ServerDrainSet record) {
+            return "server " + record.server() + (record.draining() ? " drains" : " drains no longer");
+        }
+        if (body instanceof LogRecord.VmDrainSet record) {
+            return "VM " + record.vm() + (record.draining() ? " drains" : " drains no longer");
+        }
+        if (body instanceof LogRecord.KeysSplit record) {
+            return record.application() + " splits out keys " + hashes(record.keyHashes());
+        }
+        if (body instanceof LogRecord.KeysMerged record) {
+            return record.application() + " merges keys " + hashes(record.keyHashes());
+        }
+        if (body instanceof LogRecord.SnapshotTaken record) {
+            return "state after " + record.state().appliedOffset();
+        }
+        return "";
+    }
+
+    private static String configurationChanges(ReplicaState before, LogRecord.ConfigurationPublished record) {
+        ConfigurationDiff diff = ConfigurationDiff.between(before.configuration(), record.configuration());
+        return diff.isEmpty() ? "no change" : listed(diff.changes(), MAX_LISTED_CHANGES);
+    }
+
+    private static String rosterChange(List<RosterMember> old, List<RosterMember> changed, String subject) {
+        Stream<String> added = changed.stream().filter(m -> !old.contains(m)).map(m -> "+ " + m.start());
+        Stream<String> removed = old.stream().filter(m -> !changed.contains(m)).map(m -> "- " + m.start());
+        return subject + ": " + Stream.concat(added, removed).collect(Collectors.joining(", "));
+    }
+
+    private static String assignmentChanges(ReplicaState before, LogRecord.AssignmentsRecorded record) {
+        List<String> changes = record.assignments().stream()
+                .map(assignment -> assignmentChange(before, assignment))
+                .toList();
+        return listed(changes);
+    }
+
+    private static String assignmentChange(ReplicaState before, ShardAssignment assignment) {
+        ShardTable table = before.shardTable(assignment.shard().application());
+        ShardTable.Entry entry =
+                table == null ? null : table.entry(assignment.shard().index());
+        boolean assigned = entry != null && entry.assignment() != null;
+        String old = assigned ? entry.assignment().owner().value() : "none";
+        return assignment.shard() + " " + old + " -> " + assignment.owner();
+    }
+
+    private static String hashes(List<Long> keyHashes) {
+        return listed(keyHashes.stream().map(Long::toHexString).toList());
+    }
+
+    private static String listed(List<?> parts) {
+        return listed(parts, MAX_LISTED);
+    }
+
+    private static String listed(List<?> parts, int max) {
+        String first = parts.stream().limit(max).map(String::valueOf).collect(Collectors.joining(", "));
+        int more = parts.size() - max;
+        return more > 0 ? first + " and " + more + " more" : first;
+    }
+}
--- a/core/src/main/java/org/lacewingthread/core/log/LogRecord.java
+++ b/core/src/main/java/org/lacewingthread/core/log/LogRecord.java
@@ -17,10 +17,12 @@
  */
 public sealed interface LogRecord {
     /**
-     * Replaces the routing configuration.
+     * Replaces the routing configuration. Drain marks of servers that it does not name are dropped.
      *
      * @param baseRevision accepted only if this is the revision in force
-     * @param configuration the new configuration
+     * @param configuration the new configuration; accepted only if {@link
+     *     org.lacewingthread.core.config.ConfigurationValidator} finds no error, no application changes
+     *     its shard count, and no server that owns shards changes its data centre, address or token checking
      */
     record ConfigurationPublished(LogOffset baseRevision, RoutingConfiguration configuration) implements LogRecord {
         /** Checks that both parts are present. */
@@ -35,7 +37,9 @@
      *
      * @param dataCentre the data centre
      * @param baseRevision accepted only if this is the roster's revision
-     * @param members the new roster in order of succession; differs by one member from the old
+     * @param members the new roster in order of succession; differs from the old by one member added or
+     *     removed, keeps the order of the others, and is not empty. The first roster of a data centre has
+     *     one member. An entry VM that joins is not draining any more
      */
     record RosterChanged(DataCentreId dataCentre, LogOffset baseRevision, List<RosterMember> members)
             implements LogRecord {
@@ -87,8 +91,13 @@
      *
      * @param dataCentre the data centre that governs the shards
      * @param term accepted only if its claim offset is that of the newest claim and it is not below
-     *     the highest term that has recorded assignments
-     * @param assignments the assignments; each must be of a shard that no other data centre governs
+     *     the highest term that has recorded assignments; a term of ordinal 0 must be the claimant's.
+     *     A term of a higher ordinal was begun while the log was out, by a leader that the log need not know
+     * @param assignments the assignments, each of another shard that is unassigned, governed by the data
+     *     centre and not released, or released to it. Their servers must stand in the data centre if they
+     *     are configured. No token is above the record's term. For a shard that the data centre governed
+     *     before, no token is below the recorded one, and an equal one names the same owner: it changes at
+     *     most the failover list. If one assignment fails, the record changes nothing
      */
     record AssignmentsRecorded(DataCentreId dataCentre, Term term, List<ShardAssignment> assignments)
             implements LogRecord {
@@ -105,7 +114,8 @@
      *
      * @param dataCentre the data centre that governs them
      * @param term as for {@link AssignmentsRecorded}
-     * @param target the data centre that may adopt them
+     * @param target the data centre that may adopt them by assigning them; must have a roster. Until it
+     *     does, a further release names another target, and one to the own data centre takes them back
      * @param shards the shards
      */
     record ShardsReleased(DataCentreId dataCentre, Term term, DataCentreId target, List<ShardId> shards)
@@ -120,10 +130,11 @@
     }
 
     /**
-     * Hands all shards of a lost data centre to another.
+     * Hands all shards of a lost data centre that it has not released to another. The lost data centre
+     * can't assign them any more.
      *
      * @param from the lost data centre
-     * @param target the data centre that may adopt its shards
+     * @param target the data centre that may adopt its shards; must have a roster
      * @param reason the operator's reason
      */
     record DataCentreHandedOver(DataCentreId from, DataCentreId target, String reason) implements LogRecord {
@@ -138,7 +149,7 @@
     /**
      * Starts or ends the drain of a backend server.
      *
-     * @param server the server
+     * @param server the server; must be configured if a drain starts
      * @param draining whether it is to be drained
      */
     record ServerDrainSet(ServerId server, boolean draining) implements LogRecord {
@@ -151,7 +162,7 @@
     /**
      * Starts or ends the drain of an entry VM.
      *
-     * @param vm the entry VM
+     * @param vm the entry VM; must be in a roster if a drain starts
      * @param draining whether it is to be drained
      */
     record VmDrainSet(VmId vm, boolean draining) implements LogRecord {
@@ -162,7 +173,8 @@
     }
 
     /**
-     * Gives hot keys shards of their own. They stay with the owner of the shard they came from until moved.
+     * Gives hot keys shards of their own. They stay with the owner of the shard they came from, under its
+     * token, until moved. Keys that are split out already are left as they are.
      *
      * @param dataCentre the data centre that governs the shards they came from
      * @param term as for {@link AssignmentsRecorded}
@@ -181,7 +193,8 @@
     }
 
     /**
-     * Merges split-out keys back; each must again be owned by the owner of the shard it came from.
+     * Merges split-out keys back; each must again be owned by the owner of the shard it came from, and
+     * both be governed by the data centre. Keys that are not split out are left as they are.
      *
      * @param dataCentre the data centre that governs them
      * @param term as for {@link AssignmentsRecorded}
@@ -200,7 +213,8 @@
     }
 
     /**
-     * The state after every record below a position, so that a replica can start without them.
+     * The state after every record up to its applied offset, so that a replica can start without them.
+     * A replica that has applied these records ignores it.
      *
      * @param state the state
      */
--- a/core/src/main/java/org/lacewingthread/core/log/LogReplica.java
+++ b/core/src/main/java/org/lacewingthread/core/log/LogReplica.java
@@ -25,6 +25,7 @@
 public final class LogReplica {
     private ReplicaState state;
     private LogOffset newestSnapshotOffset = LogOffset.NONE;
+    private LogOffset newestSnapshotCovers = LogOffset.NONE;
     private long malformedCount;
     private long snapshotDifferenceCount;
 
@@ -50,12 +51,17 @@
 
     /**
      * Returns the offset of the newest snapshot record that the replica has passed, {@link
-     * LogOffset#NONE} if it passed none.
+     * LogOffset#NONE} if it passed none since it started.
      */
     public LogOffset newestSnapshotOffset() {
         return newestSnapshotOffset;
     }
 
+    /** Returns the applied offset of that snapshot's state: a start from it needs the records that follow. */
+    public LogOffset newestSnapshotCovers() {
+        return newestSnapshotCovers;
+    }
+
     /** Returns how many malformed records the replica has skipped. */
     public long malformedCount() {
         return malformedCount;
@@ -129,7 +135,10 @@
     }
 
     private void passSnapshot(LogOffset offset, ReplicaState snapshot) {
-        newestSnapshotOffset = offset;
+        if (!newestSnapshotCovers.isAfter(snapshot.appliedOffset())) {
+            newestSnapshotOffset = offset;
+            newestSnapshotCovers = snapshot.appliedOffset();
+        }
         boolean comparable = snapshot.appliedOffset().equals(state.appliedOffset());
         if (comparable && !snapshot.equals(state)) {
             snapshotDifferenceCount++;
