Coordinate ownership within a leader's term

Bootstrap, dispatchers, server loss with the log up and out, drain and takeover, for servers that check tokens and servers that do not.

--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/ownership/DispatcherAssignment.java
@@ -0,0 +1,133 @@
+package org.lacewingthread.core.ownership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.placement.Rendezvous;
+
+/**
+ * Names the entry VM that dispatches for each backend server: rendezvous hashing under a bound on the
+ * servers of each VM. A dispatcher changes only when it is lost or leaves, or when balance gives a
+ * server to a VM that joined.
+ */
+final class DispatcherAssignment {
+    private static final long BALANCE_INTERVAL_MILLIS = 2_000;
+
+    private final PlanDraft draft;
+    private final Set<SafetyRule> rules;
+    private final Map<ServerId, Departure> departures = new TreeMap<>();
+    private long nextBalanceMillis = Long.MIN_VALUE;
+
+    /**
+     * A dispatcher that must have left before another is named.
+     *
+     * @param vm the entry VM
+     * @param version plan version without it
+     */
+    record Departure(VmStart vm, long version) {
+        boolean isOver(Step step) {
+            return step.inputs().ledger().hasLeft(vm, version, step.nowMillis());
+        }
+    }
+
+    DispatcherAssignment(PlanDraft draft, Set<SafetyRule> rules) {
+        this.draft = draft;
+        this.rules = rules;
+    }
+
+    /** Returns who may still send to a server once the plan in the making has taken effect. */
+    List<Departure> departuresFrom(ServerId server) {
+        List<Departure> result = new ArrayList<>();
+        Optional.ofNullable(departures.get(server)).ifPresent(result::add);
+        draft.dispatcherOf(server).ifPresent(vm -> result.add(new Departure(vm, draft.version())));
+        return result;
+    }
+
+    /**
+     * Changes dispatchers where needed.
+     *
+     * @param mayAssign whether servers without a dispatcher may get one
+     */
+    void step(Step step, List<ServerSpec> servers, boolean mayAssign) {
+        for (ServerId server : List.copyOf(new TreeMap<>(dispatched()).keySet())) {
+            VmStart vm = draft.dispatcherOf(server).orElseThrow();
+            if (!step.inputs().members().contains(vm)
+                    && !step.inputs().members().isEmpty()) {
+                remove(server, vm);
+            }
+        }
+        departures.values().removeIf(d -> !rules.contains(SafetyRule.WAIT_FOR_DISPATCHER) || d.isOver(step));
+        if (!mayAssign || step.inputs().members().isEmpty()) {
+            return;
+        }
+        Map<VmStart, Integer> counts = counts(step.inputs().members());
+        for (ServerSpec server : servers) {
+            if (draft.dispatcherOf(server.id()).isEmpty() && !departures.containsKey(server.id())) {
+                VmStart vm = choose(server.id(), counts, servers.size());
+                draft.setDispatcher(server.id(), vm);
+                counts.merge(vm, 1, Integer::sum);
+            }
+        }
+        balance(step, counts);
+    }
+
+    private Map<ServerId, VmStart> dispatched() {
+        Map<ServerId, VmStart> result = new HashMap<>();
+        draft.dispatchedServers()
+                .forEach(s -> result.put(s, draft.dispatcherOf(s).orElseThrow()));
+        return result;
+    }
+
+    private void remove(ServerId server, VmStart vm) {
+        departures.put(server, new Departure(vm, draft.version()));
+        draft.removeDispatcher(server);
+    }
+
+    private Map<VmStart, Integer> counts(List<VmStart> members) {
+        Map<VmStart, Integer> counts = new TreeMap<>();
+        members.forEach(m -> counts.put(m, 0));
+        dispatched().values().forEach(vm -> counts.computeIfPresent(vm, (k, n) -> n + 1));
+        return counts;
+    }
+
+    private static VmStart choose(ServerId server, Map<VmStart, Integer> counts, int servers) {
+        int bound = (servers + counts.size() - 1) / counts.size();
+        long key = Rendezvous.hash(server.value());
+        return counts.keySet().stream()
+                .filter(vm -> counts.get(vm) < bound)
+                .max(Comparator.comparingDouble(vm -> Rendezvous.weightedScore(key, hash(vm), 1)))
+                .orElseGet(() -> counts.keySet().stream()
+                        .min(Comparator.comparing(counts::get))
+                        .orElseThrow());
+    }
+
+    private static long hash(VmStart vm) {
+        return Rendezvous.score(Rendezvous.hash(vm.vm().value()), vm.startNumber());
+    }
+
+    /** Takes one server from the busiest VM if another has at least two fewer. */
+    private void balance(Step step, Map<VmStart, Integer> counts) {
+        VmStart most =
+                counts.keySet().stream().max(Comparator.comparing(counts::get)).orElseThrow();
+        VmStart least =
+                counts.keySet().stream().min(Comparator.comparing(counts::get)).orElseThrow();
+        if (counts.get(most) - counts.get(least) < 2 || step.nowMillis() < nextBalanceMillis) {
+            return;
+        }
+        nextBalanceMillis = step.nowMillis() + BALANCE_INTERVAL_MILLIS;
+        dispatched().entrySet().stream()
+                .filter(e -> e.getValue().equals(most))
+                .map(Map.Entry::getKey)
+                .max(Comparator.comparingDouble(
+                        s -> Rendezvous.weightedScore(Rendezvous.hash(s.value()), hash(least), 1)))
+                .ifPresent(server -> remove(server, most));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardSurvey.java
@@ -0,0 +1,114 @@
+package org.lacewingthread.core.ownership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.lacewingthread.core.config.ApplicationSpec;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.log.ShardAssignment;
+import org.lacewingthread.core.log.ShardTable;
+import org.lacewingthread.core.placement.HomeChoice;
+
+/** Finds shards of this data centre that nobody serves, and shards that it governs no longer. */
+final class ShardSurvey {
+    private static final long INTERVAL_MILLIS = 1_000;
+
+    private final PlanDraft draft;
+    private final ServerDirectory directory;
+    private final ShardMoves moves;
+    private final Takeover takeover;
+    private final Map<ApplicationId, ShardTable> surveyed = new HashMap<>();
+    private final Map<ApplicationId, HomeChoice> homes = new HashMap<>();
+    private final Map<ApplicationId, List<ShardId>> ids = new HashMap<>();
+    private LogOffset revision = LogOffset.NONE;
+    private boolean wasOver;
+    private long nextMillis = Long.MIN_VALUE;
+
+    ShardSurvey(PlanDraft draft, ServerDirectory directory, ShardMoves moves, Takeover takeover) {
+        this.draft = draft;
+        this.directory = directory;
+        this.moves = moves;
+        this.takeover = takeover;
+    }
+
+    /** Goes through the shard tables that changed, and through all of them once in a while. */
+    void step(Step step) {
+        boolean over = takeover.isOver(step);
+        boolean all = over != wasOver || step.nowMillis() >= nextMillis || !revision.equals(directory.revision());
+        wasOver = over;
+        if (all) {
+            nextMillis = step.nowMillis() + INTERVAL_MILLIS;
+            revision = directory.revision();
+            homes.clear();
+        }
+        for (ApplicationSpec application : directory.applications()) {
+            ShardTable table = step.inputs().state().shardTables().get(application.id());
+            if (table != null && (isChanged(application.id(), table) || all)) {
+                survey(step, application, table, over);
+            }
+        }
+    }
+
+    /** Replicas share unchanged tables between states, so that the instance tells. */
+    @SuppressWarnings("ReferenceEquality")
+    private boolean isChanged(ApplicationId application, ShardTable table) {
+        return surveyed.put(application, table) != table;
+    }
+
+    private void survey(Step step, ApplicationSpec application, ShardTable table, boolean mayAssign) {
+        List<ShardId> shards = idsOf(application.id(), table.entries().size());
+        for (int index = 0; index < shards.size(); index++) {
+            ShardTable.Entry entry = table.entries().get(index);
+            ShardId shard = shards.get(index);
+            boolean known = draft.serves(shard) || moves.isMoving(shard);
+            if (known) {
+                abandonIfLost(step, shard, entry);
+            } else if (entry != null && mayAssign) {
+                serveIfOwn(step, application, shard, entry);
+            }
+        }
+    }
+
+    private void abandonIfLost(Step step, ShardId shard, ShardTable.Entry entry) {
+        DataCentreId here = step.inputs().dataCentre();
+        boolean unclaimed = entry != null && entry.home() == null;
+        boolean ours = entry != null && (here.equals(entry.home()) || here.equals(entry.adopter()));
+        if (!ours && !unclaimed) {
+            moves.abandon(shard);
+        }
+    }
+
+    private void serveIfOwn(Step step, ApplicationSpec application, ShardId shard, ShardTable.Entry entry) {
+        DataCentreId here = step.inputs().dataCentre();
+        if (here.equals(entry.home())) {
+            Optional<ShardAssignment> standing =
+                    takeover.standing(step, shard).filter(a -> directory.isPresent(a.owner()));
+            moves.serve(step, shard, standing);
+            return;
+        }
+        boolean first = entry.home() == null && entry.adopter() == null && isFirstHome(step, application, shard);
+        if (step.inputs().logReachable() && (first || here.equals(entry.adopter()))) {
+            moves.serve(step, shard, Optional.empty());
+        }
+    }
+
+    private boolean isFirstHome(Step step, ApplicationSpec application, ShardId shard) {
+        return homes.computeIfAbsent(application.id(), a -> new HomeChoice(directory.configuration(), application))
+                .of(shard.index())
+                .filter(step.inputs().dataCentre()::equals)
+                .isPresent();
+    }
+
+    private List<ShardId> idsOf(ApplicationId application, int count) {
+        List<ShardId> known = ids.computeIfAbsent(application, a -> new ArrayList<>());
+        while (known.size() < count) {
+            known.add(new ShardId(application, known.size()));
+        }
+        return known.subList(0, count);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/ownership/Step.java
@@ -0,0 +1,42 @@
+package org.lacewingthread.core.ownership;
+
+import java.util.List;
+import java.util.Optional;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.log.ShardAssignment;
+import org.lacewingthread.core.log.ShardTable;
+
+/**
+ * One call of {@link LeaseOwnershipCoordinator#step}.
+ *
+ * @param inputs what the leader knows
+ * @param nowMillis monotonic time
+ * @param notes collects steps taken while the log is out
+ */
+record Step(OwnershipInputs inputs, long nowMillis, List<String> notes) {
+    /** Returns a shard's entry in the log, {@link ShardTable.Entry#UNASSIGNED} if it has none. */
+    ShardTable.Entry entry(ShardId shard) {
+        ShardTable table = inputs.state().shardTables().get(shard.application());
+        if (table == null || shard.index() >= table.entries().size()) {
+            return ShardTable.Entry.UNASSIGNED;
+        }
+        ShardTable.Entry entry = table.entries().get(shard.index());
+        return entry == null ? ShardTable.Entry.UNASSIGNED : entry;
+    }
+
+    Optional<ShardAssignment> recorded(ShardId shard) {
+        return Optional.ofNullable(entry(shard).assignment());
+    }
+
+    boolean isRecorded(ShardAssignment assignment) {
+        ShardTable.Entry entry = entry(assignment.shard());
+        return inputs.dataCentre().equals(entry.home())
+                && entry.assignment() != null
+                && entry.assignment().owner().equals(assignment.owner())
+                && entry.assignment().token().equals(assignment.token());
+    }
+
+    boolean predecessorGone() {
+        return nowMillis >= inputs.predecessorEndMillis();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/placement/HomeChoice.java
@@ -0,0 +1,45 @@
+package org.lacewingthread.core.placement;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.lacewingthread.core.config.ApplicationSpec;
+import org.lacewingthread.core.config.RoutingConfiguration;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.id.DataCentreId;
+
+/**
+ * Chooses the data centre that governs a shard before its first assignment: weighted rendezvous
+ * hashing by the servers that the configuration gives the application in each data centre. Every data
+ * centre comes to the same choice without a message.
+ */
+public final class HomeChoice {
+    private final long applicationHash;
+    private final List<Map.Entry<DataCentreId, Long>> serverCounts;
+
+    /** Counts the application's servers in each data centre. */
+    public HomeChoice(RoutingConfiguration configuration, ApplicationSpec application) {
+        this.applicationHash = Rendezvous.hash(application.id().value());
+        this.serverCounts = List.copyOf(configuration.groupOf(application).stream()
+                .collect(Collectors.groupingBy(ServerSpec::dataCentre, TreeMap::new, Collectors.counting()))
+                .entrySet());
+    }
+
+    /** Returns the data centre that governs a shard; empty if the application has no server. */
+    public Optional<DataCentreId> of(int shardIndex) {
+        long key = Rendezvous.score(applicationHash, shardIndex);
+        DataCentreId best = null;
+        double bestScore = 0;
+        for (Map.Entry<DataCentreId, Long> candidate : serverCounts) {
+            long hash = Rendezvous.hash(candidate.getKey().value());
+            double score = Rendezvous.weightedScore(key, hash, candidate.getValue());
+            if (best == null || score > bestScore) {
+                best = candidate.getKey();
+                bestScore = score;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/placement/Rendezvous.java
@@ -0,0 +1,50 @@
+package org.lacewingthread.core.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
+import net.openhft.hashing.LongHashFunction;
+
+/**
+ * Rendezvous hashing: every candidate gets a score for a key, and the highest score wins, so that the
+ * loss of a candidate moves only the keys that it held.
+ */
+public final class Rendezvous {
+    private static final LongHashFunction HASH = LongHashFunction.xx3();
+    private static final double UNIT = 0x1.0p-53;
+
+    private Rendezvous() {}
+
+    /** Returns the hash of a name, to be used as key or candidate. */
+    public static long hash(String name) {
+        return HASH.hashChars(name);
+    }
+
+    /** Returns a candidate's score for a key as an unsigned number. */
+    public static long score(long keyHash, long candidateHash) {
+        long mixed = keyHash ^ Long.rotateLeft(candidateHash, 32) * 0x9E3779B97F4A7C15L;
+        mixed = (mixed ^ (mixed >>> 33)) * 0xFF51AFD7ED558CCDL;
+        mixed = (mixed ^ (mixed >>> 33)) * 0xC4CEB9FE1A85EC53L;
+        return mixed ^ (mixed >>> 33);
+    }
+
+    /** Returns a candidate's score for a key such that wins are in proportion to weights. */
+    public static double weightedScore(long keyHash, long candidateHash, double weight) {
+        double uniform = ((score(keyHash, candidateHash) >>> 11) + 0.5) * UNIT;
+        return -weight / Math.log(uniform);
+    }
+
+    /** Returns candidates by falling weighted score. */
+    public static <T> List<T> ranked(
+            long keyHash, List<T> candidates, Function<T, String> name, ToDoubleFunction<T> weight) {
+        record Scored<T>(T candidate, double score) {}
+        return candidates.stream()
+                .map(c -> new Scored<>(c, weightedScore(keyHash, hash(name.apply(c)), weight.applyAsDouble(c))))
+                .sorted(Comparator.comparingDouble((Scored<T> s) -> s.score())
+                        .reversed()
+                        .thenComparing(s -> name.apply(s.candidate())))
+                .map(Scored::candidate)
+                .toList();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/placement/ShardSpread.java
@@ -0,0 +1,156 @@
+package org.lacewingthread.core.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+
+/**
+ * Spreads the shards of one application over the backend servers of one data centre: rendezvous
+ * hashing under a bound on the shards of each server, and failover lists that divide a lost server's
+ * shards evenly over the others.
+ *
+ * <pre>{@code
+ * ShardSpread spread = new ShardSpread(candidates, shardsInTotal);
+ * ServerId owner = spread.choose(shard).orElseThrow();
+ * spread.add(owner);
+ * List<ServerId> failover = spread.failover(shard, owner);
+ * }</pre>
+ */
+public final class ShardSpread {
+    /** Servers in a failover list. */
+    public static final int FAILOVER_SERVERS = 3;
+
+    private static final int FIRST_FAILOVER_CHOICES = 3;
+
+    private final List<Candidate> candidates;
+    private final int[] owned;
+    private final Map<ServerId, Integer> positions = new HashMap<>();
+    private final int[][] firstFailovers;
+    private final double capacity;
+    private final int total;
+
+    /**
+     * A server that may own shards.
+     *
+     * @param server the server
+     * @param weight its share of the work relative to others
+     */
+    public record Candidate(ServerId server, double weight) {
+        /** Checks that the weight is positive. */
+        public Candidate {
+            if (!(weight > 0)) {
+                throw new IllegalArgumentException(
+                        "weight " + weight + " of server \"" + server + "\" is not positive");
+            }
+        }
+    }
+
+    /**
+     * Starts with no shard placed.
+     *
+     * @param candidates the servers
+     * @param totalShards shards that will be placed in all
+     */
+    public ShardSpread(List<Candidate> candidates, int totalShards) {
+        this.candidates = List.copyOf(candidates);
+        this.owned = new int[candidates.size()];
+        this.firstFailovers = new int[candidates.size()][candidates.size()];
+        this.total = totalShards;
+        double sum = 0;
+        for (Candidate candidate : candidates) {
+            positions.put(candidate.server(), positions.size());
+            sum += candidate.weight();
+        }
+        this.capacity = sum;
+    }
+
+    /** Returns the server that should own a shard: the best ranked one that is below its bound. */
+    public Optional<ServerId> choose(ShardId shard) {
+        long key = keyOf(shard);
+        int best = -1;
+        double bestScore = 0;
+        for (int i = 0; i < owned.length; i++) {
+            double score = scoreOf(key, i);
+            if (owned[i] < boundOf(i) && (best < 0 || score > bestScore)) {
+                best = i;
+                bestScore = score;
+            }
+        }
+        return best < 0 ? leastLoaded() : Optional.of(candidates.get(best).server());
+    }
+
+    /** Counts a shard as owned by a server. */
+    public void add(ServerId server) {
+        Integer position = positions.get(server);
+        if (position != null) {
+            owned[position]++;
+        }
+    }
+
+    /** Counts a recorded failover list, so that later ones even it out. */
+    public void addFailover(ServerId owner, List<ServerId> failover) {
+        Integer from = positions.get(owner);
+        Integer to = failover.isEmpty() ? null : positions.get(failover.get(0));
+        if (from != null && to != null) {
+            firstFailovers[from][to]++;
+        }
+    }
+
+    /** Returns the failover list of a shard, and counts it. */
+    public List<ServerId> failover(ShardId shard, ServerId owner) {
+        long key = keyOf(shard);
+        List<Integer> ranked = new ArrayList<>();
+        for (int i = 0; i < owned.length; i++) {
+            if (!candidates.get(i).server().equals(owner)) {
+                ranked.add(i);
+            }
+        }
+        ranked.sort(Comparator.comparingDouble((Integer i) -> scoreOf(key, i)).reversed());
+        preferLeastUsedFirst(ranked, positions.get(owner));
+        List<ServerId> list = ranked.stream()
+                .limit(FAILOVER_SERVERS)
+                .map(i -> candidates.get(i).server())
+                .toList();
+        addFailover(owner, list);
+        return list;
+    }
+
+    private void preferLeastUsedFirst(List<Integer> ranked, Integer owner) {
+        if (owner == null || ranked.size() < 2) {
+            return;
+        }
+        int choices = Math.min(FIRST_FAILOVER_CHOICES, ranked.size());
+        int best = 0;
+        for (int i = 1; i < choices; i++) {
+            if (firstFailovers[owner][ranked.get(i)] < firstFailovers[owner][ranked.get(best)]) {
+                best = i;
+            }
+        }
+        Integer first = ranked.remove(best);
+        ranked.add(0, first);
+    }
+
+    private Optional<ServerId> leastLoaded() {
+        return candidates.stream()
+                .min(Comparator.comparingDouble((Candidate c) -> owned[positions.get(c.server())] / c.weight()))
+                .map(Candidate::server);
+    }
+
+    private double boundOf(int position) {
+        return Math.ceil(total * candidates.get(position).weight() / capacity);
+    }
+
+    private double scoreOf(long key, int position) {
+        Candidate candidate = candidates.get(position);
+        return Rendezvous.weightedScore(key, Rendezvous.hash(candidate.server().value()), candidate.weight());
+    }
+
+    private static long keyOf(ShardId shard) {
+        return Rendezvous.score(Rendezvous.hash(shard.application().value()), shard.index());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/ownership/FakeServer.java
@@ -0,0 +1,64 @@
+package org.lacewingthread.core.ownership;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.lacewingthread.core.control.ServerOrder;
+import org.lacewingthread.core.id.FencingToken;
+import org.lacewingthread.core.id.ShardId;
+
+/** A backend server that checks tokens and counts leases on a clock of its own rate. */
+final class FakeServer {
+    final double clockRateRatio;
+    boolean up = true;
+    private final Map<ShardId, Long> leaseEnds = new HashMap<>();
+    private final Map<ShardId, FencingToken> highest = new HashMap<>();
+
+    FakeServer(double clockRateRatio) {
+        this.clockRateRatio = clockRateRatio;
+    }
+
+    boolean take(ServerOrder order, long nowMillis) {
+        if (order instanceof ServerOrder.Release release) {
+            return release(release);
+        }
+        ServerOrder.Renew renew = (ServerOrder.Renew) order;
+        if (renew.shards().stream().anyMatch(s -> isBelowHighest(s.shard(), s.token()))) {
+            return false;
+        }
+        long endMillis = nowMillis + (long) (renew.leaseMillis() / clockRateRatio);
+        for (ServerOrder.GrantedShard shard : renew.shards()) {
+            highest.put(shard.shard(), shard.token());
+            leaseEnds.put(shard.shard(), endMillis);
+        }
+        return true;
+    }
+
+    private boolean release(ServerOrder.Release release) {
+        if (release.shards().stream().anyMatch(s -> isBelowHighest(s, release.token()))) {
+            return false;
+        }
+        for (ShardId shard : release.shards()) {
+            highest.put(shard, release.token());
+            leaseEnds.remove(shard);
+        }
+        return true;
+    }
+
+    private boolean isBelowHighest(ShardId shard, FencingToken token) {
+        FencingToken seen = highest.get(shard);
+        return seen != null && token.compareTo(seen) < 0;
+    }
+
+    /** Returns the shards that the server believes it owns, lost or not: a frozen one may come back. */
+    Set<ShardId> actsFor(long nowMillis) {
+        Set<ShardId> result = new TreeSet<>();
+        leaseEnds.forEach((shard, end) -> {
+            if (nowMillis < end) {
+                result.add(shard);
+            }
+        });
+        return result;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/ownership/OwnershipWorld.java
@@ -0,0 +1,316 @@
+package org.lacewingthread.core.ownership;
+
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.lacewingthread.core.config.ApplicationSpec;
+import org.lacewingthread.core.config.PlacementProfile;
+import org.lacewingthread.core.config.RoutingConfiguration;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.control.ControlSettings;
+import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.control.ServerCondition;
+import org.lacewingthread.core.control.ServerLoad;
+import org.lacewingthread.core.control.ServerOrder;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.id.Term;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.LogRecord;
+
+/**
+ * One data centre in virtual time: a coordinator, entry VMs, backend servers and a log. Every tick it
+ * checks that no shard has two servers and no server two dispatchers; {@link #violations} lists breaches.
+ */
+final class OwnershipWorld {
+    static final DataCentreId HERE = new DataCentreId("maras");
+    static final ApplicationId LEDGER = new ApplicationId("ledger");
+    static final int SHARDS = 64;
+    static final long TICK_MILLIS = 10;
+
+    final ControlSettings settings = ControlSettings.DEFAULT;
+    final Random random;
+    final FakeLog log;
+    final Map<ServerId, FakeServer> servers = new TreeMap<>();
+    final Map<ServerId, ServerCondition> conditions = new HashMap<>();
+    final Map<ServerId, ServerLoad> loads = new HashMap<>();
+    final List<FakeVm> vms = new ArrayList<>();
+    final Set<VmStart> leaving = new TreeSet<>();
+    final List<String> notes = new ArrayList<>();
+    final List<LogRecord> records = new ArrayList<>();
+    final List<ServerOrder> orders = new ArrayList<>();
+    final Set<String> violations = new TreeSet<>();
+    final Map<ShardId, Long> unservedMillis = new TreeMap<>();
+    private final List<Timed> pending = new ArrayList<>();
+    private final Map<ServerId, Long> unanswered = new HashMap<>();
+    private final Set<SafetyRule> rules;
+    private final List<ServerSpec> specs;
+    boolean logReachable = true;
+    double lostAnswerRatio;
+    RoutePlan plan;
+    long nowMillis = 1_000;
+    private LeaseOwnershipCoordinator coordinator;
+    private Term term;
+    private long predecessorEndMillis = 1_000;
+    private Map<VmStart, Optional<RoutePlan>> held = Map.of();
+    private long leaderFromMillis;
+    private long terms;
+
+    private record Timed(long atMillis, Runnable action) {}
+
+    OwnershipWorld(long seed, int serverCount, boolean[] checks, int vmCount, Set<SafetyRule> rules) {
+        this.random = new Random(seed);
+        this.rules = rules;
+        this.specs = new ArrayList<>();
+        for (int i = 0; i < serverCount; i++) {
+            ServerSpec spec = server("s" + i, checks[i % checks.length]);
+            specs.add(spec);
+            servers.put(spec.id(), new FakeServer(0.98 + 0.04 * random.nextDouble()));
+        }
+        ApplicationSpec ledger =
+                new ApplicationSpec(LEDGER, SHARDS, PlacementProfile.MINIMISE_UNAVAILABLE, List.of(), List.of());
+        this.log = new FakeLog(HERE, new RoutingConfiguration(List.of(ledger), specs));
+        for (int i = 0; i < vmCount; i++) {
+            vms.add(new FakeVm(new VmStart(new VmId("vm" + i), i), settings));
+        }
+        startTerm(0);
+    }
+
+    static OwnershipWorld calm(boolean... checks) {
+        return new OwnershipWorld(7, 5, checks, 3, EnumSet.allOf(SafetyRule.class));
+    }
+
+    static ServerSpec server(String id, boolean checksTokens) {
+        return new ServerSpec(new ServerId(id), HERE, "127.0.0.1", 8080, List.of(), 2, 50, checksTokens, false);
+    }
+
+    /** A new coordinator leads after a gap; the old one's records under way are void. */
+    void startTerm(long gapMillis) {
+        log.applyUntil(nowMillis);
+        log.claim();
+        terms++;
+        term = new Term(new LogOffset(100 * terms), 0, vms.get(0).start);
+        coordinator = new LeaseOwnershipCoordinator(settings, rules);
+        plan = null;
+        unanswered.clear();
+        pending.clear();
+        leaderFromMillis = nowMillis + gapMillis;
+        held = null;
+    }
+
+    private void beginLeading() {
+        long dispatchMillis = settings.lengthened(settings.dispatchLeaseMillis()) + settings.startByMillis();
+        long serverMillis = settings.lengthened(settings.serverLeaseMillis() + settings.startByMillis());
+        predecessorEndMillis = terms == 1 ? nowMillis : nowMillis + Math.max(dispatchMillis, serverMillis);
+        held = new HashMap<>();
+        for (FakeVm vm : vms) {
+            if (vm.up && vm.reachable) {
+                held.put(vm.start, vm.held(nowMillis));
+            }
+            vm.forgetLeader();
+        }
+    }
+
+    void run(long millis) {
+        long endMillis = nowMillis + millis;
+        while (nowMillis < endMillis) {
+            tick();
+        }
+    }
+
+    private void tick() {
+        nowMillis += TICK_MILLIS;
+        for (Timed timed : List.copyOf(pending)) {
+            if (timed.atMillis() <= nowMillis) {
+                pending.remove(timed);
+                timed.action().run();
+            }
+        }
+        if (logReachable) {
+            log.applyUntil(nowMillis);
+        }
+        if (nowMillis >= leaderFromMillis) {
+            lead();
+        }
+        checkExclusive();
+    }
+
+    private void lead() {
+        if (held == null) {
+            beginLeading();
+        }
+        OwnershipStep step = coordinator.step(inputs(), nowMillis);
+        step.plan().ifPresent(p -> plan = p);
+        notes.addAll(step.notes());
+        if (!logReachable && !step.records().isEmpty()) {
+            violations.add("appends while the log is out");
+        }
+        for (LogRecord record : step.records()) {
+            records.add(record);
+            if (random.nextDouble() >= lostAnswerRatio) {
+                log.append(record, nowMillis + 20 + random.nextInt(50));
+            }
+        }
+        step.orders().forEach(this::send);
+        if (plan != null && nowMillis % settings.heartbeatMillis() < TICK_MILLIS) {
+            heartbeats();
+        }
+    }
+
+    private void heartbeats() {
+        for (FakeVm vm : vms) {
+            if (vm.up && vm.reachable) {
+                boolean replyLost = random.nextDouble() < lostAnswerRatio;
+                vm.heartbeat(plan, nowMillis, random.nextInt(80), replyLost);
+            }
+        }
+    }
+
+    private void send(ServerOrder order) {
+        orders.add(order);
+        if (unanswered.put(order.server(), order.sequence()) != null) {
+            violations.add("second order while one is unanswered");
+        }
+        FakeServer server = servers.get(order.server());
+        boolean arrives = server.up && random.nextDouble() >= lostAnswerRatio;
+        boolean answered = arrives && random.nextDouble() >= lostAnswerRatio;
+        long arrivalMillis = nowMillis + random.nextInt(answered ? 20 : (int) settings.startByMillis());
+        Term sender = term;
+        if (arrives) {
+            pending.add(new Timed(arrivalMillis, () -> {
+                boolean accepted = server.take(order, nowMillis);
+                if (answered && sender.equals(term)) {
+                    unanswered.remove(order.server());
+                    coordinator.orderAnswered(order.server(), order.sequence(), accepted, nowMillis);
+                }
+            }));
+        }
+        if (!answered) {
+            pending.add(new Timed(nowMillis + 10 + random.nextInt(200), () -> {
+                unanswered.remove(order.server());
+                coordinator.orderFailed(order.server(), order.sequence(), nowMillis);
+            }));
+        }
+    }
+
+    OwnershipInputs inputs() {
+        List<VmStart> members = vms.stream()
+                .filter(v -> v.up && v.reachable && !leaving.contains(v.start))
+                .map(v -> v.start)
+                .toList();
+        return new OwnershipInputs(
+                HERE,
+                vms.get(0).start,
+                term,
+                log.state(),
+                logReachable,
+                members,
+                ledger(),
+                predecessorEndMillis,
+                held,
+                held.size() == vms.size(),
+                conditions,
+                loads);
+    }
+
+    private DispatchLedger ledger() {
+        return new DispatchLedger() {
+            @Override
+            public boolean isLive(VmStart vm, long now) {
+                return vm(vm).up;
+            }
+
+            @Override
+            public boolean hasLeft(VmStart vm, long planVersion, long now) {
+                return vm(vm).hasLeft(planVersion, now);
+            }
+        };
+    }
+
+    FakeVm vm(VmStart start) {
+        return vms.stream().filter(v -> v.start.equals(start)).findFirst().orElseThrow();
+    }
+
+    void lose(ServerId server, long noticedAfterMillis) {
+        servers.get(server).up = false;
+        pending.add(new Timed(nowMillis + noticedAfterMillis, () -> {
+            if (!servers.get(server).up) {
+                conditions.put(server, ServerCondition.UNREACHABLE);
+            }
+        }));
+    }
+
+    void bringBack(ServerId server) {
+        servers.get(server).up = true;
+        conditions.put(server, ServerCondition.REACHABLE);
+    }
+
+    ServerId ownerOf(ShardId shard) {
+        return plan.ownerOf(shard).map(RoutePlan.Ownership::server).orElse(null);
+    }
+
+    private void checkExclusive() {
+        Map<ShardId, ServerId> owners = new HashMap<>();
+        Map<ServerId, VmStart> dispatchers = new HashMap<>();
+        for (ServerSpec spec : specs) {
+            if (spec.checksTokens()) {
+                servers.get(spec.id()).actsFor(nowMillis).forEach(s -> note(owners, s, spec.id()));
+            }
+        }
+        Set<ShardId> served = new TreeSet<>();
+        for (FakeVm vm : vms) {
+            vm.forEachActing(nowMillis, (shard, server, sender) -> {
+                if (!specOf(server).checksTokens()) {
+                    note(owners, shard, server);
+                }
+                VmStart other = dispatchers.putIfAbsent(server, sender);
+                if (other != null && !other.equals(sender)) {
+                    violations.add("two dispatchers of one server");
+                }
+                if (isServed(vm, shard, server)) {
+                    served.add(shard);
+                }
+            });
+        }
+        for (int i = 0; i < SHARDS; i++) {
+            ShardId shard = new ShardId(LEDGER, i);
+            unservedMillis.merge(shard, served.contains(shard) ? 0 : TICK_MILLIS, Long::sum);
+        }
+    }
+
+    private boolean isServed(FakeVm vm, ShardId shard, ServerId server) {
+        boolean granted = !specOf(server).checksTokens()
+                || servers.get(server).actsFor(nowMillis).contains(shard);
+        return servers.get(server).up && vm.mayServe(shard, nowMillis) && granted;
+    }
+
+    private ServerSpec specOf(ServerId server) {
+        return specs.stream().filter(s -> s.id().equals(server)).findFirst().orElseThrow();
+    }
+
+    private void note(Map<ShardId, ServerId> owners, ShardId shard, ServerId server) {
+        ServerId other = owners.putIfAbsent(shard, server);
+        if (other != null && !other.equals(server)) {
+            violations.add("two servers act for one shard");
+        }
+    }
+
+    long longestUnservedMillis() {
+        return unservedMillis.values().stream().mapToLong(Long::longValue).max().orElse(0);
+    }
+
+    long servedShards() {
+        return plan == null ? 0 : plan.owners().size();
+    }
+}
