Add admission, retries, idempotency records, routes and the local dispatcher

Cause: requests need one place per backend server that queues, sends and settles them. Nothing was measured yet. Conclusion: a lane per server, confined to one I/O thread, needs no locks.

--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/traffic/FairQueue.java
@@ -0,0 +1,140 @@
+package org.lacewingthread.core.traffic;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+
+/**
+ * Queue that serves its keys in turn, and the requests of one key by deadline. A key that comes back
+ * is served after every key that was already waiting, however many requests it has sent.
+ *
+ * @param <T> what is queued
+ */
+final class FairQueue<T> {
+    private final Map<Long, Flow<T>> flowsByKey = new HashMap<>();
+    private final TreeSet<Flow<T>> flowsByTurn = new TreeSet<>(Flow.BY_TURN);
+    private long currentTurn;
+    private long nextSequence;
+    private int size;
+
+    /** One queued request. */
+    record Item<T>(T value, long keyHash, long deadlineMillis, long sequence) {
+        static final Comparator<Item<?>> BY_DEADLINE =
+                Comparator.<Item<?>>comparingLong(Item::deadlineMillis).thenComparingLong(Item::sequence);
+    }
+
+    private static final class Flow<T> {
+        static final Comparator<Flow<?>> BY_TURN = Comparator.<Flow<?>>comparingLong(f -> f.turn)
+                .thenComparingLong(f -> f.headDeadlineMillis)
+                .thenComparingLong(f -> f.keyHash);
+
+        private final long keyHash;
+        private final TreeSet<Item<T>> items = new TreeSet<>(Item.BY_DEADLINE);
+        private long turn;
+        private long headDeadlineMillis;
+
+        Flow(long keyHash, long turn) {
+            this.keyHash = keyHash;
+            this.turn = turn;
+        }
+    }
+
+    int size() {
+        return size;
+    }
+
+    int sizeOf(long keyHash) {
+        Flow<T> flow = flowsByKey.get(keyHash);
+        return flow == null ? 0 : flow.items.size();
+    }
+
+    void add(T value, long keyHash, long deadlineMillis) {
+        Flow<T> flow = flowsByKey.get(keyHash);
+        if (flow == null) {
+            flow = new Flow<>(keyHash, currentTurn + 1);
+            flowsByKey.put(keyHash, flow);
+        } else {
+            flowsByTurn.remove(flow);
+        }
+        flow.items.add(new Item<>(value, keyHash, deadlineMillis, nextSequence++));
+        size++;
+        reinsert(flow);
+    }
+
+    /** Removes the request whose turn it is. */
+    Optional<T> poll() {
+        if (flowsByTurn.isEmpty()) {
+            return Optional.empty();
+        }
+        Flow<T> flow = flowsByTurn.pollFirst();
+        currentTurn = flow.turn;
+        flow.turn++;
+        T value = flow.items.pollFirst().value();
+        size--;
+        reinsert(flow);
+        return Optional.of(value);
+    }
+
+    /** Removes every request that a condition holds for. */
+    List<T> removeIf(Predicate<Item<T>> condition) {
+        List<Item<T>> removed = new ArrayList<>();
+        for (Flow<T> flow : List.copyOf(flowsByKey.values())) {
+            List<Item<T>> matching = flow.items.stream().filter(condition).toList();
+            if (!matching.isEmpty()) {
+                flowsByTurn.remove(flow);
+                matching.forEach(flow.items::remove);
+                size -= matching.size();
+                removed.addAll(matching);
+                reinsert(flow);
+            }
+        }
+        removed.sort(Item.BY_DEADLINE);
+        return removed.stream().map(Item::value).toList();
+    }
+
+    /** Removes the request with the latest deadline of the key that has the most requests queued. */
+    Optional<T> removeFromLongest(int atLeast) {
+        Optional<Flow<T>> longest = flowsByKey.values().stream()
+                .max(Comparator.<Flow<T>>comparingInt(f -> f.items.size()).thenComparingLong(f -> f.keyHash));
+        if (longest.isEmpty() || longest.get().items.size() < atLeast) {
+            return Optional.empty();
+        }
+        Flow<T> flow = longest.get();
+        flowsByTurn.remove(flow);
+        T value = flow.items.pollLast().value();
+        size--;
+        reinsert(flow);
+        return Optional.of(value);
+    }
+
+    /** Returns how many requests would be served before a new one of a key. */
+    int countAhead(long keyHash, long deadlineMillis) {
+        Flow<T> own = flowsByKey.get(keyHash);
+        int ownAhead = own == null
+                ? 0
+                : (int) own.items.stream()
+                        .filter(i -> i.deadlineMillis() <= deadlineMillis)
+                        .count();
+        int ahead = ownAhead;
+        for (Flow<T> flow : flowsByKey.values()) {
+            if (flow.keyHash != keyHash) {
+                ahead += Math.min(flow.items.size(), ownAhead + 1);
+            }
+        }
+        return ahead;
+    }
+
+    private void reinsert(Flow<T> flow) {
+        if (flow.items.isEmpty()) {
+            flowsByKey.remove(flow.keyHash);
+            return;
+        }
+        flow.headDeadlineMillis = flow.items.first().deadlineMillis();
+        flowsByTurn.add(flow);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/traffic/RetryBudget.java
@@ -0,0 +1,41 @@
+package org.lacewingthread.core.traffic;
+
+/**
+ * Bounds extra attempts to a share of the first attempts, so that retries and hedges can't multiply
+ * an overload. Each first attempt earns a fraction of an extra one.
+ */
+public final class RetryBudget {
+    private final double earnedPerRequestRatio;
+    private final double maxSaved;
+    private double saved;
+
+    /**
+     * Creates a budget that starts full.
+     *
+     * @param earnedPerRequestRatio extra attempts earned by each first attempt, for example 0.1
+     * @param maxSaved most extra attempts that can be saved up
+     */
+    public RetryBudget(double earnedPerRequestRatio, double maxSaved) {
+        if (earnedPerRequestRatio < 0 || maxSaved < 0) {
+            throw new IllegalArgumentException(
+                    "retry budget of ratio " + earnedPerRequestRatio + " and size " + maxSaved + " is negative");
+        }
+        this.earnedPerRequestRatio = earnedPerRequestRatio;
+        this.maxSaved = maxSaved;
+        this.saved = maxSaved;
+    }
+
+    /** Takes in a first attempt. */
+    public void onFirstAttempt() {
+        saved = Math.min(maxSaved, saved + earnedPerRequestRatio);
+    }
+
+    /** Takes one extra attempt from the budget if there is one. */
+    public boolean tryTake() {
+        if (saved < 1) {
+            return false;
+        }
+        saved -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/traffic/ServerQueue.java
@@ -0,0 +1,219 @@
+package org.lacewingthread.core.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.lacewingthread.core.config.RequestClass;
+
+/**
+ * Admission to one backend server, held by its one dispatcher: a bounded queue in front of the
+ * server's slots.
+ *
+ * <p>Requests that a caller waits for go before deferrable ones; within these, keys take turns, and
+ * the requests of a key go by deadline. A request is refused at once when the queue is full or when
+ * the measured service time says that its deadline can't be met. A full queue makes room by shedding
+ * deferrable requests, then requests of the key that has most queued.
+ *
+ * <pre>{@code
+ * ServerQueue<Call> queue = new ServerQueue<>(ServerQueue.Settings.of(2));
+ * Admission admission = queue.offer(call, keyHash, requestClass, deadlineMillis, nowMillis);
+ * queue.takeGivenUp(nowMillis).forEach(this::refuse);
+ * queue.poll().ifPresent(this::send); // takes a slot
+ * queue.onAnswered(serviceMillis); // frees it
+ * }</pre>
+ *
+ * <p>Not safe for use by several threads. Every request leaves exactly once: by {@link #poll}, by
+ * {@link #takeGivenUp} or by {@link #removeIf}.
+ *
+ * @param <T> what is queued
+ */
+public final class ServerQueue<T> {
+    private static final long MIN_RETRY_AFTER_MILLIS = 20;
+    private static final long MAX_RETRY_AFTER_MILLIS = 5_000;
+    private static final double MAX_SERVICE_ALLOWANCE_MILLIS = 100;
+
+    private final Settings settings;
+    private final FairQueue<T> urgent = new FairQueue<>();
+    private final FairQueue<T> deferrable = new FairQueue<>();
+    private final List<GivenUp<T>> shed = new ArrayList<>();
+    private final ServiceEstimate service;
+    private int busySlots;
+
+    /**
+     * Sizes of a queue.
+     *
+     * @param slots requests that the server runs at once
+     * @param maxQueued most requests queued
+     * @param initialServiceMillis service time assumed before the first was measured
+     */
+    public record Settings(int slots, int maxQueued, double initialServiceMillis) {
+        private static final int QUEUED_PER_SLOT = 64;
+        private static final double INITIAL_SERVICE_MILLIS = 2;
+
+        /** Checks ranges. */
+        public Settings {
+            if (slots < 1 || maxQueued < 1 || initialServiceMillis <= 0) {
+                throw new IllegalArgumentException("server queue of " + slots + " slots, " + maxQueued + " queued and "
+                        + initialServiceMillis + " ms is not valid; all must be positive");
+            }
+        }
+
+        /** Returns the defaults for a number of slots. */
+        public static Settings of(int slots) {
+            return new Settings(slots, slots * QUEUED_PER_SLOT, INITIAL_SERVICE_MILLIS);
+        }
+    }
+
+    /**
+     * A queued request that will not be sent.
+     *
+     * @param value the request
+     * @param code why
+     * @param retryAfterMillis when to come back, or 0
+     */
+    public record GivenUp<T>(T value, ResultCode code, long retryAfterMillis) {}
+
+    /** Creates an empty queue. */
+    public ServerQueue(Settings settings) {
+        this.settings = settings;
+        this.service = new ServiceEstimate(settings.initialServiceMillis());
+    }
+
+    /**
+     * Queues a request, or refuses it at once. Requests that made room for it are handed out by
+     * {@link #takeGivenUp}.
+     *
+     * @param value the request
+     * @param keyHash hash of its key
+     * @param requestClass its class
+     * @param deadlineMillis monotonic time by which its answer is wanted
+     * @param nowMillis monotonic time
+     */
+    public Admission offer(T value, long keyHash, RequestClass requestClass, long deadlineMillis, long nowMillis) {
+        if (deadlineMillis <= nowMillis) {
+            return Admission.refused(ResultCode.DEADLINE_PASSED, 0);
+        }
+        FairQueue<T> queue = queueOf(requestClass);
+        double answerInMillis = waitMillis(queue, keyHash, deadlineMillis) + service.meanMillis();
+        double lateMillis = nowMillis + answerInMillis - deadlineMillis;
+        if (lateMillis > 0) {
+            return Admission.refused(ResultCode.OVERLOADED, retryAfterMillis(lateMillis));
+        }
+        if (queued() >= settings.maxQueued() && !makeRoom(queue, keyHash)) {
+            return Admission.refused(ResultCode.OVERLOADED, retryAfterMillis(drainMillis()));
+        }
+        queue.add(value, keyHash, deadlineMillis);
+        return Admission.QUEUED;
+    }
+
+    private FairQueue<T> queueOf(RequestClass requestClass) {
+        return requestClass.isShedFirst() ? deferrable : urgent;
+    }
+
+    private double waitMillis(FairQueue<T> queue, long keyHash, long deadlineMillis) {
+        int ahead = queue.countAhead(keyHash, deadlineMillis) + busySlots;
+        if (queue == deferrable) {
+            ahead += urgent.size();
+        }
+        int waitsFor = Math.max(0, ahead - settings.slots() + 1);
+        return waitsFor * service.meanMillis() / settings.slots();
+    }
+
+    /** Makes room for a request of a key by giving up one that has less claim to its place. */
+    private boolean makeRoom(FairQueue<T> queue, long keyHash) {
+        int ownQueued = queue.sizeOf(keyHash);
+        Optional<T> removed = queue == urgent && deferrable.size() > 0
+                ? deferrable.removeFromLongest(1)
+                : queue.removeFromLongest(ownQueued + 2);
+        removed.ifPresent(
+                value -> shed.add(new GivenUp<>(value, ResultCode.OVERLOADED, retryAfterMillis(drainMillis()))));
+        return removed.isPresent();
+    }
+
+    /**
+     * Removes the requests that will not be sent: shed ones, and ones that can't be answered by their
+     * deadline any more. The caller gives each its final answer at once.
+     */
+    public List<GivenUp<T>> takeGivenUp(long nowMillis) {
+        List<GivenUp<T>> givenUp = new ArrayList<>(shed);
+        shed.clear();
+        double soonestAnswerMillis = nowMillis + Math.min(service.meanMillis(), MAX_SERVICE_ALLOWANCE_MILLIS);
+        for (FairQueue<T> queue : List.of(urgent, deferrable)) {
+            for (T value : queue.removeIf(item -> item.deadlineMillis() < soonestAnswerMillis)) {
+                givenUp.add(new GivenUp<>(value, ResultCode.OVERLOADED, retryAfterMillis(drainMillis())));
+            }
+        }
+        return givenUp;
+    }
+
+    /** Takes a slot for the request whose turn it is, if there are both. */
+    public Optional<T> poll() {
+        if (busySlots >= settings.slots()) {
+            return Optional.empty();
+        }
+        Optional<T> next = urgent.poll().or(deferrable::poll);
+        if (next.isPresent()) {
+            busySlots++;
+        }
+        return next;
+    }
+
+    /** Takes a slot for an extra attempt if one is free and nothing waits for it. */
+    public boolean tryTakeIdleSlot() {
+        if (busySlots >= settings.slots() || queued() > 0) {
+            return false;
+        }
+        busySlots++;
+        return true;
+    }
+
+    /** Frees a slot whose request was answered whole after a service time. */
+    public void onAnswered(double serviceMillis) {
+        service.add(serviceMillis);
+        freeSlot();
+    }
+
+    /** Frees a slot whose request was not answered. */
+    public void freeSlot() {
+        if (busySlots == 0) {
+            throw new IllegalStateException("no slot is taken");
+        }
+        busySlots--;
+    }
+
+    /** Removes every queued request that a condition holds for, and hands them out. */
+    public List<T> removeIf(Predicate<T> condition) {
+        List<T> removed = new ArrayList<>(urgent.removeIf(item -> condition.test(item.value())));
+        removed.addAll(deferrable.removeIf(item -> condition.test(item.value())));
+        return removed;
+    }
+
+    /** Returns how many requests are queued. */
+    public int queued() {
+        return urgent.size() + deferrable.size();
+    }
+
+    /** Returns how many slots are taken. */
+    public int busySlots() {
+        return busySlots;
+    }
+
+    /** Returns the mean of the measured service times. */
+    public double meanServiceMillis() {
+        return service.meanMillis();
+    }
+
+    /** Returns a service time that nearly all requests stay below. */
+    public double highServiceMillis() {
+        return service.highMillis();
+    }
+
+    private double drainMillis() {
+        return queued() * service.meanMillis() / settings.slots();
+    }
+
+    private static long retryAfterMillis(double waitMillis) {
+        return Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, (long) Math.ceil(waitMillis)));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendConnections.java
@@ -0,0 +1,257 @@
+package org.lacewingthread.daemon.backend;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
+import java.net.URI;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.traffic.RetryDecision.Attempt;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/**
+ * Connections to one backend server: bounded in number and in how many are opened at once, each with
+ * one request at a time, kept only while clean.
+ *
+ * <pre>{@code
+ * BackendConnections connections = new BackendConnections(server, limits, ioThread, buffers, clock);
+ * ioThread.execute(() -> connections.send(call, answer));
+ * }</pre>
+ *
+ * <p>Confined to one I/O thread.
+ */
+public final class BackendConnections {
+    private final URI address;
+    private final int maxConnections;
+    private final Limits limits;
+    private final XnioIoThread ioThread;
+    private final ByteBufferPool buffers;
+    private final LongSupplier clockMillis;
+    private final Deque<Link> idle = new ArrayDeque<>();
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private int open;
+    private int opening;
+    private boolean closed;
+
+    /**
+     * Limits of the connections to one server.
+     *
+     * @param maxOpening most connections that are opened at once
+     * @param connectTimeoutMillis how long opening one may take
+     * @param maxIdleMillis how long one is kept without a request
+     */
+    public record Limits(int maxOpening, long connectTimeoutMillis, long maxIdleMillis) {
+        /** Defaults. */
+        public static final Limits DEFAULT = new Limits(4, 250, 10_000);
+    }
+
+    /** A call that can be given up on. */
+    public interface Handle {
+        /** Gives up on the call; its answer is not reported any more. */
+        void abandon();
+    }
+
+    /** One connection and the exchange that it carries. */
+    private static final class Link {
+        private final ClientConnection connection;
+        private BackendExchange exchange;
+        private long idleSinceMillis;
+
+        Link(ClientConnection connection) {
+            this.connection = connection;
+        }
+    }
+
+    private static final class Waiting implements Handle {
+        private final BackendCall call;
+        private final BackendAnswer answer;
+        private BackendExchange exchange;
+        private boolean abandoned;
+
+        Waiting(BackendCall call, BackendAnswer answer) {
+            this.call = call;
+            this.answer = answer;
+        }
+
+        @Override
+        public void abandon() {
+            abandoned = true;
+            if (exchange != null) {
+                exchange.abandon();
+            }
+        }
+    }
+
+    /** Creates connections to a server, none of them open yet. */
+    public BackendConnections(
+            ServerSpec server, Limits limits, XnioIoThread ioThread, ByteBufferPool buffers, LongSupplier clockMillis) {
+        this.address = URI.create("http://" + server.host() + ":" + server.port());
+        this.maxConnections = server.maxConnections();
+        this.limits = limits;
+        this.ioThread = ioThread;
+        this.buffers = buffers;
+        this.clockMillis = clockMillis;
+    }
+
+    /** Sends a call on an idle connection, or on a new one. */
+    public Handle send(BackendCall call, BackendAnswer answer) {
+        Waiting waiter = new Waiting(call, answer);
+        Link link = takeIdle();
+        if (link != null) {
+            start(waiter, link);
+            return waiter;
+        }
+        return queueForNew(waiter);
+    }
+
+    /** Sends a call on a new connection, so that it tells whether new connections work. */
+    public Handle sendOnNew(BackendCall call, BackendAnswer answer) {
+        return queueForNew(new Waiting(call, answer));
+    }
+
+    /** Returns how many connections are open or being opened. */
+    public int count() {
+        return open + opening;
+    }
+
+    /** Closes all idle connections and refuses further calls; calls under way end by themselves. */
+    public void close() {
+        closed = true;
+        idle.forEach(link -> IoUtils.safeClose(link.connection));
+        idle.clear();
+        failWaiting("the connections to the server were shut down");
+    }
+
+    private Link takeIdle() {
+        long oldestMillis = clockMillis.getAsLong() - limits.maxIdleMillis();
+        while (!idle.isEmpty()) {
+            Link newest = idle.pollLast();
+            if (newest.connection.isOpen() && newest.idleSinceMillis >= oldestMillis) {
+                return newest;
+            }
+            IoUtils.safeClose(newest.connection);
+        }
+        return null;
+    }
+
+    private Handle queueForNew(Waiting waiter) {
+        if (closed) {
+            // Proof of "never sent": the call was given no connection.
+            waiter.answer.onFailed(Attempt.NEVER_SENT, "the connections to the server were shut down");
+            return waiter;
+        }
+        waiting.add(waiter);
+        openIfAllowed();
+        return waiter;
+    }
+
+    private void openIfAllowed() {
+        if (opening >= Math.min(limits.maxOpening(), waiting.size()) || count() >= maxConnections) {
+            return;
+        }
+        opening++;
+        Opening attempt = new Opening();
+        attempt.timeout = ioThread.executeAfter(
+                () -> attempt.failed(new IOException("no connection within " + limits.connectTimeoutMillis() + " ms")),
+                limits.connectTimeoutMillis(),
+                TimeUnit.MILLISECONDS);
+        UndertowClient.getInstance().connect(attempt, address, ioThread, buffers, OptionMap.EMPTY);
+    }
+
+    private final class Opening implements ClientCallback<ClientConnection> {
+        private XnioExecutor.Key timeout;
+        private boolean over;
+
+        @Override
+        public void completed(ClientConnection connection) {
+            if (over || closed) {
+                IoUtils.safeClose(connection);
+                return;
+            }
+            over = true;
+            timeout.remove();
+            opening--;
+            open++;
+            Link link = new Link(connection);
+            connection.addCloseListener(c -> connectionClosed(link));
+            giveOut(link);
+        }
+
+        @Override
+        public void failed(IOException e) {
+            ioThread.execute(() -> {
+                if (!over) {
+                    over = true;
+                    timeout.remove();
+                    opening--;
+                    openingFailed("the server can't be connected to: " + e.getMessage());
+                }
+            });
+        }
+    }
+
+    private void openingFailed(String detail) {
+        if (opening == 0) {
+            failWaiting(detail);
+        }
+    }
+
+    private void failWaiting(String detail) {
+        Deque<Waiting> failed = new ArrayDeque<>(waiting);
+        waiting.clear();
+        for (Waiting waiter : failed) {
+            if (!waiter.abandoned) {
+                // Proof of "never sent": the call was given no connection.
+                waiter.answer.onFailed(Attempt.NEVER_SENT, detail);
+            }
+        }
+    }
+
+    private void giveOut(Link link) {
+        Waiting next = waiting.poll();
+        while (next != null && next.abandoned) {
+            next = waiting.poll();
+        }
+        if (next == null) {
+            link.idleSinceMillis = clockMillis.getAsLong();
+            idle.add(link);
+            return;
+        }
+        start(next, link);
+    }
+
+    private void start(Waiting waiter, Link link) {
+        BackendExchange exchange = new BackendExchange(
+                link.connection, waiter.call, waiter.answer, () -> ioThread.execute(() -> release(link)));
+        link.exchange = exchange;
+        waiter.exchange = exchange;
+        exchange.start();
+    }
+
+    /** Takes a connection back after its exchange has left the stack, so that late bytes close it first. */
+    private void release(Link link) {
+        link.exchange = null;
+        if (closed || !link.connection.isOpen()) {
+            IoUtils.safeClose(link.connection);
+            return;
+        }
+        giveOut(link);
+    }
+
+    private void connectionClosed(Link link) {
+        open--;
+        idle.remove(link);
+        if (link.exchange != null) {
+            link.exchange.connectionClosed();
+        }
+        openIfAllowed();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendExchange.java
@@ -0,0 +1,252 @@
+package org.lacewingthread.daemon.backend;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.lacewingthread.core.traffic.RetryDecision.Attempt;
+import org.lacewingthread.daemon.exchange.HeaderField;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * One request and its answer on one connection, confined to the connection's I/O thread.
+ *
+ * <p>The connection survives only an answer that is whole, that came after the whole request was
+ * written, and that repeats the request's id; in every other case it is closed.
+ */
+final class BackendExchange {
+    static final HttpString REQUEST_ID = new HttpString("Lacewingthread-Request");
+
+    private static final int READ_BUFFER_BYTES = 16 * 1024;
+    private static final int MAX_UNCONSUMED_BYTES = 512 * 1024;
+    private static final int STATUS_NO_CONTENT = 204;
+    private static final int STATUS_NOT_MODIFIED = 304;
+
+    private final ClientConnection connection;
+    private final BackendCall call;
+    private final BackendAnswer answer;
+    private final Runnable onClean;
+    private boolean requestWritten;
+    private boolean finished;
+    private boolean persistent;
+    private int unconsumedBytes;
+    private StreamSourceChannel source;
+
+    /**
+     * Creates an exchange.
+     *
+     * @param connection a clean connection
+     * @param call the request
+     * @param answer follows it
+     * @param onClean run when the connection may carry another request
+     */
+    BackendExchange(ClientConnection connection, BackendCall call, BackendAnswer answer, Runnable onClean) {
+        this.connection = connection;
+        this.call = call;
+        this.answer = answer;
+        this.onClean = onClean;
+    }
+
+    void start() {
+        if (!connection.isOpen()) {
+            // Proof of "never sent": nothing was written on this connection for this call.
+            finished = true;
+            answer.onFailed(Attempt.NEVER_SENT, "the connection was closed before the request was written");
+            return;
+        }
+        Optional<SendPermit> permit = answer.permitSend();
+        if (permit.isEmpty()) {
+            // Proof of "never sent": the permit is asked for before the first byte is written.
+            finished = true;
+            onClean.run();
+            answer.onFailed(Attempt.NEVER_SENT, "the request may not be sent any more");
+            return;
+        }
+        connection.sendRequest(requestWith(permit.get()), callback(this::writeBody));
+    }
+
+    void connectionClosed() {
+        fail("the connection was closed before the answer was whole");
+    }
+
+    /** Gives up on the answer; the connection is closed, and the answer's follower hears no more. */
+    void abandon() {
+        finished = true;
+        IoUtils.safeClose(connection);
+    }
+
+    private ClientRequest requestWith(SendPermit permit) {
+        ClientRequest request =
+                new ClientRequest().setMethod(new HttpString(call.method())).setPath(call.path());
+        for (HeaderField field : call.headers()) {
+            request.getRequestHeaders().add(new HttpString(field.name()), field.value());
+        }
+        for (HeaderField field : permit.headers()) {
+            request.getRequestHeaders().put(new HttpString(field.name()), field.value());
+        }
+        request.getRequestHeaders().put(REQUEST_ID, call.requestId());
+        request.getRequestHeaders().remove(Headers.CONTENT_LENGTH);
+        if (call.body().length > 0) {
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, call.body().length);
+        }
+        return request;
+    }
+
+    private void writeBody(ClientExchange exchange) {
+        exchange.setResponseListener(callback(this::readHead));
+        if (call.body().length == 0) {
+            requestWritten = true;
+            return;
+        }
+        ByteBuffer remaining = ByteBuffer.wrap(call.body());
+        StreamSinkChannel sink = exchange.getRequestChannel();
+        sink.getWriteSetter().set(channel -> write(channel, remaining));
+        write(sink, remaining);
+    }
+
+    private void write(StreamSinkChannel sink, ByteBuffer remaining) {
+        try {
+            while (remaining.hasRemaining()) {
+                if (sink.write(remaining) == 0) {
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            sink.shutdownWrites();
+            if (!sink.flush()) {
+                sink.resumeWrites();
+                return;
+            }
+            sink.suspendWrites();
+            requestWritten = true;
+        } catch (IOException e) {
+            fail("writing the request failed: " + e.getMessage());
+        }
+    }
+
+    private void readHead(ClientExchange exchange) {
+        if (finished) {
+            return;
+        }
+        ClientResponse response = exchange.getResponse();
+        String id = response.getResponseHeaders().getFirst(REQUEST_ID);
+        if (id == null ? call.answerRepeatsId() : !id.equals(call.requestId())) {
+            fail("the answer carries the id \"" + id + "\" of another request");
+            return;
+        }
+        if (!isDelimited(response)) {
+            fail("the answer has neither a length nor chunks, so that its end can't be told");
+            return;
+        }
+        persistent = isPersistent(response);
+        source = exchange.getResponseChannel();
+        source.getReadSetter().set(channel -> readBody());
+        answer.onHead(response.getResponseCode(), HopHeaders.endToEnd(response.getResponseHeaders()));
+        readBody();
+    }
+
+    private boolean isDelimited(ClientResponse response) {
+        int status = response.getResponseCode();
+        return response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+                || response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)
+                || status == STATUS_NO_CONTENT
+                || status == STATUS_NOT_MODIFIED
+                || call.method().equals("HEAD");
+    }
+
+    private static boolean isPersistent(ClientResponse response) {
+        String value = response.getResponseHeaders().getFirst(Headers.CONNECTION);
+        return response.getProtocol().toString().equals("HTTP/1.1")
+                && (value == null || !value.equalsIgnoreCase("close"));
+    }
+
+    private void readBody() {
+        ByteBuffer buffer = ByteBuffer.allocate(READ_BUFFER_BYTES);
+        while (!finished) {
+            if (unconsumedBytes >= MAX_UNCONSUMED_BYTES) {
+                source.suspendReads();
+                return;
+            }
+            int count = read(buffer.clear());
+            if (count == 0) {
+                source.resumeReads();
+                return;
+            }
+            if (count < 0) {
+                end();
+                return;
+            }
+            pass(buffer.flip());
+        }
+    }
+
+    private int read(ByteBuffer buffer) {
+        try {
+            return source.read(buffer);
+        } catch (IOException e) {
+            fail("the answer ended before it was whole: " + e.getMessage());
+            return 0;
+        }
+    }
+
+    private void pass(ByteBuffer buffer) {
+        byte[] chunk = new byte[buffer.remaining()];
+        buffer.get(chunk);
+        unconsumedBytes += chunk.length;
+        answer.onBody(chunk, () -> connection.getIoThread().execute(() -> consumed(chunk.length)));
+    }
+
+    private void consumed(int bytes) {
+        boolean wasFull = unconsumedBytes >= MAX_UNCONSUMED_BYTES;
+        unconsumedBytes -= bytes;
+        if (wasFull && unconsumedBytes < MAX_UNCONSUMED_BYTES && !finished) {
+            readBody();
+        }
+    }
+
+    private void end() {
+        if (finished) {
+            return;
+        }
+        finished = true;
+        source.suspendReads();
+        if (persistent && requestWritten && connection.isOpen()) {
+            onClean.run();
+        } else {
+            IoUtils.safeClose(connection);
+        }
+        answer.onEnd();
+    }
+
+    private void fail(String detail) {
+        if (finished) {
+            return;
+        }
+        finished = true;
+        IoUtils.safeClose(connection);
+        answer.onFailed(Attempt.MAY_HAVE_RUN, detail);
+    }
+
+    private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> next) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                next.accept(exchange);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                fail("the connection failed: " + e.getMessage());
+            }
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/caller/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP server for callers. */
+package org.lacewingthread.daemon.caller;
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/InFlightAttempts.java
@@ -0,0 +1,37 @@
+package org.lacewingthread.daemon.dispatch;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.lacewingthread.daemon.exchange.RoutedRequest;
+
+/** Attempts that were sent to a server and may still run there; confined to one I/O thread. */
+final class InFlightAttempts {
+    private final Set<DispatchAttempt> attempts = new LinkedHashSet<>();
+
+    void add(DispatchAttempt attempt) {
+        attempts.add(attempt);
+    }
+
+    void remove(DispatchAttempt attempt) {
+        attempts.remove(attempt);
+    }
+
+    /** Returns the attempts of a request whose answers are still waited for. */
+    List<DispatchAttempt> awaitedOf(PendingRequest pending) {
+        return attempts.stream()
+                .filter(attempt -> attempt.pending() == pending && attempt.isAwaited())
+                .toList();
+    }
+
+    /** Returns the attempts of which nothing was heard yet. */
+    List<DispatchAttempt> unanswered() {
+        return attempts.stream().filter(DispatchAttempt::isUnanswered).toList();
+    }
+
+    boolean allMatch(Predicate<RoutedRequest> condition) {
+        return attempts.stream()
+                .allMatch(attempt -> condition.test(attempt.pending().request()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalDispatcher.java
@@ -0,0 +1,163 @@
+package org.lacewingthread.daemon.dispatch;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.control.ControlView;
+import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.traffic.IdempotencyRecord;
+import org.lacewingthread.core.traffic.IdempotencyRecords;
+import org.lacewingthread.core.traffic.ResultCode;
+import org.xnio.XnioWorker;
+
+/**
+ * Dispatches requests to the backend servers that the route plan names this VM for. Each server has
+ * one lane: a queue, connections and observations, confined to one I/O thread.
+ *
+ * <pre>{@code
+ * LocalDispatcher dispatcher = new LocalDispatcher(state, worker, clock, settings, replica, listener, metrics);
+ * RequestRouter router = new RequestRouter(state, dispatcher, relays, worker, clock);
+ * router.handle(request, sink);
+ * }</pre>
+ *
+ * <p>A request is sent only under an unexpired dispatch lease and to the owner that the newest plan
+ * names; both are read again right before its first byte is written. What the plan no longer lets this
+ * VM dispatch goes back to the {@link RequestRouter}.
+ */
+public final class LocalDispatcher {
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final long TICK_MILLIS = 20;
+    private static final long NO_LANE_RETRY_MILLIS = 500;
+
+    private final TrafficState state;
+    private final XnioWorker worker;
+    private final DispatchListener listener;
+    private final TrafficMetrics metrics;
+    private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+    private final RecordKeeper records;
+    private final ServerLane.Context context;
+    private final Map<ServerId, ServerLane> lanes = new ConcurrentHashMap<>();
+    private final AtomicLong drainedView = new AtomicLong(-1);
+    private volatile Consumer<PendingRequest> giveBack = pending -> {};
+
+    /**
+     * Settings of a dispatcher.
+     *
+     * @param startByMillis how long after sending a request a server may still start it
+     * @param records limits of the idempotency records
+     */
+    public record Settings(long startByMillis, IdempotencyRecords.Settings records) {}
+
+    /** Creates a dispatcher that follows a traffic state. */
+    public LocalDispatcher(
+            TrafficState state,
+            XnioWorker worker,
+            LongSupplier clockMillis,
+            Settings settings,
+            RecordReplica replica,
+            DispatchListener listener,
+            TrafficMetrics metrics) {
+        this.state = state;
+        this.worker = worker;
+        this.listener = listener;
+        this.metrics = metrics;
+        this.records = new RecordKeeper(settings.records(), replica, clockMillis);
+        this.context = new ServerLane.Context(
+                state,
+                clockMillis,
+                settings.startByMillis(),
+                records,
+                listener,
+                this::checkDrained,
+                pending -> giveBack.accept(pending));
+        state.onPublished(this::onView);
+        worker.getIoThread().executeAtInterval(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Names who takes requests that this VM does not dispatch any more. */
+    void giveBackTo(Consumer<PendingRequest> router) {
+        this.giveBack = router;
+    }
+
+    /** Queues a request for a server that this VM dispatches for. */
+    void submit(PendingRequest pending, ServerId server) {
+        ServerLane lane = lanes.get(server);
+        if (lane == null) {
+            // Proof of "not run": the request was given to no lane, so it can't be sent.
+            pending.fail(ResultCode.NO_OWNER, NO_LANE_RETRY_MILLIS, "server \"" + server + "\" is not configured");
+            return;
+        }
+        lane.submit(pending);
+    }
+
+    /** Returns copies of the idempotency records of shards, for the VM that dispatches for them next. */
+    public List<IdempotencyRecord> recordsOf(Set<ShardId> shards) {
+        return records.copiesOf(shards);
+    }
+
+    private void onView() {
+        ControlView view = state.snapshot().view();
+        records.onView(view);
+        openLanes(view);
+        for (ServerLane lane : lanes.values()) {
+            lane.ioThread().execute(lane::onView);
+        }
+        checkDrained();
+    }
+
+    /** Reports the newest view once every lane has applied it and has nothing in flight that it removed. */
+    private void checkDrained() {
+        ControlView view = state.snapshot().view();
+        if (view == null || view.number() <= drainedView.get()) {
+            return;
+        }
+        boolean drained = lanes.values().stream().allMatch(lane -> lane.drainedView() >= view.number());
+        if (drained && drainedView.getAndAccumulate(view.number(), Math::max) < view.number()) {
+            listener.viewDrained(view.number());
+        }
+    }
+
+    private void openLanes(ControlView view) {
+        RoutePlan plan = view.plan().orElse(null);
+        if (plan == null) {
+            return;
+        }
+        for (ServerSpec server : view.state().configuration().servers()) {
+            boolean isMine = view.self().equals(plan.dispatchers().get(server.id()));
+            if (isMine && !lanes.containsKey(server.id())) {
+                openLane(server);
+            }
+        }
+    }
+
+    private void openLane(ServerSpec server) {
+        ServerLane lane = new ServerLane(server, context, worker.getIoThread(), buffers);
+        lanes.put(server.id(), lane);
+        metrics.watchServer(server.id(), lane::queued, lane::connectionCount);
+    }
+
+    private void tick() {
+        for (ServerLane lane : lanes.values()) {
+            lane.ioThread().execute(lane::tick);
+        }
+        checkDrained();
+    }
+
+    /** Closes the connections to all servers. */
+    public void close() {
+        for (ServerLane lane : new ArrayList<>(lanes.values())) {
+            lane.ioThread().execute(lane::close);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RequestRouter.java
@@ -0,0 +1,178 @@
+package org.lacewingthread.daemon.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.routing.RoutingTable.Route;
+import org.lacewingthread.core.traffic.ResultCode;
+import org.lacewingthread.daemon.exchange.RequestHandler;
+import org.lacewingthread.daemon.exchange.ResponseSink;
+import org.lacewingthread.daemon.exchange.RoutedRequest;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+/**
+ * Takes a request to the next place on its way: the local dispatcher, the dispatcher's entry VM or
+ * another data centre. Serves requests of callers and requests that other entry VMs relay alike, so
+ * that a stale route is corrected in one hop.
+ *
+ * <p>A request for a shard in motion is held within its deadline and goes on with the view that
+ * names the shard's next owner.
+ */
+public final class RequestRouter implements RequestHandler {
+    private static final int MAX_HOPS = 3;
+    private static final int MAX_HELD = 4_096;
+    private static final long MAX_HELD_MILLIS = 3_000;
+    private static final long HOLD_CHECK_MILLIS = 20;
+    private static final long NO_OWNER_RETRY_MILLIS = 500;
+    private static final long NOT_READY_RETRY_MILLIS = 1_000;
+
+    private final TrafficState state;
+    private final LocalDispatcher dispatcher;
+    private final RelayDirectory relays;
+    private final LongSupplier clockMillis;
+    private final XnioIoThread ioThread;
+    private final Set<PendingRequest> held = ConcurrentHashMap.newKeySet();
+
+    /** Creates a router; its dispatcher gives back to it what it does not dispatch any more. */
+    public RequestRouter(
+            TrafficState state,
+            LocalDispatcher dispatcher,
+            RelayDirectory relays,
+            XnioWorker worker,
+            LongSupplier clockMillis) {
+        this.state = state;
+        this.dispatcher = dispatcher;
+        this.relays = relays;
+        this.clockMillis = clockMillis;
+        this.ioThread = worker.getIoThread();
+        dispatcher.giveBackTo(this::route);
+        state.onPublished(() -> ioThread.execute(this::checkHeld));
+        ioThread.executeAtInterval(this::checkHeld, HOLD_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public Cancellation handle(RoutedRequest request, ResponseSink sink) {
+        PendingRequest pending = new PendingRequest(request, sink);
+        route(pending);
+        return pending::cancel;
+    }
+
+    /** Returns how many requests are held for shards in motion. */
+    public int heldCount() {
+        return held.size();
+    }
+
+    /*
+     * Proof of "not run" for every refusal in this class: the request is refused by the code that
+     * would pass it on, and a request that the dispatcher gives back was not sent to a server, or
+     * was provably refused by one before running it.
+     */
+    private void route(PendingRequest pending) {
+        RoutedRequest request = pending.request();
+        TrafficState.Snapshot snapshot = state.snapshot();
+        if (clockMillis.getAsLong() >= request.deadlineMillis()) {
+            pending.fail(ResultCode.DEADLINE_PASSED, 0, "deadline passed before the request was sent");
+            return;
+        }
+        if (!snapshot.isReady()) {
+            pending.fail(ResultCode.NOT_READY, NOT_READY_RETRY_MILLIS, "this entry VM has no current state yet");
+            return;
+        }
+        Route route = snapshot.table().routeOf(request.shard());
+        switch (route.target()) {
+            case LOCAL -> dispatcher.submit(pending, route.server());
+            case PEER_VM -> relay(pending, relays.toVm(route.vm()));
+            case OTHER_DATA_CENTRE -> relayOut(pending, route);
+            case IN_MOTION -> hold(pending);
+            case NO_OWNER -> failNoOwner(pending);
+            default -> throw new IllegalStateException("unknown target " + route.target());
+        }
+    }
+
+    private void relayOut(PendingRequest pending, Route route) {
+        Optional<RequestHandler> relay = relays.toDataCentre(route.dataCentre());
+        if (relay.isEmpty()) {
+            pending.fail(
+                    ResultCode.DATA_CENTRE_UNREACHABLE,
+                    NO_OWNER_RETRY_MILLIS,
+                    "data centre \"" + route.dataCentre() + "\" can't be reached");
+            return;
+        }
+        relay(pending, relay);
+    }
+
+    private void relay(PendingRequest pending, Optional<RequestHandler> relay) {
+        RoutedRequest request = pending.request();
+        if (request.hops() >= MAX_HOPS) {
+            pending.fail(ResultCode.TOO_MANY_HOPS, NO_OWNER_RETRY_MILLIS, "relayed " + request.hops() + " times");
+            return;
+        }
+        if (relay.isEmpty()) {
+            hold(pending);
+            return;
+        }
+        if (pending.handOver()) {
+            pending.whenCancelled(relay.get().handle(nextHop(request), pending.sink()));
+        }
+    }
+
+    private static RoutedRequest nextHop(RoutedRequest request) {
+        return new RoutedRequest(
+                request.requestId(),
+                request.shard(),
+                request.keyHash(),
+                request.requestClass(),
+                request.method(),
+                request.path(),
+                request.headers(),
+                request.body(),
+                request.deadlineMillis(),
+                request.idempotencyKey(),
+                request.hops() + 1);
+    }
+
+    private void hold(PendingRequest pending) {
+        if (held.size() >= MAX_HELD) {
+            pending.fail(ResultCode.OVERLOADED, NO_OWNER_RETRY_MILLIS, "too many requests wait for an owner");
+            return;
+        }
+        pending.whenCancelled(() -> {
+            held.remove(pending);
+            pending.fail(ResultCode.CANCELLED, 0, "the caller left");
+        });
+        pending.holdAtMostUntil(clockMillis.getAsLong() + MAX_HELD_MILLIS);
+        held.add(pending);
+    }
+
+    private void checkHeld() {
+        for (PendingRequest pending : List.copyOf(held)) {
+            if (clockMillis.getAsLong() >= pending.holdUntilMillis()) {
+                if (held.remove(pending)) {
+                    failNoOwner(pending);
+                }
+            } else if (mayGoOn(pending) && held.remove(pending)) {
+                route(pending);
+            }
+        }
+    }
+
+    private boolean mayGoOn(PendingRequest pending) {
+        Route route = state.snapshot().table().routeOf(pending.request().shard());
+        return switch (route.target()) {
+            case IN_MOTION -> false;
+            case PEER_VM -> relays.toVm(route.vm()).isPresent();
+            default -> true;
+        };
+    }
+
+    private static void failNoOwner(PendingRequest pending) {
+        ShardId shard = pending.request().shard();
+        pending.fail(
+                ResultCode.NO_OWNER, NO_OWNER_RETRY_MILLIS, "no server owns shard \"" + shard + "\" at the moment");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/SendGate.java
@@ -0,0 +1,66 @@
+package org.lacewingthread.daemon.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.routing.RoutingTable.Route;
+import org.lacewingthread.daemon.backend.SendPermit;
+import org.lacewingthread.daemon.exchange.HeaderField;
+import org.lacewingthread.daemon.exchange.RoutedRequest;
+
+/** Tells from the newest view whether this VM may send a request to a server now. */
+final class SendGate {
+    private final ServerId server;
+    private final TrafficState state;
+    private final LongSupplier clockMillis;
+    private final long startByMillis;
+
+    SendGate(ServerId server, TrafficState state, LongSupplier clockMillis, long startByMillis) {
+        this.server = server;
+        this.state = state;
+        this.clockMillis = clockMillis;
+        this.startByMillis = startByMillis;
+    }
+
+    /** Returns whether the newest plan names this VM as dispatcher and the server as the shard's owner. */
+    boolean isLocal(RoutedRequest request) {
+        return state.snapshot().isLocal(request.shard(), server);
+    }
+
+    boolean holdsLease() {
+        return clockMillis.getAsLong() < state.snapshot().view().dispatchDeadlineMillis();
+    }
+
+    /** Checks the lease, the owner and the deadline right before the first byte is written. */
+    Optional<SendPermit> permit(PendingRequest pending) {
+        RoutedRequest request = pending.request();
+        TrafficState.Snapshot snapshot = state.snapshot();
+        long nowMillis = clockMillis.getAsLong();
+        long leaseLeftMillis = snapshot.view().dispatchDeadlineMillis() - nowMillis;
+        long waitLeftMillis = request.deadlineMillis() - nowMillis;
+        if (pending.isOver() || leaseLeftMillis <= 0 || waitLeftMillis <= 0) {
+            return Optional.empty();
+        }
+        if (!snapshot.isLocal(request.shard(), server)) {
+            return Optional.empty();
+        }
+        Route route = snapshot.table().routeOf(request.shard());
+        long startWithinMillis = Math.min(startByMillis, Math.min(leaseLeftMillis, waitLeftMillis));
+        return Optional.of(new SendPermit(List.of(
+                new HeaderField("Lacewingthread-Shard", request.shard().toString()),
+                new HeaderField("Lacewingthread-Token", route.token().toString()),
+                new HeaderField("Lacewingthread-Start-By-Millis", Long.toString(startWithinMillis)),
+                new HeaderField("Lacewingthread-Deadline-Millis", Long.toString(waitLeftMillis)))));
+    }
+
+    /** Returns when a server provably neither runs nor starts a request that it was sent. */
+    long endedByMillis(RoutedRequest request) {
+        return request.deadlineMillis() + startByMillis;
+    }
+
+    /** Returns the number of the newest view. */
+    long viewNumber() {
+        return state.snapshot().view().number();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/TrafficState.java
@@ -0,0 +1,60 @@
+package org.lacewingthread.daemon.dispatch;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import org.lacewingthread.core.control.ControlView;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.routing.RoutingTable;
+
+/**
+ * Newest control state as traffic threads see it: the {@link ControlView} and the {@link RoutingTable}
+ * compiled from it, always of the same moment.
+ *
+ * <pre>{@code
+ * TrafficState state = new TrafficState();
+ * state.publish(view); // by the control thread
+ * RoutingTable.Route route = state.snapshot().table().routeOf(shard); // by traffic threads
+ * }</pre>
+ */
+public final class TrafficState {
+    private final AtomicReference<Snapshot> current = new AtomicReference<>(new Snapshot(null, RoutingTable.EMPTY));
+    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+
+    /**
+     * One view with its routes.
+     *
+     * @param view the view, or null before the first
+     * @param table its routes
+     */
+    public record Snapshot(ControlView view, RoutingTable table) {
+        /** Returns whether requests may be routed by it. */
+        public boolean isReady() {
+            return view != null && view.ready();
+        }
+
+        /** Returns whether this VM dispatches a shard's requests to a server. */
+        public boolean isLocal(ShardId shard, ServerId server) {
+            RoutingTable.Route route = table.routeOf(shard);
+            return route.target() == RoutingTable.Target.LOCAL && route.server().equals(server);
+        }
+    }
+
+    /** Returns the newest view with its routes. */
+    public Snapshot snapshot() {
+        return current.get();
+    }
+
+    /** Takes in a new view; called by the control thread only. */
+    public void publish(ControlView view) {
+        Snapshot previous = current.get();
+        current.set(new Snapshot(view, RoutingTable.compile(view, previous.table())));
+        listeners.forEach(Runnable::run);
+    }
+
+    /** Adds a listener that is run by the control thread after every view; it must not block. */
+    void onPublished(Runnable listener) {
+        listeners.add(listener);
+    }
+}
