--- a/core/src/test/java/org/lacewingthread/core/ownership/FakeLog.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/FakeLog.java
@@ -116,6 +116,7 @@
                 tables,
                 draining,
                 Set.of(),
+                Map.of(),
                 Map.of());
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerMessageCodec.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerMessageCodec.java
@@ -1,15 +1,19 @@
 package org.lacewingthread.daemon.peer;
 
 import com.google.protobuf.ByteString;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.lacewingthread.core.control.PeerMessage;
+import org.lacewingthread.core.control.ServerCondition;
 import org.lacewingthread.core.control.ServerLoad;
 import org.lacewingthread.core.id.ApplicationId;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.log.RosterMember;
 import org.lacewingthread.daemon.peer.wire.PeerWire;
 
 /** Encodes control messages as frames. A frame that breaks a rule of the core's types is refused. */
@@ -36,6 +40,12 @@
         if (message instanceof PeerMessage.LogRecordsOffered offered) {
             return frame.setLogRecordsOffered(encodeOffered(offered)).build();
         }
+        if (message instanceof PeerMessage.MembershipRequested membership) {
+            return frame.setMembershipRequested(encodeMembership(membership)).build();
+        }
+        if (message instanceof PeerMessage.ServersObserved observed) {
+            return frame.setServersObserved(encodeObserved(observed)).build();
+        }
         PeerMessage.ProgressReported progress = (PeerMessage.ProgressReported) message;
         return frame.setProgressReported(PeerWire.ProgressReported.newBuilder()
                         .setDataCentre(progress.dataCentre().value())
@@ -59,6 +69,8 @@
                     new LogOffset(frame.getLogRecordsWanted().getFrom())));
             case LOG_RECORDS_OFFERED -> Optional.of(decodeOffered(frame.getLogRecordsOffered()));
             case PROGRESS_REPORTED -> Optional.of(decodeProgress(frame.getProgressReported()));
+            case MEMBERSHIP_REQUESTED -> Optional.of(decodeMembership(frame.getMembershipRequested()));
+            case SERVERS_OBSERVED -> Optional.of(decodeObserved(frame.getServersObserved()));
             default -> Optional.empty();
         };
     }
@@ -174,4 +186,38 @@
                 new LogOffset(wire.getAppliedOffset()),
                 new LogOffset(wire.getConfigurationRevision()));
     }
+
+    private static PeerWire.MembershipRequested encodeMembership(PeerMessage.MembershipRequested membership) {
+        RosterMember member = membership.member();
+        return PeerWire.MembershipRequested.newBuilder()
+                .setDataCentre(membership.dataCentre().value())
+                .setMember(PeerWire.RosterMember.newBuilder()
+                        .setStart(PlanCodec.encode(member.start()))
+                        .setHost(member.host())
+                        .setPeerPort(member.peerPort()))
+                .setLeaving(membership.leaving())
+                .build();
+    }
+
+    private static PeerMessage decodeMembership(PeerWire.MembershipRequested wire) {
+        PeerWire.RosterMember member = wire.getMember();
+        return new PeerMessage.MembershipRequested(
+                new DataCentreId(wire.getDataCentre()),
+                new RosterMember(PlanCodec.decode(member.getStart()), member.getHost(), member.getPeerPort()),
+                wire.getLeaving());
+    }
+
+    private static PeerWire.ServersObserved encodeObserved(PeerMessage.ServersObserved observed) {
+        PeerWire.ServersObserved.Builder builder = PeerWire.ServersObserved.newBuilder();
+        observed.conditions().forEach((server, condition) -> builder.putConditions(server.value(), condition.name()));
+        return builder.build();
+    }
+
+    private static PeerMessage decodeObserved(PeerWire.ServersObserved wire) {
+        Map<ServerId, ServerCondition> conditions = new HashMap<>();
+        wire.getConditionsMap()
+                .forEach((server, condition) ->
+                        conditions.put(new ServerId(server), ServerCondition.valueOf(condition)));
+        return new PeerMessage.ServersObserved(conditions);
+    }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/RequestCodec.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RequestCodec.java
@@ -28,7 +28,7 @@
                 .setPath(request.path())
                 .setBody(ByteString.copyFrom(request.body()))
                 .setRemainingMillis(request.deadlineMillis() - nowMillis)
-                .setHops(request.hops() + 1);
+                .setHops(request.hops());
         request.idempotencyKey().ifPresent(start::setIdempotencyKey);
         request.headers().forEach(header -> start.addHeaders(encode(header)));
         return PeerWire.Frame.newBuilder().setRequestStart(start).build();
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/wire/PeerWire.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/wire/PeerWire.java
@@ -275,6 +275,36 @@
      */
     org.lacewingthread.daemon.peer.wire.PeerWire.ProgressReportedOrBuilder getProgressReportedOrBuilder();
 
+    /**
+     * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+     * @return Whether the membershipRequested field is set.
+     */
+    boolean hasMembershipRequested();
+    /**
+     * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+     * @return The membershipRequested.
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested getMembershipRequested();
+    /**
+     * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequestedOrBuilder getMembershipRequestedOrBuilder();
+
+    /**
+     * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+     * @return Whether the serversObserved field is set.
+     */
+    boolean hasServersObserved();
+    /**
+     * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+     * @return The serversObserved.
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved getServersObserved();
+    /**
+     * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.ServersObservedOrBuilder getServersObservedOrBuilder();
+
     /**
      * <code>.lacewingthread.peer.RequestStart request_start = 20;</code>
      * @return Whether the requestStart field is set.
@@ -463,6 +493,8 @@
       LOG_RECORDS_WANTED(6),
       LOG_RECORDS_OFFERED(7),
       PROGRESS_REPORTED(8),
+      MEMBERSHIP_REQUESTED(9),
+      SERVERS_OBSERVED(10),
       REQUEST_START(20),
       REQUEST_CANCEL(21),
       RESPONSE_HEAD(22),
@@ -497,6 +529,8 @@
           case 6: return LOG_RECORDS_WANTED;
           case 7: return LOG_RECORDS_OFFERED;
           case 8: return PROGRESS_REPORTED;
+          case 9: return MEMBERSHIP_REQUESTED;
+          case 10: return SERVERS_OBSERVED;
           case 20: return REQUEST_START;
           case 21: return REQUEST_CANCEL;
           case 22: return RESPONSE_HEAD;
@@ -769,6 +803,68 @@
       return org.lacewingthread.daemon.peer.wire.PeerWire.ProgressReported.getDefaultInstance();
     }
 
+    public static final int MEMBERSHIP_REQUESTED_FIELD_NUMBER = 9;
+    /**
+     * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+     * @return Whether the membershipRequested field is set.
+     */
+    @java.lang.Override
+    public boolean hasMembershipRequested() {
+      return bodyCase_ == 9;
+    }
+    /**
+     * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+     * @return The membershipRequested.
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested getMembershipRequested() {
+      if (bodyCase_ == 9) {
+         return (org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested) body_;
+      }
+      return org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.getDefaultInstance();
+    }
+    /**
+     * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequestedOrBuilder getMembershipRequestedOrBuilder() {
+      if (bodyCase_ == 9) {
+         return (org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested) body_;
+      }
+      return org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.getDefaultInstance();
+    }
+
+    public static final int SERVERS_OBSERVED_FIELD_NUMBER = 10;
+    /**
+     * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+     * @return Whether the serversObserved field is set.
+     */
+    @java.lang.Override
+    public boolean hasServersObserved() {
+      return bodyCase_ == 10;
+    }
+    /**
+     * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+     * @return The serversObserved.
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved getServersObserved() {
+      if (bodyCase_ == 10) {
+         return (org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved) body_;
+      }
+      return org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.getDefaultInstance();
+    }
+    /**
+     * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.ServersObservedOrBuilder getServersObservedOrBuilder() {
+      if (bodyCase_ == 10) {
+         return (org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved) body_;
+      }
+      return org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.getDefaultInstance();
+    }
+
     public static final int REQUEST_START_FIELD_NUMBER = 20;
     /**
      * <code>.lacewingthread.peer.RequestStart request_start = 20;</code>
@@ -1086,6 +1182,12 @@
       if (bodyCase_ == 8) {
         output.writeMessage(8, (org.lacewingthread.daemon.peer.wire.PeerWire.ProgressReported) body_);
       }
+      if (bodyCase_ == 9) {
+        output.writeMessage(9, (org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested) body_);
+      }
+      if (bodyCase_ == 10) {
+        output.writeMessage(10, (org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved) body_);
+      }
       if (bodyCase_ == 20) {
         output.writeMessage(20, (org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart) body_);
       }
@@ -1154,6 +1256,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(8, (org.lacewingthread.daemon.peer.wire.PeerWire.ProgressReported) body_);
       }
+      if (bodyCase_ == 9) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, (org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested) body_);
+      }
+      if (bodyCase_ == 10) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(10, (org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved) body_);
+      }
       if (bodyCase_ == 20) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(20, (org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart) body_);
@@ -1239,6 +1349,14 @@
           if (!getProgressReported()
               .equals(other.getProgressReported())) return false;
           break;
+        case 9:
+          if (!getMembershipRequested()
+              .equals(other.getMembershipRequested())) return false;
+          break;
+        case 10:
+          if (!getServersObserved()
+              .equals(other.getServersObserved())) return false;
+          break;
         case 20:
           if (!getRequestStart()
               .equals(other.getRequestStart())) return false;
@@ -1322,6 +1440,14 @@
           hash = (37 * hash) + PROGRESS_REPORTED_FIELD_NUMBER;
           hash = (53 * hash) + getProgressReported().hashCode();
           break;
+        case 9:
+          hash = (37 * hash) + MEMBERSHIP_REQUESTED_FIELD_NUMBER;
+          hash = (53 * hash) + getMembershipRequested().hashCode();
+          break;
+        case 10:
+          hash = (37 * hash) + SERVERS_OBSERVED_FIELD_NUMBER;
+          hash = (53 * hash) + getServersObserved().hashCode();
+          break;
         case 20:
           hash = (37 * hash) + REQUEST_START_FIELD_NUMBER;
           hash = (53 * hash) + getRequestStart().hashCode();
@@ -1516,6 +1642,12 @@
         if (progressReportedBuilder_ != null) {
           progressReportedBuilder_.clear();
         }
+        if (membershipRequestedBuilder_ != null) {
+          membershipRequestedBuilder_.clear();
+        }
+        if (serversObservedBuilder_ != null) {
+          serversObservedBuilder_.clear();
+        }
         if (requestStartBuilder_ != null) {
           requestStartBuilder_.clear();
         }
@@ -1616,6 +1748,14 @@
             progressReportedBuilder_ != null) {
           result.body_ = progressReportedBuilder_.build();
         }
+        if (bodyCase_ == 9 &&
+            membershipRequestedBuilder_ != null) {
+          result.body_ = membershipRequestedBuilder_.build();
+        }
+        if (bodyCase_ == 10 &&
+            serversObservedBuilder_ != null) {
+          result.body_ = serversObservedBuilder_.build();
+        }
         if (bodyCase_ == 20 &&
             requestStartBuilder_ != null) {
           result.body_ = requestStartBuilder_.build();
@@ -1699,6 +1839,14 @@
             mergeProgressReported(other.getProgressReported());
             break;
           }
+          case MEMBERSHIP_REQUESTED: {
+            mergeMembershipRequested(other.getMembershipRequested());
+            break;
+          }
+          case SERVERS_OBSERVED: {
+            mergeServersObserved(other.getServersObserved());
+            break;
+          }
           case REQUEST_START: {
             mergeRequestStart(other.getRequestStart());
             break;
@@ -1821,6 +1969,20 @@
                 bodyCase_ = 8;
                 break;
               } // case 66
+              case 74: {
+                input.readMessage(
+                    getMembershipRequestedFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 9;
+                break;
+              } // case 74
+              case 82: {
+                input.readMessage(
+                    getServersObservedFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 10;
+                break;
+              } // case 82
               case 162: {
                 input.readMessage(
                     getRequestStartFieldBuilder().getBuilder(),
@@ -3052,6 +3214,290 @@
         return progressReportedBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested, org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequestedOrBuilder> membershipRequestedBuilder_;
+      /**
+       * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+       * @return Whether the membershipRequested field is set.
+       */
+      @java.lang.Override
+      public boolean hasMembershipRequested() {
+        return bodyCase_ == 9;
+      }
+      /**
+       * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+       * @return The membershipRequested.
+       */
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested getMembershipRequested() {
+        if (membershipRequestedBuilder_ == null) {
+          if (bodyCase_ == 9) {
+            return (org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested) body_;
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 9) {
+            return membershipRequestedBuilder_.getMessage();
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+       */
+      public Builder setMembershipRequested(org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested value) {
+        if (membershipRequestedBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          membershipRequestedBuilder_.setMessage(value);
+        }
+        bodyCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+       */
+      public Builder setMembershipRequested(
+          org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.Builder builderForValue) {
+        if (membershipRequestedBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          membershipRequestedBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+       */
+      public Builder mergeMembershipRequested(org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested value) {
+        if (membershipRequestedBuilder_ == null) {
+          if (bodyCase_ == 9 &&
+              body_ != org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.getDefaultInstance()) {
+            body_ = org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.newBuilder((org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 9) {
+            membershipRequestedBuilder_.mergeFrom(value);
+          } else {
+            membershipRequestedBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+       */
+      public Builder clearMembershipRequested() {
+        if (membershipRequestedBuilder_ == null) {
+          if (bodyCase_ == 9) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 9) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          membershipRequestedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.Builder getMembershipRequestedBuilder() {
+        return getMembershipRequestedFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+       */
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequestedOrBuilder getMembershipRequestedOrBuilder() {
+        if ((bodyCase_ == 9) && (membershipRequestedBuilder_ != null)) {
+          return membershipRequestedBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 9) {
+            return (org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested) body_;
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.MembershipRequested membership_requested = 9;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested, org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequestedOrBuilder> 
+          getMembershipRequestedFieldBuilder() {
+        if (membershipRequestedBuilder_ == null) {
+          if (!(bodyCase_ == 9)) {
+            body_ = org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.getDefaultInstance();
+          }
+          membershipRequestedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested, org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequestedOrBuilder>(
+                  (org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 9;
+        onChanged();
+        return membershipRequestedBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved, org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.ServersObservedOrBuilder> serversObservedBuilder_;
+      /**
+       * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+       * @return Whether the serversObserved field is set.
+       */
+      @java.lang.Override
+      public boolean hasServersObserved() {
+        return bodyCase_ == 10;
+      }
+      /**
+       * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+       * @return The serversObserved.
+       */
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved getServersObserved() {
+        if (serversObservedBuilder_ == null) {
+          if (bodyCase_ == 10) {
+            return (org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved) body_;
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 10) {
+            return serversObservedBuilder_.getMessage();
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+       */
+      public Builder setServersObserved(org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved value) {
+        if (serversObservedBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          serversObservedBuilder_.setMessage(value);
+        }
+        bodyCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+       */
+      public Builder setServersObserved(
+          org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.Builder builderForValue) {
+        if (serversObservedBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          serversObservedBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+       */
+      public Builder mergeServersObserved(org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved value) {
+        if (serversObservedBuilder_ == null) {
+          if (bodyCase_ == 10 &&
+              body_ != org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.getDefaultInstance()) {
+            body_ = org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.newBuilder((org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 10) {
+            serversObservedBuilder_.mergeFrom(value);
+          } else {
+            serversObservedBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 10;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+       */
+      public Builder clearServersObserved() {
+        if (serversObservedBuilder_ == null) {
+          if (bodyCase_ == 10) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 10) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          serversObservedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.Builder getServersObservedBuilder() {
+        return getServersObservedFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+       */
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.ServersObservedOrBuilder getServersObservedOrBuilder() {
+        if ((bodyCase_ == 10) && (serversObservedBuilder_ != null)) {
+          return serversObservedBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 10) {
+            return (org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved) body_;
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.ServersObserved servers_observed = 10;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved, org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.ServersObservedOrBuilder> 
+          getServersObservedFieldBuilder() {
+        if (serversObservedBuilder_ == null) {
+          if (!(bodyCase_ == 10)) {
+            body_ = org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.getDefaultInstance();
+          }
+          serversObservedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved, org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.ServersObservedOrBuilder>(
+                  (org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 10;
+        onChanged();
+        return serversObservedBuilder_;
+      }
+
       private com.google.protobuf.SingleFieldBuilder<
           org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart, org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RequestStartOrBuilder> requestStartBuilder_;
       /**
@@ -22322,41 +22768,50 @@
 
   }
 
-  public interface HeaderOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.Header)
+  public interface RosterMemberOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.RosterMember)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string name = 1;</code>
-     * @return The name.
+     * <code>.lacewingthread.peer.VmStart start = 1;</code>
+     * @return Whether the start field is set.
      */
-    java.lang.String getName();
+    boolean hasStart();
     /**
-     * <code>string name = 1;</code>
-     * @return The bytes for name.
+     * <code>.lacewingthread.peer.VmStart start = 1;</code>
+     * @return The start.
      */
-    com.google.protobuf.ByteString
-        getNameBytes();
+    org.lacewingthread.daemon.peer.wire.PeerWire.VmStart getStart();
+    /**
+     * <code>.lacewingthread.peer.VmStart start = 1;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder getStartOrBuilder();
 
     /**
-     * <code>string value = 2;</code>
-     * @return The value.
+     * <code>string host = 2;</code>
+     * @return The host.
      */
-    java.lang.String getValue();
+    java.lang.String getHost();
     /**
-     * <code>string value = 2;</code>
-     * @return The bytes for value.
+     * <code>string host = 2;</code>
+     * @return The bytes for host.
      */
     com.google.protobuf.ByteString
-        getValueBytes();
+        getHostBytes();
+
+    /**
+     * <code>int32 peer_port = 3;</code>
+     * @return The peerPort.
+     */
+    int getPeerPort();
   }
   /**
-   * Protobuf type {@code lacewingthread.peer.Header}
+   * Protobuf type {@code lacewingthread.peer.RosterMember}
    */
-  public static final class Header extends
+  public static final class RosterMember extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:lacewingthread.peer.Header)
-      HeaderOrBuilder {
+      // @@protoc_insertion_point(message_implements:lacewingthread.peer.RosterMember)
+      RosterMemberOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -22365,13 +22820,2268 @@
         /* minor= */ 29,
         /* patch= */ 3,
         /* suffix= */ "",
-        Header.class.getName());
+        RosterMember.class.getName());
     }
-    // Use Header.newBuilder() to construct.
-    private Header(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use RosterMember.newBuilder() to construct.
+    private RosterMember(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private Header() {
+    private RosterMember() {
+      host_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RosterMember_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RosterMember_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.class, org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int START_FIELD_NUMBER = 1;
+    private org.lacewingthread.daemon.peer.wire.PeerWire.VmStart start_;
+    /**
+     * <code>.lacewingthread.peer.VmStart start = 1;</code>
+     * @return Whether the start field is set.
+     */
+    @java.lang.Override
+    public boolean hasStart() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.lacewingthread.peer.VmStart start = 1;</code>
+     * @return The start.
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.VmStart getStart() {
+      return start_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.getDefaultInstance() : start_;
+    }
+    /**
+     * <code>.lacewingthread.peer.VmStart start = 1;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder getStartOrBuilder() {
+      return start_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.getDefaultInstance() : start_;
+    }
+
+    public static final int HOST_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object host_ = "";
+    /**
+     * <code>string host = 2;</code>
+     * @return The host.
+     */
+    @java.lang.Override
+    public java.lang.String getHost() {
+      java.lang.Object ref = host_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        host_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string host = 2;</code>
+     * @return The bytes for host.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getHostBytes() {
+      java.lang.Object ref = host_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        host_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int PEER_PORT_FIELD_NUMBER = 3;
+    private int peerPort_ = 0;
+    /**
+     * <code>int32 peer_port = 3;</code>
+     * @return The peerPort.
+     */
+    @java.lang.Override
+    public int getPeerPort() {
+      return peerPort_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(1, getStart());
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, host_);
+      }
+      if (peerPort_ != 0) {
+        output.writeInt32(3, peerPort_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, getStart());
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(host_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, host_);
+      }
+      if (peerPort_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(3, peerPort_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember)) {
+        return super.equals(obj);
+      }
+      org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember other = (org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember) obj;
+
+      if (hasStart() != other.hasStart()) return false;
+      if (hasStart()) {
+        if (!getStart()
+            .equals(other.getStart())) return false;
+      }
+      if (!getHost()
+          .equals(other.getHost())) return false;
+      if (getPeerPort()
+          != other.getPeerPort()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (hasStart()) {
+        hash = (37 * hash) + START_FIELD_NUMBER;
+        hash = (53 * hash) + getStart().hashCode();
+      }
+      hash = (37 * hash) + HOST_FIELD_NUMBER;
+      hash = (53 * hash) + getHost().hashCode();
+      hash = (37 * hash) + PEER_PORT_FIELD_NUMBER;
+      hash = (53 * hash) + getPeerPort();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code lacewingthread.peer.RosterMember}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.RosterMember)
+        org.lacewingthread.daemon.peer.wire.PeerWire.RosterMemberOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RosterMember_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RosterMember_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.class, org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.Builder.class);
+      }
+
+      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          getStartFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        start_ = null;
+        if (startBuilder_ != null) {
+          startBuilder_.dispose();
+          startBuilder_ = null;
+        }
+        host_ = "";
+        peerPort_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RosterMember_descriptor;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember getDefaultInstanceForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember build() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember buildPartial() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember result = new org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember result) {
+        int from_bitField0_ = bitField0_;
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.start_ = startBuilder_ == null
+              ? start_
+              : startBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.host_ = host_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.peerPort_ = peerPort_;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember) {
+          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember other) {
+        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.getDefaultInstance()) return this;
+        if (other.hasStart()) {
+          mergeStart(other.getStart());
+        }
+        if (!other.getHost().isEmpty()) {
+          host_ = other.host_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (other.getPeerPort() != 0) {
+          setPeerPort(other.getPeerPort());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                input.readMessage(
+                    getStartFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                host_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                peerPort_ = input.readInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private org.lacewingthread.daemon.peer.wire.PeerWire.VmStart start_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.VmStart, org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder> startBuilder_;
+      /**
+       * <code>.lacewingthread.peer.VmStart start = 1;</code>
+       * @return Whether the start field is set.
+       */
+      public boolean hasStart() {
+        return ((bitField0_ & 0x00000001) != 0);
+      }
+      /**
+       * <code>.lacewingthread.peer.VmStart start = 1;</code>
+       * @return The start.
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.VmStart getStart() {
+        if (startBuilder_ == null) {
+          return start_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.getDefaultInstance() : start_;
+        } else {
+          return startBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.VmStart start = 1;</code>
+       */
+      public Builder setStart(org.lacewingthread.daemon.peer.wire.PeerWire.VmStart value) {
+        if (startBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          start_ = value;
+        } else {
+          startBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.VmStart start = 1;</code>
+       */
+      public Builder setStart(
+          org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder builderForValue) {
+        if (startBuilder_ == null) {
+          start_ = builderForValue.build();
+        } else {
+          startBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.VmStart start = 1;</code>
+       */
+      public Builder mergeStart(org.lacewingthread.daemon.peer.wire.PeerWire.VmStart value) {
+        if (startBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0) &&
+            start_ != null &&
+            start_ != org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.getDefaultInstance()) {
+            getStartBuilder().mergeFrom(value);
+          } else {
+            start_ = value;
+          }
+        } else {
+          startBuilder_.mergeFrom(value);
+        }
+        if (start_ != null) {
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.VmStart start = 1;</code>
+       */
+      public Builder clearStart() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        start_ = null;
+        if (startBuilder_ != null) {
+          startBuilder_.dispose();
+          startBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.VmStart start = 1;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder getStartBuilder() {
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return getStartFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.lacewingthread.peer.VmStart start = 1;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder getStartOrBuilder() {
+        if (startBuilder_ != null) {
+          return startBuilder_.getMessageOrBuilder();
+        } else {
+          return start_ == null ?
+              org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.getDefaultInstance() : start_;
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.VmStart start = 1;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.VmStart, org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder> 
+          getStartFieldBuilder() {
+        if (startBuilder_ == null) {
+          startBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.VmStart, org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder>(
+                  getStart(),
+                  getParentForChildren(),
+                  isClean());
+          start_ = null;
+        }
+        return startBuilder_;
+      }
+
+      private java.lang.Object host_ = "";
+      /**
+       * <code>string host = 2;</code>
+       * @return The host.
+       */
+      public java.lang.String getHost() {
+        java.lang.Object ref = host_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          host_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string host = 2;</code>
+       * @return The bytes for host.
+       */
+      public com.google.protobuf.ByteString
+          getHostBytes() {
+        java.lang.Object ref = host_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          host_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string host = 2;</code>
+       * @param value The host to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHost(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        host_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string host = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHost() {
+        host_ = getDefaultInstance().getHost();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string host = 2;</code>
+       * @param value The bytes for host to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHostBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        host_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private int peerPort_ ;
+      /**
+       * <code>int32 peer_port = 3;</code>
+       * @return The peerPort.
+       */
+      @java.lang.Override
+      public int getPeerPort() {
+        return peerPort_;
+      }
+      /**
+       * <code>int32 peer_port = 3;</code>
+       * @param value The peerPort to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPeerPort(int value) {
+
+        peerPort_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 peer_port = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPeerPort() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        peerPort_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.RosterMember)
+    }
+
+    // @@protoc_insertion_point(class_scope:lacewingthread.peer.RosterMember)
+    private static final org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember();
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<RosterMember>
+        PARSER = new com.google.protobuf.AbstractParser<RosterMember>() {
+      @java.lang.Override
+      public RosterMember parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<RosterMember> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<RosterMember> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface MembershipRequestedOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.MembershipRequested)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string data_centre = 1;</code>
+     * @return The dataCentre.
+     */
+    java.lang.String getDataCentre();
+    /**
+     * <code>string data_centre = 1;</code>
+     * @return The bytes for dataCentre.
+     */
+    com.google.protobuf.ByteString
+        getDataCentreBytes();
+
+    /**
+     * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+     * @return Whether the member field is set.
+     */
+    boolean hasMember();
+    /**
+     * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+     * @return The member.
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember getMember();
+    /**
+     * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.RosterMemberOrBuilder getMemberOrBuilder();
+
+    /**
+     * <code>bool leaving = 3;</code>
+     * @return The leaving.
+     */
+    boolean getLeaving();
+  }
+  /**
+   * Protobuf type {@code lacewingthread.peer.MembershipRequested}
+   */
+  public static final class MembershipRequested extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:lacewingthread.peer.MembershipRequested)
+      MembershipRequestedOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 29,
+        /* patch= */ 3,
+        /* suffix= */ "",
+        MembershipRequested.class.getName());
+    }
+    // Use MembershipRequested.newBuilder() to construct.
+    private MembershipRequested(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private MembershipRequested() {
+      dataCentre_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_MembershipRequested_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_MembershipRequested_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.class, org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int DATA_CENTRE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object dataCentre_ = "";
+    /**
+     * <code>string data_centre = 1;</code>
+     * @return The dataCentre.
+     */
+    @java.lang.Override
+    public java.lang.String getDataCentre() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        dataCentre_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string data_centre = 1;</code>
+     * @return The bytes for dataCentre.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getDataCentreBytes() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        dataCentre_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int MEMBER_FIELD_NUMBER = 2;
+    private org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember member_;
+    /**
+     * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+     * @return Whether the member field is set.
+     */
+    @java.lang.Override
+    public boolean hasMember() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+     * @return The member.
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember getMember() {
+      return member_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.getDefaultInstance() : member_;
+    }
+    /**
+     * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RosterMemberOrBuilder getMemberOrBuilder() {
+      return member_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.getDefaultInstance() : member_;
+    }
+
+    public static final int LEAVING_FIELD_NUMBER = 3;
+    private boolean leaving_ = false;
+    /**
+     * <code>bool leaving = 3;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, dataCentre_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(2, getMember());
+      }
+      if (leaving_ != false) {
+        output.writeBool(3, leaving_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, dataCentre_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, getMember());
+      }
+      if (leaving_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(3, leaving_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested)) {
+        return super.equals(obj);
+      }
+      org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested other = (org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested) obj;
+
+      if (!getDataCentre()
+          .equals(other.getDataCentre())) return false;
+      if (hasMember() != other.hasMember()) return false;
+      if (hasMember()) {
+        if (!getMember()
+            .equals(other.getMember())) return false;
+      }
+      if (getLeaving()
+          != other.getLeaving()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
+      hash = (53 * hash) + getDataCentre().hashCode();
+      if (hasMember()) {
+        hash = (37 * hash) + MEMBER_FIELD_NUMBER;
+        hash = (53 * hash) + getMember().hashCode();
+      }
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getLeaving());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code lacewingthread.peer.MembershipRequested}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.MembershipRequested)
+        org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequestedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_MembershipRequested_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_MembershipRequested_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.class, org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.Builder.class);
+      }
+
+      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          getMemberFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        dataCentre_ = "";
+        member_ = null;
+        if (memberBuilder_ != null) {
+          memberBuilder_.dispose();
+          memberBuilder_ = null;
+        }
+        leaving_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_MembershipRequested_descriptor;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested getDefaultInstanceForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested build() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested buildPartial() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested result = new org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.dataCentre_ = dataCentre_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.member_ = memberBuilder_ == null
+              ? member_
+              : memberBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.leaving_ = leaving_;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested) {
+          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested other) {
+        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested.getDefaultInstance()) return this;
+        if (!other.getDataCentre().isEmpty()) {
+          dataCentre_ = other.dataCentre_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.hasMember()) {
+          mergeMember(other.getMember());
+        }
+        if (other.getLeaving() != false) {
+          setLeaving(other.getLeaving());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                dataCentre_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                input.readMessage(
+                    getMemberFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 24: {
+                leaving_ = input.readBool();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object dataCentre_ = "";
+      /**
+       * <code>string data_centre = 1;</code>
+       * @return The dataCentre.
+       */
+      public java.lang.String getDataCentre() {
+        java.lang.Object ref = dataCentre_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          dataCentre_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string data_centre = 1;</code>
+       * @return The bytes for dataCentre.
+       */
+      public com.google.protobuf.ByteString
+          getDataCentreBytes() {
+        java.lang.Object ref = dataCentre_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          dataCentre_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string data_centre = 1;</code>
+       * @param value The dataCentre to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDataCentre(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        dataCentre_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string data_centre = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDataCentre() {
+        dataCentre_ = getDefaultInstance().getDataCentre();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string data_centre = 1;</code>
+       * @param value The bytes for dataCentre to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDataCentreBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        dataCentre_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember member_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember, org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RosterMemberOrBuilder> memberBuilder_;
+      /**
+       * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+       * @return Whether the member field is set.
+       */
+      public boolean hasMember() {
+        return ((bitField0_ & 0x00000002) != 0);
+      }
+      /**
+       * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+       * @return The member.
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember getMember() {
+        if (memberBuilder_ == null) {
+          return member_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.getDefaultInstance() : member_;
+        } else {
+          return memberBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+       */
+      public Builder setMember(org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember value) {
+        if (memberBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          member_ = value;
+        } else {
+          memberBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+       */
+      public Builder setMember(
+          org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.Builder builderForValue) {
+        if (memberBuilder_ == null) {
+          member_ = builderForValue.build();
+        } else {
+          memberBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+       */
+      public Builder mergeMember(org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember value) {
+        if (memberBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0) &&
+            member_ != null &&
+            member_ != org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.getDefaultInstance()) {
+            getMemberBuilder().mergeFrom(value);
+          } else {
+            member_ = value;
+          }
+        } else {
+          memberBuilder_.mergeFrom(value);
+        }
+        if (member_ != null) {
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+       */
+      public Builder clearMember() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        member_ = null;
+        if (memberBuilder_ != null) {
+          memberBuilder_.dispose();
+          memberBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.Builder getMemberBuilder() {
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return getMemberFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RosterMemberOrBuilder getMemberOrBuilder() {
+        if (memberBuilder_ != null) {
+          return memberBuilder_.getMessageOrBuilder();
+        } else {
+          return member_ == null ?
+              org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.getDefaultInstance() : member_;
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.RosterMember member = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember, org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RosterMemberOrBuilder> 
+          getMemberFieldBuilder() {
+        if (memberBuilder_ == null) {
+          memberBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember, org.lacewingthread.daemon.peer.wire.PeerWire.RosterMember.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RosterMemberOrBuilder>(
+                  getMember(),
+                  getParentForChildren(),
+                  isClean());
+          member_ = null;
+        }
+        return memberBuilder_;
+      }
+
+      private boolean leaving_ ;
+      /**
+       * <code>bool leaving = 3;</code>
+       * @return The leaving.
+       */
+      @java.lang.Override
+      public boolean getLeaving() {
+        return leaving_;
+      }
+      /**
+       * <code>bool leaving = 3;</code>
+       * @param value The leaving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaving(boolean value) {
+
+        leaving_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool leaving = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaving() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        leaving_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.MembershipRequested)
+    }
+
+    // @@protoc_insertion_point(class_scope:lacewingthread.peer.MembershipRequested)
+    private static final org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested();
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<MembershipRequested>
+        PARSER = new com.google.protobuf.AbstractParser<MembershipRequested>() {
+      @java.lang.Override
+      public MembershipRequested parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<MembershipRequested> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<MembershipRequested> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.MembershipRequested getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ServersObservedOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.ServersObserved)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>map&lt;string, string&gt; conditions = 1;</code>
+     */
+    int getConditionsCount();
+    /**
+     * <code>map&lt;string, string&gt; conditions = 1;</code>
+     */
+    boolean containsConditions(
+        java.lang.String key);
+    /**
+     * Use {@link #getConditionsMap()} instead.
+     */
+    @java.lang.Deprecated
+    java.util.Map<java.lang.String, java.lang.String>
+    getConditions();
+    /**
+     * <code>map&lt;string, string&gt; conditions = 1;</code>
+     */
+    java.util.Map<java.lang.String, java.lang.String>
+    getConditionsMap();
+    /**
+     * <code>map&lt;string, string&gt; conditions = 1;</code>
+     */
+    /* nullable */
+java.lang.String getConditionsOrDefault(
+        java.lang.String key,
+        /* nullable */
+java.lang.String defaultValue);
+    /**
+     * <code>map&lt;string, string&gt; conditions = 1;</code>
+     */
+    java.lang.String getConditionsOrThrow(
+        java.lang.String key);
+  }
+  /**
+   * <pre>
+   * Conditions are named as in the core's enum.
+   * </pre>
+   *
+   * Protobuf type {@code lacewingthread.peer.ServersObserved}
+   */
+  public static final class ServersObserved extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:lacewingthread.peer.ServersObserved)
+      ServersObservedOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 29,
+        /* patch= */ 3,
+        /* suffix= */ "",
+        ServersObserved.class.getName());
+    }
+    // Use ServersObserved.newBuilder() to construct.
+    private ServersObserved(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ServersObserved() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_ServersObserved_descriptor;
+    }
+
+    @SuppressWarnings({"rawtypes"})
+    @java.lang.Override
+    protected com.google.protobuf.MapFieldReflectionAccessor internalGetMapFieldReflection(
+        int number) {
+      switch (number) {
+        case 1:
+          return internalGetConditions();
+        default:
+          throw new RuntimeException(
+              "Invalid map field number: " + number);
+      }
+    }
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_ServersObserved_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.class, org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.Builder.class);
+    }
+
+    public static final int CONDITIONS_FIELD_NUMBER = 1;
+    private static final class ConditionsDefaultEntryHolder {
+      static final com.google.protobuf.MapEntry<
+          java.lang.String, java.lang.String> defaultEntry =
+              com.google.protobuf.MapEntry
+              .<java.lang.String, java.lang.String>newDefaultInstance(
+                  org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_ServersObserved_ConditionsEntry_descriptor, 
+                  com.google.protobuf.WireFormat.FieldType.STRING,
+                  "",
+                  com.google.protobuf.WireFormat.FieldType.STRING,
+                  "");
+    }
+    @SuppressWarnings("serial")
+    private com.google.protobuf.MapField<
+        java.lang.String, java.lang.String> conditions_;
+    private com.google.protobuf.MapField<java.lang.String, java.lang.String>
+    internalGetConditions() {
+      if (conditions_ == null) {
+        return com.google.protobuf.MapField.emptyMapField(
+            ConditionsDefaultEntryHolder.defaultEntry);
+      }
+      return conditions_;
+    }
+    public int getConditionsCount() {
+      return internalGetConditions().getMap().size();
+    }
+    /**
+     * <code>map&lt;string, string&gt; conditions = 1;</code>
+     */
+    @java.lang.Override
+    public boolean containsConditions(
+        java.lang.String key) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      return internalGetConditions().getMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getConditionsMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.String, java.lang.String> getConditions() {
+      return getConditionsMap();
+    }
+    /**
+     * <code>map&lt;string, string&gt; conditions = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.String, java.lang.String> getConditionsMap() {
+      return internalGetConditions().getMap();
+    }
+    /**
+     * <code>map&lt;string, string&gt; conditions = 1;</code>
+     */
+    @java.lang.Override
+    public /* nullable */
+java.lang.String getConditionsOrDefault(
+        java.lang.String key,
+        /* nullable */
+java.lang.String defaultValue) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      java.util.Map<java.lang.String, java.lang.String> map =
+          internalGetConditions().getMap();
+      return map.containsKey(key) ? map.get(key) : defaultValue;
+    }
+    /**
+     * <code>map&lt;string, string&gt; conditions = 1;</code>
+     */
+    @java.lang.Override
+    public java.lang.String getConditionsOrThrow(
+        java.lang.String key) {
+      if (key == null) { throw new NullPointerException("map key"); }
+      java.util.Map<java.lang.String, java.lang.String> map =
+          internalGetConditions().getMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return map.get(key);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      com.google.protobuf.GeneratedMessage
+        .serializeStringMapTo(
+          output,
+          internalGetConditions(),
+          ConditionsDefaultEntryHolder.defaultEntry,
+          1);
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      for (java.util.Map.Entry<java.lang.String, java.lang.String> entry
+           : internalGetConditions().getMap().entrySet()) {
+        com.google.protobuf.MapEntry<java.lang.String, java.lang.String>
+        conditions__ = ConditionsDefaultEntryHolder.defaultEntry.newBuilderForType()
+            .setKey(entry.getKey())
+            .setValue(entry.getValue())
+            .build();
+        size += com.google.protobuf.CodedOutputStream
+            .computeMessageSize(1, conditions__);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved)) {
+        return super.equals(obj);
+      }
+      org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved other = (org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved) obj;
+
+      if (!internalGetConditions().equals(
+          other.internalGetConditions())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (!internalGetConditions().getMap().isEmpty()) {
+        hash = (37 * hash) + CONDITIONS_FIELD_NUMBER;
+        hash = (53 * hash) + internalGetConditions().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Conditions are named as in the core's enum.
+     * </pre>
+     *
+     * Protobuf type {@code lacewingthread.peer.ServersObserved}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.ServersObserved)
+        org.lacewingthread.daemon.peer.wire.PeerWire.ServersObservedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_ServersObserved_descriptor;
+      }
+
+      @SuppressWarnings({"rawtypes"})
+      protected com.google.protobuf.MapFieldReflectionAccessor internalGetMapFieldReflection(
+          int number) {
+        switch (number) {
+          case 1:
+            return internalGetConditions();
+          default:
+            throw new RuntimeException(
+                "Invalid map field number: " + number);
+        }
+      }
+      @SuppressWarnings({"rawtypes"})
+      protected com.google.protobuf.MapFieldReflectionAccessor internalGetMutableMapFieldReflection(
+          int number) {
+        switch (number) {
+          case 1:
+            return internalGetMutableConditions();
+          default:
+            throw new RuntimeException(
+                "Invalid map field number: " + number);
+        }
+      }
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_ServersObserved_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.class, org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.Builder.class);
+      }
+
+      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        internalGetMutableConditions().clear();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_ServersObserved_descriptor;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved getDefaultInstanceForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved build() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved buildPartial() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved result = new org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.conditions_ = internalGetConditions();
+          result.conditions_.makeImmutable();
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved) {
+          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved other) {
+        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved.getDefaultInstance()) return this;
+        internalGetMutableConditions().mergeFrom(
+            other.internalGetConditions());
+        bitField0_ |= 0x00000001;
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                com.google.protobuf.MapEntry<java.lang.String, java.lang.String>
+                conditions__ = input.readMessage(
+                    ConditionsDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+                internalGetMutableConditions().getMutableMap().put(
+                    conditions__.getKey(), conditions__.getValue());
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private com.google.protobuf.MapField<
+          java.lang.String, java.lang.String> conditions_;
+      private com.google.protobuf.MapField<java.lang.String, java.lang.String>
+          internalGetConditions() {
+        if (conditions_ == null) {
+          return com.google.protobuf.MapField.emptyMapField(
+              ConditionsDefaultEntryHolder.defaultEntry);
+        }
+        return conditions_;
+      }
+      private com.google.protobuf.MapField<java.lang.String, java.lang.String>
+          internalGetMutableConditions() {
+        if (conditions_ == null) {
+          conditions_ = com.google.protobuf.MapField.newMapField(
+              ConditionsDefaultEntryHolder.defaultEntry);
+        }
+        if (!conditions_.isMutable()) {
+          conditions_ = conditions_.copy();
+        }
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return conditions_;
+      }
+      public int getConditionsCount() {
+        return internalGetConditions().getMap().size();
+      }
+      /**
+       * <code>map&lt;string, string&gt; conditions = 1;</code>
+       */
+      @java.lang.Override
+      public boolean containsConditions(
+          java.lang.String key) {
+        if (key == null) { throw new NullPointerException("map key"); }
+        return internalGetConditions().getMap().containsKey(key);
+      }
+      /**
+       * Use {@link #getConditionsMap()} instead.
+       */
+      @java.lang.Override
+      @java.lang.Deprecated
+      public java.util.Map<java.lang.String, java.lang.String> getConditions() {
+        return getConditionsMap();
+      }
+      /**
+       * <code>map&lt;string, string&gt; conditions = 1;</code>
+       */
+      @java.lang.Override
+      public java.util.Map<java.lang.String, java.lang.String> getConditionsMap() {
+        return internalGetConditions().getMap();
+      }
+      /**
+       * <code>map&lt;string, string&gt; conditions = 1;</code>
+       */
+      @java.lang.Override
+      public /* nullable */
+java.lang.String getConditionsOrDefault(
+          java.lang.String key,
+          /* nullable */
+java.lang.String defaultValue) {
+        if (key == null) { throw new NullPointerException("map key"); }
+        java.util.Map<java.lang.String, java.lang.String> map =
+            internalGetConditions().getMap();
+        return map.containsKey(key) ? map.get(key) : defaultValue;
+      }
+      /**
+       * <code>map&lt;string, string&gt; conditions = 1;</code>
+       */
+      @java.lang.Override
+      public java.lang.String getConditionsOrThrow(
+          java.lang.String key) {
+        if (key == null) { throw new NullPointerException("map key"); }
+        java.util.Map<java.lang.String, java.lang.String> map =
+            internalGetConditions().getMap();
+        if (!map.containsKey(key)) {
+          throw new java.lang.IllegalArgumentException();
+        }
+        return map.get(key);
+      }
+      public Builder clearConditions() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        internalGetMutableConditions().getMutableMap()
+            .clear();
+        return this;
+      }
+      /**
+       * <code>map&lt;string, string&gt; conditions = 1;</code>
+       */
+      public Builder removeConditions(
+          java.lang.String key) {
+        if (key == null) { throw new NullPointerException("map key"); }
+        internalGetMutableConditions().getMutableMap()
+            .remove(key);
+        return this;
+      }
+      /**
+       * Use alternate mutation accessors instead.
+       */
+      @java.lang.Deprecated
+      public java.util.Map<java.lang.String, java.lang.String>
+          getMutableConditions() {
+        bitField0_ |= 0x00000001;
+        return internalGetMutableConditions().getMutableMap();
+      }
+      /**
+       * <code>map&lt;string, string&gt; conditions = 1;</code>
+       */
+      public Builder putConditions(
+          java.lang.String key,
+          java.lang.String value) {
+        if (key == null) { throw new NullPointerException("map key"); }
+        if (value == null) { throw new NullPointerException("map value"); }
+        internalGetMutableConditions().getMutableMap()
+            .put(key, value);
+        bitField0_ |= 0x00000001;
+        return this;
+      }
+      /**
+       * <code>map&lt;string, string&gt; conditions = 1;</code>
+       */
+      public Builder putAllConditions(
+          java.util.Map<java.lang.String, java.lang.String> values) {
+        internalGetMutableConditions().getMutableMap()
+            .putAll(values);
+        bitField0_ |= 0x00000001;
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.ServersObserved)
+    }
+
+    // @@protoc_insertion_point(class_scope:lacewingthread.peer.ServersObserved)
+    private static final org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved();
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ServersObserved>
+        PARSER = new com.google.protobuf.AbstractParser<ServersObserved>() {
+      @java.lang.Override
+      public ServersObserved parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ServersObserved> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ServersObserved> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.ServersObserved getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface HeaderOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.Header)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string name = 1;</code>
+     * @return The name.
+     */
+    java.lang.String getName();
+    /**
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
+     */
+    com.google.protobuf.ByteString
+        getNameBytes();
+
+    /**
+     * <code>string value = 2;</code>
+     * @return The value.
+     */
+    java.lang.String getValue();
+    /**
+     * <code>string value = 2;</code>
+     * @return The bytes for value.
+     */
+    com.google.protobuf.ByteString
+        getValueBytes();
+  }
+  /**
+   * Protobuf type {@code lacewingthread.peer.Header}
+   */
+  public static final class Header extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:lacewingthread.peer.Header)
+      HeaderOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 29,
+        /* patch= */ 3,
+        /* suffix= */ "",
+        Header.class.getName());
+    }
+    // Use Header.newBuilder() to construct.
+    private Header(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Header() {
       name_ = "";
       value_ = "";
     }
@@ -29602,6 +32312,26 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_lacewingthread_peer_ProgressReported_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lacewingthread_peer_RosterMember_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lacewingthread_peer_RosterMember_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lacewingthread_peer_MembershipRequested_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lacewingthread_peer_MembershipRequested_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lacewingthread_peer_ServersObserved_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lacewingthread_peer_ServersObserved_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lacewingthread_peer_ServersObserved_ConditionsEntry_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lacewingthread_peer_ServersObserved_ConditionsEntry_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_lacewingthread_peer_Header_descriptor;
   private static final 
@@ -29661,7 +32391,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\023lacewingthread.peer\"\365\007\n\005Fr" +
+      "\n\npeer.proto\022\023lacewingthread.peer\"\201\t\n\005Fr" +
       "ame\022+\n\005hello\030\001 \001(\0132\032.lacewingthread.peer" +
       ".HelloH\000\022)\n\004ping\030\002 \001(\0132\031.lacewingthread." +
       "peer.PingH\000\022)\n\004pong\030\003 \001(\0132\031.lacewingthre" +
@@ -29673,103 +32403,115 @@
       "\022E\n\023log_records_offered\030\007 \001(\0132&.lacewing" +
       "thread.peer.LogRecordsOfferedH\000\022B\n\021progr" +
       "ess_reported\030\010 \001(\0132%.lacewingthread.peer" +
-      ".ProgressReportedH\000\022:\n\rrequest_start\030\024 \001" +
-      "(\0132!.lacewingthread.peer.RequestStartH\000\022" +
-      "<\n\016request_cancel\030\025 \001(\0132\".lacewingthread" +
-      ".peer.RequestCancelH\000\022:\n\rresponse_head\030\026" +
-      " \001(\0132!.lacewingthread.peer.ResponseHeadH" +
-      "\000\022:\n\rresponse_body\030\027 \001(\0132!.lacewingthrea" +
-      "d.peer.ResponseBodyH\000\022B\n\021response_consum" +
-      "ed\030\030 \001(\0132%.lacewingthread.peer.ResponseC" +
-      "onsumedH\000\0228\n\014response_end\030\031 \001(\0132 .lacewi" +
-      "ngthread.peer.ResponseEndH\000\022@\n\020response_" +
-      "failure\030\032 \001(\0132$.lacewingthread.peer.Resp" +
-      "onseFailureH\000\0224\n\nrecord_put\030\036 \001(\0132\036.lace" +
-      "wingthread.peer.RecordPutH\000\0224\n\nrecord_ac" +
-      "k\030\037 \001(\0132\036.lacewingthread.peer.RecordAckH" +
-      "\000B\006\n\004body\"\223\001\n\005Hello\022\030\n\020protocol_version\030" +
-      "\001 \001(\r\022,\n\006sender\030\002 \001(\0132\034.lacewingthread.p" +
-      "eer.VmStart\022\023\n\013data_centre\030\003 \001(\t\022-\n\007purp" +
-      "ose\030\004 \001(\0162\034.lacewingthread.peer.Purpose\"" +
-      "\026\n\004Ping\022\016\n\006number\030\001 \001(\003\"\026\n\004Pong\022\016\n\006numbe" +
-      "r\030\001 \001(\003\"+\n\007VmStart\022\n\n\002vm\030\001 \001(\t\022\024\n\014start_" +
-      "number\030\002 \001(\003\"[\n\004Term\022\024\n\014claim_offset\030\001 \001" +
-      "(\022\022\017\n\007ordinal\030\002 \001(\003\022,\n\006leader\030\003 \001(\0132\034.la" +
-      "cewingthread.peer.VmStart\"F\n\005Token\022\'\n\004te" +
-      "rm\030\001 \001(\0132\031.lacewingthread.peer.Term\022\024\n\014p" +
-      "lan_version\030\002 \001(\003\"\266\001\n\006Owners\022\024\n\014applicat" +
-      "ions\030\001 \003(\t\022\017\n\007servers\030\002 \003(\t\022*\n\006tokens\030\003 " +
-      "\003(\0132\032.lacewingthread.peer.Token\022\031\n\021shard" +
-      "_application\030\004 \003(\005\022\023\n\013shard_index\030\005 \003(\005\022" +
-      "\024\n\014shard_server\030\006 \003(\005\022\023\n\013shard_token\030\007 \003" +
-      "(\005\"\\\n\013Dispatchers\022)\n\003vms\030\001 \003(\0132\034.lacewin" +
-      "gthread.peer.VmStart\022\017\n\007servers\030\002 \003(\t\022\021\n" +
-      "\tserver_vm\030\003 \003(\005\"Q\n\tShardList\022\024\n\014applica" +
-      "tions\030\001 \003(\t\022\031\n\021shard_application\030\002 \003(\005\022\023" +
-      "\n\013shard_index\030\003 \003(\005\"\230\002\n\nPlanUpdate\022\'\n\004te" +
-      "rm\030\001 \001(\0132\031.lacewingthread.peer.Term\022\024\n\014f" +
-      "rom_version\030\002 \001(\022\022\022\n\nto_version\030\003 \001(\003\0225\n" +
-      "\013dispatchers\030\004 \001(\0132 .lacewingthread.peer" +
-      ".Dispatchers\022\033\n\023removed_dispatchers\030\005 \003(" +
-      "\t\022+\n\006owners\030\006 \001(\0132\033.lacewingthread.peer." +
-      "Owners\0226\n\016removed_owners\030\007 \001(\0132\036.lacewin" +
-      "gthread.peer.ShardList\"\251\001\n\tRoutePlan\022\'\n\004" +
-      "term\030\001 \001(\0132\031.lacewingthread.peer.Term\022\017\n" +
-      "\007version\030\002 \001(\003\0225\n\013dispatchers\030\003 \001(\0132 .la" +
-      "cewingthread.peer.Dispatchers\022+\n\006owners\030" +
-      "\004 \001(\0132\033.lacewingthread.peer.Owners\"\362\001\n\tH" +
-      "eartbeat\022\023\n\013data_centre\030\001 \001(\t\022\'\n\004term\030\002 " +
-      "\001(\0132\031.lacewingthread.peer.Term\022\027\n\017roster" +
-      "_revision\030\003 \001(\022\022\020\n\010sequence\030\004 \001(\003\022\030\n\020ech" +
-      "oed_at_millis\030\005 \001(\022\022\033\n\023echoed_plan_versi" +
-      "on\030\006 \001(\022\022\026\n\016log_end_offset\030\007 \001(\022\022-\n\004plan" +
-      "\030\010 \001(\0132\037.lacewingthread.peer.PlanUpdate\"" +
-      "\207\001\n\tShardLoad\022\023\n\013application\030\001 \001(\t\022\r\n\005in" +
-      "dex\030\002 \001(\005\022\033\n\023requests_per_second\030\003 \001(\001\022\030" +
-      "\n\020hottest_key_hash\030\004 \001(\006\022\037\n\027hottest_key_" +
-      "share_ratio\030\005 \001(\001\"q\n\nServerLoad\022\016\n\006serve" +
-      "r\030\001 \001(\t\022\033\n\023requests_per_second\030\002 \001(\001\0226\n\016" +
-      "hottest_shards\030\003 \003(\0132\036.lacewingthread.pe" +
-      "er.ShardLoad\"\255\003\n\016HeartbeatReply\022\'\n\004term\030" +
-      "\001 \001(\0132\031.lacewingthread.peer.Term\022\020\n\010sequ" +
-      "ence\030\002 \001(\003\022\017\n\007granted\030\003 \001(\010\022/\n\014highest_t" +
-      "erm\030\004 \001(\0132\031.lacewingthread.peer.Term\022\027\n\017" +
-      "roster_revision\030\005 \001(\022\022\033\n\023acknowledged_ro" +
-      "ster\030\006 \001(\010\022\026\n\016applied_offset\030\007 \001(\022\022\031\n\021re" +
-      "plied_at_millis\030\010 \001(\022\022\034\n\024applied_plan_ve" +
-      "rsion\030\t \001(\022\022\035\n\025released_plan_version\030\n \001" +
-      "(\022\022,\n\004held\030\013 \001(\0132\036.lacewingthread.peer.R" +
-      "outePlan\022\033\n\023unreachable_servers\030\014 \003(\t\022-\n" +
-      "\004load\030\r \003(\0132\037.lacewingthread.peer.Server" +
-      "Load\" \n\020LogRecordsWanted\022\014\n\004from\030\001 \001(\022\"-" +
-      "\n\rEncodedRecord\022\016\n\006offset\030\001 \001(\022\022\014\n\004data\030" +
-      "\002 \001(\014\"\\\n\021LogRecordsOffered\0223\n\007records\030\001 " +
-      "\003(\0132\".lacewingthread.peer.EncodedRecord\022" +
-      "\022\n\nend_offset\030\002 \001(\022\"_\n\020ProgressReported\022" +
-      "\023\n\013data_centre\030\001 \001(\t\022\026\n\016applied_offset\030\002" +
-      " \001(\022\022\036\n\026configuration_revision\030\003 \001(\022\"%\n\006" +
-      "Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\240\002\n\014" +
-      "RequestStart\022\016\n\006stream\030\001 \001(\003\022\022\n\nrequest_" +
-      "id\030\002 \001(\t\022\023\n\013application\030\003 \001(\t\022\023\n\013shard_i" +
-      "ndex\030\004 \001(\005\022\020\n\010key_hash\030\005 \001(\006\022\025\n\rrequest_" +
-      "class\030\006 \001(\t\022\016\n\006method\030\007 \001(\t\022\014\n\004path\030\010 \001(" +
-      "\t\022,\n\007headers\030\t \003(\0132\033.lacewingthread.peer" +
-      ".Header\022\014\n\004body\030\n \001(\014\022\030\n\020remaining_milli" +
-      "s\030\013 \001(\003\022\027\n\017idempotency_key\030\014 \001(\t\022\014\n\004hops" +
-      "\030\r \001(\005\"\037\n\rRequestCancel\022\016\n\006stream\030\001 \001(\003\"" +
-      "\\\n\014ResponseHead\022\016\n\006stream\030\001 \001(\003\022\016\n\006statu" +
-      "s\030\002 \001(\005\022,\n\007headers\030\003 \003(\0132\033.lacewingthrea" +
-      "d.peer.Header\"-\n\014ResponseBody\022\016\n\006stream\030" +
-      "\001 \001(\003\022\r\n\005chunk\030\002 \001(\014\"\"\n\020ResponseConsumed" +
-      "\022\016\n\006stream\030\001 \001(\003\"\035\n\013ResponseEnd\022\016\n\006strea" +
-      "m\030\001 \001(\003\"[\n\017ResponseFailure\022\016\n\006stream\030\001 \001" +
-      "(\003\022\014\n\004code\030\002 \001(\005\022\032\n\022retry_after_millis\030\003" +
-      " \001(\003\022\016\n\006detail\030\004 \001(\t\"+\n\tRecordPut\022\016\n\006num" +
-      "ber\030\001 \001(\003\022\016\n\006record\030\002 \001(\014\"+\n\tRecordAck\022\016" +
-      "\n\006number\030\001 \001(\003\022\016\n\006stored\030\002 \001(\010*8\n\007Purpos" +
-      "e\022\023\n\017PURPOSE_UNKNOWN\020\000\022\013\n\007CONTROL\020\001\022\013\n\007T" +
-      "RAFFIC\020\002B/\n#org.lacewingthread.daemon.pe" +
-      "er.wireB\010PeerWireb\006proto3"
+      ".ProgressReportedH\000\022H\n\024membership_reques" +
+      "ted\030\t \001(\0132(.lacewingthread.peer.Membersh" +
+      "ipRequestedH\000\022@\n\020servers_observed\030\n \001(\0132" +
+      "$.lacewingthread.peer.ServersObservedH\000\022" +
+      ":\n\rrequest_start\030\024 \001(\0132!.lacewingthread." +
+      "peer.RequestStartH\000\022<\n\016request_cancel\030\025 " +
+      "\001(\0132\".lacewingthread.peer.RequestCancelH" +
+      "\000\022:\n\rresponse_head\030\026 \001(\0132!.lacewingthrea" +
+      "d.peer.ResponseHeadH\000\022:\n\rresponse_body\030\027" +
+      " \001(\0132!.lacewingthread.peer.ResponseBodyH" +
+      "\000\022B\n\021response_consumed\030\030 \001(\0132%.lacewingt" +
+      "hread.peer.ResponseConsumedH\000\0228\n\014respons" +
+      "e_end\030\031 \001(\0132 .lacewingthread.peer.Respon" +
+      "seEndH\000\022@\n\020response_failure\030\032 \001(\0132$.lace" +
+      "wingthread.peer.ResponseFailureH\000\0224\n\nrec" +
+      "ord_put\030\036 \001(\0132\036.lacewingthread.peer.Reco" +
+      "rdPutH\000\0224\n\nrecord_ack\030\037 \001(\0132\036.lacewingth" +
+      "read.peer.RecordAckH\000B\006\n\004body\"\223\001\n\005Hello\022" +
+      "\030\n\020protocol_version\030\001 \001(\r\022,\n\006sender\030\002 \001(" +
+      "\0132\034.lacewingthread.peer.VmStart\022\023\n\013data_" +
+      "centre\030\003 \001(\t\022-\n\007purpose\030\004 \001(\0162\034.lacewing" +
+      "thread.peer.Purpose\"\026\n\004Ping\022\016\n\006number\030\001 " +
+      "\001(\003\"\026\n\004Pong\022\016\n\006number\030\001 \001(\003\"+\n\007VmStart\022\n" +
+      "\n\002vm\030\001 \001(\t\022\024\n\014start_number\030\002 \001(\003\"[\n\004Term" +
+      "\022\024\n\014claim_offset\030\001 \001(\022\022\017\n\007ordinal\030\002 \001(\003\022" +
+      ",\n\006leader\030\003 \001(\0132\034.lacewingthread.peer.Vm" +
+      "Start\"F\n\005Token\022\'\n\004term\030\001 \001(\0132\031.lacewingt" +
+      "hread.peer.Term\022\024\n\014plan_version\030\002 \001(\003\"\266\001" +
+      "\n\006Owners\022\024\n\014applications\030\001 \003(\t\022\017\n\007server" +
+      "s\030\002 \003(\t\022*\n\006tokens\030\003 \003(\0132\032.lacewingthread" +
+      ".peer.Token\022\031\n\021shard_application\030\004 \003(\005\022\023" +
+      "\n\013shard_index\030\005 \003(\005\022\024\n\014shard_server\030\006 \003(" +
+      "\005\022\023\n\013shard_token\030\007 \003(\005\"\\\n\013Dispatchers\022)\n" +
+      "\003vms\030\001 \003(\0132\034.lacewingthread.peer.VmStart" +
+      "\022\017\n\007servers\030\002 \003(\t\022\021\n\tserver_vm\030\003 \003(\005\"Q\n\t" +
+      "ShardList\022\024\n\014applications\030\001 \003(\t\022\031\n\021shard" +
+      "_application\030\002 \003(\005\022\023\n\013shard_index\030\003 \003(\005\"" +
+      "\230\002\n\nPlanUpdate\022\'\n\004term\030\001 \001(\0132\031.lacewingt" +
+      "hread.peer.Term\022\024\n\014from_version\030\002 \001(\022\022\022\n" +
+      "\nto_version\030\003 \001(\003\0225\n\013dispatchers\030\004 \001(\0132 " +
+      ".lacewingthread.peer.Dispatchers\022\033\n\023remo" +
+      "ved_dispatchers\030\005 \003(\t\022+\n\006owners\030\006 \001(\0132\033." +
+      "lacewingthread.peer.Owners\0226\n\016removed_ow" +
+      "ners\030\007 \001(\0132\036.lacewingthread.peer.ShardLi" +
+      "st\"\251\001\n\tRoutePlan\022\'\n\004term\030\001 \001(\0132\031.lacewin" +
+      "gthread.peer.Term\022\017\n\007version\030\002 \001(\003\0225\n\013di" +
+      "spatchers\030\003 \001(\0132 .lacewingthread.peer.Di" +
+      "spatchers\022+\n\006owners\030\004 \001(\0132\033.lacewingthre" +
+      "ad.peer.Owners\"\362\001\n\tHeartbeat\022\023\n\013data_cen" +
+      "tre\030\001 \001(\t\022\'\n\004term\030\002 \001(\0132\031.lacewingthread" +
+      ".peer.Term\022\027\n\017roster_revision\030\003 \001(\022\022\020\n\010s" +
+      "equence\030\004 \001(\003\022\030\n\020echoed_at_millis\030\005 \001(\022\022" +
+      "\033\n\023echoed_plan_version\030\006 \001(\022\022\026\n\016log_end_" +
+      "offset\030\007 \001(\022\022-\n\004plan\030\010 \001(\0132\037.lacewingthr" +
+      "ead.peer.PlanUpdate\"\207\001\n\tShardLoad\022\023\n\013app" +
+      "lication\030\001 \001(\t\022\r\n\005index\030\002 \001(\005\022\033\n\023request" +
+      "s_per_second\030\003 \001(\001\022\030\n\020hottest_key_hash\030\004" +
+      " \001(\006\022\037\n\027hottest_key_share_ratio\030\005 \001(\001\"q\n" +
+      "\nServerLoad\022\016\n\006server\030\001 \001(\t\022\033\n\023requests_" +
+      "per_second\030\002 \001(\001\0226\n\016hottest_shards\030\003 \003(\013" +
+      "2\036.lacewingthread.peer.ShardLoad\"\255\003\n\016Hea" +
+      "rtbeatReply\022\'\n\004term\030\001 \001(\0132\031.lacewingthre" +
+      "ad.peer.Term\022\020\n\010sequence\030\002 \001(\003\022\017\n\007grante" +
+      "d\030\003 \001(\010\022/\n\014highest_term\030\004 \001(\0132\031.lacewing" +
+      "thread.peer.Term\022\027\n\017roster_revision\030\005 \001(" +
+      "\022\022\033\n\023acknowledged_roster\030\006 \001(\010\022\026\n\016applie" +
+      "d_offset\030\007 \001(\022\022\031\n\021replied_at_millis\030\010 \001(" +
+      "\022\022\034\n\024applied_plan_version\030\t \001(\022\022\035\n\025relea" +
+      "sed_plan_version\030\n \001(\022\022,\n\004held\030\013 \001(\0132\036.l" +
+      "acewingthread.peer.RoutePlan\022\033\n\023unreacha" +
+      "ble_servers\030\014 \003(\t\022-\n\004load\030\r \003(\0132\037.lacewi" +
+      "ngthread.peer.ServerLoad\" \n\020LogRecordsWa" +
+      "nted\022\014\n\004from\030\001 \001(\022\"-\n\rEncodedRecord\022\016\n\006o" +
+      "ffset\030\001 \001(\022\022\014\n\004data\030\002 \001(\014\"\\\n\021LogRecordsO" +
+      "ffered\0223\n\007records\030\001 \003(\0132\".lacewingthread" +
+      ".peer.EncodedRecord\022\022\n\nend_offset\030\002 \001(\022\"" +
+      "_\n\020ProgressReported\022\023\n\013data_centre\030\001 \001(\t" +
+      "\022\026\n\016applied_offset\030\002 \001(\022\022\036\n\026configuratio" +
+      "n_revision\030\003 \001(\022\"\\\n\014RosterMember\022+\n\005star" +
+      "t\030\001 \001(\0132\034.lacewingthread.peer.VmStart\022\014\n" +
+      "\004host\030\002 \001(\t\022\021\n\tpeer_port\030\003 \001(\005\"n\n\023Member" +
+      "shipRequested\022\023\n\013data_centre\030\001 \001(\t\0221\n\006me" +
+      "mber\030\002 \001(\0132!.lacewingthread.peer.RosterM" +
+      "ember\022\017\n\007leaving\030\003 \001(\010\"\216\001\n\017ServersObserv" +
+      "ed\022H\n\nconditions\030\001 \003(\01324.lacewingthread." +
+      "peer.ServersObserved.ConditionsEntry\0321\n\017" +
+      "ConditionsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 " +
+      "\001(\t:\0028\001\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value" +
+      "\030\002 \001(\t\"\240\002\n\014RequestStart\022\016\n\006stream\030\001 \001(\003\022" +
+      "\022\n\nrequest_id\030\002 \001(\t\022\023\n\013application\030\003 \001(\t" +
+      "\022\023\n\013shard_index\030\004 \001(\005\022\020\n\010key_hash\030\005 \001(\006\022" +
+      "\025\n\rrequest_class\030\006 \001(\t\022\016\n\006method\030\007 \001(\t\022\014" +
+      "\n\004path\030\010 \001(\t\022,\n\007headers\030\t \003(\0132\033.lacewing" +
+      "thread.peer.Header\022\014\n\004body\030\n \001(\014\022\030\n\020rema" +
+      "ining_millis\030\013 \001(\003\022\027\n\017idempotency_key\030\014 " +
+      "\001(\t\022\014\n\004hops\030\r \001(\005\"\037\n\rRequestCancel\022\016\n\006st" +
+      "ream\030\001 \001(\003\"\\\n\014ResponseHead\022\016\n\006stream\030\001 \001" +
+      "(\003\022\016\n\006status\030\002 \001(\005\022,\n\007headers\030\003 \003(\0132\033.la" +
+      "cewingthread.peer.Header\"-\n\014ResponseBody" +
+      "\022\016\n\006stream\030\001 \001(\003\022\r\n\005chunk\030\002 \001(\014\"\"\n\020Respo" +
+      "nseConsumed\022\016\n\006stream\030\001 \001(\003\"\035\n\013ResponseE" +
+      "nd\022\016\n\006stream\030\001 \001(\003\"[\n\017ResponseFailure\022\016\n" +
+      "\006stream\030\001 \001(\003\022\014\n\004code\030\002 \001(\005\022\032\n\022retry_aft" +
+      "er_millis\030\003 \001(\003\022\016\n\006detail\030\004 \001(\t\"+\n\tRecor" +
+      "dPut\022\016\n\006number\030\001 \001(\003\022\016\n\006record\030\002 \001(\014\"+\n\t" +
+      "RecordAck\022\016\n\006number\030\001 \001(\003\022\016\n\006stored\030\002 \001(" +
+      "\010*8\n\007Purpose\022\023\n\017PURPOSE_UNKNOWN\020\000\022\013\n\007CON" +
+      "TROL\020\001\022\013\n\007TRAFFIC\020\002B/\n#org.lacewingthrea" +
+      "d.daemon.peer.wireB\010PeerWireb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -29780,7 +32522,7 @@
     internal_static_lacewingthread_peer_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Heartbeat", "HeartbeatReply", "LogRecordsWanted", "LogRecordsOffered", "ProgressReported", "RequestStart", "RequestCancel", "ResponseHead", "ResponseBody", "ResponseConsumed", "ResponseEnd", "ResponseFailure", "RecordPut", "RecordAck", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Heartbeat", "HeartbeatReply", "LogRecordsWanted", "LogRecordsOffered", "ProgressReported", "MembershipRequested", "ServersObserved", "RequestStart", "RequestCancel", "ResponseHead", "ResponseBody", "ResponseConsumed", "ResponseEnd", "ResponseFailure", "RecordPut", "RecordAck", "Body", });
     internal_static_lacewingthread_peer_Hello_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_lacewingthread_peer_Hello_fieldAccessorTable = new
@@ -29895,62 +32637,86 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ProgressReported_descriptor,
         new java.lang.String[] { "DataCentre", "AppliedOffset", "ConfigurationRevision", });
-    internal_static_lacewingthread_peer_Header_descriptor =
+    internal_static_lacewingthread_peer_RosterMember_descriptor =
       getDescriptor().getMessageTypes().get(20);
+    internal_static_lacewingthread_peer_RosterMember_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lacewingthread_peer_RosterMember_descriptor,
+        new java.lang.String[] { "Start", "Host", "PeerPort", });
+    internal_static_lacewingthread_peer_MembershipRequested_descriptor =
+      getDescriptor().getMessageTypes().get(21);
+    internal_static_lacewingthread_peer_MembershipRequested_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lacewingthread_peer_MembershipRequested_descriptor,
+        new java.lang.String[] { "DataCentre", "Member", "Leaving", });
+    internal_static_lacewingthread_peer_ServersObserved_descriptor =
+      getDescriptor().getMessageTypes().get(22);
+    internal_static_lacewingthread_peer_ServersObserved_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lacewingthread_peer_ServersObserved_descriptor,
+        new java.lang.String[] { "Conditions", });
+    internal_static_lacewingthread_peer_ServersObserved_ConditionsEntry_descriptor =
+      internal_static_lacewingthread_peer_ServersObserved_descriptor.getNestedTypes().get(0);
+    internal_static_lacewingthread_peer_ServersObserved_ConditionsEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lacewingthread_peer_ServersObserved_ConditionsEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_lacewingthread_peer_Header_descriptor =
+      getDescriptor().getMessageTypes().get(23);
     internal_static_lacewingthread_peer_Header_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_Header_descriptor,
         new java.lang.String[] { "Name", "Value", });
     internal_static_lacewingthread_peer_RequestStart_descriptor =
-      getDescriptor().getMessageTypes().get(21);
+      getDescriptor().getMessageTypes().get(24);
     internal_static_lacewingthread_peer_RequestStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RequestStart_descriptor,
         new java.lang.String[] { "Stream", "RequestId", "Application", "ShardIndex", "KeyHash", "RequestClass", "Method", "Path", "Headers", "Body", "RemainingMillis", "IdempotencyKey", "Hops", });
     internal_static_lacewingthread_peer_RequestCancel_descriptor =
-      getDescriptor().getMessageTypes().get(22);
+      getDescriptor().getMessageTypes().get(25);
     internal_static_lacewingthread_peer_RequestCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RequestCancel_descriptor,
         new java.lang.String[] { "Stream", });
     internal_static_lacewingthread_peer_ResponseHead_descriptor =
-      getDescriptor().getMessageTypes().get(23);
+      getDescriptor().getMessageTypes().get(26);
     internal_static_lacewingthread_peer_ResponseHead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ResponseHead_descriptor,
         new java.lang.String[] { "Stream", "Status", "Headers", });
     internal_static_lacewingthread_peer_ResponseBody_descriptor =
-      getDescriptor().getMessageTypes().get(24);
+      getDescriptor().getMessageTypes().get(27);
     internal_static_lacewingthread_peer_ResponseBody_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ResponseBody_descriptor,
         new java.lang.String[] { "Stream", "Chunk", });
     internal_static_lacewingthread_peer_ResponseConsumed_descriptor =
-      getDescriptor().getMessageTypes().get(25);
+      getDescriptor().getMessageTypes().get(28);
     internal_static_lacewingthread_peer_ResponseConsumed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ResponseConsumed_descriptor,
         new java.lang.String[] { "Stream", });
     internal_static_lacewingthread_peer_ResponseEnd_descriptor =
-      getDescriptor().getMessageTypes().get(26);
+      getDescriptor().getMessageTypes().get(29);
     internal_static_lacewingthread_peer_ResponseEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ResponseEnd_descriptor,
         new java.lang.String[] { "Stream", });
     internal_static_lacewingthread_peer_ResponseFailure_descriptor =
-      getDescriptor().getMessageTypes().get(27);
+      getDescriptor().getMessageTypes().get(30);
     internal_static_lacewingthread_peer_ResponseFailure_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ResponseFailure_descriptor,
         new java.lang.String[] { "Stream", "Code", "RetryAfterMillis", "Detail", });
     internal_static_lacewingthread_peer_RecordPut_descriptor =
-      getDescriptor().getMessageTypes().get(28);
+      getDescriptor().getMessageTypes().get(31);
     internal_static_lacewingthread_peer_RecordPut_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RecordPut_descriptor,
         new java.lang.String[] { "Number", "Record", });
     internal_static_lacewingthread_peer_RecordAck_descriptor =
-      getDescriptor().getMessageTypes().get(29);
+      getDescriptor().getMessageTypes().get(32);
     internal_static_lacewingthread_peer_RecordAck_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RecordAck_descriptor,
--- a/daemon/src/test/java/org/lacewingthread/daemon/cli/CheckCommandTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/cli/CheckCommandTest.java
@@ -9,7 +9,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class CheckCommandTest {
-    private static final String EXAMPLE = Path.of("..", "docs", "examples", "entry.json").toString();
+    private static final String EXAMPLE =
+            Path.of("..", "docs", "examples", "entry.json").toString();
 
     private final CommandLine commandLine = new CommandLine();
 
@@ -26,8 +27,7 @@
     void invalidFileEndsWithItsOwnExitCode() throws IOException {
         Path file = Files.writeString(directory.resolve("entry.json"), "{\n  \"vn\": \"maras-1\"\n}\n");
         assertThat(commandLine.run("check", file.toString())).isEqualTo(ExitCode.INVALID_FILE);
-        assertThat(commandLine.err())
-                .isEqualTo(file + ":2: field \"vn\" is not known; did you mean \"vm\"?\n");
+        assertThat(commandLine.err()).isEqualTo(file + ":2: field \"vn\" is not known; did you mean \"vm\"?\n");
     }
 
     @Test
@@ -39,8 +39,7 @@
     @Test
     void unknownCommandPointsToHelp() {
         assertThat(commandLine.run("chek")).isEqualTo(ExitCode.USAGE);
-        assertThat(commandLine.err())
-                .isEqualTo("command \"chek\" does not exist; run \"lacewingthread --help\"\n");
+        assertThat(commandLine.err()).isEqualTo("command \"chek\" does not exist; run \"lacewingthread --help\"\n");
     }
 
     @Test
