--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerResponse.java
@@ -0,0 +1,236 @@
+package org.lacewingthread.daemon.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.lacewingthread.core.traffic.ResultCode;
+import org.lacewingthread.daemon.exchange.Failure;
+import org.lacewingthread.daemon.exchange.HeaderField;
+import org.lacewingthread.daemon.exchange.ResponseSink;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+/**
+ * Writes one answer to a caller; safe on any thread, works on the exchange's I/O thread. An answer
+ * whose source fails after its first byte was written is broken off by closing the connection.
+ */
+final class CallerResponse implements ResponseSink {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final HttpString RESULT = new HttpString("Lacewingthread-Result");
+    private static final HttpString KNOWLEDGE = new HttpString("Lacewingthread-Knowledge");
+    private static final HttpString REQUEST = new HttpString("Lacewingthread-Request");
+    private static final String OWN_PREFIX = "lacewingthread-";
+    private static final long MILLIS_PER_SECOND = 1_000;
+    private static final long LINGER_MILLIS = 1_000;
+
+    private final HttpServerExchange exchange;
+    private final String requestId;
+    private final Consumer<ResultCode> onFinished;
+    private final Deque<Chunk> chunks = new ArrayDeque<>();
+    private StreamSinkChannel channel;
+    private ResultCode result = ResultCode.DONE;
+    private boolean ended;
+    private boolean finished;
+
+    private record Chunk(ByteBuffer bytes, Runnable consumed) {}
+
+    /**
+     * Creates the answer of an exchange.
+     *
+     * @param onFinished run once with the result when the answer is written or broken off
+     */
+    CallerResponse(HttpServerExchange exchange, String requestId, Consumer<ResultCode> onFinished) {
+        this.exchange = exchange;
+        this.requestId = requestId;
+        this.onFinished = onFinished;
+    }
+
+    @Override
+    public void onHead(int status, List<HeaderField> headers) {
+        exchange.getIoThread().execute(() -> {
+            exchange.setStatusCode(status);
+            HeaderMap target = exchange.getResponseHeaders();
+            for (HeaderField field : headers) {
+                if (!field.name().toLowerCase(Locale.ROOT).startsWith(OWN_PREFIX)) {
+                    target.add(new HttpString(field.name()), field.value());
+                }
+            }
+            putOwnHeaders(ResultCode.DONE);
+        });
+    }
+
+    private void putOwnHeaders(ResultCode code) {
+        HeaderMap target = exchange.getResponseHeaders();
+        target.put(RESULT, code.number());
+        target.put(KNOWLEDGE, wireNameOf(code));
+        target.put(REQUEST, requestId);
+    }
+
+    private static String wireNameOf(ResultCode code) {
+        return code.knowledge().name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    @Override
+    public void onBody(byte[] chunk, Runnable consumed) {
+        exchange.getIoThread().execute(() -> {
+            if (finished) {
+                consumed.run();
+                return;
+            }
+            chunks.add(new Chunk(ByteBuffer.wrap(chunk), consumed));
+            write();
+        });
+    }
+
+    @Override
+    public void onEnd() {
+        exchange.getIoThread().execute(() -> {
+            ended = true;
+            write();
+        });
+    }
+
+    @Override
+    public void onFailure(Failure failure) {
+        exchange.getIoThread().execute(() -> {
+            if (finished) {
+                return;
+            }
+            if (channel != null) {
+                breakOff(failure.code());
+                return;
+            }
+            chunks.clear();
+            exchange.getResponseHeaders().clear();
+            writeFailure(failure);
+        });
+    }
+
+    /** Refuses a request of which the rest is not read; the connection is closed after the answer. */
+    void refuseAndClose(Failure failure) {
+        exchange.setPersistent(false);
+        onFailure(failure);
+        exchange.getIoThread().executeAfter(this::closeUnlessComplete, LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void closeUnlessComplete() {
+        if (!exchange.isComplete()) {
+            IoUtils.safeClose(exchange.getConnection());
+        }
+    }
+
+    private void writeFailure(Failure failure) {
+        ResultCode code = failure.code();
+        exchange.setStatusCode(code.httpStatus());
+        putOwnHeaders(code);
+        HeaderMap target = exchange.getResponseHeaders();
+        target.put(Headers.CONTENT_TYPE, "application/json");
+        if (failure.retryAfterMillis() > 0) {
+            long seconds = (failure.retryAfterMillis() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+            target.put(Headers.RETRY_AFTER, seconds);
+        }
+        byte[] body = bodyOf(failure);
+        target.put(Headers.CONTENT_LENGTH, body.length);
+        chunks.add(new Chunk(ByteBuffer.wrap(body), () -> {}));
+        result = code;
+        ended = true;
+        write();
+    }
+
+    private static byte[] bodyOf(Failure failure) {
+        ResultCode code = failure.code();
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("code", code.number());
+        fields.put("result", code.name());
+        fields.put("knowledge", wireNameOf(code));
+        fields.put("message", code.message() + ": " + failure.detail());
+        fields.put("retryAfterMillis", failure.retryAfterMillis());
+        try {
+            return JSON.writeValueAsBytes(fields);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a map of strings and numbers has no JSON form", e);
+        }
+    }
+
+    private void write() {
+        if (finished) {
+            return;
+        }
+        if (channel == null) {
+            channel = exchange.getResponseChannel();
+            channel.getWriteSetter().set(sink -> write());
+        }
+        try {
+            writeChunks();
+        } catch (IOException e) {
+            breakOff(ResultCode.CANCELLED);
+        }
+    }
+
+    private void writeChunks() throws IOException {
+        while (!chunks.isEmpty()) {
+            Chunk next = chunks.peek();
+            while (next.bytes().hasRemaining()) {
+                if (channel.write(next.bytes()) == 0) {
+                    channel.resumeWrites();
+                    return;
+                }
+            }
+            chunks.remove();
+            next.consumed().run();
+        }
+        if (!ended) {
+            flushSome();
+            return;
+        }
+        channel.shutdownWrites();
+        if (!channel.flush()) {
+            channel.resumeWrites();
+            return;
+        }
+        finish(result);
+        exchange.endExchange();
+    }
+
+    private void flushSome() throws IOException {
+        if (channel.flush()) {
+            channel.suspendWrites();
+        } else {
+            channel.resumeWrites();
+        }
+    }
+
+    private void breakOff(ResultCode code) {
+        IoUtils.safeClose(exchange.getConnection());
+        finish(code);
+    }
+
+    /** Drops what is left to write, after the connection was closed. */
+    void abandon() {
+        breakOff(ResultCode.CANCELLED);
+    }
+
+    private void finish(ResultCode code) {
+        if (finished) {
+            return;
+        }
+        finished = true;
+        Deque<Chunk> left = new ArrayDeque<>(chunks);
+        chunks.clear();
+        left.forEach(chunk -> chunk.consumed().run());
+        onFinished.accept(code);
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/TrafficState.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/TrafficState.java
@@ -3,9 +3,11 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
+import org.lacewingthread.core.config.RoutingConfiguration;
 import org.lacewingthread.core.control.ControlView;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.routing.RequestClassifier;
 import org.lacewingthread.core.routing.RoutingTable;
 
 /**
@@ -19,7 +21,7 @@
  * }</pre>
  */
 public final class TrafficState {
-    private final AtomicReference<Snapshot> current = new AtomicReference<>(new Snapshot(null, RoutingTable.EMPTY));
+    private final AtomicReference<Snapshot> current = new AtomicReference<>(Snapshot.EMPTY);
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
     /**
@@ -27,8 +29,12 @@
      *
      * @param view the view, or null before the first
      * @param table its routes
+     * @param classifier its selectors
      */
-    public record Snapshot(ControlView view, RoutingTable table) {
+    public record Snapshot(ControlView view, RoutingTable table, RequestClassifier classifier) {
+        private static final Snapshot EMPTY =
+                new Snapshot(null, RoutingTable.EMPTY, RequestClassifier.compile(RoutingConfiguration.EMPTY));
+
         /** Returns whether requests may be routed by it. */
         public boolean isReady() {
             return view != null && view.ready();
@@ -49,10 +55,18 @@
     /** Takes in a new view; called by the control thread only. */
     public void publish(ControlView view) {
         Snapshot previous = current.get();
-        current.set(new Snapshot(view, RoutingTable.compile(view, previous.table())));
+        RoutingTable table = RoutingTable.compile(view, previous.table());
+        current.set(new Snapshot(view, table, classifierOf(view, previous)));
         listeners.forEach(Runnable::run);
     }
 
+    private static RequestClassifier classifierOf(ControlView view, Snapshot previous) {
+        RoutingConfiguration configuration = view.state().configuration();
+        boolean unchanged = previous.view() != null
+                && previous.view().state().configuration().equals(configuration);
+        return unchanged ? previous.classifier() : RequestClassifier.compile(configuration);
+    }
+
     /** Adds a listener that is run by the control thread after every view; it must not block. */
     void onPublished(Runnable listener) {
         listeners.add(listener);
--- /dev/null
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/TrafficBench.java
@@ -0,0 +1,95 @@
+package org.lacewingthread.daemon.dispatch;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.control.ServerCondition;
+import org.lacewingthread.core.control.ServerLoad;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.traffic.IdempotencyRecords;
+import org.lacewingthread.daemon.caller.CallerServer;
+import org.lacewingthread.daemon.settings.EntrySettings.CallerLimits;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** The traffic side of one entry VM on real sockets, driven by views made by hand. */
+public final class TrafficBench implements AutoCloseable {
+    public static final LongSupplier CLOCK = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    private static final long START_BY_MILLIS = 250;
+
+    public final TrafficState state = new TrafficState();
+    public final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+    public final List<String> observations = new CopyOnWriteArrayList<>();
+    public final List<Long> drained = new CopyOnWriteArrayList<>();
+    public final RequestRouter router;
+    public final CallerServer server;
+    private final XnioWorker worker;
+    private final LocalDispatcher dispatcher;
+
+    public TrafficBench() throws Exception {
+        this(CallerLimits.DEFAULT, RecordReplica.NONE, RelayDirectory.NONE);
+    }
+
+    public TrafficBench(CallerLimits limits, RecordReplica replica, RelayDirectory relays) throws Exception {
+        worker = Xnio.getInstance()
+                .createWorker(OptionMap.builder()
+                        .set(Options.WORKER_IO_THREADS, 2)
+                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                        .getMap());
+        TrafficMetrics metrics = new TrafficMetrics(registry);
+        dispatcher = new LocalDispatcher(
+                state,
+                worker,
+                CLOCK,
+                new LocalDispatcher.Settings(START_BY_MILLIS, IdempotencyRecords.Settings.DEFAULT),
+                replica,
+                listener(),
+                metrics);
+        router = new RequestRouter(state, dispatcher, relays, worker, CLOCK);
+        server = new CallerServer(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                worker,
+                state,
+                router,
+                limits,
+                CLOCK,
+                metrics,
+                "t1");
+        server.start();
+    }
+
+    private DispatchListener listener() {
+        return new DispatchListener() {
+            @Override
+            public void serverObserved(ServerId observed, ServerCondition condition) {
+                observations.add(observed + " " + condition);
+            }
+
+            @Override
+            public void viewDrained(long view) {
+                drained.add(view);
+            }
+
+            @Override
+            public void loadMeasured(List<ServerLoad> load) {}
+        };
+    }
+
+    public static long leaseFor(long millis) {
+        return CLOCK.getAsLong() + millis;
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+        dispatcher.close();
+        worker.shutdownNow();
+    }
+}
