--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/config/Configurations.java
@@ -0,0 +1,50 @@
+package org.lacewingthread.core.config;
+
+import java.util.Arrays;
+import java.util.List;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerId;
+
+/** Parts of configurations for tests. */
+public final class Configurations {
+    private Configurations() {}
+
+    /** Returns an application whose group is {@code app=<id>}. */
+    public static ApplicationSpec application(String id, int shardCount, RequestSelector... selectors) {
+        return new ApplicationSpec(
+                new ApplicationId(id),
+                shardCount,
+                PlacementProfile.MINIMISE_CHURN,
+                List.of(new Label("app", id)),
+                List.of(selectors));
+    }
+
+    /** Returns a selector on a path prefix that takes the key from a path segment. */
+    public static RequestSelector selector(String name, String prefix, int segment, String... methods) {
+        KeySource key = new KeySource(KeySource.Kind.PATH_SEGMENT, Integer.toString(segment));
+        return new RequestSelector(name, List.of(methods), prefix, RequestClass.LOOKUP, key);
+    }
+
+    /** Returns a selector with a key source. */
+    public static RequestSelector selector(String name, String prefix, KeySource.Kind kind, String key) {
+        return new RequestSelector(name, List.of(), prefix, RequestClass.LOOKUP, new KeySource(kind, key));
+    }
+
+    /** Returns a server with labels given as {@code name=value}. */
+    public static ServerSpec server(String id, String dataCentre, String host, int port, String... labels) {
+        List<Label> parsed = Arrays.stream(labels)
+                .map(label -> new Label(label.split("=")[0], label.split("=")[1]))
+                .toList();
+        return new ServerSpec(new ServerId(id), new DataCentreId(dataCentre), host, port, parsed, 2, 50, false, false);
+    }
+
+    /** Returns a sound configuration: one application with two servers in one data centre. */
+    public static RoutingConfiguration sound() {
+        return new RoutingConfiguration(
+                List.of(application("ledger", 16, selector("rugs", "/rugs", 1, "GET"))),
+                List.of(
+                        server("s1", "maras", "10.0.0.1", 80, "app=ledger"),
+                        server("s2", "maras", "10.0.0.2", 80, "app=ledger")));
+    }
+}
