--- a/core/src/main/java/org/lacewingthread/core/log/ReplicaState.java
+++ b/core/src/main/java/org/lacewingthread/core/log/ReplicaState.java
@@ -55,8 +55,8 @@
         shardTables = Map.copyOf(shardTables);
         drainingServers = Set.copyOf(drainingServers);
         drainingVms = Set.copyOf(drainingVms);
-        lastSequences = Map.copyOf(lastSequences);
-        lastOffsets = Map.copyOf(lastOffsets);
+        lastSequences = SortedArrayMap.copyOf(lastSequences);
+        lastOffsets = SortedArrayMap.copyOf(lastOffsets);
     }
 
     /** Returns a data centre's state, empty if the log does not name it. */
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/log/SortedArrayMap.java
@@ -0,0 +1,109 @@
+package org.lacewingthread.core.log;
+
+import java.util.AbstractMap;
+import java.util.AbstractSet;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.NoSuchElementException;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Immutable map of a few hundred entries that is cheap to copy with a change: sorted keys in one
+ * array, their values in another.
+ */
+final class SortedArrayMap<K extends Comparable<K>, V> extends AbstractMap<K, V> {
+    private final Object[] keys;
+    private final Object[] values;
+
+    private SortedArrayMap(Object[] keys, Object[] values) {
+        this.keys = keys;
+        this.values = values;
+    }
+
+    static <K extends Comparable<K>, V> SortedArrayMap<K, V> copyOf(Map<K, V> map) {
+        if (map instanceof SortedArrayMap<K, V> shared) {
+            return shared;
+        }
+        TreeMap<K, V> sorted = new TreeMap<>(map);
+        return new SortedArrayMap<>(sorted.keySet().toArray(), sorted.values().toArray());
+    }
+
+    /** Returns this map with one value set. */
+    SortedArrayMap<K, V> with(K key, V value) {
+        int found = Arrays.binarySearch(keys, key);
+        if (found >= 0) {
+            Object[] changed = values.clone();
+            changed[found] = value;
+            return new SortedArrayMap<>(keys, changed);
+        }
+        int place = -found - 1;
+        return new SortedArrayMap<>(inserted(keys, place, key), inserted(values, place, value));
+    }
+
+    private static Object[] inserted(Object[] source, int place, Object element) {
+        Object[] changed = Arrays.copyOf(source, source.length + 1);
+        System.arraycopy(source, place, changed, place + 1, source.length - place);
+        changed[place] = element;
+        return changed;
+    }
+
+    /** Returns this map without a key. */
+    SortedArrayMap<K, V> without(K key) {
+        int found = Arrays.binarySearch(keys, key);
+        return found < 0 ? this : new SortedArrayMap<>(removed(keys, found), removed(values, found));
+    }
+
+    private static Object[] removed(Object[] source, int place) {
+        Object[] changed = Arrays.copyOf(source, source.length - 1);
+        System.arraycopy(source, place + 1, changed, place, source.length - place - 1);
+        return changed;
+    }
+
+    @Override
+    @SuppressWarnings("unchecked")
+    public V get(Object key) {
+        int found = Arrays.binarySearch(keys, key);
+        return found < 0 ? null : (V) values[found];
+    }
+
+    @Override
+    public boolean containsKey(Object key) {
+        return Arrays.binarySearch(keys, key) >= 0;
+    }
+
+    @Override
+    public Set<Entry<K, V>> entrySet() {
+        return new AbstractSet<>() {
+            @Override
+            public int size() {
+                return keys.length;
+            }
+
+            @Override
+            public Iterator<Entry<K, V>> iterator() {
+                return new EntryIterator();
+            }
+        };
+    }
+
+    private final class EntryIterator implements Iterator<Entry<K, V>> {
+        private int next;
+
+        @Override
+        public boolean hasNext() {
+            return next < keys.length;
+        }
+
+        @Override
+        @SuppressWarnings("unchecked")
+        public Entry<K, V> next() {
+            if (!hasNext()) {
+                throw new NoSuchElementException("no entry after " + keys.length);
+            }
+            int at = next++;
+            return Map.entry((K) keys[at], (V) values[at]);
+        }
+    }
+}
--- a/core/src/main/java/org/lacewingthread/core/log/WriterWindow.java
+++ b/core/src/main/java/org/lacewingthread/core/log/WriterWindow.java
@@ -1,6 +1,5 @@
 package org.lacewingthread.core.log;
 
-import java.util.HashMap;
 import java.util.Map;
 import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.WriterId;
@@ -21,14 +20,14 @@
     }
 
     static ReplicaState record(ReplicaState state, RecordHeader header, LogOffset offset) {
-        Map<WriterId, Long> sequences = new HashMap<>(state.lastSequences());
-        Map<WriterId, LogOffset> offsets = new HashMap<>(state.lastOffsets());
-        sequences.put(header.writer(), header.sequence());
-        offsets.put(header.writer(), offset);
+        SortedArrayMap<WriterId, Long> sequences =
+                SortedArrayMap.copyOf(state.lastSequences()).with(header.writer(), header.sequence());
+        SortedArrayMap<WriterId, LogOffset> offsets =
+                SortedArrayMap.copyOf(state.lastOffsets()).with(header.writer(), offset);
         if (offsets.size() > MAX_WRITERS) {
             WriterId oldest = oldest(offsets);
-            sequences.remove(oldest);
-            offsets.remove(oldest);
+            sequences = sequences.without(oldest);
+            offsets = offsets.without(oldest);
         }
         return state.withWriters(sequences, offsets);
     }
