--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/operator/publish/RecordPublisher.java
@@ -0,0 +1,228 @@
+package org.lacewingthread.daemon.operator.publish;
+
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.WriterId;
+import org.lacewingthread.core.log.ApplyResult;
+import org.lacewingthread.core.log.LogEntry;
+import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.RecordHeader;
+import org.lacewingthread.core.log.ReplicaState;
+import org.lacewingthread.daemon.platform.LogException;
+import org.lacewingthread.daemon.platform.PlatformLog;
+
+/**
+ * Publishes records to the platform's log and tells what became of them.
+ *
+ * <p>An answer of the log may be lost after the append took effect. The publisher therefore reads the
+ * log until it sees its own record, and appends it again under the same sequence while it does not;
+ * replicas drop every copy but the first. It reports success or failure only once it knows, and
+ * {@link PublishException.OutcomeUnknown} if its deadline passes before.
+ *
+ * <pre>{@code
+ * RecordPublisher publisher = new RecordPublisher(log, format, reader, writer, "rosa", PublisherClock.SYSTEM);
+ * LogOffset offset = publisher.publish(new LogRecord.ServerDrainSet(server, true), deadlineMillis);
+ * }</pre>
+ *
+ * <p>Not safe for use by several threads. Every start of a process needs a writer id of its own.
+ */
+public final class RecordPublisher {
+    private static final long RETRY_MILLIS = 200;
+
+    private final PlatformLog log;
+    private final RecordFormat format;
+    private final LogReader reader;
+    private final WriterId writer;
+    private final String author;
+    private final PublisherClock clock;
+    private long nextSequence;
+
+    /**
+     * Creates a publisher.
+     *
+     * @param log the log
+     * @param format encodes the records
+     * @param reader reads the log; its state is current after each publication
+     * @param writer unique for this start of the process
+     * @param author person named in the audit trail
+     * @param clock the time
+     */
+    public RecordPublisher(
+            PlatformLog log,
+            RecordFormat format,
+            LogReader reader,
+            WriterId writer,
+            String author,
+            PublisherClock clock) {
+        this.log = log;
+        this.format = format;
+        this.reader = reader;
+        this.writer = writer;
+        this.author = author;
+        this.clock = clock;
+    }
+
+    /** Returns the reader whose state is current after each publication. */
+    public LogReader reader() {
+        return reader;
+    }
+
+    /**
+     * Reads the log to its end.
+     *
+     * @param deadlineMillis monotonic time until which to try
+     * @throws PublishException.NotPublished if the log can't be read
+     */
+    public void refresh(long deadlineMillis) throws PublishException, InterruptedException {
+        while (true) {
+            try {
+                reader.readToEnd();
+                return;
+            } catch (LogGapException e) {
+                throw new PublishException.NotPublished(e.getMessage(), e);
+            } catch (LogException e) {
+                if (clock.monotonicMillis() + RETRY_MILLIS >= deadlineMillis) {
+                    throw new PublishException.NotPublished("the log can't be read: " + e.getMessage(), e);
+                }
+                clock.sleep(RETRY_MILLIS);
+            }
+        }
+    }
+
+    /**
+     * Publishes a record.
+     *
+     * @param body the record
+     * @param deadlineMillis monotonic time until which to try
+     * @return its offset; the record took effect
+     * @throws PublishException if the record took no effect, or if that is not known
+     */
+    public LogOffset publish(LogRecord body, long deadlineMillis) throws PublishException, InterruptedException {
+        RecordHeader header = new RecordHeader(writer, nextSequence++, author, clock.epochMillis());
+        return new Publication(header, encode(header, body), deadlineMillis).run();
+    }
+
+    private byte[] encode(RecordHeader header, LogRecord body) throws PublishException {
+        try {
+            return format.encode(header, body);
+        } catch (RecordFormat.UnwritableRecordException e) {
+            throw new PublishException.Invalid(e.getMessage(), e);
+        }
+    }
+
+    /** The attempts to publish one record. */
+    private final class Publication implements LogReader.Listener {
+        private final RecordHeader header;
+        private final byte[] data;
+        private final long deadlineMillis;
+        private LogOffset acknowledgedOffset;
+        private boolean possiblyAppended;
+        private Exception lastFailure;
+        private ApplyResult result;
+        private LogOffset offset;
+
+        Publication(RecordHeader header, byte[] data, long deadlineMillis) {
+            this.header = header;
+            this.data = data;
+            this.deadlineMillis = deadlineMillis;
+        }
+
+        LogOffset run() throws PublishException, InterruptedException {
+            while (result == null) {
+                long pauseMillis = acknowledgedOffset == null ? append() : 0;
+                if (possiblyAppended && !readOwn()) {
+                    pauseMillis = Math.max(pauseMillis, RETRY_MILLIS);
+                }
+                if (result == null) {
+                    waitOrGiveUp(pauseMillis);
+                }
+            }
+            return conclude();
+        }
+
+        /** Appends the record once; returns how long to wait before the next try. */
+        private long append() {
+            try {
+                acknowledgedOffset = log.append(data);
+                possiblyAppended = true;
+                return 0;
+            } catch (LogException.RateExceeded e) {
+                lastFailure = e;
+                return Math.max(RETRY_MILLIS, e.retryAfterMillis());
+            } catch (LogException.OutcomeUnknown e) {
+                lastFailure = e;
+                possiblyAppended = true;
+                return RETRY_MILLIS;
+            } catch (LogException e) {
+                lastFailure = e;
+                return RETRY_MILLIS;
+            }
+        }
+
+        /** Reads the log to its end; returns whether the record's fate is known. */
+        private boolean readOwn() throws PublishException {
+            try {
+                reader.readToEnd(this);
+            } catch (LogException e) {
+                lastFailure = e;
+                return false;
+            } catch (LogGapException e) {
+                throw new PublishException.OutcomeUnknown(e.getMessage(), e);
+            }
+            if (result == null) {
+                concludeFromSnapshot();
+            }
+            return result != null;
+        }
+
+        @Override
+        public void applied(ReplicaState before, LogEntry entry, ApplyResult applied) {
+            RecordHeader found = entry.header();
+            boolean own =
+                    found != null && found.writer().equals(header.writer()) && found.sequence() == header.sequence();
+            if (own && result == null && applied.outcome() != ApplyResult.Outcome.DUPLICATE) {
+                result = applied;
+                offset = entry.offset();
+            }
+        }
+
+        /** The reader may have passed the record by starting from a snapshot taken after it. */
+        private void concludeFromSnapshot() throws PublishException {
+            Long last = reader.state().lastSequences().get(writer);
+            if (last == null || last < header.sequence()) {
+                return;
+            }
+            LogOffset own = reader.state().lastOffsets().get(writer);
+            if (!own.equals(reader.state().configurationRevision())) {
+                throw new PublishException.OutcomeUnknown(
+                        "record " + own + " expired before its effect was seen; look it up in the audit trail", null);
+            }
+            result = ApplyResult.ACCEPTED;
+            offset = own;
+        }
+
+        private void waitOrGiveUp(long pauseMillis) throws PublishException, InterruptedException {
+            if (clock.monotonicMillis() + pauseMillis < deadlineMillis) {
+                clock.sleep(pauseMillis);
+                return;
+            }
+            String reason = lastFailure == null ? "the log does not show the record" : lastFailure.getMessage();
+            if (possiblyAppended) {
+                throw new PublishException.OutcomeUnknown(
+                        "the record of writer \"" + writer + "\", sequence " + header.sequence()
+                                + ", may still take effect; look it up in the audit trail before trying again ("
+                                + reason + ")",
+                        lastFailure);
+            }
+            throw new PublishException.NotPublished(
+                    "the log took no record before the deadline: " + reason, lastFailure);
+        }
+
+        private LogOffset conclude() throws PublishException {
+            return switch (result.outcome()) {
+                case ACCEPTED -> offset;
+                case CONFLICT -> throw new PublishException.Conflict(result.reason());
+                default -> throw new PublishException.Invalid(result.reason(), null);
+            };
+        }
+    }
+}
