Check histories of ownership under random faults and mend a stuck grant

Assignments that the fold would reject are no longer sent; a shard that stays although the log names a newer owner is recorded anew in place.

Each safety rule left out is noticed by the check it is meant for, and the same runs with all rules show no violation.

--- a/core/src/main/java/org/lacewingthread/core/ownership/AssignmentRecorder.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/AssignmentRecorder.java
@@ -75,10 +75,10 @@
         nextRecordMillis = step.nowMillis() + RECORD_INTERVAL_MILLIS;
         List<ShardAssignment> batch = new ArrayList<>();
         if (rules.contains(SafetyRule.PROVISIONAL_FIRST)) {
-            take(overdue, true, batch, step.nowMillis());
-            take(waiting, false, batch, step.nowMillis());
+            take(overdue, true, batch, step);
+            take(waiting, false, batch, step);
         } else {
-            take(waiting, false, batch, step.nowMillis());
+            take(waiting.isEmpty() ? overdue : waiting, waiting.isEmpty(), batch, step);
         }
         return batch.isEmpty()
                 ? Optional.empty()
@@ -86,14 +86,15 @@
                         step.inputs().dataCentre(), step.inputs().term(), batch));
     }
 
-    private void take(
-            Map<ShardId, ShardAssignment> source, boolean isOverdue, List<ShardAssignment> batch, long nowMillis) {
+    private void take(Map<ShardId, ShardAssignment> source, boolean isOverdue, List<ShardAssignment> batch, Step step) {
         Iterator<ShardAssignment> iterator = source.values().iterator();
         while (iterator.hasNext() && batch.size() < ASSIGNMENTS_PER_RECORD) {
             ShardAssignment assignment = iterator.next();
             iterator.remove();
-            batch.add(assignment);
-            sent.put(assignment.shard(), new Sent(assignment, nowMillis + RETRY_MILLIS, isOverdue));
+            if (step.mayRecord(assignment)) {
+                batch.add(assignment);
+                sent.put(assignment.shard(), new Sent(assignment, step.nowMillis() + RETRY_MILLIS, isOverdue));
+            }
         }
     }
 
--- a/core/src/main/java/org/lacewingthread/core/ownership/LeaseOwnershipCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/LeaseOwnershipCoordinator.java
@@ -91,8 +91,8 @@
         draft = new PlanDraft(inputs.term());
         dispatchers = new DispatcherAssignment(draft, rules);
         moves = new ShardMoves(draft, directory, leases, dispatchers, recorder, rules);
-        takeover = new Takeover(draft, directory, leases, recorder, settings, rules);
-        survey = new ShardSurvey(draft, directory, moves, takeover);
+        takeover = new Takeover(draft, directory, leases, recorder, moves, settings, rules);
+        survey = new ShardSurvey(draft, directory, moves, takeover, settings);
     }
 
     /** Starts to move shards off a server that is lost or has to leave. */
--- a/core/src/main/java/org/lacewingthread/core/ownership/ServerDirectory.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ServerDirectory.java
@@ -63,6 +63,11 @@
         return spec != null && spec.checksTokens();
     }
 
+    /** Returns whether a server may hold a lease: it checks tokens, or is not known any more. */
+    boolean mayHoldLease(ServerId server) {
+        return checksTokens(server) || !known.containsKey(server);
+    }
+
     boolean isPresent(ServerId server) {
         return present.containsKey(server);
     }
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardMove.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardMove.java
@@ -19,6 +19,8 @@
         TOKEN_REFUSED(false, true),
         /** Its owner is draining, leaving or no longer selected. */
         OWNER_LEAVING(true, true),
+        /** It stays, but the log names a newer assignment that was never used. */
+        TOKEN_OUTDATED(true, true),
         /** Its owner is overloaded or the target has room. */
         BALANCE(true, false);
 
@@ -64,7 +66,6 @@
     FencingToken token;
     List<ServerId> failover = List.of();
     List<DispatcherAssignment.Departure> departures = List.of();
-    boolean waitsForPredecessor;
     boolean sourceWithdrawn;
     FencingToken releaseToken;
     long sourceLeaseEndMillis = Long.MIN_VALUE;
@@ -81,6 +82,10 @@
         this.stage = stage;
     }
 
+    boolean staysInPlace() {
+        return cause == Cause.TOKEN_OUTDATED;
+    }
+
     ShardAssignment assignment() {
         return new ShardAssignment(shard, target, failover, token);
     }
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
@@ -81,13 +81,21 @@
         target.ifPresent(s -> setTarget(step, move, s));
         moves.put(shard, move);
         if (!recordFirst) {
-            leavePlan(step, move);
+            leavePlan(move);
         }
         if (move.target == null) {
             chooseTarget(step, move);
         }
     }
 
+    /** Records the present owner of a shard under a new token, above whatever the log names. */
+    void renewInPlace(Step step, ShardId shard) {
+        ServerId owner = draft.ownerOf(shard).orElseThrow().server();
+        ShardMove move = new ShardMove(shard, Cause.TOKEN_OUTDATED, owner, Stage.RECORDING);
+        moves.put(shard, move);
+        setTarget(step, move, owner);
+    }
+
     /** Gives a shard a new token after a server refused the old one. */
     void renewToken(Step step, ShardId shard) {
         if (draft.serves(shard)) {
@@ -96,6 +104,7 @@
         }
         ShardMove move = moves.get(shard);
         if (move != null && move.stage == Stage.GRANTING && move.target != null) {
+            leases.withdraw(move.target, shard);
             move.grantRequested = false;
             setTarget(step, move, move.target);
         }
@@ -135,7 +144,14 @@
 
     private void record(Step step, ShardMove move) {
         if (move.target != null && step.isRecorded(move.assignment())) {
-            leavePlan(step, move);
+            if (move.staysInPlace()) {
+                move.stage = Stage.GRANTING;
+            } else {
+                leavePlan(move);
+            }
+            return;
+        }
+        if (move.staysInPlace()) {
             return;
         }
         if (!step.inputs().logReachable()) {
@@ -150,23 +166,16 @@
     /** With the log out a necessary move follows the failover list and any other is given up. */
     private void stopRecording(Step step, ShardMove move) {
         if (move.cause.isNecessary() && targets.hasAlternative(step, move.shard, move.source)) {
-            leavePlan(step, move);
+            leavePlan(move);
             chooseTarget(step, move);
             return;
         }
-        moves.remove(move.shard);
-        RoutePlan.Ownership owner = draft.ownerOf(move.shard).orElseThrow();
-        recorder.wantInUse(new ShardAssignment(
-                move.shard,
-                owner.server(),
-                TargetChoice.failoverWithout(step, move.shard, owner.server()),
-                owner.token()));
+        renewInPlace(step, move.shard);
     }
 
-    private void leavePlan(Step step, ShardMove move) {
+    private void leavePlan(ShardMove move) {
         move.departures =
                 rules.contains(SafetyRule.WAIT_FOR_DISPATCHER) ? dispatchers.departuresFrom(move.source) : List.of();
-        move.waitsForPredecessor = !step.predecessorGone();
         draft.removeOwner(move.shard);
         move.stage = Stage.LEAVING;
         if (!move.cause.isServedMeanwhile()) {
@@ -175,22 +184,21 @@
     }
 
     private void withdrawSource(ShardMove move) {
-        if (!move.sourceWithdrawn && directory.checksTokens(move.source)) {
+        if (!move.sourceWithdrawn && directory.mayHoldLease(move.source)) {
             move.sourceLeaseEndMillis = leases.withdraw(move.source, move.shard);
         }
         move.sourceWithdrawn = true;
     }
 
     private void leave(Step step, ShardMove move) {
-        boolean predecessorGone = !move.waitsForPredecessor || step.predecessorGone();
-        if (predecessorGone && move.departures.stream().allMatch(d -> d.isOver(step))) {
+        if (move.departures.stream().allMatch(d -> d.isOver(step))) {
             withdrawSource(move);
             move.stage = Stage.RELEASING;
         }
     }
 
     private void release(Step step, ShardMove move) {
-        boolean bound = directory.checksTokens(move.source) && rules.contains(SafetyRule.WAIT_FOR_SERVER_LEASE);
+        boolean bound = directory.mayHoldLease(move.source) && rules.contains(SafetyRule.WAIT_FOR_SERVER_LEASE);
         if (!bound || move.source.equals(move.target)) {
             move.stage = Stage.GRANTING;
             return;
@@ -200,7 +208,7 @@
             move.stage = Stage.GRANTING;
             return;
         }
-        if (directory.answers(move.source)) {
+        if (directory.answers(move.source) && directory.checksTokens(move.source)) {
             if (move.releaseToken == null) {
                 move.releaseToken = draft.newToken();
             }
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardSurvey.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardSurvey.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import org.lacewingthread.core.config.ApplicationSpec;
+import org.lacewingthread.core.control.ControlSettings;
 import org.lacewingthread.core.id.ApplicationId;
-import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.log.ShardAssignment;
@@ -22,6 +22,8 @@
     private final ServerDirectory directory;
     private final ShardMoves moves;
     private final Takeover takeover;
+    private final ControlSettings settings;
+    private final Map<ShardId, Long> adoptableFromMillis = new HashMap<>();
     private final Map<ApplicationId, ShardTable> surveyed = new HashMap<>();
     private final Map<ApplicationId, HomeChoice> homes = new HashMap<>();
     private final Map<ApplicationId, List<ShardId>> ids = new HashMap<>();
@@ -29,11 +31,13 @@
     private boolean wasOver;
     private long nextMillis = Long.MIN_VALUE;
 
-    ShardSurvey(PlanDraft draft, ServerDirectory directory, ShardMoves moves, Takeover takeover) {
+    ShardSurvey(
+            PlanDraft draft, ServerDirectory directory, ShardMoves moves, Takeover takeover, ControlSettings settings) {
         this.draft = draft;
         this.directory = directory;
         this.moves = moves;
         this.takeover = takeover;
+        this.settings = settings;
     }
 
     /** Goes through the shard tables that changed, and through all of them once in a while. */
@@ -75,28 +79,43 @@
     }
 
     private void abandonIfLost(Step step, ShardId shard, ShardTable.Entry entry) {
-        DataCentreId here = step.inputs().dataCentre();
-        boolean unclaimed = entry != null && entry.home() == null;
-        boolean ours = entry != null && (here.equals(entry.home()) || here.equals(entry.adopter()));
-        if (!ours && !unclaimed) {
+        boolean ours = entry != null
+                && (entry.home() == null
+                        || step.governs(entry)
+                        || step.inputs().dataCentre().equals(entry.adopter()));
+        if (!ours) {
             moves.abandon(shard);
         }
     }
 
     private void serveIfOwn(Step step, ApplicationSpec application, ShardId shard, ShardTable.Entry entry) {
-        DataCentreId here = step.inputs().dataCentre();
-        if (here.equals(entry.home())) {
+        if (step.governs(entry)) {
             Optional<ShardAssignment> standing =
                     takeover.standing(step, shard).filter(a -> directory.isPresent(a.owner()));
             moves.serve(step, shard, standing);
             return;
         }
-        boolean first = entry.home() == null && entry.adopter() == null && isFirstHome(step, application, shard);
-        if (step.inputs().logReachable() && (first || here.equals(entry.adopter()))) {
+        if (!step.inputs().logReachable()) {
+            return;
+        }
+        boolean first = entry.home() == null && isFirstHome(step, application, shard);
+        if (first || mayAdopt(step, shard, entry)) {
             moves.serve(step, shard, Optional.empty());
         }
     }
 
+    /** A shard that another data centre gave up, or that an operator handed over, waits for all its leases. */
+    private boolean mayAdopt(Step step, ShardId shard, ShardTable.Entry entry) {
+        if (!step.inputs().dataCentre().equals(entry.adopter())) {
+            adoptableFromMillis.remove(shard);
+            return false;
+        }
+        long longestMillis = Math.max(settings.dispatchLeaseMillis(), settings.serverLeaseMillis());
+        long waitMillis = settings.lengthened(settings.leaderLeaseMillis() + longestMillis) + settings.startByMillis();
+        long fromMillis = adoptableFromMillis.computeIfAbsent(shard, s -> step.nowMillis() + waitMillis);
+        return step.nowMillis() >= fromMillis;
+    }
+
     private boolean isFirstHome(Step step, ApplicationSpec application, ShardId shard) {
         return homes.computeIfAbsent(application.id(), a -> new HomeChoice(directory.configuration(), application))
                 .of(shard.index())
--- a/core/src/main/java/org/lacewingthread/core/ownership/Step.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/Step.java
@@ -28,9 +28,23 @@
         return Optional.ofNullable(entry(shard).assignment());
     }
 
+    /** Returns whether this data centre governs a shard and has not given it up. */
+    boolean governs(ShardTable.Entry entry) {
+        return inputs.dataCentre().equals(entry.home()) && entry.adopter() == null;
+    }
+
+    /** Returns whether the fold would accept an assignment as the log stands. */
+    boolean mayRecord(ShardAssignment assignment) {
+        ShardTable.Entry entry = entry(assignment.shard());
+        if (entry.home() == null || inputs.dataCentre().equals(entry.adopter())) {
+            return true;
+        }
+        return governs(entry) && entry.assignment().token().compareTo(assignment.token()) <= 0;
+    }
+
     boolean isRecorded(ShardAssignment assignment) {
         ShardTable.Entry entry = entry(assignment.shard());
-        return inputs.dataCentre().equals(entry.home())
+        return governs(entry)
                 && entry.assignment() != null
                 && entry.assignment().owner().equals(assignment.owner())
                 && entry.assignment().token().equals(assignment.token());
--- a/core/src/main/java/org/lacewingthread/core/ownership/Takeover.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/Takeover.java
@@ -23,6 +23,7 @@
     private final ServerDirectory directory;
     private final ServerLeases leases;
     private final AssignmentRecorder recorder;
+    private final ShardMoves moves;
     private final ControlSettings settings;
     private final Set<SafetyRule> rules;
     private final Set<VmStart> seen = new TreeSet<>();
@@ -35,12 +36,14 @@
             ServerDirectory directory,
             ServerLeases leases,
             AssignmentRecorder recorder,
+            ShardMoves moves,
             ControlSettings settings,
             Set<SafetyRule> rules) {
         this.draft = draft;
         this.directory = directory;
         this.leases = leases;
         this.recorder = recorder;
+        this.moves = moves;
         this.settings = settings;
         this.rules = rules;
     }
@@ -113,7 +116,9 @@
             leases.grant(server, shard, owner.token());
         }
         ShardAssignment assignment = assignment(step, shard, owner);
-        if (!step.isRecorded(assignment)) {
+        if (!step.mayRecord(assignment)) {
+            moves.renewInPlace(step, shard);
+        } else if (!step.isRecorded(assignment)) {
             recorder.wantInUse(assignment);
         }
     }
--- a/core/src/test/java/org/lacewingthread/core/ownership/FakeLog.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/FakeLog.java
@@ -10,8 +10,10 @@
 import org.lacewingthread.core.config.RoutingConfiguration;
 import org.lacewingthread.core.id.ApplicationId;
 import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.FencingToken;
 import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.id.Term;
 import org.lacewingthread.core.log.DataCentreState;
 import org.lacewingthread.core.log.LogRecord;
@@ -27,6 +29,7 @@
     private final List<Append> appends = new ArrayList<>();
     private final Set<ServerId> draining = new HashSet<>();
     private RoutingConfiguration configuration;
+    int rejected;
     private long offset;
     private long configurationOffset;
     private Term recordedTerm;
@@ -80,6 +83,11 @@
 
     private void fold(LogRecord.AssignmentsRecorded record) {
         offset++;
+        boolean stale = record.assignments().stream().anyMatch(a -> isOlder(a, recorded(a.shard())));
+        if (stale) {
+            rejected++;
+            return;
+        }
         recordedTerm = record.term();
         applied.add(record);
         Map<ApplicationId, List<ShardTable.Entry>> changed = new HashMap<>();
@@ -95,6 +103,19 @@
         });
     }
 
+    ShardAssignment recorded(ShardId shard) {
+        return tables.get(shard.application()).entries().get(shard.index()).assignment();
+    }
+
+    boolean isNewer(ShardId shard, FencingToken token) {
+        ShardAssignment recorded = recorded(shard);
+        return recorded != null && token.compareTo(recorded.token()) > 0;
+    }
+
+    private static boolean isOlder(ShardAssignment assignment, ShardAssignment recorded) {
+        return recorded != null && assignment.token().compareTo(recorded.token()) < 0;
+    }
+
     void setEntry(ApplicationId application, int index, ShardTable.Entry entry) {
         ShardTable old = tables.get(application);
         List<ShardTable.Entry> entries = new ArrayList<>(old.entries());
--- a/core/src/test/java/org/lacewingthread/core/ownership/FakeVm.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/FakeVm.java
@@ -49,9 +49,10 @@
         }
     }
 
-    void forgetLeader() {
+    /** A new leader counts the leases of the one before until they surely ended. */
+    void newLeader(long predecessorEndMillis) {
         confirmedVersion = -1;
-        possibleEndMillis = Long.MIN_VALUE;
+        possibleEndMillis = predecessorEndMillis;
     }
 
     boolean hasLeft(long version, long nowMillis) {
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/ownership/OwnershipHistoryTest.java
@@ -0,0 +1,184 @@
+package org.lacewingthread.core.ownership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.LongStream;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.log.ShardAssignment;
+
+class OwnershipHistoryTest {
+    private static final int SERVERS = 5;
+    private static final int VMS = 3;
+    private static final long RUNS = 60;
+
+    enum Fault {
+        SERVER_LOST,
+        SERVER_BACK,
+        DRAIN,
+        DRAIN_ENDED,
+        VM_LOST,
+        VM_BACK,
+        VM_LEAVING,
+        VM_STAYING,
+        VM_CUT_OFF,
+        LOG_OUT,
+        LOG_BACK,
+        ANSWERS_LOST,
+        ANSWERS_BACK,
+        LEADER_LOST,
+        NOTHING;
+
+        void strike(OwnershipWorld world, int which) {
+            ServerId server = new ServerId("s" + which % SERVERS);
+            FakeVm vm = world.vms.get(which % VMS);
+            switch (this) {
+                case SERVER_LOST -> world.lose(server, 50 + which % 400);
+                case SERVER_BACK -> world.bringBack(server);
+                case DRAIN -> world.log.setDraining(server, true);
+                case DRAIN_ENDED -> world.log.setDraining(server, false);
+                case VM_LOST -> vm.up = false;
+                case VM_BACK -> vm.up = true;
+                case VM_LEAVING -> world.leaving.add(vm.start);
+                case VM_STAYING -> world.leaving.remove(vm.start);
+                case VM_CUT_OFF -> vm.reachable = !vm.reachable;
+                case LOG_OUT -> world.logReachable = false;
+                case LOG_BACK -> world.logReachable = true;
+                case ANSWERS_LOST -> world.lostAnswerRatio = 0.3;
+                case ANSWERS_BACK -> world.lostAnswerRatio = 0;
+                case LEADER_LOST -> world.startTerm(50 + which % 700);
+                default -> world.run(OwnershipWorld.TICK_MILLIS);
+            }
+        }
+    }
+
+    record Event(Fault fault, int which, int afterMillis) {}
+
+    @Provide
+    Arbitrary<List<Event>> histories() {
+        Arbitrary<Event> event = Combinators.combine(
+                        Arbitraries.of(Fault.class),
+                        Arbitraries.integers().between(0, 1_000),
+                        Arbitraries.integers().between(0, 1_500))
+                .as(Event::new);
+        return event.list().ofMinSize(3).ofMaxSize(20);
+    }
+
+    @Property(seed = "4711", tries = 150, shrinking = ShrinkingMode.BOUNDED)
+    void noShardHasTwoServersAndNoServerTwoDispatchers(
+            @ForAll("histories") List<Event> history, @ForAll boolean checks, @ForAll boolean mixed) {
+        OwnershipWorld world = world(history.toString().hashCode(), checks, mixed, EnumSet.allOf(SafetyRule.class));
+        play(world, history);
+        assertThat(world.violations).isEmpty();
+    }
+
+    @Property(seed = "4712", tries = 80, shrinking = ShrinkingMode.BOUNDED)
+    void onceAllFaultsHaveEndedEveryShardIsServedAsRecorded(
+            @ForAll("histories") List<Event> history, @ForAll boolean checks, @ForAll boolean mixed) {
+        OwnershipWorld world = world(history.toString().hashCode(), checks, mixed, EnumSet.allOf(SafetyRule.class));
+        play(world, history);
+        heal(world);
+        world.run(20_000);
+
+        assertThat(world.violations).isEmpty();
+        assertThat(world.plan.owners()).hasSize(OwnershipWorld.SHARDS);
+        assertThat(world.plan.dispatchers()).hasSize(SERVERS);
+        world.plan.owners().forEach((shard, owner) -> {
+            ShardAssignment recorded = recorded(world, shard);
+            assertThat(recorded.owner()).isEqualTo(owner.server());
+            assertThat(recorded.token()).isEqualTo(owner.token());
+        });
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "WAIT_FOR_DISPATCHER, two dispatchers of one server",
+        "WAIT_FOR_DISPATCHER, two servers act for one shard",
+        "WAIT_FOR_SERVER_LEASE, two servers act for one shard",
+        "ONE_ORDER_AT_A_TIME, second order while one is unanswered",
+        "COUNT_FAILED_ORDERS, two servers act for one shard",
+        "WAIT_FOR_PREDECESSOR, two servers act for one shard",
+        "RECORD_BEFORE_USE, an assignment is used before it is recorded",
+        "PROVISIONAL_FIRST, a record before those of provisional steps"
+    })
+    void aRuleLeftOutIsNoticed(SafetyRule leftOut, String violation) {
+        Set<SafetyRule> rules = EnumSet.complementOf(EnumSet.of(leftOut));
+        assertThat(LongStream.range(0, RUNS)
+                        .anyMatch(seed -> violations(seed, rules).contains(violation)))
+                .isTrue();
+    }
+
+    @Test
+    void withAllRulesTheSameRunsShowNoViolation() {
+        Set<SafetyRule> rules = EnumSet.allOf(SafetyRule.class);
+        assertThat(LongStream.range(0, RUNS).boxed())
+                .allSatisfy(seed -> assertThat(violations(seed, rules)).isEmpty());
+    }
+
+    private static Set<String> violations(long seed, Set<SafetyRule> rules) {
+        OwnershipWorld world = world((int) seed, seed % 2 == 0, seed % 4 == 0, rules);
+        play(world, randomHistory(seed));
+        return world.violations;
+    }
+
+    private static List<Event> randomHistory(long seed) {
+        Random random = new Random(seed);
+        Fault[] faults = Fault.values();
+        return LongStream.range(0, 20)
+                .mapToObj(i ->
+                        new Event(faults[random.nextInt(faults.length)], random.nextInt(1_000), random.nextInt(1_500)))
+                .toList();
+    }
+
+    private static OwnershipWorld world(int seed, boolean checks, boolean mixed, Set<SafetyRule> rules) {
+        boolean[] kinds = mixed ? new boolean[] {true, false} : new boolean[] {checks};
+        return new OwnershipWorld(seed, SERVERS, kinds, VMS, rules);
+    }
+
+    private static void play(OwnershipWorld world, List<Event> history) {
+        world.run(1_500);
+        for (Event event : history) {
+            event.fault().strike(world, event.which());
+            world.run(event.afterMillis());
+        }
+        world.run(2_500);
+    }
+
+    private static void heal(OwnershipWorld world) {
+        world.logReachable = true;
+        world.lostAnswerRatio = 0;
+        world.leaving.clear();
+        world.servers.keySet().forEach(server -> {
+            world.bringBack(server);
+            world.log.setDraining(server, false);
+        });
+        world.vms.forEach(vm -> {
+            vm.up = true;
+            vm.reachable = true;
+        });
+    }
+
+    private static ShardAssignment recorded(OwnershipWorld world, ShardId shard) {
+        return world.log
+                .state()
+                .shardTables()
+                .get(shard.application())
+                .entries()
+                .get(shard.index())
+                .assignment();
+    }
+}
--- a/core/src/test/java/org/lacewingthread/core/ownership/OwnershipWorld.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/OwnershipWorld.java
@@ -28,6 +28,7 @@
 import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.ShardAssignment;
 
 /**
  * One data centre in virtual time: a coordinator, entry VMs, backend servers and a log. Every tick it
@@ -52,6 +53,7 @@
     final List<ServerOrder> orders = new ArrayList<>();
     final Set<String> violations = new TreeSet<>();
     final Map<ShardId, Long> unservedMillis = new TreeMap<>();
+    private final Set<String> appended = new TreeSet<>();
     private final List<Timed> pending = new ArrayList<>();
     private final Map<ServerId, Long> unanswered = new HashMap<>();
     private final Set<SafetyRule> rules;
@@ -104,7 +106,6 @@
         coordinator = new LeaseOwnershipCoordinator(settings, rules);
         plan = null;
         unanswered.clear();
-        pending.clear();
         leaderFromMillis = nowMillis + gapMillis;
         held = null;
     }
@@ -118,7 +119,7 @@
             if (vm.up && vm.reachable) {
                 held.put(vm.start, vm.held(nowMillis));
             }
-            vm.forgetLeader();
+            vm.newLeader(predecessorEndMillis);
         }
     }
 
@@ -151,13 +152,20 @@
             beginLeading();
         }
         OwnershipStep step = coordinator.step(inputs(), nowMillis);
-        step.plan().ifPresent(p -> plan = p);
         notes.addAll(step.notes());
+        step.plan().ifPresent(this::takePlan);
         if (!logReachable && !step.records().isEmpty()) {
             violations.add("appends while the log is out");
         }
+        if (logReachable && !step.notes().isEmpty()) {
+            violations.add("a provisional step while the log answers");
+        }
+        if (!logReachable) {
+            appended.clear();
+        }
         for (LogRecord record : step.records()) {
             records.add(record);
+            checkOrder((LogRecord.AssignmentsRecorded) record);
             if (random.nextDouble() >= lostAnswerRatio) {
                 log.append(record, nowMillis + 20 + random.nextInt(50));
             }
@@ -168,6 +176,57 @@
         }
     }
 
+    /** An owner that is new in this term is recorded, or steps along the failover list while the log is out. */
+    private void takePlan(RoutePlan newest) {
+        RoutePlan before = plan;
+        plan = newest;
+        newest.owners().forEach((shard, owner) -> {
+            boolean known = before != null && owner.equals(before.owners().get(shard));
+            if (known || isHeld(shard, owner)) {
+                return;
+            }
+            ShardAssignment recorded = log.recorded(shard);
+            boolean asRecorded = recorded != null
+                    && recorded.owner().equals(owner.server())
+                    && recorded.token().equals(owner.token());
+            boolean provisional = recorded != null
+                    && notes.stream()
+                            .anyMatch(n -> n.startsWith("shard " + shard + " ") && n.endsWith(" " + owner.token()))
+                    && (recorded.owner().equals(owner.server())
+                            || recorded.failover().contains(owner.server()));
+            if (!asRecorded && !provisional) {
+                violations.add("an assignment is used before it is recorded");
+            }
+        });
+    }
+
+    /** What is in use without a record goes before what is not in use yet. */
+    private void checkOrder(LogRecord.AssignmentsRecorded record) {
+        record.assignments().forEach(a -> appended.add(a.shard() + " " + a.token()));
+        boolean others = record.assignments().stream().anyMatch(a -> !isInUse(a));
+        boolean overdue = plan != null
+                && plan.owners().entrySet().stream()
+                        .anyMatch(e -> log.isNewer(e.getKey(), e.getValue().token())
+                                && !appended.contains(
+                                        e.getKey() + " " + e.getValue().token()));
+        if (others && overdue) {
+            violations.add("a record before those of provisional steps");
+        }
+    }
+
+    private boolean isInUse(ShardAssignment assignment) {
+        return plan != null
+                && plan.ownerOf(assignment.shard())
+                        .filter(o -> o.token().equals(assignment.token()))
+                        .isPresent();
+    }
+
+    private boolean isHeld(ShardId shard, RoutePlan.Ownership owner) {
+        return held.values().stream()
+                .flatMap(Optional::stream)
+                .anyMatch(p -> owner.equals(p.owners().get(shard)));
+    }
+
     private void heartbeats() {
         for (FakeVm vm : vms) {
             if (vm.up && vm.reachable) {
@@ -198,8 +257,10 @@
         }
         if (!answered) {
             pending.add(new Timed(nowMillis + 10 + random.nextInt(200), () -> {
-                unanswered.remove(order.server());
-                coordinator.orderFailed(order.server(), order.sequence(), nowMillis);
+                if (sender.equals(term)) {
+                    unanswered.remove(order.server());
+                    coordinator.orderFailed(order.server(), order.sequence(), nowMillis);
+                }
             }));
         }
     }
