Balance load, split hot keys, leave a data centre without servers

Split-out keys part from their shard only once every dispatcher knows of the split (DispatchLedger.hasApplied, by default no, which switches splitting off). A data centre whose servers must all leave an application releases its shards to others.

--- a/core/src/main/java/org/lacewingthread/core/ownership/AssignmentRecorder.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/AssignmentRecorder.java
@@ -51,6 +51,11 @@
         sent.remove(shard);
     }
 
+    /** Returns whether assignments in use still wait to be appended. */
+    boolean hasOverdue() {
+        return !overdue.isEmpty();
+    }
+
     /** Returns the records to append now. */
     List<LogRecord> records(Step step) {
         if (!step.inputs().logReachable()) {
--- a/core/src/main/java/org/lacewingthread/core/ownership/DispatchLedger.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/DispatchLedger.java
@@ -1,5 +1,6 @@
 package org.lacewingthread.core.ownership;
 
+import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.VmStart;
 
 /** The leader's knowledge of what each entry VM of its data centre may still do. */
@@ -13,4 +14,12 @@
      * dispatch lease under an older plan, and the start-by deadline of what it sent, have run out.
      */
     boolean hasLeft(VmStart vm, long planVersion, long nowMillis);
+
+    /**
+     * Returns whether a VM stated that it has applied the log up to an offset. A ledger that does not
+     * know says no, and split-out keys then stay with the shard they came from.
+     */
+    default boolean hasApplied(VmStart vm, LogOffset offset) {
+        return false;
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/ownership/HotKeys.java
@@ -0,0 +1,175 @@
+package org.lacewingthread.core.ownership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.lacewingthread.core.config.ApplicationSpec;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.control.ServerLoad;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.ShardTable;
+import org.lacewingthread.core.ownership.ShardMove.Cause;
+
+/**
+ * Gives hot keys shards of their own, so that balance can move them or the rest of their shard, and
+ * merges them back once they have been cold for a while.
+ */
+final class HotKeys {
+    private static final long LOOK_MILLIS = 5_000;
+    private static final long COLD_MILLIS = 60_000;
+    private static final int SPLITS_PER_LOOK = 8;
+    private static final int MAX_SPLIT_KEYS = 128;
+    private static final double HOT_KEY_SHARE_RATIO = 0.5;
+    private static final double HOT_SHARD_RATIO = 0.1;
+    private static final double COLD_SHARD_RATIO = 0.03;
+
+    private final PlanDraft draft;
+    private final ServerDirectory directory;
+    private final ShardMoves moves;
+    private final SplitShards splits;
+    private final Map<ShardId, Long> coldSinceMillis = new HashMap<>();
+    private final Map<Long, Long> askedUntilMillis = new HashMap<>();
+    private long nextLookMillis = Long.MIN_VALUE;
+
+    HotKeys(PlanDraft draft, ServerDirectory directory, ShardMoves moves, SplitShards splits) {
+        this.draft = draft;
+        this.directory = directory;
+        this.moves = moves;
+        this.splits = splits;
+    }
+
+    List<LogRecord> step(Step step) {
+        if (step.nowMillis() < nextLookMillis || !step.inputs().logReachable() || !step.predecessorGone()) {
+            return List.of();
+        }
+        nextLookMillis = step.nowMillis() + LOOK_MILLIS;
+        askedUntilMillis.values().removeIf(until -> step.nowMillis() >= until);
+        List<LogRecord> records = new ArrayList<>();
+        double mean = meanServerLoad(step);
+        if (mean > 0) {
+            for (ApplicationSpec application : directory.applications()) {
+                splitHot(step, application, mean).ifPresent(records::add);
+            }
+            records.addAll(mergeCold(step, mean));
+        }
+        return records;
+    }
+
+    private double meanServerLoad(Step step) {
+        return directory.servers().stream()
+                .map(s -> step.inputs().loads().get(s.id()))
+                .filter(l -> l != null)
+                .mapToDouble(ServerLoad::requestsPerSecond)
+                .average()
+                .orElse(0);
+    }
+
+    private Optional<LogRecord> splitHot(Step step, ApplicationSpec application, double mean) {
+        ShardTable table = step.inputs().state().shardTables().get(application.id());
+        boolean canFollow = splits.haveApplied(step, step.inputs().state().configurationRevision());
+        if (table == null || table.splitKeys().size() >= MAX_SPLIT_KEYS || !canFollow) {
+            return Optional.empty();
+        }
+        double threshold = application.profile().imbalanceThresholdRatio();
+        List<ServerLoad.ShardLoad> hot = new ArrayList<>();
+        for (ServerSpec server : directory.servers()) {
+            ServerLoad load = step.inputs().loads().get(server.id());
+            if (load != null && load.requestsPerSecond() > threshold * mean) {
+                load.hottestShards().stream()
+                        .filter(s -> isHot(step, application.id(), table, server.id(), s, mean))
+                        .forEach(hot::add);
+            }
+        }
+        List<Long> hashes = hot.stream()
+                .sorted(Comparator.comparingDouble(ServerLoad.ShardLoad::requestsPerSecond)
+                        .reversed())
+                .map(ServerLoad.ShardLoad::hottestKeyHash)
+                .distinct()
+                .limit(SPLITS_PER_LOOK)
+                .toList();
+        hashes.forEach(h -> askedUntilMillis.put(h, step.nowMillis() + 2 * LOOK_MILLIS));
+        return hashes.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new LogRecord.KeysSplit(
+                        step.inputs().dataCentre(), step.inputs().term(), application.id(), hashes));
+    }
+
+    private boolean isHot(
+            Step step,
+            ApplicationId application,
+            ShardTable table,
+            ServerId server,
+            ServerLoad.ShardLoad load,
+            double mean) {
+        ShardId shard = load.shard();
+        return shard.application().equals(application)
+                && shard.index() < table.shardCount()
+                && load.requestsPerSecond() > HOT_SHARD_RATIO * mean
+                && load.hottestKeyShare() >= HOT_KEY_SHARE_RATIO
+                && !table.splitKeys().containsKey(load.hottestKeyHash())
+                && !askedUntilMillis.containsKey(load.hottestKeyHash())
+                && isSettled(step, shard)
+                && draft.ownerOf(shard).orElseThrow().server().equals(server);
+    }
+
+    /** Returns whether a shard is served as recorded and is not moving. */
+    private boolean isSettled(Step step, ShardId shard) {
+        return !moves.isMoving(shard)
+                && step.governs(step.entry(shard))
+                && draft.ownerOf(shard)
+                        .filter(o ->
+                                o.token().equals(step.entry(shard).assignment().token()))
+                        .isPresent();
+    }
+
+    private List<LogRecord> mergeCold(Step step, double mean) {
+        Set<ShardId> warm = new HashSet<>();
+        for (ServerLoad load : step.inputs().loads().values()) {
+            load.hottestShards().stream()
+                    .filter(s -> s.requestsPerSecond() > COLD_SHARD_RATIO * mean)
+                    .forEach(s -> warm.add(s.shard()));
+        }
+        Map<ApplicationId, List<Long>> merged = new TreeMap<>();
+        for (ShardId shard : splits.all().keySet().stream().sorted().toList()) {
+            if (warm.contains(shard) || !isSettled(step, shard)) {
+                coldSinceMillis.remove(shard);
+                continue;
+            }
+            long since = coldSinceMillis.computeIfAbsent(shard, s -> step.nowMillis());
+            if (step.nowMillis() - since >= COLD_MILLIS) {
+                merge(step, shard, merged);
+            }
+        }
+        coldSinceMillis.keySet().retainAll(splits.all().keySet());
+        List<LogRecord> records = new ArrayList<>();
+        merged.forEach((application, hashes) -> records.add(new LogRecord.KeysMerged(
+                step.inputs().dataCentre(), step.inputs().term(), application, hashes)));
+        return records;
+    }
+
+    /** A key merges where the shard it came from is; elsewhere it moves there first. */
+    private void merge(Step step, ShardId shard, Map<ApplicationId, List<Long>> merged) {
+        SplitShards.Split split = splits.split(shard).orElseThrow();
+        if (!isSettled(step, split.base()) || askedUntilMillis.containsKey(split.keyHash())) {
+            return;
+        }
+        ServerId home =
+                draft.ownerOf(split.base()).map(RoutePlan.Ownership::server).orElseThrow();
+        if (draft.ownerOf(shard).orElseThrow().server().equals(home)) {
+            askedUntilMillis.put(split.keyHash(), step.nowMillis() + 2 * LOOK_MILLIS);
+            merged.computeIfAbsent(shard.application(), a -> new ArrayList<>()).add(split.keyHash());
+            return;
+        }
+        moves.move(step, shard, Cause.BALANCE, Optional.of(home));
+    }
+}
--- a/core/src/main/java/org/lacewingthread/core/ownership/LeaseOwnershipCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/LeaseOwnershipCoordinator.java
@@ -27,7 +27,8 @@
  *
  * <p>The decisions are divided over {@link Takeover} (what earlier leaders left behind),
  * {@link DispatcherAssignment}, {@link ShardSurvey} (shards that nobody serves), {@link ShardMoves},
- * {@link ServerLeases} and {@link AssignmentRecorder}.
+ * {@link ServerLeases}, {@link AssignmentRecorder}, {@link LoadBalance}, {@link HotKeys} and
+ * {@link DataCentreExit}.
  */
 public final class LeaseOwnershipCoordinator implements OwnershipCoordinator {
     private static final int MIN_LEAVING_SHARDS = 4;
@@ -43,6 +44,10 @@
     private ShardMoves moves;
     private Takeover takeover;
     private ShardSurvey survey;
+    private SplitShards splits;
+    private LoadBalance balance;
+    private HotKeys hotKeys;
+    private DataCentreExit exit;
 
     /** Starts a term in which nothing is known yet. */
     public LeaseOwnershipCoordinator(ControlSettings settings) {
@@ -65,13 +70,19 @@
         Step step = new Step(inputs, nowMillis, new ArrayList<>());
         directory.refresh(step);
         moves.targets().refresh();
+        splits.refresh(step);
         takeover.step(step);
         leases.takeRefused().forEach(shard -> moves.renewToken(step, shard));
         draft.owningServers().forEach(server -> leaveServer(step, server));
         survey.step(step);
+        balance.step(step);
         dispatchers.step(step, directory.servers(), takeover.isOver(step));
         moves.advance(step);
-        List<LogRecord> records = recorder.records(step);
+        List<LogRecord> records = new ArrayList<>(recorder.records(step));
+        if (!recorder.hasOverdue()) {
+            records.addAll(hotKeys.step(step));
+            records.addAll(exit.step(step));
+        }
         List<ServerOrder> orders = leases.orders(directory::answers, nowMillis);
         Optional<RoutePlan> plan = draft.take();
         return new OwnershipStep(plan, records, orders, step.notes());
@@ -90,8 +101,12 @@
     private void start(OwnershipInputs inputs) {
         draft = new PlanDraft(inputs.term());
         dispatchers = new DispatcherAssignment(draft, rules);
-        moves = new ShardMoves(draft, directory, leases, dispatchers, recorder, rules);
+        splits = new SplitShards(draft);
+        moves = new ShardMoves(draft, directory, leases, dispatchers, recorder, splits, rules);
         takeover = new Takeover(draft, directory, leases, recorder, moves, settings, rules);
+        balance = new LoadBalance(draft, directory, moves);
+        hotKeys = new HotKeys(draft, directory, moves, splits);
+        exit = new DataCentreExit(draft, directory, moves);
         survey = new ShardSurvey(draft, directory, moves, takeover, settings);
     }
 
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardMove.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardMove.java
@@ -21,6 +21,10 @@
         OWNER_LEAVING(true, true),
         /** It stays, but the log names a newer assignment that was never used. */
         TOKEN_OUTDATED(true, true),
+        /** It stays; requests for a key that was split out of it have to end. */
+        PAUSED(true, true),
+        /** No server of this data centre may own it any more. */
+        DATA_CENTRE_LEFT(true, true),
         /** Its owner is overloaded or the target has room. */
         BALANCE(true, false);
 
@@ -52,7 +56,9 @@
         /** The old owner's lease to be released or to expire. */
         RELEASING,
         /** A target, its recorded assignment, and its lease. */
-        GRANTING
+        GRANTING,
+        /** The record that lets another data centre adopt it. */
+        HANDING_OVER
     }
 
     final ShardId shard;
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.id.ApplicationId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.log.ShardAssignment;
@@ -23,6 +24,7 @@
     private final DispatcherAssignment dispatchers;
     private final AssignmentRecorder recorder;
     private final TargetChoice targets;
+    private final SplitShards splits;
     private final Set<SafetyRule> rules;
     private final Map<ShardId, ShardMove> moves = new TreeMap<>();
 
@@ -32,6 +34,7 @@
             ServerLeases leases,
             DispatcherAssignment dispatchers,
             AssignmentRecorder recorder,
+            SplitShards splits,
             Set<SafetyRule> rules) {
         this.draft = draft;
         this.directory = directory;
@@ -39,6 +42,7 @@
         this.dispatchers = dispatchers;
         this.recorder = recorder;
         this.targets = new TargetChoice(draft, directory);
+        this.splits = splits;
         this.rules = rules;
     }
 
@@ -51,6 +55,18 @@
         return moves.values().stream().filter(m -> server.equals(m.source)).count();
     }
 
+    /** Returns whether a shard of an application is moving. */
+    boolean anyOf(ApplicationId application) {
+        return moves.keySet().stream().anyMatch(s -> s.application().equals(application));
+    }
+
+    /** Returns the shards of an application that are moving. */
+    List<ShardId> movingOf(ApplicationId application) {
+        return moves.keySet().stream()
+                .filter(s -> s.application().equals(application))
+                .toList();
+    }
+
     TargetChoice targets() {
         return targets;
     }
@@ -121,6 +137,29 @@
         }
     }
 
+    /** Ends the service of an application's shards, so that another data centre can adopt them. */
+    void leaveDataCentre(ShardId shard) {
+        ShardMove running = moves.get(shard);
+        if (draft.serves(shard)) {
+            RoutePlan.Ownership owner = draft.ownerOf(shard).orElseThrow();
+            ShardMove move = new ShardMove(shard, Cause.DATA_CENTRE_LEFT, owner.server(), Stage.LEAVING);
+            moves.put(shard, move);
+            recorder.forget(shard);
+            leavePlan(move);
+        } else if (running != null && running.stage == Stage.GRANTING && !running.grantRequested) {
+            moves.put(shard, new ShardMove(shard, Cause.DATA_CENTRE_LEFT, running.source, Stage.HANDING_OVER));
+            recorder.forget(shard);
+        }
+    }
+
+    /** Returns the shards that wait for another data centre to adopt them. */
+    List<ShardId> handingOver() {
+        return moves.values().stream()
+                .filter(m -> m.stage == Stage.HANDING_OVER)
+                .map(m -> m.shard)
+                .toList();
+    }
+
     /** Gives up a shard that another data centre governs now. */
     void abandon(ShardId shard) {
         ShardMove move = moves.remove(shard);
@@ -138,6 +177,7 @@
             case LEAVING -> leave(step, move);
             case RELEASING -> release(step, move);
             case GRANTING -> grant(step, move);
+            case HANDING_OVER -> {}
             default -> throw new IllegalStateException("stage " + move.stage + " is not handled");
         }
     }
@@ -146,7 +186,7 @@
         if (move.target != null && step.isRecorded(move.assignment())) {
             if (move.staysInPlace()) {
                 move.stage = Stage.GRANTING;
-            } else {
+            } else if (separate(step, move.shard)) {
                 leavePlan(move);
             }
             return;
@@ -163,6 +203,27 @@
         }
     }
 
+    /** Pauses the shard that a split-out key came from, so that no request sent as part of it is left. */
+    private boolean separate(Step step, ShardId shard) {
+        Optional<ShardId> base = splits.notYetSeparated(shard).filter(draft::serves);
+        if (base.isEmpty()) {
+            return true;
+        }
+        boolean known = splits.isKnownToDispatchers(step, splits.split(shard).orElseThrow());
+        if (!known || isMoving(base.get())) {
+            return false;
+        }
+        RoutePlan.Ownership owner = draft.ownerOf(base.get()).orElseThrow();
+        ShardMove pause = new ShardMove(base.get(), Cause.PAUSED, owner.server(), Stage.LEAVING);
+        pause.target = owner.server();
+        pause.token = owner.token();
+        pause.failover = TargetChoice.failoverWithout(step, base.get(), owner.server());
+        moves.put(base.get(), pause);
+        leavePlan(pause);
+        splits.separated(shard);
+        return true;
+    }
+
     /** With the log out a necessary move follows the failover list and any other is given up. */
     private void stopRecording(Step step, ShardMove move) {
         if (move.cause.isNecessary() && targets.hasAlternative(step, move.shard, move.source)) {
@@ -199,13 +260,14 @@
 
     private void release(Step step, ShardMove move) {
         boolean bound = directory.mayHoldLease(move.source) && rules.contains(SafetyRule.WAIT_FOR_SERVER_LEASE);
+        Stage next = move.cause == Cause.DATA_CENTRE_LEFT ? Stage.HANDING_OVER : Stage.GRANTING;
         if (!bound || move.source.equals(move.target)) {
-            move.stage = Stage.GRANTING;
+            move.stage = next;
             return;
         }
         if (step.nowMillis() >= move.sourceLeaseEndMillis || leases.takeReleased(move.source, move.shard)) {
             leases.cancelRelease(move.source, move.shard);
-            move.stage = Stage.GRANTING;
+            move.stage = next;
             return;
         }
         if (directory.answers(move.source) && directory.checksTokens(move.source)) {
@@ -223,6 +285,9 @@
         if (move.target == null || move.stage != Stage.GRANTING || !mayUse(step, move)) {
             return;
         }
+        if (!splits.mayPart(step, move.shard, move.target)) {
+            return;
+        }
         if (directory.checksTokens(move.target)) {
             if (!move.grantRequested) {
                 leases.grant(move.target, move.shard, move.token);
--- a/core/src/test/java/org/lacewingthread/core/ownership/OwnershipWorld.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/OwnershipWorld.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import org.lacewingthread.core.config.ApplicationSpec;
 import org.lacewingthread.core.config.PlacementProfile;
 import org.lacewingthread.core.config.RoutingConfiguration;
@@ -130,6 +131,13 @@
         }
     }
 
+    void runUntil(BooleanSupplier condition, long atMostMillis) {
+        long endMillis = nowMillis + atMostMillis;
+        while (nowMillis < endMillis && !condition.getAsBoolean()) {
+            tick();
+        }
+    }
+
     private void tick() {
         nowMillis += TICK_MILLIS;
         for (Timed timed : List.copyOf(pending)) {
