Record owners in use before planned moves of their shards

Planned moves now wait until the owner in use is recorded, and the survey asks for any record that is missing.

--- a/core/src/main/java/org/lacewingthread/core/ownership/AssignmentRecorder.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/AssignmentRecorder.java
@@ -51,6 +51,10 @@
         sent.remove(shard);
     }
 
+    boolean isPending(ShardId shard) {
+        return overdue.containsKey(shard) || waiting.containsKey(shard) || sent.containsKey(shard);
+    }
+
     /** Returns whether assignments in use still wait to be appended. */
     boolean hasOverdue() {
         return !overdue.isEmpty();
--- a/core/src/main/java/org/lacewingthread/core/ownership/LeaseOwnershipCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/LeaseOwnershipCoordinator.java
@@ -103,7 +103,7 @@
         dispatchers = new DispatcherAssignment(draft, rules);
         splits = new SplitShards(draft);
         moves = new ShardMoves(draft, directory, leases, dispatchers, recorder, splits, rules);
-        takeover = new Takeover(draft, directory, leases, recorder, moves, settings, rules);
+        takeover = new Takeover(draft, directory, leases, moves, settings, rules);
         balance = new LoadBalance(draft, directory, moves);
         hotKeys = new HotKeys(draft, directory, moves, splits);
         exit = new DataCentreExit(draft, directory, moves);
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
@@ -93,6 +93,9 @@
             return;
         }
         boolean recordFirst = cause.isServedMeanwhile() && step.inputs().logReachable();
+        if (recordFirst && !step.isRecorded(inUse(step, shard, owner))) {
+            return;
+        }
         ShardMove move = new ShardMove(shard, cause, owner.server(), recordFirst ? Stage.RECORDING : Stage.LEAVING);
         target.ifPresent(s -> setTarget(step, move, s));
         moves.put(shard, move);
@@ -112,6 +115,24 @@
         setTarget(step, move, owner);
     }
 
+    /** Sees to it that the owner in use is recorded, if nothing else does. */
+    void ensureRecorded(Step step, ShardId shard) {
+        if (isMoving(shard) || !draft.serves(shard) || recorder.isPending(shard)) {
+            return;
+        }
+        ShardAssignment assignment = inUse(step, shard, draft.ownerOf(shard).orElseThrow());
+        if (!step.mayRecord(assignment)) {
+            renewInPlace(step, shard);
+        } else if (!step.isRecorded(assignment)) {
+            recorder.wantInUse(assignment);
+        }
+    }
+
+    private static ShardAssignment inUse(Step step, ShardId shard, RoutePlan.Ownership owner) {
+        List<ServerId> failover = TargetChoice.failoverWithout(step, shard, owner.server());
+        return new ShardAssignment(shard, owner.server(), failover, owner.token());
+    }
+
     /** Gives a shard a new token after a server refused the old one. */
     void renewToken(Step step, ShardId shard) {
         if (draft.serves(shard)) {
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardSurvey.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardSurvey.java
@@ -71,19 +71,21 @@
             ShardId shard = shards.get(index);
             boolean known = draft.serves(shard) || moves.isMoving(shard);
             if (known) {
-                abandonIfLost(step, shard, entry);
+                checkServed(step, shard, entry);
             } else if (entry != null && mayAssign) {
                 serveIfOwn(step, application, shard, entry);
             }
         }
     }
 
-    private void abandonIfLost(Step step, ShardId shard, ShardTable.Entry entry) {
+    private void checkServed(Step step, ShardId shard, ShardTable.Entry entry) {
         boolean ours = entry != null
                 && (entry.home() == null
                         || step.governs(entry)
                         || step.inputs().dataCentre().equals(entry.adopter()));
-        if (!ours) {
+        if (ours) {
+            moves.ensureRecorded(step, shard);
+        } else {
             moves.abandon(shard);
         }
     }
--- a/core/src/main/java/org/lacewingthread/core/ownership/Takeover.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/Takeover.java
@@ -22,7 +22,6 @@
     private final PlanDraft draft;
     private final ServerDirectory directory;
     private final ServerLeases leases;
-    private final AssignmentRecorder recorder;
     private final ShardMoves moves;
     private final ControlSettings settings;
     private final Set<SafetyRule> rules;
@@ -35,14 +34,12 @@
             PlanDraft draft,
             ServerDirectory directory,
             ServerLeases leases,
-            AssignmentRecorder recorder,
             ShardMoves moves,
             ControlSettings settings,
             Set<SafetyRule> rules) {
         this.draft = draft;
         this.directory = directory;
         this.leases = leases;
-        this.recorder = recorder;
         this.moves = moves;
         this.settings = settings;
         this.rules = rules;
@@ -115,12 +112,7 @@
         if (directory.checksTokens(server)) {
             leases.grant(server, shard, owner.token());
         }
-        ShardAssignment assignment = assignment(step, shard, owner);
-        if (!step.mayRecord(assignment)) {
-            moves.renewInPlace(step, shard);
-        } else if (!step.isRecorded(assignment)) {
-            recorder.wantInUse(assignment);
-        }
+        moves.ensureRecorded(step, shard);
     }
 
     private static ShardAssignment assignment(Step step, ShardId shard, RoutePlan.Ownership owner) {
