Drive entry VMs with virtual time: one VM and three VMs reach leadership and dispatch

A test-side group with virtual clocks, network and log runs several EntryVmStateMachines; checks watch leaders, dispatchers, owners and requests in flight. EntryVmStateMachineTest passes.

--- a/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
@@ -2,6 +2,7 @@
 
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
 import org.lacewingthread.core.control.ControlAction;
@@ -116,6 +117,11 @@
         return context.outbox().drain();
     }
 
+    /** Returns the term in which this VM may act as the leader at a time, if it does. */
+    Optional<Term> leadingTerm(long nowMillis) {
+        return election.leadingTerm().filter(t -> held.hasMajority(context.roster(), nowMillis));
+    }
+
     /** Moves every part on, from what is known to what is decided. */
     private void advance(long nowMillis) {
         current |= catchUp.isCurrent();
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/lease/EntryVmStateMachineTest.java
@@ -0,0 +1,43 @@
+package org.lacewingthread.core.lease;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.lacewingthread.core.id.ServerId;
+
+class EntryVmStateMachineTest {
+    private final SimulatedGroup group = new SimulatedGroup(1);
+
+    @Test
+    void aSingleVmStartsTheRosterClaimsTheLeadershipAndDispatches() {
+        SimulatedVm vm = group.start("maras-1", 1);
+
+        assertThat(group.runUntil(3_000, () -> vm.dispatchesFor(new ServerId("server-0"))))
+                .isPositive();
+
+        assertThat(vm.view.ready()).isTrue();
+        assertThat(vm.view.state().roster(SimulatedGroup.MARAS)).containsExactly(vm.identity.member());
+        assertThat(vm.view.state().dataCentre(SimulatedGroup.MARAS).claimant()).isEqualTo(vm.identity.self());
+        assertThat(vm.leadingTerm())
+                .hasValueSatisfying(t -> assertThat(t.ordinal()).isZero());
+        assertThat(group.checks.violations).isEmpty();
+    }
+
+    @Test
+    void threeVmsFormOneRosterAndShareTheServers() {
+        List<SimulatedVm> vms =
+                List.of(group.start("maras-1", 0.99), group.start("maras-2", 1), group.start("maras-3", 1.01));
+
+        group.runFor(8_000);
+
+        assertThat(vms).allSatisfy(v -> assertThat(v.view.state().roster(SimulatedGroup.MARAS))
+                .hasSize(3));
+        assertThat(vms).filteredOn(v -> v.leadingTerm().isPresent()).hasSize(1);
+        for (int i = 0; i < 3; i++) {
+            ServerId server = new ServerId("server-" + i);
+            assertThat(vms).filteredOn(v -> v.dispatchesFor(server)).hasSize(1);
+        }
+        assertThat(group.checks.violations).isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/lease/SafetyChecks.java
@@ -0,0 +1,105 @@
+package org.lacewingthread.core.lease;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.lacewingthread.core.control.ControlView;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.id.Term;
+import org.lacewingthread.core.log.ReplicaState;
+
+/** What must hold at every moment of a run, as an observer with one true clock sees it. */
+final class SafetyChecks {
+    final List<String> violations = new ArrayList<>();
+    private final SimulatedGroup group;
+    private Term highestTerm;
+
+    SafetyChecks(SimulatedGroup group) {
+        this.group = group;
+    }
+
+    void check() {
+        checkLeaders();
+        checkDispatchers();
+    }
+
+    private void checkLeaders() {
+        List<Term> leading =
+                group.vms.stream().flatMap(v -> v.leadingTerm().stream()).toList();
+        if (leading.size() > 1) {
+            violate("two leaders " + leading);
+        }
+        for (Term term : leading) {
+            if (highestTerm != null && highestTerm.isAfter(term)) {
+                violate("term " + term + " leads after " + highestTerm);
+            }
+            highestTerm = term;
+        }
+    }
+
+    private void checkDispatchers() {
+        Map<ServerId, SimulatedVm> dispatchers = new HashMap<>();
+        Map<ShardId, ServerId> owners = new HashMap<>();
+        for (SimulatedVm vm : group.vms) {
+            vm.permitted().ifPresent(plan -> {
+                for (ServerId server : plan.dispatchers().keySet()) {
+                    if (vm.dispatchesFor(server)) {
+                        SimulatedVm other = dispatchers.put(server, vm);
+                        if (other != null) {
+                            violate("server " + server + " has dispatchers " + vm.name + " and " + other.name);
+                        }
+                    }
+                }
+                plan.owners().forEach((shard, owner) -> {
+                    if (vm.dispatchesFor(owner.server())) {
+                        ServerId other = owners.put(shard, owner.server());
+                        if (other != null && !other.equals(owner.server())) {
+                            violate("shard " + shard + " has owners " + owner.server() + " and " + other);
+                        }
+                    }
+                });
+            });
+        }
+    }
+
+    /** Checks that no request of the shard may still start or run at another server. */
+    void checkRequest(SimulatedVm sender, ShardId shard, ServerId server) {
+        for (SimulatedVm vm : group.vms) {
+            Optional.ofNullable(vm.inFlight.get(shard))
+                    .filter(r ->
+                            r.endMicros() > group.nowMicros() && !r.server().equals(server))
+                    .ifPresent(r -> violate("shard " + shard + " runs at " + r.server() + " through " + vm.name
+                            + " when " + sender.name + " sends to " + server));
+        }
+    }
+
+    /** Checks that nothing a VM published goes back. */
+    void checkRises(SimulatedVm vm, ControlView before, ControlView after) {
+        if (before == null) {
+            return;
+        }
+        ReplicaState old = before.state();
+        ReplicaState now = after.state();
+        LogOffset oldRoster = old.dataCentre(SimulatedGroup.MARAS).rosterRevision();
+        LogOffset newRoster = now.dataCentre(SimulatedGroup.MARAS).rosterRevision();
+        boolean planFalls = before.plan()
+                .filter(p -> after.plan().isEmpty() || p.isAfter(after.plan().get()))
+                .isPresent();
+        boolean falls = planFalls
+                || old.appliedOffset().isAfter(now.appliedOffset())
+                || old.configurationRevision().isAfter(now.configurationRevision())
+                || oldRoster.isAfter(newRoster)
+                || (before.ready() && !after.ready());
+        if (falls) {
+            violate("view " + after.number() + " of " + vm.name + " goes back");
+        }
+    }
+
+    private void violate(String what) {
+        violations.add("at " + group.nowMillis() + " ms: " + what);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/lease/SimulatedGroup.java
@@ -0,0 +1,184 @@
+package org.lacewingthread.core.lease;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Function;
+import org.lacewingthread.core.control.ControlAction;
+import org.lacewingthread.core.control.ControlEvent;
+import org.lacewingthread.core.control.ControlSettings;
+import org.lacewingthread.core.control.PeerMessage;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.Term;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.log.RosterMember;
+import org.lacewingthread.core.ownership.OwnershipCoordinator;
+
+/** Entry VMs of one data centre with virtual time, a network and a log that fail as a test asks. */
+final class SimulatedGroup {
+    static final DataCentreId MARAS = new DataCentreId("maras");
+    private static final long TICK_MICROS = 20_000;
+    private static final long LIST_MICROS = 500_000;
+
+    /** A directed connection that loses everything. */
+    record Cut(String from, String to) {}
+
+    private record Step(long atMicros, long order, Runnable action) {}
+
+    final Random random;
+    final SimulatedLog log = new SimulatedLog();
+    final List<SimulatedVm> vms = new ArrayList<>();
+    final Set<Cut> cuts = new HashSet<>();
+    final Set<String> cutFromLog = new HashSet<>();
+    final Set<String> listed = new HashSet<>();
+    final SafetyChecks checks = new SafetyChecks(this);
+    Set<ProtocolRule> rules = EnumSet.allOf(ProtocolRule.class);
+    Function<Term, OwnershipCoordinator> coordinators = TestCoordinator::new;
+    ControlSettings settings = ControlSettings.DEFAULT;
+    double lossRatio;
+    double stallRatio;
+    private final PriorityQueue<Step> steps =
+            new PriorityQueue<>(Comparator.comparingLong(Step::atMicros).thenComparingLong(Step::order));
+    private long nowMicros;
+    private long nextOrder;
+    private long nextStart;
+
+    SimulatedGroup(long seed) {
+        random = new Random(seed);
+        every(LIST_MICROS, () -> true, this::readVmList);
+    }
+
+    long nowMicros() {
+        return nowMicros;
+    }
+
+    long nowMillis() {
+        return nowMicros / 1_000;
+    }
+
+    void after(long micros, Runnable action) {
+        steps.add(new Step(nowMicros + micros, nextOrder++, action));
+    }
+
+    private void every(long micros, java.util.function.BooleanSupplier goesOn, Runnable action) {
+        after(micros, () -> {
+            if (goesOn.getAsBoolean()) {
+                action.run();
+                every(micros, goesOn, action);
+            }
+        });
+    }
+
+    /** Starts a process on a VM; one that ran there before is not stopped. */
+    SimulatedVm start(String name, double clockRate) {
+        SimulatedVm vm = new SimulatedVm(this, name, nextStart++, clockRate);
+        vms.add(vm);
+        listed.add(name);
+        after(random.nextInt((int) TICK_MICROS), () -> every(TICK_MICROS, () -> !vm.stopped, vm::tick));
+        return vm;
+    }
+
+    /** Ends a process; the platform's list stops showing its VM unless another runs on it later. */
+    void stop(SimulatedVm vm) {
+        vm.stopped = true;
+        after(2_000_000, () -> {
+            if (running().stream().noneMatch(v -> v.name.equals(vm.name))) {
+                listed.remove(vm.name);
+            }
+        });
+    }
+
+    List<SimulatedVm> running() {
+        return vms.stream().filter(v -> !v.stopped).toList();
+    }
+
+    void runFor(long millis) {
+        long endMicros = nowMicros + millis * 1_000;
+        while (!steps.isEmpty() && steps.peek().atMicros() <= endMicros) {
+            Step step = steps.poll();
+            nowMicros = step.atMicros();
+            step.action().run();
+        }
+        nowMicros = endMicros;
+    }
+
+    /** Runs until a condition holds; returns how long that took, or -1 if it did not within a limit. */
+    long runUntil(long limitMillis, java.util.function.BooleanSupplier condition) {
+        long startMillis = nowMillis();
+        while (!condition.getAsBoolean()) {
+            if (nowMillis() - startMillis >= limitMillis) {
+                return -1;
+            }
+            runFor(5);
+        }
+        return nowMillis() - startMillis;
+    }
+
+    /** Returns the VM that leads, if one does. */
+    Optional<SimulatedVm> leader() {
+        return running().stream().filter(v -> v.leadingTerm().isPresent()).findFirst();
+    }
+
+    void heal() {
+        cuts.clear();
+        cutFromLog.clear();
+        log.out = false;
+        log.slow = false;
+        log.lossRatio = 0;
+        lossRatio = 0;
+        stallRatio = 0;
+    }
+
+    private void readVmList() {
+        List<VmId> live = listed.stream().sorted().map(VmId::new).toList();
+        running().stream()
+                .filter(v -> !cutFromLog.contains(v.name))
+                .forEach(v -> v.deliver(new ControlEvent.VmListRead(live, List.of())));
+    }
+
+    void send(SimulatedVm from, RosterMember to, PeerMessage message) {
+        String target = to.start().vm().value();
+        if (random.nextDouble() < lossRatio || cuts.contains(new Cut(from.name, target))) {
+            return;
+        }
+        long delayMicros = 300L + random.nextInt(random.nextInt(20) == 0 ? 60_000 : 3_000);
+        ControlEvent event = new ControlEvent.PeerMessageReceived(from.identity.self(), message);
+        after(delayMicros, () -> running().stream()
+                .filter(v -> v.name.equals(target))
+                .filter(v -> v.identity.self().equals(to.start()) || message instanceof PeerMessage.MembershipRequested)
+                .forEach(v -> v.deliver(event)));
+    }
+
+    void readLog(SimulatedVm vm, ControlAction.ReadLog read) {
+        if (log.out || cutFromLog.contains(vm.name)) {
+            after(20_000, () -> vm.deliver(new ControlEvent.LogUnavailable()));
+            return;
+        }
+        after(logDelayMicros(), () -> {
+            ControlEvent answer = log.read(read.from());
+            after(logDelayMicros(), () -> vm.deliver(answer));
+        });
+    }
+
+    void append(SimulatedVm vm, ControlAction.Append append) {
+        boolean refused = log.out || cutFromLog.contains(vm.name);
+        after(logDelayMicros(), () -> {
+            if (refused) {
+                vm.deliver(new ControlEvent.LogUnavailable());
+                vm.deliver(new ControlEvent.AppendRefused(append.sequence()));
+            } else if (random.nextDouble() >= log.lossRatio) {
+                log.append(vm.header(append.sequence()), append.record());
+            }
+        });
+    }
+
+    private long logDelayMicros() {
+        return log.slow ? 100_000 + random.nextInt(900_000) : 1_000 + random.nextInt(4_000);
+    }
+}
