Add the record codec, the HTTP adapters to the platform and the stand-ins

The codec writes every kind of log record as versioned JSON, compresses long ones, and turns bytes that it can't read into an unreadable record.

--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/platform/HttpAnswer.java
@@ -0,0 +1,11 @@
+package org.lacewingthread.daemon.platform;
+
+/**
+ * A whole HTTP answer.
+ *
+ * @param status its status
+ * @param retryAfter its Retry-After header, or null
+ * @param body its body
+ */
+@SuppressWarnings("ArrayRecordComponent")
+record HttpAnswer(int status, String retryAfter, byte[] body) {}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/platform/HttpVmList.java
@@ -0,0 +1,65 @@
+package org.lacewingthread.daemon.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import org.lacewingthread.core.id.VmId;
+
+/** The platform's list of VMs over HTTP, as docs/PROTOCOL.md states it. */
+public final class HttpVmList implements VmList {
+    private static final int OK = 200;
+    private static final String PATH = "/vms";
+    private static final byte[] NO_BODY = {};
+
+    private final PlatformClient client;
+    private final URI base;
+    private final ObjectMapper mapper = new ObjectMapper();
+
+    /**
+     * Creates an adapter.
+     *
+     * @param client sends the requests
+     * @param base address of the list, for example {@code http://10.0.0.9:7001}
+     */
+    public HttpVmList(PlatformClient client, URI base) {
+        this.client = client;
+        this.base = base;
+    }
+
+    @Override
+    public Listing read() throws IOException {
+        HttpAnswer answer = client.call(base, Methods.GET, PATH, NO_BODY);
+        if (answer.status() != OK) {
+            throw new IOException("the list of VMs answered with status " + answer.status());
+        }
+        JsonNode root = mapper.readTree(answer.body());
+        return new Listing(vms(root, "live"), vms(root, "leaving"));
+    }
+
+    private static List<VmId> vms(JsonNode root, String field) throws IOException {
+        JsonNode nodes = root.path(field);
+        if (!nodes.isArray()) {
+            throw new IOException("field \"" + field + "\" of the list of VMs is not a list");
+        }
+        List<VmId> vms = new ArrayList<>();
+        for (JsonNode node : nodes) {
+            vms.add(vm(node));
+        }
+        return vms;
+    }
+
+    private static VmId vm(JsonNode node) throws IOException {
+        if (!node.isTextual()) {
+            throw new IOException("entry " + node + " of the list of VMs is not text");
+        }
+        try {
+            return new VmId(node.textValue());
+        } catch (IllegalArgumentException e) {
+            throw new IOException("the list of VMs names a VM that is not valid: " + e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/platform/LogRecordCodec.java
@@ -0,0 +1,185 @@
+package org.lacewingthread.daemon.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Optional;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.WriterId;
+import org.lacewingthread.core.log.LogEntry;
+import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.RecordHeader;
+
+/**
+ * Converts log records to the bytes kept in the platform's log and back.
+ *
+ * <p>A record is a JSON object with a format version, the name of its type, its header and its body;
+ * a long one is compressed with gzip. Bytes that can't be decoded become
+ * {@link LogRecord.Unreadable}, the same on every VM, so that no record can stop a replica.
+ *
+ * <pre>{@code
+ * LogRecordCodec codec = new LogRecordCodec();
+ * LogOffset offset = log.append(codec.encode(header, record));
+ * LogEntry entry = codec.decode(offset, bytes);
+ * }</pre>
+ *
+ * <p>Safe for use by several threads.
+ */
+public final class LogRecordCodec {
+    /** Largest encoded record by default. */
+    public static final int DEFAULT_MAX_RECORD_BYTES = 1 << 20;
+
+    /** Version of the format that this class writes and reads. */
+    public static final int FORMAT_VERSION = 1;
+
+    private static final int COMPRESS_ABOVE_BYTES = 4 << 10;
+    private static final int MAX_INFLATED_BYTES = 32 << 20;
+    private static final int GZIP_FIRST_BYTE = 0x1f;
+    private static final int GZIP_SECOND_BYTE = 0x8b;
+    private static final int MAX_REASON_CHARS = 300;
+    private static final RecordHeader UNREADABLE_HEADER =
+            new RecordHeader(new WriterId("unreadable"), 0, "unreadable", 0);
+
+    /** A record is larger than the log takes. */
+    public static final class RecordTooLargeException extends Exception {
+        RecordTooLargeException(String type, int sizeBytes, int maxBytes) {
+            super("record of type \"" + type + "\" takes " + sizeBytes + " bytes, more than the limit of " + maxBytes
+                    + "; split it into several records");
+        }
+    }
+
+    private final ObjectMapper mapper = RecordJson.newMapper();
+    private final int maxRecordBytes;
+
+    /** Creates a codec with {@link #DEFAULT_MAX_RECORD_BYTES}. */
+    public LogRecordCodec() {
+        this(DEFAULT_MAX_RECORD_BYTES);
+    }
+
+    /**
+     * Creates a codec.
+     *
+     * @param maxRecordBytes largest encoded record
+     */
+    public LogRecordCodec(int maxRecordBytes) {
+        if (maxRecordBytes < 1) {
+            throw new IllegalArgumentException("maxRecordBytes " + maxRecordBytes + " is not positive");
+        }
+        this.maxRecordBytes = maxRecordBytes;
+    }
+
+    /**
+     * Encodes a record.
+     *
+     * @throws RecordTooLargeException if the encoded record is larger than the limit
+     */
+    public byte[] encode(RecordHeader header, LogRecord body) throws RecordTooLargeException {
+        RecordKind kind = RecordKind.of(body);
+        ObjectNode root = mapper.createObjectNode();
+        root.put("version", FORMAT_VERSION);
+        root.put("type", kind.typeName());
+        root.set("header", mapper.valueToTree(header));
+        root.set("body", mapper.valueToTree(body));
+        byte[] encoded = toBytes(root);
+        if (encoded.length > maxRecordBytes) {
+            throw new RecordTooLargeException(kind.typeName(), encoded.length, maxRecordBytes);
+        }
+        return encoded;
+    }
+
+    private byte[] toBytes(ObjectNode root) {
+        try {
+            byte[] json = mapper.writeValueAsBytes(root);
+            return json.length > COMPRESS_ABOVE_BYTES ? deflate(json) : json;
+        } catch (IOException e) {
+            throw new UncheckedIOException("record can't be written as JSON", e);
+        }
+    }
+
+    private static byte[] deflate(byte[] json) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(json.length / 4);
+        try (GZIPOutputStream gzip = new GZIPOutputStream(out)) {
+            gzip.write(json);
+        }
+        return out.toByteArray();
+    }
+
+    /**
+     * Decodes a record; never fails.
+     *
+     * @param offset where the record stands in the log
+     * @param data its bytes
+     * @return the record, with a {@link LogRecord.Unreadable} body if the bytes can't be decoded
+     */
+    public LogEntry decode(LogOffset offset, byte[] data) {
+        if (data.length > maxRecordBytes) {
+            return unreadable(
+                    offset, UNREADABLE_HEADER, data.length + " bytes are more than the limit of " + maxRecordBytes);
+        }
+        JsonNode root;
+        RecordHeader header;
+        try {
+            root = mapper.readTree(isCompressed(data) ? inflate(data) : data);
+            header = mapper.treeToValue(required(root, "header"), RecordHeader.class);
+        } catch (IOException | RuntimeException e) {
+            return unreadable(offset, UNREADABLE_HEADER, reason(e));
+        }
+        try {
+            return new LogEntry(offset, header, readBody(root));
+        } catch (IOException | RuntimeException e) {
+            return unreadable(offset, header, reason(e));
+        }
+    }
+
+    private static boolean isCompressed(byte[] data) {
+        return data.length > 2 && (data[0] & 0xff) == GZIP_FIRST_BYTE && (data[1] & 0xff) == GZIP_SECOND_BYTE;
+    }
+
+    private static byte[] inflate(byte[] data) throws IOException {
+        try (GZIPInputStream gzip = new GZIPInputStream(new ByteArrayInputStream(data))) {
+            byte[] json = gzip.readNBytes(MAX_INFLATED_BYTES + 1);
+            if (json.length > MAX_INFLATED_BYTES) {
+                throw new IOException("decompressed record is larger than " + MAX_INFLATED_BYTES + " bytes");
+            }
+            return json;
+        }
+    }
+
+    private LogRecord readBody(JsonNode root) throws IOException {
+        JsonNode version = required(root, "version");
+        if (!version.isInt() || version.intValue() != FORMAT_VERSION) {
+            throw new IOException("format version " + version + " is not " + FORMAT_VERSION);
+        }
+        String typeName = required(root, "type").asText();
+        Optional<RecordKind> kind = RecordKind.byTypeName(typeName);
+        if (kind.isEmpty()) {
+            throw new IOException("record type \"" + typeName + "\" is not known");
+        }
+        return mapper.treeToValue(required(root, "body"), kind.get().recordClass());
+    }
+
+    private static JsonNode required(JsonNode root, String field) throws IOException {
+        JsonNode value = root.get(field);
+        if (value == null || value.isNull()) {
+            throw new IOException("field \"" + field + "\" is missing");
+        }
+        return value;
+    }
+
+    private static String reason(Exception e) {
+        String text = e instanceof JsonProcessingException json ? json.getOriginalMessage() : e.getMessage();
+        String full = text == null ? e.getClass().getSimpleName() : text;
+        return full.length() > MAX_REASON_CHARS ? full.substring(0, MAX_REASON_CHARS) : full;
+    }
+
+    private static LogEntry unreadable(LogOffset offset, RecordHeader header, String reason) {
+        return new LogEntry(offset, header, new LogRecord.Unreadable(reason));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/lacewingthread/standin/FaultsEndpoint.java
@@ -0,0 +1,26 @@
+package org.lacewingthread.standin;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** {@code /.standin/faults}: PUT replaces the faults, GET returns them. */
+final class FaultsEndpoint {
+    private static final String PATH = "/.standin/faults";
+
+    private FaultsEndpoint() {}
+
+    static boolean handles(HttpServerExchange exchange) {
+        return exchange.getRequestPath().equals(PATH);
+    }
+
+    static <F> void handle(HttpServerExchange exchange, Class<F> type, Consumer<F> set, Supplier<F> get) {
+        Replies.withBody(exchange, body -> {
+            if (exchange.getRequestMethod().equals(Methods.PUT)) {
+                set.accept(Replies.JSON.readValue(body, type));
+            }
+            Replies.json(exchange, 200, get.get());
+        });
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/lacewingthread/standin/LogServiceStandIn.java
@@ -0,0 +1,212 @@
+package org.lacewingthread.standin;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.net.URI;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Stand-in of the platform's log service, as docs/PROTOCOL.md states it.
+ *
+ * <pre>{@code
+ * try (LogServiceStandIn log = new LogServiceStandIn(0)) {
+ *     connectTo(log.uri());
+ *     log.setFaults(LogFaults.NONE.withUnavailable(true));
+ * }
+ * }</pre>
+ *
+ * <p>Faults are set by {@link #setFaults} or by {@code PUT /.standin/faults} with the JSON form of
+ * {@link LogFaults}, which replaces all of them.
+ */
+public final class LogServiceStandIn implements AutoCloseable {
+    private static final Pattern RECORDS_PATH = Pattern.compile("/log/([^/]+)/records");
+    private static final int MAX_BATCH_RECORDS = 1_000;
+    private static final long NO_OFFSET = -1;
+    private static final long WINDOW_MILLIS = 1_000;
+
+    private final LongSupplier nanoClock;
+    private final Map<String, LogStream> streams = new HashMap<>();
+    private final StandInServer server;
+    private LogFaults faults = LogFaults.NONE;
+    private long windowStartMillis;
+    private int appendsInWindow;
+
+    private enum AppendOutcome {
+        APPENDED,
+        LOST_BEFORE,
+        LOST_AFTER,
+        RATE_EXCEEDED
+    }
+
+    private record AppendResult(AppendOutcome outcome, long offset) {}
+
+    private record Appended(long offset) {}
+
+    private record Expired(long oldest, long end) {}
+
+    /**
+     * Starts one with the system's monotonic clock.
+     *
+     * @param port port on the loopback address, or 0 for any free one
+     */
+    public LogServiceStandIn(int port) throws IOException {
+        this(port, System::nanoTime);
+    }
+
+    /**
+     * Starts one.
+     *
+     * @param port port on the loopback address, or 0 for any free one
+     * @param nanoClock tells the age of records and the append rate
+     */
+    public LogServiceStandIn(int port, LongSupplier nanoClock) throws IOException {
+        this.nanoClock = nanoClock;
+        this.windowStartMillis = nowMillis();
+        this.server = new StandInServer("log stand-in", this::handle);
+        server.listen(port);
+    }
+
+    /** Returns the base address. */
+    public URI uri() {
+        return server.uri();
+    }
+
+    /** Returns the faults; counted ones show what is left of them. */
+    public synchronized LogFaults faults() {
+        return faults;
+    }
+
+    /** Replaces the faults. */
+    public synchronized void setFaults(LogFaults value) {
+        faults = value;
+    }
+
+    /** Returns the offset of a stream's newest record, -1 if it has none. */
+    public synchronized long endOffset(String stream) {
+        return stream(stream).end();
+    }
+
+    private void handle(HttpServerExchange exchange) {
+        if (FaultsEndpoint.handles(exchange)) {
+            FaultsEndpoint.handle(exchange, LogFaults.class, this::setFaults, this::faults);
+            return;
+        }
+        Matcher path = RECORDS_PATH.matcher(exchange.getRequestPath());
+        if (!path.matches()) {
+            Replies.notFound(exchange);
+            return;
+        }
+        Replies.withBody(exchange, body -> handleCall(exchange, path.group(1), body));
+    }
+
+    private void handleCall(HttpServerExchange exchange, String stream, byte[] body) {
+        LogFaults now = faults();
+        if (now.unanswered()) {
+            return;
+        }
+        if (now.unavailable()) {
+            server.schedule(
+                    now.latencyMillis(),
+                    () -> Replies.json(exchange, 503, new Replies.Problem("the log is unavailable")));
+            return;
+        }
+        if (exchange.getRequestMethod().equals(Methods.POST)) {
+            append(exchange, stream, body, now.latencyMillis());
+        } else {
+            read(exchange, stream, now.latencyMillis());
+        }
+    }
+
+    private void append(HttpServerExchange exchange, String stream, byte[] body, long latencyMillis) {
+        AppendResult result = tryAppend(stream, body);
+        server.schedule(latencyMillis, () -> {
+            switch (result.outcome()) {
+                case APPENDED -> Replies.json(exchange, 200, new Appended(result.offset()));
+                case RATE_EXCEEDED -> refuseRate(exchange);
+                default -> Replies.drop(exchange);
+            }
+        });
+    }
+
+    private static void refuseRate(HttpServerExchange exchange) {
+        exchange.getResponseHeaders().put(Headers.RETRY_AFTER, 1);
+        Replies.json(exchange, 429, new Replies.Problem("too many appends"));
+    }
+
+    private synchronized AppendResult tryAppend(String stream, byte[] body) {
+        if (faults.loseAnswersBeforeAppend() > 0) {
+            faults = faults.withLostAnswers(faults.loseAnswersAfterAppend(), faults.loseAnswersBeforeAppend() - 1);
+            return new AppendResult(AppendOutcome.LOST_BEFORE, NO_OFFSET);
+        }
+        if (isRateExceeded()) {
+            return new AppendResult(AppendOutcome.RATE_EXCEEDED, NO_OFFSET);
+        }
+        long offset = stream(stream).append(body, nowMillis());
+        if (faults.loseAnswersAfterAppend() > 0) {
+            faults = faults.withLostAnswers(faults.loseAnswersAfterAppend() - 1, faults.loseAnswersBeforeAppend());
+            return new AppendResult(AppendOutcome.LOST_AFTER, offset);
+        }
+        return new AppendResult(AppendOutcome.APPENDED, offset);
+    }
+
+    private boolean isRateExceeded() {
+        if (nowMillis() - windowStartMillis >= WINDOW_MILLIS) {
+            windowStartMillis = nowMillis();
+            appendsInWindow = 0;
+        }
+        if (faults.appendsPerSecond() > 0 && appendsInWindow >= faults.appendsPerSecond()) {
+            return true;
+        }
+        appendsInWindow++;
+        return false;
+    }
+
+    private void read(HttpServerExchange exchange, String stream, long latencyMillis) {
+        long from = queryNumber(exchange, "from", 0);
+        int max = (int) Math.min(MAX_BATCH_RECORDS, Math.max(1, queryNumber(exchange, "max", MAX_BATCH_RECORDS)));
+        Object answer = readFrom(stream, from, max);
+        int status = answer instanceof Expired ? 410 : 200;
+        server.schedule(latencyMillis, () -> Replies.json(exchange, status, answer));
+    }
+
+    private synchronized Object readFrom(String name, long from, int max) {
+        LogStream stream = stream(name);
+        return from < stream.oldest() ? new Expired(stream.oldest(), stream.end()) : stream.read(from, max);
+    }
+
+    private static long queryNumber(HttpServerExchange exchange, String name, long defaultValue) {
+        Deque<String> values = exchange.getQueryParameters().get(name);
+        if (values == null) {
+            return defaultValue;
+        }
+        if (!values.getFirst().matches("[0-9]{1,18}")) {
+            throw new IllegalArgumentException(
+                    "query parameter \"" + name + "\" is \"" + values.getFirst() + "\", not a whole number");
+        }
+        return Long.parseLong(values.getFirst());
+    }
+
+    private LogStream stream(String name) {
+        LogStream stream = streams.computeIfAbsent(name, key -> new LogStream());
+        stream.expire(faults.retainRecords(), faults.retainMillis(), nowMillis());
+        return stream;
+    }
+
+    private long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(nanoClock.getAsLong());
+    }
+
+    /** Stops listening and closes all connections. */
+    @Override
+    public void close() {
+        server.close();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/lacewingthread/standin/LogStream.java
@@ -0,0 +1,66 @@
+package org.lacewingthread.standin;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/** Records of one stream of the log. Not safe for use by several threads. */
+final class LogStream {
+    private static final int MAX_BATCH_BYTES = 4 << 20;
+
+    private final Deque<Stored> records = new ArrayDeque<>();
+    private long nextOffset;
+
+    private record Stored(Entry entry, long appendedAtMillis) {}
+
+    /** A record as the service answers it; Jackson writes the bytes in base64. */
+    @SuppressWarnings("ArrayRecordComponent")
+    record Entry(long offset, byte[] data) {}
+
+    /** Answer to a read. */
+    record Batch(long oldest, long end, List<Entry> records) {}
+
+    long append(byte[] data, long nowMillis) {
+        long offset = nextOffset++;
+        records.addLast(new Stored(new Entry(offset, data), nowMillis));
+        return offset;
+    }
+
+    void expire(int retainRecords, long retainMillis, long nowMillis) {
+        while (retainRecords > 0 && records.size() > retainRecords) {
+            records.removeFirst();
+        }
+        while (retainMillis > 0 && !records.isEmpty() && isExpired(records.peekFirst(), retainMillis, nowMillis)) {
+            records.removeFirst();
+        }
+    }
+
+    private static boolean isExpired(Stored stored, long retainMillis, long nowMillis) {
+        return nowMillis - stored.appendedAtMillis() >= retainMillis;
+    }
+
+    long oldest() {
+        return nextOffset - records.size();
+    }
+
+    long end() {
+        return nextOffset - 1;
+    }
+
+    Batch read(long from, int maxRecords) {
+        List<Entry> batch = new ArrayList<>();
+        long batchBytes = 0;
+        for (Stored stored : records) {
+            if (stored.entry().offset() < from) {
+                continue;
+            }
+            batchBytes += stored.entry().data().length;
+            if (batch.size() >= maxRecords || (!batch.isEmpty() && batchBytes > MAX_BATCH_BYTES)) {
+                break;
+            }
+            batch.add(stored.entry());
+        }
+        return new Batch(oldest(), end(), batch);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/lacewingthread/standin/VmListFaults.java
@@ -0,0 +1,20 @@
+package org.lacewingthread.standin;
+
+/**
+ * Faults of a {@link VmListStandIn}. A field that is left out of the JSON form has no effect.
+ *
+ * @param unavailable every read is answered 503
+ * @param unanswered reads are never answered
+ * @param latencyMillis time from a read to its answer
+ * @param lagMillis age of the listing that is answered
+ */
+public record VmListFaults(boolean unavailable, boolean unanswered, long latencyMillis, long lagMillis) {
+    /** No faults. */
+    public static final VmListFaults NONE = new VmListFaults(false, false, 0, 0);
+
+    /** Checks that no number is negative. */
+    public VmListFaults {
+        Checks.notNegative("latencyMillis", latencyMillis);
+        Checks.notNegative("lagMillis", lagMillis);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/lacewingthread/standin/VmListStandIn.java
@@ -0,0 +1,150 @@
+package org.lacewingthread.standin;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Methods;
+import java.io.IOException;
+import java.net.URI;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Stand-in of the platform's list of VMs, as docs/PROTOCOL.md states it.
+ *
+ * <pre>{@code
+ * try (VmListStandIn vms = new VmListStandIn(0)) {
+ *     vms.setListing(new VmListStandIn.Listing(List.of("maras-1"), List.of("maras-2")));
+ *     vms.setFaults(new VmListFaults(false, false, 0, 5_000));
+ * }
+ * }</pre>
+ *
+ * <p>{@code PUT /.standin/vms} sets the listing and {@code PUT /.standin/faults} the faults.
+ */
+public final class VmListStandIn implements AutoCloseable {
+    private static final int MAX_PAST_LISTINGS = 1_000;
+
+    private final LongSupplier nanoClock;
+    private final StandInServer server;
+    private final Deque<Dated> listings = new ArrayDeque<>();
+    private VmListFaults faults = VmListFaults.NONE;
+
+    /**
+     * What the list says.
+     *
+     * @param live VMs listed as live
+     * @param leaving VMs listed as about to leave
+     */
+    public record Listing(List<String> live, List<String> leaving) {
+        /** Copies the lists. */
+        public Listing {
+            live = live == null ? List.of() : List.copyOf(live);
+            leaving = leaving == null ? List.of() : List.copyOf(leaving);
+        }
+    }
+
+    private record Dated(Listing listing, long sinceMillis) {}
+
+    /**
+     * Starts one with an empty listing and the system's monotonic clock.
+     *
+     * @param port port on the loopback address, or 0 for any free one
+     */
+    public VmListStandIn(int port) throws IOException {
+        this(port, System::nanoTime);
+    }
+
+    /**
+     * Starts one with an empty listing.
+     *
+     * @param port port on the loopback address, or 0 for any free one
+     * @param nanoClock tells the age of listings
+     */
+    public VmListStandIn(int port, LongSupplier nanoClock) throws IOException {
+        this.nanoClock = nanoClock;
+        listings.add(new Dated(new Listing(List.of(), List.of()), nowMillis()));
+        this.server = new StandInServer("VM list stand-in", this::handle);
+        server.listen(port);
+    }
+
+    /** Returns the base address. */
+    public URI uri() {
+        return server.uri();
+    }
+
+    /** Returns the faults. */
+    public synchronized VmListFaults faults() {
+        return faults;
+    }
+
+    /** Replaces the faults. */
+    public synchronized void setFaults(VmListFaults value) {
+        faults = value;
+    }
+
+    /** Replaces the listing; readers see it after the lag. */
+    public synchronized void setListing(Listing listing) {
+        listings.addLast(new Dated(listing, nowMillis()));
+        if (listings.size() > MAX_PAST_LISTINGS) {
+            listings.removeFirst();
+        }
+    }
+
+    /** Returns the listing as readers see it. */
+    public synchronized Listing visibleListing() {
+        long asOfMillis = nowMillis() - faults.lagMillis();
+        Listing visible = listings.getFirst().listing();
+        for (Dated dated : listings) {
+            if (dated.sinceMillis() <= asOfMillis) {
+                visible = dated.listing();
+            }
+        }
+        return visible;
+    }
+
+    private void handle(HttpServerExchange exchange) {
+        if (FaultsEndpoint.handles(exchange)) {
+            FaultsEndpoint.handle(exchange, VmListFaults.class, this::setFaults, this::faults);
+            return;
+        }
+        String path = exchange.getRequestPath();
+        if (path.equals("/.standin/vms") && exchange.getRequestMethod().equals(Methods.PUT)) {
+            Replies.withBody(exchange, body -> {
+                setListing(Replies.JSON.readValue(body, Listing.class));
+                Replies.json(exchange, 200, visibleListing());
+            });
+            return;
+        }
+        if (!path.equals("/vms")) {
+            Replies.notFound(exchange);
+            return;
+        }
+        Replies.withBody(exchange, body -> answerListing(exchange));
+    }
+
+    private void answerListing(HttpServerExchange exchange) {
+        VmListFaults now = faults();
+        if (now.unanswered()) {
+            return;
+        }
+        Listing listing = visibleListing();
+        server.schedule(now.latencyMillis(), () -> {
+            if (now.unavailable()) {
+                Replies.json(exchange, 503, new Replies.Problem("the list of VMs is unavailable"));
+            } else {
+                Replies.json(exchange, 200, listing);
+            }
+        });
+    }
+
+    private long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(nanoClock.getAsLong());
+    }
+
+    /** Stops listening and closes all connections. */
+    @Override
+    public void close() {
+        server.close();
+    }
+}
