--- a/daemon/src/main/java/org/lacewingthread/daemon/cli/Commands.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/cli/Commands.java
@@ -7,6 +7,15 @@
     private Commands() {}
 
     static List<Command> all() {
-        return List.of(new CheckCommand(), new VersionCommand());
+        return List.of(
+                new EntryCommand(),
+                new CheckCommand(),
+                new ConfigCommand(),
+                new DrainCommand(),
+                new HandoverCommand(),
+                new AuditCommand(),
+                new DemoCommand(),
+                new StandInCommand(),
+                new VersionCommand());
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/cli/DrainCommand.java
@@ -0,0 +1,68 @@
+package org.lacewingthread.daemon.cli;
+
+import java.io.PrintStream;
+import java.util.List;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.log.LogRecord;
+
+/** Starts or ends the drain of a backend server or of an entry VM. */
+final class DrainCommand implements Command {
+    private static final String END = "end";
+
+    private final PlatformOptions platform = new PlatformOptions();
+
+    @Override
+    public String name() {
+        return "drain";
+    }
+
+    @Override
+    public String arguments() {
+        return "server|vm NAME";
+    }
+
+    @Override
+    public String summary() {
+        return "Drain a backend server or an entry VM.";
+    }
+
+    @Override
+    public void declare(OptionParser parser) {
+        platform.declare(parser);
+        parser.accepts(END, "end the drain");
+    }
+
+    @Override
+    public ExitCode run(OptionSet options, PrintStream out, PrintStream err) throws CommandException {
+        List<?> words = options.nonOptionArguments();
+        if (words.size() != 2) {
+            throw new CommandException(ExitCode.USAGE, "drain takes a kind and a name: drain server NAME");
+        }
+        String kind = words.get(0).toString();
+        String name = words.get(1).toString();
+        LogRecord record = recordOf(kind, name, !options.has(END));
+        return platform.open(options, connection -> {
+            err.println("recording the drain of " + kind + " \"" + name + "\"");
+            LogOffset offset = connection.records().publish(record, connection.deadlineMillis());
+            out.println("recorded at offset " + offset);
+            return ExitCode.OK;
+        });
+    }
+
+    private static LogRecord recordOf(String kind, String name, boolean draining) throws CommandException {
+        try {
+            return switch (kind) {
+                case "server" -> new LogRecord.ServerDrainSet(new ServerId(name), draining);
+                case "vm" -> new LogRecord.VmDrainSet(new VmId(name), draining);
+                default -> throw new CommandException(
+                        ExitCode.USAGE, "kind \"" + kind + "\" does not exist; give server or vm");
+            };
+        } catch (IllegalArgumentException e) {
+            throw new CommandException(ExitCode.USAGE, e.getMessage(), e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/demo/Demo.java
@@ -0,0 +1,145 @@
+package org.lacewingthread.daemon.demo;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.lacewingthread.core.config.RoutingConfiguration;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.daemon.operator.VmStatus;
+import org.lacewingthread.daemon.operator.publish.PublishException;
+import org.lacewingthread.daemon.operator.publish.PublisherClock;
+import org.lacewingthread.daemon.operator.publish.RecordPublisher;
+
+/**
+ * Runs a small system, breaks parts of it, and compares what callers were told with what backend
+ * servers ran.
+ *
+ * <pre>{@code
+ * boolean held = new Demo(System.out).run();
+ * }</pre>
+ */
+public final class Demo {
+    private static final List<String> DATA_CENTRES = List.of("maras", "calca");
+    private static final int VMS_EACH = 3;
+    private static final int SERVERS_EACH = 4;
+    private static final long START_LIMIT_MILLIS = 30_000;
+    private static final long PUBLISH_LIMIT_MILLIS = 10_000;
+    private static final long PHASE_MILLIS = 4_000;
+    private static final long POLL_MILLIS = 50;
+
+    private final PrintStream out;
+    private DemoCluster cluster;
+    private DemoCallers callers;
+    private RecordPublisher records;
+
+    /** Creates a demo that prints its account. */
+    public Demo(PrintStream out) {
+        this.out = out;
+    }
+
+    /** A step of the demo. */
+    @FunctionalInterface
+    private interface Step {
+        void run() throws IOException, PublishException, InterruptedException;
+    }
+
+    /**
+     * Runs the demo.
+     *
+     * @return whether every promise held
+     */
+    public boolean run() throws IOException, PublishException, InterruptedException {
+        out.printf(
+                "starting %d data centres, each with %d entry VMs and %d backend servers%n",
+                DATA_CENTRES.size(), VMS_EACH, SERVERS_EACH);
+        try (DemoCluster started = DemoCluster.start(DATA_CENTRES, VMS_EACH, SERVERS_EACH);
+                DemoCallers demoCallers = new DemoCallers(started);
+                DemoOperator operator = new DemoOperator(started)) {
+            cluster = started;
+            callers = demoCallers;
+            records = operator.records();
+            return runPhases();
+        }
+    }
+
+    private boolean runPhases() throws IOException, PublishException, InterruptedException {
+        RoutingConfiguration first = DemoConfiguration.of(cluster.specs());
+        LogOffset revision = publish(new LogRecord.ConfigurationPublished(LogOffset.NONE, first));
+        awaitOrFail("the first configuration in force", this::everyShardServed);
+        callers.start();
+        long fromMillis = DemoCallers.nowMillis();
+        phase("undisturbed", () -> {});
+        phase("backend server maras-server-1 is lost", () -> cluster.stopServer("maras-server-1"));
+        phase("entry VM calca-1 is lost", () -> cluster.stopVm("calca-1"));
+        phase("backend server calca-server-2 is drained", this::drain);
+        phase("operators narrow the group to one label more", () -> narrow(revision));
+        long toMillis = DemoCallers.nowMillis();
+        callers.stop();
+        return account(fromMillis, toMillis);
+    }
+
+    private void drain() throws PublishException, InterruptedException {
+        publish(new LogRecord.ServerDrainSet(new ServerId("calca-server-2"), true));
+    }
+
+    private void narrow(LogOffset base) throws PublishException, InterruptedException {
+        RoutingConfiguration next = DemoConfiguration.without(cluster.specs(), "maras-server-2");
+        publish(new LogRecord.ConfigurationPublished(base, next));
+    }
+
+    private LogOffset publish(LogRecord record) throws PublishException, InterruptedException {
+        return records.publish(record, PublisherClock.SYSTEM.monotonicMillis() + PUBLISH_LIMIT_MILLIS);
+    }
+
+    private void phase(String name, Step step) throws IOException, PublishException, InterruptedException {
+        out.println(name);
+        long fromMillis = DemoCallers.nowMillis();
+        step.run();
+        TimeUnit.MILLISECONDS.sleep(PHASE_MILLIS);
+        new DemoReport(callers.attempts(), cluster.runs()).printPhase(out, fromMillis, DemoCallers.nowMillis());
+    }
+
+    private boolean account(long fromMillis, long toMillis) {
+        DemoReport report = new DemoReport(callers.attempts(), cluster.runs());
+        out.println("account");
+        out.printf("    requests sent                %d%n", callers.attempts().size());
+        out.printf("    runs at backend servers      %d%n", cluster.runs().size());
+        out.printf("    shards that changed owner    %d%n", report.shardsThatMoved());
+        List<String> broken = report.brokenPromises(fromMillis, toMillis);
+        broken.forEach(promise -> out.println("    BROKEN: " + promise));
+        out.println(broken.isEmpty() ? "every promise held" : broken.size() + " promises were broken");
+        return broken.isEmpty();
+    }
+
+    private void awaitOrFail(String what, BooleanSupplier condition) throws IOException, InterruptedException {
+        long deadlineMillis = DemoCallers.nowMillis() + START_LIMIT_MILLIS;
+        while (!condition.getAsBoolean()) {
+            if (DemoCallers.nowMillis() > deadlineMillis) {
+                throw new IOException("no " + what + " within " + START_LIMIT_MILLIS + " ms");
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+    }
+
+    private boolean everyShardServed() {
+        long served = DATA_CENTRES.stream()
+                .mapToLong(dataCentre -> cluster.vms().values().stream()
+                        .map(vm -> vm.status())
+                        .filter(status -> status.dataCentre().equals(dataCentre))
+                        .mapToLong(Demo::shardsOf)
+                        .min()
+                        .orElse(0))
+                .sum();
+        return served == DemoConfiguration.SHARDS;
+    }
+
+    private static long shardsOf(VmStatus status) {
+        return status.servers().values().stream()
+                .mapToLong(VmStatus.ServerStatus::shards)
+                .sum();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/demo/DemoCallers.java
@@ -0,0 +1,144 @@
+package org.lacewingthread.daemon.demo;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.lacewingthread.core.traffic.ResultCode;
+import org.lacewingthread.daemon.exchange.HeaderField;
+import org.lacewingthread.daemon.platform.HttpAnswer;
+import org.lacewingthread.daemon.platform.PlatformClient;
+
+/**
+ * Callers of the demo: each sends one request after the other through a balancer that knows which
+ * entry VMs listen, and repeats a request that did not run or whose outcome is unknown.
+ */
+final class DemoCallers implements AutoCloseable {
+    private static final PlatformClient.Timeouts TIMEOUTS = new PlatformClient.Timeouts(300, 6_000);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final int CALLERS = 8;
+    private static final int KEYS = 40;
+    private static final double HOLD_SHARE_RATIO = 0.3;
+    private static final long PAUSE_MILLIS = 10;
+    private static final long GIVE_UP_MILLIS = 5_000;
+    private static final long MAX_RETRY_WAIT_MILLIS = 100;
+
+    private final DemoCluster cluster;
+    private final PlatformClient client;
+    private final ConcurrentLinkedQueue<Attempt> attempts = new ConcurrentLinkedQueue<>();
+    private final AtomicLong nextNumber = new AtomicLong();
+    private final List<Thread> threads = new ArrayList<>();
+    private volatile boolean stopping;
+
+    DemoCallers(DemoCluster cluster) throws IOException {
+        this.cluster = cluster;
+        this.client = PlatformClient.open(TIMEOUTS);
+    }
+
+    void start() {
+        for (int i = 0; i < CALLERS; i++) {
+            Random random = new Random(i);
+            Thread thread = new Thread(() -> callUntilStopped(random), "caller-" + i);
+            thread.setDaemon(true);
+            threads.add(thread);
+            thread.start();
+        }
+    }
+
+    private void callUntilStopped(Random random) {
+        try {
+            while (!stopping) {
+                long number = nextNumber.getAndIncrement();
+                String key = "key-" + random.nextInt(KEYS);
+                boolean hold = random.nextDouble() < HOLD_SHARE_RATIO;
+                callUntilAnswered(hold ? DemoRequest.hold(key, number) : DemoRequest.lookup(key, number), random);
+                TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void callUntilAnswered(DemoRequest request, Random random) throws InterruptedException {
+        long giveUpMillis = nowMillis() + GIVE_UP_MILLIS;
+        int number = 1;
+        while (nowMillis() < giveUpMillis) {
+            List<String> vms = List.copyOf(cluster.vms().keySet());
+            Attempt attempt = send(request, vms.get(random.nextInt(vms.size())), number);
+            attempts.add(attempt);
+            if (attempt.isDone()) {
+                return;
+            }
+            if (attempt.knowledge() == ResultCode.Knowledge.OUTCOME_UNKNOWN
+                    && request.idempotencyKey().isPresent()) {
+                number++;
+            }
+            TimeUnit.MILLISECONDS.sleep(MAX_RETRY_WAIT_MILLIS);
+        }
+    }
+
+    private Attempt send(DemoRequest request, String vm, int number) {
+        URI base = URI.create("http://127.0.0.1:" + cluster.settingsOf(vm).callerPort());
+        List<HeaderField> headers = new ArrayList<>();
+        request.idempotencyKey().ifPresent(key -> {
+            headers.add(new HeaderField("Idempotency-Key", key));
+            headers.add(new HeaderField("Lacewingthread-Attempt", Integer.toString(number)));
+        });
+        long sentMillis = nowMillis();
+        try {
+            HttpAnswer answer =
+                    client.call(base, new HttpString(request.method()), request.path(), headers, new byte[0]);
+            return attempt(request, vm, sentMillis, answer);
+        } catch (PlatformClient.NotSentException e) {
+            return new Attempt(request, vm, sentMillis, nowMillis(), ResultCode.Knowledge.NOT_RUN, 0, false);
+        } catch (IOException e) {
+            return new Attempt(request, vm, sentMillis, nowMillis(), ResultCode.Knowledge.OUTCOME_UNKNOWN, 0, false);
+        }
+    }
+
+    private static Attempt attempt(DemoRequest request, String vm, long sentMillis, HttpAnswer answer)
+            throws IOException {
+        long nowMillis = nowMillis();
+        JsonNode body = MAPPER.readTree(new String(answer.body(), StandardCharsets.UTF_8));
+        if (answer.status() == 200) {
+            boolean whole = request.path().equals(body.path("path").asText());
+            return new Attempt(
+                    request, vm, sentMillis, nowMillis, ResultCode.Knowledge.DONE, ResultCode.DONE.number(), whole);
+        }
+        int number = body.path("code").asInt();
+        ResultCode.Knowledge knowledge =
+                ResultCode.byNumber(number).map(ResultCode::knowledge).orElse(ResultCode.Knowledge.OUTCOME_UNKNOWN);
+        return new Attempt(request, vm, sentMillis, nowMillis, knowledge, number, false);
+    }
+
+    static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /** Returns all attempts so far. */
+    List<Attempt> attempts() {
+        return List.copyOf(attempts);
+    }
+
+    /** Lets every caller finish the request that it is at. */
+    void stop() throws InterruptedException {
+        stopping = true;
+        for (Thread thread : threads) {
+            thread.join();
+        }
+    }
+
+    @Override
+    public void close() {
+        stopping = true;
+        client.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/demo/DemoCluster.java
@@ -0,0 +1,183 @@
+package org.lacewingthread.daemon.demo;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.lacewingthread.core.config.Label;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.control.ControlSettings;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.daemon.entry.EntryVm;
+import org.lacewingthread.daemon.settings.EntrySettings;
+import org.lacewingthread.standin.BackendServerStandIn;
+import org.lacewingthread.standin.BackendSettings;
+import org.lacewingthread.standin.LogServiceStandIn;
+import org.lacewingthread.standin.Run;
+import org.lacewingthread.standin.VmListStandIn;
+
+/**
+ * A small system in one process on loopback: stand-ins of the platform and of backend servers, and
+ * real entry VMs in two or more data centres. The demo and the end-to-end tests run on it.
+ *
+ * <pre>{@code
+ * try (DemoCluster cluster = DemoCluster.start(List.of("maras", "calca"), 3, 2)) {
+ *     cluster.stopServer("maras-server-1");
+ * }
+ * }</pre>
+ */
+public final class DemoCluster implements AutoCloseable {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final String STREAM = "lacewingthread";
+    private static final int SLOTS = 2;
+    private static final int QUEUE_LIMIT = 4;
+    private static final int MAX_CONNECTIONS = 50;
+
+    private final LogServiceStandIn log = new LogServiceStandIn(0);
+    private final VmListStandIn vmList = new VmListStandIn(0);
+    private final Map<String, BackendServerStandIn> servers = new LinkedHashMap<>();
+    private final Map<String, EntryVm> vms = new LinkedHashMap<>();
+    private final Map<String, EntrySettings> settings = new LinkedHashMap<>();
+    private final List<ServerSpec> specs = new ArrayList<>();
+    private final List<Run> runsOfStopped = new ArrayList<>();
+
+    private DemoCluster() throws IOException {}
+
+    /**
+     * Starts the stand-ins and the entry VMs; publishes no configuration.
+     *
+     * @param dataCentres names of the data centres
+     * @param vmsEach entry VMs in each
+     * @param serversEach backend servers in each; every other one checks fencing tokens
+     * @throws IOException if a port can't be opened
+     */
+    public static DemoCluster start(List<String> dataCentres, int vmsEach, int serversEach) throws IOException {
+        DemoCluster cluster = new DemoCluster();
+        for (String dataCentre : dataCentres) {
+            for (int i = 1; i <= serversEach; i++) {
+                cluster.startServer(dataCentre, dataCentre + "-server-" + i, i % 2 == 0);
+            }
+            for (int i = 1; i <= vmsEach; i++) {
+                cluster.declareVm(dataCentre, dataCentre + "-" + i);
+            }
+        }
+        cluster.publishVmList();
+        for (String vm : List.copyOf(cluster.settings.keySet())) {
+            cluster.startVm(vm);
+        }
+        return cluster;
+    }
+
+    private void startServer(String dataCentre, String name, boolean checksTokens) throws IOException {
+        BackendServerStandIn server = new BackendServerStandIn(
+                0, BackendSettings.of(name).withSlots(SLOTS, QUEUE_LIMIT).withChecksTokens(checksTokens));
+        servers.put(name, server);
+        specs.add(new ServerSpec(
+                new ServerId(name),
+                new DataCentreId(dataCentre),
+                LOOPBACK,
+                server.uri().getPort(),
+                List.of(DemoConfiguration.LEDGER_LABEL, new Label("dc", dataCentre)),
+                SLOTS,
+                MAX_CONNECTIONS,
+                checksTokens,
+                false));
+    }
+
+    private void declareVm(String dataCentre, String name) throws IOException {
+        settings.put(
+                name,
+                new EntrySettings(
+                        name,
+                        dataCentre,
+                        LOOPBACK,
+                        FreePorts.next(),
+                        FreePorts.next(),
+                        FreePorts.next(),
+                        new EntrySettings.PlatformSettings(
+                                LOOPBACK,
+                                log.uri().getPort(),
+                                STREAM,
+                                LOOPBACK,
+                                vmList.uri().getPort()),
+                        EntrySettings.CallerLimits.DEFAULT,
+                        ControlSettings.DEFAULT));
+    }
+
+    private void startVm(String name) throws IOException {
+        vms.put(name, EntryVm.start(settings.get(name)));
+    }
+
+    private void publishVmList() {
+        vmList.setListing(new VmListStandIn.Listing(List.copyOf(settings.keySet()), List.of()));
+    }
+
+    /** Returns the backend servers as operators declare them. */
+    public List<ServerSpec> specs() {
+        return List.copyOf(specs);
+    }
+
+    /** Returns the log's stand-in, to inject faults and to publish. */
+    public LogServiceStandIn log() {
+        return log;
+    }
+
+    /** Returns the stream that holds the system's records. */
+    public String stream() {
+        return STREAM;
+    }
+
+    /** Returns the running entry VMs. */
+    public Map<String, EntryVm> vms() {
+        return Map.copyOf(vms);
+    }
+
+    /** Returns the settings of a VM. */
+    public EntrySettings settingsOf(String vm) {
+        return settings.get(vm);
+    }
+
+    /** Returns a running backend server. */
+    public BackendServerStandIn server(String name) {
+        return servers.get(name);
+    }
+
+    /** Stops a backend server without notice; its journal is kept. */
+    public void stopServer(String name) {
+        BackendServerStandIn server = servers.remove(name);
+        runsOfStopped.addAll(server.runs());
+        server.close();
+    }
+
+    /** Stops an entry VM without notice. */
+    public void stopVm(String name) {
+        vms.remove(name).close();
+    }
+
+    /** Returns what every backend server ran, stopped ones included. */
+    public List<Run> runs() {
+        return Stream.concat(
+                        runsOfStopped.stream(), servers.values().stream().flatMap(server -> server.runs().stream()))
+                .toList();
+    }
+
+    /** Returns the owner of each shard as its data centre's newest route plan names it. */
+    public Map<String, Optional<String>> leaders() {
+        Map<String, Optional<String>> leaders = new LinkedHashMap<>();
+        vms.forEach((name, vm) ->
+                leaders.put(name, Optional.of(vm.status().leader()).filter(leader -> !leader.isEmpty())));
+        return leaders;
+    }
+
+    @Override
+    public void close() {
+        vms.values().forEach(EntryVm::close);
+        servers.values().forEach(BackendServerStandIn::close);
+        vmList.close();
+        log.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/demo/DemoConfiguration.java
@@ -0,0 +1,59 @@
+package org.lacewingthread.daemon.demo;
+
+import java.util.List;
+import org.lacewingthread.core.config.ApplicationSpec;
+import org.lacewingthread.core.config.KeySource;
+import org.lacewingthread.core.config.Label;
+import org.lacewingthread.core.config.PlacementProfile;
+import org.lacewingthread.core.config.RequestClass;
+import org.lacewingthread.core.config.RequestSelector;
+import org.lacewingthread.core.config.RoutingConfiguration;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.id.ApplicationId;
+
+/** Configuration of the demo: an order ledger on the servers labelled {@code app=ledger}. */
+final class DemoConfiguration {
+    static final ApplicationId LEDGER = new ApplicationId("ledger");
+    static final Label LEDGER_LABEL = new Label("app", "ledger");
+    static final int SHARDS = 64;
+
+    private static final KeySource KEY = new KeySource(KeySource.Kind.PATH_SEGMENT, "1");
+
+    private DemoConfiguration() {}
+
+    static RoutingConfiguration of(List<ServerSpec> servers) {
+        return new RoutingConfiguration(List.of(ledger(List.of(LEDGER_LABEL))), servers);
+    }
+
+    /** Returns the configuration in which one server has lost its label. */
+    static RoutingConfiguration without(List<ServerSpec> servers, String server) {
+        List<ServerSpec> changed = servers.stream()
+                .map(spec -> spec.id().value().equals(server) ? unlabelled(spec) : spec)
+                .toList();
+        return of(changed);
+    }
+
+    private static ServerSpec unlabelled(ServerSpec spec) {
+        return new ServerSpec(
+                spec.id(),
+                spec.dataCentre(),
+                spec.host(),
+                spec.port(),
+                List.of(),
+                spec.slots(),
+                spec.maxConnections(),
+                spec.checksTokens(),
+                spec.recognisesIdempotencyKeys());
+    }
+
+    private static ApplicationSpec ledger(List<Label> group) {
+        return new ApplicationSpec(LEDGER, SHARDS, PlacementProfile.MINIMISE_UNAVAILABLE, group, selectors());
+    }
+
+    private static List<RequestSelector> selectors() {
+        return List.of(
+                new RequestSelector("lookups", List.of("GET"), "/rugs", RequestClass.LOOKUP, KEY),
+                new RequestSelector("holds", List.of("POST"), "/holds", RequestClass.NON_REPEATABLE, KEY),
+                new RequestSelector("history", List.of("GET"), "/history", RequestClass.DEFERRABLE, KEY));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/demo/DemoReport.java
@@ -0,0 +1,153 @@
+package org.lacewingthread.daemon.demo;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.lacewingthread.core.traffic.ResultCode;
+import org.lacewingthread.standin.Run;
+
+/** Compares what callers were told with what backend servers ran. */
+final class DemoReport {
+    /** A key must be served again this soon after a loss. */
+    static final long RECOVERY_TARGET_MILLIS = 2_000;
+
+    private final List<Attempt> attempts;
+    private final List<Run> runs;
+
+    DemoReport(List<Attempt> attempts, List<Run> runs) {
+        this.attempts = List.copyOf(attempts);
+        this.runs = List.copyOf(runs);
+    }
+
+    /** Prints how requests ended and how long keys were unavailable between two moments. */
+    void printPhase(PrintStream out, long fromMillis, long toMillis) {
+        Map<String, Long> byResult = new TreeMap<>();
+        attempts.stream()
+                .filter(attempt -> attempt.sentMillis() >= fromMillis && attempt.sentMillis() < toMillis)
+                .forEach(attempt -> byResult.merge(resultOf(attempt), 1L, Long::sum));
+        byResult.forEach((result, count) -> out.printf("    %-28s %d%n", result, count));
+        out.printf("    longest unavailable time of a key: %d ms%n", unavailableMillis(fromMillis, toMillis));
+    }
+
+    private static String resultOf(Attempt attempt) {
+        return ResultCode.byNumber(attempt.code())
+                .map(Enum::toString)
+                .orElse(attempt.knowledge() == ResultCode.Knowledge.NOT_RUN ? "NO CONNECTION" : "CONNECTION LOST");
+    }
+
+    /** Returns the longest time from a key's first failed request to its next answer. */
+    long unavailableMillis(long fromMillis, long toMillis) {
+        Map<String, List<Attempt>> byKey = attempts.stream()
+                .filter(attempt -> attempt.sentMillis() >= fromMillis && attempt.sentMillis() < toMillis)
+                .collect(Collectors.groupingBy(attempt -> attempt.request().key()));
+        return byKey.values().stream()
+                .mapToLong(DemoReport::unavailableMillis)
+                .max()
+                .orElse(0);
+    }
+
+    private static long unavailableMillis(List<Attempt> ofKey) {
+        List<Attempt> sorted = new ArrayList<>(ofKey);
+        sorted.sort(Comparator.comparingLong(Attempt::answeredMillis));
+        long longestMillis = 0;
+        long failedSinceMillis = -1;
+        for (Attempt attempt : sorted) {
+            if (attempt.code() == 0) {
+                // The balancer sends to VMs that listen; a connection that fails is not the key's.
+                continue;
+            }
+            if (!attempt.isDone() && failedSinceMillis < 0) {
+                failedSinceMillis = attempt.sentMillis();
+            } else if (attempt.isDone() && failedSinceMillis >= 0) {
+                longestMillis = Math.max(longestMillis, attempt.answeredMillis() - failedSinceMillis);
+                failedSinceMillis = -1;
+            } else if (attempt.isDone()) {
+                longestMillis = Math.max(longestMillis, attempt.answeredMillis() - attempt.sentMillis());
+            }
+        }
+        return longestMillis;
+    }
+
+    /** Returns every promise that was broken; empty if all held. */
+    List<String> brokenPromises(long recoveryFromMillis, long recoveryToMillis) {
+        List<String> broken = new ArrayList<>();
+        addRunTwice(broken);
+        addRunThoughNotRun(broken);
+        addStrangersAnswers(broken);
+        addOverlaps(broken);
+        long unavailable = unavailableMillis(recoveryFromMillis, recoveryToMillis);
+        if (unavailable > RECOVERY_TARGET_MILLIS) {
+            broken.add("a key was unavailable for " + unavailable + " ms, more than " + RECOVERY_TARGET_MILLIS);
+        }
+        return broken;
+    }
+
+    private void addRunTwice(List<String> broken) {
+        runs.stream()
+                .filter(run -> run.idempotencyKey() != null)
+                .collect(Collectors.groupingBy(Run::idempotencyKey, Collectors.counting()))
+                .forEach((key, count) -> {
+                    if (count > 1) {
+                        broken.add("request \"" + key + "\" ran " + count + " times");
+                    }
+                });
+    }
+
+    private void addRunThoughNotRun(List<String> broken) {
+        Set<String> ran = runs.stream()
+                .filter(run -> run.idempotencyKey() != null)
+                .map(Run::idempotencyKey)
+                .collect(Collectors.toSet());
+        Map<String, List<Attempt>> byKey = attempts.stream()
+                .filter(attempt -> attempt.request().idempotencyKey().isPresent())
+                .collect(Collectors.groupingBy(
+                        attempt -> attempt.request().idempotencyKey().get()));
+        byKey.forEach((key, ofKey) -> {
+            boolean allNotRun = ofKey.stream().allMatch(a -> a.knowledge() == ResultCode.Knowledge.NOT_RUN);
+            if (allNotRun && ran.contains(key)) {
+                broken.add("request \"" + key + "\" ran although its caller was told that it did not");
+            }
+        });
+    }
+
+    private void addStrangersAnswers(List<String> broken) {
+        attempts.stream()
+                .filter(attempt -> attempt.isDone() && !attempt.whole())
+                .forEach(attempt -> broken.add("request " + attempt.request().path() + " got another answer"));
+    }
+
+    private void addOverlaps(List<String> broken) {
+        Map<String, List<Run>> byShard = runs.stream()
+                .filter(run -> run.shard() != null && run.hasEnded())
+                .collect(Collectors.groupingBy(Run::shard));
+        byShard.forEach((shard, ofShard) -> {
+            List<Run> sorted = new ArrayList<>(ofShard);
+            sorted.sort(Comparator.comparingLong(Run::startMicros));
+            Map<String, Long> endMicros = new HashMap<>();
+            for (Run run : sorted) {
+                endMicros.forEach((server, end) -> {
+                    if (!server.equals(run.server()) && end > run.startMicros()) {
+                        broken.add("shard \"" + shard + "\" ran on " + server + " and " + run.server() + " at once");
+                    }
+                });
+                endMicros.merge(run.server(), run.endMicros(), Math::max);
+            }
+        });
+    }
+
+    /** Returns how many shards ran on more than one server. */
+    long shardsThatMoved() {
+        Map<String, Set<String>> servers = new HashMap<>();
+        runs.stream().filter(run -> run.shard() != null).forEach(run -> servers.computeIfAbsent(
+                        run.shard(), s -> new HashSet<>())
+                .add(run.server()));
+        return servers.values().stream().filter(set -> set.size() > 1).count();
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/operator/VmStatus.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/operator/VmStatus.java
@@ -6,6 +6,7 @@
 import java.util.stream.Collectors;
 import org.lacewingthread.core.control.ControlView;
 import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.lease.EntryVmIdentity;
 import org.lacewingthread.core.log.DataCentreState;
 
 /**
@@ -47,6 +48,24 @@
      */
     public record ServerStatus(String dispatcher, long shards) {}
 
+    /** Describes a process that knows nothing yet. */
+    public static VmStatus starting(EntryVmIdentity identity) {
+        return new VmStatus(
+                identity.self().vm().value(),
+                identity.self().startNumber(),
+                identity.dataCentre().value(),
+                false,
+                false,
+                -1,
+                -1,
+                List.of(),
+                "",
+                "",
+                -1,
+                0,
+                Map.of());
+    }
+
     /** Describes a view. */
     public static VmStatus of(ControlView view, long nowMillis) {
         DataCentreState dataCentre = view.state().dataCentre(view.dataCentre());
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerNetwork.java
@@ -4,14 +4,18 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.control.PeerMessage;
 import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.RosterMember;
+import org.lacewingthread.core.traffic.IdempotencyRecord;
 import org.lacewingthread.daemon.exchange.RequestHandler;
 import org.lacewingthread.daemon.peer.wire.PeerWire;
 
@@ -20,7 +24,7 @@
  * their own, so that bulk answers never hold up a heartbeat.
  *
  * <pre>{@code
- * PeerNetwork network = new PeerNetwork(self, dataCentre, codec, control::receive, dispatcher, clock);
+ * PeerNetwork network = new PeerNetwork(self, dataCentre, codec, control::receive, router, records, clock);
  * network.start("10.0.0.7", 7400);
  * network.send(member, heartbeat);
  * network.relayTo(member).handle(request, sink);
@@ -47,7 +51,7 @@
     private final Map<VmStart, Relay> relays = new ConcurrentHashMap<>();
 
     /** A relay with its link. */
-    private record Relay(PeerLink link, RelayClient client) {}
+    private record Relay(PeerLink link, RelayClient client, RecordClient records) {}
 
     /**
      * Creates the network without opening anything.
@@ -57,6 +61,7 @@
      * @param logEntries codec of log records handed on between VMs
      * @param listener takes control messages
      * @param handler takes requests that other entry VMs relay to this one
+     * @param records keeps and gives idempotency records for other entry VMs
      * @param clockMillis monotonic clock in milliseconds
      */
     public PeerNetwork(
@@ -65,12 +70,13 @@
             LogEntryCodec logEntries,
             MessageListener listener,
             RequestHandler handler,
+            RecordService records,
             LongSupplier clockMillis) {
         this.self = self;
         this.dataCentre = dataCentre;
         this.codec = new PeerMessageCodec(logEntries);
         this.clockMillis = clockMillis;
-        this.server = new PeerServer(codec, listener, handler, clockMillis);
+        this.server = new PeerServer(codec, listener, handler, records, clockMillis);
         this.group = new NioEventLoopGroup(EVENT_LOOPS);
     }
 
@@ -97,8 +103,22 @@
 
     /** Returns the handler that relays requests to another entry VM. */
     public RequestHandler relayTo(RosterMember member) {
-        return relays.computeIfAbsent(member.start(), start -> openRelay(member))
-                .client();
+        return relay(member).client();
+    }
+
+    /** Asks another entry VM to keep a copy of a record; the result is false without its acknowledgement. */
+    public void putRecord(RosterMember member, IdempotencyRecord record, Consumer<Boolean> onResult) {
+        relay(member).records().put(record, onResult);
+    }
+
+    /** Asks another entry VM for the records of some shards; the result is empty without its answer. */
+    public void collectRecords(
+            RosterMember member, Set<ShardId> shards, Consumer<Optional<RecordService.Given>> onResult) {
+        relay(member).records().collect(shards, onResult);
+    }
+
+    private Relay relay(RosterMember member) {
+        return relays.computeIfAbsent(member.start(), start -> openRelay(member));
     }
 
     /** Closes the links to all processes but these. */
@@ -121,9 +141,11 @@
 
     private Relay openRelay(RosterMember member) {
         RelayClient client = new RelayClient(clockMillis);
-        PeerLink link = openLink(member, PeerWire.Purpose.TRAFFIC, client);
+        RecordClient records = new RecordClient();
+        PeerLink link = openLink(member, PeerWire.Purpose.TRAFFIC, new TrafficListener(client, records));
         client.attach(link);
-        return new Relay(link, client);
+        records.attach(link);
+        return new Relay(link, client, records);
     }
 
     private PeerLink openLink(RosterMember member, PeerWire.Purpose purpose, PeerLink.Listener listener) {
@@ -140,6 +162,22 @@
                 .awaitUninterruptibly();
     }
 
+    /** Hands what comes back over a traffic link to those who wait for it. */
+    private record TrafficListener(RelayClient client, RecordClient records) implements PeerLink.Listener {
+        @Override
+        public void onFrame(PeerWire.Frame frame) {
+            if (!records.onFrame(frame)) {
+                client.onFrame(frame);
+            }
+        }
+
+        @Override
+        public void onDisconnected() {
+            client.onDisconnected();
+            records.onDisconnected();
+        }
+    }
+
     /** Control links carry nothing back but pongs. */
     private static final class Discard implements PeerLink.Listener {
         @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerServer.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerServer.java
@@ -26,6 +26,7 @@
     private final PeerMessageCodec codec;
     private final PeerNetwork.MessageListener listener;
     private final RequestHandler handler;
+    private final RecordService records;
     private final LongSupplier clockMillis;
     private Channel channel;
 
@@ -33,10 +34,12 @@
             PeerMessageCodec codec,
             PeerNetwork.MessageListener listener,
             RequestHandler handler,
+            RecordService records,
             LongSupplier clockMillis) {
         this.codec = codec;
         this.listener = listener;
         this.handler = handler;
+        this.records = records;
         this.clockMillis = clockMillis;
     }
 
@@ -85,6 +88,18 @@
                 context.writeAndFlush(PeerProtocol.pong(frame.getPing().getNumber()));
                 return;
             }
+            if (frame.hasRecordPut()) {
+                PeerWire.RecordPut put = frame.getRecordPut();
+                boolean stored = records.put(RecordCodec.decode(put.getRecord()));
+                context.writeAndFlush(RecordCodec.ack(put.getNumber(), stored));
+                return;
+            }
+            if (frame.hasRecordsWanted()) {
+                PeerWire.RecordsWanted wanted = frame.getRecordsWanted();
+                RecordService.Given given = records.recordsOf(RecordCodec.shardsOf(wanted));
+                context.writeAndFlush(RecordCodec.given(wanted.getNumber(), given));
+                return;
+            }
             if (relay != null) {
                 relay.onFrame(frame);
                 return;
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/PlanCodec.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PlanCodec.java
@@ -143,7 +143,7 @@
         return owners;
     }
 
-    private static PeerWire.ShardList encodeShards(List<ShardId> shards) {
+    static PeerWire.ShardList encodeShards(List<ShardId> shards) {
         Table<ApplicationId> applications =
                 new Table<>(shards.stream().map(ShardId::application).toList());
         PeerWire.ShardList.Builder builder = PeerWire.ShardList.newBuilder();
@@ -153,7 +153,7 @@
         return builder.build();
     }
 
-    private static List<ShardId> decodeShards(PeerWire.ShardList wire) {
+    static List<ShardId> decodeShards(PeerWire.ShardList wire) {
         List<ShardId> shards = new ArrayList<>();
         for (int i = 0; i < wire.getShardIndexCount(); i++) {
             ApplicationId application = new ApplicationId(wire.getApplications(wire.getShardApplication(i)));
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RecordClient.java
@@ -0,0 +1,76 @@
+package org.lacewingthread.daemon.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.traffic.IdempotencyRecord;
+import org.lacewingthread.daemon.peer.wire.PeerWire;
+
+/** Asks one other entry VM about idempotency records; all state belongs to the link's event loop. */
+final class RecordClient {
+    private static final long ANSWER_TIMEOUT_MILLIS = 150;
+
+    private final Map<Long, Consumer<Optional<PeerWire.Frame>>> unanswered = new HashMap<>();
+    private PeerLink link;
+    private long nextNumber;
+
+    void attach(PeerLink toMember) {
+        this.link = toMember;
+    }
+
+    /** Asks the VM to keep a copy; the result is false if it did not acknowledge it in time. */
+    void put(IdempotencyRecord record, Consumer<Boolean> onResult) {
+        ask(
+                number -> RecordCodec.put(number, record),
+                answer -> onResult.accept(
+                        answer.map(frame -> frame.getRecordAck().getStored()).orElse(false)));
+    }
+
+    /** Asks for the records of some shards; the result is empty if no answer came in time. */
+    void collect(Set<ShardId> shards, Consumer<Optional<RecordService.Given>> onResult) {
+        ask(
+                number -> RecordCodec.wanted(number, shards),
+                answer -> onResult.accept(answer.map(frame -> RecordCodec.decode(frame.getRecordsGiven()))));
+    }
+
+    private void ask(LongFunction<PeerWire.Frame> question, Consumer<Optional<PeerWire.Frame>> onAnswer) {
+        link.loop().execute(() -> {
+            long number = nextNumber++;
+            unanswered.put(number, onAnswer);
+            link.send(question.apply(number), () -> answer(number, Optional.empty()));
+            link.loop().schedule(() -> answer(number, Optional.empty()), ANSWER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    private void answer(long number, Optional<PeerWire.Frame> frame) {
+        Consumer<Optional<PeerWire.Frame>> waiting = unanswered.remove(number);
+        if (waiting != null) {
+            waiting.accept(frame);
+        }
+    }
+
+    /** Takes in a frame; returns whether it was an answer about records. */
+    boolean onFrame(PeerWire.Frame frame) {
+        if (frame.hasRecordAck()) {
+            answer(frame.getRecordAck().getNumber(), Optional.of(frame));
+            return true;
+        }
+        if (frame.hasRecordsGiven()) {
+            answer(frame.getRecordsGiven().getNumber(), Optional.of(frame));
+            return true;
+        }
+        return false;
+    }
+
+    void onDisconnected() {
+        List<Long> lost = new ArrayList<>(unanswered.keySet());
+        lost.forEach(number -> answer(number, Optional.empty()));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RecordCodec.java
@@ -0,0 +1,91 @@
+package org.lacewingthread.daemon.peer;
+
+import com.google.protobuf.ByteString;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.traffic.IdempotencyRecord;
+import org.lacewingthread.daemon.peer.wire.PeerWire;
+
+/** Encodes idempotency records and the questions for them. */
+final class RecordCodec {
+    private RecordCodec() {}
+
+    static PeerWire.Frame put(long number, IdempotencyRecord record) {
+        return PeerWire.Frame.newBuilder()
+                .setRecordPut(PeerWire.RecordPut.newBuilder().setNumber(number).setRecord(encode(record)))
+                .build();
+    }
+
+    static PeerWire.Frame ack(long number, boolean stored) {
+        return PeerWire.Frame.newBuilder()
+                .setRecordAck(PeerWire.RecordAck.newBuilder().setNumber(number).setStored(stored))
+                .build();
+    }
+
+    static PeerWire.Frame wanted(long number, Set<ShardId> shards) {
+        return PeerWire.Frame.newBuilder()
+                .setRecordsWanted(PeerWire.RecordsWanted.newBuilder()
+                        .setNumber(number)
+                        .setShards(PlanCodec.encodeShards(List.copyOf(shards))))
+                .build();
+    }
+
+    static Set<ShardId> shardsOf(PeerWire.RecordsWanted wanted) {
+        return new HashSet<>(PlanCodec.decodeShards(wanted.getShards()));
+    }
+
+    static PeerWire.Frame given(long number, RecordService.Given given) {
+        PeerWire.RecordsGiven.Builder builder =
+                PeerWire.RecordsGiven.newBuilder().setNumber(number).setWholeWindow(given.wholeWindow());
+        given.records().forEach(record -> builder.addRecords(encode(record)));
+        given.gone().forEach(start -> builder.addGone(PlanCodec.encode(start)));
+        return PeerWire.Frame.newBuilder().setRecordsGiven(builder).build();
+    }
+
+    static RecordService.Given decode(PeerWire.RecordsGiven given) {
+        return new RecordService.Given(
+                given.getRecordsList().stream().map(RecordCodec::decode).toList(),
+                given.getGoneList().stream().map(PlanCodec::decode).collect(Collectors.toSet()),
+                given.getWholeWindow());
+    }
+
+    static PeerWire.IdempotencyRecord encode(IdempotencyRecord record) {
+        PeerWire.IdempotencyRecord.Builder builder = PeerWire.IdempotencyRecord.newBuilder()
+                .setApplication(record.id().shard().application().value())
+                .setShardIndex(record.id().shard().index())
+                .setKey(record.id().key())
+                .setFingerprint(record.fingerprint())
+                .setState(record.state().name());
+        if (record.outcome() != null) {
+            builder.setOutcome(encode(record.outcome()));
+        }
+        return builder.build();
+    }
+
+    private static PeerWire.Outcome encode(IdempotencyRecord.Outcome outcome) {
+        PeerWire.Outcome.Builder builder =
+                PeerWire.Outcome.newBuilder().setStatus(outcome.status()).addAllHeaders(outcome.headers());
+        if (outcome.body() != null) {
+            builder.setBody(ByteString.copyFrom(outcome.body()));
+        }
+        return builder.build();
+    }
+
+    static IdempotencyRecord decode(PeerWire.IdempotencyRecord wire) {
+        ShardId shard = new ShardId(new ApplicationId(wire.getApplication()), wire.getShardIndex());
+        return new IdempotencyRecord(
+                new IdempotencyRecord.Id(shard, wire.getKey()),
+                wire.getFingerprint(),
+                IdempotencyRecord.State.valueOf(wire.getState()),
+                wire.hasOutcome() ? decode(wire.getOutcome()) : null);
+    }
+
+    private static IdempotencyRecord.Outcome decode(PeerWire.Outcome outcome) {
+        byte[] body = outcome.hasBody() ? outcome.getBody().toByteArray() : null;
+        return new IdempotencyRecord.Outcome(outcome.getStatus(), outcome.getHeadersList(), body);
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayClient.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayClient.java
@@ -16,7 +16,7 @@
  * Relays requests to one other entry VM. A request that was never written is answered "not run"; one
  * that was written when the link failed is answered "outcome unknown".
  */
-final class RelayClient implements RequestHandler, PeerLink.Listener {
+final class RelayClient implements RequestHandler {
     private static final long RETRY_AFTER_MILLIS = 200;
 
     private final LongSupplier clockMillis;
@@ -75,8 +75,7 @@
         }
     }
 
-    @Override
-    public void onFrame(PeerWire.Frame frame) {
+    void onFrame(PeerWire.Frame frame) {
         switch (frame.getBodyCase()) {
             case RESPONSE_HEAD -> onHead(frame.getResponseHead());
             case RESPONSE_BODY -> onBody(frame.getResponseBody());
@@ -122,8 +121,7 @@
         }
     }
 
-    @Override
-    public void onDisconnected() {
+    void onDisconnected() {
         List<ResponseSink> lost = new ArrayList<>(sinks.values());
         sinks.clear();
         lost.forEach(sink -> sink.onFailure(
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/wire/PeerWire.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/wire/PeerWire.java
@@ -440,6 +440,36 @@
      */
     org.lacewingthread.daemon.peer.wire.PeerWire.RecordAckOrBuilder getRecordAckOrBuilder();
 
+    /**
+     * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+     * @return Whether the recordsWanted field is set.
+     */
+    boolean hasRecordsWanted();
+    /**
+     * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+     * @return The recordsWanted.
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted getRecordsWanted();
+    /**
+     * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWantedOrBuilder getRecordsWantedOrBuilder();
+
+    /**
+     * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+     * @return Whether the recordsGiven field is set.
+     */
+    boolean hasRecordsGiven();
+    /**
+     * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+     * @return The recordsGiven.
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven getRecordsGiven();
+    /**
+     * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGivenOrBuilder getRecordsGivenOrBuilder();
+
     org.lacewingthread.daemon.peer.wire.PeerWire.Frame.BodyCase getBodyCase();
   }
   /**
@@ -504,6 +534,8 @@
       RESPONSE_FAILURE(26),
       RECORD_PUT(30),
       RECORD_ACK(31),
+      RECORDS_WANTED(32),
+      RECORDS_GIVEN(33),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -540,6 +572,8 @@
           case 26: return RESPONSE_FAILURE;
           case 30: return RECORD_PUT;
           case 31: return RECORD_ACK;
+          case 32: return RECORDS_WANTED;
+          case 33: return RECORDS_GIVEN;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -1144,6 +1178,68 @@
       return org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.getDefaultInstance();
     }
 
+    public static final int RECORDS_WANTED_FIELD_NUMBER = 32;
+    /**
+     * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+     * @return Whether the recordsWanted field is set.
+     */
+    @java.lang.Override
+    public boolean hasRecordsWanted() {
+      return bodyCase_ == 32;
+    }
+    /**
+     * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+     * @return The recordsWanted.
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted getRecordsWanted() {
+      if (bodyCase_ == 32) {
+         return (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted) body_;
+      }
+      return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.getDefaultInstance();
+    }
+    /**
+     * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWantedOrBuilder getRecordsWantedOrBuilder() {
+      if (bodyCase_ == 32) {
+         return (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted) body_;
+      }
+      return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.getDefaultInstance();
+    }
+
+    public static final int RECORDS_GIVEN_FIELD_NUMBER = 33;
+    /**
+     * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+     * @return Whether the recordsGiven field is set.
+     */
+    @java.lang.Override
+    public boolean hasRecordsGiven() {
+      return bodyCase_ == 33;
+    }
+    /**
+     * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+     * @return The recordsGiven.
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven getRecordsGiven() {
+      if (bodyCase_ == 33) {
+         return (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven) body_;
+      }
+      return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.getDefaultInstance();
+    }
+    /**
+     * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGivenOrBuilder getRecordsGivenOrBuilder() {
+      if (bodyCase_ == 33) {
+         return (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven) body_;
+      }
+      return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1215,6 +1311,12 @@
       if (bodyCase_ == 31) {
         output.writeMessage(31, (org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck) body_);
       }
+      if (bodyCase_ == 32) {
+        output.writeMessage(32, (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted) body_);
+      }
+      if (bodyCase_ == 33) {
+        output.writeMessage(33, (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -1300,6 +1402,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(31, (org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck) body_);
       }
+      if (bodyCase_ == 32) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(32, (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted) body_);
+      }
+      if (bodyCase_ == 33) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(33, (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -1393,6 +1503,14 @@
           if (!getRecordAck()
               .equals(other.getRecordAck())) return false;
           break;
+        case 32:
+          if (!getRecordsWanted()
+              .equals(other.getRecordsWanted())) return false;
+          break;
+        case 33:
+          if (!getRecordsGiven()
+              .equals(other.getRecordsGiven())) return false;
+          break;
         case 0:
         default:
       }
@@ -1484,6 +1602,14 @@
           hash = (37 * hash) + RECORD_ACK_FIELD_NUMBER;
           hash = (53 * hash) + getRecordAck().hashCode();
           break;
+        case 32:
+          hash = (37 * hash) + RECORDS_WANTED_FIELD_NUMBER;
+          hash = (53 * hash) + getRecordsWanted().hashCode();
+          break;
+        case 33:
+          hash = (37 * hash) + RECORDS_GIVEN_FIELD_NUMBER;
+          hash = (53 * hash) + getRecordsGiven().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1675,6 +1801,12 @@
         if (recordAckBuilder_ != null) {
           recordAckBuilder_.clear();
         }
+        if (recordsWantedBuilder_ != null) {
+          recordsWantedBuilder_.clear();
+        }
+        if (recordsGivenBuilder_ != null) {
+          recordsGivenBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -1792,6 +1924,14 @@
             recordAckBuilder_ != null) {
           result.body_ = recordAckBuilder_.build();
         }
+        if (bodyCase_ == 32 &&
+            recordsWantedBuilder_ != null) {
+          result.body_ = recordsWantedBuilder_.build();
+        }
+        if (bodyCase_ == 33 &&
+            recordsGivenBuilder_ != null) {
+          result.body_ = recordsGivenBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1883,6 +2023,14 @@
             mergeRecordAck(other.getRecordAck());
             break;
           }
+          case RECORDS_WANTED: {
+            mergeRecordsWanted(other.getRecordsWanted());
+            break;
+          }
+          case RECORDS_GIVEN: {
+            mergeRecordsGiven(other.getRecordsGiven());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -2046,6 +2194,20 @@
                 bodyCase_ = 31;
                 break;
               } // case 250
+              case 258: {
+                input.readMessage(
+                    getRecordsWantedFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 32;
+                break;
+              } // case 258
+              case 266: {
+                input.readMessage(
+                    getRecordsGivenFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 33;
+                break;
+              } // case 266
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4776,6 +4938,290 @@
         return recordAckBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWantedOrBuilder> recordsWantedBuilder_;
+      /**
+       * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+       * @return Whether the recordsWanted field is set.
+       */
+      @java.lang.Override
+      public boolean hasRecordsWanted() {
+        return bodyCase_ == 32;
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+       * @return The recordsWanted.
+       */
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted getRecordsWanted() {
+        if (recordsWantedBuilder_ == null) {
+          if (bodyCase_ == 32) {
+            return (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted) body_;
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 32) {
+            return recordsWantedBuilder_.getMessage();
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+       */
+      public Builder setRecordsWanted(org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted value) {
+        if (recordsWantedBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          recordsWantedBuilder_.setMessage(value);
+        }
+        bodyCase_ = 32;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+       */
+      public Builder setRecordsWanted(
+          org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.Builder builderForValue) {
+        if (recordsWantedBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          recordsWantedBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 32;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+       */
+      public Builder mergeRecordsWanted(org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted value) {
+        if (recordsWantedBuilder_ == null) {
+          if (bodyCase_ == 32 &&
+              body_ != org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.getDefaultInstance()) {
+            body_ = org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.newBuilder((org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 32) {
+            recordsWantedBuilder_.mergeFrom(value);
+          } else {
+            recordsWantedBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 32;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+       */
+      public Builder clearRecordsWanted() {
+        if (recordsWantedBuilder_ == null) {
+          if (bodyCase_ == 32) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 32) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          recordsWantedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.Builder getRecordsWantedBuilder() {
+        return getRecordsWantedFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+       */
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWantedOrBuilder getRecordsWantedOrBuilder() {
+        if ((bodyCase_ == 32) && (recordsWantedBuilder_ != null)) {
+          return recordsWantedBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 32) {
+            return (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted) body_;
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsWanted records_wanted = 32;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWantedOrBuilder> 
+          getRecordsWantedFieldBuilder() {
+        if (recordsWantedBuilder_ == null) {
+          if (!(bodyCase_ == 32)) {
+            body_ = org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.getDefaultInstance();
+          }
+          recordsWantedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWantedOrBuilder>(
+                  (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 32;
+        onChanged();
+        return recordsWantedBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGivenOrBuilder> recordsGivenBuilder_;
+      /**
+       * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+       * @return Whether the recordsGiven field is set.
+       */
+      @java.lang.Override
+      public boolean hasRecordsGiven() {
+        return bodyCase_ == 33;
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+       * @return The recordsGiven.
+       */
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven getRecordsGiven() {
+        if (recordsGivenBuilder_ == null) {
+          if (bodyCase_ == 33) {
+            return (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven) body_;
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 33) {
+            return recordsGivenBuilder_.getMessage();
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+       */
+      public Builder setRecordsGiven(org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven value) {
+        if (recordsGivenBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          recordsGivenBuilder_.setMessage(value);
+        }
+        bodyCase_ = 33;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+       */
+      public Builder setRecordsGiven(
+          org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.Builder builderForValue) {
+        if (recordsGivenBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          recordsGivenBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 33;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+       */
+      public Builder mergeRecordsGiven(org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven value) {
+        if (recordsGivenBuilder_ == null) {
+          if (bodyCase_ == 33 &&
+              body_ != org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.getDefaultInstance()) {
+            body_ = org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.newBuilder((org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 33) {
+            recordsGivenBuilder_.mergeFrom(value);
+          } else {
+            recordsGivenBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 33;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+       */
+      public Builder clearRecordsGiven() {
+        if (recordsGivenBuilder_ == null) {
+          if (bodyCase_ == 33) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 33) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          recordsGivenBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.Builder getRecordsGivenBuilder() {
+        return getRecordsGivenFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+       */
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGivenOrBuilder getRecordsGivenOrBuilder() {
+        if ((bodyCase_ == 33) && (recordsGivenBuilder_ != null)) {
+          return recordsGivenBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 33) {
+            return (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven) body_;
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.RecordsGiven records_given = 33;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGivenOrBuilder> 
+          getRecordsGivenFieldBuilder() {
+        if (recordsGivenBuilder_ == null) {
+          if (!(bodyCase_ == 33)) {
+            body_ = org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.getDefaultInstance();
+          }
+          recordsGivenBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGivenOrBuilder>(
+                  (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 33;
+        onChanged();
+        return recordsGivenBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:lacewingthread.peer.Frame)
     }
 
@@ -31188,33 +31634,88 @@
 
   }
 
-  public interface RecordPutOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.RecordPut)
+  public interface IdempotencyRecordOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.IdempotencyRecord)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>int64 number = 1;</code>
-     * @return The number.
+     * <code>string application = 1;</code>
+     * @return The application.
      */
-    long getNumber();
+    java.lang.String getApplication();
+    /**
+     * <code>string application = 1;</code>
+     * @return The bytes for application.
+     */
+    com.google.protobuf.ByteString
+        getApplicationBytes();
 
     /**
-     * <code>bytes record = 2;</code>
-     * @return The record.
+     * <code>int32 shard_index = 2;</code>
+     * @return The shardIndex.
+     */
+    int getShardIndex();
+
+    /**
+     * <code>string key = 3;</code>
+     * @return The key.
+     */
+    java.lang.String getKey();
+    /**
+     * <code>string key = 3;</code>
+     * @return The bytes for key.
+     */
+    com.google.protobuf.ByteString
+        getKeyBytes();
+
+    /**
+     * <code>fixed64 fingerprint = 4;</code>
+     * @return The fingerprint.
+     */
+    long getFingerprint();
+
+    /**
+     * <pre>
+     * Named as in the core's enum.
+     * </pre>
+     *
+     * <code>string state = 5;</code>
+     * @return The state.
      */
-    com.google.protobuf.ByteString getRecord();
+    java.lang.String getState();
+    /**
+     * <pre>
+     * Named as in the core's enum.
+     * </pre>
+     *
+     * <code>string state = 5;</code>
+     * @return The bytes for state.
+     */
+    com.google.protobuf.ByteString
+        getStateBytes();
+
+    /**
+     * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+     * @return Whether the outcome field is set.
+     */
+    boolean hasOutcome();
+    /**
+     * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+     * @return The outcome.
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.Outcome getOutcome();
+    /**
+     * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.OutcomeOrBuilder getOutcomeOrBuilder();
   }
   /**
-   * <pre>
-   * Copy of an idempotency record for a second entry VM.
-   * </pre>
-   *
-   * Protobuf type {@code lacewingthread.peer.RecordPut}
+   * Protobuf type {@code lacewingthread.peer.IdempotencyRecord}
    */
-  public static final class RecordPut extends
+  public static final class IdempotencyRecord extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:lacewingthread.peer.RecordPut)
-      RecordPutOrBuilder {
+      // @@protoc_insertion_point(message_implements:lacewingthread.peer.IdempotencyRecord)
+      IdempotencyRecordOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -31223,49 +31724,203 @@
         /* minor= */ 29,
         /* patch= */ 3,
         /* suffix= */ "",
-        RecordPut.class.getName());
+        IdempotencyRecord.class.getName());
     }
-    // Use RecordPut.newBuilder() to construct.
-    private RecordPut(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use IdempotencyRecord.newBuilder() to construct.
+    private IdempotencyRecord(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private RecordPut() {
-      record_ = com.google.protobuf.ByteString.EMPTY;
+    private IdempotencyRecord() {
+      application_ = "";
+      key_ = "";
+      state_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordPut_descriptor;
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_IdempotencyRecord_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordPut_fieldAccessorTable
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_IdempotencyRecord_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.Builder.class);
+              org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.class, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder.class);
     }
 
-    public static final int NUMBER_FIELD_NUMBER = 1;
-    private long number_ = 0L;
+    private int bitField0_;
+    public static final int APPLICATION_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object application_ = "";
     /**
-     * <code>int64 number = 1;</code>
-     * @return The number.
+     * <code>string application = 1;</code>
+     * @return The application.
      */
     @java.lang.Override
-    public long getNumber() {
-      return number_;
+    public java.lang.String getApplication() {
+      java.lang.Object ref = application_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        application_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string application = 1;</code>
+     * @return The bytes for application.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getApplicationBytes() {
+      java.lang.Object ref = application_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        application_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
 
-    public static final int RECORD_FIELD_NUMBER = 2;
-    private com.google.protobuf.ByteString record_ = com.google.protobuf.ByteString.EMPTY;
+    public static final int SHARD_INDEX_FIELD_NUMBER = 2;
+    private int shardIndex_ = 0;
     /**
-     * <code>bytes record = 2;</code>
-     * @return The record.
+     * <code>int32 shard_index = 2;</code>
+     * @return The shardIndex.
+     */
+    @java.lang.Override
+    public int getShardIndex() {
+      return shardIndex_;
+    }
+
+    public static final int KEY_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object key_ = "";
+    /**
+     * <code>string key = 3;</code>
+     * @return The key.
+     */
+    @java.lang.Override
+    public java.lang.String getKey() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        key_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string key = 3;</code>
+     * @return The bytes for key.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getKeyBytes() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        key_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int FINGERPRINT_FIELD_NUMBER = 4;
+    private long fingerprint_ = 0L;
+    /**
+     * <code>fixed64 fingerprint = 4;</code>
+     * @return The fingerprint.
+     */
+    @java.lang.Override
+    public long getFingerprint() {
+      return fingerprint_;
+    }
+
+    public static final int STATE_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object state_ = "";
+    /**
+     * <pre>
+     * Named as in the core's enum.
+     * </pre>
+     *
+     * <code>string state = 5;</code>
+     * @return The state.
+     */
+    @java.lang.Override
+    public java.lang.String getState() {
+      java.lang.Object ref = state_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        state_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Named as in the core's enum.
+     * </pre>
+     *
+     * <code>string state = 5;</code>
+     * @return The bytes for state.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getStateBytes() {
+      java.lang.Object ref = state_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        state_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int OUTCOME_FIELD_NUMBER = 6;
+    private org.lacewingthread.daemon.peer.wire.PeerWire.Outcome outcome_;
+    /**
+     * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+     * @return Whether the outcome field is set.
+     */
+    @java.lang.Override
+    public boolean hasOutcome() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+     * @return The outcome.
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.Outcome getOutcome() {
+      return outcome_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.getDefaultInstance() : outcome_;
+    }
+    /**
+     * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString getRecord() {
-      return record_;
+    public org.lacewingthread.daemon.peer.wire.PeerWire.OutcomeOrBuilder getOutcomeOrBuilder() {
+      return outcome_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.getDefaultInstance() : outcome_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -31282,11 +31937,23 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (number_ != 0L) {
-        output.writeInt64(1, number_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(application_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, application_);
+      }
+      if (shardIndex_ != 0) {
+        output.writeInt32(2, shardIndex_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, key_);
+      }
+      if (fingerprint_ != 0L) {
+        output.writeFixed64(4, fingerprint_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(state_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 5, state_);
       }
-      if (!record_.isEmpty()) {
-        output.writeBytes(2, record_);
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(6, getOutcome());
       }
       getUnknownFields().writeTo(output);
     }
@@ -31297,13 +31964,26 @@
       if (size != -1) return size;
 
       size = 0;
-      if (number_ != 0L) {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(application_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, application_);
+      }
+      if (shardIndex_ != 0) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt64Size(1, number_);
+          .computeInt32Size(2, shardIndex_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, key_);
       }
-      if (!record_.isEmpty()) {
+      if (fingerprint_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(4, fingerprint_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(state_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(5, state_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
         size += com.google.protobuf.CodedOutputStream
-          .computeBytesSize(2, record_);
+          .computeMessageSize(6, getOutcome());
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -31315,15 +31995,26 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut)) {
+      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord)) {
         return super.equals(obj);
       }
-      org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut other = (org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut) obj;
+      org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord other = (org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord) obj;
 
-      if (getNumber()
-          != other.getNumber()) return false;
-      if (!getRecord()
-          .equals(other.getRecord())) return false;
+      if (!getApplication()
+          .equals(other.getApplication())) return false;
+      if (getShardIndex()
+          != other.getShardIndex()) return false;
+      if (!getKey()
+          .equals(other.getKey())) return false;
+      if (getFingerprint()
+          != other.getFingerprint()) return false;
+      if (!getState()
+          .equals(other.getState())) return false;
+      if (hasOutcome() != other.hasOutcome()) return false;
+      if (hasOutcome()) {
+        if (!getOutcome()
+            .equals(other.getOutcome())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -31335,54 +32026,64 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (37 * hash) + APPLICATION_FIELD_NUMBER;
+      hash = (53 * hash) + getApplication().hashCode();
+      hash = (37 * hash) + SHARD_INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + getShardIndex();
+      hash = (37 * hash) + KEY_FIELD_NUMBER;
+      hash = (53 * hash) + getKey().hashCode();
+      hash = (37 * hash) + FINGERPRINT_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getNumber());
-      hash = (37 * hash) + RECORD_FIELD_NUMBER;
-      hash = (53 * hash) + getRecord().hashCode();
+          getFingerprint());
+      hash = (37 * hash) + STATE_FIELD_NUMBER;
+      hash = (53 * hash) + getState().hashCode();
+      if (hasOutcome()) {
+        hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
+        hash = (53 * hash) + getOutcome().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(byte[] data)
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(java.io.InputStream input)
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -31390,26 +32091,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseDelimitedFrom(java.io.InputStream input)
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseDelimitedFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -31422,7 +32123,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut prototype) {
+    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -31438,62 +32139,72 @@
       return builder;
     }
     /**
-     * <pre>
-     * Copy of an idempotency record for a second entry VM.
-     * </pre>
-     *
-     * Protobuf type {@code lacewingthread.peer.RecordPut}
+     * Protobuf type {@code lacewingthread.peer.IdempotencyRecord}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.RecordPut)
-        org.lacewingthread.daemon.peer.wire.PeerWire.RecordPutOrBuilder {
+        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.IdempotencyRecord)
+        org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordPut_descriptor;
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_IdempotencyRecord_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordPut_fieldAccessorTable
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_IdempotencyRecord_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.Builder.class);
+                org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.class, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder.class);
       }
 
-      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.newBuilder()
+      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.newBuilder()
       private Builder() {
-
+        maybeForceBuilderInitialization();
       }
 
       private Builder(
           com.google.protobuf.GeneratedMessage.BuilderParent parent) {
         super(parent);
-
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          getOutcomeFieldBuilder();
+        }
       }
       @java.lang.Override
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        number_ = 0L;
-        record_ = com.google.protobuf.ByteString.EMPTY;
+        application_ = "";
+        shardIndex_ = 0;
+        key_ = "";
+        fingerprint_ = 0L;
+        state_ = "";
+        outcome_ = null;
+        if (outcomeBuilder_ != null) {
+          outcomeBuilder_.dispose();
+          outcomeBuilder_ = null;
+        }
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordPut_descriptor;
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_IdempotencyRecord_descriptor;
       }
 
       @java.lang.Override
-      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut getDefaultInstanceForType() {
-        return org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.getDefaultInstance();
+      public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord getDefaultInstanceForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut build() {
-        org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut result = buildPartial();
+      public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord build() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -31501,40 +32212,2924 @@
       }
 
       @java.lang.Override
-      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut buildPartial() {
-        org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut result = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut(this);
+      public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord buildPartial() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord result = new org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut result) {
+      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.number_ = number_;
+          result.application_ = application_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.record_ = record_;
+          result.shardIndex_ = shardIndex_;
         }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.key_ = key_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.fingerprint_ = fingerprint_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.state_ = state_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.outcome_ = outcomeBuilder_ == null
+              ? outcome_
+              : outcomeBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut) {
-          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut)other);
+        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord) {
+          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut other) {
-        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.getDefaultInstance()) return this;
-        if (other.getNumber() != 0L) {
+      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord other) {
+        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.getDefaultInstance()) return this;
+        if (!other.getApplication().isEmpty()) {
+          application_ = other.application_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getShardIndex() != 0) {
+          setShardIndex(other.getShardIndex());
+        }
+        if (!other.getKey().isEmpty()) {
+          key_ = other.key_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (other.getFingerprint() != 0L) {
+          setFingerprint(other.getFingerprint());
+        }
+        if (!other.getState().isEmpty()) {
+          state_ = other.state_;
+          bitField0_ |= 0x00000010;
+          onChanged();
+        }
+        if (other.hasOutcome()) {
+          mergeOutcome(other.getOutcome());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                application_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                shardIndex_ = input.readInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                key_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 33: {
+                fingerprint_ = input.readFixed64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 33
+              case 42: {
+                state_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
+              case 50: {
+                input.readMessage(
+                    getOutcomeFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 50
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object application_ = "";
+      /**
+       * <code>string application = 1;</code>
+       * @return The application.
+       */
+      public java.lang.String getApplication() {
+        java.lang.Object ref = application_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          application_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string application = 1;</code>
+       * @return The bytes for application.
+       */
+      public com.google.protobuf.ByteString
+          getApplicationBytes() {
+        java.lang.Object ref = application_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          application_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string application = 1;</code>
+       * @param value The application to set.
+       * @return This builder for chaining.
+       */
+      public Builder setApplication(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        application_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string application = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearApplication() {
+        application_ = getDefaultInstance().getApplication();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string application = 1;</code>
+       * @param value The bytes for application to set.
+       * @return This builder for chaining.
+       */
+      public Builder setApplicationBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        application_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int shardIndex_ ;
+      /**
+       * <code>int32 shard_index = 2;</code>
+       * @return The shardIndex.
+       */
+      @java.lang.Override
+      public int getShardIndex() {
+        return shardIndex_;
+      }
+      /**
+       * <code>int32 shard_index = 2;</code>
+       * @param value The shardIndex to set.
+       * @return This builder for chaining.
+       */
+      public Builder setShardIndex(int value) {
+
+        shardIndex_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 shard_index = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearShardIndex() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        shardIndex_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object key_ = "";
+      /**
+       * <code>string key = 3;</code>
+       * @return The key.
+       */
+      public java.lang.String getKey() {
+        java.lang.Object ref = key_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          key_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string key = 3;</code>
+       * @return The bytes for key.
+       */
+      public com.google.protobuf.ByteString
+          getKeyBytes() {
+        java.lang.Object ref = key_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          key_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string key = 3;</code>
+       * @param value The key to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKey(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        key_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string key = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKey() {
+        key_ = getDefaultInstance().getKey();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string key = 3;</code>
+       * @param value The bytes for key to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKeyBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        key_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      private long fingerprint_ ;
+      /**
+       * <code>fixed64 fingerprint = 4;</code>
+       * @return The fingerprint.
+       */
+      @java.lang.Override
+      public long getFingerprint() {
+        return fingerprint_;
+      }
+      /**
+       * <code>fixed64 fingerprint = 4;</code>
+       * @param value The fingerprint to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFingerprint(long value) {
+
+        fingerprint_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 fingerprint = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFingerprint() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        fingerprint_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object state_ = "";
+      /**
+       * <pre>
+       * Named as in the core's enum.
+       * </pre>
+       *
+       * <code>string state = 5;</code>
+       * @return The state.
+       */
+      public java.lang.String getState() {
+        java.lang.Object ref = state_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          state_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Named as in the core's enum.
+       * </pre>
+       *
+       * <code>string state = 5;</code>
+       * @return The bytes for state.
+       */
+      public com.google.protobuf.ByteString
+          getStateBytes() {
+        java.lang.Object ref = state_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          state_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Named as in the core's enum.
+       * </pre>
+       *
+       * <code>string state = 5;</code>
+       * @param value The state to set.
+       * @return This builder for chaining.
+       */
+      public Builder setState(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        state_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Named as in the core's enum.
+       * </pre>
+       *
+       * <code>string state = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearState() {
+        state_ = getDefaultInstance().getState();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Named as in the core's enum.
+       * </pre>
+       *
+       * <code>string state = 5;</code>
+       * @param value The bytes for state to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStateBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        state_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+
+      private org.lacewingthread.daemon.peer.wire.PeerWire.Outcome outcome_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.Outcome, org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.OutcomeOrBuilder> outcomeBuilder_;
+      /**
+       * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+       * @return Whether the outcome field is set.
+       */
+      public boolean hasOutcome() {
+        return ((bitField0_ & 0x00000020) != 0);
+      }
+      /**
+       * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+       * @return The outcome.
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.Outcome getOutcome() {
+        if (outcomeBuilder_ == null) {
+          return outcome_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.getDefaultInstance() : outcome_;
+        } else {
+          return outcomeBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+       */
+      public Builder setOutcome(org.lacewingthread.daemon.peer.wire.PeerWire.Outcome value) {
+        if (outcomeBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          outcome_ = value;
+        } else {
+          outcomeBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+       */
+      public Builder setOutcome(
+          org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.Builder builderForValue) {
+        if (outcomeBuilder_ == null) {
+          outcome_ = builderForValue.build();
+        } else {
+          outcomeBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+       */
+      public Builder mergeOutcome(org.lacewingthread.daemon.peer.wire.PeerWire.Outcome value) {
+        if (outcomeBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0) &&
+            outcome_ != null &&
+            outcome_ != org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.getDefaultInstance()) {
+            getOutcomeBuilder().mergeFrom(value);
+          } else {
+            outcome_ = value;
+          }
+        } else {
+          outcomeBuilder_.mergeFrom(value);
+        }
+        if (outcome_ != null) {
+          bitField0_ |= 0x00000020;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+       */
+      public Builder clearOutcome() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        outcome_ = null;
+        if (outcomeBuilder_ != null) {
+          outcomeBuilder_.dispose();
+          outcomeBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.Builder getOutcomeBuilder() {
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return getOutcomeFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.OutcomeOrBuilder getOutcomeOrBuilder() {
+        if (outcomeBuilder_ != null) {
+          return outcomeBuilder_.getMessageOrBuilder();
+        } else {
+          return outcome_ == null ?
+              org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.getDefaultInstance() : outcome_;
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.Outcome outcome = 6;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.Outcome, org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.OutcomeOrBuilder> 
+          getOutcomeFieldBuilder() {
+        if (outcomeBuilder_ == null) {
+          outcomeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.Outcome, org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.OutcomeOrBuilder>(
+                  getOutcome(),
+                  getParentForChildren(),
+                  isClean());
+          outcome_ = null;
+        }
+        return outcomeBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.IdempotencyRecord)
+    }
+
+    // @@protoc_insertion_point(class_scope:lacewingthread.peer.IdempotencyRecord)
+    private static final org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord();
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<IdempotencyRecord>
+        PARSER = new com.google.protobuf.AbstractParser<IdempotencyRecord>() {
+      @java.lang.Override
+      public IdempotencyRecord parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<IdempotencyRecord> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<IdempotencyRecord> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface OutcomeOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.Outcome)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>int32 status = 1;</code>
+     * @return The status.
+     */
+    int getStatus();
+
+    /**
+     * <code>repeated string headers = 2;</code>
+     * @return A list containing the headers.
+     */
+    java.util.List<java.lang.String>
+        getHeadersList();
+    /**
+     * <code>repeated string headers = 2;</code>
+     * @return The count of headers.
+     */
+    int getHeadersCount();
+    /**
+     * <code>repeated string headers = 2;</code>
+     * @param index The index of the element to return.
+     * @return The headers at the given index.
+     */
+    java.lang.String getHeaders(int index);
+    /**
+     * <code>repeated string headers = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the headers at the given index.
+     */
+    com.google.protobuf.ByteString
+        getHeadersBytes(int index);
+
+    /**
+     * <code>optional bytes body = 3;</code>
+     * @return Whether the body field is set.
+     */
+    boolean hasBody();
+    /**
+     * <code>optional bytes body = 3;</code>
+     * @return The body.
+     */
+    com.google.protobuf.ByteString getBody();
+  }
+  /**
+   * Protobuf type {@code lacewingthread.peer.Outcome}
+   */
+  public static final class Outcome extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:lacewingthread.peer.Outcome)
+      OutcomeOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 29,
+        /* patch= */ 3,
+        /* suffix= */ "",
+        Outcome.class.getName());
+    }
+    // Use Outcome.newBuilder() to construct.
+    private Outcome(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Outcome() {
+      headers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      body_ = com.google.protobuf.ByteString.EMPTY;
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_Outcome_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_Outcome_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.class, org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int STATUS_FIELD_NUMBER = 1;
+    private int status_ = 0;
+    /**
+     * <code>int32 status = 1;</code>
+     * @return The status.
+     */
+    @java.lang.Override
+    public int getStatus() {
+      return status_;
+    }
+
+    public static final int HEADERS_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList headers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string headers = 2;</code>
+     * @return A list containing the headers.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getHeadersList() {
+      return headers_;
+    }
+    /**
+     * <code>repeated string headers = 2;</code>
+     * @return The count of headers.
+     */
+    public int getHeadersCount() {
+      return headers_.size();
+    }
+    /**
+     * <code>repeated string headers = 2;</code>
+     * @param index The index of the element to return.
+     * @return The headers at the given index.
+     */
+    public java.lang.String getHeaders(int index) {
+      return headers_.get(index);
+    }
+    /**
+     * <code>repeated string headers = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the headers at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getHeadersBytes(int index) {
+      return headers_.getByteString(index);
+    }
+
+    public static final int BODY_FIELD_NUMBER = 3;
+    private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>optional bytes body = 3;</code>
+     * @return Whether the body field is set.
+     */
+    @java.lang.Override
+    public boolean hasBody() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>optional bytes body = 3;</code>
+     * @return The body.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getBody() {
+      return body_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (status_ != 0) {
+        output.writeInt32(1, status_);
+      }
+      for (int i = 0; i < headers_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, headers_.getRaw(i));
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeBytes(3, body_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (status_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(1, status_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < headers_.size(); i++) {
+          dataSize += computeStringSizeNoTag(headers_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getHeadersList().size();
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBytesSize(3, body_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.Outcome)) {
+        return super.equals(obj);
+      }
+      org.lacewingthread.daemon.peer.wire.PeerWire.Outcome other = (org.lacewingthread.daemon.peer.wire.PeerWire.Outcome) obj;
+
+      if (getStatus()
+          != other.getStatus()) return false;
+      if (!getHeadersList()
+          .equals(other.getHeadersList())) return false;
+      if (hasBody() != other.hasBody()) return false;
+      if (hasBody()) {
+        if (!getBody()
+            .equals(other.getBody())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + STATUS_FIELD_NUMBER;
+      hash = (53 * hash) + getStatus();
+      if (getHeadersCount() > 0) {
+        hash = (37 * hash) + HEADERS_FIELD_NUMBER;
+        hash = (53 * hash) + getHeadersList().hashCode();
+      }
+      if (hasBody()) {
+        hash = (37 * hash) + BODY_FIELD_NUMBER;
+        hash = (53 * hash) + getBody().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.Outcome prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code lacewingthread.peer.Outcome}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.Outcome)
+        org.lacewingthread.daemon.peer.wire.PeerWire.OutcomeOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_Outcome_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_Outcome_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.class, org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.Builder.class);
+      }
+
+      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        status_ = 0;
+        headers_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        body_ = com.google.protobuf.ByteString.EMPTY;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_Outcome_descriptor;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.Outcome getDefaultInstanceForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.Outcome build() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.Outcome result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.Outcome buildPartial() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.Outcome result = new org.lacewingthread.daemon.peer.wire.PeerWire.Outcome(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.Outcome result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.status_ = status_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          headers_.makeImmutable();
+          result.headers_ = headers_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.body_ = body_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.Outcome) {
+          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.Outcome)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.Outcome other) {
+        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.Outcome.getDefaultInstance()) return this;
+        if (other.getStatus() != 0) {
+          setStatus(other.getStatus());
+        }
+        if (!other.headers_.isEmpty()) {
+          if (headers_.isEmpty()) {
+            headers_ = other.headers_;
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureHeadersIsMutable();
+            headers_.addAll(other.headers_);
+          }
+          onChanged();
+        }
+        if (other.hasBody()) {
+          setBody(other.getBody());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                status_ = input.readInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                java.lang.String s = input.readStringRequireUtf8();
+                ensureHeadersIsMutable();
+                headers_.add(s);
+                break;
+              } // case 18
+              case 26: {
+                body_ = input.readBytes();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int status_ ;
+      /**
+       * <code>int32 status = 1;</code>
+       * @return The status.
+       */
+      @java.lang.Override
+      public int getStatus() {
+        return status_;
+      }
+      /**
+       * <code>int32 status = 1;</code>
+       * @param value The status to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStatus(int value) {
+
+        status_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 status = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStatus() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        status_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList headers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureHeadersIsMutable() {
+        if (!headers_.isModifiable()) {
+          headers_ = new com.google.protobuf.LazyStringArrayList(headers_);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      /**
+       * <code>repeated string headers = 2;</code>
+       * @return A list containing the headers.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getHeadersList() {
+        headers_.makeImmutable();
+        return headers_;
+      }
+      /**
+       * <code>repeated string headers = 2;</code>
+       * @return The count of headers.
+       */
+      public int getHeadersCount() {
+        return headers_.size();
+      }
+      /**
+       * <code>repeated string headers = 2;</code>
+       * @param index The index of the element to return.
+       * @return The headers at the given index.
+       */
+      public java.lang.String getHeaders(int index) {
+        return headers_.get(index);
+      }
+      /**
+       * <code>repeated string headers = 2;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the headers at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getHeadersBytes(int index) {
+        return headers_.getByteString(index);
+      }
+      /**
+       * <code>repeated string headers = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The headers to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHeaders(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureHeadersIsMutable();
+        headers_.set(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string headers = 2;</code>
+       * @param value The headers to add.
+       * @return This builder for chaining.
+       */
+      public Builder addHeaders(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureHeadersIsMutable();
+        headers_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string headers = 2;</code>
+       * @param values The headers to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllHeaders(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureHeadersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, headers_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string headers = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHeaders() {
+        headers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string headers = 2;</code>
+       * @param value The bytes of the headers to add.
+       * @return This builder for chaining.
+       */
+      public Builder addHeadersBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureHeadersIsMutable();
+        headers_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
+      /**
+       * <code>optional bytes body = 3;</code>
+       * @return Whether the body field is set.
+       */
+      @java.lang.Override
+      public boolean hasBody() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <code>optional bytes body = 3;</code>
+       * @return The body.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString getBody() {
+        return body_;
+      }
+      /**
+       * <code>optional bytes body = 3;</code>
+       * @param value The body to set.
+       * @return This builder for chaining.
+       */
+      public Builder setBody(com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        body_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>optional bytes body = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearBody() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        body_ = getDefaultInstance().getBody();
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.Outcome)
+    }
+
+    // @@protoc_insertion_point(class_scope:lacewingthread.peer.Outcome)
+    private static final org.lacewingthread.daemon.peer.wire.PeerWire.Outcome DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.Outcome();
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.Outcome getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Outcome>
+        PARSER = new com.google.protobuf.AbstractParser<Outcome>() {
+      @java.lang.Override
+      public Outcome parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Outcome> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Outcome> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.Outcome getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RecordPutOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.RecordPut)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>int64 number = 1;</code>
+     * @return The number.
+     */
+    long getNumber();
+
+    /**
+     * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+     * @return Whether the record field is set.
+     */
+    boolean hasRecord();
+    /**
+     * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+     * @return The record.
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord getRecord();
+    /**
+     * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder getRecordOrBuilder();
+  }
+  /**
+   * <pre>
+   * Copy of an idempotency record for a second entry VM.
+   * </pre>
+   *
+   * Protobuf type {@code lacewingthread.peer.RecordPut}
+   */
+  public static final class RecordPut extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:lacewingthread.peer.RecordPut)
+      RecordPutOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 29,
+        /* patch= */ 3,
+        /* suffix= */ "",
+        RecordPut.class.getName());
+    }
+    // Use RecordPut.newBuilder() to construct.
+    private RecordPut(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RecordPut() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordPut_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordPut_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int NUMBER_FIELD_NUMBER = 1;
+    private long number_ = 0L;
+    /**
+     * <code>int64 number = 1;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+
+    public static final int RECORD_FIELD_NUMBER = 2;
+    private org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord record_;
+    /**
+     * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+     * @return Whether the record field is set.
+     */
+    @java.lang.Override
+    public boolean hasRecord() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+     * @return The record.
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord getRecord() {
+      return record_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.getDefaultInstance() : record_;
+    }
+    /**
+     * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder getRecordOrBuilder() {
+      return record_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.getDefaultInstance() : record_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (number_ != 0L) {
+        output.writeInt64(1, number_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(2, getRecord());
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (number_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(1, number_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, getRecord());
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut)) {
+        return super.equals(obj);
+      }
+      org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut other = (org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut) obj;
+
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (hasRecord() != other.hasRecord()) return false;
+      if (hasRecord()) {
+        if (!getRecord()
+            .equals(other.getRecord())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNumber());
+      if (hasRecord()) {
+        hash = (37 * hash) + RECORD_FIELD_NUMBER;
+        hash = (53 * hash) + getRecord().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Copy of an idempotency record for a second entry VM.
+     * </pre>
+     *
+     * Protobuf type {@code lacewingthread.peer.RecordPut}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.RecordPut)
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordPutOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordPut_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordPut_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.Builder.class);
+      }
+
+      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          getRecordFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        number_ = 0L;
+        record_ = null;
+        if (recordBuilder_ != null) {
+          recordBuilder_.dispose();
+          recordBuilder_ = null;
+        }
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordPut_descriptor;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut getDefaultInstanceForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut build() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut buildPartial() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut result = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.number_ = number_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.record_ = recordBuilder_ == null
+              ? record_
+              : recordBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut) {
+          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut other) {
+        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.getDefaultInstance()) return this;
+        if (other.getNumber() != 0L) {
+          setNumber(other.getNumber());
+        }
+        if (other.hasRecord()) {
+          mergeRecord(other.getRecord());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                number_ = input.readInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                input.readMessage(
+                    getRecordFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long number_ ;
+      /**
+       * <code>int64 number = 1;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
+      }
+      /**
+       * <code>int64 number = 1;</code>
+       * @param value The number to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNumber(long value) {
+
+        number_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 number = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNumber() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        number_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord record_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder> recordBuilder_;
+      /**
+       * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+       * @return Whether the record field is set.
+       */
+      public boolean hasRecord() {
+        return ((bitField0_ & 0x00000002) != 0);
+      }
+      /**
+       * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+       * @return The record.
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord getRecord() {
+        if (recordBuilder_ == null) {
+          return record_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.getDefaultInstance() : record_;
+        } else {
+          return recordBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+       */
+      public Builder setRecord(org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord value) {
+        if (recordBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          record_ = value;
+        } else {
+          recordBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+       */
+      public Builder setRecord(
+          org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder builderForValue) {
+        if (recordBuilder_ == null) {
+          record_ = builderForValue.build();
+        } else {
+          recordBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+       */
+      public Builder mergeRecord(org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord value) {
+        if (recordBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0) &&
+            record_ != null &&
+            record_ != org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.getDefaultInstance()) {
+            getRecordBuilder().mergeFrom(value);
+          } else {
+            record_ = value;
+          }
+        } else {
+          recordBuilder_.mergeFrom(value);
+        }
+        if (record_ != null) {
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+       */
+      public Builder clearRecord() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        record_ = null;
+        if (recordBuilder_ != null) {
+          recordBuilder_.dispose();
+          recordBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder getRecordBuilder() {
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return getRecordFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder getRecordOrBuilder() {
+        if (recordBuilder_ != null) {
+          return recordBuilder_.getMessageOrBuilder();
+        } else {
+          return record_ == null ?
+              org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.getDefaultInstance() : record_;
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.IdempotencyRecord record = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder> 
+          getRecordFieldBuilder() {
+        if (recordBuilder_ == null) {
+          recordBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder>(
+                  getRecord(),
+                  getParentForChildren(),
+                  isClean());
+          record_ = null;
+        }
+        return recordBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.RecordPut)
+    }
+
+    // @@protoc_insertion_point(class_scope:lacewingthread.peer.RecordPut)
+    private static final org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut();
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<RecordPut>
+        PARSER = new com.google.protobuf.AbstractParser<RecordPut>() {
+      @java.lang.Override
+      public RecordPut parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<RecordPut> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<RecordPut> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RecordAckOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.RecordAck)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>int64 number = 1;</code>
+     * @return The number.
+     */
+    long getNumber();
+
+    /**
+     * <code>bool stored = 2;</code>
+     * @return The stored.
+     */
+    boolean getStored();
+  }
+  /**
+   * Protobuf type {@code lacewingthread.peer.RecordAck}
+   */
+  public static final class RecordAck extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:lacewingthread.peer.RecordAck)
+      RecordAckOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 29,
+        /* patch= */ 3,
+        /* suffix= */ "",
+        RecordAck.class.getName());
+    }
+    // Use RecordAck.newBuilder() to construct.
+    private RecordAck(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RecordAck() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordAck_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordAck_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.Builder.class);
+    }
+
+    public static final int NUMBER_FIELD_NUMBER = 1;
+    private long number_ = 0L;
+    /**
+     * <code>int64 number = 1;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+
+    public static final int STORED_FIELD_NUMBER = 2;
+    private boolean stored_ = false;
+    /**
+     * <code>bool stored = 2;</code>
+     * @return The stored.
+     */
+    @java.lang.Override
+    public boolean getStored() {
+      return stored_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (number_ != 0L) {
+        output.writeInt64(1, number_);
+      }
+      if (stored_ != false) {
+        output.writeBool(2, stored_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (number_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(1, number_);
+      }
+      if (stored_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, stored_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck)) {
+        return super.equals(obj);
+      }
+      org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck other = (org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck) obj;
+
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (getStored()
+          != other.getStored()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNumber());
+      hash = (37 * hash) + STORED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getStored());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code lacewingthread.peer.RecordAck}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.RecordAck)
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordAckOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordAck_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordAck_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.Builder.class);
+      }
+
+      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        number_ = 0L;
+        stored_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordAck_descriptor;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck getDefaultInstanceForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck build() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck buildPartial() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck result = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.number_ = number_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.stored_ = stored_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck) {
+          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck other) {
+        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.getDefaultInstance()) return this;
+        if (other.getNumber() != 0L) {
+          setNumber(other.getNumber());
+        }
+        if (other.getStored() != false) {
+          setStored(other.getStored());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                number_ = input.readInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                stored_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long number_ ;
+      /**
+       * <code>int64 number = 1;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public long getNumber() {
+        return number_;
+      }
+      /**
+       * <code>int64 number = 1;</code>
+       * @param value The number to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNumber(long value) {
+
+        number_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 number = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNumber() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        number_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean stored_ ;
+      /**
+       * <code>bool stored = 2;</code>
+       * @return The stored.
+       */
+      @java.lang.Override
+      public boolean getStored() {
+        return stored_;
+      }
+      /**
+       * <code>bool stored = 2;</code>
+       * @param value The stored to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStored(boolean value) {
+
+        stored_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool stored = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStored() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        stored_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.RecordAck)
+    }
+
+    // @@protoc_insertion_point(class_scope:lacewingthread.peer.RecordAck)
+    private static final org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck();
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<RecordAck>
+        PARSER = new com.google.protobuf.AbstractParser<RecordAck>() {
+      @java.lang.Override
+      public RecordAck parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<RecordAck> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<RecordAck> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RecordsWantedOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.RecordsWanted)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>int64 number = 1;</code>
+     * @return The number.
+     */
+    long getNumber();
+
+    /**
+     * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+     * @return Whether the shards field is set.
+     */
+    boolean hasShards();
+    /**
+     * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+     * @return The shards.
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.ShardList getShards();
+    /**
+     * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.ShardListOrBuilder getShardsOrBuilder();
+  }
+  /**
+   * <pre>
+   * Asks for all records of some shards that the receiver made or keeps copies of.
+   * </pre>
+   *
+   * Protobuf type {@code lacewingthread.peer.RecordsWanted}
+   */
+  public static final class RecordsWanted extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:lacewingthread.peer.RecordsWanted)
+      RecordsWantedOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 29,
+        /* patch= */ 3,
+        /* suffix= */ "",
+        RecordsWanted.class.getName());
+    }
+    // Use RecordsWanted.newBuilder() to construct.
+    private RecordsWanted(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RecordsWanted() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordsWanted_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordsWanted_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int NUMBER_FIELD_NUMBER = 1;
+    private long number_ = 0L;
+    /**
+     * <code>int64 number = 1;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+
+    public static final int SHARDS_FIELD_NUMBER = 2;
+    private org.lacewingthread.daemon.peer.wire.PeerWire.ShardList shards_;
+    /**
+     * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+     * @return Whether the shards field is set.
+     */
+    @java.lang.Override
+    public boolean hasShards() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+     * @return The shards.
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.ShardList getShards() {
+      return shards_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.ShardList.getDefaultInstance() : shards_;
+    }
+    /**
+     * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.ShardListOrBuilder getShardsOrBuilder() {
+      return shards_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.ShardList.getDefaultInstance() : shards_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (number_ != 0L) {
+        output.writeInt64(1, number_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(2, getShards());
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (number_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(1, number_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, getShards());
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted)) {
+        return super.equals(obj);
+      }
+      org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted other = (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted) obj;
+
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (hasShards() != other.hasShards()) return false;
+      if (hasShards()) {
+        if (!getShards()
+            .equals(other.getShards())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNumber());
+      if (hasShards()) {
+        hash = (37 * hash) + SHARDS_FIELD_NUMBER;
+        hash = (53 * hash) + getShards().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Asks for all records of some shards that the receiver made or keeps copies of.
+     * </pre>
+     *
+     * Protobuf type {@code lacewingthread.peer.RecordsWanted}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.RecordsWanted)
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWantedOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordsWanted_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
