+          internalGetFieldAccessorTable() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordsWanted_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.Builder.class);
+      }
+
+      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.newBuilder()
+      private Builder() {
+        maybeForceBuilderInitialization();
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          getShardsFieldBuilder();
+        }
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        number_ = 0L;
+        shards_ = null;
+        if (shardsBuilder_ != null) {
+          shardsBuilder_.dispose();
+          shardsBuilder_ = null;
+        }
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordsWanted_descriptor;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted getDefaultInstanceForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted build() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted buildPartial() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted result = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.number_ = number_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.shards_ = shardsBuilder_ == null
+              ? shards_
+              : shardsBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted) {
+          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted other) {
+        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted.getDefaultInstance()) return this;
+        if (other.getNumber() != 0L) {
           setNumber(other.getNumber());
         }
-        if (other.getRecord() != com.google.protobuf.ByteString.EMPTY) {
-          setRecord(other.getRecord());
+        if (other.hasShards()) {
+          mergeShards(other.getShards());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -31568,7 +35163,9 @@
                 break;
               } // case 8
               case 18: {
-                record_ = input.readBytes();
+                input.readMessage(
+                    getShardsFieldBuilder().getBuilder(),
+                    extensionRegistry);
                 bitField0_ |= 0x00000002;
                 break;
               } // case 18
@@ -31621,55 +35218,144 @@
         return this;
       }
 
-      private com.google.protobuf.ByteString record_ = com.google.protobuf.ByteString.EMPTY;
+      private org.lacewingthread.daemon.peer.wire.PeerWire.ShardList shards_;
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.ShardList, org.lacewingthread.daemon.peer.wire.PeerWire.ShardList.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.ShardListOrBuilder> shardsBuilder_;
       /**
-       * <code>bytes record = 2;</code>
-       * @return The record.
+       * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+       * @return Whether the shards field is set.
        */
-      @java.lang.Override
-      public com.google.protobuf.ByteString getRecord() {
-        return record_;
+      public boolean hasShards() {
+        return ((bitField0_ & 0x00000002) != 0);
       }
       /**
-       * <code>bytes record = 2;</code>
-       * @param value The record to set.
-       * @return This builder for chaining.
+       * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+       * @return The shards.
        */
-      public Builder setRecord(com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        record_ = value;
+      public org.lacewingthread.daemon.peer.wire.PeerWire.ShardList getShards() {
+        if (shardsBuilder_ == null) {
+          return shards_ == null ? org.lacewingthread.daemon.peer.wire.PeerWire.ShardList.getDefaultInstance() : shards_;
+        } else {
+          return shardsBuilder_.getMessage();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+       */
+      public Builder setShards(org.lacewingthread.daemon.peer.wire.PeerWire.ShardList value) {
+        if (shardsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          shards_ = value;
+        } else {
+          shardsBuilder_.setMessage(value);
+        }
         bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>bytes record = 2;</code>
-       * @return This builder for chaining.
+       * <code>.lacewingthread.peer.ShardList shards = 2;</code>
        */
-      public Builder clearRecord() {
+      public Builder setShards(
+          org.lacewingthread.daemon.peer.wire.PeerWire.ShardList.Builder builderForValue) {
+        if (shardsBuilder_ == null) {
+          shards_ = builderForValue.build();
+        } else {
+          shardsBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+       */
+      public Builder mergeShards(org.lacewingthread.daemon.peer.wire.PeerWire.ShardList value) {
+        if (shardsBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0) &&
+            shards_ != null &&
+            shards_ != org.lacewingthread.daemon.peer.wire.PeerWire.ShardList.getDefaultInstance()) {
+            getShardsBuilder().mergeFrom(value);
+          } else {
+            shards_ = value;
+          }
+        } else {
+          shardsBuilder_.mergeFrom(value);
+        }
+        if (shards_ != null) {
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+       */
+      public Builder clearShards() {
         bitField0_ = (bitField0_ & ~0x00000002);
-        record_ = getDefaultInstance().getRecord();
+        shards_ = null;
+        if (shardsBuilder_ != null) {
+          shardsBuilder_.dispose();
+          shardsBuilder_ = null;
+        }
         onChanged();
         return this;
       }
+      /**
+       * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.ShardList.Builder getShardsBuilder() {
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return getShardsFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.ShardListOrBuilder getShardsOrBuilder() {
+        if (shardsBuilder_ != null) {
+          return shardsBuilder_.getMessageOrBuilder();
+        } else {
+          return shards_ == null ?
+              org.lacewingthread.daemon.peer.wire.PeerWire.ShardList.getDefaultInstance() : shards_;
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.ShardList shards = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.ShardList, org.lacewingthread.daemon.peer.wire.PeerWire.ShardList.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.ShardListOrBuilder> 
+          getShardsFieldBuilder() {
+        if (shardsBuilder_ == null) {
+          shardsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.ShardList, org.lacewingthread.daemon.peer.wire.PeerWire.ShardList.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.ShardListOrBuilder>(
+                  getShards(),
+                  getParentForChildren(),
+                  isClean());
+          shards_ = null;
+        }
+        return shardsBuilder_;
+      }
 
-      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.RecordPut)
+      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.RecordsWanted)
     }
 
-    // @@protoc_insertion_point(class_scope:lacewingthread.peer.RecordPut)
-    private static final org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:lacewingthread.peer.RecordsWanted)
+    private static final org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut();
+      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted();
     }
 
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut getDefaultInstance() {
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<RecordPut>
-        PARSER = new com.google.protobuf.AbstractParser<RecordPut>() {
+    private static final com.google.protobuf.Parser<RecordsWanted>
+        PARSER = new com.google.protobuf.AbstractParser<RecordsWanted>() {
       @java.lang.Override
-      public RecordPut parsePartialFrom(
+      public RecordsWanted parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -31688,24 +35374,24 @@
       }
     };
 
-    public static com.google.protobuf.Parser<RecordPut> parser() {
+    public static com.google.protobuf.Parser<RecordsWanted> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<RecordPut> getParserForType() {
+    public com.google.protobuf.Parser<RecordsWanted> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut getDefaultInstanceForType() {
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsWanted getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
   }
 
-  public interface RecordAckOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.RecordAck)
+  public interface RecordsGivenOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.RecordsGiven)
       com.google.protobuf.MessageOrBuilder {
 
     /**
@@ -31715,18 +35401,90 @@
     long getNumber();
 
     /**
-     * <code>bool stored = 2;</code>
-     * @return The stored.
+     * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
      */
-    boolean getStored();
+    java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord> 
+        getRecordsList();
+    /**
+     * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord getRecords(int index);
+    /**
+     * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+     */
+    int getRecordsCount();
+    /**
+     * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+     */
+    java.util.List<? extends org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder> 
+        getRecordsOrBuilderList();
+    /**
+     * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder getRecordsOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Processes that left the data centre's roster within the window, as the sender saw it.
+     * </pre>
+     *
+     * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+     */
+    java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.VmStart> 
+        getGoneList();
+    /**
+     * <pre>
+     * Processes that left the data centre's roster within the window, as the sender saw it.
+     * </pre>
+     *
+     * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.VmStart getGone(int index);
+    /**
+     * <pre>
+     * Processes that left the data centre's roster within the window, as the sender saw it.
+     * </pre>
+     *
+     * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+     */
+    int getGoneCount();
+    /**
+     * <pre>
+     * Processes that left the data centre's roster within the window, as the sender saw it.
+     * </pre>
+     *
+     * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+     */
+    java.util.List<? extends org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder> 
+        getGoneOrBuilderList();
+    /**
+     * <pre>
+     * Processes that left the data centre's roster within the window, as the sender saw it.
+     * </pre>
+     *
+     * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder getGoneOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Whether the sender saw the whole window.
+     * </pre>
+     *
+     * <code>bool whole_window = 4;</code>
+     * @return The wholeWindow.
+     */
+    boolean getWholeWindow();
   }
   /**
-   * Protobuf type {@code lacewingthread.peer.RecordAck}
+   * Protobuf type {@code lacewingthread.peer.RecordsGiven}
    */
-  public static final class RecordAck extends
+  public static final class RecordsGiven extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:lacewingthread.peer.RecordAck)
-      RecordAckOrBuilder {
+      // @@protoc_insertion_point(message_implements:lacewingthread.peer.RecordsGiven)
+      RecordsGivenOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -31735,26 +35493,28 @@
         /* minor= */ 29,
         /* patch= */ 3,
         /* suffix= */ "",
-        RecordAck.class.getName());
+        RecordsGiven.class.getName());
     }
-    // Use RecordAck.newBuilder() to construct.
-    private RecordAck(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use RecordsGiven.newBuilder() to construct.
+    private RecordsGiven(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private RecordAck() {
+    private RecordsGiven() {
+      records_ = java.util.Collections.emptyList();
+      gone_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordAck_descriptor;
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordsGiven_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordAck_fieldAccessorTable
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordsGiven_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.Builder.class);
+              org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.Builder.class);
     }
 
     public static final int NUMBER_FIELD_NUMBER = 1;
@@ -31768,15 +35528,121 @@
       return number_;
     }
 
-    public static final int STORED_FIELD_NUMBER = 2;
-    private boolean stored_ = false;
+    public static final int RECORDS_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord> records_;
     /**
-     * <code>bool stored = 2;</code>
-     * @return The stored.
+     * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
      */
     @java.lang.Override
-    public boolean getStored() {
-      return stored_;
+    public java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord> getRecordsList() {
+      return records_;
+    }
+    /**
+     * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder> 
+        getRecordsOrBuilderList() {
+      return records_;
+    }
+    /**
+     * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+     */
+    @java.lang.Override
+    public int getRecordsCount() {
+      return records_.size();
+    }
+    /**
+     * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord getRecords(int index) {
+      return records_.get(index);
+    }
+    /**
+     * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder getRecordsOrBuilder(
+        int index) {
+      return records_.get(index);
+    }
+
+    public static final int GONE_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.VmStart> gone_;
+    /**
+     * <pre>
+     * Processes that left the data centre's roster within the window, as the sender saw it.
+     * </pre>
+     *
+     * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.VmStart> getGoneList() {
+      return gone_;
+    }
+    /**
+     * <pre>
+     * Processes that left the data centre's roster within the window, as the sender saw it.
+     * </pre>
+     *
+     * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder> 
+        getGoneOrBuilderList() {
+      return gone_;
+    }
+    /**
+     * <pre>
+     * Processes that left the data centre's roster within the window, as the sender saw it.
+     * </pre>
+     *
+     * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+     */
+    @java.lang.Override
+    public int getGoneCount() {
+      return gone_.size();
+    }
+    /**
+     * <pre>
+     * Processes that left the data centre's roster within the window, as the sender saw it.
+     * </pre>
+     *
+     * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.VmStart getGone(int index) {
+      return gone_.get(index);
+    }
+    /**
+     * <pre>
+     * Processes that left the data centre's roster within the window, as the sender saw it.
+     * </pre>
+     *
+     * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder getGoneOrBuilder(
+        int index) {
+      return gone_.get(index);
+    }
+
+    public static final int WHOLE_WINDOW_FIELD_NUMBER = 4;
+    private boolean wholeWindow_ = false;
+    /**
+     * <pre>
+     * Whether the sender saw the whole window.
+     * </pre>
+     *
+     * <code>bool whole_window = 4;</code>
+     * @return The wholeWindow.
+     */
+    @java.lang.Override
+    public boolean getWholeWindow() {
+      return wholeWindow_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -31796,8 +35662,14 @@
       if (number_ != 0L) {
         output.writeInt64(1, number_);
       }
-      if (stored_ != false) {
-        output.writeBool(2, stored_);
+      for (int i = 0; i < records_.size(); i++) {
+        output.writeMessage(2, records_.get(i));
+      }
+      for (int i = 0; i < gone_.size(); i++) {
+        output.writeMessage(3, gone_.get(i));
+      }
+      if (wholeWindow_ != false) {
+        output.writeBool(4, wholeWindow_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -31812,9 +35684,17 @@
         size += com.google.protobuf.CodedOutputStream
           .computeInt64Size(1, number_);
       }
-      if (stored_ != false) {
+      for (int i = 0; i < records_.size(); i++) {
         size += com.google.protobuf.CodedOutputStream
-          .computeBoolSize(2, stored_);
+          .computeMessageSize(2, records_.get(i));
+      }
+      for (int i = 0; i < gone_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, gone_.get(i));
+      }
+      if (wholeWindow_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(4, wholeWindow_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -31826,15 +35706,19 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck)) {
+      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven)) {
         return super.equals(obj);
       }
-      org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck other = (org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck) obj;
+      org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven other = (org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven) obj;
 
       if (getNumber()
           != other.getNumber()) return false;
-      if (getStored()
-          != other.getStored()) return false;
+      if (!getRecordsList()
+          .equals(other.getRecordsList())) return false;
+      if (!getGoneList()
+          .equals(other.getGoneList())) return false;
+      if (getWholeWindow()
+          != other.getWholeWindow()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -31849,52 +35733,60 @@
       hash = (37 * hash) + NUMBER_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getNumber());
-      hash = (37 * hash) + STORED_FIELD_NUMBER;
+      if (getRecordsCount() > 0) {
+        hash = (37 * hash) + RECORDS_FIELD_NUMBER;
+        hash = (53 * hash) + getRecordsList().hashCode();
+      }
+      if (getGoneCount() > 0) {
+        hash = (37 * hash) + GONE_FIELD_NUMBER;
+        hash = (53 * hash) + getGoneList().hashCode();
+      }
+      hash = (37 * hash) + WHOLE_WINDOW_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-          getStored());
+          getWholeWindow());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
     }
 
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(byte[] data)
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(java.io.InputStream input)
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -31902,26 +35794,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseDelimitedFrom(java.io.InputStream input)
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseDelimitedFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck parseFrom(
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -31934,7 +35826,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck prototype) {
+    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -31950,26 +35842,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code lacewingthread.peer.RecordAck}
+     * Protobuf type {@code lacewingthread.peer.RecordsGiven}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.RecordAck)
-        org.lacewingthread.daemon.peer.wire.PeerWire.RecordAckOrBuilder {
+        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.RecordsGiven)
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGivenOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordAck_descriptor;
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordsGiven_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordAck_fieldAccessorTable
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordsGiven_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.Builder.class);
+                org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.class, org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.Builder.class);
       }
 
-      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.newBuilder()
+      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.newBuilder()
       private Builder() {
 
       }
@@ -31984,24 +35876,38 @@
         super.clear();
         bitField0_ = 0;
         number_ = 0L;
-        stored_ = false;
+        if (recordsBuilder_ == null) {
+          records_ = java.util.Collections.emptyList();
+        } else {
+          records_ = null;
+          recordsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000002);
+        if (goneBuilder_ == null) {
+          gone_ = java.util.Collections.emptyList();
+        } else {
+          gone_ = null;
+          goneBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000004);
+        wholeWindow_ = false;
         return this;
       }
 
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordAck_descriptor;
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RecordsGiven_descriptor;
       }
 
       @java.lang.Override
-      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck getDefaultInstanceForType() {
-        return org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.getDefaultInstance();
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven getDefaultInstanceForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.getDefaultInstance();
       }
 
       @java.lang.Override
-      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck build() {
-        org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck result = buildPartial();
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven build() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -32009,40 +35915,114 @@
       }
 
       @java.lang.Override
-      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck buildPartial() {
-        org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck result = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck(this);
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven buildPartial() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven result = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven(this);
+        buildPartialRepeatedFields(result);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck result) {
+      private void buildPartialRepeatedFields(org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven result) {
+        if (recordsBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0)) {
+            records_ = java.util.Collections.unmodifiableList(records_);
+            bitField0_ = (bitField0_ & ~0x00000002);
+          }
+          result.records_ = records_;
+        } else {
+          result.records_ = recordsBuilder_.build();
+        }
+        if (goneBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0)) {
+            gone_ = java.util.Collections.unmodifiableList(gone_);
+            bitField0_ = (bitField0_ & ~0x00000004);
+          }
+          result.gone_ = gone_;
+        } else {
+          result.gone_ = goneBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.number_ = number_;
         }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
-          result.stored_ = stored_;
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.wholeWindow_ = wholeWindow_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck) {
-          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck)other);
+        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven) {
+          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck other) {
-        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck.getDefaultInstance()) return this;
+      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven other) {
+        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven.getDefaultInstance()) return this;
         if (other.getNumber() != 0L) {
           setNumber(other.getNumber());
         }
-        if (other.getStored() != false) {
-          setStored(other.getStored());
+        if (recordsBuilder_ == null) {
+          if (!other.records_.isEmpty()) {
+            if (records_.isEmpty()) {
+              records_ = other.records_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+            } else {
+              ensureRecordsIsMutable();
+              records_.addAll(other.records_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.records_.isEmpty()) {
+            if (recordsBuilder_.isEmpty()) {
+              recordsBuilder_.dispose();
+              recordsBuilder_ = null;
+              records_ = other.records_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+              recordsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   getRecordsFieldBuilder() : null;
+            } else {
+              recordsBuilder_.addAllMessages(other.records_);
+            }
+          }
+        }
+        if (goneBuilder_ == null) {
+          if (!other.gone_.isEmpty()) {
+            if (gone_.isEmpty()) {
+              gone_ = other.gone_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+            } else {
+              ensureGoneIsMutable();
+              gone_.addAll(other.gone_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.gone_.isEmpty()) {
+            if (goneBuilder_.isEmpty()) {
+              goneBuilder_.dispose();
+              goneBuilder_ = null;
+              gone_ = other.gone_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+              goneBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   getGoneFieldBuilder() : null;
+            } else {
+              goneBuilder_.addAllMessages(other.gone_);
+            }
+          }
+        }
+        if (other.getWholeWindow() != false) {
+          setWholeWindow(other.getWholeWindow());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -32075,11 +36055,37 @@
                 bitField0_ |= 0x00000001;
                 break;
               } // case 8
-              case 16: {
-                stored_ = input.readBool();
-                bitField0_ |= 0x00000002;
+              case 18: {
+                org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord m =
+                    input.readMessage(
+                        org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.parser(),
+                        extensionRegistry);
+                if (recordsBuilder_ == null) {
+                  ensureRecordsIsMutable();
+                  records_.add(m);
+                } else {
+                  recordsBuilder_.addMessage(m);
+                }
                 break;
-              } // case 16
+              } // case 18
+              case 26: {
+                org.lacewingthread.daemon.peer.wire.PeerWire.VmStart m =
+                    input.readMessage(
+                        org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.parser(),
+                        extensionRegistry);
+                if (goneBuilder_ == null) {
+                  ensureGoneIsMutable();
+                  gone_.add(m);
+                } else {
+                  goneBuilder_.addMessage(m);
+                }
+                break;
+              } // case 26
+              case 32: {
+                wholeWindow_ = input.readBool();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -32129,55 +36135,619 @@
         return this;
       }
 
-      private boolean stored_ ;
+      private java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord> records_ =
+        java.util.Collections.emptyList();
+      private void ensureRecordsIsMutable() {
+        if (!((bitField0_ & 0x00000002) != 0)) {
+          records_ = new java.util.ArrayList<org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord>(records_);
+          bitField0_ |= 0x00000002;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder> recordsBuilder_;
+
       /**
-       * <code>bool stored = 2;</code>
-       * @return The stored.
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord> getRecordsList() {
+        if (recordsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(records_);
+        } else {
+          return recordsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public int getRecordsCount() {
+        if (recordsBuilder_ == null) {
+          return records_.size();
+        } else {
+          return recordsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord getRecords(int index) {
+        if (recordsBuilder_ == null) {
+          return records_.get(index);
+        } else {
+          return recordsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public Builder setRecords(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord value) {
+        if (recordsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureRecordsIsMutable();
+          records_.set(index, value);
+          onChanged();
+        } else {
+          recordsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public Builder setRecords(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder builderForValue) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          recordsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public Builder addRecords(org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord value) {
+        if (recordsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureRecordsIsMutable();
+          records_.add(value);
+          onChanged();
+        } else {
+          recordsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public Builder addRecords(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord value) {
+        if (recordsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureRecordsIsMutable();
+          records_.add(index, value);
+          onChanged();
+        } else {
+          recordsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public Builder addRecords(
+          org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder builderForValue) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.add(builderForValue.build());
+          onChanged();
+        } else {
+          recordsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public Builder addRecords(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder builderForValue) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          recordsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public Builder addAllRecords(
+          java.lang.Iterable<? extends org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord> values) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, records_);
+          onChanged();
+        } else {
+          recordsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public Builder clearRecords() {
+        if (recordsBuilder_ == null) {
+          records_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000002);
+          onChanged();
+        } else {
+          recordsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public Builder removeRecords(int index) {
+        if (recordsBuilder_ == null) {
+          ensureRecordsIsMutable();
+          records_.remove(index);
+          onChanged();
+        } else {
+          recordsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder getRecordsBuilder(
+          int index) {
+        return getRecordsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder getRecordsOrBuilder(
+          int index) {
+        if (recordsBuilder_ == null) {
+          return records_.get(index);  } else {
+          return recordsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public java.util.List<? extends org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder> 
+           getRecordsOrBuilderList() {
+        if (recordsBuilder_ != null) {
+          return recordsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(records_);
+        }
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder addRecordsBuilder() {
+        return getRecordsFieldBuilder().addBuilder(
+            org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder addRecordsBuilder(
+          int index) {
+        return getRecordsFieldBuilder().addBuilder(
+            index, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.IdempotencyRecord records = 2;</code>
+       */
+      public java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder> 
+           getRecordsBuilderList() {
+        return getRecordsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder> 
+          getRecordsFieldBuilder() {
+        if (recordsBuilder_ == null) {
+          recordsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecord.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.IdempotencyRecordOrBuilder>(
+                  records_,
+                  ((bitField0_ & 0x00000002) != 0),
+                  getParentForChildren(),
+                  isClean());
+          records_ = null;
+        }
+        return recordsBuilder_;
+      }
+
+      private java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.VmStart> gone_ =
+        java.util.Collections.emptyList();
+      private void ensureGoneIsMutable() {
+        if (!((bitField0_ & 0x00000004) != 0)) {
+          gone_ = new java.util.ArrayList<org.lacewingthread.daemon.peer.wire.PeerWire.VmStart>(gone_);
+          bitField0_ |= 0x00000004;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.VmStart, org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder> goneBuilder_;
+
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.VmStart> getGoneList() {
+        if (goneBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(gone_);
+        } else {
+          return goneBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public int getGoneCount() {
+        if (goneBuilder_ == null) {
+          return gone_.size();
+        } else {
+          return goneBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.VmStart getGone(int index) {
+        if (goneBuilder_ == null) {
+          return gone_.get(index);
+        } else {
+          return goneBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public Builder setGone(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.VmStart value) {
+        if (goneBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureGoneIsMutable();
+          gone_.set(index, value);
+          onChanged();
+        } else {
+          goneBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public Builder setGone(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder builderForValue) {
+        if (goneBuilder_ == null) {
+          ensureGoneIsMutable();
+          gone_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          goneBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public Builder addGone(org.lacewingthread.daemon.peer.wire.PeerWire.VmStart value) {
+        if (goneBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureGoneIsMutable();
+          gone_.add(value);
+          onChanged();
+        } else {
+          goneBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public Builder addGone(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.VmStart value) {
+        if (goneBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureGoneIsMutable();
+          gone_.add(index, value);
+          onChanged();
+        } else {
+          goneBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public Builder addGone(
+          org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder builderForValue) {
+        if (goneBuilder_ == null) {
+          ensureGoneIsMutable();
+          gone_.add(builderForValue.build());
+          onChanged();
+        } else {
+          goneBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public Builder addGone(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder builderForValue) {
+        if (goneBuilder_ == null) {
+          ensureGoneIsMutable();
+          gone_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          goneBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public Builder addAllGone(
+          java.lang.Iterable<? extends org.lacewingthread.daemon.peer.wire.PeerWire.VmStart> values) {
+        if (goneBuilder_ == null) {
+          ensureGoneIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, gone_);
+          onChanged();
+        } else {
+          goneBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public Builder clearGone() {
+        if (goneBuilder_ == null) {
+          gone_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000004);
+          onChanged();
+        } else {
+          goneBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public Builder removeGone(int index) {
+        if (goneBuilder_ == null) {
+          ensureGoneIsMutable();
+          gone_.remove(index);
+          onChanged();
+        } else {
+          goneBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder getGoneBuilder(
+          int index) {
+        return getGoneFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder getGoneOrBuilder(
+          int index) {
+        if (goneBuilder_ == null) {
+          return gone_.get(index);  } else {
+          return goneBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public java.util.List<? extends org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder> 
+           getGoneOrBuilderList() {
+        if (goneBuilder_ != null) {
+          return goneBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(gone_);
+        }
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder addGoneBuilder() {
+        return getGoneFieldBuilder().addBuilder(
+            org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder addGoneBuilder(
+          int index) {
+        return getGoneFieldBuilder().addBuilder(
+            index, org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Processes that left the data centre's roster within the window, as the sender saw it.
+       * </pre>
+       *
+       * <code>repeated .lacewingthread.peer.VmStart gone = 3;</code>
+       */
+      public java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder> 
+           getGoneBuilderList() {
+        return getGoneFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.VmStart, org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder> 
+          getGoneFieldBuilder() {
+        if (goneBuilder_ == null) {
+          goneBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.VmStart, org.lacewingthread.daemon.peer.wire.PeerWire.VmStart.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.VmStartOrBuilder>(
+                  gone_,
+                  ((bitField0_ & 0x00000004) != 0),
+                  getParentForChildren(),
+                  isClean());
+          gone_ = null;
+        }
+        return goneBuilder_;
+      }
+
+      private boolean wholeWindow_ ;
+      /**
+       * <pre>
+       * Whether the sender saw the whole window.
+       * </pre>
+       *
+       * <code>bool whole_window = 4;</code>
+       * @return The wholeWindow.
        */
       @java.lang.Override
-      public boolean getStored() {
-        return stored_;
+      public boolean getWholeWindow() {
+        return wholeWindow_;
       }
       /**
-       * <code>bool stored = 2;</code>
-       * @param value The stored to set.
+       * <pre>
+       * Whether the sender saw the whole window.
+       * </pre>
+       *
+       * <code>bool whole_window = 4;</code>
+       * @param value The wholeWindow to set.
        * @return This builder for chaining.
        */
-      public Builder setStored(boolean value) {
+      public Builder setWholeWindow(boolean value) {
 
-        stored_ = value;
-        bitField0_ |= 0x00000002;
+        wholeWindow_ = value;
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
       /**
-       * <code>bool stored = 2;</code>
+       * <pre>
+       * Whether the sender saw the whole window.
+       * </pre>
+       *
+       * <code>bool whole_window = 4;</code>
        * @return This builder for chaining.
        */
-      public Builder clearStored() {
-        bitField0_ = (bitField0_ & ~0x00000002);
-        stored_ = false;
+      public Builder clearWholeWindow() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        wholeWindow_ = false;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.RecordAck)
+      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.RecordsGiven)
     }
 
-    // @@protoc_insertion_point(class_scope:lacewingthread.peer.RecordAck)
-    private static final org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:lacewingthread.peer.RecordsGiven)
+    private static final org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck();
+      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven();
     }
 
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck getDefaultInstance() {
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<RecordAck>
-        PARSER = new com.google.protobuf.AbstractParser<RecordAck>() {
+    private static final com.google.protobuf.Parser<RecordsGiven>
+        PARSER = new com.google.protobuf.AbstractParser<RecordsGiven>() {
       @java.lang.Override
-      public RecordAck parsePartialFrom(
+      public RecordsGiven parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -32196,17 +36766,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<RecordAck> parser() {
+    public static com.google.protobuf.Parser<RecordsGiven> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<RecordAck> getParserForType() {
+    public com.google.protobuf.Parser<RecordsGiven> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.lacewingthread.daemon.peer.wire.PeerWire.RecordAck getDefaultInstanceForType() {
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RecordsGiven getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -32372,6 +36942,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_lacewingthread_peer_ResponseFailure_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lacewingthread_peer_IdempotencyRecord_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lacewingthread_peer_IdempotencyRecord_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lacewingthread_peer_Outcome_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lacewingthread_peer_Outcome_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_lacewingthread_peer_RecordPut_descriptor;
   private static final 
@@ -32382,6 +36962,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_lacewingthread_peer_RecordAck_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lacewingthread_peer_RecordsWanted_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lacewingthread_peer_RecordsWanted_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lacewingthread_peer_RecordsGiven_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lacewingthread_peer_RecordsGiven_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -32391,7 +36981,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\023lacewingthread.peer\"\201\t\n\005Fr" +
+      "\n\npeer.proto\022\023lacewingthread.peer\"\373\t\n\005Fr" +
       "ame\022+\n\005hello\030\001 \001(\0132\032.lacewingthread.peer" +
       ".HelloH\000\022)\n\004ping\030\002 \001(\0132\031.lacewingthread." +
       "peer.PingH\000\022)\n\004pong\030\003 \001(\0132\031.lacewingthre" +
@@ -32420,98 +37010,114 @@
       "wingthread.peer.ResponseFailureH\000\0224\n\nrec" +
       "ord_put\030\036 \001(\0132\036.lacewingthread.peer.Reco" +
       "rdPutH\000\0224\n\nrecord_ack\030\037 \001(\0132\036.lacewingth" +
-      "read.peer.RecordAckH\000B\006\n\004body\"\223\001\n\005Hello\022" +
-      "\030\n\020protocol_version\030\001 \001(\r\022,\n\006sender\030\002 \001(" +
-      "\0132\034.lacewingthread.peer.VmStart\022\023\n\013data_" +
-      "centre\030\003 \001(\t\022-\n\007purpose\030\004 \001(\0162\034.lacewing" +
-      "thread.peer.Purpose\"\026\n\004Ping\022\016\n\006number\030\001 " +
-      "\001(\003\"\026\n\004Pong\022\016\n\006number\030\001 \001(\003\"+\n\007VmStart\022\n" +
-      "\n\002vm\030\001 \001(\t\022\024\n\014start_number\030\002 \001(\003\"[\n\004Term" +
-      "\022\024\n\014claim_offset\030\001 \001(\022\022\017\n\007ordinal\030\002 \001(\003\022" +
-      ",\n\006leader\030\003 \001(\0132\034.lacewingthread.peer.Vm" +
-      "Start\"F\n\005Token\022\'\n\004term\030\001 \001(\0132\031.lacewingt" +
-      "hread.peer.Term\022\024\n\014plan_version\030\002 \001(\003\"\266\001" +
-      "\n\006Owners\022\024\n\014applications\030\001 \003(\t\022\017\n\007server" +
-      "s\030\002 \003(\t\022*\n\006tokens\030\003 \003(\0132\032.lacewingthread" +
-      ".peer.Token\022\031\n\021shard_application\030\004 \003(\005\022\023" +
-      "\n\013shard_index\030\005 \003(\005\022\024\n\014shard_server\030\006 \003(" +
-      "\005\022\023\n\013shard_token\030\007 \003(\005\"\\\n\013Dispatchers\022)\n" +
-      "\003vms\030\001 \003(\0132\034.lacewingthread.peer.VmStart" +
-      "\022\017\n\007servers\030\002 \003(\t\022\021\n\tserver_vm\030\003 \003(\005\"Q\n\t" +
-      "ShardList\022\024\n\014applications\030\001 \003(\t\022\031\n\021shard" +
-      "_application\030\002 \003(\005\022\023\n\013shard_index\030\003 \003(\005\"" +
-      "\230\002\n\nPlanUpdate\022\'\n\004term\030\001 \001(\0132\031.lacewingt" +
-      "hread.peer.Term\022\024\n\014from_version\030\002 \001(\022\022\022\n" +
-      "\nto_version\030\003 \001(\003\0225\n\013dispatchers\030\004 \001(\0132 " +
-      ".lacewingthread.peer.Dispatchers\022\033\n\023remo" +
-      "ved_dispatchers\030\005 \003(\t\022+\n\006owners\030\006 \001(\0132\033." +
-      "lacewingthread.peer.Owners\0226\n\016removed_ow" +
-      "ners\030\007 \001(\0132\036.lacewingthread.peer.ShardLi" +
-      "st\"\251\001\n\tRoutePlan\022\'\n\004term\030\001 \001(\0132\031.lacewin" +
-      "gthread.peer.Term\022\017\n\007version\030\002 \001(\003\0225\n\013di" +
-      "spatchers\030\003 \001(\0132 .lacewingthread.peer.Di" +
-      "spatchers\022+\n\006owners\030\004 \001(\0132\033.lacewingthre" +
-      "ad.peer.Owners\"\362\001\n\tHeartbeat\022\023\n\013data_cen" +
-      "tre\030\001 \001(\t\022\'\n\004term\030\002 \001(\0132\031.lacewingthread" +
-      ".peer.Term\022\027\n\017roster_revision\030\003 \001(\022\022\020\n\010s" +
-      "equence\030\004 \001(\003\022\030\n\020echoed_at_millis\030\005 \001(\022\022" +
-      "\033\n\023echoed_plan_version\030\006 \001(\022\022\026\n\016log_end_" +
-      "offset\030\007 \001(\022\022-\n\004plan\030\010 \001(\0132\037.lacewingthr" +
-      "ead.peer.PlanUpdate\"\207\001\n\tShardLoad\022\023\n\013app" +
-      "lication\030\001 \001(\t\022\r\n\005index\030\002 \001(\005\022\033\n\023request" +
-      "s_per_second\030\003 \001(\001\022\030\n\020hottest_key_hash\030\004" +
-      " \001(\006\022\037\n\027hottest_key_share_ratio\030\005 \001(\001\"q\n" +
-      "\nServerLoad\022\016\n\006server\030\001 \001(\t\022\033\n\023requests_" +
-      "per_second\030\002 \001(\001\0226\n\016hottest_shards\030\003 \003(\013" +
-      "2\036.lacewingthread.peer.ShardLoad\"\255\003\n\016Hea" +
-      "rtbeatReply\022\'\n\004term\030\001 \001(\0132\031.lacewingthre" +
-      "ad.peer.Term\022\020\n\010sequence\030\002 \001(\003\022\017\n\007grante" +
-      "d\030\003 \001(\010\022/\n\014highest_term\030\004 \001(\0132\031.lacewing" +
-      "thread.peer.Term\022\027\n\017roster_revision\030\005 \001(" +
-      "\022\022\033\n\023acknowledged_roster\030\006 \001(\010\022\026\n\016applie" +
-      "d_offset\030\007 \001(\022\022\031\n\021replied_at_millis\030\010 \001(" +
-      "\022\022\034\n\024applied_plan_version\030\t \001(\022\022\035\n\025relea" +
-      "sed_plan_version\030\n \001(\022\022,\n\004held\030\013 \001(\0132\036.l" +
-      "acewingthread.peer.RoutePlan\022\033\n\023unreacha" +
-      "ble_servers\030\014 \003(\t\022-\n\004load\030\r \003(\0132\037.lacewi" +
-      "ngthread.peer.ServerLoad\" \n\020LogRecordsWa" +
-      "nted\022\014\n\004from\030\001 \001(\022\"-\n\rEncodedRecord\022\016\n\006o" +
-      "ffset\030\001 \001(\022\022\014\n\004data\030\002 \001(\014\"\\\n\021LogRecordsO" +
-      "ffered\0223\n\007records\030\001 \003(\0132\".lacewingthread" +
-      ".peer.EncodedRecord\022\022\n\nend_offset\030\002 \001(\022\"" +
-      "_\n\020ProgressReported\022\023\n\013data_centre\030\001 \001(\t" +
-      "\022\026\n\016applied_offset\030\002 \001(\022\022\036\n\026configuratio" +
-      "n_revision\030\003 \001(\022\"\\\n\014RosterMember\022+\n\005star" +
-      "t\030\001 \001(\0132\034.lacewingthread.peer.VmStart\022\014\n" +
-      "\004host\030\002 \001(\t\022\021\n\tpeer_port\030\003 \001(\005\"n\n\023Member" +
-      "shipRequested\022\023\n\013data_centre\030\001 \001(\t\0221\n\006me" +
-      "mber\030\002 \001(\0132!.lacewingthread.peer.RosterM" +
-      "ember\022\017\n\007leaving\030\003 \001(\010\"\216\001\n\017ServersObserv" +
-      "ed\022H\n\nconditions\030\001 \003(\01324.lacewingthread." +
-      "peer.ServersObserved.ConditionsEntry\0321\n\017" +
-      "ConditionsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 " +
-      "\001(\t:\0028\001\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value" +
-      "\030\002 \001(\t\"\240\002\n\014RequestStart\022\016\n\006stream\030\001 \001(\003\022" +
-      "\022\n\nrequest_id\030\002 \001(\t\022\023\n\013application\030\003 \001(\t" +
-      "\022\023\n\013shard_index\030\004 \001(\005\022\020\n\010key_hash\030\005 \001(\006\022" +
-      "\025\n\rrequest_class\030\006 \001(\t\022\016\n\006method\030\007 \001(\t\022\014" +
-      "\n\004path\030\010 \001(\t\022,\n\007headers\030\t \003(\0132\033.lacewing" +
-      "thread.peer.Header\022\014\n\004body\030\n \001(\014\022\030\n\020rema" +
-      "ining_millis\030\013 \001(\003\022\027\n\017idempotency_key\030\014 " +
-      "\001(\t\022\014\n\004hops\030\r \001(\005\"\037\n\rRequestCancel\022\016\n\006st" +
-      "ream\030\001 \001(\003\"\\\n\014ResponseHead\022\016\n\006stream\030\001 \001" +
-      "(\003\022\016\n\006status\030\002 \001(\005\022,\n\007headers\030\003 \003(\0132\033.la" +
-      "cewingthread.peer.Header\"-\n\014ResponseBody" +
-      "\022\016\n\006stream\030\001 \001(\003\022\r\n\005chunk\030\002 \001(\014\"\"\n\020Respo" +
-      "nseConsumed\022\016\n\006stream\030\001 \001(\003\"\035\n\013ResponseE" +
-      "nd\022\016\n\006stream\030\001 \001(\003\"[\n\017ResponseFailure\022\016\n" +
-      "\006stream\030\001 \001(\003\022\014\n\004code\030\002 \001(\005\022\032\n\022retry_aft" +
-      "er_millis\030\003 \001(\003\022\016\n\006detail\030\004 \001(\t\"+\n\tRecor" +
-      "dPut\022\016\n\006number\030\001 \001(\003\022\016\n\006record\030\002 \001(\014\"+\n\t" +
-      "RecordAck\022\016\n\006number\030\001 \001(\003\022\016\n\006stored\030\002 \001(" +
-      "\010*8\n\007Purpose\022\023\n\017PURPOSE_UNKNOWN\020\000\022\013\n\007CON" +
-      "TROL\020\001\022\013\n\007TRAFFIC\020\002B/\n#org.lacewingthrea" +
-      "d.daemon.peer.wireB\010PeerWireb\006proto3"
+      "read.peer.RecordAckH\000\022<\n\016records_wanted\030" +
+      "  \001(\0132\".lacewingthread.peer.RecordsWante" +
+      "dH\000\022:\n\rrecords_given\030! \001(\0132!.lacewingthr" +
+      "ead.peer.RecordsGivenH\000B\006\n\004body\"\223\001\n\005Hell" +
+      "o\022\030\n\020protocol_version\030\001 \001(\r\022,\n\006sender\030\002 " +
+      "\001(\0132\034.lacewingthread.peer.VmStart\022\023\n\013dat" +
+      "a_centre\030\003 \001(\t\022-\n\007purpose\030\004 \001(\0162\034.lacewi" +
+      "ngthread.peer.Purpose\"\026\n\004Ping\022\016\n\006number\030" +
+      "\001 \001(\003\"\026\n\004Pong\022\016\n\006number\030\001 \001(\003\"+\n\007VmStart" +
+      "\022\n\n\002vm\030\001 \001(\t\022\024\n\014start_number\030\002 \001(\003\"[\n\004Te" +
+      "rm\022\024\n\014claim_offset\030\001 \001(\022\022\017\n\007ordinal\030\002 \001(" +
+      "\003\022,\n\006leader\030\003 \001(\0132\034.lacewingthread.peer." +
+      "VmStart\"F\n\005Token\022\'\n\004term\030\001 \001(\0132\031.lacewin" +
+      "gthread.peer.Term\022\024\n\014plan_version\030\002 \001(\003\"" +
+      "\266\001\n\006Owners\022\024\n\014applications\030\001 \003(\t\022\017\n\007serv" +
+      "ers\030\002 \003(\t\022*\n\006tokens\030\003 \003(\0132\032.lacewingthre" +
+      "ad.peer.Token\022\031\n\021shard_application\030\004 \003(\005" +
+      "\022\023\n\013shard_index\030\005 \003(\005\022\024\n\014shard_server\030\006 " +
+      "\003(\005\022\023\n\013shard_token\030\007 \003(\005\"\\\n\013Dispatchers\022" +
+      ")\n\003vms\030\001 \003(\0132\034.lacewingthread.peer.VmSta" +
+      "rt\022\017\n\007servers\030\002 \003(\t\022\021\n\tserver_vm\030\003 \003(\005\"Q" +
+      "\n\tShardList\022\024\n\014applications\030\001 \003(\t\022\031\n\021sha" +
+      "rd_application\030\002 \003(\005\022\023\n\013shard_index\030\003 \003(" +
+      "\005\"\230\002\n\nPlanUpdate\022\'\n\004term\030\001 \001(\0132\031.lacewin" +
+      "gthread.peer.Term\022\024\n\014from_version\030\002 \001(\022\022" +
+      "\022\n\nto_version\030\003 \001(\003\0225\n\013dispatchers\030\004 \001(\013" +
+      "2 .lacewingthread.peer.Dispatchers\022\033\n\023re" +
+      "moved_dispatchers\030\005 \003(\t\022+\n\006owners\030\006 \001(\0132" +
+      "\033.lacewingthread.peer.Owners\0226\n\016removed_" +
+      "owners\030\007 \001(\0132\036.lacewingthread.peer.Shard" +
+      "List\"\251\001\n\tRoutePlan\022\'\n\004term\030\001 \001(\0132\031.lacew" +
+      "ingthread.peer.Term\022\017\n\007version\030\002 \001(\003\0225\n\013" +
+      "dispatchers\030\003 \001(\0132 .lacewingthread.peer." +
+      "Dispatchers\022+\n\006owners\030\004 \001(\0132\033.lacewingth" +
+      "read.peer.Owners\"\362\001\n\tHeartbeat\022\023\n\013data_c" +
+      "entre\030\001 \001(\t\022\'\n\004term\030\002 \001(\0132\031.lacewingthre" +
+      "ad.peer.Term\022\027\n\017roster_revision\030\003 \001(\022\022\020\n" +
+      "\010sequence\030\004 \001(\003\022\030\n\020echoed_at_millis\030\005 \001(" +
+      "\022\022\033\n\023echoed_plan_version\030\006 \001(\022\022\026\n\016log_en" +
+      "d_offset\030\007 \001(\022\022-\n\004plan\030\010 \001(\0132\037.lacewingt" +
+      "hread.peer.PlanUpdate\"\207\001\n\tShardLoad\022\023\n\013a" +
+      "pplication\030\001 \001(\t\022\r\n\005index\030\002 \001(\005\022\033\n\023reque" +
+      "sts_per_second\030\003 \001(\001\022\030\n\020hottest_key_hash" +
+      "\030\004 \001(\006\022\037\n\027hottest_key_share_ratio\030\005 \001(\001\"" +
+      "q\n\nServerLoad\022\016\n\006server\030\001 \001(\t\022\033\n\023request" +
+      "s_per_second\030\002 \001(\001\0226\n\016hottest_shards\030\003 \003" +
+      "(\0132\036.lacewingthread.peer.ShardLoad\"\255\003\n\016H" +
+      "eartbeatReply\022\'\n\004term\030\001 \001(\0132\031.lacewingth" +
+      "read.peer.Term\022\020\n\010sequence\030\002 \001(\003\022\017\n\007gran" +
+      "ted\030\003 \001(\010\022/\n\014highest_term\030\004 \001(\0132\031.lacewi" +
+      "ngthread.peer.Term\022\027\n\017roster_revision\030\005 " +
+      "\001(\022\022\033\n\023acknowledged_roster\030\006 \001(\010\022\026\n\016appl" +
+      "ied_offset\030\007 \001(\022\022\031\n\021replied_at_millis\030\010 " +
+      "\001(\022\022\034\n\024applied_plan_version\030\t \001(\022\022\035\n\025rel" +
+      "eased_plan_version\030\n \001(\022\022,\n\004held\030\013 \001(\0132\036" +
+      ".lacewingthread.peer.RoutePlan\022\033\n\023unreac" +
+      "hable_servers\030\014 \003(\t\022-\n\004load\030\r \003(\0132\037.lace" +
+      "wingthread.peer.ServerLoad\" \n\020LogRecords" +
+      "Wanted\022\014\n\004from\030\001 \001(\022\"-\n\rEncodedRecord\022\016\n" +
+      "\006offset\030\001 \001(\022\022\014\n\004data\030\002 \001(\014\"\\\n\021LogRecord" +
+      "sOffered\0223\n\007records\030\001 \003(\0132\".lacewingthre" +
+      "ad.peer.EncodedRecord\022\022\n\nend_offset\030\002 \001(" +
+      "\022\"_\n\020ProgressReported\022\023\n\013data_centre\030\001 \001" +
+      "(\t\022\026\n\016applied_offset\030\002 \001(\022\022\036\n\026configurat" +
+      "ion_revision\030\003 \001(\022\"\\\n\014RosterMember\022+\n\005st" +
+      "art\030\001 \001(\0132\034.lacewingthread.peer.VmStart\022" +
+      "\014\n\004host\030\002 \001(\t\022\021\n\tpeer_port\030\003 \001(\005\"n\n\023Memb" +
+      "ershipRequested\022\023\n\013data_centre\030\001 \001(\t\0221\n\006" +
+      "member\030\002 \001(\0132!.lacewingthread.peer.Roste" +
+      "rMember\022\017\n\007leaving\030\003 \001(\010\"\216\001\n\017ServersObse" +
+      "rved\022H\n\nconditions\030\001 \003(\01324.lacewingthrea" +
+      "d.peer.ServersObserved.ConditionsEntry\0321" +
+      "\n\017ConditionsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030" +
+      "\002 \001(\t:\0028\001\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005val" +
+      "ue\030\002 \001(\t\"\240\002\n\014RequestStart\022\016\n\006stream\030\001 \001(" +
+      "\003\022\022\n\nrequest_id\030\002 \001(\t\022\023\n\013application\030\003 \001" +
+      "(\t\022\023\n\013shard_index\030\004 \001(\005\022\020\n\010key_hash\030\005 \001(" +
+      "\006\022\025\n\rrequest_class\030\006 \001(\t\022\016\n\006method\030\007 \001(\t" +
+      "\022\014\n\004path\030\010 \001(\t\022,\n\007headers\030\t \003(\0132\033.lacewi" +
+      "ngthread.peer.Header\022\014\n\004body\030\n \001(\014\022\030\n\020re" +
+      "maining_millis\030\013 \001(\003\022\027\n\017idempotency_key\030" +
+      "\014 \001(\t\022\014\n\004hops\030\r \001(\005\"\037\n\rRequestCancel\022\016\n\006" +
+      "stream\030\001 \001(\003\"\\\n\014ResponseHead\022\016\n\006stream\030\001" +
+      " \001(\003\022\016\n\006status\030\002 \001(\005\022,\n\007headers\030\003 \003(\0132\033." +
+      "lacewingthread.peer.Header\"-\n\014ResponseBo" +
+      "dy\022\016\n\006stream\030\001 \001(\003\022\r\n\005chunk\030\002 \001(\014\"\"\n\020Res" +
+      "ponseConsumed\022\016\n\006stream\030\001 \001(\003\"\035\n\013Respons" +
+      "eEnd\022\016\n\006stream\030\001 \001(\003\"[\n\017ResponseFailure\022" +
+      "\016\n\006stream\030\001 \001(\003\022\014\n\004code\030\002 \001(\005\022\032\n\022retry_a" +
+      "fter_millis\030\003 \001(\003\022\016\n\006detail\030\004 \001(\t\"\235\001\n\021Id" +
+      "empotencyRecord\022\023\n\013application\030\001 \001(\t\022\023\n\013" +
+      "shard_index\030\002 \001(\005\022\013\n\003key\030\003 \001(\t\022\023\n\013finger" +
+      "print\030\004 \001(\006\022\r\n\005state\030\005 \001(\t\022-\n\007outcome\030\006 " +
+      "\001(\0132\034.lacewingthread.peer.Outcome\"F\n\007Out" +
+      "come\022\016\n\006status\030\001 \001(\005\022\017\n\007headers\030\002 \003(\t\022\021\n" +
+      "\004body\030\003 \001(\014H\000\210\001\001B\007\n\005_body\"S\n\tRecordPut\022\016" +
+      "\n\006number\030\001 \001(\003\0226\n\006record\030\002 \001(\0132&.lacewin" +
+      "gthread.peer.IdempotencyRecord\"+\n\tRecord" +
+      "Ack\022\016\n\006number\030\001 \001(\003\022\016\n\006stored\030\002 \001(\010\"O\n\rR" +
+      "ecordsWanted\022\016\n\006number\030\001 \001(\003\022.\n\006shards\030\002" +
+      " \001(\0132\036.lacewingthread.peer.ShardList\"\231\001\n" +
+      "\014RecordsGiven\022\016\n\006number\030\001 \001(\003\0227\n\007records" +
+      "\030\002 \003(\0132&.lacewingthread.peer.Idempotency" +
+      "Record\022*\n\004gone\030\003 \003(\0132\034.lacewingthread.pe" +
+      "er.VmStart\022\024\n\014whole_window\030\004 \001(\010*8\n\007Purp" +
+      "ose\022\023\n\017PURPOSE_UNKNOWN\020\000\022\013\n\007CONTROL\020\001\022\013\n" +
+      "\007TRAFFIC\020\002B/\n#org.lacewingthread.daemon." +
+      "peer.wireB\010PeerWireb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -32522,7 +37128,7 @@
     internal_static_lacewingthread_peer_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Heartbeat", "HeartbeatReply", "LogRecordsWanted", "LogRecordsOffered", "ProgressReported", "MembershipRequested", "ServersObserved", "RequestStart", "RequestCancel", "ResponseHead", "ResponseBody", "ResponseConsumed", "ResponseEnd", "ResponseFailure", "RecordPut", "RecordAck", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Heartbeat", "HeartbeatReply", "LogRecordsWanted", "LogRecordsOffered", "ProgressReported", "MembershipRequested", "ServersObserved", "RequestStart", "RequestCancel", "ResponseHead", "ResponseBody", "ResponseConsumed", "ResponseEnd", "ResponseFailure", "RecordPut", "RecordAck", "RecordsWanted", "RecordsGiven", "Body", });
     internal_static_lacewingthread_peer_Hello_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_lacewingthread_peer_Hello_fieldAccessorTable = new
@@ -32709,18 +37315,42 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ResponseFailure_descriptor,
         new java.lang.String[] { "Stream", "Code", "RetryAfterMillis", "Detail", });
-    internal_static_lacewingthread_peer_RecordPut_descriptor =
+    internal_static_lacewingthread_peer_IdempotencyRecord_descriptor =
       getDescriptor().getMessageTypes().get(31);
+    internal_static_lacewingthread_peer_IdempotencyRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lacewingthread_peer_IdempotencyRecord_descriptor,
+        new java.lang.String[] { "Application", "ShardIndex", "Key", "Fingerprint", "State", "Outcome", });
+    internal_static_lacewingthread_peer_Outcome_descriptor =
+      getDescriptor().getMessageTypes().get(32);
+    internal_static_lacewingthread_peer_Outcome_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lacewingthread_peer_Outcome_descriptor,
+        new java.lang.String[] { "Status", "Headers", "Body", });
+    internal_static_lacewingthread_peer_RecordPut_descriptor =
+      getDescriptor().getMessageTypes().get(33);
     internal_static_lacewingthread_peer_RecordPut_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RecordPut_descriptor,
         new java.lang.String[] { "Number", "Record", });
     internal_static_lacewingthread_peer_RecordAck_descriptor =
-      getDescriptor().getMessageTypes().get(32);
+      getDescriptor().getMessageTypes().get(34);
     internal_static_lacewingthread_peer_RecordAck_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RecordAck_descriptor,
         new java.lang.String[] { "Number", "Stored", });
+    internal_static_lacewingthread_peer_RecordsWanted_descriptor =
+      getDescriptor().getMessageTypes().get(35);
+    internal_static_lacewingthread_peer_RecordsWanted_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lacewingthread_peer_RecordsWanted_descriptor,
+        new java.lang.String[] { "Number", "Shards", });
+    internal_static_lacewingthread_peer_RecordsGiven_descriptor =
+      getDescriptor().getMessageTypes().get(36);
+    internal_static_lacewingthread_peer_RecordsGiven_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lacewingthread_peer_RecordsGiven_descriptor,
+        new java.lang.String[] { "Number", "Records", "Gone", "WholeWindow", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/platform/PlatformClient.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/platform/PlatformClient.java
@@ -13,11 +13,13 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.lacewingthread.daemon.exchange.HeaderField;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -66,7 +68,7 @@
     }
 
     /** No request was sent. */
-    static final class NotSentException extends IOException {
+    public static final class NotSentException extends IOException {
         NotSentException(String message, Throwable cause) {
             super(message, cause);
         }
@@ -130,10 +132,22 @@
      * @throws NotSentException if nothing was sent
      * @throws IOException if the request may have been received but has no whole answer
      */
-    HttpAnswer call(URI base, HttpString method, String path, byte[] body) throws IOException {
+    public HttpAnswer call(URI base, HttpString method, String path, byte[] body) throws IOException {
+        return call(base, method, path, List.of(), body);
+    }
+
+    /**
+     * Sends a request with header fields and waits for the whole answer.
+     *
+     * @throws NotSentException if nothing was sent
+     * @throws IOException if the request may have been received but has no whole answer
+     */
+    public HttpAnswer call(URI base, HttpString method, String path, List<HeaderField> headers, byte[] body)
+            throws IOException {
         PooledConnection connection = connection(base);
         ClientRequest request = new ClientRequest().setMethod(method).setPath(path);
         request.getRequestHeaders().put(Headers.HOST, base.getAuthority());
+        headers.forEach(header -> request.getRequestHeaders().put(new HttpString(header.name()), header.value()));
         if (body.length > 0) {
             request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/platform/SnapshotJson.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/platform/SnapshotJson.java
@@ -32,6 +32,7 @@
  * @param drainingServers as in the state, sorted
  * @param drainingVms as in the state, sorted
  * @param lastSequences as in the state, by the writer's id
+ * @param lastOffsets as in the state, by the writer's id
  */
 record SnapshotJson(
         LogOffset appliedOffset,
@@ -41,7 +42,8 @@
         List<ShardTableJson> shardTables,
         List<ServerId> drainingServers,
         List<VmId> drainingVms,
-        Map<String, Long> lastSequences) {
+        Map<String, Long> lastSequences,
+        Map<String, Long> lastOffsets) {
     /**
      * JSON form of a {@link DataCentreState}. A list stands for a value that may be absent.
      *
@@ -86,6 +88,8 @@
         new TreeMap<>(state.shardTables()).forEach((id, value) -> shardTables.add(ShardTableJson.of(id, value)));
         Map<String, Long> lastSequences = new TreeMap<>();
         state.lastSequences().forEach((writer, sequence) -> lastSequences.put(writer.value(), sequence));
+        Map<String, Long> lastOffsets = new TreeMap<>();
+        state.lastOffsets().forEach((writer, offset) -> lastOffsets.put(writer.value(), offset.value()));
         return new SnapshotJson(
                 state.appliedOffset(),
                 state.configurationRevision(),
@@ -94,7 +98,8 @@
                 shardTables,
                 List.copyOf(new TreeSet<>(state.drainingServers())),
                 List.copyOf(new TreeSet<>(state.drainingVms())),
-                lastSequences);
+                lastSequences,
+                lastOffsets);
     }
 
     ReplicaState toState() {
@@ -104,6 +109,8 @@
         shardTables.forEach(table -> tables.put(table.application(), table.toTable()));
         Map<WriterId, Long> sequences = new HashMap<>();
         lastSequences.forEach((writer, sequence) -> sequences.put(new WriterId(writer), sequence));
+        Map<WriterId, LogOffset> offsets = new HashMap<>();
+        lastOffsets.forEach((writer, offset) -> offsets.put(new WriterId(writer), new LogOffset(offset)));
         return new ReplicaState(
                 appliedOffset,
                 configurationRevision,
@@ -112,6 +119,7 @@
                 tables,
                 Set.copyOf(drainingServers),
                 Set.copyOf(drainingVms),
-                sequences);
+                sequences,
+                offsets);
     }
 }
--- a/daemon/src/test/java/org/lacewingthread/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/peer/PeerNetworkTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -33,6 +34,7 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.LogEntry;
 import org.lacewingthread.core.log.RosterMember;
+import org.lacewingthread.core.traffic.IdempotencyRecord;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
@@ -145,6 +147,31 @@
         await().until(() -> cancelled.get() == 1);
     }
 
+    @Test
+    void recordIsKeptAndGivenBack() {
+        IdempotencyRecord record = new IdempotencyRecord(
+                new IdempotencyRecord.Id(new ShardId(new ApplicationId("ledger"), 3), "key"),
+                -5,
+                IdempotencyRecord.State.MAY_HAVE_RUN,
+                null);
+        List<Boolean> stored = new CopyOnWriteArrayList<>();
+        sender.putRecord(member(receiver.port()), record, stored::add);
+        await().untilAsserted(() -> assertThat(stored).containsExactly(true));
+        List<Optional<RecordService.Given>> given = new CopyOnWriteArrayList<>();
+        sender.collectRecords(member(receiver.port()), Set.of(record.id().shard()), given::add);
+        await().untilAsserted(() -> assertThat(given)
+                .containsExactly(Optional.of(new RecordService.Given(List.of(record), Set.of(SENDER), true))));
+    }
+
+    @Test
+    void recordsAreNotCollectedFromAVmThatIsGone() {
+        int unused = receiver.port();
+        receiver.close();
+        List<Optional<RecordService.Given>> given = new CopyOnWriteArrayList<>();
+        sender.collectRecords(member(unused), Set.of(), given::add);
+        await().untilAsserted(() -> assertThat(given).containsExactly(Optional.empty()));
+    }
+
     @Test
     void silentLinkIsReplacedByAWorkingOne() throws IOException {
         try (SilentServer silent = new SilentServer()) {
@@ -231,6 +258,7 @@
                 new NoLogEntries(),
                 listener,
                 (request, sink) -> handler.handle(request, sink),
+                new Records(),
                 PeerNetworkTest::nowMillis);
     }
 
@@ -261,6 +289,21 @@
         return () -> {};
     }
 
+    /** Keeps records in memory. */
+    private static final class Records implements RecordService {
+        private final List<IdempotencyRecord> kept = new CopyOnWriteArrayList<>();
+
+        @Override
+        public boolean put(IdempotencyRecord record) {
+            return kept.add(record);
+        }
+
+        @Override
+        public Given recordsOf(Set<ShardId> shards) {
+            return new Given(kept, Set.of(SENDER), true);
+        }
+    }
+
     /** Control messages of these tests carry no log entries. */
     private static final class NoLogEntries implements LogEntryCodec {
         @Override
