--- a/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendConnections.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendConnections.java
@@ -30,7 +30,6 @@
  */
 public final class BackendConnections {
     private final URI address;
-    private final int maxConnections;
     private final Limits limits;
     private final XnioIoThread ioThread;
     private final ByteBufferPool buffers;
@@ -44,13 +43,29 @@
     /**
      * Limits of the connections to one server.
      *
+     * @param maxConnections most connections that may be open
      * @param maxOpening most connections that are opened at once
      * @param connectTimeoutMillis how long opening one may take
      * @param maxIdleMillis how long one is kept without a request
      */
-    public record Limits(int maxOpening, long connectTimeoutMillis, long maxIdleMillis) {
-        /** Defaults. */
-        public static final Limits DEFAULT = new Limits(4, 250, 10_000);
+    public record Limits(int maxConnections, int maxOpening, long connectTimeoutMillis, long maxIdleMillis) {
+        private static final int SPARE_CONNECTIONS = 4;
+        private static final int ORDER_CONNECTIONS = 2;
+        private static final int MAX_OPENING = 4;
+        private static final long CONNECT_TIMEOUT_MILLIS = 250;
+        private static final long MAX_IDLE_MILLIS = 10_000;
+
+        /** Returns a dispatcher's limits; they leave connections for a former dispatcher and for orders. */
+        public static Limits forDispatcher(ServerSpec server) {
+            int wanted = 2 * server.slots() + SPARE_CONNECTIONS;
+            int max = Math.max(1, Math.min(wanted, server.maxConnections() / 2));
+            return new Limits(max, MAX_OPENING, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
+        }
+
+        /** Returns the limits of a leader that sends orders. */
+        public static Limits forOrders() {
+            return new Limits(ORDER_CONNECTIONS, 1, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
+        }
     }
 
     /** A call that can be given up on. */
@@ -94,7 +109,6 @@
     public BackendConnections(
             ServerSpec server, Limits limits, XnioIoThread ioThread, ByteBufferPool buffers, LongSupplier clockMillis) {
         this.address = URI.create("http://" + server.host() + ":" + server.port());
-        this.maxConnections = server.maxConnections();
         this.limits = limits;
         this.ioThread = ioThread;
         this.buffers = buffers;
@@ -154,7 +168,7 @@
     }
 
     private void openIfAllowed() {
-        if (opening >= Math.min(limits.maxOpening(), waiting.size()) || count() >= maxConnections) {
+        if (opening >= Math.min(limits.maxOpening(), waiting.size()) || count() >= limits.maxConnections()) {
             return;
         }
         opening++;
--- a/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerExchange.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerExchange.java
@@ -9,6 +9,7 @@
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.RequestHandler;
 import org.lacewingthread.daemon.settings.EntrySettings.CallerLimits;
+import org.xnio.IoUtils;
 
 /** One caller's request from its head to its answer; confined to the exchange's I/O thread. */
 final class CallerExchange {
@@ -54,6 +55,8 @@
         BodyReader reader = new BodyReader(exchange, limits.maxBodyBytes(), new BodyReader.Listener() {
             @Override
             public void onBody(byte[] body) {
+                response.beforeFirstWrite(
+                        DisconnectWatch.start(exchange, () -> IoUtils.safeClose(exchange.getConnection())));
                 cancellation = router.handle(head.withBody(body), response);
             }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerResponse.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerResponse.java
@@ -40,6 +40,7 @@
     private final String requestId;
     private final Consumer<ResultCode> onFinished;
     private final Deque<Chunk> chunks = new ArrayDeque<>();
+    private Runnable beforeFirstWrite = () -> {};
     private StreamSinkChannel channel;
     private ResultCode result = ResultCode.DONE;
     private boolean ended;
@@ -58,6 +59,11 @@
         this.onFinished = onFinished;
     }
 
+    /** Sets what is run before the first write; from then on, writes tell that the caller left. */
+    void beforeFirstWrite(Runnable action) {
+        beforeFirstWrite = action;
+    }
+
     @Override
     public void onHead(int status, List<HeaderField> headers) {
         exchange.getIoThread().execute(() -> {
@@ -170,6 +176,7 @@
             return;
         }
         if (channel == null) {
+            beforeFirstWrite.run();
             channel = exchange.getResponseChannel();
             channel.getWriteSetter().set(sink -> write());
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerServer.java
@@ -37,7 +37,7 @@
  * closes the connection; such a request never gets an id.
  */
 public final class CallerServer {
-    private static final int HARD_HEADER_LIMIT_FACTOR = 2;
+    private static final int HARD_LIMIT_FACTOR = 2;
     private static final int MAX_HEADER_FIELDS = 200;
     private static final int IDLE_TIMEOUT_MILLIS = 75_000;
     private static final long OVERLOADED_RETRY_MILLIS = 1_000;
@@ -84,9 +84,9 @@
         this.undertow = Undertow.builder()
                 .setWorker(worker)
                 .addHttpListener(address.getPort(), address.getAddress().getHostAddress(), handler)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes() * HARD_HEADER_LIMIT_FACTOR)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, limits.maxHeaderBytes() * HARD_LIMIT_FACTOR)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADER_FIELDS)
-                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) limits.maxBodyBytes())
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, (long) limits.maxBodyBytes() * HARD_LIMIT_FACTOR)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, limits.bodyTimeoutMillis())
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MILLIS)
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/caller/DisconnectWatch.java
@@ -0,0 +1,90 @@
+package org.lacewingthread.daemon.caller;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
+import org.xnio.conduits.ReadReadyHandler;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Notices that a caller closes its connection while its request is being answered; the HTTP library
+ * reads nothing from a connection meanwhile. Confined to the exchange's I/O thread.
+ */
+final class DisconnectWatch implements ReadReadyHandler {
+    private final HttpServerConnection connection;
+    private final StreamSourceConduit source;
+    private final Runnable onDisconnected;
+    private boolean stopped;
+
+    private DisconnectWatch(HttpServerConnection connection, Runnable onDisconnected) {
+        this.connection = connection;
+        this.source = connection.getOriginalSourceConduit();
+        this.onDisconnected = onDisconnected;
+    }
+
+    /** Starts watching after the whole request was read; returns what stops it before the exchange ends. */
+    static Runnable start(HttpServerExchange exchange, Runnable onDisconnected) {
+        boolean watchable = exchange.getConnection() instanceof HttpServerConnection connection
+                && connection.getExtraBytes() == null;
+        if (!watchable) {
+            return () -> {};
+        }
+        DisconnectWatch watch = new DisconnectWatch((HttpServerConnection) exchange.getConnection(), onDisconnected);
+        watch.source.setReadReadyHandler(watch);
+        watch.source.resumeReads();
+        return watch::stop;
+    }
+
+    private void stop() {
+        if (stopped) {
+            return;
+        }
+        stopped = true;
+        source.suspendReads();
+        source.setReadReadyHandler(new ReadReadyHandler.ChannelListenerHandler<>(
+                connection.getChannel().getSourceChannel()));
+    }
+
+    @Override
+    public void readReady() {
+        if (stopped) {
+            return;
+        }
+        PooledByteBuffer buffer = connection.getByteBufferPool().allocate();
+        int count = read(buffer);
+        if (count <= 0) {
+            buffer.close();
+        }
+        if (count < 0) {
+            stop();
+            onDisconnected.run();
+        } else if (count > 0) {
+            // The caller already sends its next request; it is read after this one is answered.
+            buffer.getBuffer().flip();
+            connection.ungetRequestBytes(buffer);
+            stop();
+        }
+    }
+
+    private int read(PooledByteBuffer buffer) {
+        try {
+            return source.read(buffer.getBuffer());
+        } catch (IOException e) {
+            return -1;
+        }
+    }
+
+    @Override
+    public void forceTermination() {
+        terminated();
+    }
+
+    @Override
+    public void terminated() {
+        if (!stopped) {
+            stop();
+            onDisconnected.run();
+        }
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerLane.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerLane.java
@@ -53,7 +53,7 @@
         this.context = context;
         this.ioThread = ioThread;
         this.connections = new BackendConnections(
-                server, BackendConnections.Limits.DEFAULT, ioThread, buffers, context.clockMillis());
+                server, BackendConnections.Limits.forDispatcher(server), ioThread, buffers, context.clockMillis());
         this.gate = new SendGate(server.id(), context.state(), context.clockMillis(), context.startByMillis());
         this.queue = new ServerQueue<>(ServerQueue.Settings.of(server.slots()));
         this.probe = new HealthProbe(server.id(), connections, ioThread);
--- /dev/null
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/BackendFaultTest.java
@@ -0,0 +1,215 @@
+package org.lacewingthread.daemon.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.daemon.caller.Caller;
+import org.lacewingthread.standin.AnswerFault;
+import org.lacewingthread.standin.BackendFaults;
+import org.lacewingthread.standin.BackendServerStandIn;
+import org.lacewingthread.standin.BackendSettings;
+import org.lacewingthread.standin.HealthState;
+
+/** What callers are told when a backend server misbehaves, and how often their requests ran. */
+class BackendFaultTest {
+    private static final long LONG_LEASE_MILLIS = 600_000;
+    private static final String BROKEN_OFF = "broken off";
+
+    private BackendServerStandIn backend;
+    private BackendServerStandIn second;
+    private TrafficBench bench;
+    private TrafficViews views;
+    private ServerSpec server;
+    private ServerSpec secondServer;
+    private Caller caller;
+
+    @BeforeEach
+    void start() throws Exception {
+        backend = new BackendServerStandIn(0, BackendSettings.of("s1"));
+        second = new BackendServerStandIn(0, BackendSettings.of("s2"));
+        server = TrafficViews.server("s1", backend.uri().getPort(), 20);
+        secondServer = TrafficViews.server("s2", second.uri().getPort(), 20);
+        views = new TrafficViews(server, secondServer);
+        bench = new TrafficBench();
+        caller = new Caller(bench.server.port());
+        ownedBy(server);
+    }
+
+    private void ownedBy(ServerSpec owner) {
+        bench.state.publish(views.ownedBy(owner.id(), TrafficViews.SELF, TrafficBench.leaseFor(LONG_LEASE_MILLIS)));
+    }
+
+    @AfterEach
+    void stop() {
+        bench.close();
+        backend.close();
+        second.close();
+    }
+
+    private String holdResult(String key, String... moreHeaders) throws InterruptedException {
+        String[] headers = Stream.concat(Stream.of("Idempotency-Key", key), Stream.of(moreHeaders))
+                .toArray(String[]::new);
+        try {
+            return Caller.resultOf(caller.post("/holds/1", "{}", headers));
+        } catch (IOException e) {
+            return BROKEN_OFF;
+        }
+    }
+
+    private String lookupResult(String path) throws InterruptedException {
+        try {
+            HttpResponse<String> response = caller.get(path);
+            boolean own = response.statusCode() != 200 || response.body().contains("\"" + path + "\"");
+            return own ? Caller.resultOf(response) : "a stranger's answer";
+        } catch (IOException e) {
+            return BROKEN_OFF;
+        }
+    }
+
+    static Stream<Arguments> faults() {
+        BackendFaults none = BackendFaults.NONE;
+        return Stream.of(
+                Arguments.of("answer lost", none.withAnswerFault(AnswerFault.LOST, 1), "4001", "1000"),
+                Arguments.of("answer delayed", none.withDelayedAnswers(50, 1), "1000", "1000"),
+                Arguments.of("answer duplicated", none.withAnswerFault(AnswerFault.DUPLICATED, 1), "1000", "1000"),
+                Arguments.of("answer crossed", none.withAnswerFault(AnswerFault.CROSSED, 1), "4001", "1000"),
+                Arguments.of(
+                        "answer truncated", none.withAnswerFault(AnswerFault.TRUNCATED, 1), BROKEN_OFF, BROKEN_OFF));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("faults")
+    void holdRunsOnceAndItsRepeatNeverRunsAgain(String name, BackendFaults faults, String hold, String lookup)
+            throws Exception {
+        backend.setFaults(faults);
+        String repeated = hold.equals("1000") ? "1000" : "4002";
+        assertThat(holdResult("k1")).isEqualTo(hold);
+        assertThat(holdResult("k1")).isEqualTo(repeated);
+        assertThat(holdResult("k1", "Lacewingthread-Attempt", "2")).isEqualTo(repeated);
+        assertThat(backend.runs()).hasSize(1);
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("faults")
+    void lookupIsAnsweredWithItsOwnAnswerAndSoAreTheNext(String name, BackendFaults faults, String hold, String lookup)
+            throws Exception {
+        backend.setFaults(faults);
+        assertThat(lookupResult("/rugs/1")).isEqualTo(lookup);
+        for (int i = 2; i < 8; i++) {
+            assertThat(lookupResult("/rugs/" + i)).isEqualTo("1000");
+        }
+    }
+
+    @Test
+    void holdWhoseAnswerComesAfterItsDeadlineIsUnknownAndStaysSo() throws Exception {
+        backend.setFaults(BackendFaults.NONE.withDelayedAnswers(400, 1));
+        assertThat(holdResult("k1", "Lacewingthread-Deadline-Millis", "200")).isEqualTo("4000");
+        assertThat(holdResult("k1")).isEqualTo("4002");
+        assertThat(lookupResult("/rugs/1")).isEqualTo("1000");
+        assertThat(backend.runs())
+                .filteredOn(run -> run.path().startsWith("/holds"))
+                .hasSize(1);
+    }
+
+    @Test
+    void repeatWhileTheFirstAttemptRunsIsToldSo() throws Exception {
+        backend.setFaults(BackendFaults.NONE.withServiceMillis(500));
+        CompletableFuture<HttpResponse<String>> first = caller.postLater("/holds/1", "{}", "Idempotency-Key", "k1");
+        Awaitility.await().until(() -> backend.runs().size() == 1);
+        assertThat(holdResult("k1")).isEqualTo("3009");
+        assertThat(Caller.resultOf(first.get())).isEqualTo("1000");
+        assertThat(holdResult("k1")).isEqualTo("1000");
+        assertThat(backend.runs()).hasSize(1);
+    }
+
+    @Test
+    void silentConnectionIsReplacedWithoutCallingTheServerUnreachable() throws Exception {
+        assertThat(lookupResult("/rugs/1")).isEqualTo("1000");
+        backend.silenceConnections();
+        assertThat(lookupResult("/rugs/2")).isEqualTo("1000");
+        assertThat(holdResult("k1", "Lacewingthread-Deadline-Millis", "1000")).isEqualTo("1000");
+        assertThat(bench.observations).isEmpty();
+    }
+
+    @Test
+    void frozenServerIsNoticedAndServedAgainAfterItsReturn() throws Exception {
+        assertThat(lookupResult("/rugs/1")).isEqualTo("1000");
+        backend.setFaults(BackendFaults.NONE.withFrozen(true));
+        assertThat(holdResult("k1", "Lacewingthread-Deadline-Millis", "900")).isEqualTo("4000");
+        Awaitility.await().until(() -> bench.observations.contains("s1 UNREACHABLE"));
+        assertThat(holdResult("k2")).isEqualTo("3005");
+        backend.setFaults(BackendFaults.NONE);
+        Awaitility.await().until(() -> bench.observations.contains("s1 REACHABLE"));
+        assertThat(holdResult("k1")).isEqualTo("4002");
+        assertThat(holdResult("k2")).isEqualTo("1000");
+        assertThat(backend.runs())
+                .filteredOn(run -> "k1".equals(run.idempotencyKey()))
+                .hasSizeLessThanOrEqualTo(1);
+    }
+
+    @Test
+    void sheddingServerLeavesAHoldProvablyNotRun() throws Exception {
+        backend.setFaults(BackendFaults.NONE.withShedding(true));
+        HttpResponse<String> response = caller.post("/holds/1", "{}", "Idempotency-Key", "k1");
+        assertThat(Caller.resultOf(response)).isEqualTo("3006");
+        assertThat(Caller.knowledgeOf(response)).isEqualTo("not-run");
+        assertThat(response.headers().firstValue("Retry-After")).isPresent();
+        backend.setFaults(BackendFaults.NONE);
+        assertThat(holdResult("k1")).isEqualTo("1000");
+        assertThat(backend.runs()).hasSize(1);
+    }
+
+    @Test
+    void serverThatStatesToBeLeavingIsReportedAndStillServed() throws Exception {
+        backend.setFaults(BackendFaults.NONE.withHealth(HealthState.LEAVING, 0.0, 0));
+        Awaitility.await().until(() -> bench.observations.contains("s1 LEAVING"));
+        assertThat(holdResult("k1")).isEqualTo("1000");
+    }
+
+    @Test
+    void serverThatAcceptsNoConnectionLeavesAHoldProvablyNotRun() throws Exception {
+        backend.close();
+        assertThat(holdResult("k1")).isEqualTo("3005");
+        assertThat(holdResult("k1")).isEqualTo("3005");
+    }
+
+    @Test
+    void ownerChangeCutsNoRequestInFlightAndIsDrainedOnlyAfterIt() throws Exception {
+        backend.setFaults(BackendFaults.NONE.withServiceMillis(400));
+        CompletableFuture<HttpResponse<String>> first = caller.postLater("/holds/1", "{}", "Idempotency-Key", "k1");
+        Awaitility.await().until(() -> backend.runs().size() == 1);
+        long before = bench.state.snapshot().view().number();
+        bench.state.publish(views.inMotion(TrafficBench.leaseFor(LONG_LEASE_MILLIS)));
+        CompletableFuture<HttpResponse<String>> held = caller.getLater("/rugs/1");
+        Awaitility.await().until(() -> bench.router.heldCount() == 1);
+        assertThat(bench.drained).doesNotContain(before + 1);
+        assertThat(first.get().body()).contains("\"server\":\"s1\"");
+        Awaitility.await().until(() -> bench.drained.contains(before + 1));
+        ownedBy(secondServer);
+        assertThat(held.get().body()).contains("\"server\":\"s2\"");
+        assertThat(holdResult("k1")).isEqualTo("1000");
+        assertThat(second.runs()).hasSize(1);
+    }
+
+    @Test
+    void holdOfACallerThatLeftRunsOnAndItsOutcomeIsKept() throws Exception {
+        backend.setFaults(BackendFaults.NONE.withServiceMillis(300));
+        CompletableFuture<HttpResponse<String>> left = caller.postLater("/holds/1", "{}", "Idempotency-Key", "k1");
+        Awaitility.await().until(() -> backend.runs().size() == 1);
+        left.cancel(true);
+        Awaitility.await().until(() -> bench.server.inFlight() == 0);
+        Awaitility.await().until(() -> "1000".equals(holdResult("k1")));
+        assertThat(backend.runs()).hasSize(1);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/RequestPathTest.java
@@ -0,0 +1,120 @@
+package org.lacewingthread.daemon.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.http.HttpResponse;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.daemon.caller.Caller;
+import org.lacewingthread.standin.BackendServerStandIn;
+import org.lacewingthread.standin.BackendSettings;
+
+/** The whole path of a request on real sockets when nothing is wrong. */
+class RequestPathTest {
+    private static final long LONG_LEASE_MILLIS = 600_000;
+
+    private BackendServerStandIn backend;
+    private TrafficBench bench;
+    private TrafficViews views;
+    private ServerSpec server;
+    private Caller caller;
+
+    @BeforeEach
+    void start() throws Exception {
+        backend = new BackendServerStandIn(0, BackendSettings.of("s1"));
+        server = TrafficViews.server("s1", backend.uri().getPort(), 4);
+        views = new TrafficViews(server);
+        bench = new TrafficBench();
+        caller = new Caller(bench.server.port());
+    }
+
+    @AfterEach
+    void stop() {
+        bench.close();
+        backend.close();
+    }
+
+    private void own() {
+        bench.state.publish(views.ownedBy(server.id(), TrafficViews.SELF, TrafficBench.leaseFor(LONG_LEASE_MILLIS)));
+    }
+
+    @Test
+    void lookupReachesTheOwnerAndItsWholeAnswerComesBack() throws Exception {
+        own();
+        HttpResponse<String> response = caller.get("/rugs/4711?size=large");
+        assertThat(response.statusCode()).isEqualTo(200);
+        assertThat(Caller.resultOf(response)).isEqualTo("1000");
+        assertThat(Caller.knowledgeOf(response)).isEqualTo("done");
+        assertThat(response.body()).contains("/rugs/4711?size=large");
+        assertThat(backend.runs()).singleElement().satisfies(run -> {
+            assertThat(run.shard()).startsWith("ledger/");
+            assertThat(run.token()).isEqualTo("3:0:maras-1:1:1");
+        });
+    }
+
+    @Test
+    void requestWithBodyRunsOnceAndIsReplayedToARepeat() throws Exception {
+        own();
+        HttpResponse<String> first = caller.post("/holds/7", "{\"yarn\":1}", "Idempotency-Key", "k1");
+        HttpResponse<String> repeat =
+                caller.post("/holds/7", "{\"yarn\":1}", "Idempotency-Key", "k1", "Lacewingthread-Attempt", "2");
+        HttpResponse<String> other = caller.post("/holds/7", "{\"yarn\":2}", "Idempotency-Key", "k1");
+        assertThat(Caller.resultOf(first)).isEqualTo("1000");
+        assertThat(Caller.resultOf(repeat)).isEqualTo("1000");
+        assertThat(repeat.body()).isEqualTo(first.body());
+        assertThat(Caller.resultOf(other)).isEqualTo("2015");
+        assertThat(backend.runs()).hasSize(1);
+    }
+
+    @Test
+    void requestsShareOneConnectionInTurn() throws Exception {
+        own();
+        for (int i = 0; i < 20; i++) {
+            assertThat(Caller.resultOf(caller.get("/rugs/" + i))).isEqualTo("1000");
+        }
+        assertThat(backend.openConnections()).isEqualTo(1);
+    }
+
+    @Test
+    void largeAnswerArrivesWholeButIsNotKeptForARepeat() throws Exception {
+        backend.close();
+        backend =
+                new BackendServerStandIn(server.port(), BackendSettings.of("s1").withAnswerBytes(3_000_000));
+        own();
+        HttpResponse<String> first = caller.post("/holds/7", "{}", "Idempotency-Key", "k1");
+        HttpResponse<String> repeat = caller.post("/holds/7", "{}", "Idempotency-Key", "k1");
+        assertThat(first.body()).hasSizeGreaterThan(3_000_000).endsWith("}");
+        assertThat(Caller.resultOf(repeat)).isEqualTo("4002");
+        assertThat(backend.runs()).hasSize(1);
+    }
+
+    @Test
+    void requestIsHeldWhileItsShardIsInMotionAndThenServed() throws Exception {
+        bench.state.publish(views.inMotion(TrafficBench.leaseFor(LONG_LEASE_MILLIS)));
+        var response = caller.getLater("/rugs/1");
+        Awaitility.await().until(() -> bench.router.heldCount() == 1);
+        own();
+        assertThat(Caller.resultOf(response.get())).isEqualTo("1000");
+    }
+
+    @Test
+    void requestIsRefusedWhenItsShardStaysInMotionBeyondItsDeadline() throws Exception {
+        bench.state.publish(views.inMotion(TrafficBench.leaseFor(LONG_LEASE_MILLIS)));
+        HttpResponse<String> response = caller.get("/rugs/1", "Lacewingthread-Deadline-Millis", "60");
+        assertThat(Caller.resultOf(response)).isEqualTo("3002");
+        assertThat(Caller.knowledgeOf(response)).isEqualTo("not-run");
+        assertThat(response.headers().firstValue("Retry-After")).contains("1");
+        assertThat(backend.runs()).isEmpty();
+    }
+
+    @Test
+    void nothingIsSentWithoutADispatchLease() throws Exception {
+        bench.state.publish(views.ownedBy(server.id(), TrafficViews.SELF, TrafficViews.NO_LEASE));
+        HttpResponse<String> response = caller.get("/rugs/1", "Lacewingthread-Deadline-Millis", "60");
+        assertThat(Caller.knowledgeOf(response)).isEqualTo("not-run");
+        assertThat(backend.runs()).isEmpty();
+    }
+}
