--- a/standin/src/main/java/org/lacewingthread/standin/BackendFaults.java
+++ b/standin/src/main/java/org/lacewingthread/standin/BackendFaults.java
@@ -68,6 +68,23 @@
                 maxConnections);
     }
 
+    /** Returns these faults with start-by times ignored or not. */
+    public BackendFaults withIgnoresStartBy(boolean value) {
+        return new BackendFaults(
+                frozen,
+                value,
+                shedding,
+                serviceMillis,
+                serviceMillisByPath,
+                answerFault,
+                answerFaultCount,
+                answerDelayMillis,
+                state,
+                reportedLoad,
+                healthLagMillis,
+                maxConnections);
+    }
+
     /** Returns these faults with the server shedding load or not. */
     public BackendFaults withShedding(boolean value) {
         return new BackendFaults(
