--- /dev/null
+++ b/bench/src/main/java/org/lacewingthread/bench/LaneCall.java
@@ -0,0 +1,125 @@
+package org.lacewingthread.bench;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.xnio.XnioExecutor;
+import org.xnio.channels.StreamSourceChannel;
+
+/** One request on one connection; runs on the connection's I/O thread. */
+final class LaneCall {
+    private static final HttpString RESULT = new HttpString("Lacewingthread-Result");
+    private static final int READ_BYTES = 16 << 10;
+    private static final int FIRST_ERROR_STATUS = 400;
+
+    private final ClientConnection connection;
+    private final URI target;
+    private final PlannedRequest planned;
+    private final Consumer<Result> onEnd;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private XnioExecutor.Key timeout;
+    private boolean ended;
+
+    /** How the call ended, and whether its connection may be used again. */
+    record Result(String code, boolean success, boolean ownAnswer, boolean reusable) {}
+
+    LaneCall(ClientConnection connection, URI target, PlannedRequest planned, Consumer<Result> onEnd) {
+        this.connection = connection;
+        this.target = target;
+        this.planned = planned;
+        this.onEnd = onEnd;
+    }
+
+    void start(XnioExecutor.Key timeoutKey) {
+        timeout = timeoutKey;
+        ClientRequest request =
+                new ClientRequest().setMethod(new HttpString(planned.method())).setPath(planned.path());
+        request.getRequestHeaders().put(Headers.HOST, target.getAuthority());
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, 0);
+        planned.headers().forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
+        connection.sendRequest(
+                request,
+                callback(exchange -> exchange.setResponseListener(
+                        callback(answered -> read(answered.getResponseChannel(), answered.getResponse())))));
+    }
+
+    void timeOut() {
+        end(new Result("timeout", false, true, false));
+    }
+
+    private void read(StreamSourceChannel channel, ClientResponse head) throws IOException {
+        ByteBuffer buffer = ByteBuffer.allocate(READ_BYTES);
+        while (true) {
+            buffer.clear();
+            int count = channel.read(buffer);
+            if (count == 0) {
+                channel.getReadSetter().set(ready -> attempt(() -> read(ready, head)));
+                channel.resumeReads();
+                return;
+            }
+            if (count < 0) {
+                endWith(head);
+                return;
+            }
+            body.write(buffer.array(), 0, count);
+        }
+    }
+
+    private void endWith(ClientResponse head) {
+        String result = head.getResponseHeaders().getFirst(RESULT);
+        boolean success = head.getResponseCode() < FIRST_ERROR_STATUS;
+        String code = result == null ? "http-" + head.getResponseCode() : result;
+        String text = body.toString(StandardCharsets.UTF_8);
+        boolean ownAnswer = !success || !text.contains("\"path\"") || text.contains('"' + planned.path() + '"');
+        end(new Result(code, success, ownAnswer, true));
+    }
+
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    private interface ExchangeStep {
+        void run(ClientExchange exchange) throws IOException;
+    }
+
+    private void attempt(Step step) {
+        try {
+            step.run();
+        } catch (IOException e) {
+            end(new Result("answer-lost", false, true, false));
+        }
+    }
+
+    private ClientCallback<ClientExchange> callback(ExchangeStep step) {
+        return new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                attempt(() -> step.run(exchange));
+            }
+
+            @Override
+            public void failed(IOException e) {
+                end(new Result("answer-lost", false, true, false));
+            }
+        };
+    }
+
+    private void end(Result result) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        timeout.remove();
+        onEnd.accept(result);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/lacewingthread/bench/LoadCommand.java
@@ -0,0 +1,124 @@
+package org.lacewingthread.bench;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * Sends requests at a fixed rate to an address on the loopback interface, whatever the answers do,
+ * and prints latencies from the intended time of sending, results by code and goodput. Goodput counts
+ * successful answers that came within the deadline.
+ *
+ * <pre>
+ * java -cp ... org.lacewingthread.bench.LoadCommand --url http://127.0.0.1:8080 --rate 2000
+ *     --warm-up-seconds 2 --seconds 10 --mix 70,20,10 --keys 10000 --connections 100
+ *     --deadline-millis 1000
+ * </pre>
+ *
+ * <p>The exit code is 0, or 1 if a request got the answer to another one, or 2 if an option is not valid.
+ */
+public final class LoadCommand {
+    private static final int STRANGERS_ANSWER = 1;
+    private static final int USAGE_ERROR = 2;
+    private static final int GRACE_MILLIS = 1_000;
+    private static final String DEADLINE_HEADER = "Lacewingthread-Deadline-Millis";
+    private static final String IDEMPOTENCY_KEY_HEADER = "Idempotency-Key";
+
+    private final LoadOptions options;
+    private final LoadReport report;
+    private final Random random;
+
+    private LoadCommand(LoadOptions options) {
+        this.options = options;
+        this.report = new LoadReport(options.deadlineMillis());
+        this.random = new Random(options.seed());
+    }
+
+    /** Sends the load that the arguments describe and prints the report. */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        LoadOptions options;
+        try {
+            options = LoadOptions.parse(args);
+        } catch (IllegalArgumentException e) {
+            System.err.println(e.getMessage());
+            System.exit(USAGE_ERROR);
+            return;
+        }
+        LoadReport report = new LoadCommand(options).run();
+        System.exit(report.strangersAnswers() > 0 ? STRANGERS_ANSWER : 0);
+    }
+
+    private LoadReport run() throws IOException, InterruptedException {
+        int warmUp = options.warmUpRequests();
+        int total = warmUp + options.countedRequests();
+        CountDownLatch outcomes = new CountDownLatch(total);
+        try (HttpLanes lanes = new HttpLanes(options.target(), options.connections())) {
+            long startNanos = System.nanoTime();
+            for (int number = 0; number < total; number++) {
+                long intendedNanos = startNanos + number * TimeUnit.SECONDS.toNanos(1) / options.ratePerSecond();
+                waitUntil(intendedNanos);
+                lanes.submit(number, plan(number, intendedNanos, outcomes));
+            }
+            double countedSeconds = (double) options.countedRequests() / options.ratePerSecond();
+            boolean complete = outcomes.await(options.deadlineMillis() + 2L * GRACE_MILLIS, TimeUnit.MILLISECONDS);
+            System.out.printf(
+                    "%d requests at %d/s to %s, after %d to warm up%n",
+                    options.countedRequests(), options.ratePerSecond(), options.target(), warmUp);
+            report.print(System.out, countedSeconds);
+            if (!complete) {
+                System.out.println("    without outcome: " + outcomes.getCount());
+            }
+        }
+        return report;
+    }
+
+    private static void waitUntil(long nanos) {
+        for (long leftNanos = nanos - System.nanoTime(); leftNanos > 0; leftNanos = nanos - System.nanoTime()) {
+            LockSupport.parkNanos(leftNanos);
+        }
+    }
+
+    private PlannedRequest plan(int number, long intendedNanos, CountDownLatch outcomes) {
+        LoadOptions.Kind kind = chooseKind();
+        Map<String, String> headers = new HashMap<>();
+        headers.put(DEADLINE_HEADER, Integer.toString(options.deadlineMillis()));
+        if (kind.withIdempotencyKey()) {
+            headers.put(IDEMPOTENCY_KEY_HEADER, UUID.randomUUID().toString());
+        }
+        String path = kind.pathTemplate().replace("{key}", "k" + chooseKey()) + "?n=" + number;
+        return new PlannedRequest(
+                kind.name(),
+                kind.method(),
+                path,
+                headers,
+                intendedNanos,
+                options.deadlineMillis() + GRACE_MILLIS,
+                outcome -> {
+                    if (number >= options.warmUpRequests()) {
+                        report.add(kind.name(), outcome);
+                    }
+                    outcomes.countDown();
+                });
+    }
+
+    private LoadOptions.Kind chooseKind() {
+        int total = options.kinds().stream().mapToInt(LoadOptions.Kind::weight).sum();
+        int drawn = random.nextInt(total);
+        for (LoadOptions.Kind kind : options.kinds()) {
+            drawn -= kind.weight();
+            if (drawn < 0) {
+                return kind;
+            }
+        }
+        throw new IllegalStateException("weights do not add up to " + total);
+    }
+
+    private int chooseKey() {
+        return random.nextDouble() < options.hotKeyShare() ? 0 : random.nextInt(options.keys());
+    }
+}
