--- a/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendExchange.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendExchange.java
@@ -8,6 +8,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -93,6 +94,9 @@
         for (HeaderField field : permit.headers()) {
             request.getRequestHeaders().put(new HttpString(field.name()), field.value());
         }
+        if (!request.getRequestHeaders().contains(Headers.HOST)) {
+            request.getRequestHeaders().put(Headers.HOST, hostOf(connection));
+        }
         request.getRequestHeaders().put(REQUEST_ID, call.requestId());
         request.getRequestHeaders().remove(Headers.CONTENT_LENGTH);
         if (call.body().length > 0) {
@@ -101,6 +105,11 @@
         return request;
     }
 
+    private static String hostOf(ClientConnection connection) {
+        InetSocketAddress server = connection.getPeerAddress(InetSocketAddress.class);
+        return server.getHostString() + ":" + server.getPort();
+    }
+
     private void writeBody(ClientExchange exchange) {
         exchange.setResponseListener(callback(this::readHead));
         if (call.body().length == 0) {
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/BackendFaultTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/BackendFaultTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.net.http.HttpResponse;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
@@ -179,7 +180,11 @@
 
     @Test
     void serverThatAcceptsNoConnectionLeavesAHoldProvablyNotRun() throws Exception {
-        backend.close();
+        try (ServerSocket unused = new ServerSocket(0)) {
+            server = TrafficViews.server("s3", unused.getLocalPort(), 20);
+        }
+        views = new TrafficViews(server);
+        ownedBy(server);
         assertThat(holdResult("k1")).isEqualTo("3005");
         assertThat(holdResult("k1")).isEqualTo("3005");
     }
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/RequestPathTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/RequestPathTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
 import java.net.http.HttpResponse;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -31,6 +32,11 @@
         caller = new Caller(bench.server.port());
     }
 
+    private void restart(BackendSettings settings) throws IOException {
+        backend.close();
+        backend = new BackendServerStandIn(server.port(), settings);
+    }
+
     @AfterEach
     void stop() {
         bench.close();
@@ -80,9 +86,7 @@
 
     @Test
     void largeAnswerArrivesWholeButIsNotKeptForARepeat() throws Exception {
-        backend.close();
-        backend =
-                new BackendServerStandIn(server.port(), BackendSettings.of("s1").withAnswerBytes(3_000_000));
+        restart(BackendSettings.of("s1").withAnswerBytes(3_000_000));
         own();
         HttpResponse<String> first = caller.post("/holds/7", "{}", "Idempotency-Key", "k1");
         HttpResponse<String> repeat = caller.post("/holds/7", "{}", "Idempotency-Key", "k1");
