--- a/core/src/main/java/org/lacewingthread/core/lease/AppendQueue.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/AppendQueue.java
@@ -14,6 +14,7 @@
  * read back, so that an append whose answer was lost takes effect once.
  */
 final class AppendQueue {
+    private static final long SPACING_MILLIS = 20;
     private static final long FIRST_RETRY_MILLIS = 250;
     private static final long MAX_RETRY_MILLIS = 2_000;
     private static final long REFUSED_RETRY_MILLIS = 100;
@@ -25,6 +26,7 @@
     private final Outbox outbox;
     private final Deque<Pending> queue = new ArrayDeque<>();
     private long nextSequence;
+    private long earliestMillis = Long.MIN_VALUE;
     private long nextTryMillis = Long.MIN_VALUE;
     private long retryMillis = FIRST_RETRY_MILLIS;
 
@@ -43,7 +45,7 @@
         long sequence = nextSequence++;
         queue.add(new Pending(sequence, record, term));
         if (queue.size() == 1) {
-            nextTryMillis = Long.MIN_VALUE;
+            resetRetry();
         }
         return sequence;
     }
@@ -59,8 +61,9 @@
 
     /** Gives up a record; an append under way may still take effect. */
     void giveUp(long sequence) {
-        queue.removeIf(p -> p.sequence == sequence);
-        resetRetry();
+        if (queue.removeIf(p -> p.sequence == sequence)) {
+            resetRetry();
+        }
     }
 
     /** Gives up the records of all terms but one. */
@@ -91,10 +94,11 @@
     /** Sends the first record if it was not sent yet or is due again. */
     void advance(long nowMillis) {
         Pending first = queue.peek();
-        if (first == null || nowMillis < nextTryMillis) {
+        if (first == null || nowMillis < Math.max(nextTryMillis, earliestMillis)) {
             return;
         }
         outbox.add(new ControlAction.Append(first.sequence, first.record));
+        earliestMillis = nowMillis + SPACING_MILLIS;
         nextTryMillis = nowMillis + retryMillis;
         retryMillis = Math.min(2 * retryMillis, MAX_RETRY_MILLIS);
     }
--- a/core/src/test/java/org/lacewingthread/core/lease/SimulatedVm.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/SimulatedVm.java
@@ -35,7 +35,7 @@
     boolean stopped;
     ControlView view;
     private final SimulatedGroup group;
-    private final double clockRate;
+    final double clockRate;
     private final long clockOffsetMillis;
     private final Deque<ControlEvent> backlog = new ArrayDeque<>();
     private List<ControlAction> stalled = List.of();
