--- a/core/src/main/java/org/lacewingthread/core/log/DataCentreState.java
+++ b/core/src/main/java/org/lacewingthread/core/log/DataCentreState.java
@@ -11,8 +11,9 @@
  *
  * @param rosterRevision offset of the record that set the roster
  * @param members the roster in order of succession
- * @param claimOffset offset of the newest accepted claim
- * @param claimant process that made that claim, or null before the first
+ * @param claimOffset offset of the newest accepted claim, or of a roster reset that came after it: the
+ *     members that knew of terms begun since are gone, so later terms must build on the reset
+ * @param claimant process that made that claim, or null before the first and after a reset
  * @param recordedTerm highest term that has recorded assignments, or null before the first
  */
 public record DataCentreState(
--- a/core/src/main/java/org/lacewingthread/core/log/LogRecord.java
+++ b/core/src/main/java/org/lacewingthread/core/log/LogRecord.java
@@ -52,7 +52,8 @@
     }
 
     /**
-     * Replaces a roster of which a majority is gone for good.
+     * Replaces a roster of which a majority is gone for good. Ends every earlier claim and term: the next
+     * claim follows this record.
      *
      * @param dataCentre the data centre
      * @param baseRevision accepted only if this is the roster's revision
--- a/core/src/main/java/org/lacewingthread/core/log/RosterFold.java
+++ b/core/src/main/java/org/lacewingthread/core/log/RosterFold.java
@@ -28,7 +28,9 @@
         }
         requireBase(state, record.dataCentre(), record.baseRevision());
         requireSound(state, record.dataCentre(), record.members());
-        return withRoster(state, record.dataCentre(), record.members(), offset);
+        ReplicaState changed = withRoster(state, record.dataCentre(), record.members(), offset);
+        DataCentreState dataCentre = changed.dataCentre(record.dataCentre());
+        return changed.withDataCentre(record.dataCentre(), dataCentre.withClaim(offset, null));
     }
 
     private static void requireBase(ReplicaState state, DataCentreId id, LogOffset base)
