--- a/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
@@ -14,8 +14,10 @@
 import org.lacewingthread.core.id.Term;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.ApplyResult;
+import org.lacewingthread.core.log.AuditTrail;
 import org.lacewingthread.core.log.LogEntry;
 import org.lacewingthread.core.log.LogReplica;
+import org.lacewingthread.core.log.ReplicaState;
 import org.lacewingthread.core.ownership.OwnershipCoordinator;
 
 /**
@@ -130,6 +132,7 @@
         duties.follow(election.leadingTerm(), replier.conditions(), nowMillis);
         roster.advance(duties.leading(), log.reachedEnd(), logReachable, nowMillis);
         duties.advance(roster.leavingVms(), logReachable, nowMillis);
+        snapshots.observe(nowMillis);
         duties.leading().ifPresent(l -> snapshots.advance(l, logReachable, nowMillis));
         boolean hasMajority = held.hasMajority(context.roster(), nowMillis);
         election.askingTerm().ifPresent(t -> heartbeats.sendDue(t, duties.leading(), hasMajority, nowMillis));
@@ -139,10 +142,14 @@
     }
 
     private void apply(LogEntry entry) {
+        ReplicaState before = context.state();
         ApplyResult result = context.replica().apply(entry);
         recent.add(entry);
         appends.readBack(entry);
-        LogAudit.write(entry, result, context.outbox());
+        if (result.outcome() != ApplyResult.Outcome.DUPLICATE) {
+            AuditTrail.describe(before, entry, result)
+                    .ifPresent(line -> context.outbox().add(new ControlAction.Audit(line)));
+        }
     }
 
     private void take(ControlEvent event, long nowMillis) {
