--- a/core/src/test/java/org/lacewingthread/core/lease/LeaseHistory.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/LeaseHistory.java
@@ -15,7 +15,15 @@
     long leaderlessMillis;
 
     LeaseHistory(long seed, Set<ProtocolRule> rules) {
+        this(seed, rules, 0);
+    }
+
+    /** Creates a run whose ownership is decided as in production if there are servers. */
+    LeaseHistory(long seed, Set<ProtocolRule> rules, int servers) {
         group = new SimulatedGroup(seed);
+        if (servers > 0) {
+            group.servers = new SimulatedServers(group, servers);
+        }
         group.rules = rules;
         int vms = 1 + group.random.nextInt(5);
         for (int i = 0; i < vms; i++) {
@@ -34,10 +42,20 @@
         while (group.nowMillis() < RUN_MILLIS && group.checks.violations.isEmpty()) {
             runFor(random.nextInt(900));
             Fault.random(random).begin(group);
+            if (group.servers != null && random.nextInt(4) == 0) {
+                failServer(random);
+            }
         }
         return group.checks.violations;
     }
 
+    private void failServer(Random random) {
+        List<SimulatedServer> servers = List.copyOf(group.servers.servers.values());
+        SimulatedServer server = servers.get(random.nextInt(servers.size()));
+        group.servers.setDown(server, true);
+        group.after(1_000_000L + random.nextInt(4_000_000), () -> group.servers.setDown(server, false));
+    }
+
     /** Runs with given faults, each after a pause. */
     List<String> run(List<Fault> faults, long gapMillis) {
         runFor(4_000);
@@ -58,12 +76,15 @@
     /** Mends everything; returns how long it took until one VM led and each server had a dispatcher, or -1. */
     long recover() {
         group.heal();
+        if (group.servers != null) {
+            group.servers.servers.values().forEach(s -> group.servers.setDown(s, false));
+        }
         group.runFor(3_500);
         return group.runUntil(RECOVERY_MILLIS, this::isWell);
     }
 
     private boolean isWell() {
-        boolean everyServer = true;
+        boolean everyServer = group.servers == null || group.servers.areAllServed();
         for (int i = 0; i < 3; i++) {
             ServerId server = new ServerId("server-" + i);
             everyServer &= group.running().stream()
--- a/core/src/test/java/org/lacewingthread/core/lease/SafetyChecks.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/SafetyChecks.java
@@ -6,6 +6,8 @@
 import java.util.Map;
 import java.util.Optional;
 import org.lacewingthread.core.control.ControlView;
+import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.id.FencingToken;
 import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ShardId;
@@ -16,6 +18,7 @@
 final class SafetyChecks {
     final List<String> violations = new ArrayList<>();
     private final SimulatedGroup group;
+    private final Map<ShardId, FencingToken> highestTokens = new HashMap<>();
     private Term highestTerm;
 
     SafetyChecks(SimulatedGroup group) {
@@ -66,8 +69,13 @@
         }
     }
 
-    /** Checks that no request of the shard may still start or run at another server. */
-    void checkRequest(SimulatedVm sender, ShardId shard, ServerId server) {
+    /** Checks that no request of the shard may still start or run at another server, and that tokens rise. */
+    void checkRequest(SimulatedVm sender, ShardId shard, RoutePlan.Ownership owner) {
+        ServerId server = owner.server();
+        FencingToken highest = highestTokens.merge(shard, owner.token(), (a, b) -> a.compareTo(b) > 0 ? a : b);
+        if (highest.compareTo(owner.token()) > 0) {
+            violate("shard " + shard + " is sent to " + server + " under token " + owner.token() + " after " + highest);
+        }
         for (SimulatedVm vm : group.vms) {
             Optional.ofNullable(vm.inFlight.get(shard))
                     .filter(r ->
@@ -99,7 +107,7 @@
         }
     }
 
-    private void violate(String what) {
+    void violate(String what) {
         violations.add("at " + group.nowMillis() + " ms: " + what);
     }
 }
--- a/core/src/test/java/org/lacewingthread/core/lease/SimulatedGroup.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/SimulatedGroup.java
@@ -40,6 +40,7 @@
     final SafetyChecks checks = new SafetyChecks(this);
     Set<ProtocolRule> rules = EnumSet.allOf(ProtocolRule.class);
     Function<Term, OwnershipCoordinator> coordinators = TestCoordinator::new;
+    SimulatedServers servers;
     ControlSettings settings = ControlSettings.DEFAULT;
     double lossRatio;
     double stallRatio;
@@ -52,6 +53,7 @@
     SimulatedGroup(long seed) {
         random = new Random(seed);
         every(LIST_MICROS, () -> true, this::readVmList);
+        every(LIST_MICROS, () -> servers != null, () -> servers.servers.values().forEach(servers::report));
     }
 
     long nowMicros() {
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/lease/SimulatedServer.java
@@ -0,0 +1,69 @@
+package org.lacewingthread.core.lease;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.control.ServerOrder;
+import org.lacewingthread.core.id.FencingToken;
+import org.lacewingthread.core.id.ShardId;
+
+/** A backend server that checks tokens, with a clock of its own. */
+final class SimulatedServer {
+    private record Lease(FencingToken token, long deadlineMillis) {}
+
+    final ServerSpec spec;
+    boolean down;
+    private final SimulatedGroup group;
+    private final double clockRate;
+    private final Map<ShardId, Lease> leases = new HashMap<>();
+    private final Map<ShardId, FencingToken> highest = new HashMap<>();
+
+    SimulatedServer(SimulatedGroup group, ServerSpec spec, double clockRate) {
+        this.group = group;
+        this.spec = spec;
+        this.clockRate = clockRate;
+    }
+
+    private long localMillis() {
+        return (long) (group.nowMillis() * clockRate);
+    }
+
+    /** Returns whether the server may run requests of a shard now. */
+    boolean holds(ShardId shard) {
+        Lease lease = leases.get(shard);
+        return lease != null && localMillis() < lease.deadlineMillis();
+    }
+
+    /** Carries an order out; returns whether it was accepted. */
+    boolean take(ServerOrder order) {
+        if (order instanceof ServerOrder.Renew renew) {
+            return renew(renew);
+        }
+        ServerOrder.Release release = (ServerOrder.Release) order;
+        if (release.shards().stream().anyMatch(s -> isBelow(release.token(), s))) {
+            return false;
+        }
+        release.shards().forEach(shard -> {
+            highest.put(shard, release.token());
+            leases.remove(shard);
+        });
+        return true;
+    }
+
+    private boolean renew(ServerOrder.Renew renew) {
+        if (renew.shards().stream().anyMatch(s -> isBelow(s.token(), s.shard()))) {
+            return false;
+        }
+        long deadlineMillis = localMillis() + renew.leaseMillis();
+        renew.shards().forEach(granted -> {
+            highest.put(granted.shard(), granted.token());
+            leases.put(granted.shard(), new Lease(granted.token(), deadlineMillis));
+        });
+        return true;
+    }
+
+    private boolean isBelow(FencingToken token, ShardId shard) {
+        FencingToken seen = highest.get(shard);
+        return seen != null && token.compareTo(seen) < 0;
+    }
+}
--- a/core/src/test/java/org/lacewingthread/core/lease/SimulatedVm.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/SimulatedVm.java
@@ -123,6 +123,8 @@
             group.readLog(this, read);
         } else if (action instanceof ControlAction.Append append) {
             group.append(this, append);
+        } else if (action instanceof ControlAction.SendToServer send) {
+            group.servers.take(this, send);
         } else if (action instanceof ControlAction.Publish publish) {
             group.checks.checkRises(this, view, publish.view());
             view = publish.view();
@@ -149,7 +151,7 @@
     private void sendRequests() {
         permitted().ifPresent(plan -> plan.owners().forEach((shard, owner) -> {
             if (dispatchesFor(owner.server())) {
-                group.checks.checkRequest(this, shard, owner.server());
+                group.checks.checkRequest(this, shard, owner);
                 long endMicros =
                         group.nowMicros() + group.random.nextInt((int) (1_000 * group.settings.startByMillis()));
                 inFlight.merge(
