--- a/core/src/test/java/org/lacewingthread/core/ownership/FakeLog.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/FakeLog.java
@@ -15,14 +15,24 @@
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.id.Term;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.DataCentreState;
 import org.lacewingthread.core.log.LogRecord;
 import org.lacewingthread.core.log.ReplicaState;
+import org.lacewingthread.core.log.RosterMember;
 import org.lacewingthread.core.log.ShardAssignment;
 import org.lacewingthread.core.log.ShardTable;
 
 /** A log with the small part of the fold that ownership needs; appended records apply after a delay. */
 final class FakeLog {
+    private static final DataCentreState OTHER = new DataCentreState(
+            LogOffset.NONE,
+            List.of(new RosterMember(new VmStart(new VmId("other"), 1), "127.0.0.1", 7000)),
+            LogOffset.NONE,
+            null,
+            null);
+
     final List<LogRecord> applied = new ArrayList<>();
     private final DataCentreId dataCentre;
     private final Map<ApplicationId, ShardTable> tables = new HashMap<>();
@@ -34,7 +44,7 @@
     private long configurationOffset;
     private Term recordedTerm;
 
-    private record Append(LogRecord.AssignmentsRecorded record, long atMillis) {}
+    private record Append(LogRecord record, long atMillis) {}
 
     FakeLog(DataCentreId dataCentre, RoutingConfiguration configuration) {
         this.dataCentre = dataCentre;
@@ -63,7 +73,7 @@
     }
 
     void append(LogRecord record, long atMillis) {
-        appends.add(new Append((LogRecord.AssignmentsRecorded) record, atMillis));
+        appends.add(new Append(record, atMillis));
     }
 
     /** Drops what is under way, as a new claim makes the fold do. */
@@ -81,7 +91,50 @@
         }
     }
 
-    private void fold(LogRecord.AssignmentsRecorded record) {
+    private void fold(LogRecord record) {
+        if (record instanceof LogRecord.AssignmentsRecorded assigned) {
+            assign(assigned);
+        } else if (record instanceof LogRecord.KeysSplit split) {
+            split.keyHashes().forEach(hash -> split(split.application(), hash));
+        } else if (record instanceof LogRecord.KeysMerged merged) {
+            merged.keyHashes().forEach(hash -> merge(merged.application(), hash));
+        } else if (record instanceof LogRecord.ShardsReleased released) {
+            released.shards()
+                    .forEach(s -> setEntry(
+                            s.application(),
+                            s.index(),
+                            new ShardTable.Entry(dataCentre, released.target(), recorded(s))));
+        }
+        applied.add(record);
+    }
+
+    private void split(ApplicationId application, long hash) {
+        ShardTable old = tables.get(application);
+        ShardTable.Entry base = old.entries().get((int) (hash & (old.shardCount() - 1)));
+        int index = old.entries().size();
+        ShardAssignment copy = new ShardAssignment(
+                new ShardId(application, index),
+                base.assignment().owner(),
+                base.assignment().failover(),
+                base.assignment().token());
+        setEntry(application, index, new ShardTable.Entry(base.home(), null, copy));
+        Map<Long, Integer> keys = new HashMap<>(old.splitKeys());
+        keys.put(hash, index);
+        tables.put(
+                application,
+                new ShardTable(old.shardCount(), tables.get(application).entries(), keys));
+    }
+
+    private void merge(ApplicationId application, long hash) {
+        ShardTable old = tables.get(application);
+        Map<Long, Integer> keys = new HashMap<>(old.splitKeys());
+        setEntry(application, keys.remove(hash), null);
+        tables.put(
+                application,
+                new ShardTable(old.shardCount(), tables.get(application).entries(), keys));
+    }
+
+    private void assign(LogRecord.AssignmentsRecorded record) {
         offset++;
         boolean stale = record.assignments().stream().anyMatch(a -> isOlder(a, recorded(a.shard())));
         if (stale) {
@@ -89,7 +142,6 @@
             return;
         }
         recordedTerm = record.term();
-        applied.add(record);
         Map<ApplicationId, List<ShardTable.Entry>> changed = new HashMap<>();
         for (ShardAssignment assignment : record.assignments()) {
             ApplicationId application = assignment.shard().application();
@@ -104,7 +156,8 @@
     }
 
     ShardAssignment recorded(ShardId shard) {
-        return tables.get(shard.application()).entries().get(shard.index()).assignment();
+        ShardTable.Entry entry = tables.get(shard.application()).entries().get(shard.index());
+        return entry == null ? null : entry.assignment();
     }
 
     boolean isNewer(ShardId shard, FencingToken token) {
@@ -116,6 +169,10 @@
         return recorded != null && assignment.token().compareTo(recorded.token()) < 0;
     }
 
+    ShardTable table(ApplicationId application) {
+        return tables.get(application);
+    }
+
     void setEntry(ApplicationId application, int index, ShardTable.Entry entry) {
         ShardTable old = tables.get(application);
         List<ShardTable.Entry> entries = new ArrayList<>(old.entries());
@@ -129,11 +186,14 @@
 
     ReplicaState state() {
         DataCentreState centre = new DataCentreState(LogOffset.NONE, List.of(), LogOffset.NONE, null, recordedTerm);
+        Map<DataCentreId, DataCentreState> centres = new HashMap<>();
+        configuration.servers().forEach(s -> centres.put(s.dataCentre(), OTHER));
+        centres.put(dataCentre, centre);
         return new ReplicaState(
                 new LogOffset(offset),
                 new LogOffset(configurationOffset),
                 configuration,
-                Map.of(dataCentre, centre),
+                centres,
                 tables,
                 draining,
                 Set.of(),
--- a/core/src/test/java/org/lacewingthread/core/ownership/OwnershipWorld.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/OwnershipWorld.java
@@ -173,7 +173,9 @@
         }
         for (LogRecord record : step.records()) {
             records.add(record);
-            checkOrder((LogRecord.AssignmentsRecorded) record);
+            if (record instanceof LogRecord.AssignmentsRecorded assigned) {
+                checkOrder(assigned);
+            }
             if (random.nextDouble() >= lostAnswerRatio) {
                 log.append(record, nowMillis + 20 + random.nextInt(50));
             }
@@ -304,6 +306,11 @@
             public boolean hasLeft(VmStart vm, long planVersion, long now) {
                 return vm(vm).hasLeft(planVersion, now);
             }
+
+            @Override
+            public boolean hasApplied(VmStart vm, LogOffset offset) {
+                return vm(vm).up;
+            }
         };
     }
 
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/ownership/PlacementMovesTest.java
@@ -0,0 +1,172 @@
+package org.lacewingthread.core.ownership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.lacewingthread.core.config.RoutingConfiguration;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.control.ServerCondition;
+import org.lacewingthread.core.control.ServerLoad;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.ShardTable;
+
+class PlacementMovesTest {
+    private static final DataCentreId OTHER = new DataCentreId("calca");
+    private static final ServerId BUSY = new ServerId("s0");
+    private static final long MINUTE_MILLIS = 60_000;
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aColdServerGetsALimitedShareUntilItIsWarm(boolean checksTokens) {
+        OwnershipWorld world = OwnershipWorld.calm(checksTokens);
+        world.conditions.put(BUSY, ServerCondition.COLD);
+        world.run(2_000);
+        int whileCold = shardsOf(world, BUSY).size();
+        world.conditions.put(BUSY, ServerCondition.REACHABLE);
+        world.run(2 * MINUTE_MILLIS);
+
+        assertThat(whileCold).isBetween(1, 4);
+        assertThat(shardsOf(world, BUSY).size()).isBetween(10, 14);
+        assertThat(world.violations).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anOverloadedServersHotKeyIsSplitOutAndMergedBackWhenCold(boolean checksTokens) {
+        OwnershipWorld world = settled(checksTokens);
+        List<ShardId> shards = shardsOf(world, BUSY);
+        ShardId hot = shards.get(0);
+        long hash = 64L * 1_000 + hot.index();
+        evenLoad(world);
+        world.loads.put(BUSY, new ServerLoad(BUSY, 400, List.of(new ServerLoad.ShardLoad(hot, 320, hash, 0.9))));
+        world.run(20_000);
+
+        assertThat(world.log.table(OwnershipWorld.LEDGER).splitKeys()).containsKey(hash);
+        ShardId split = new ShardId(OwnershipWorld.LEDGER, OwnershipWorld.SHARDS);
+        assertThat(world.ownerOf(split)).isNotNull();
+        evenLoad(world);
+        world.run(3 * MINUTE_MILLIS);
+        assertThat(world.log.table(OwnershipWorld.LEDGER).splitKeys()).isEmpty();
+        assertThat(world.ownerOf(split)).isNull();
+        assertThat(world.violations).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aSplitOutKeyMovesApartFromItsShardWithoutTwoOwners(boolean checksTokens) {
+        OwnershipWorld world = settled(checksTokens);
+        ShardId base = shardsOf(world, BUSY).get(0);
+        world.log.append(split(world, base), world.nowMillis);
+        world.run(500);
+        world.log.setDraining(BUSY, true);
+        world.unservedMillis.clear();
+        world.run(6_000);
+
+        ShardId split = new ShardId(OwnershipWorld.LEDGER, OwnershipWorld.SHARDS);
+        assertThat(world.ownerOf(split)).isNotNull().isNotEqualTo(BUSY);
+        assertThat(world.ownerOf(base)).isNotNull().isNotEqualTo(BUSY);
+        assertThat(world.longestUnservedMillis()).isLessThan(1_000);
+        assertThat(world.violations).isEmpty();
+    }
+
+    private static LogRecord split(OwnershipWorld world, ShardId base) {
+        return new LogRecord.KeysSplit(
+                OwnershipWorld.HERE,
+                world.plan.term(),
+                OwnershipWorld.LEDGER,
+                List.of((long) OwnershipWorld.SHARDS + base.index()));
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aSteadyLoadMovesNothing(boolean checksTokens) {
+        OwnershipWorld world = settled(checksTokens);
+        evenLoad(world);
+        var before = world.plan;
+        world.run(2 * MINUTE_MILLIS);
+
+        assertThat(world.plan).isEqualTo(before);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aDataCentreWhoseServersAllLeaveReleasesItsShards(boolean checksTokens) {
+        OwnershipWorld world = settled(checksTokens);
+        RoutingConfiguration old = world.log.state().configuration();
+        List<ServerSpec> servers = new ArrayList<>(old.servers());
+        servers.add(new ServerSpec(new ServerId("c0"), OTHER, "127.0.0.1", 8080, List.of(), 2, 50, false, false));
+        world.log.publish(new RoutingConfiguration(old.applications(), servers));
+        world.servers.keySet().forEach(s -> world.log.setDraining(s, true));
+        world.run(5_000);
+
+        assertThat(world.plan.owners()).isEmpty();
+        assertThat(world.log.table(OwnershipWorld.LEDGER).entries()).allMatch(e -> OTHER.equals(e.adopter()));
+        assertThat(world.violations).isEmpty();
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aShardHandedToThisDataCentreIsAdoptedAfterEveryLeaseRanOut(boolean checksTokens) {
+        OwnershipWorld world = OwnershipWorld.calm(checksTokens);
+        ShardId shard = new ShardId(OwnershipWorld.LEDGER, 5);
+        world.log.setEntry(shard.application(), shard.index(), new ShardTable.Entry(OTHER, null, null));
+        world.run(2_000);
+        assertThat(world.ownerOf(shard)).isNull();
+        world.log.setEntry(shard.application(), shard.index(), new ShardTable.Entry(OTHER, OwnershipWorld.HERE, null));
+        world.run(1_500);
+        assertThat(world.ownerOf(shard)).isNull();
+        world.run(3_000);
+
+        assertThat(world.ownerOf(shard)).isNotNull();
+        assertThat(world.log.table(shard.application()).entries().get(5).home()).isEqualTo(OwnershipWorld.HERE);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aVmThatLeavesHandsOverAndOneThatJoinsTakesItsPart(boolean checksTokens) {
+        OwnershipWorld world = settled(checksTokens);
+        VmStart leaving = world.vms.get(2).start;
+        world.unservedMillis.clear();
+        world.leaving.add(leaving);
+        world.run(2_000);
+        assertThat(world.plan.dispatchers()).doesNotContainValue(leaving).hasSize(5);
+        assertThat(world.longestUnservedMillis()).isLessThan(600);
+        Map<ServerId, VmStart> before = world.plan.dispatchers();
+        world.leaving.clear();
+        world.run(20_000);
+
+        assertThat(world.plan.dispatchers()).containsValue(leaving).hasSize(5);
+        assertThat(before.entrySet().stream()
+                        .filter(e ->
+                                !e.getValue().equals(world.plan.dispatchers().get(e.getKey())))
+                        .count())
+                .isEqualTo(1);
+        assertThat(world.violations).isEmpty();
+    }
+
+    private static OwnershipWorld settled(boolean checksTokens) {
+        OwnershipWorld world = OwnershipWorld.calm(checksTokens);
+        world.run(2_000);
+        return world;
+    }
+
+    private static void evenLoad(OwnershipWorld world) {
+        world.servers.keySet().forEach(s -> world.loads.put(s, new ServerLoad(s, 100, List.of())));
+    }
+
+    private static List<ShardId> shardsOf(OwnershipWorld world, ServerId server) {
+        return world.plan.owners().entrySet().stream()
+                .filter(e -> e.getValue().server().equals(server))
+                .map(Map.Entry::getKey)
+                .sorted()
+                .toList();
+    }
+}
