--- a/core/src/main/java/org/lacewingthread/core/ownership/SafetyRule.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/SafetyRule.java
@@ -15,5 +15,7 @@
     /** With the log reachable an assignment is used only after it was read back. */
     RECORD_BEFORE_USE,
     /** Steps taken while the log was out are recorded before anything else. */
-    PROVISIONAL_FIRST
+    PROVISIONAL_FIRST,
+    /** A split-out key parts from its shard only after the requests sent as part of the shard ended. */
+    SEPARATE_SPLIT_KEYS
 }
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
@@ -227,7 +227,7 @@
     /** Pauses the shard that a split-out key came from, so that no request sent as part of it is left. */
     private boolean separate(Step step, ShardId shard) {
         Optional<ShardId> base = splits.notYetSeparated(shard).filter(draft::serves);
-        if (base.isEmpty()) {
+        if (base.isEmpty() || !rules.contains(SafetyRule.SEPARATE_SPLIT_KEYS)) {
             return true;
         }
         boolean known = splits.isKnownToDispatchers(step, splits.split(shard).orElseThrow());
--- a/core/src/test/java/org/lacewingthread/core/ownership/OwnershipWorld.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/OwnershipWorld.java
@@ -29,7 +29,6 @@
 import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.LogRecord;
-import org.lacewingthread.core.log.ShardAssignment;
 
 /**
  * One data centre in virtual time: a coordinator, entry VMs, backend servers and a log. Every tick it
@@ -54,7 +53,7 @@
     final List<ServerOrder> orders = new ArrayList<>();
     final Set<String> violations = new TreeSet<>();
     final Map<ShardId, Long> unservedMillis = new TreeMap<>();
-    private final Set<String> appended = new TreeSet<>();
+    private final PlanChecks planChecks;
     private final List<Timed> pending = new ArrayList<>();
     private final Map<ServerId, Long> unanswered = new HashMap<>();
     private final Set<SafetyRule> rules;
@@ -87,6 +86,7 @@
         for (int i = 0; i < vmCount; i++) {
             vms.add(new FakeVm(new VmStart(new VmId("vm" + i), i), settings));
         }
+        planChecks = new PlanChecks(log, violations);
         startTerm(0);
     }
 
@@ -161,7 +161,10 @@
         }
         OwnershipStep step = coordinator.step(inputs(), nowMillis);
         notes.addAll(step.notes());
-        step.plan().ifPresent(this::takePlan);
+        step.plan().ifPresent(newest -> {
+            planChecks.changed(plan, newest, held.values(), notes);
+            plan = newest;
+        });
         if (!logReachable && !step.records().isEmpty()) {
             violations.add("appends while the log is out");
         }
@@ -169,12 +172,12 @@
             violations.add("a provisional step while the log answers");
         }
         if (!logReachable) {
-            appended.clear();
+            planChecks.logOut();
         }
         for (LogRecord record : step.records()) {
             records.add(record);
             if (record instanceof LogRecord.AssignmentsRecorded assigned) {
-                checkOrder(assigned);
+                planChecks.appended(assigned, plan);
             }
             if (random.nextDouble() >= lostAnswerRatio) {
                 log.append(record, nowMillis + 20 + random.nextInt(50));
@@ -186,57 +189,6 @@
         }
     }
 
-    /** An owner that is new in this term is recorded, or steps along the failover list while the log is out. */
-    private void takePlan(RoutePlan newest) {
-        RoutePlan before = plan;
-        plan = newest;
-        newest.owners().forEach((shard, owner) -> {
-            boolean known = before != null && owner.equals(before.owners().get(shard));
-            if (known || isHeld(shard, owner)) {
-                return;
-            }
-            ShardAssignment recorded = log.recorded(shard);
-            boolean asRecorded = recorded != null
-                    && recorded.owner().equals(owner.server())
-                    && recorded.token().equals(owner.token());
-            boolean provisional = recorded != null
-                    && notes.stream()
-                            .anyMatch(n -> n.startsWith("shard " + shard + " ") && n.endsWith(" " + owner.token()))
-                    && (recorded.owner().equals(owner.server())
-                            || recorded.failover().contains(owner.server()));
-            if (!asRecorded && !provisional) {
-                violations.add("an assignment is used before it is recorded");
-            }
-        });
-    }
-
-    /** What is in use without a record goes before what is not in use yet. */
-    private void checkOrder(LogRecord.AssignmentsRecorded record) {
-        record.assignments().forEach(a -> appended.add(a.shard() + " " + a.token()));
-        boolean others = record.assignments().stream().anyMatch(a -> !isInUse(a));
-        boolean overdue = plan != null
-                && plan.owners().entrySet().stream()
-                        .anyMatch(e -> log.isNewer(e.getKey(), e.getValue().token())
-                                && !appended.contains(
-                                        e.getKey() + " " + e.getValue().token()));
-        if (others && overdue) {
-            violations.add("a record before those of provisional steps");
-        }
-    }
-
-    private boolean isInUse(ShardAssignment assignment) {
-        return plan != null
-                && plan.ownerOf(assignment.shard())
-                        .filter(o -> o.token().equals(assignment.token()))
-                        .isPresent();
-    }
-
-    private boolean isHeld(ShardId shard, RoutePlan.Ownership owner) {
-        return held.values().stream()
-                .flatMap(Optional::stream)
-                .anyMatch(p -> owner.equals(p.owners().get(shard)));
-    }
-
     private void heartbeats() {
         for (FakeVm vm : vms) {
             if (vm.up && vm.reachable) {
--- a/core/src/test/java/org/lacewingthread/core/ownership/PlacementMovesTest.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/PlacementMovesTest.java
@@ -3,8 +3,10 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingthread.core.config.RoutingConfiguration;
@@ -77,6 +79,24 @@
         assertThat(world.violations).isEmpty();
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aHotKeyThatBalanceMovesPausesItsShardFirst(boolean allRules) {
+        Set<SafetyRule> rules = allRules
+                ? EnumSet.allOf(SafetyRule.class)
+                : EnumSet.complementOf(EnumSet.of(SafetyRule.SEPARATE_SPLIT_KEYS));
+        OwnershipWorld world = new OwnershipWorld(7, 5, new boolean[] {true, false}, 3, rules);
+        world.run(2_000);
+        world.log.append(split(world, shardsOf(world, BUSY).get(0)), world.nowMillis);
+        ShardId split = new ShardId(OwnershipWorld.LEDGER, OwnershipWorld.SHARDS);
+        evenLoad(world);
+        world.loads.put(BUSY, new ServerLoad(BUSY, 400, List.of(new ServerLoad.ShardLoad(split, 50, 0, 1))));
+        world.run(30_000);
+
+        assertThat(world.ownerOf(split)).isNotNull().isNotEqualTo(BUSY);
+        assertThat(world.violations.isEmpty()).isEqualTo(allRules);
+    }
+
     private static LogRecord split(OwnershipWorld world, ShardId base) {
         return new LogRecord.KeysSplit(
                 OwnershipWorld.HERE,
