--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/log/WriterWindow.java
@@ -0,0 +1,41 @@
+package org.lacewingthread.core.log;
+
+import java.util.Map;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.WriterId;
+
+/**
+ * Remembers the highest sequence of each of the latest writers. When there are too many, the writer
+ * whose newest record is the oldest is forgotten; offsets are unique, so every replica forgets the same.
+ */
+final class WriterWindow {
+    /** Most writers remembered. */
+    static final int MAX_WRITERS = 512;
+
+    private WriterWindow() {}
+
+    static boolean isDuplicate(ReplicaState state, RecordHeader header) {
+        Long last = state.lastSequences().get(header.writer());
+        return last != null && header.sequence() <= last;
+    }
+
+    static ReplicaState record(ReplicaState state, RecordHeader header, LogOffset offset) {
+        SortedArrayMap<WriterId, Long> sequences =
+                SortedArrayMap.copyOf(state.lastSequences()).with(header.writer(), header.sequence());
+        SortedArrayMap<WriterId, LogOffset> offsets =
+                SortedArrayMap.copyOf(state.lastOffsets()).with(header.writer(), offset);
+        if (offsets.size() > MAX_WRITERS) {
+            WriterId oldest = oldest(offsets);
+            sequences = sequences.without(oldest);
+            offsets = offsets.without(oldest);
+        }
+        return state.withWriters(sequences, offsets);
+    }
+
+    private static WriterId oldest(Map<WriterId, LogOffset> offsets) {
+        return offsets.entrySet().stream()
+                .min(Map.Entry.comparingByValue())
+                .orElseThrow()
+                .getKey();
+    }
+}
--- a/core/src/test/java/org/lacewingthread/core/ownership/FakeLog.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/FakeLog.java
@@ -197,6 +197,7 @@
                 tables,
                 draining,
                 Set.of(),
+                Map.of(),
                 Map.of());
     }
 }
