--- a/core/src/main/java/org/lacewingthread/core/lease/DispatchLeaseLedger.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/DispatchLeaseLedger.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.lacewingthread.core.control.PeerMessage.HeartbeatReply;
+import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.ownership.DispatchLedger;
 
@@ -15,6 +16,7 @@
         private long repliedAtMillis = -1;
         private long appliedVersion = DispatchLease.NO_VERSION;
         private long releasedVersion = DispatchLease.NO_VERSION;
+        private LogOffset appliedOffset = LogOffset.NONE;
     }
 
     private final VmContext context;
@@ -47,10 +49,19 @@
         return nowMillis >= lastPermission;
     }
 
+    @Override
+    public boolean hasApplied(VmStart vm, LogOffset offset) {
+        Account account = accounts.get(vm);
+        return account != null && !offset.isAfter(account.appliedOffset);
+    }
+
     /** Takes in a reply of this term; returns whether the VM applied a plan that no echo has named yet. */
     boolean replied(VmStart vm, HeartbeatReply reply) {
         Account account = accounts.computeIfAbsent(vm, v -> new Account());
         account.releasedVersion = Math.max(account.releasedVersion, reply.releasedPlanVersion());
+        if (reply.appliedOffset().isAfter(account.appliedOffset)) {
+            account.appliedOffset = reply.appliedOffset();
+        }
         if (reply.repliedAtMillis() < account.repliedAtMillis || reply.appliedPlanVersion() < account.appliedVersion) {
             return false;
         }
