--- a/daemon/src/main/java/org/lacewingthread/daemon/operator/publish/ConfigurationJson.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/operator/publish/ConfigurationJson.java
@@ -199,9 +199,10 @@
         if (elements == null) {
             return List.of();
         }
-        int empty = elements.indexOf(null);
-        if (empty >= 0) {
-            throw new IllegalArgumentException("\"" + field + "[" + empty + "]\" is null; leave it out");
+        for (int i = 0; i < elements.size(); i++) {
+            if (elements.get(i) == null) {
+                throw new IllegalArgumentException("\"" + field + "[" + i + "]\" is null; leave it out");
+            }
         }
         return List.copyOf(elements);
     }
