--- a/core/src/test/java/org/lacewingthread/core/log/TermRulesTest.java
+++ b/core/src/test/java/org/lacewingthread/core/log/TermRulesTest.java
@@ -73,11 +73,14 @@
         assertThat(log.append(assign(MARAS, CLAIMED, assignment(0, "s1", CLAIMED, 99)))
                         .outcome())
                 .isEqualTo(Outcome.CONFLICT);
+        assertThat(log.append(assign(MARAS, CLAIMED, assignment(1, "s1", CLAIMED, 99)))
+                        .outcome())
+                .isEqualTo(Outcome.CONFLICT);
         log.append(claim(MARAS, 3, M1));
         assertThat(log.append(assign(MARAS, term(3, 5, M2), assignment(0, "s2", outage, 0)))
                         .outcome())
                 .isEqualTo(Outcome.CONFLICT);
-        assertThat(log.append(assign(MARAS, term(9, 0, M1), assignment(0, "s1", term(9, 0, M1), 0)))
+        assertThat(log.append(assign(MARAS, term(10, 0, M1), assignment(0, "s1", term(10, 0, M1), 0)))
                         .outcome())
                 .isEqualTo(Outcome.ACCEPTED);
     }
