--- a/daemon/src/test/java/org/lacewingthread/daemon/operator/publish/ConfigurationPublisherTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/operator/publish/ConfigurationPublisherTest.java
@@ -187,6 +187,22 @@
                 .isEqualTo(new LogOffset(0));
     }
 
+    @Test
+    void aSecondCopyBehindTheSnapshotDoesNotHideThatTheFirstTookEffect() throws Exception {
+        log.appendFaults.add(LOST_AFTER_EFFECT);
+        log.beforeAppend = fake -> {
+            if (fake.entries.isEmpty()) {
+                fake.failingReads = 1;
+            } else {
+                expireBehindSnapshot();
+            }
+        };
+
+        assertThat(publisher.publish(LogOffset.NONE, configuration("ledger"), DEADLINE_MILLIS))
+                .isEqualTo(new LogOffset(0));
+        assertThat(log.entries).hasSize(3);
+    }
+
     @Test
     void saysUnknownIfTheRecordExpiredAndAnotherIsInForce() {
         log.appendFaults.add(LOST_AFTER_EFFECT);
