--- a/bench/src/main/java/org/lacewingthread/bench/SnapshotSize.java
+++ b/bench/src/main/java/org/lacewingthread/bench/SnapshotSize.java
@@ -96,6 +96,7 @@
                 Map.of(application, table(application, shards, servers)),
                 Set.of(),
                 Set.of(),
+                Map.of(),
                 Map.of());
     }
 
