--- a/bench/src/main/java/org/lacewingthread/bench/LoadOptions.java
+++ b/bench/src/main/java/org/lacewingthread/bench/LoadOptions.java
@@ -111,45 +111,25 @@
     static LoadOptions parse(String... args) {
         OptionParser parser = new OptionParser();
         OptionSpec<String> url = parser.accepts("url").withRequiredArg().required();
-        OptionSpec<Integer> rate =
-                parser.accepts("rate").withRequiredArg().ofType(Integer.class).defaultsTo(500);
-        OptionSpec<Integer> warmUpSeconds = parser.accepts("warm-up-seconds")
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(2);
-        OptionSpec<Integer> seconds = parser.accepts("seconds")
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(10);
-        OptionSpec<Integer> requests = parser.accepts("requests")
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(MAX_REQUESTS);
-        OptionSpec<Integer> connections = parser.accepts("connections")
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(100);
-        OptionSpec<Integer> keys =
-                parser.accepts("keys").withRequiredArg().ofType(Integer.class).defaultsTo(10_000);
+        OptionSpec<Integer> rate = integer(parser, "rate", 500);
+        OptionSpec<Integer> warmUpSeconds = integer(parser, "warm-up-seconds", 2);
+        OptionSpec<Integer> seconds = integer(parser, "seconds", 10);
+        OptionSpec<Integer> requests = integer(parser, "requests", MAX_REQUESTS);
+        OptionSpec<Integer> connections = integer(parser, "connections", 100);
+        OptionSpec<Integer> keys = integer(parser, "keys", 10_000);
         OptionSpec<Double> hotKeyShare = parser.accepts("hot-key-share")
                 .withRequiredArg()
                 .ofType(Double.class)
                 .defaultsTo(0.0);
-        OptionSpec<Integer> deadline = parser.accepts("deadline-millis")
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(1_000);
+        OptionSpec<Integer> deadline = integer(parser, "deadline-millis", 1_000);
         OptionSpec<Integer> mix = parser.accepts("mix", "weights of lookup,deferrable,non-repeatable")
                 .withRequiredArg()
                 .ofType(Integer.class)
                 .withValuesSeparatedBy(',')
                 .defaultsTo(70, 20, 10);
-        OptionSpec<String> lookup =
-                parser.accepts("lookup-path").withRequiredArg().defaultsTo("/rugs/{key}");
-        OptionSpec<String> deferrable =
-                parser.accepts("deferrable-path").withRequiredArg().defaultsTo("/history/{key}");
-        OptionSpec<String> nonRepeatable =
-                parser.accepts("non-repeatable-path").withRequiredArg().defaultsTo("/holds/{key}");
+        OptionSpec<String> lookup = path(parser, "lookup-path", "/rugs/{key}");
+        OptionSpec<String> deferrable = path(parser, "deferrable-path", "/history/{key}");
+        OptionSpec<String> nonRepeatable = path(parser, "non-repeatable-path", "/holds/{key}");
         OptionSpec<Long> seed =
                 parser.accepts("seed").withRequiredArg().ofType(Long.class).defaultsTo(1L);
         try {
@@ -176,6 +156,14 @@
         }
     }
 
+    private static OptionSpec<Integer> integer(OptionParser parser, String name, int defaultValue) {
+        return parser.accepts(name).withRequiredArg().ofType(Integer.class).defaultsTo(defaultValue);
+    }
+
+    private static OptionSpec<String> path(OptionParser parser, String name, String defaultValue) {
+        return parser.accepts(name).withRequiredArg().defaultsTo(defaultValue);
+    }
+
     private static String help(OptionParser parser) {
         StringWriter out = new StringWriter();
         try {
