--- a/core/src/main/java/org/lacewingthread/core/control/PeerMessage.java
+++ b/core/src/main/java/org/lacewingthread/core/control/PeerMessage.java
@@ -50,8 +50,8 @@
      * @param appliedPlanVersion version of the asker's plan that the replier has applied, or -1
      * @param releasedPlanVersion highest applied version of which every removal has taken full effect: no
      *     request of a shard that it removed is in flight any more; or -1
-     * @param held what the replier still serves under a plan of an earlier term, on the first replies of a
-     *     term; empty otherwise
+     * @param held newest plan of an earlier term that the replier knows, on the first replies of a term; its
+     *     dispatchers are left out if the replier serves nothing under it any more
      * @param unreachableServers backend servers that it dispatches for and finds unreachable
      * @param load requests a second of each server that it dispatches for, sent every few seconds
      */
--- a/core/src/main/java/org/lacewingthread/core/lease/DispatchLease.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/DispatchLease.java
@@ -56,9 +56,13 @@
         return releasedPlan != null && releasedPlan.term().equals(term) ? releasedPlan.version() : NO_VERSION;
     }
 
-    /** Returns the plan of another term under which this VM still acts. */
+    /**
+     * Returns the newest plan of another term that this VM knows, for a new leader. Its dispatchers are left
+     * out once the dispatch lease has ended: this VM then serves nothing, but still knows the owners.
+     */
     Optional<RoutePlan> heldFromBefore(Term term, long nowMillis) {
-        return plan.filter(p -> !p.term().equals(term) && nowMillis < deadlineMillis);
+        return plan.filter(p -> !p.term().equals(term))
+                .map(p -> nowMillis < deadlineMillis ? p : new RoutePlan(p.term(), p.version(), Map.of(), p.owners()));
     }
 
     /** Takes in that a view with the present plan was published. */
--- a/core/src/main/java/org/lacewingthread/core/lease/HeartbeatReplier.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/HeartbeatReplier.java
@@ -56,7 +56,9 @@
             return;
         }
         LogOffset rosterRevision = context.dataCentre().rosterRevision();
-        Optional<RoutePlan> held = dispatch.heldFromBefore(heartbeat.term(), nowMillis);
+        boolean isFirstReply = heartbeat.echoedAtMillis() < 0;
+        Optional<RoutePlan> held =
+                isFirstReply ? dispatch.heldFromBefore(heartbeat.term(), nowMillis) : Optional.empty();
         context.outbox()
                 .send(
                         addressee.get(),
--- a/core/src/test/java/org/lacewingthread/core/lease/LeaseHistoryTest.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/LeaseHistoryTest.java
@@ -26,6 +26,16 @@
         }
     }
 
+    @Test
+    void recordedAssignmentsSurviveAndEveryShardIsServedAgain() {
+        for (long seed = 0; seed < RUNS; seed++) {
+            LeaseHistory history = new LeaseHistory(seed, EnumSet.allOf(ProtocolRule.class), 4);
+            assertThat(history.runRandomly()).as("seed %d", seed).isEmpty();
+            assertThat(history.recover()).as("recovery with seed %d", seed).isNotNegative();
+            assertThat(history.group.checks.violations).as("seed %d", seed).isEmpty();
+        }
+    }
+
     @Property(tries = 40, seed = "20")
     void pairsOfFaultsBreakNothing(@ForAll("faults") List<Fault> faults, @ForAll long seed) {
         LeaseHistory history = new LeaseHistory(seed, EnumSet.allOf(ProtocolRule.class));
--- a/core/src/test/java/org/lacewingthread/core/lease/SimulatedServers.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/SimulatedServers.java
@@ -31,6 +31,7 @@
 
     final Map<ServerId, SimulatedServer> servers = new TreeMap<>();
     private final SimulatedGroup group;
+    private boolean mustBeRecorded;
 
     /** Publishes servers, of which every second one checks tokens, and one application. */
     SimulatedServers(SimulatedGroup group, int count) {
@@ -101,6 +102,14 @@
                 .forEach(v -> v.deliver(new ControlEvent.ServerObserved(server.spec.id(), condition)));
     }
 
+    /** Returns whether every shard is served under the assignment that the log names. */
+    boolean areAllServedAsRecorded() {
+        mustBeRecorded = true;
+        boolean served = areAllServed();
+        mustBeRecorded = false;
+        return served;
+    }
+
     /** Returns whether a request of a shard would be run by its owner now. */
     boolean isServed(int index) {
         ShardId shard = new ShardId(LEDGER, index);
@@ -113,6 +122,9 @@
             return false;
         }
         SimulatedServer server = servers.get(owner.get().server());
+        if (mustBeRecorded && !group.checks.isRecorded(shard, owner.get())) {
+            return false;
+        }
         return !server.down && (!server.spec.checksTokens() || server.holds(shard));
     }
 
