--- a/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendConnections.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendConnections.java
@@ -168,7 +168,11 @@
     }
 
     private void openIfAllowed() {
-        if (opening >= Math.min(limits.maxOpening(), waiting.size()) || count() >= limits.maxConnections()) {
+        if (opening >= Math.min(limits.maxOpening(), waiting.size())) {
+            return;
+        }
+        if (count() >= limits.maxConnections()) {
+            makeRoom();
             return;
         }
         opening++;
@@ -180,6 +184,14 @@
         UndertowClient.getInstance().connect(attempt, address, ioThread, buffers, OptionMap.EMPTY);
     }
 
+    /** Closes the connection that was idle longest; its closing lets a new one be opened. */
+    private void makeRoom() {
+        Link oldest = idle.pollFirst();
+        if (oldest != null) {
+            IoUtils.safeClose(oldest.connection);
+        }
+    }
+
     private final class Opening implements ClientCallback<ClientConnection> {
         private XnioExecutor.Key timeout;
         private boolean over;
