--- a/bench/src/main/java/org/lacewingthread/bench/LoadCommand.java
+++ b/bench/src/main/java/org/lacewingthread/bench/LoadCommand.java
@@ -1,6 +1,7 @@
 package org.lacewingthread.bench;
 
 import java.io.IOException;
+import java.io.PrintStream;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Random;
@@ -41,19 +42,23 @@
 
     /** Sends the load that the arguments describe and prints the report. */
     public static void main(String[] args) throws IOException, InterruptedException {
+        System.exit(run(System.out, args));
+    }
+
+    /** Sends the load that the arguments describe, prints the report and returns the exit code. */
+    static int run(PrintStream out, String... args) throws IOException, InterruptedException {
         LoadOptions options;
         try {
             options = LoadOptions.parse(args);
         } catch (IllegalArgumentException e) {
-            System.err.println(e.getMessage());
-            System.exit(USAGE_ERROR);
-            return;
+            out.println(e.getMessage());
+            return USAGE_ERROR;
         }
-        LoadReport report = new LoadCommand(options).run();
-        System.exit(report.strangersAnswers() > 0 ? STRANGERS_ANSWER : 0);
+        LoadReport report = new LoadCommand(options).send(out);
+        return report.strangersAnswers() > 0 ? STRANGERS_ANSWER : 0;
     }
 
-    private LoadReport run() throws IOException, InterruptedException {
+    private LoadReport send(PrintStream out) throws IOException, InterruptedException {
         int warmUp = options.warmUpRequests();
         int total = warmUp + options.countedRequests();
         CountDownLatch outcomes = new CountDownLatch(total);
@@ -66,12 +71,12 @@
             }
             double countedSeconds = (double) options.countedRequests() / options.ratePerSecond();
             boolean complete = outcomes.await(options.deadlineMillis() + 2L * GRACE_MILLIS, TimeUnit.MILLISECONDS);
-            System.out.printf(
+            out.printf(
                     "%d requests at %d/s to %s, after %d to warm up%n",
                     options.countedRequests(), options.ratePerSecond(), options.target(), warmUp);
-            report.print(System.out, countedSeconds);
+            report.print(out, countedSeconds);
             if (!complete) {
-                System.out.println("    without outcome: " + outcomes.getCount());
+                out.println("    without outcome: " + outcomes.getCount());
             }
         }
         return report;
--- a/bench/src/main/java/org/lacewingthread/bench/LoadOptions.java
+++ b/bench/src/main/java/org/lacewingthread/bench/LoadOptions.java
@@ -111,34 +111,17 @@
     static LoadOptions parse(String... args) {
         OptionParser parser = new OptionParser();
         OptionSpec<String> url = parser.accepts("url").withRequiredArg().required();
-        OptionSpec<Integer> rate =
-                parser.accepts("rate").withRequiredArg().ofType(Integer.class).defaultsTo(500);
-        OptionSpec<Integer> warmUpSeconds = parser.accepts("warm-up-seconds")
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(2);
-        OptionSpec<Integer> seconds = parser.accepts("seconds")
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(10);
-        OptionSpec<Integer> requests = parser.accepts("requests")
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(MAX_REQUESTS);
-        OptionSpec<Integer> connections = parser.accepts("connections")
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(100);
-        OptionSpec<Integer> keys =
-                parser.accepts("keys").withRequiredArg().ofType(Integer.class).defaultsTo(10_000);
+        OptionSpec<Integer> rate = number(parser, "rate", 500);
+        OptionSpec<Integer> warmUpSeconds = number(parser, "warm-up-seconds", 2);
+        OptionSpec<Integer> seconds = number(parser, "seconds", 10);
+        OptionSpec<Integer> requests = number(parser, "requests", MAX_REQUESTS);
+        OptionSpec<Integer> connections = number(parser, "connections", 100);
+        OptionSpec<Integer> keys = number(parser, "keys", 10_000);
+        OptionSpec<Integer> deadline = number(parser, "deadline-millis", 1_000);
         OptionSpec<Double> hotKeyShare = parser.accepts("hot-key-share")
                 .withRequiredArg()
                 .ofType(Double.class)
                 .defaultsTo(0.0);
-        OptionSpec<Integer> deadline = parser.accepts("deadline-millis")
-                .withRequiredArg()
-                .ofType(Integer.class)
-                .defaultsTo(1_000);
         OptionSpec<Integer> mix = parser.accepts("mix", "weights of lookup,deferrable,non-repeatable")
                 .withRequiredArg()
                 .ofType(Integer.class)
@@ -176,6 +159,10 @@
         }
     }
 
+    private static OptionSpec<Integer> number(OptionParser parser, String name, int defaultValue) {
+        return parser.accepts(name).withRequiredArg().ofType(Integer.class).defaultsTo(defaultValue);
+    }
+
     private static String help(OptionParser parser) {
         StringWriter out = new StringWriter();
         try {
--- a/daemon/src/test/java/org/lacewingthread/daemon/platform/LogRecordArbitraries.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/platform/LogRecordArbitraries.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -235,4 +237,35 @@
                         tokens())
                 .as(EntryParts::new);
     }
+
+    /** A state whose shards have owners, failover lists and plan versions drawn at random. */
+    static ReplicaState stateOfManyShards(int shardCount, int serverCount) {
+        Random random = new Random(1);
+        ApplicationId application = new ApplicationId("ledger");
+        List<ServerId> servers = new ArrayList<>();
+        for (int i = 0; i < serverCount; i++) {
+            servers.add(new ServerId("maras-s" + i));
+        }
+        Term term = new Term(new LogOffset(90_000), 0, new VmStart(new VmId("maras-1"), 123_456_789));
+        List<ShardTable.Entry> entries = new ArrayList<>();
+        for (int index = 0; index < shardCount; index++) {
+            int owner = random.nextInt(serverCount);
+            List<ServerId> failover =
+                    List.of(servers.get((owner + 1) % serverCount), servers.get((owner + 2) % serverCount));
+            FencingToken token = new FencingToken(term, random.nextInt(50));
+            entries.add(new ShardTable.Entry(
+                    new DataCentreId("maras"),
+                    null,
+                    new ShardAssignment(new ShardId(application, index), servers.get(owner), failover, token)));
+        }
+        return new ReplicaState(
+                new LogOffset(100_000),
+                LogOffset.NONE,
+                RoutingConfiguration.EMPTY,
+                Map.of(),
+                Map.of(application, new ShardTable(shardCount, entries, Map.of())),
+                Set.of(),
+                Set.of(),
+                Map.of());
+    }
 }
--- a/daemon/src/test/java/org/lacewingthread/daemon/platform/LogRecordCodecTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/platform/LogRecordCodecTest.java
@@ -134,6 +134,16 @@
         assertThat(new LogRecordCodec(10).decode(OFFSET, data).body()).isInstanceOf(LogRecord.Unreadable.class);
     }
 
+    @Test
+    void aSnapshotOfManyShardsStaysSmall() throws LogRecordCodec.RecordTooLargeException {
+        LogRecord snapshot = new LogRecord.SnapshotTaken(LogRecordArbitraries.stateOfManyShards(16_384, 20));
+
+        byte[] data = codec.encode(HEADER, snapshot);
+
+        assertThat(data).hasSizeLessThan(48 << 10);
+        assertThat(codec.decode(OFFSET, data).body()).isEqualTo(snapshot);
+    }
+
     @Test
     void bytesThatInflateWithoutEndAreUnreadable() throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/daemon/src/test/java/org/lacewingthread/daemon/platform/PlatformLogContractTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/platform/PlatformLogContractTest.java
@@ -3,11 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.catchThrowable;
+import static org.awaitility.Awaitility.await;
 
 import java.io.IOException;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
@@ -209,6 +215,40 @@
         assertThatThrownBy(() -> unreachable.read(FIRST, 1)).isInstanceOf(LogException.Unavailable.class);
     }
 
+    @Test
+    void anAppendMayTakeEffectAfterItsCallerGaveUp() {
+        service.setFaults(LogFaults.NONE.withAppendDelayMillis(800));
+        assertThatThrownBy(() -> log.append(bytes("late"))).isInstanceOf(LogException.OutcomeUnknown.class);
+
+        await().until(() -> service.endOffset(STREAM) == 0);
+    }
+
+    @Test
+    void callsOfSeveralThreadsDoNotMix() throws Exception {
+        ExecutorService writers = Executors.newFixedThreadPool(8);
+        List<Future<LogOffset>> offsets = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            byte[] record = bytes("record " + i);
+            offsets.add(writers.submit(() -> log.append(record)));
+        }
+
+        for (int i = 0; i < offsets.size(); i++) {
+            LogOffset offset = offsets.get(i).get();
+            LogBatch.RawRecord record = log.read(offset, 1).records().get(0);
+            assertThat(new String(record.data(), StandardCharsets.UTF_8)).isEqualTo("record " + i);
+        }
+        writers.shutdown();
+    }
+
+    @Test
+    void aLateAnswerIsNotTakenForThatOfTheNextCall() throws LogException {
+        service.setFaults(LogFaults.NONE.withLatencyMillis(600));
+        assertThatThrownBy(() -> log.append(bytes("a"))).isInstanceOf(LogException.OutcomeUnknown.class);
+        service.setFaults(LogFaults.NONE.withLatencyMillis(300));
+
+        assertThat(log.append(bytes("b"))).isEqualTo(offset(1));
+    }
+
     @Test
     void callsWorkAgainAfterALostAnswer() throws LogException {
         service.setFaults(LogFaults.NONE.withLostAnswers(1, 0));
--- a/standin/src/main/java/org/lacewingthread/standin/BackendServerStandIn.java
+++ b/standin/src/main/java/org/lacewingthread/standin/BackendServerStandIn.java
@@ -61,7 +61,7 @@
 
     private record Runs(List<Run> runs) {}
 
-    private record Leases(List<LeaseBook.Holding> leases) {}
+    private record Leases(List<Holding> leases) {}
 
     /**
      * Starts one with the system's monotonic clock.
@@ -130,6 +130,11 @@
         return runner.journal().runs();
     }
 
+    /** Returns the journal of leases: every stretch of time during which a shard was held. */
+    public List<Holding> holdings() {
+        return runner.holdings();
+    }
+
     /** Returns the shards under a valid lease. */
     public List<String> heldShards() {
         return runner.heldShards();
@@ -158,7 +163,7 @@
         switch (exchange.getRequestPath()) {
             case "/.standin/runs" -> Replies.withBody(exchange, body -> Replies.json(exchange, 200, new Runs(runs())));
             case "/.standin/leases" -> Replies.withBody(
-                    exchange, body -> Replies.json(exchange, 200, new Leases(runner.holdings())));
+                    exchange, body -> Replies.json(exchange, 200, new Leases(holdings())));
             case "/.standin/silence" -> Replies.withBody(exchange, body -> {
                 server.silenceConnections(exchange);
                 Replies.json(exchange, 200, faults());
--- a/standin/src/main/java/org/lacewingthread/standin/BackendSettings.java
+++ b/standin/src/main/java/org/lacewingthread/standin/BackendSettings.java
@@ -26,7 +26,7 @@
     private static final int DEFAULT_SLOTS = 2;
     private static final int DEFAULT_QUEUE_LIMIT = 8;
     private static final int DEFAULT_MAX_CONNECTIONS = 130;
-    private static final int DEFAULT_JOURNAL_LIMIT = 1_000_000;
+    private static final int DEFAULT_JOURNAL_LIMIT = 200_000;
 
     /** Checks ranges. */
     public BackendSettings {
--- /dev/null
+++ b/standin/src/main/java/org/lacewingthread/standin/HistoryCheck.java
@@ -0,0 +1,115 @@
+package org.lacewingthread.standin;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * Finds in the journals of several {@link BackendServerStandIn}s on one machine what must never
+ * happen.
+ *
+ * <pre>{@code
+ * List<Run> runs = servers.stream().flatMap(server -> server.runs().stream()).toList();
+ * List<Holding> holdings = servers.stream().flatMap(server -> server.holdings().stream()).toList();
+ * assertThat(HistoryCheck.repeatedRuns(runs)).isEmpty();
+ * assertThat(HistoryCheck.overlappingHoldings(holdings)).isEmpty();
+ * assertThat(HistoryCheck.overlappingRuns(runs)).isEmpty();
+ * }</pre>
+ */
+public final class HistoryCheck {
+    private HistoryCheck() {}
+
+    /**
+     * Runs of one request, or of one idempotency key, that should have been one.
+     *
+     * @param id the idempotency key, or the request id if there is no key
+     * @param runs the runs, in the order of their start
+     */
+    public record RepeatedRun(String id, List<Run> runs) {}
+
+    /**
+     * Two runs of a shard that overlap in time on different servers.
+     *
+     * @param first the one that started first
+     * @param second the other
+     */
+    public record OverlappingRuns(Run first, Run second) {}
+
+    /**
+     * Two leases on a shard that overlap in time on different servers.
+     *
+     * @param first the one that began first
+     * @param second the other
+     */
+    public record OverlappingHoldings(Holding first, Holding second) {}
+
+    /** Returns what ran more than once under one idempotency key, or one request id if there is no key. */
+    public static List<RepeatedRun> repeatedRuns(Collection<Run> runs) {
+        Map<String, List<Run>> byId = runs.stream()
+                .filter(run -> idOf(run) != null)
+                .sorted(Comparator.comparingLong(Run::startMicros))
+                .collect(Collectors.groupingBy(HistoryCheck::idOf, TreeMap::new, Collectors.toList()));
+        return byId.entrySet().stream()
+                .filter(entry -> entry.getValue().size() > 1)
+                .map(entry -> new RepeatedRun(entry.getKey(), entry.getValue()))
+                .toList();
+    }
+
+    private static String idOf(Run run) {
+        return run.idempotencyKey() == null ? run.requestId() : run.idempotencyKey();
+    }
+
+    /** Returns runs of one shard that overlap in time on different servers. */
+    public static List<OverlappingRuns> overlappingRuns(Collection<Run> runs) {
+        List<Run> ofShards = runs.stream().filter(run -> run.shard() != null).toList();
+        List<Span<Run>> spans = ofShards.stream()
+                .map(run -> new Span<>(run, run.server(), run.shard(), run.startMicros(), endOf(run)))
+                .toList();
+        return overlaps(spans, OverlappingRuns::new);
+    }
+
+    private static long endOf(Run run) {
+        return run.hasEnded() ? run.endMicros() : Long.MAX_VALUE;
+    }
+
+    /** Returns leases on one shard that overlap in time on different servers. */
+    public static List<OverlappingHoldings> overlappingHoldings(Collection<Holding> holdings) {
+        List<Span<Holding>> spans = holdings.stream()
+                .map(held -> new Span<>(held, held.server(), held.shard(), held.fromMicros(), held.untilMicros()))
+                .toList();
+        return overlaps(spans, OverlappingHoldings::new);
+    }
+
+    /** Something that lasted from a time until before another on one server, for one shard. */
+    private record Span<T>(T subject, String server, String shard, long fromMicros, long untilMicros) {}
+
+    private interface Pairing<T, R> {
+        R pair(T first, T second);
+    }
+
+    private static <T, R> List<R> overlaps(List<Span<T>> spans, Pairing<T, R> pairing) {
+        Map<String, List<Span<T>>> byShard = spans.stream().collect(Collectors.groupingBy(Span::shard));
+        List<R> found = new ArrayList<>();
+        for (List<Span<T>> ofShard : byShard.values()) {
+            collectOverlaps(ofShard, pairing, found);
+        }
+        return found;
+    }
+
+    private static <T, R> void collectOverlaps(List<Span<T>> ofShard, Pairing<T, R> pairing, List<R> found) {
+        List<Span<T>> ordered = new ArrayList<>(ofShard);
+        ordered.sort(Comparator.comparingLong(Span::fromMicros));
+        List<Span<T>> lasting = new ArrayList<>();
+        for (Span<T> next : ordered) {
+            lasting.removeIf(earlier -> earlier.untilMicros() <= next.fromMicros());
+            lasting.stream()
+                    .filter(earlier -> !earlier.server().equals(next.server()))
+                    .forEach(earlier -> found.add(pairing.pair(earlier.subject(), next.subject())));
+            lasting.add(next);
+        }
+    }
+}
--- a/standin/src/main/java/org/lacewingthread/standin/LeaseBook.java
+++ b/standin/src/main/java/org/lacewingthread/standin/LeaseBook.java
@@ -8,20 +8,11 @@
 
 /** Leases that a backend server holds, and the highest token it has seen for each shard. Not synchronized. */
 final class LeaseBook {
+    private final String server;
     private final Map<String, String> highestTokens = new HashMap<>();
     private final Map<String, Lease> leases = new HashMap<>();
     private final List<Holding> holdings = new ArrayList<>();
 
-    /**
-     * A stretch of time during which a server held a shard.
-     *
-     * @param shard the shard
-     * @param token its token
-     * @param fromMicros when the lease began
-     * @param untilMicros when it ended or was last to end
-     */
-    record Holding(String shard, String token, long fromMicros, long untilMicros) {}
-
     /** A shard with its token, as a lease order names it. */
     record Granted(String shard, String token) {
         Granted {
@@ -34,6 +25,10 @@
 
     private record Lease(String token, long fromMicros, long untilMicros) {}
 
+    LeaseBook(String server) {
+        this.server = server;
+    }
+
     /** Grants or renews leases; refuses them all if a higher token was seen for one. */
     boolean grant(List<Granted> shards, long nowMicros, long untilMicros) {
         if (shards.stream().anyMatch(granted -> isBelowHighest(granted.shard(), granted.token()))) {
@@ -75,7 +70,7 @@
 
     private void record(String shard, Lease lease, long nowMicros) {
         long untilMicros = Math.min(lease.untilMicros(), nowMicros);
-        holdings.add(new Holding(shard, lease.token(), lease.fromMicros(), untilMicros));
+        holdings.add(new Holding(server, shard, lease.token(), lease.fromMicros(), untilMicros));
     }
 
     /** Returns why a request may not run, empty if it may. */
@@ -106,8 +101,8 @@
     /** Returns every stretch of time during which a shard was held, those that last included. */
     List<Holding> holdings() {
         List<Holding> all = new ArrayList<>(holdings);
-        leases.forEach(
-                (shard, lease) -> all.add(new Holding(shard, lease.token(), lease.fromMicros(), lease.untilMicros())));
+        leases.forEach((shard, lease) ->
+                all.add(new Holding(server, shard, lease.token(), lease.fromMicros(), lease.untilMicros())));
         return all;
     }
 }
--- a/standin/src/main/java/org/lacewingthread/standin/LogFaults.java
+++ b/standin/src/main/java/org/lacewingthread/standin/LogFaults.java
@@ -11,6 +11,7 @@
  * @param appendsPerSecond appends accepted in each second, 0 for no limit
  * @param retainRecords how many records of a stream are kept, 0 for all
  * @param retainMillis how long records are kept, 0 for always
+ * @param appendDelayMillis time from an append's arrival to its effect, in which the caller may give up
  */
 public record LogFaults(
         boolean unavailable,
@@ -20,9 +21,10 @@
         int loseAnswersBeforeAppend,
         int appendsPerSecond,
         int retainRecords,
-        long retainMillis) {
+        long retainMillis,
+        long appendDelayMillis) {
     /** No faults. */
-    public static final LogFaults NONE = new LogFaults(false, false, 0, 0, 0, 0, 0, 0);
+    public static final LogFaults NONE = new LogFaults(false, false, 0, 0, 0, 0, 0, 0, 0);
 
     /** Checks that no number is negative. */
     public LogFaults {
@@ -32,6 +34,7 @@
         Checks.notNegative("appendsPerSecond", appendsPerSecond);
         Checks.notNegative("retainRecords", retainRecords);
         Checks.notNegative("retainMillis", retainMillis);
+        Checks.notNegative("appendDelayMillis", appendDelayMillis);
     }
 
     /** Returns these faults with the service unavailable or not. */
@@ -44,7 +47,8 @@
                 loseAnswersBeforeAppend,
                 appendsPerSecond,
                 retainRecords,
-                retainMillis);
+                retainMillis,
+                appendDelayMillis);
     }
 
     /** Returns these faults with the service mute or not. */
@@ -57,7 +61,8 @@
                 loseAnswersBeforeAppend,
                 appendsPerSecond,
                 retainRecords,
-                retainMillis);
+                retainMillis,
+                appendDelayMillis);
     }
 
     /** Returns these faults with another latency. */
@@ -70,7 +75,8 @@
                 loseAnswersBeforeAppend,
                 appendsPerSecond,
                 retainRecords,
-                retainMillis);
+                retainMillis,
+                appendDelayMillis);
     }
 
     /** Returns these faults with other numbers of lost answers. */
@@ -83,7 +89,8 @@
                 beforeAppend,
                 appendsPerSecond,
                 retainRecords,
-                retainMillis);
+                retainMillis,
+                appendDelayMillis);
     }
 
     /** Returns these faults with another append rate. */
@@ -96,7 +103,8 @@
                 loseAnswersBeforeAppend,
                 value,
                 retainRecords,
-                retainMillis);
+                retainMillis,
+                appendDelayMillis);
     }
 
     /** Returns these faults with another retention. */
@@ -109,6 +117,21 @@
                 loseAnswersBeforeAppend,
                 appendsPerSecond,
                 records,
-                millis);
+                millis,
+                appendDelayMillis);
+    }
+
+    /** Returns these faults with appends taking effect later. */
+    public LogFaults withAppendDelayMillis(long value) {
+        return new LogFaults(
+                unavailable,
+                unanswered,
+                latencyMillis,
+                loseAnswersAfterAppend,
+                loseAnswersBeforeAppend,
+                appendsPerSecond,
+                retainRecords,
+                retainMillis,
+                value);
     }
 }
--- a/standin/src/main/java/org/lacewingthread/standin/LogServiceStandIn.java
+++ b/standin/src/main/java/org/lacewingthread/standin/LogServiceStandIn.java
@@ -119,7 +119,7 @@
             return;
         }
         if (exchange.getRequestMethod().equals(Methods.POST)) {
-            append(exchange, stream, body, now.latencyMillis());
+            server.schedule(now.appendDelayMillis(), () -> append(exchange, stream, body, now.latencyMillis()));
         } else {
             read(exchange, stream, now.latencyMillis());
         }
--- a/standin/src/main/java/org/lacewingthread/standin/LogStream.java
+++ b/standin/src/main/java/org/lacewingthread/standin/LogStream.java
@@ -1,15 +1,15 @@
 package org.lacewingthread.standin;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 
 /** Records of one stream of the log. Not safe for use by several threads. */
 final class LogStream {
     private static final int MAX_BATCH_BYTES = 4 << 20;
 
-    private final Deque<Stored> records = new ArrayDeque<>();
+    private final NavigableMap<Long, Stored> records = new TreeMap<>();
     private long nextOffset;
 
     private record Stored(Entry entry, long appendedAtMillis) {}
@@ -23,16 +23,18 @@
 
     long append(byte[] data, long nowMillis) {
         long offset = nextOffset++;
-        records.addLast(new Stored(new Entry(offset, data), nowMillis));
+        records.put(offset, new Stored(new Entry(offset, data), nowMillis));
         return offset;
     }
 
     void expire(int retainRecords, long retainMillis, long nowMillis) {
         while (retainRecords > 0 && records.size() > retainRecords) {
-            records.removeFirst();
+            records.pollFirstEntry();
         }
-        while (retainMillis > 0 && !records.isEmpty() && isExpired(records.peekFirst(), retainMillis, nowMillis)) {
-            records.removeFirst();
+        while (retainMillis > 0
+                && !records.isEmpty()
+                && isExpired(records.firstEntry().getValue(), retainMillis, nowMillis)) {
+            records.pollFirstEntry();
         }
     }
 
@@ -51,10 +53,7 @@
     Batch read(long from, int maxRecords) {
         List<Entry> batch = new ArrayList<>();
         long batchBytes = 0;
-        for (Stored stored : records) {
-            if (stored.entry().offset() < from) {
-                continue;
-            }
+        for (Stored stored : records.tailMap(from, true).values()) {
             batchBytes += stored.entry().data().length;
             if (batch.size() >= maxRecords || (!batch.isEmpty() && batchBytes > MAX_BATCH_BYTES)) {
                 break;
--- a/standin/src/main/java/org/lacewingthread/standin/RequestRunner.java
+++ b/standin/src/main/java/org/lacewingthread/standin/RequestRunner.java
@@ -22,7 +22,7 @@
     private final Freezer freezer;
     private final LongSupplier microClock;
     private final RunJournal journal;
-    private final LeaseBook leases = new LeaseBook();
+    private final LeaseBook leases;
     private final Queue<Arrival> queue = new ArrayDeque<>();
     private final Map<String, Integer> runningByShard = new HashMap<>();
     private final Map<String, Outcome> outcomes = new LinkedHashMap<>();
@@ -46,6 +46,7 @@
         this.server = server;
         this.freezer = freezer;
         this.microClock = microClock;
+        this.leases = new LeaseBook(settings.server());
         this.journal = new RunJournal(settings.journalLimit());
     }
 
@@ -227,7 +228,7 @@
         return leases.held(microClock.getAsLong());
     }
 
-    synchronized List<LeaseBook.Holding> holdings() {
+    synchronized List<Holding> holdings() {
         return leases.holdings();
     }
 }
--- a/standin/src/test/java/org/lacewingthread/standin/BackendLeaseContractTest.java
+++ b/standin/src/test/java/org/lacewingthread/standin/BackendLeaseContractTest.java
@@ -195,7 +195,7 @@
         TestConnection.Reply reply = connection.get("/.standin/leases", "x");
 
         assertThat(reply.body())
-                .isEqualTo("{\"leases\":[{\"shard\":\"ledger/12\",\"token\":\"" + TOKEN + "\",\"fromMicros\":"
-                        + startMicros + ",\"untilMicros\":" + (startMicros + 100_000) + "}]}");
+                .isEqualTo("{\"leases\":[{\"server\":\"s1\",\"shard\":\"ledger/12\",\"token\":\"" + TOKEN
+                        + "\",\"fromMicros\":" + startMicros + ",\"untilMicros\":" + (startMicros + 100_000) + "}]}");
     }
 }
--- a/standin/src/test/java/org/lacewingthread/standin/BackendServerContractTest.java
+++ b/standin/src/test/java/org/lacewingthread/standin/BackendServerContractTest.java
@@ -87,6 +87,17 @@
         }
     }
 
+    @Test
+    void aDelayedAnswerIsNotSentWhenItsRunEnds() throws IOException {
+        try (TestConnection connection = start(PLAIN)) {
+            server.setFaults(BackendFaults.NONE.withDelayedAnswers(600_000, 1));
+            connection.send("GET", "/", Map.of("Lacewingthread-Request", "r1"), "");
+
+            assertThat(connection.isSilent()).isTrue();
+            assertThat(server.runs()).singleElement().matches(Run::hasEnded);
+        }
+    }
+
     @Test
     void aTruncatedAnswerEndsTheConnection() throws IOException {
         try (TestConnection connection = start(PLAIN.withAnswerBytes(200_000))) {
@@ -138,7 +149,7 @@
 
     @Test
     void aRunUnderWayWhenTheServerFreezesEndsAfterTheThaw() throws IOException {
-        try (TestConnection connection = start(PLAIN.withServiceMillis(100))) {
+        try (TestConnection connection = start(PLAIN.withServiceMillis(1_500))) {
             connection.send("GET", "/", Map.of("Lacewingthread-Request", "r1"), "");
             await().until(() -> server.runs().size() == 1);
             server.setFaults(BackendFaults.NONE.withFrozen(true));
@@ -246,7 +257,7 @@
 
     @Test
     void aWaitingRequestIsCancelledAndOneThatRunsGoesOn() throws IOException {
-        try (TestConnection running = start(PLAIN.withSlots(1, 4).withServiceMillis(400));
+        try (TestConnection running = start(PLAIN.withSlots(1, 4).withServiceMillis(2_500));
                 TestConnection waiting = new TestConnection(server.uri());
                 TestConnection control = new TestConnection(server.uri())) {
             running.send("GET", "/", Map.of("Lacewingthread-Request", "r1"), "");
