--- a/daemon/src/test/java/org/lacewingthread/daemon/platform/LogRecordArbitraries.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/platform/LogRecordArbitraries.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -196,7 +197,22 @@
                         servers().set().ofMaxSize(2),
                         vms().set().ofMaxSize(2),
                         sequences)
-                .as(ReplicaState::new);
+                .as((applied, revision, configuration, centres, tables, drainingServers, drainingVms, last) ->
+                        new ReplicaState(
+                                applied,
+                                revision,
+                                configuration,
+                                centres,
+                                tables,
+                                drainingServers,
+                                drainingVms,
+                                last,
+                                offsetsOf(last)));
+    }
+
+    private static Map<WriterId, LogOffset> offsetsOf(Map<WriterId, Long> sequences) {
+        return sequences.entrySet().stream()
+                .collect(Collectors.toMap(Map.Entry::getKey, entry -> new LogOffset(entry.getValue() >>> 1)));
     }
 
     private static Arbitrary<DataCentreState> dataCentreStates() {
@@ -266,6 +282,7 @@
                 Map.of(application, new ShardTable(shardCount, entries, Map.of())),
                 Set.of(),
                 Set.of(),
+                Map.of(),
                 Map.of());
     }
 }
