Route a relayed request again when its relay provably never left

Cause: after the loss of an entry VM a third of the requests to its data centre were refused with OWNER_UNREACHABLE (134 to 140 of about 1,750 in each 4 s phase of the demo), because relays went to the lost VM in turn.

--- a/core/src/main/java/org/lacewingthread/core/traffic/ResultCode.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/ResultCode.java
@@ -49,6 +49,8 @@
     CANCELLED(3008, 499, Knowledge.NOT_RUN, "the caller left before the request was sent"),
     /** A repeat arrived while its first attempt runs. */
     STILL_RUNNING(3009, 409, Knowledge.OUTCOME_UNKNOWN, "an earlier request with this idempotency key still runs"),
+    /** The entry VM on the way to the owner can't be connected to. */
+    RELAY_UNREACHABLE(3010, 503, Knowledge.NOT_RUN, "the owner's entry VM can't be reached"),
     /** Sent; no whole answer came in time. */
     OUTCOME_UNKNOWN(4000, 504, Knowledge.OUTCOME_UNKNOWN, "the request may have run; no whole answer came in time"),
     /** Sent; the connection failed before the answer was whole. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/PendingRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/PendingRequest.java
@@ -49,7 +49,7 @@
 
     /** Bounds how long the request is held for a shard in motion, counted from the first time. */
     void holdAtMostUntil(long untilMillis) {
-        if (holdUntilMillis == Long.MAX_VALUE) {
+        if (holdUntilMillis == Long.MAX_VALUE && untilMillis != Long.MAX_VALUE) {
             holdUntilMillis = Math.min(untilMillis, request.deadlineMillis());
         }
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RequestRouter.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RequestRouter.java
@@ -117,7 +117,9 @@
             return;
         }
         if (pending.handOver()) {
-            pending.whenCancelled(relay.get().handle(nextHop(request), pending.sink()));
+            RelayedAnswer answer = new RelayedAnswer(pending, this::route);
+            pending.whenCancelled(answer::cancel);
+            answer.follow(relay.get().handle(nextHop(request), answer));
         }
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/entry/EntryVm.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/entry/EntryVm.java
@@ -129,8 +129,8 @@
                 new PeerRecordReplica(traffic, peers, rosterHistory, EntryVm::nowMillis),
                 new TrafficListener(),
                 trafficMetrics);
-        this.router =
-                new RequestRouter(traffic, dispatcher, new RosterRelays(traffic, peers), worker, EntryVm::nowMillis);
+        this.router = new RequestRouter(
+                traffic, dispatcher, new RosterRelays(traffic, peers, EntryVm::nowMillis), worker, EntryVm::nowMillis);
         this.callers = openCallers(trafficMetrics);
         this.operators = new OperatorServer(
                 settings.host(),
--- a/daemon/src/main/java/org/lacewingthread/daemon/entry/RosterRelays.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/entry/RosterRelays.java
@@ -1,43 +1,102 @@
 package org.lacewingthread.daemon.entry;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.LongSupplier;
 import org.lacewingthread.core.control.ControlView;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.RosterMember;
+import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.dispatch.RelayDirectory;
 import org.lacewingthread.daemon.dispatch.TrafficState;
+import org.lacewingthread.daemon.exchange.Failure;
+import org.lacewingthread.daemon.exchange.HeaderField;
 import org.lacewingthread.daemon.exchange.RequestHandler;
+import org.lacewingthread.daemon.exchange.ResponseSink;
 import org.lacewingthread.daemon.peer.PeerNetwork;
 
 /** Finds other entry VMs in the rosters of the newest view; takes those of another data centre in turn. */
 final class RosterRelays implements RelayDirectory {
+    private static final long PASS_OVER_MILLIS = 500;
+
     private final TrafficState state;
     private final PeerNetwork network;
+    private final LongSupplier clockMillis;
+    private final Map<VmStart, Long> downUntilMillis = new ConcurrentHashMap<>();
     private final AtomicInteger turn = new AtomicInteger();
 
-    RosterRelays(TrafficState state, PeerNetwork network) {
+    RosterRelays(TrafficState state, PeerNetwork network, LongSupplier clockMillis) {
         this.state = state;
         this.network = network;
+        this.clockMillis = clockMillis;
     }
 
     @Override
     public Optional<RequestHandler> toVm(VmStart vm) {
         return view().flatMap(view -> view.state().dataCentre(view.dataCentre()).member(vm))
-                .map(network::relayTo);
+                .filter(this::mayBeUp)
+                .map(this::relayTo);
     }
 
     @Override
     public Optional<RequestHandler> toDataCentre(DataCentreId dataCentre) {
-        List<RosterMember> members =
-                view().map(view -> view.state().roster(dataCentre)).orElse(List.of());
+        List<RosterMember> members = view().map(view -> view.state().roster(dataCentre)).orElse(List.of()).stream()
+                .filter(this::mayBeUp)
+                .toList();
         if (members.isEmpty()) {
             return Optional.empty();
         }
         int index = Math.floorMod(turn.getAndIncrement(), members.size());
-        return Optional.of(network.relayTo(members.get(index)));
+        return Optional.of(relayTo(members.get(index)));
+    }
+
+    private boolean mayBeUp(RosterMember member) {
+        return downUntilMillis.getOrDefault(member.start(), Long.MIN_VALUE) <= clockMillis.getAsLong();
+    }
+
+    /** Relays to a member and passes it over for a while if it can't be connected to. */
+    private RequestHandler relayTo(RosterMember member) {
+        RequestHandler relay = network.relayTo(member);
+        return (request, sink) -> relay.handle(request, new Watched(member.start(), sink));
+    }
+
+    /** Passes an answer on and learns from it whether the member could be connected to. */
+    private final class Watched implements ResponseSink {
+        private final VmStart member;
+        private final ResponseSink sink;
+
+        Watched(VmStart member, ResponseSink sink) {
+            this.member = member;
+            this.sink = sink;
+        }
+
+        @Override
+        public void onHead(int status, List<HeaderField> headers) {
+            sink.onHead(status, headers);
+        }
+
+        @Override
+        public void onBody(byte[] chunk, Runnable consumed) {
+            sink.onBody(chunk, consumed);
+        }
+
+        @Override
+        public void onEnd() {
+            sink.onEnd();
+        }
+
+        @Override
+        public void onFailure(Failure failure) {
+            boolean unreachable = failure.code() == ResultCode.RELAY_UNREACHABLE;
+            if (unreachable || failure.code() == ResultCode.RELAY_LOST) {
+                downUntilMillis.put(member, clockMillis.getAsLong() + PASS_OVER_MILLIS);
+            }
+            sink.onFailure(failure);
+        }
     }
 
     private Optional<ControlView> view() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayClient.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayClient.java
@@ -63,7 +63,7 @@
         if (sink != null) {
             // Proof of not run: the link says that the frame never left this VM.
             sink.onFailure(new Failure(
-                    ResultCode.OWNER_UNREACHABLE, RETRY_AFTER_MILLIS, "the owner's entry VM can't be connected to"));
+                    ResultCode.RELAY_UNREACHABLE, RETRY_AFTER_MILLIS, "the entry VM can't be connected to"));
         }
     }
 
