Count a dispatch lease from the reply it starts with, not from its last echo

Cause: every heartbeat to a lost follower repeated its last echo and moved its last possible permission on, until the roster dropped it. A reply is sent before it is received, so the reply's arrival bounds the lease.

--- a/core/src/main/java/org/lacewingthread/core/lease/DispatchLeaseLedger.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/DispatchLeaseLedger.java
@@ -13,6 +13,7 @@
     private static final class Account {
         private final TreeMap<Long, Long> lastPermissionByVersion = new TreeMap<>();
         private long repliedAtMillis = -1;
+        private long receivedAtMillis;
         private long appliedVersion = DispatchLease.NO_VERSION;
         private long releasedVersion = DispatchLease.NO_VERSION;
     }
@@ -48,13 +49,16 @@
     }
 
     /** Takes in a reply of this term; returns whether the VM applied a plan that no echo has named yet. */
-    boolean replied(VmStart vm, HeartbeatReply reply) {
+    boolean replied(VmStart vm, HeartbeatReply reply, long nowMillis) {
         Account account = accounts.computeIfAbsent(vm, v -> new Account());
         account.releasedVersion = Math.max(account.releasedVersion, reply.releasedPlanVersion());
         if (reply.repliedAtMillis() < account.repliedAtMillis || reply.appliedPlanVersion() < account.appliedVersion) {
             return false;
         }
         boolean isNews = reply.appliedPlanVersion() > account.appliedVersion;
+        if (reply.repliedAtMillis() > account.repliedAtMillis) {
+            account.receivedAtMillis = nowMillis;
+        }
         account.repliedAtMillis = reply.repliedAtMillis();
         account.appliedVersion = reply.appliedPlanVersion();
         return isNews;
@@ -72,11 +76,15 @@
         return account == null ? -1 : account.repliedAtMillis;
     }
 
-    /** Takes in that a heartbeat with an echo is about to be sent. */
-    void echoed(VmStart vm, long planVersion, long nowMillis) {
-        if (planVersion != DispatchLease.NO_VERSION) {
-            long end = context.lengths().dispatchGivenUntil(nowMillis);
-            accounts.get(vm).lastPermissionByVersion.put(planVersion, end);
+    /**
+     * Takes in that a heartbeat is about to echo the newest reply. The lease that this starts is counted from
+     * that reply, which was sent before it was received here.
+     */
+    void echoed(VmStart vm) {
+        Account account = accounts.get(vm);
+        if (account != null && account.appliedVersion != DispatchLease.NO_VERSION) {
+            long endMillis = context.lengths().dispatchGivenUntil(account.receivedAtMillis);
+            account.lastPermissionByVersion.put(account.appliedVersion, endMillis);
         }
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
@@ -128,7 +128,7 @@
     private void advance(long nowMillis) {
         current |= catchUp.isCurrent();
         boolean logReachable = log.isReachable(nowMillis);
-        election.advance(current, logReachable, nowMillis);
+        election.advance(current, log.isPrompt(nowMillis), nowMillis);
         duties.follow(election.leadingTerm(), replier.conditions(), nowMillis);
         roster.advance(duties.leading(), log.reachedEnd(), logReachable, nowMillis);
         duties.advance(roster.leavingVms(), logReachable, nowMillis);
--- a/core/src/main/java/org/lacewingthread/core/lease/Heartbeats.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/Heartbeats.java
@@ -36,7 +36,7 @@
         nextMillis = nowMillis + (hasMajority ? context.settings().heartbeatMillis() : askMillis);
         long sequence = held.nextSequence(nowMillis);
         for (RosterMember member : context.roster()) {
-            send(member, term, leading, sequence, nowMillis);
+            send(member, term, leading, sequence);
         }
     }
 
@@ -44,15 +44,15 @@
     void sendTo(VmStart vm, LeaderTerm leading, long nowMillis) {
         Optional<RosterMember> member = context.rosterMember(vm);
         if (member.isPresent()) {
-            send(member.get(), leading.term(), Optional.of(leading), held.nextSequence(nowMillis), nowMillis);
+            send(member.get(), leading.term(), Optional.of(leading), held.nextSequence(nowMillis));
         }
     }
 
-    private void send(RosterMember to, Term term, Optional<LeaderTerm> leading, long sequence, long nowMillis) {
+    private void send(RosterMember to, Term term, Optional<LeaderTerm> leading, long sequence) {
         VmStart vm = to.start();
         long echoedAtMillis = leading.map(l -> l.ledger().repliedAtMillis(vm)).orElse(-1L);
         long echoedVersion = leading.map(l -> l.ledger().appliedVersion(vm)).orElse(DispatchLease.NO_VERSION);
-        leading.ifPresent(l -> l.ledger().echoed(vm, echoedVersion, nowMillis));
+        leading.ifPresent(l -> l.ledger().echoed(vm));
         Optional<PlanUpdate> update = leading.flatMap(l -> l.updateFor(vm));
         context.outbox()
                 .send(
--- a/core/src/main/java/org/lacewingthread/core/lease/LeaderDuties.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LeaderDuties.java
@@ -58,7 +58,7 @@
         if (leading.isEmpty() || !leading.get().term().equals(reply.term()) || !reply.granted()) {
             return;
         }
-        if (leading.get().replied(vm, reply)) {
+        if (leading.get().replied(vm, reply, nowMillis)) {
             heartbeats.sendTo(vm, leading.get(), nowMillis);
         }
     }
--- a/core/src/main/java/org/lacewingthread/core/lease/LeaderElection.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LeaderElection.java
@@ -98,8 +98,8 @@
         }
     }
 
-    /** Moves on as far as the leases and the log allow. */
-    void advance(boolean current, boolean logReachable, long nowMillis) {
+    /** Moves on as far as the leases and the log allow; a log that is out or slow is not waited for. */
+    void advance(boolean current, boolean logPrompt, long nowMillis) {
         if (!current || !context.isMember()) {
             stopLeading();
             candidateAtMillis = NEVER;
@@ -107,9 +107,9 @@
         }
         switch (phase) {
             case FOLLOWING -> considerAsking(nowMillis);
-            case ASKING -> considerLeading(logReachable, nowMillis);
-            case CLAIMING -> considerClaim(logReachable, nowMillis);
-            case LEADING -> keepLeading(logReachable, nowMillis);
+            case ASKING -> considerLeading(logPrompt, nowMillis);
+            case CLAIMING -> considerClaim(logPrompt, nowMillis);
+            case LEADING -> keepLeading(logPrompt, nowMillis);
             default -> throw new IllegalStateException("phase " + phase + " is not handled");
         }
     }
@@ -158,9 +158,9 @@
         held.clear();
     }
 
-    private void considerLeading(boolean logReachable, long nowMillis) {
+    private void considerLeading(boolean logPrompt, long nowMillis) {
         if (held.hasMajority(context.roster(), nowMillis)) {
-            if (logReachable && !isClaimed()) {
+            if (logPrompt && !isClaimed()) {
                 claim(nowMillis);
             } else {
                 lead();
@@ -196,10 +196,10 @@
                 appends.add(new LogRecord.LeaderClaimed(context.identity().dataCentre(), newest, context.self()));
     }
 
-    private void considerClaim(boolean logReachable, long nowMillis) {
+    private void considerClaim(boolean logPrompt, long nowMillis) {
         if (hasNewerOwnClaim()) {
             askUnderClaim(nowMillis);
-        } else if (!logReachable || nowMillis >= claimUntilMillis) {
+        } else if (!logPrompt || nowMillis >= claimUntilMillis) {
             lead();
         } else {
             appendClaim();
@@ -217,12 +217,12 @@
     }
 
     /** A leader's records are accepted only under the newest claim, so it follows a newer one with its own. */
-    private void keepLeading(boolean logReachable, long nowMillis) {
+    private void keepLeading(boolean logPrompt, long nowMillis) {
         if (hasNewerOwnClaim()) {
             askUnderClaim(nowMillis);
         } else if (isOutbid(nowMillis)) {
             ask(raisedOrdinal(), nowMillis);
-        } else if (logReachable && context.dataCentre().claimOffset().isAfter(term.claimOffset())) {
+        } else if (logPrompt && context.dataCentre().claimOffset().isAfter(term.claimOffset())) {
             appendClaim();
         }
     }
--- a/core/src/main/java/org/lacewingthread/core/lease/LeaderTerm.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LeaderTerm.java
@@ -63,11 +63,11 @@
     }
 
     /** Takes in a reply to a heartbeat of this term; returns whether its sender waits for an echo. */
-    boolean replied(VmStart vm, HeartbeatReply reply) {
+    boolean replied(VmStart vm, HeartbeatReply reply, long nowMillis) {
         held.putIfAbsent(vm, reply.held());
         reply.load().forEach(l -> loads.put(l.server(), l));
         noteUnreachable(vm, new HashSet<>(reply.unreachableServers()));
-        return ledger.replied(vm, reply);
+        return ledger.replied(vm, reply, nowMillis);
     }
 
     private void noteUnreachable(VmStart vm, Set<ServerId> unreachable) {
--- a/core/src/main/java/org/lacewingthread/core/lease/LeaseLengths.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LeaseLengths.java
@@ -28,9 +28,9 @@
         return repliedAtMillis + shortened(settings.dispatchLeaseMillis());
     }
 
-    /** Returns when the last request sent under a dispatch lease that was echoed now can no longer start. */
-    long dispatchGivenUntil(long nowMillis) {
-        return nowMillis + lengthened(settings.dispatchLeaseMillis()) + settings.startByMillis();
+    /** Returns when the last request sent under a dispatch lease can no longer start, by when its reply came. */
+    long dispatchGivenUntil(long receivedAtMillis) {
+        return receivedAtMillis + lengthened(settings.dispatchLeaseMillis()) + settings.startByMillis();
     }
 
     /** Returns when every dispatch and server lease of a leader whose own lease ended by now has run out. */
--- a/core/src/main/java/org/lacewingthread/core/lease/LogReading.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LogReading.java
@@ -16,6 +16,8 @@
     private final VmContext context;
     private final Consumer<LogEntry> applier;
     private long nextReadMillis = Long.MIN_VALUE;
+    private long askedAtMillis;
+    private long lastDelayMillis;
     private long answerDeadlineMillis = Long.MIN_VALUE;
     private long reachableUntilMillis = Long.MIN_VALUE;
     private LogOffset endOffset = LogOffset.NONE;
@@ -41,6 +43,7 @@
         }
         LogOffset next = context.replica().nextOffset();
         context.outbox().add(new ControlAction.ReadLog(skipTo.isAfter(next) ? skipTo : next));
+        askedAtMillis = nowMillis;
         answerDeadlineMillis = nowMillis + ANSWER_TIMEOUT_MILLIS;
         nextReadMillis = nowMillis + context.settings().logReadMillis();
     }
@@ -49,6 +52,7 @@
     void read(ControlEvent.LogRead read, long nowMillis) {
         answerDeadlineMillis = Long.MIN_VALUE;
         reachableUntilMillis = nowMillis + SILENT_READS * context.settings().logReadMillis();
+        lastDelayMillis = nowMillis - askedAtMillis;
         answeredOnce = true;
         oldestOffset = read.oldestOffset();
         if (read.endOffset().isAfter(endOffset)) {
@@ -95,6 +99,13 @@
         return nowMillis < reachableUntilMillis;
     }
 
+    /** Returns whether the log answers fast enough for an election to wait for it. */
+    boolean isPrompt(long nowMillis) {
+        long delayMillis = nowMillis < answerDeadlineMillis ? nowMillis - askedAtMillis : 0;
+        return isReachable(nowMillis)
+                && Math.max(delayMillis, lastDelayMillis) < context.settings().electionMillis();
+    }
+
     /** Returns whether the log was read to its end at least once. */
     boolean reachedEnd() {
         return answeredOnce && !endOffset.isAfter(context.state().appliedOffset());
--- a/core/src/test/java/org/lacewingthread/core/lease/SimulatedGroup.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/SimulatedGroup.java
@@ -24,6 +24,7 @@
 final class SimulatedGroup {
     static final DataCentreId MARAS = new DataCentreId("maras");
     private static final long TICK_MICROS = 20_000;
+    private static final long PROBE_MICROS = 150_000;
     private static final long LIST_MICROS = 500_000;
 
     /** A directed connection that loses everything. */
@@ -53,7 +54,9 @@
     SimulatedGroup(long seed) {
         random = new Random(seed);
         every(LIST_MICROS, () -> true, this::readVmList);
-        every(LIST_MICROS, () -> servers != null, () -> servers.servers.values().forEach(servers::report));
+        every(PROBE_MICROS, () -> servers != null, () -> servers.servers
+                .values()
+                .forEach(servers::report));
     }
 
     long nowMicros() {
