Make outputs independent of the iteration order of immutable maps

Map.copyOf iterates in an order that differs from JVM to JVM, so equal inputs gave messages in another order and random runs could not be repeated.

--- a/core/src/main/java/org/lacewingthread/core/lease/CatchUp.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/CatchUp.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.lacewingthread.core.control.PeerMessage;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.LogOffset;
@@ -94,7 +95,7 @@
         PeerMessage report =
                 new PeerMessage.ProgressReported(own, state.appliedOffset(), state.configurationRevision());
         nextPeer++;
-        state.dataCentres().forEach((id, dataCentre) -> {
+        new TreeMap<>(state.dataCentres()).forEach((id, dataCentre) -> {
             List<RosterMember> members = dataCentre.members();
             if (id.equals(own) || members.isEmpty()) {
                 return;
--- a/core/src/main/java/org/lacewingthread/core/lease/PlanUpdates.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/PlanUpdates.java
@@ -1,6 +1,5 @@
 package org.lacewingthread.core.lease;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -60,10 +59,9 @@
         return changed;
     }
 
-    private static <K, V> List<K> removed(Map<K, V> from, Map<K, V> to) {
-        List<K> removed = new ArrayList<>(from.keySet());
-        removed.removeAll(to.keySet());
-        return removed;
+    /** Sorts the result: the order of immutable maps differs from process to process. */
+    private static <K extends Comparable<K>, V> List<K> removed(Map<K, V> from, Map<K, V> to) {
+        return from.keySet().stream().filter(k -> !to.containsKey(k)).sorted().toList();
     }
 
     private static <K, V> Map<K, V> patched(Map<K, V> base, Map<K, V> changed, List<K> removed) {
--- a/core/src/test/java/org/lacewingthread/core/lease/SimulatedVm.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/SimulatedVm.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.lacewingthread.core.control.AuditLine;
 import org.lacewingthread.core.control.ControlAction;
 import org.lacewingthread.core.control.ControlEvent;
@@ -149,7 +150,7 @@
     }
 
     private void sendRequests() {
-        permitted().ifPresent(plan -> plan.owners().forEach((shard, owner) -> {
+        permitted().ifPresent(plan -> new TreeMap<>(plan.owners()).forEach((shard, owner) -> {
             if (dispatchesFor(owner.server())) {
                 group.checks.checkRequest(this, shard, owner);
                 long endMicros =
