--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/traffic/LoadMeter.java
@@ -0,0 +1,68 @@
+package org.lacewingthread.core.traffic;
+
+import java.util.List;
+import org.lacewingthread.core.control.ServerLoad;
+import org.lacewingthread.core.control.ServerLoad.ShardLoad;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+
+/**
+ * Measures the load of one backend server over an interval: its requests, its busiest shards and the
+ * busiest key of each, in bounded memory.
+ *
+ * <p>Not safe for use by several threads.
+ */
+public final class LoadMeter {
+    private static final int COUNTED_SHARDS = 64;
+    private static final int COUNTED_KEYS = 64;
+    private static final int REPORTED_SHARDS = 8;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final ServerId server;
+    private HotCounter<ShardId> shards = new HotCounter<>(COUNTED_SHARDS);
+    private HotCounter<Key> keys = new HotCounter<>(COUNTED_KEYS);
+    private long requests;
+    private long startedMillis;
+
+    private record Key(ShardId shard, long keyHash) {}
+
+    /** Creates a meter whose first interval starts now. */
+    public LoadMeter(ServerId server, long nowMillis) {
+        this.server = server;
+        this.startedMillis = nowMillis;
+    }
+
+    /** Counts a request, admitted or refused. */
+    public void add(ShardId shard, long keyHash) {
+        requests++;
+        shards.add(shard);
+        keys.add(new Key(shard, keyHash));
+    }
+
+    /** Ends the interval and begins the next. */
+    public ServerLoad measure(long nowMillis) {
+        double seconds = Math.max(1, nowMillis - startedMillis) / MILLIS_PER_SECOND;
+        List<HotCounter.Hot<Key>> hotKeys = keys.hottest(COUNTED_KEYS);
+        List<ShardLoad> hottest = shards.hottest(REPORTED_SHARDS).stream()
+                .map(hot -> shardLoad(hot, hotKeys, seconds))
+                .toList();
+        ServerLoad load = new ServerLoad(server, requests / seconds, hottest);
+        shards = new HotCounter<>(COUNTED_SHARDS);
+        keys = new HotCounter<>(COUNTED_KEYS);
+        requests = 0;
+        startedMillis = nowMillis;
+        return load;
+    }
+
+    private static ShardLoad shardLoad(
+            HotCounter.Hot<ShardId> shard, List<HotCounter.Hot<Key>> hotKeys, double seconds) {
+        double shardRequests = Math.max(1, shard.count() - shard.error());
+        HotCounter.Hot<Key> hottest = hotKeys.stream()
+                .filter(hot -> hot.value().shard().equals(shard.value()))
+                .findFirst()
+                .orElse(new HotCounter.Hot<>(new Key(shard.value(), 0), 0, 0));
+        double share = Math.min(1, Math.max(0, hottest.count() - hottest.error()) / shardRequests);
+        return new ShardLoad(
+                shard.value(), shardRequests / seconds, hottest.value().keyHash(), share);
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalDispatcher.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalDispatcher.java
@@ -5,15 +5,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.config.ServerSpec;
 import org.lacewingthread.core.control.ControlView;
 import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.control.ServerLoad;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.traffic.IdempotencyRecord;
@@ -38,6 +42,7 @@
 public final class LocalDispatcher {
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final long TICK_MILLIS = 20;
+    private static final long LOAD_INTERVAL_MILLIS = 2_000;
     private static final long NO_LANE_RETRY_MILLIS = 500;
 
     private final TrafficState state;
@@ -46,7 +51,7 @@
     private final TrafficMetrics metrics;
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final RecordKeeper records;
-    private final ServerLane.Context context;
+    private final LaneContext context;
     private final Map<ServerId, ServerLane> lanes = new ConcurrentHashMap<>();
     private final AtomicLong drainedView = new AtomicLong(-1);
     private volatile Consumer<PendingRequest> giveBack = pending -> {};
@@ -73,7 +78,7 @@
         this.listener = listener;
         this.metrics = metrics;
         this.records = new RecordKeeper(settings.records(), replica, clockMillis);
-        this.context = new ServerLane.Context(
+        this.context = new LaneContext(
                 state,
                 clockMillis,
                 settings.startByMillis(),
@@ -82,6 +87,7 @@
                 this::checkDrained,
                 pending -> giveBack.accept(pending));
         state.onPublished(this::onView);
+        worker.getIoThread().executeAtInterval(this::measureLoad, LOAD_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         worker.getIoThread().executeAtInterval(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -154,6 +160,21 @@
         checkDrained();
     }
 
+    /** Collects the load of each lane on its own I/O thread, then reports them together. */
+    private void measureLoad() {
+        List<ServerLane> measured = new ArrayList<>(lanes.values());
+        Queue<ServerLoad> loads = new ConcurrentLinkedQueue<>();
+        AtomicInteger left = new AtomicInteger(measured.size());
+        for (ServerLane lane : measured) {
+            lane.ioThread().execute(() -> {
+                loads.add(lane.measureLoad());
+                if (left.decrementAndGet() == 0) {
+                    listener.loadMeasured(List.copyOf(loads));
+                }
+            });
+        }
+    }
+
     /** Closes the connections to all servers. */
     public void close() {
         for (ServerLane lane : new ArrayList<>(lanes.values())) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RecordKeeper.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RecordKeeper.java
@@ -45,6 +45,7 @@
     private final Set<ShardId> local = new HashSet<>();
     private final Set<ShardId> collecting = new HashSet<>();
     private RoutePlan appliedPlan;
+    private long leaseEndMillis = Long.MIN_VALUE;
 
     RecordKeeper(IdempotencyRecords.Settings settings, RecordReplica replica, LongSupplier clockMillis) {
         this.records = new IdempotencyRecords(settings);
@@ -59,20 +60,30 @@
 
     /** Takes in a view: tells the records of shards that this VM gains and loses. */
     void onView(ControlView view) {
-        Optional<RoutePlan> plan = view.plan();
-        if (plan.isEmpty()) {
-            return;
-        }
-        Set<ShardId> gained = applyPlan(plan.get(), view.self());
+        Set<ShardId> gained = takeIn(view);
         if (!gained.isEmpty()) {
             replica.collect(gained, collected -> onCollected(gained, collected));
         }
     }
 
-    private synchronized Set<ShardId> applyPlan(RoutePlan plan, VmStart self) {
-        if (appliedPlan != null && !plan.isAfter(appliedPlan)) {
-            return Set.of();
+    private synchronized Set<ShardId> takeIn(ControlView view) {
+        forgetIfLapsed(view);
+        Optional<RoutePlan> plan = view.plan();
+        boolean isNew = plan.isPresent() && (appliedPlan == null || plan.get().isAfter(appliedPlan));
+        return isNew ? applyPlan(plan.get(), view.self()) : Set.of();
+    }
+
+    /** After a lapse of the dispatch lease another VM may have dispatched, whatever the newest plan says. */
+    private void forgetIfLapsed(ControlView view) {
+        if (clockMillis.getAsLong() >= leaseEndMillis) {
+            local.forEach(records::endShard);
+            local.clear();
+            appliedPlan = null;
         }
+        leaseEndMillis = view.dispatchDeadlineMillis();
+    }
+
+    private Set<ShardId> applyPlan(RoutePlan plan, VmStart self) {
         appliedPlan = plan;
         Set<ShardId> gained = new HashSet<>();
         Set<ShardId> lost = new HashSet<>(local);
@@ -86,20 +97,19 @@
                 return;
             }
             lost.remove(shard);
-            if (!self.equals(former)) {
-                startShard(shard, former);
+            if (local.add(shard)) {
+                startShard(shard, former == null || former.equals(self));
                 gained.add(shard);
             }
         });
         local.removeAll(lost);
         lost.forEach(records::endShard);
-        local.addAll(gained);
         return gained;
     }
 
-    private void startShard(ShardId shard, VmStart former) {
+    private void startShard(ShardId shard, boolean noOtherKnown) {
         RecordContinuity continuity =
-                former == null ? RecordContinuity.NO_KNOWN_PREDECESSOR : RecordContinuity.PREDECESSOR_LOST;
+                noOtherKnown ? RecordContinuity.NO_KNOWN_PREDECESSOR : RecordContinuity.PREDECESSOR_LOST;
         records.startShard(shard, continuity, clockMillis.getAsLong());
         collecting.add(shard);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerLane.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerLane.java
@@ -3,10 +3,10 @@
 import io.undertow.connector.ByteBufferPool;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.control.ServerLoad;
 import org.lacewingthread.core.traffic.Admission;
+import org.lacewingthread.core.traffic.LoadMeter;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.core.traffic.RetryDecision;
 import org.lacewingthread.core.traffic.RetryDecision.Attempt;
@@ -27,7 +27,7 @@
     private static final long RESEND_DELAY_MILLIS = 10;
 
     private final ServerSpec server;
-    private final Context context;
+    private final LaneContext context;
     private final XnioIoThread ioThread;
     private final BackendConnections connections;
     private final ServerQueue<PendingRequest> queue;
@@ -36,19 +36,10 @@
     private final ResendPolicy resends = new ResendPolicy();
     private final InFlightAttempts inFlight = new InFlightAttempts();
     private final SendGate gate;
+    private final LoadMeter load;
     private volatile long drainedView = -1;
 
-    /** What the lanes of one dispatcher share. */
-    record Context(
-            TrafficState state,
-            LongSupplier clockMillis,
-            long startByMillis,
-            RecordKeeper records,
-            DispatchListener listener,
-            Runnable onDrained,
-            Consumer<PendingRequest> giveBack) {}
-
-    ServerLane(ServerSpec server, Context context, XnioIoThread ioThread, ByteBufferPool buffers) {
+    ServerLane(ServerSpec server, LaneContext context, XnioIoThread ioThread, ByteBufferPool buffers) {
         this.server = server;
         this.context = context;
         this.ioThread = ioThread;
@@ -56,6 +47,7 @@
                 server, BackendConnections.Limits.forDispatcher(server), ioThread, buffers, context.clockMillis());
         this.gate = new SendGate(server.id(), context.state(), context.clockMillis(), context.startByMillis());
         this.queue = new ServerQueue<>(ServerQueue.Settings.of(server.slots()));
+        this.load = new LoadMeter(server.id(), nowMillis());
         this.probe = new HealthProbe(server.id(), connections, ioThread);
         this.health = new ServerHealth(
                 server.id(),
@@ -101,6 +93,7 @@
             context.giveBack().accept(pending);
             return;
         }
+        load.add(request.shard(), request.keyHash());
         if (!health.isAnswering()) {
             // Proof of "not run": the request was not queued, so it can't be sent.
             pending.fail(ResultCode.OWNER_UNREACHABLE, UNREACHABLE_RETRY_MILLIS, unreachableDetail());
@@ -349,6 +342,11 @@
         return drainedView;
     }
 
+    /** Returns the load since the last call; on the lane's I/O thread. */
+    ServerLoad measureLoad() {
+        return load.measure(nowMillis());
+    }
+
     /** Runs checks that depend on time; called every few tens of milliseconds. */
     void tick() {
         long nowMillis = nowMillis();
