Measure placement in virtual time; name dispatchers by their own lease's end

A VM that was not reported at a takeover can dispatch no longer than its dispatch lease, so servers that no VM reports get a dispatcher after that, not after the longer server lease; shards whose servers may hold leases still wait for those. A dispatcher taken from a VM for balance now goes to the VM that has too few; with 4 servers on 3 VMs and the like it came back and moved again every 2 s.

--- a/bench/src/main/java/org/lacewingthread/bench/placement/Customer.java
+++ b/bench/src/main/java/org/lacewingthread/bench/placement/Customer.java
@@ -3,8 +3,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.lacewingthread.core.config.ApplicationSpec;
+import org.lacewingthread.core.config.KeySource;
 import org.lacewingthread.core.config.Label;
 import org.lacewingthread.core.config.PlacementProfile;
+import org.lacewingthread.core.config.RequestClass;
+import org.lacewingthread.core.config.RequestSelector;
 import org.lacewingthread.core.config.RoutingConfiguration;
 import org.lacewingthread.core.config.ServerSpec;
 import org.lacewingthread.core.id.ApplicationId;
@@ -34,7 +37,11 @@
             50,
             1_500);
 
-    private static final int SHARDS = 1_024;
+    /** Hashed shards of each application. */
+    static final int SHARDS = 1_024;
+
+    private static final int FIRST_PORT = 8_000;
+    private static final int MAX_SERVERS = 1_000;
     private static final int SLOTS = 2;
 
     final PlacementProfile profile;
@@ -68,23 +75,33 @@
     /** Returns the applications with some servers added to the first one. */
     RoutingConfiguration configuration(int extraServers) {
         List<ServerSpec> servers = new ArrayList<>();
-        addServers(servers, first, firstServers + extraServers);
-        addServers(servers, second, secondServers);
+        addServers(servers, first, firstServers + extraServers, FIRST_PORT);
+        addServers(servers, second, secondServers, FIRST_PORT + MAX_SERVERS);
         return new RoutingConfiguration(List.of(application(first), application(second)), servers);
     }
 
-    private void addServers(List<ServerSpec> servers, ApplicationId application, int count) {
+    private void addServers(List<ServerSpec> servers, ApplicationId application, int count, int firstPort) {
         for (int i = 0; i < count; i++) {
             DataCentreId dataCentre = dataCentres.get(i % dataCentres.size());
             ServerId id = new ServerId(application + "-" + i);
             boolean checksTokens = i % 2 == 0;
             servers.add(new ServerSpec(
-                    id, dataCentre, "127.0.0.1", 8080, labels(application), SLOTS, connections, checksTokens, false));
+                    id,
+                    dataCentre,
+                    "127.0.0.1",
+                    firstPort + i,
+                    labels(application),
+                    SLOTS,
+                    connections,
+                    checksTokens,
+                    false));
         }
     }
 
     private ApplicationSpec application(ApplicationId id) {
-        return new ApplicationSpec(id, SHARDS, profile, labels(id), List.of());
+        KeySource key = new KeySource(KeySource.Kind.PATH_SEGMENT, "1");
+        RequestSelector selector = new RequestSelector("all", List.of(), "/" + id, RequestClass.LOOKUP, key);
+        return new ApplicationSpec(id, SHARDS, profile, labels(id), List.of(selector));
     }
 
     private static List<Label> labels(ApplicationId application) {
--- a/bench/src/main/java/org/lacewingthread/bench/placement/PlacementMeasurement.java
+++ b/bench/src/main/java/org/lacewingthread/bench/placement/PlacementMeasurement.java
@@ -1,6 +1,7 @@
 package org.lacewingthread.bench.placement;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -9,31 +10,31 @@
 import java.util.Set;
 import org.lacewingthread.core.config.RoutingConfiguration;
 import org.lacewingthread.core.config.ServerSpec;
-import org.lacewingthread.core.control.ControlSettings;
-import org.lacewingthread.core.control.ServerLoad;
-import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ShardId;
 
 /**
  * Prints, as a Markdown table, what each {@link Scenario} costs each {@link Customer}: owner changes,
- * unavailable time and imbalance, in virtual time with the real control core, beside plain baselines.
- *
- * <p>A {@link Baseline} moves a shard when its function of the list of servers gives another owner; as
- * it keeps no record of moves, the next owner waits until the last lease under the old list ran out.
+ * unavailable time and imbalance, in virtual time with the real control core, beside each {@link Baseline}.
  *
  * <pre>{@code
- * java -cp bench/target/classes:... org.lacewingthread.bench.placement.PlacementMeasurement [seed] [zipf exponent]
+ * java -cp bench/target/classes:core/target/classes:zero-allocation-hashing-0.16.jar \
+ *     org.lacewingthread.bench.placement.PlacementMeasurement [seed] [zipf exponent]
  * }</pre>
  */
 public final class PlacementMeasurement {
     private static final long DEFAULT_SEED = 20_261_203;
     private static final double DEFAULT_EXPONENT = 0.8;
-    private static final long WARM_UP_MILLIS = 120_000;
+    private static final long WARM_UP_MILLIS = 90_000;
+    private static final Set<Scenario> OF_ONE_SERVER =
+            Set.of(Scenario.SERVER_LOST, Scenario.SERVER_DRAINED, Scenario.SERVER_JOINED);
 
     private final long seed;
     private final double exponent;
 
+    private record Case(Customer customer, Scenario scenario) {}
+
     private PlacementMeasurement(long seed, double exponent) {
         this.seed = seed;
         this.exponent = exponent;
@@ -47,52 +48,62 @@
     }
 
     private void run() {
-        print(
+        print(row(
                 "Seed %d, Zipf exponent %.2f, 1,024 shards an application, server loss noticed after %d ms.",
-                seed, exponent, VirtualVm.NOTICE_MILLIS);
+                seed, exponent, VirtualVm.NOTICE_MILLIS));
+        print("Imbalance: over all data centres, and in the data centre where it is highest.");
         print("");
         print("| customer | event | placement | had to move | owner changes | unavailable, affected: max / mean ms"
-                + " | unavailable, others: max ms | imbalance before / after |");
-        print("| --- | --- | --- | --- | --- | --- | --- | --- |");
-        for (Customer customer : Customer.values()) {
-            for (Scenario scenario : Scenario.values()) {
-                measure(customer, scenario);
-                for (Baseline baseline : Baseline.values()) {
-                    compare(customer, scenario, baseline);
-                }
+                + " | unavailable, others: max ms | imbalance before | imbalance after |");
+        print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        Arrays.stream(Customer.values())
+                .flatMap(c -> Arrays.stream(Scenario.values()).map(s -> new Case(c, s)))
+                .parallel()
+                .map(this::rows)
+                .forEachOrdered(rows -> rows.forEach(PlacementMeasurement::print));
+    }
+
+    private List<String> rows(Case measured) {
+        List<String> rows = new ArrayList<>();
+        rows.add(measure(measured.customer(), measured.scenario()));
+        if (OF_ONE_SERVER.contains(measured.scenario())) {
+            for (Baseline baseline : Baseline.values()) {
+                rows.add(compare(measured, baseline));
             }
         }
+        return rows;
     }
 
-    private void measure(Customer customer, Scenario scenario) {
+    private String measure(Customer customer, Scenario scenario) {
         VirtualDeployment deployment = new VirtualDeployment(customer, seed, exponent);
         ServiceWatch watch = new ServiceWatch(deployment);
         deployment.queue.runFor(WARM_UP_MILLIS);
-        requireServed(customer, watch);
-        double before = imbalance(customer, deployment, watch);
         Map<ShardId, ServerId> ownersBefore = watch.owners();
+        requireServed(customer, ownersBefore);
+        Imbalance before = imbalance(customer, deployment, watch);
         ServerId victim = Scenario.victim(watch, customer);
         long hadToMove = scenario.losesServer
                 ? ownersBefore.values().stream().filter(victim::equals).count()
                 : 0;
         watch.start();
-        Set<ShardId> affected = scenario.strike(deployment, watch, customer);
+        Set<ShardId> affected = new HashSet<>(scenario.strike(deployment, watch, customer));
         deployment.queue.runFor(scenario.lengthSeconds * 1_000);
-        Set<ShardId> moved = new HashSet<>(affected);
         watch.owners().forEach((shard, owner) -> {
             if (!owner.equals(ownersBefore.getOrDefault(shard, owner))) {
-                moved.add(shard);
+                affected.add(shard);
             }
         });
-        long max = moved.stream().mapToLong(watch::unservedMillis).max().orElse(0);
-        double mean = moved.stream().mapToLong(watch::unservedMillis).average().orElse(0);
+        long max = affected.stream().mapToLong(watch::unservedMillis).max().orElse(0);
+        double mean =
+                affected.stream().mapToLong(watch::unservedMillis).average().orElse(0);
         long others = ownersBefore.keySet().stream()
-                .filter(s -> !moved.contains(s))
+                .filter(s -> !affected.contains(s))
                 .mapToLong(watch::unservedMillis)
                 .max()
                 .orElse(0);
-        print(
-                "| %s | %s | lacewingthread | %d | %d | %d / %.0f | %d | %.2f / %.2f |%s",
+        String doubled = watch.doubleOwners() == 0 ? "" : " TWO OWNERS in " + watch.doubleOwners() + " samples";
+        return row(
+                "| %s | %s | lacewingthread | %d | %d | %d / %.0f | %d | %s | %s |%s",
                 lower(customer),
                 lower(scenario),
                 hadToMove,
@@ -102,108 +113,54 @@
                 others,
                 before,
                 imbalance(customer, deployment, watch),
-                watch.doubleOwners() == 0 ? "" : " TWO OWNERS in " + watch.doubleOwners() + " samples");
+                doubled);
     }
 
-    private static void requireServed(Customer customer, ServiceWatch watch) {
-        int expected = customer.configuration(0).applications().stream()
-                .mapToInt(a -> a.shardCount())
-                .sum();
-        if (watch.owners().size() < expected) {
-            throw new IllegalStateException(
-                    "only " + watch.owners().size() + " of " + expected + " shards were ever served");
+    private static void requireServed(Customer customer, Map<ShardId, ServerId> owners) {
+        int expected = customer.configuration(0).applications().size() * Customer.SHARDS;
+        if (owners.size() < expected) {
+            throw new IllegalStateException("only " + owners.size() + " of " + expected + " shards were ever served");
         }
     }
 
-    private double imbalance(Customer customer, VirtualDeployment deployment, ServiceWatch watch) {
-        Map<ShardId, ServerLoad.ShardLoad> loads = deployment.shardLoads(deployment.state());
+    private static Imbalance imbalance(Customer customer, VirtualDeployment deployment, ServiceWatch watch) {
         RoutingConfiguration configuration = deployment.state().configuration();
-        Set<ServerId> up = new HashSet<>();
-        deployment.servers.forEach((id, server) -> {
-            if (server.up && !deployment.state().drainingServers().contains(id)) {
-                up.add(id);
-            }
-        });
-        return imbalance(customer.first, configuration, watch.owners(), loads, up);
-    }
-
-    private static double imbalance(
-            ApplicationId application,
-            RoutingConfiguration configuration,
-            Map<ShardId, ServerId> owners,
-            Map<ShardId, ServerLoad.ShardLoad> loads,
-            Set<ServerId> up) {
-        Map<ServerId, Double> byServer = new HashMap<>();
+        Map<ServerId, DataCentreId> servers = new HashMap<>();
         for (ServerSpec server :
-                configuration.groupOf(configuration.application(application).orElseThrow())) {
-            if (up.contains(server.id())) {
-                byServer.put(server.id(), 0.0);
+                configuration.groupOf(configuration.application(customer.first).orElseThrow())) {
+            boolean draining = deployment.state().drainingServers().contains(server.id());
+            if (deployment.servers.get(server.id()).up && !draining) {
+                servers.put(server.id(), server.dataCentre());
             }
         }
-        owners.forEach((shard, server) -> {
-            if (shard.application().equals(application) && loads.containsKey(shard)) {
-                byServer.merge(server, loads.get(shard).requestsPerSecond(), Double::sum);
-            }
-        });
-        double max = byServer.values().stream().mapToDouble(d -> d).max().orElse(0);
-        double mean = byServer.values().stream().mapToDouble(d -> d).average().orElse(1);
-        return max / mean;
+        return Imbalance.of(customer.first, servers, watch.owners(), deployment.shardLoads(deployment.state()));
     }
 
-    private void compare(Customer customer, Scenario scenario, Baseline baseline) {
-        boolean joins = scenario == Scenario.SERVER_JOINED;
-        boolean comparable = joins || scenario == Scenario.SERVER_LOST || scenario == Scenario.SERVER_DRAINED;
-        if (!comparable) {
-            return;
-        }
-        RoutingConfiguration configuration = customer.configuration(joins ? 1 : 0);
-        List<ServerId> all = new ArrayList<>();
-        configuration
-                .groupOf(configuration.application(customer.first).orElseThrow())
-                .forEach(s -> all.add(s.id()));
-        List<ServerId> before = new ArrayList<>(all);
-        List<ServerId> after = new ArrayList<>(all);
-        (joins ? before : after).remove(all.get(joins ? all.size() - 1 : 0));
-        ZipfLoad load =
-                new ZipfLoad(customer.first, configuration.applications().get(0).shardCount(), exponent, seed);
-        Map<ShardId, ServerLoad.ShardLoad> loads = load.byShard(null);
-        Map<ShardId, ServerId> ownersBefore = place(baseline, before, loads.keySet());
-        Map<ShardId, ServerId> ownersAfter = place(baseline, after, loads.keySet());
-        long moved = loads.keySet().stream()
-                .filter(s -> !ownersBefore.get(s).equals(ownersAfter.get(s)))
-                .count();
-        long hadTo = joins
-                ? 0
-                : ownersBefore.values().stream().filter(all.get(0)::equals).count();
-        ControlSettings settings = ControlSettings.DEFAULT;
-        long waitMillis = settings.lengthened(settings.dispatchLeaseMillis()) + settings.startByMillis();
-        long lost = scenario == Scenario.SERVER_LOST ? VirtualVm.NOTICE_MILLIS : 0;
-        print(
-                "| %s | %s | %s | %d | %d | %d / %d | 0 | %.2f / %.2f |",
-                lower(customer),
-                lower(scenario),
+    private String compare(Case compared, Baseline baseline) {
+        BaselineComparison comparison =
+                BaselineComparison.of(compared.customer(), compared.scenario(), baseline, exponent, seed);
+        return row(
+                "| %s | %s | %s | %d | %d | %d / %d | 0 | %s | %s |",
+                lower(compared.customer()),
+                lower(compared.scenario()),
                 lower(baseline),
-                hadTo,
-                moved,
-                lost + waitMillis,
-                lost + waitMillis,
-                imbalance(customer.first, configuration, ownersBefore, loads, new HashSet<>(before)),
-                imbalance(customer.first, configuration, ownersAfter, loads, new HashSet<>(after)));
-    }
-
-    private static Map<ShardId, ServerId> place(Baseline baseline, List<ServerId> servers, Set<ShardId> shards) {
-        Baseline.Placement placement = baseline.over(servers);
-        Map<ShardId, ServerId> owners = new HashMap<>();
-        shards.forEach(s -> owners.put(s, placement.of(s)));
-        return owners;
+                compared.scenario() == Scenario.SERVER_JOINED ? 0 : comparison.hadToMove(),
+                comparison.moved(),
+                comparison.unavailableMillis(),
+                comparison.unavailableMillis(),
+                comparison.before(),
+                comparison.after());
     }
 
     private static String lower(Enum<?> value) {
         return value.name().toLowerCase(Locale.ROOT).replace('_', ' ');
     }
 
-    @SuppressWarnings({"AnnotateFormatMethod", "SystemOut"})
-    private static void print(String format, Object... arguments) {
-        System.out.println(String.format(Locale.ROOT, format, arguments));
+    private static String row(String format, Object... arguments) {
+        return String.format(Locale.ROOT, format, arguments);
+    }
+
+    private static void print(String line) {
+        System.out.println(line);
     }
 }
--- a/bench/src/main/java/org/lacewingthread/bench/placement/ServiceWatch.java
+++ b/bench/src/main/java/org/lacewingthread/bench/placement/ServiceWatch.java
@@ -31,6 +31,10 @@
         doubleOwners = 0;
     }
 
+    private static boolean isHashed(ShardId shard) {
+        return shard.index() < Customer.SHARDS;
+    }
+
     private void sample() {
         Map<ShardId, ServerId> served = new HashMap<>();
         Set<ShardId> twice = new HashSet<>();
@@ -50,7 +54,7 @@
         });
         if (started) {
             owners.keySet().stream()
-                    .filter(s -> !served.containsKey(s))
+                    .filter(s -> isHashed(s) && !served.containsKey(s))
                     .forEach(s -> unservedMicros.merge(s, SAMPLE_MICROS, Long::sum));
         }
     }
--- a/core/src/main/java/org/lacewingthread/core/ownership/DataCentreExit.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/DataCentreExit.java
@@ -33,7 +33,7 @@
 
     /** Ends the service of shards that have to go, and returns the records that let others adopt them. */
     List<LogRecord> step(Step step) {
-        if (!step.inputs().logReachable()) {
+        if (!step.inputs().logReachable() || !step.predecessorGone()) {
             return List.of();
         }
         List<LogRecord> records = new ArrayList<>();
--- a/core/src/main/java/org/lacewingthread/core/ownership/DispatcherAssignment.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/DispatcherAssignment.java
@@ -98,17 +98,24 @@
         return counts;
     }
 
+    /** Returns the best ranked VM of those that have too few servers, else of those that have room. */
     private static VmStart choose(ServerId server, Map<VmStart, Integer> counts, int servers) {
-        int bound = (servers + counts.size() - 1) / counts.size();
-        long key = Rendezvous.hash(server.value());
-        return counts.keySet().stream()
-                .filter(vm -> counts.get(vm) < bound)
-                .max(Comparator.comparingDouble(vm -> Rendezvous.weightedScore(key, hash(vm), 1)))
+        int fewest = servers / counts.size();
+        int most = (servers + counts.size() - 1) / counts.size();
+        return bestBelow(server, counts, fewest)
+                .or(() -> bestBelow(server, counts, most))
                 .orElseGet(() -> counts.keySet().stream()
                         .min(Comparator.comparing(counts::get))
                         .orElseThrow());
     }
 
+    private static Optional<VmStart> bestBelow(ServerId server, Map<VmStart, Integer> counts, int bound) {
+        long key = Rendezvous.hash(server.value());
+        return counts.keySet().stream()
+                .filter(vm -> counts.get(vm) < bound)
+                .max(Comparator.comparingDouble(vm -> Rendezvous.weightedScore(key, hash(vm), 1)));
+    }
+
     private static long hash(VmStart vm) {
         return Rendezvous.score(Rendezvous.hash(vm.vm().value()), vm.startNumber());
     }
--- a/core/src/main/java/org/lacewingthread/core/ownership/LeaseOwnershipCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/LeaseOwnershipCoordinator.java
@@ -67,7 +67,7 @@
         if (draft == null) {
             start(inputs);
         }
-        Step step = new Step(inputs, nowMillis, new ArrayList<>());
+        Step step = Step.of(inputs, settings, nowMillis);
         directory.refresh(step);
         moves.targets().refresh();
         splits.refresh(step);
--- a/core/src/main/java/org/lacewingthread/core/ownership/ServerDirectory.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ServerDirectory.java
@@ -68,6 +68,15 @@
         return checksTokens(server) || !known.containsKey(server);
     }
 
+    /** Returns whether any server of an application, or one that is gone, may hold a lease. */
+    boolean mayHoldLeases(ApplicationId application) {
+        List<ServerSpec> group = configuration
+                .application(application)
+                .map(configuration::groupOf)
+                .orElse(List.of());
+        return group.isEmpty() || group.stream().anyMatch(ServerSpec::checksTokens);
+    }
+
     boolean isPresent(ServerId server) {
         return present.containsKey(server);
     }
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardMove.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardMove.java
@@ -78,6 +78,9 @@
 
     FencingToken releaseToken;
     long sourceLeaseEndMillis = Long.MIN_VALUE;
+    /** Before this time some server may hold a lease that an earlier leader gave. */
+    long grantFromMillis = Long.MIN_VALUE;
+
     /** Whether the target's lease was asked for. */
     boolean grantRequested;
 
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
@@ -74,8 +74,9 @@
     }
 
     /** Starts to serve a shard that has no owner in force, with an assignment that still stands if given. */
-    void serve(Step step, ShardId shard, Optional<ShardAssignment> standing) {
+    void serve(Step step, ShardId shard, Optional<ShardAssignment> standing, long fromMillis) {
         ShardMove move = new ShardMove(shard, Cause.NOT_SERVED, null, Stage.GRANTING);
+        move.grantFromMillis = fromMillis;
         standing.ifPresent(assignment -> {
             move.target = assignment.owner();
             move.token = assignment.token();
@@ -291,7 +292,8 @@
         if (sources.isBound(move)) {
             move.stage = Stage.RELEASING;
         }
-        if (move.target == null || move.stage != Stage.GRANTING || !mayUse(step, move)) {
+        boolean waits = move.target == null || step.nowMillis() < move.grantFromMillis;
+        if (waits || move.stage != Stage.GRANTING || !mayUse(step, move)) {
             return;
         }
         if (!splits.mayPart(step, move.shard, move.target)) {
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardSurvey.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardSurvey.java
@@ -94,7 +94,7 @@
         if (step.governs(entry)) {
             Optional<ShardAssignment> standing =
                     takeover.standing(step, shard).filter(a -> directory.isPresent(a.owner()));
-            moves.serve(step, shard, standing);
+            moves.serve(step, shard, standing, takeover.grantsFromMillis(step, shard.application()));
             return;
         }
         if (!step.inputs().logReachable()) {
@@ -102,7 +102,7 @@
         }
         boolean first = entry.home() == null && isFirstHome(step, application, shard);
         if (first || mayAdopt(step, shard, entry)) {
-            moves.serve(step, shard, Optional.empty());
+            moves.serve(step, shard, Optional.empty(), takeover.grantsFromMillis(step, shard.application()));
         }
     }
 
--- a/core/src/main/java/org/lacewingthread/core/ownership/Step.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/Step.java
@@ -1,7 +1,9 @@
 package org.lacewingthread.core.ownership;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.lacewingthread.core.control.ControlSettings;
 import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.log.ShardAssignment;
 import org.lacewingthread.core.log.ShardTable;
@@ -11,9 +13,23 @@
  *
  * @param inputs what the leader knows
  * @param nowMillis monotonic time
+ * @param dispatchersEndMillis monotonic time by which every dispatch lease that an earlier leader gave
+ *     has run out; no later than {@link OwnershipInputs#predecessorEndMillis}
  * @param notes collects steps taken while the log is out
  */
-record Step(OwnershipInputs inputs, long nowMillis, List<String> notes) {
+record Step(OwnershipInputs inputs, long nowMillis, long dispatchersEndMillis, List<String> notes) {
+    /** Collects what a step needs. */
+    static Step of(OwnershipInputs inputs, ControlSettings settings, long nowMillis) {
+        long dispatchMillis = settings.lengthened(settings.dispatchLeaseMillis());
+        long serverMillis = settings.lengthened(settings.serverLeaseMillis());
+        long earlierMillis = Math.max(0, serverMillis - dispatchMillis);
+        return new Step(inputs, nowMillis, inputs.predecessorEndMillis() - earlierMillis, new ArrayList<>());
+    }
+
+    boolean predecessorDispatchersGone() {
+        return nowMillis >= dispatchersEndMillis;
+    }
+
     /** Returns a shard's entry in the log, {@link ShardTable.Entry#UNASSIGNED} if it has none. */
     ShardTable.Entry entry(ShardId shard) {
         ShardTable table = inputs.state().shardTables().get(shard.application());
--- a/core/src/main/java/org/lacewingthread/core/ownership/Takeover.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/Takeover.java
@@ -8,6 +8,7 @@
 import java.util.TreeSet;
 import org.lacewingthread.core.control.ControlSettings;
 import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.id.ApplicationId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.id.VmStart;
@@ -45,10 +46,20 @@
         this.rules = rules;
     }
 
-    /** Returns whether what nobody reports as held may be assigned. */
+    /** Returns whether servers that no VM reports to dispatch for may get a dispatcher. */
     boolean isOver(Step step) {
-        return step.predecessorGone()
-                || step.inputs().state().dataCentre(step.inputs().dataCentre()).recordedTerm() == null
+        return step.predecessorDispatchersGone() || hasNoPredecessor(step);
+    }
+
+    /** Returns when a shard that no VM reports as held may be granted; servers may hold leases until then. */
+    long grantsFromMillis(Step step, ApplicationId application) {
+        return hasNoPredecessor(step) || !directory.mayHoldLeases(application)
+                ? Long.MIN_VALUE
+                : step.inputs().predecessorEndMillis();
+    }
+
+    private boolean hasNoPredecessor(Step step) {
+        return step.inputs().state().dataCentre(step.inputs().dataCentre()).recordedTerm() == null
                 || !rules.contains(SafetyRule.WAIT_FOR_PREDECESSOR);
     }
 
@@ -87,7 +98,7 @@
         plan.owners()
                 .forEach((shard, owner) ->
                         newestHeld.merge(shard, owner, (a, b) -> a.token().compareTo(b.token()) >= 0 ? a : b));
-        if (step.predecessorGone()) {
+        if (step.predecessorDispatchersGone()) {
             return;
         }
         plan.dispatchers().entrySet().stream()
--- a/core/src/test/java/org/lacewingthread/core/ownership/PlacementMovesTest.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/PlacementMovesTest.java
@@ -172,6 +172,18 @@
         assertThat(world.violations).isEmpty();
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {4, 7, 13, 20})
+    void dispatchersDoNotChangeWhileNothingHappens(int servers) {
+        OwnershipWorld world =
+                new OwnershipWorld(7, servers, new boolean[] {false}, 3, EnumSet.allOf(SafetyRule.class));
+        world.run(2_000);
+        Map<ServerId, VmStart> before = world.plan.dispatchers();
+        world.run(20_000);
+
+        assertThat(world.plan.dispatchers()).isEqualTo(before);
+    }
+
     private static OwnershipWorld settled(boolean checksTokens) {
         OwnershipWorld world = OwnershipWorld.calm(checksTokens);
         world.run(2_000);
