--- a/daemon/src/main/java/org/lacewingthread/daemon/platform/LogRecordCodec.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/platform/LogRecordCodec.java
@@ -30,6 +30,9 @@
  * LogEntry entry = codec.decode(offset, bytes);
  * }</pre>
  *
+ * <p>Unknown fields and newer versions are unreadable too. A record kind or field that is added must
+ * therefore not be written before every running VM can read it.
+ *
  * <p>Safe for use by several threads.
  */
 public final class LogRecordCodec {
--- a/standin/src/test/java/org/lacewingthread/standin/BackendServerContractTest.java
+++ b/standin/src/test/java/org/lacewingthread/standin/BackendServerContractTest.java
@@ -203,6 +203,18 @@
         }
     }
 
+    @Test
+    void aRunUnderWayOnAConnectionThatGoesSilentEndsWithoutAnAnswer() throws IOException {
+        try (TestConnection connection = start(PLAIN.withServiceMillis(600))) {
+            connection.send("GET", "/", Map.of("Lacewingthread-Request", "r1"), "");
+            await().until(() -> server.runs().size() == 1);
+            server.silenceConnections();
+            await().until(() -> server.runs().get(0).hasEnded());
+
+            assertThat(connection.isSilent()).isTrue();
+        }
+    }
+
     @Test
     void aConnectionAboveTheLimitIsClosed() throws IOException {
         try (TestConnection first = start(PLAIN.withMaxConnections(1))) {
