--- a/core/src/main/java/org/lacewingthread/core/lease/CatchUp.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/CatchUp.java
@@ -59,7 +59,7 @@
     void offered(Optional<RosterMember> peer, PeerMessage.LogRecordsOffered offer, boolean logReachable, long now) {
         peerAnswered = true;
         for (LogEntry entry : offer.entries()) {
-            log.apply(entry);
+            log.applyHandedOn(entry);
         }
         nextWantedMillis = Long.MIN_VALUE;
         peer.ifPresent(p -> heard(p, offer.endOffset(), logReachable, now));
--- a/core/src/main/java/org/lacewingthread/core/lease/LogReading.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LogReading.java
@@ -67,6 +67,21 @@
         }
     }
 
+    /**
+     * Applies what a peer handed on. A snapshot made for this stands at the offset that it reaches, where
+     * the log holds another record, so it is taken in as a state and never as a record.
+     */
+    void applyHandedOn(LogEntry entry) {
+        if (context.replica()
+                .snapshotAhead(entry)
+                .filter(context.replica()::restore)
+                .isPresent()) {
+            skipTo = LogOffset.NONE;
+            return;
+        }
+        apply(entry);
+    }
+
     /** Applies one record in its turn; after a gap, only a snapshot that is ahead. */
     void apply(LogEntry entry) {
         LogReplica replica = context.replica();
--- a/core/src/main/java/org/lacewingthread/core/log/LogReplica.java
+++ b/core/src/main/java/org/lacewingthread/core/log/LogReplica.java
@@ -123,6 +123,12 @@
                             + entry.header().sequence() + " or a later one before");
         }
         if (entry.body() instanceof LogRecord.SnapshotTaken snapshot) {
+            if (!entry.offset().isAfter(snapshot.state().appliedOffset())) {
+                return new ApplyResult(
+                        ApplyResult.Outcome.MALFORMED,
+                        "snapshot at " + entry.offset() + " claims to know record "
+                                + snapshot.state().appliedOffset());
+            }
             passSnapshot(entry.offset(), snapshot.state());
         }
         state = WriterWindow.record(state, entry.header(), entry.offset());
--- a/core/src/test/java/org/lacewingthread/core/log/LogReplicaTest.java
+++ b/core/src/test/java/org/lacewingthread/core/log/LogReplicaTest.java
@@ -92,6 +92,15 @@
         assertThat(other.state()).isEqualTo(log.state());
     }
 
+    @Test
+    void rejectsASnapshotThatClaimsToKnowItsOwnPlaceInTheLog() {
+        ReplicaState ahead = log.state().withAppliedOffset(offset(6));
+
+        assertThat(log.append(new LogRecord.SnapshotTaken(ahead)).outcome()).isEqualTo(Outcome.MALFORMED);
+        assertThat(log.replica.newestSnapshotOffset()).isEqualTo(LogOffset.NONE);
+        assertThat(log.state().appliedOffset()).isEqualTo(offset(5));
+    }
+
     @Test
     void givesRacingPublishersOneWinner() {
         assertThat(log.append(publish(0, configuration(16))).outcome()).isEqualTo(Outcome.ACCEPTED);
