Bound the wait in a queue that stays filled, shed deferrable requests early

Cause: under overload the queue admitted whatever its deadline allowed, so answers came at the deadline and requests that were overtaken were refused only there.

--- /dev/null
+++ b/bench/src/main/java/org/lacewingthread/bench/traffic/RoutingBenchmark.java
@@ -0,0 +1,91 @@
+package org.lacewingthread.bench.traffic;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.control.ControlView;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.routing.KeyHash;
+import org.lacewingthread.core.routing.RoutingTable;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+
+/** Measures the look-up of a route and the compilation of the table: time and allocated bytes. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class RoutingBenchmark {
+    private static final int SERVERS = 300;
+    private static final int KEYS = 4_096;
+
+    /** Shards of the application. */
+    @Param({"1024", "16384"})
+    public int shards;
+
+    private ControlView view;
+    private RoutingTable table;
+    private long[] keyHashes;
+    private ShardId[] shardIds;
+    private int next;
+
+    /** Compiles the table. */
+    @Setup
+    public void prepare() {
+        List<ServerSpec> servers = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {
+            servers.add(BenchViews.server("s" + i, 1 + i, 2));
+        }
+        view = BenchViews.view(servers, shards);
+        table = RoutingTable.compile(view, RoutingTable.EMPTY);
+        keyHashes = new long[KEYS];
+        shardIds = new ShardId[KEYS];
+        for (int i = 0; i < KEYS; i++) {
+            keyHashes[i] = KeyHash.of("rug-" + i);
+            shardIds[i] = new ShardId(BenchViews.LEDGER, i % shards);
+        }
+    }
+
+    /** Finds the route of a key's hash. */
+    @Benchmark
+    public RoutingTable.Route routeOfKeyHash() {
+        return table.routeOf(BenchViews.LEDGER, keyHashes[next++ & (KEYS - 1)]);
+    }
+
+    /** Finds the route of a shard. */
+    @Benchmark
+    public RoutingTable.Route routeOfShard() {
+        return table.routeOf(shardIds[next++ & (KEYS - 1)]);
+    }
+
+    /** Compiles the table after a change of the plan. */
+    @Benchmark
+    public RoutingTable compile() {
+        return RoutingTable.compile(view, RoutingTable.EMPTY);
+    }
+
+    /** Runs the measurements and prints them. */
+    public static void main(String[] args) throws RunnerException {
+        new Runner(new OptionsBuilder()
+                        .include(RoutingBenchmark.class.getSimpleName())
+                        .addProfiler(GCProfiler.class)
+                        .build())
+                .run();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/lacewingthread/bench/traffic/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the traffic side. */
+package org.lacewingthread.bench.traffic;
--- a/core/src/main/java/org/lacewingthread/core/traffic/FairQueue.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/FairQueue.java
@@ -20,6 +20,7 @@
     private final TreeSet<Flow<T>> flowsByTurn = new TreeSet<>(Flow.BY_TURN);
     private long currentTurn;
     private long nextSequence;
+    private long filledSinceMillis;
     private int size;
 
     /** One queued request. */
@@ -53,7 +54,15 @@
         return flow == null ? 0 : flow.items.size();
     }
 
-    void add(T value, long keyHash, long deadlineMillis) {
+    /** Returns how long the queue has not been empty. */
+    long waitedForMillis(long nowMillis) {
+        return size == 0 ? 0 : nowMillis - filledSinceMillis;
+    }
+
+    void add(T value, long keyHash, long deadlineMillis, long nowMillis) {
+        if (size == 0) {
+            filledSinceMillis = nowMillis;
+        }
         Flow<T> flow = flowsByKey.get(keyHash);
         if (flow == null) {
             flow = new Flow<>(keyHash, currentTurn + 1);
--- a/core/src/main/java/org/lacewingthread/core/traffic/ServerQueue.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/ServerQueue.java
@@ -12,8 +12,9 @@
  *
  * <p>Requests that a caller waits for go before deferrable ones; within these, keys take turns, and
  * the requests of a key go by deadline. A request is refused at once when the queue is full or when
- * the measured service time says that its deadline can't be met. A full queue makes room by shedding
- * deferrable requests, then requests of the key that has most queued.
+ * the measured service time says that its deadline can't be met; a queue that stays filled admits only
+ * what it can serve soon. A full queue makes room by shedding deferrable requests, then requests of the
+ * key that has most queued.
  *
  * <pre>{@code
  * ServerQueue<Call> queue = new ServerQueue<>(ServerQueue.Settings.of(2));
@@ -32,6 +33,11 @@
     private static final long MIN_RETRY_AFTER_MILLIS = 20;
     private static final long MAX_RETRY_AFTER_MILLIS = 5_000;
     private static final double MAX_SERVICE_ALLOWANCE_MILLIS = 100;
+    private static final double WAIT_RESERVE_FACTOR = 1.25;
+    private static final long STANDING_MILLIS = 250;
+    private static final long SHED_DEFERRABLE_MILLIS = 100;
+    private static final long SHED_RETRY_AFTER_MILLIS = 1_000;
+    private static final double MAX_STANDING_WAIT_MILLIS = 40;
 
     private final Settings settings;
     private final FairQueue<T> urgent = new FairQueue<>();
@@ -95,18 +101,41 @@
             return Admission.refused(ResultCode.DEADLINE_PASSED, 0);
         }
         FairQueue<T> queue = queueOf(requestClass);
-        double answerInMillis = waitMillis(queue, keyHash, deadlineMillis) + service.meanMillis();
-        double lateMillis = nowMillis + answerInMillis - deadlineMillis;
-        if (lateMillis > 0) {
-            return Admission.refused(ResultCode.OVERLOADED, retryAfterMillis(lateMillis));
+        if (queue == deferrable && shedsDeferrable(nowMillis)) {
+            return Admission.refused(ResultCode.OVERLOADED, retryAfterMillis(SHED_RETRY_AFTER_MILLIS));
+        }
+        double waitMillis = waitMillis(queue, keyHash, deadlineMillis);
+        double tooLongMillis = waitMillis - longestWaitMillis(queue, deadlineMillis, nowMillis);
+        if (waitMillis > 0 && tooLongMillis > 0) {
+            return Admission.refused(ResultCode.OVERLOADED, retryAfterMillis(tooLongMillis));
+        }
+        if (waitMillis == 0 && nowMillis + service.meanMillis() > deadlineMillis) {
+            return Admission.refused(ResultCode.OVERLOADED, MIN_RETRY_AFTER_MILLIS);
         }
         if (queued() >= settings.maxQueued() && !makeRoom(queue, keyHash)) {
             return Admission.refused(ResultCode.OVERLOADED, retryAfterMillis(drainMillis()));
         }
-        queue.add(value, keyHash, deadlineMillis);
+        queue.add(value, keyHash, deadlineMillis, nowMillis);
         return Admission.QUEUED;
     }
 
+    /**
+     * Returns how long a request may be expected to wait: by its deadline, less a reserve for slow
+     * services and for requests that overtake it; and briefly only, once the queue has not been empty
+     * for a while, since such a queue adds nothing but delay.
+     */
+    private double longestWaitMillis(FairQueue<T> queue, long deadlineMillis, long nowMillis) {
+        double byDeadlineMillis = (deadlineMillis - nowMillis - service.highMillis()) / WAIT_RESERVE_FACTOR;
+        boolean standing = queue.waitedForMillis(nowMillis) >= STANDING_MILLIS
+                || urgent.waitedForMillis(nowMillis) >= STANDING_MILLIS;
+        return standing ? Math.min(byDeadlineMillis, MAX_STANDING_WAIT_MILLIS) : byDeadlineMillis;
+    }
+
+    /** Returns whether others have waited so long without a break that deferrable requests would starve. */
+    private boolean shedsDeferrable(long nowMillis) {
+        return urgent.waitedForMillis(nowMillis) >= SHED_DEFERRABLE_MILLIS;
+    }
+
     private FairQueue<T> queueOf(RequestClass requestClass) {
         return requestClass.isShedFirst() ? deferrable : urgent;
     }
@@ -126,16 +155,22 @@
         Optional<T> removed = queue == urgent && deferrable.size() > 0
                 ? deferrable.removeFromLongest(1)
                 : queue.removeFromLongest(ownQueued + 2);
-        removed.ifPresent(
-                value -> shed.add(new GivenUp<>(value, ResultCode.OVERLOADED, retryAfterMillis(drainMillis()))));
+        removed.ifPresent(this::shed);
         return removed.isPresent();
     }
 
+    private void shed(T value) {
+        shed.add(new GivenUp<>(value, ResultCode.OVERLOADED, retryAfterMillis(drainMillis())));
+    }
+
     /**
      * Removes the requests that will not be sent: shed ones, and ones that can't be answered by their
      * deadline any more. The caller gives each its final answer at once.
      */
     public List<GivenUp<T>> takeGivenUp(long nowMillis) {
+        if (shedsDeferrable(nowMillis)) {
+            deferrable.removeIf(item -> true).forEach(this::shed);
+        }
         List<GivenUp<T>> givenUp = new ArrayList<>(shed);
         shed.clear();
         double soonestAnswerMillis = nowMillis + Math.min(service.meanMillis(), MAX_SERVICE_ALLOWANCE_MILLIS);
--- a/core/src/test/java/org/lacewingthread/core/traffic/ServerQueueTest.java
+++ b/core/src/test/java/org/lacewingthread/core/traffic/ServerQueueTest.java
@@ -86,6 +86,34 @@
         assertThat(offer("passed", 9, LOOKUP, 0).refusal()).isEqualTo(ResultCode.DEADLINE_PASSED);
     }
 
+    @Test
+    void queueThatStaysFilledAdmitsOnlyWhatItServesSoon() {
+        ServerQueue<Integer> large = new ServerQueue<>(new ServerQueue.Settings(2, 64, 10));
+        for (int i = 0; i < 20; i++) {
+            assertThat(large.offer(i, i, LOOKUP, FAR_MILLIS, 0).isQueued()).isTrue();
+        }
+        assertThat(large.offer(20, 20, LOOKUP, FAR_MILLIS, 249).isQueued()).isTrue();
+        assertThat(large.offer(21, 21, LOOKUP, FAR_MILLIS, 250).refusal()).isEqualTo(ResultCode.OVERLOADED);
+        assertThat(large.offer(22, 22, DEFERRABLE, FAR_MILLIS, 250).refusal()).isEqualTo(ResultCode.OVERLOADED);
+        large.removeIf(value -> true);
+        assertThat(large.offer(23, 23, LOOKUP, FAR_MILLIS, 251).isQueued()).isTrue();
+    }
+
+    @Test
+    void deferrableRequestsAreShedWhileOthersWaitWithoutABreak() {
+        offer("history", 1, DEFERRABLE, FAR_MILLIS);
+        offer("lookup", 2, LOOKUP, FAR_MILLIS);
+        assertThat(queue.takeGivenUp(99)).isEmpty();
+        assertThat(queue.takeGivenUp(100))
+                .extracting(ServerQueue.GivenUp::value)
+                .containsExactly("history");
+        assertThat(queue.offer("history", 1, DEFERRABLE, FAR_MILLIS, 101).refusal())
+                .isEqualTo(ResultCode.OVERLOADED);
+        pollAll();
+        assertThat(queue.offer("history", 1, DEFERRABLE, FAR_MILLIS, 102).isQueued())
+                .isTrue();
+    }
+
     @Test
     void fullQueueShedsDeferrableRequestsFirst() {
         offer("history", 1, DEFERRABLE, FAR_MILLIS);
