Refresh failover lists; judge provisional steps by the log at their time

Lists that became short, or name a server that may not own the shard, are recorded anew under the same token.

--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
@@ -128,6 +128,9 @@
             renewInPlace(step, shard);
         } else if (!step.isRecorded(assignment)) {
             recorder.wantInUse(assignment);
+        } else if (step.inputs().logReachable() && targets.isFailoverOutdated(step, shard)) {
+            List<ServerId> failover = targets.failover(step, shard, assignment.owner());
+            recorder.want(new ShardAssignment(shard, assignment.owner(), failover, assignment.token()));
         }
     }
 
--- a/core/src/main/java/org/lacewingthread/core/ownership/TargetChoice.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/TargetChoice.java
@@ -60,6 +60,14 @@
         return spread(step, shard.application()).failover(shard, owner);
     }
 
+    /** Returns whether a recorded failover list is short or names a server that may not own the shard. */
+    boolean isFailoverOutdated(Step step, ShardId shard) {
+        List<ServerId> failover = step.recorded(shard).orElseThrow().failover();
+        int wanted = Math.min(
+                ShardSpread.FAILOVER_SERVERS, candidates(shard.application()).size() - 1);
+        return failover.size() < wanted || failover.stream().anyMatch(s -> directory.mustLeave(s, shard.application()));
+    }
+
     /** Returns the recorded owner and its failover list, in order. */
     static List<ServerId> recordedOrder(Step step, ShardId shard) {
         Optional<ShardAssignment> recorded = step.recorded(shard);
--- a/core/src/test/java/org/lacewingthread/core/ownership/LeaseOwnershipCoordinatorTest.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/LeaseOwnershipCoordinatorTest.java
@@ -103,6 +103,21 @@
                 .isEqualTo(world.plan.owners().get(s).token()));
     }
 
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void failoverListsNameOnlyServersThatMayOwnTheShard(boolean checksTokens) {
+        OwnershipWorld world = settled(checksTokens);
+        world.log.setDraining(LOST, true);
+        world.run(8_000);
+
+        assertThat(world.plan.owners().keySet())
+                .allSatisfy(s ->
+                        assertThat(recorded(world, s).failover()).hasSize(3).doesNotContain(LOST));
+        int records = world.records.size();
+        world.run(8_000);
+        assertThat(world.records).hasSize(records);
+    }
+
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aDrainedServerHandsOverEverythingAndServesUntilEachShardMoves(boolean checksTokens) {
--- a/core/src/test/java/org/lacewingthread/core/ownership/OwnershipWorld.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/OwnershipWorld.java
@@ -161,8 +161,9 @@
         }
         OwnershipStep step = coordinator.step(inputs(), nowMillis);
         notes.addAll(step.notes());
+        step.notes().forEach(planChecks::noted);
         step.plan().ifPresent(newest -> {
-            planChecks.changed(plan, newest, held.values(), notes);
+            planChecks.changed(plan, newest, held.values());
             plan = newest;
         });
         if (!logReachable && !step.records().isEmpty()) {
--- a/core/src/test/java/org/lacewingthread/core/ownership/PlanChecks.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/PlanChecks.java
@@ -1,11 +1,14 @@
 package org.lacewingthread.core.ownership;
 
 import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.FencingToken;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.log.LogRecord;
@@ -13,9 +16,13 @@
 
 /** Checks plans and records of a leader against the log. */
 final class PlanChecks {
+    private static final Pattern PROVISIONAL_STEP =
+            Pattern.compile("shard (.*)/(\\d+) goes from .* to (\\S+) along its failover list under token (\\S+)");
+
     private final FakeLog log;
     private final Set<String> violations;
     private final Set<String> appended = new TreeSet<>();
+    private final Set<String> provisional = new TreeSet<>();
     private final Set<Integer> together = new TreeSet<>();
 
     PlanChecks(FakeLog log, Set<String> violations) {
@@ -24,14 +31,14 @@
     }
 
     /** An owner that is new in this term is recorded, or steps along the failover list while the log is out. */
-    void changed(RoutePlan before, RoutePlan newest, Collection<Optional<RoutePlan>> held, List<String> notes) {
+    void changed(RoutePlan before, RoutePlan newest, Collection<Optional<RoutePlan>> held) {
         checkSplitKeys(newest);
         newest.owners().forEach((shard, owner) -> {
             boolean known = before != null && owner.equals(before.owners().get(shard));
             boolean kept = held.stream()
                     .flatMap(Optional::stream)
                     .anyMatch(p -> owner.equals(p.owners().get(shard)));
-            if (!known && !kept && !isRecorded(shard, owner) && !isProvisional(shard, owner, notes)) {
+            if (!known && !kept && !isRecorded(shard, owner) && !provisional.contains(shard + " " + owner)) {
                 violations.add("an assignment is used before it is recorded");
             }
         });
@@ -44,14 +51,20 @@
                 && recorded.token().equals(owner.token());
     }
 
-    private boolean isProvisional(ShardId shard, RoutePlan.Ownership owner, List<String> notes) {
+    /** A provisional step goes to the recorded owner or along its failover list, as recorded at that time. */
+    void noted(String note) {
+        Matcher step = PROVISIONAL_STEP.matcher(note);
+        if (!step.matches()) {
+            violations.add("a note that is no provisional step");
+            return;
+        }
+        ShardId shard = new ShardId(new ApplicationId(step.group(1)), Integer.parseInt(step.group(2)));
+        ServerId server = new ServerId(step.group(3));
         ShardAssignment recorded = log.recorded(shard);
-        boolean allowed = recorded != null
-                && (recorded.owner().equals(owner.server())
-                        || recorded.failover().contains(owner.server()));
-        String start = "shard " + shard + " ";
-        String end = " " + owner.token();
-        return allowed && notes.stream().anyMatch(n -> n.startsWith(start) && n.endsWith(end));
+        if (!recorded.owner().equals(server) && !recorded.failover().contains(server)) {
+            violations.add("a provisional step off the failover list");
+        }
+        provisional.add(shard + " " + new RoutePlan.Ownership(server, FencingToken.parse(step.group(4))));
     }
 
     /** A key that was together with its shard is apart only after a plan without the shard. */
