--- a/core/src/test/java/org/lacewingthread/core/lease/LogReadingTest.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/CatchUpTest.java
@@ -4,6 +4,7 @@
 
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.lacewingthread.core.control.ControlSettings;
 import org.lacewingthread.core.control.PeerMessage;
@@ -19,7 +20,7 @@
 import org.lacewingthread.core.log.ReplicaState;
 import org.lacewingthread.core.log.RosterMember;
 
-class LogReadingTest {
+class CatchUpTest {
     private static final DataCentreId MARAS = new DataCentreId("maras");
     private static final RosterMember FIRST = member("maras-1");
     private static final RosterMember SECOND = member("maras-2");
@@ -36,18 +37,14 @@
         LogReplica restored = new LogReplica(whole.state());
         PeerMessage.LogRecordsOffered offer = new RecentRecords(context(restored)).offerFrom(behind.nextOffset());
 
-        LogReading reading = new LogReading(context(behind), behind::apply);
-        offer.entries().forEach(reading::applyHandedOn);
+        offer(offer.entries());
 
         assertThat(behind.state()).isEqualTo(whole.state());
     }
 
     @Test
     void appliesAPeersRecordsInTheirTurn() {
-        LogReading reading = new LogReading(context(behind), behind::apply);
-
-        reading.applyHandedOn(roster(0, List.of(FIRST)));
-        reading.applyHandedOn(roster(2, List.of(SECOND)));
+        LogReading reading = offer(List.of(roster(0, List.of(FIRST)), roster(2, List.of(SECOND))));
 
         assertThat(behind.state().appliedOffset()).isEqualTo(new LogOffset(0));
         assertThat(reading.hasGap()).isTrue();
@@ -62,11 +59,19 @@
         old.apply(roster(0, List.of(FIRST)));
         LogEntry snapshot = new LogEntry(new LogOffset(0), header(9), new LogRecord.SnapshotTaken(old.state()));
 
-        new LogReading(context(behind), behind::apply).applyHandedOn(snapshot);
+        offer(List.of(snapshot));
 
         assertThat(behind.state()).isSameAs(before);
     }
 
+    private LogReading offer(List<LogEntry> entries) {
+        VmContext context = context(behind);
+        LogReading reading = new LogReading(context, behind::apply);
+        CatchUp catchUp = new CatchUp(context, reading, new RecentRecords(context));
+        catchUp.offered(Optional.empty(), new PeerMessage.LogRecordsOffered(entries, new LogOffset(9)), false, 0);
+        return reading;
+    }
+
     private static VmContext context(LogReplica replica) {
         ControlSettings settings = ControlSettings.DEFAULT;
         return new VmContext(
