--- a/standin/src/main/java/org/lacewingthread/standin/StandInMain.java
+++ b/standin/src/main/java/org/lacewingthread/standin/StandInMain.java
@@ -24,11 +24,19 @@
 
     private StandInMain() {}
 
+    /**
+     * A stand-in that runs.
+     *
+     * @param uri its address
+     * @param standIn ends it
+     */
+    record Started(URI uri, AutoCloseable standIn) {}
+
     /** Runs the stand-in that the arguments name. */
     public static void main(String[] args) throws InterruptedException {
         try {
-            URI uri = start(List.of(args));
-            System.out.println(args[0] + " stand-in listens on " + uri);
+            Started started = start(List.of(args));
+            System.out.println(args[0] + " stand-in listens on " + started.uri());
         } catch (IllegalArgumentException e) {
             fail(USAGE_ERROR, e.getMessage() + System.lineSeparator() + USAGE);
         } catch (IOException e) {
@@ -43,8 +51,8 @@
         System.exit(exitCode);
     }
 
-    /** Starts the stand-in that the arguments name and returns its address. */
-    static URI start(List<String> args) throws IOException {
+    /** Starts the stand-in that the arguments name. */
+    static Started start(List<String> args) throws IOException {
         if (args.isEmpty()) {
             throw new IllegalArgumentException("no stand-in is named; give log, vms or server");
         }
@@ -70,20 +78,18 @@
         };
     }
 
-    @SuppressWarnings("resource")
-    private static URI startLog(StandInOptions options) throws IOException {
-        return new LogServiceStandIn(options.port()).uri();
+    private static Started startLog(StandInOptions options) throws IOException {
+        LogServiceStandIn log = new LogServiceStandIn(options.port());
+        return new Started(log.uri(), log);
     }
 
-    @SuppressWarnings("resource")
-    private static URI startVms(StandInOptions options) throws IOException {
+    private static Started startVms(StandInOptions options) throws IOException {
         VmListStandIn vms = new VmListStandIn(options.port());
         vms.setListing(new VmListStandIn.Listing(options.list("live"), options.list("leaving")));
-        return vms.uri();
+        return new Started(vms.uri(), vms);
     }
 
-    @SuppressWarnings("resource")
-    private static URI startServer(StandInOptions options) throws IOException {
+    private static Started startServer(StandInOptions options) throws IOException {
         BackendSettings defaults = BackendSettings.of(options.text("name", "server"));
         BackendSettings settings = new BackendSettings(
                 defaults.server(),
@@ -95,6 +101,7 @@
                 options.flag("checks-tokens", defaults.checksTokens()),
                 options.flag("recognises-idempotency-keys", defaults.recognisesIdempotencyKeys()),
                 options.number("journal-limit", defaults.journalLimit()));
-        return new BackendServerStandIn(options.port(), settings).uri();
+        BackendServerStandIn server = new BackendServerStandIn(options.port(), settings);
+        return new Started(server.uri(), server);
     }
 }
--- a/standin/src/test/java/org/lacewingthread/standin/StandInControlTest.java
+++ b/standin/src/test/java/org/lacewingthread/standin/StandInControlTest.java
@@ -128,6 +128,36 @@
         }
     }
 
+    /** Arguments, a path, and what its answer contains. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "log                              | /log/routing/records?from=0 | \"end\":-1",
+                "vms --live a,b --leaving c       | /vms                        | {\"live\":[\"a\",\"b\"],\"leaving\":[\"c\"]}",
+                "server --name s9 --slots 3       | /rugs/1                     | \"server\":\"s9\"",
+                "server --checks-tokens true      | /rugs/1                     | names no shard",
+                "server --answer-bytes 10         | /rugs/1                     | \"padding\":\"xxxxxxxxxx\""
+            })
+    void eachStandInStartsFromItsArguments(String line, String path, String contained) throws Exception {
+        StandInMain.Started started = StandInMain.start(List.of(line.split(" ")));
+        try (AutoCloseable standIn = started.standIn();
+                TestConnection connection = new TestConnection(started.uri())) {
+            assertThat(connection.get(path, "r1").body()).contains(contained);
+        }
+    }
+
+    @Test
+    void aPortThatIsTakenIsNamed() throws IOException {
+        try (LogServiceStandIn log = new LogServiceStandIn(0)) {
+            int port = log.uri().getPort();
+
+            assertThatThrownBy(() -> new VmListStandIn(port))
+                    .isInstanceOf(IOException.class)
+                    .hasMessageContaining("loopback port " + port);
+        }
+    }
+
     /** Arguments that are not valid, and what the error names. */
     @ParameterizedTest
     @CsvSource(
