--- a/daemon/src/test/java/org/lacewingthread/daemon/platform/LogRecordCodecTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/platform/LogRecordCodecTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import net.jqwik.api.statistics.Statistics;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -37,9 +38,16 @@
         return LogRecordArbitraries.records();
     }
 
-    @Property(tries = 300, seed = "20261203")
+    @Property(tries = 1_000, seed = "20261203")
     void everyRecordSurvivesARoundTrip(@ForAll("records") LogRecord body)
             throws LogRecordCodec.RecordTooLargeException {
+        Statistics.collect(RecordKind.of(body));
+        Statistics.coverage(coverage -> {
+            for (RecordKind kind : RecordKind.values()) {
+                coverage.check(kind).count(count -> count > 0);
+            }
+        });
+
         assertThat(codec.decode(OFFSET, codec.encode(HEADER, body))).isEqualTo(new LogEntry(OFFSET, HEADER, body));
     }
 
