--- a/daemon/src/main/java/org/lacewingthread/daemon/cli/Commands.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/cli/Commands.java
@@ -13,6 +13,7 @@
                 new ConfigCommand(),
                 new DrainCommand(),
                 new HandoverCommand(),
+                new StatusCommand(),
                 new AuditCommand(),
                 new DemoCommand(),
                 new StandInCommand(),
--- a/daemon/src/main/java/org/lacewingthread/daemon/cli/Lacewingthread.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/cli/Lacewingthread.java
@@ -104,6 +104,6 @@
         }
         String arguments = command.arguments().isEmpty() ? "" : " " + command.arguments();
         return "Usage: lacewingthread " + command.name() + arguments + " [OPTIONS]\n" + command.summary() + "\n\n"
-                + options;
+                + options.toString().replaceAll("[ \\r]+(?=\n)", "");
     }
 }
