--- a/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendConnections.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendConnections.java
@@ -8,6 +8,7 @@
 import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.config.ServerSpec;
@@ -136,11 +137,17 @@
         return open + opening;
     }
 
+    /** Closes the connections that carry no call. */
+    public void closeIdle() {
+        List<Link> links = List.copyOf(idle);
+        idle.clear();
+        links.forEach(link -> IoUtils.safeClose(link.connection));
+    }
+
     /** Closes all idle connections and refuses further calls; calls under way end by themselves. */
     public void close() {
         closed = true;
-        idle.forEach(link -> IoUtils.safeClose(link.connection));
-        idle.clear();
+        closeIdle();
         failWaiting("the connections to the server were shut down");
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalDispatcher.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalDispatcher.java
@@ -154,9 +154,12 @@
     }
 
     private void tick() {
-        for (ServerLane lane : lanes.values()) {
-            lane.ioThread().execute(lane::tick);
-        }
+        ControlView view = state.snapshot().view();
+        lanes.forEach((server, lane) -> {
+            boolean isMine = view.plan().isPresent()
+                    && view.self().equals(view.plan().get().dispatchers().get(server));
+            lane.ioThread().execute(isMine ? lane::tick : lane::rest);
+        });
         checkDrained();
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerLane.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerLane.java
@@ -22,6 +22,7 @@
  * and observations. Confined to one I/O thread; other threads only {@link #submit} to it.
  */
 final class ServerLane {
+    private static final String UNREACHABLE = "its server can't be reached";
     private static final long UNREACHABLE_RETRY_MILLIS = 1_000;
     private static final long REFUSED_RETRY_MILLIS = 100;
     private static final long RESEND_DELAY_MILLIS = 10;
@@ -96,7 +97,7 @@
         load.add(request.shard(), request.keyHash());
         if (!health.isAnswering()) {
             // Proof of "not run": the request was not queued, so it can't be sent.
-            pending.fail(ResultCode.OWNER_UNREACHABLE, UNREACHABLE_RETRY_MILLIS, unreachableDetail());
+            pending.fail(ResultCode.OWNER_UNREACHABLE, UNREACHABLE_RETRY_MILLIS, UNREACHABLE);
             return;
         }
         if (context.records().begin(pending, ioThread, () -> admit(pending))) {
@@ -105,10 +106,6 @@
         }
     }
 
-    private String unreachableDetail() {
-        return "server \"" + server.id() + "\" can't be reached";
-    }
-
     private void enqueue(PendingRequest pending) {
         RoutedRequest request = pending.request();
         Admission admission =
@@ -329,6 +326,12 @@
         pump();
     }
 
+    /** Holds nothing ready while another VM dispatches for the server; what is in flight goes on. */
+    void rest() {
+        onView();
+        connections.closeIdle();
+    }
+
     private void noteDrained() {
         long viewNumber = gate.viewNumber();
         if (viewNumber > drainedView && inFlight.allMatch(gate::isLocal)) {
@@ -387,7 +390,7 @@
     private void refuseQueued() {
         for (PendingRequest pending : queue.removeIf(queued -> true)) {
             // Proof of "not run": the request was taken out of the queue before it was sent.
-            refuse(pending, ResultCode.OWNER_UNREACHABLE, UNREACHABLE_RETRY_MILLIS, unreachableDetail());
+            refuse(pending, ResultCode.OWNER_UNREACHABLE, UNREACHABLE_RETRY_MILLIS, UNREACHABLE);
         }
     }
 
