Share equal values between the shard entries of a replica

Cause: a decoder makes new ids, terms, tokens and failover lists for every mention, and the state kept them all.

--- a/core/src/main/java/org/lacewingthread/core/log/LeadershipFold.java
+++ b/core/src/main/java/org/lacewingthread/core/log/LeadershipFold.java
@@ -47,6 +47,7 @@
             throw RejectedRecordException.conflict(
                     "term " + term + " is below the recorded term " + dataCentre.recordedTerm() + " of \"" + id + "\"");
         }
-        return state.withDataCentre(id, dataCentre.withRecordedTerm(term));
+        boolean recorded = term.equals(dataCentre.recordedTerm());
+        return recorded ? state : state.withDataCentre(id, dataCentre.withRecordedTerm(term));
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/log/ShardFold.java
+++ b/core/src/main/java/org/lacewingthread/core/log/ShardFold.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.lacewingthread.core.config.RoutingConfiguration;
+import org.lacewingthread.core.config.ServerSpec;
 import org.lacewingthread.core.id.ApplicationId;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
@@ -18,39 +19,39 @@
             throws RejectedRecordException {
         ReplicaState next = LeadershipFold.recordTerm(state, record.dataCentre(), record.term());
         ShardTableEdits edits = new ShardTableEdits(next);
-        Map<ServerId, DataCentreId> places = placesOf(state.configuration());
+        Map<ServerId, ServerSpec> servers = serversOf(state.configuration());
+        SharedValues shared = new SharedValues(next, record.dataCentre(), servers);
         for (ShardAssignment assignment : record.assignments()) {
-            requireServersOf(places, record.dataCentre(), assignment);
+            requireServersOf(servers, record.dataCentre(), assignment);
             ShardTable.Entry entry = edits.entry(assignment.shard());
             requireAssignable(entry, record, assignment);
-            edits.set(assignment.shard(), new ShardTable.Entry(record.dataCentre(), null, assignment));
+            edits.set(assignment.shard(), new ShardTable.Entry(record.dataCentre(), null, shared.share(assignment)));
         }
         return edits.apply();
     }
 
-    private static Map<ServerId, DataCentreId> placesOf(RoutingConfiguration configuration) {
-        Map<ServerId, DataCentreId> places = new HashMap<>();
-        configuration.servers().forEach(server -> places.put(server.id(), server.dataCentre()));
-        return places;
+    private static Map<ServerId, ServerSpec> serversOf(RoutingConfiguration configuration) {
+        Map<ServerId, ServerSpec> servers = new HashMap<>();
+        configuration.servers().forEach(server -> servers.put(server.id(), server));
+        return servers;
     }
 
     /** A server that is not configured any more may have been assigned before the change was known. */
     private static void requireServersOf(
-            Map<ServerId, DataCentreId> places, DataCentreId dataCentre, ShardAssignment assignment)
+            Map<ServerId, ServerSpec> servers, DataCentreId dataCentre, ShardAssignment assignment)
             throws RejectedRecordException {
-        requireServerOf(places, dataCentre, assignment, assignment.owner());
+        requireServerOf(servers.get(assignment.owner()), dataCentre, assignment);
         for (ServerId server : assignment.failover()) {
-            requireServerOf(places, dataCentre, assignment, server);
+            requireServerOf(servers.get(server), dataCentre, assignment);
         }
     }
 
-    private static void requireServerOf(
-            Map<ServerId, DataCentreId> places, DataCentreId dataCentre, ShardAssignment assignment, ServerId server)
+    private static void requireServerOf(ServerSpec server, DataCentreId dataCentre, ShardAssignment assignment)
             throws RejectedRecordException {
-        DataCentreId place = places.getOrDefault(server, dataCentre);
-        if (!place.equals(dataCentre)) {
-            throw RejectedRecordException.conflict("server \"" + server + "\" named for shard \"" + assignment.shard()
-                    + "\" stands in \"" + place + "\", not in \"" + dataCentre + "\"");
+        if (server != null && !server.dataCentre().equals(dataCentre)) {
+            throw RejectedRecordException.conflict("server \"" + server.id() + "\" named for shard \""
+                    + assignment.shard() + "\" stands in \"" + server.dataCentre() + "\", not in \"" + dataCentre
+                    + "\"");
         }
     }
 
