Let servers of removed applications change their address

Cause: the shard table of a removed application is kept, and no leader moves its shards, so a server that owned some could never change its address again. Conclusion: only shards of configured applications hold such a change back (HandOverTest).

--- a/core/src/main/java/org/lacewingthread/core/log/LogRecord.java
+++ b/core/src/main/java/org/lacewingthread/core/log/LogRecord.java
@@ -22,7 +22,8 @@
      * @param baseRevision accepted only if this is the revision in force
      * @param configuration the new configuration; accepted only if {@link
      *     org.lacewingthread.core.config.ConfigurationValidator} finds no error, no application changes
-     *     its shard count, and no server that owns shards changes its data centre, address or token checking
+     *     its shard count, and no server that owns shards of a configured application changes its data
+     *     centre, address or token checking
      */
     record ConfigurationPublished(LogOffset baseRevision, RoutingConfiguration configuration) implements LogRecord {
         /** Checks that both parts are present. */
--- a/core/src/main/java/org/lacewingthread/core/log/LogReplica.java
+++ b/core/src/main/java/org/lacewingthread/core/log/LogReplica.java
@@ -20,6 +20,10 @@
  * ReplicaState state = replica.state();
  * }</pre>
  *
+ * <p>What is accepted is part of the log's format: two releases that run side by side must agree on it, so
+ * a changed condition, also one of {@link org.lacewingthread.core.config.ConfigurationValidator}, needs a
+ * new kind of record.
+ *
  * <p>Not safe for use by several threads; the states it returns are immutable and may be shared.
  */
 public final class LogReplica {
--- a/core/src/main/java/org/lacewingthread/core/log/ReplicaState.java
+++ b/core/src/main/java/org/lacewingthread/core/log/ReplicaState.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.lacewingthread.core.config.RoutingConfiguration;
 import org.lacewingthread.core.config.ServerSpec;
@@ -79,9 +80,11 @@
         return configuration.server(id).orElse(null);
     }
 
-    /** Returns whether a backend server is the recorded owner of any shard. */
+    /** Returns whether a backend server is the recorded owner of any shard of a configured application. */
     public boolean ownsShards(ServerId id) {
-        return shardTables.values().stream()
+        return configuration.applications().stream()
+                .map(application -> shardTables.get(application.id()))
+                .filter(Objects::nonNull)
                 .flatMap(table -> table.entries().stream())
                 .anyMatch(entry -> entry != null
                         && entry.assignment() != null
--- a/core/src/test/java/org/lacewingthread/core/log/HandOverTest.java
+++ b/core/src/test/java/org/lacewingthread/core/log/HandOverTest.java
@@ -92,6 +92,17 @@
         assertThat(outcome(moved)).isEqualTo(Outcome.ACCEPTED);
     }
 
+    @Test
+    void shardsOfARemovedApplicationDoNotHoldAServerBack() {
+        List<ServerSpec> servers = configuration(16).servers();
+        log.append(publish(0, new RoutingConfiguration(List.of(), servers)));
+        List<ServerSpec> moved = withServer(server("s1", MARAS, 99)).servers();
+
+        assertThat(outcome(publish(6, new RoutingConfiguration(List.of(), moved))))
+                .isEqualTo(Outcome.ACCEPTED);
+        assertThat(log.entry(0).assignment().owner()).isEqualTo(new ServerId("s1"));
+    }
+
     @Test
     void aRemovedServerLeavesItsShardsToTheLeader() {
         List<ServerSpec> rest = configuration(16).servers().subList(1, 3);
