Judge a member replaced only by a process that saw it in the roster

Now a process counts as replaced only if another of its VM was alive after it had joined; VMs outside the roster tell each other how far they have read.

--- a/core/src/main/java/org/lacewingthread/core/control/PeerMessage.java
+++ b/core/src/main/java/org/lacewingthread/core/control/PeerMessage.java
@@ -87,7 +87,7 @@
     record LogRecordsOffered(List<LogEntry> entries, LogOffset endOffset) implements PeerMessage {}
 
     /**
-     * Tells how far the sender has applied the log; sent between data centres.
+     * Tells how far the sender has applied the log; sent between data centres, and by a VM that asks to join.
      *
      * @param dataCentre the sender's data centre
      * @param appliedOffset highest offset it has applied
--- a/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
@@ -92,7 +92,7 @@
         election = new LeaderElection(context, giver, held, appends);
         heartbeats = new Heartbeats(context, held);
         duties = new LeaderDuties(context, held, appends, heartbeats, coordinators);
-        watch = new VmWatch(settings, identity.member());
+        watch = new VmWatch(settings, identity.self());
         roster = new RosterKeeper(context, appends, watch);
         snapshots = new SnapshotAppender(context, appends, log);
         views = new ViewPublisher(context, dispatch);
@@ -229,6 +229,7 @@
 
     private void noteProgress(VmStart sender, LogOffset appliedOffset, long nowMillis) {
         if (!sender.equals(context.self())) {
+            watch.alive(sender, appliedOffset, context.dataCentre());
             boolean logReachable = log.isReachable(nowMillis);
             addresses.find(sender).ifPresent(m -> catchUp.heard(m, appliedOffset, logReachable, nowMillis));
         }
--- a/core/src/main/java/org/lacewingthread/core/lease/RosterKeeper.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/RosterKeeper.java
@@ -9,10 +9,12 @@
 import java.util.Set;
 import org.lacewingthread.core.control.PeerMessage.HeartbeatReply;
 import org.lacewingthread.core.control.PeerMessage.MembershipRequested;
+import org.lacewingthread.core.control.PeerMessage.ProgressReported;
 import org.lacewingthread.core.id.Term;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.DataCentreState;
 import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.ReplicaState;
 import org.lacewingthread.core.log.RosterMember;
 
 /**
@@ -62,23 +64,22 @@
         }
     }
 
-    /** Takes in another VM's request; a VM outside the roster answers with its own, so that both know of each other. */
+    /** Takes in another VM's request. */
     void requested(MembershipRequested request, long nowMillis) {
         VmStart vm = request.member().start();
-        boolean isNew = !requests.containsKey(vm);
         requests.put(vm, new Request(request.member(), request.leaving(), nowMillis + REQUEST_KEPT_MILLIS));
-        if (context.rosterMember(vm).isPresent() || vm.equals(context.self())) {
-            return;
-        }
-        watch.started(vm);
-        if (isNew && !context.isMember()) {
-            context.outbox().send(request.member(), ownRequest());
-        }
     }
 
-    private MembershipRequested ownRequest() {
-        return new MembershipRequested(
-                context.identity().dataCentre(), context.identity().member(), leaving);
+    /** Asks to join or leave, and tells which roster this process knew when it was alive. */
+    private void sendRequest(RosterMember addressee) {
+        EntryVmIdentity identity = context.identity();
+        ReplicaState state = context.state();
+        context.outbox().send(addressee, new MembershipRequested(identity.dataCentre(), identity.member(), leaving));
+        context.outbox()
+                .send(
+                        addressee,
+                        new ProgressReported(
+                                identity.dataCentre(), state.appliedOffset(), state.configurationRevision()));
     }
 
     /** Returns the VMs that are to be given no work. */
@@ -105,7 +106,7 @@
     /** Sends requests and appends the change that is due, if any. */
     void advance(Optional<LeaderTerm> leading, boolean reachedLogEnd, boolean logReachable, long nowMillis) {
         requests.values().removeIf(r -> !r.leaving() && nowMillis >= r.deadlineMillis());
-        sendRequest(nowMillis);
+        sendRequests(nowMillis);
         if (!logReachable || !reachedLogEnd || appends.isPending(appendSequence) || nowMillis < nextAppendMillis) {
             return;
         }
@@ -119,14 +120,21 @@
         }
     }
 
-    private void sendRequest(long nowMillis) {
+    /** VMs outside the roster also ask each other, so that each learns which members were replaced. */
+    private void sendRequests(long nowMillis) {
         boolean wantsIn = !context.isMember() && !isLeaving();
         boolean wantsOut = context.isMember() && leaving;
         if (nowMillis < nextRequestMillis || !(wantsIn || wantsOut)) {
             return;
         }
         nextRequestMillis = nowMillis + REQUEST_MILLIS;
-        context.roster().forEach(m -> context.outbox().send(m, ownRequest()));
+        context.roster().forEach(this::sendRequest);
+        if (wantsIn) {
+            requests.values().stream()
+                    .map(Request::member)
+                    .filter(m -> context.rosterMember(m.start()).isEmpty())
+                    .forEach(this::sendRequest);
+        }
     }
 
     private void bootstrap(DataCentreState dataCentre, long nowMillis) {
--- a/core/src/main/java/org/lacewingthread/core/lease/VmWatch.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/VmWatch.java
@@ -6,13 +6,16 @@
 import java.util.Set;
 import org.lacewingthread.core.control.ControlEvent;
 import org.lacewingthread.core.control.ControlSettings;
+import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.DataCentreState;
 import org.lacewingthread.core.log.RosterMember;
 
 /**
- * Judges which entry VMs are gone for good. Silence never suffices: the platform's list must have stopped
- * showing the VM, or another process must have started on it.
+ * Judges which processes are gone for good. Silence never suffices: the platform's list must have stopped
+ * showing the VM, or another process that runs on it must have seen the member in the roster. A VM runs one
+ * process at a time, so a member that had joined before another process of its VM was alive has ended.
  */
 final class VmWatch {
     private static final int LEASES_UNTIL_GONE = 4;
@@ -22,14 +25,15 @@
     private final ControlSettings settings;
     private final Map<VmId, Long> lastListedMillis = new HashMap<>();
     private final Map<VmStart, Long> lastHeardMillis = new HashMap<>();
-    private final Map<VmId, VmStart> newestStart = new HashMap<>();
+    private final Set<VmStart> replaced = new HashSet<>();
+    private final VmStart self;
     private Set<VmId> leaving = Set.of();
     private long firstListMillis = Long.MAX_VALUE;
     private long lastListMillis = Long.MIN_VALUE;
 
-    VmWatch(ControlSettings settings, RosterMember self) {
+    VmWatch(ControlSettings settings, VmStart self) {
         this.settings = settings;
-        newestStart.put(self.start().vm(), self.start());
+        this.self = self;
     }
 
     void listRead(ControlEvent.VmListRead list, long nowMillis) {
@@ -44,9 +48,19 @@
         lastHeardMillis.put(vm, nowMillis);
     }
 
-    /** Takes in that a process which is not in the roster runs on its VM. */
-    void started(VmStart newcomer) {
-        newestStart.put(newcomer.vm(), newcomer);
+    /** Takes in that a process was alive after it had applied the log up to an offset. */
+    void alive(VmStart process, LogOffset appliedOffset, DataCentreState dataCentre) {
+        if (dataCentre.rosterRevision().isAfter(appliedOffset)) {
+            return;
+        }
+        dataCentre.members().stream()
+                .map(RosterMember::start)
+                .filter(m -> isOtherOfSameVm(m, process))
+                .forEach(replaced::add);
+    }
+
+    private static boolean isOtherOfSameVm(VmStart a, VmStart b) {
+        return a.vm().equals(b.vm()) && !a.equals(b);
     }
 
     boolean isListedLeaving(VmId vm) {
@@ -55,8 +69,7 @@
 
     /** Returns whether a member no longer exists. */
     boolean isGone(VmStart member, long nowMillis) {
-        VmStart newest = newestStart.get(member.vm());
-        if (newest != null && !newest.equals(member)) {
+        if (isOtherOfSameVm(member, self) || replaced.contains(member)) {
             return true;
         }
         if (lastListMillis == Long.MIN_VALUE || nowMillis - lastListMillis > LIST_KEPT_MILLIS) {
