--- /dev/null
+++ b/bench/src/main/java/org/lacewingthread/bench/placement/PlacementMeasurement.java
@@ -0,0 +1,166 @@
+package org.lacewingthread.bench.placement;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.lacewingthread.core.config.RoutingConfiguration;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+
+/**
+ * Prints, as a Markdown table, what each {@link Scenario} costs each {@link Customer}: owner changes,
+ * unavailable time and imbalance, in virtual time with the real control core, beside each {@link Baseline}.
+ *
+ * <pre>{@code
+ * java -cp bench/target/classes:core/target/classes:zero-allocation-hashing-0.16.jar \
+ *     org.lacewingthread.bench.placement.PlacementMeasurement [seed] [zipf exponent]
+ * }</pre>
+ */
+public final class PlacementMeasurement {
+    private static final long DEFAULT_SEED = 20_261_203;
+    private static final double DEFAULT_EXPONENT = 0.8;
+    private static final long WARM_UP_MILLIS = 90_000;
+    private static final Set<Scenario> OF_ONE_SERVER =
+            Set.of(Scenario.SERVER_LOST, Scenario.SERVER_DRAINED, Scenario.SERVER_JOINED);
+
+    private final long seed;
+    private final double exponent;
+
+    private record Case(Customer customer, Scenario scenario) {}
+
+    private PlacementMeasurement(long seed, double exponent) {
+        this.seed = seed;
+        this.exponent = exponent;
+    }
+
+    /** Runs all scenarios; the arguments are a seed and the exponent of the keys' Zipf law. */
+    public static void main(String[] args) {
+        long seed = args.length > 0 ? Long.parseLong(args[0]) : DEFAULT_SEED;
+        double exponent = args.length > 1 ? Double.parseDouble(args[1]) : DEFAULT_EXPONENT;
+        new PlacementMeasurement(seed, exponent).run();
+    }
+
+    private void run() {
+        print(row(
+                "Seed %d, Zipf exponent %.2f, 1,024 shards an application, server loss noticed after %d ms.",
+                seed, exponent, VirtualVm.NOTICE_MILLIS));
+        print("Imbalance: over all data centres, and in the data centre where it is highest.");
+        print("");
+        print("| customer | event | placement | had to move | owner changes | unavailable, affected: max / mean ms"
+                + " | unavailable, others: max ms | imbalance before | imbalance after |");
+        print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+        Arrays.stream(Customer.values())
+                .flatMap(c -> Arrays.stream(Scenario.values()).map(s -> new Case(c, s)))
+                .parallel()
+                .map(this::rows)
+                .forEachOrdered(rows -> rows.forEach(PlacementMeasurement::print));
+    }
+
+    private List<String> rows(Case measured) {
+        List<String> rows = new ArrayList<>();
+        rows.add(measure(measured.customer(), measured.scenario()));
+        if (OF_ONE_SERVER.contains(measured.scenario())) {
+            for (Baseline baseline : Baseline.values()) {
+                rows.add(compare(measured, baseline));
+            }
+        }
+        return rows;
+    }
+
+    private String measure(Customer customer, Scenario scenario) {
+        VirtualDeployment deployment = new VirtualDeployment(customer, seed, exponent);
+        ServiceWatch watch = new ServiceWatch(deployment);
+        deployment.queue.runFor(WARM_UP_MILLIS);
+        Map<ShardId, ServerId> ownersBefore = watch.owners();
+        requireServed(customer, ownersBefore);
+        Imbalance before = imbalance(customer, deployment, watch);
+        ServerId victim = Scenario.victim(watch, customer);
+        long hadToMove = scenario.losesServer
+                ? ownersBefore.values().stream().filter(victim::equals).count()
+                : 0;
+        watch.start();
+        Set<ShardId> affected = new HashSet<>(scenario.strike(deployment, watch, customer));
+        deployment.queue.runFor(scenario.lengthSeconds * 1_000);
+        watch.owners().forEach((shard, owner) -> {
+            if (!owner.equals(ownersBefore.getOrDefault(shard, owner))) {
+                affected.add(shard);
+            }
+        });
+        long max = affected.stream().mapToLong(watch::unservedMillis).max().orElse(0);
+        double mean =
+                affected.stream().mapToLong(watch::unservedMillis).average().orElse(0);
+        long others = ownersBefore.keySet().stream()
+                .filter(s -> !affected.contains(s))
+                .mapToLong(watch::unservedMillis)
+                .max()
+                .orElse(0);
+        String doubled = watch.doubleOwners() == 0 ? "" : " TWO OWNERS in " + watch.doubleOwners() + " samples";
+        return row(
+                "| %s | %s | lacewingthread | %d | %d | %d / %.0f | %d | %s | %s |%s",
+                lower(customer),
+                lower(scenario),
+                hadToMove,
+                watch.ownerChanges(),
+                max,
+                mean,
+                others,
+                before,
+                imbalance(customer, deployment, watch),
+                doubled);
+    }
+
+    private static void requireServed(Customer customer, Map<ShardId, ServerId> owners) {
+        int expected = customer.configuration(0).applications().size() * Customer.SHARDS;
+        if (owners.size() < expected) {
+            throw new IllegalStateException("only " + owners.size() + " of " + expected + " shards were ever served");
+        }
+    }
+
+    private static Imbalance imbalance(Customer customer, VirtualDeployment deployment, ServiceWatch watch) {
+        RoutingConfiguration configuration = deployment.state().configuration();
+        Map<ServerId, DataCentreId> servers = new HashMap<>();
+        for (ServerSpec server :
+                configuration.groupOf(configuration.application(customer.first).orElseThrow())) {
+            boolean draining = deployment.state().drainingServers().contains(server.id());
+            if (deployment.servers.get(server.id()).up && !draining) {
+                servers.put(server.id(), server.dataCentre());
+            }
+        }
+        return Imbalance.of(customer.first, servers, watch.owners(), deployment.shardLoads(deployment.state()));
+    }
+
+    private String compare(Case compared, Baseline baseline) {
+        BaselineComparison comparison =
+                BaselineComparison.of(compared.customer(), compared.scenario(), baseline, exponent, seed);
+        return row(
+                "| %s | %s | %s | %d | %d | %d / %d | 0 | %s | %s |",
+                lower(compared.customer()),
+                lower(compared.scenario()),
+                lower(baseline),
+                compared.scenario() == Scenario.SERVER_JOINED ? 0 : comparison.hadToMove(),
+                comparison.moved(),
+                comparison.unavailableMillis(),
+                comparison.unavailableMillis(),
+                comparison.before(),
+                comparison.after());
+    }
+
+    private static String lower(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT).replace('_', ' ');
+    }
+
+    private static String row(String format, Object... arguments) {
+        return String.format(Locale.ROOT, format, arguments);
+    }
+
+    private static void print(String line) {
+        System.out.println(line);
+    }
+}
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardMove.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardMove.java
@@ -73,8 +73,14 @@
     List<ServerId> failover = List.of();
     List<DispatcherAssignment.Departure> departures = List.of();
     boolean sourceWithdrawn;
+    /** Whether the source's lease was released or ran out; not needed while it is the target as well. */
+    boolean sourceFreed;
+
     FencingToken releaseToken;
     long sourceLeaseEndMillis = Long.MIN_VALUE;
+    /** Before this time some server may hold a lease that an earlier leader gave. */
+    long grantFromMillis = Long.MIN_VALUE;
+
     /** Whether the target's lease was asked for. */
     boolean grantRequested;
 
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/ownership/PlanChecks.java
@@ -0,0 +1,115 @@
+package org.lacewingthread.core.ownership;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.FencingToken;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.ShardAssignment;
+
+/** Checks plans and records of a leader against the log. */
+final class PlanChecks {
+    private static final Pattern PROVISIONAL_STEP =
+            Pattern.compile("shard (.*)/(\\d+) goes from .* to (\\S+) along its failover list under token (\\S+)");
+
+    private final FakeLog log;
+    private final Set<String> violations;
+    private final Set<String> appended = new TreeSet<>();
+    private final Set<String> provisional = new TreeSet<>();
+    private final Set<Integer> together = new TreeSet<>();
+
+    PlanChecks(FakeLog log, Set<String> violations) {
+        this.log = log;
+        this.violations = violations;
+    }
+
+    /** An owner that is new in this term is recorded, or steps along the failover list while the log is out. */
+    void changed(RoutePlan before, RoutePlan newest, Collection<Optional<RoutePlan>> held) {
+        checkSplitKeys(newest);
+        newest.owners().forEach((shard, owner) -> {
+            boolean known = before != null && owner.equals(before.owners().get(shard));
+            boolean kept = held.stream()
+                    .flatMap(Optional::stream)
+                    .anyMatch(p -> owner.equals(p.owners().get(shard)));
+            if (!known && !kept && !isRecorded(shard, owner) && !provisional.contains(shard + " " + owner)) {
+                violations.add("an assignment is used before it is recorded");
+            }
+        });
+    }
+
+    private boolean isRecorded(ShardId shard, RoutePlan.Ownership owner) {
+        ShardAssignment recorded = log.recorded(shard);
+        return recorded != null
+                && recorded.owner().equals(owner.server())
+                && recorded.token().equals(owner.token());
+    }
+
+    /** A provisional step goes to the recorded owner or along its failover list, as recorded at that time. */
+    void noted(String note) {
+        Matcher step = PROVISIONAL_STEP.matcher(note);
+        if (!step.matches()) {
+            violations.add("a note that is no provisional step");
+            return;
+        }
+        ShardId shard = new ShardId(new ApplicationId(step.group(1)), Integer.parseInt(step.group(2)));
+        ServerId server = new ServerId(step.group(3));
+        ShardAssignment recorded = log.recorded(shard);
+        if (!recorded.owner().equals(server) && !recorded.failover().contains(server)) {
+            violations.add("a provisional step off the failover list");
+        }
+        provisional.add(shard + " " + new RoutePlan.Ownership(server, FencingToken.parse(step.group(4))));
+    }
+
+    /** A key that was together with its shard is apart only after a plan without the shard. */
+    private void checkSplitKeys(RoutePlan plan) {
+        log.table(OwnershipWorld.LEDGER).splitKeys().forEach((hash, index) -> {
+            ServerId base = ownerOf(plan, (int) (hash & (OwnershipWorld.SHARDS - 1)));
+            ServerId split = ownerOf(plan, index);
+            if (base == null) {
+                together.remove(index);
+            } else if (base.equals(split)) {
+                together.add(index);
+            } else if (split != null && together.contains(index)) {
+                violations.add("a split-out key parts from its shard at once");
+            }
+        });
+    }
+
+    private static ServerId ownerOf(RoutePlan plan, int index) {
+        return plan.ownerOf(new ShardId(OwnershipWorld.LEDGER, index))
+                .map(RoutePlan.Ownership::server)
+                .orElse(null);
+    }
+
+    void logOut() {
+        appended.clear();
+    }
+
+    /** What is in use without a record goes before what is not in use yet. */
+    void appended(LogRecord.AssignmentsRecorded record, RoutePlan plan) {
+        record.assignments().forEach(a -> appended.add(a.shard() + " " + a.token()));
+        boolean others = record.assignments().stream().anyMatch(a -> !isInUse(a, plan));
+        boolean overdue = plan != null
+                && plan.owners().entrySet().stream()
+                        .anyMatch(e -> log.isNewer(e.getKey(), e.getValue().token())
+                                && !appended.contains(
+                                        e.getKey() + " " + e.getValue().token()));
+        if (others && overdue) {
+            violations.add("a record before those of provisional steps");
+        }
+    }
+
+    private static boolean isInUse(ShardAssignment assignment, RoutePlan plan) {
+        return plan != null
+                && plan.ownerOf(assignment.shard())
+                        .filter(o -> o.token().equals(assignment.token()))
+                        .isPresent();
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendConnections.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendConnections.java
@@ -8,6 +8,7 @@
 import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.config.ServerSpec;
@@ -30,7 +31,6 @@
  */
 public final class BackendConnections {
     private final URI address;
-    private final int maxConnections;
     private final Limits limits;
     private final XnioIoThread ioThread;
     private final ByteBufferPool buffers;
@@ -44,13 +44,29 @@
     /**
      * Limits of the connections to one server.
      *
+     * @param maxConnections most connections that may be open
      * @param maxOpening most connections that are opened at once
      * @param connectTimeoutMillis how long opening one may take
      * @param maxIdleMillis how long one is kept without a request
      */
-    public record Limits(int maxOpening, long connectTimeoutMillis, long maxIdleMillis) {
-        /** Defaults. */
-        public static final Limits DEFAULT = new Limits(4, 250, 10_000);
+    public record Limits(int maxConnections, int maxOpening, long connectTimeoutMillis, long maxIdleMillis) {
+        private static final int SPARE_CONNECTIONS = 4;
+        private static final int ORDER_CONNECTIONS = 2;
+        private static final int MAX_OPENING = 4;
+        private static final long CONNECT_TIMEOUT_MILLIS = 250;
+        private static final long MAX_IDLE_MILLIS = 10_000;
+
+        /** Returns a dispatcher's limits; they leave connections for a former dispatcher and for orders. */
+        public static Limits forDispatcher(ServerSpec server) {
+            int wanted = 2 * server.slots() + SPARE_CONNECTIONS;
+            int max = Math.max(1, Math.min(wanted, server.maxConnections() / 2));
+            return new Limits(max, MAX_OPENING, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
+        }
+
+        /** Returns the limits of a leader that sends orders. */
+        public static Limits forOrders() {
+            return new Limits(ORDER_CONNECTIONS, 1, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
+        }
     }
 
     /** A call that can be given up on. */
@@ -94,7 +110,6 @@
     public BackendConnections(
             ServerSpec server, Limits limits, XnioIoThread ioThread, ByteBufferPool buffers, LongSupplier clockMillis) {
         this.address = URI.create("http://" + server.host() + ":" + server.port());
-        this.maxConnections = server.maxConnections();
         this.limits = limits;
         this.ioThread = ioThread;
         this.buffers = buffers;
@@ -122,11 +137,17 @@
         return open + opening;
     }
 
+    /** Closes the connections that carry no call. */
+    public void closeIdle() {
+        List<Link> links = List.copyOf(idle);
+        idle.clear();
+        links.forEach(link -> IoUtils.safeClose(link.connection));
+    }
+
     /** Closes all idle connections and refuses further calls; calls under way end by themselves. */
     public void close() {
         closed = true;
-        idle.forEach(link -> IoUtils.safeClose(link.connection));
-        idle.clear();
+        closeIdle();
         failWaiting("the connections to the server were shut down");
     }
 
@@ -154,7 +175,11 @@
     }
 
     private void openIfAllowed() {
-        if (opening >= Math.min(limits.maxOpening(), waiting.size()) || count() >= maxConnections) {
+        if (opening >= Math.min(limits.maxOpening(), waiting.size())) {
+            return;
+        }
+        if (count() >= limits.maxConnections()) {
+            makeRoom();
             return;
         }
         opening++;
@@ -166,6 +191,14 @@
         UndertowClient.getInstance().connect(attempt, address, ioThread, buffers, OptionMap.EMPTY);
     }
 
+    /** Closes the connection that was idle longest; its closing lets a new one be opened. */
+    private void makeRoom() {
+        Link oldest = idle.pollFirst();
+        if (oldest != null) {
+            IoUtils.safeClose(oldest.connection);
+        }
+    }
+
     private final class Opening implements ClientCallback<ClientConnection> {
         private XnioExecutor.Key timeout;
         private boolean over;
