--- /dev/null
+++ b/bench/src/main/java/org/lacewingthread/bench/placement/StepCostMeasurement.java
@@ -0,0 +1,234 @@
+package org.lacewingthread.bench.placement;
+
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.lacewingthread.core.config.ApplicationSpec;
+import org.lacewingthread.core.config.KeySource;
+import org.lacewingthread.core.config.PlacementProfile;
+import org.lacewingthread.core.config.RequestClass;
+import org.lacewingthread.core.config.RequestSelector;
+import org.lacewingthread.core.config.RoutingConfiguration;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.control.ControlSettings;
+import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.control.ServerCondition;
+import org.lacewingthread.core.control.ServerOrder;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.Term;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.id.WriterId;
+import org.lacewingthread.core.log.LogEntry;
+import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.LogReplica;
+import org.lacewingthread.core.log.RecordHeader;
+import org.lacewingthread.core.log.RosterMember;
+import org.lacewingthread.core.ownership.DispatchLedger;
+import org.lacewingthread.core.ownership.LeaseOwnershipCoordinator;
+import org.lacewingthread.core.ownership.OwnershipInputs;
+import org.lacewingthread.core.ownership.OwnershipStep;
+
+/**
+ * Prints, as a Markdown table, what the ownership decisions of one leader cost as shards and servers of
+ * its data centre grow: processor time and allocation of a step while nothing happens, and in all for the
+ * first assignment and for the loss of a server. Half the servers check fencing tokens.
+ *
+ * <pre>{@code
+ * java -cp bench/target/classes:core/target/classes:zero-allocation-hashing-0.16.jar \
+ *     org.lacewingthread.bench.placement.StepCostMeasurement
+ * }</pre>
+ */
+public final class StepCostMeasurement {
+    private static final int[] SHARDS = {1_024, 4_096, 16_384, 65_536};
+    private static final int[] SERVERS = {20, 100, 300};
+    private static final int VMS = 12;
+    private static final int WARM_UP_RUNS = 3;
+    private static final int IDLE_STEPS = 2_000;
+    private static final long STEP_MILLIS = 20;
+    private static final long LIMIT_MILLIS = 120_000;
+    private static final double NANOS_PER_MICRO = 1e3;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final double BYTES_PER_KILOBYTE = 1e3;
+    private static final double BYTES_PER_MEGABYTE = 1e6;
+    private static final DataCentreId HERE = new DataCentreId("maras");
+    private static final VmStart LEADER = new VmStart(new VmId("vm-0"), 1);
+    private static final ThreadMXBean THREADS = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+
+    private final LogReplica replica = new LogReplica();
+    private final Map<ServerId, ServerCondition> conditions = new HashMap<>();
+    private final Term term;
+    private final LeaseOwnershipCoordinator coordinator = new LeaseOwnershipCoordinator(ControlSettings.DEFAULT);
+    private final List<VmStart> members = new ArrayList<>();
+    private Optional<RoutePlan> plan = Optional.empty();
+    private long nowMillis = 1_000;
+    private long sequence;
+    private long records;
+
+    private record Cost(long processorNanos, long allocatedBytes, long steps) {}
+
+    private StepCostMeasurement(int shards, int servers) {
+        for (int i = 0; i < VMS; i++) {
+            members.add(new VmStart(new VmId("vm-" + i), 1));
+        }
+        append(new LogRecord.ConfigurationPublished(LogOffset.NONE, configuration(shards, servers)));
+        RosterMember member = new RosterMember(LEADER, "127.0.0.1", 7_000);
+        append(new LogRecord.RosterChanged(HERE, LogOffset.NONE, List.of(member)));
+        append(new LogRecord.LeaderClaimed(HERE, LogOffset.NONE, LEADER));
+        term = new Term(replica.state().appliedOffset(), 0, LEADER);
+    }
+
+    /** Measures all sizes. */
+    public static void main(String[] args) {
+        for (int i = 0; i < WARM_UP_RUNS; i++) {
+            row(SHARDS[1], SERVERS[0]);
+        }
+        System.out.println("| shards | servers | idle step: us / KB | first assignment: ms / MB / records"
+                + " | server loss: ms / MB / records | owners in the plan |");
+        System.out.println("| --- | --- | --- | --- | --- | --- |");
+        for (int shards : SHARDS) {
+            for (int servers : SERVERS) {
+                System.out.println(row(shards, servers));
+            }
+        }
+    }
+
+    private static String row(int shards, int servers) {
+        StepCostMeasurement measurement = new StepCostMeasurement(shards, servers);
+        Cost first = measurement.runUntilServed(shards);
+        long firstRecords = measurement.takeRecords();
+        measurement.run(IDLE_STEPS / 2);
+        Cost idle = measurement.run(IDLE_STEPS);
+        ServerId lost = new ServerId("server-0");
+        measurement.takeRecords();
+        measurement.conditions.put(lost, ServerCondition.UNREACHABLE);
+        Cost loss = measurement.runUntilMoved(shards, lost);
+        return String.format(
+                Locale.ROOT,
+                "| %,d | %d | %.1f / %.1f | %.0f / %.0f / %d | %.1f / %.1f / %d | %,d |",
+                shards,
+                servers,
+                idle.processorNanos() / NANOS_PER_MICRO / idle.steps(),
+                idle.allocatedBytes() / BYTES_PER_KILOBYTE / idle.steps(),
+                first.processorNanos() / NANOS_PER_MILLI,
+                first.allocatedBytes() / BYTES_PER_MEGABYTE,
+                firstRecords,
+                loss.processorNanos() / NANOS_PER_MILLI,
+                loss.allocatedBytes() / BYTES_PER_MEGABYTE,
+                measurement.takeRecords(),
+                measurement.plan.orElseThrow().owners().size());
+    }
+
+    private static RoutingConfiguration configuration(int shards, int servers) {
+        KeySource key = new KeySource(KeySource.Kind.PATH_SEGMENT, "1");
+        RequestSelector selector = new RequestSelector("all", List.of(), "/ledger", RequestClass.LOOKUP, key);
+        ApplicationSpec application = new ApplicationSpec(
+                new ApplicationId("ledger"), shards, PlacementProfile.MINIMISE_CHURN, List.of(), List.of(selector));
+        List<ServerSpec> specs = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            ServerId id = new ServerId("server-" + i);
+            specs.add(new ServerSpec(id, HERE, "127.0.0.1", 8_000 + i, List.of(), 2, 50, i % 2 == 0, false));
+        }
+        return new RoutingConfiguration(List.of(application), specs);
+    }
+
+    private void append(LogRecord record) {
+        RecordHeader header = new RecordHeader(new WriterId("vm-0"), sequence++, "vm-0", 0);
+        replica.apply(new LogEntry(replica.nextOffset(), header, record));
+    }
+
+    private long takeRecords() {
+        long taken = records;
+        records = 0;
+        return taken;
+    }
+
+    private Cost run(long steps) {
+        Cost sum = new Cost(0, 0, 0);
+        for (long i = 0; i < steps; i++) {
+            sum = add(sum, step());
+        }
+        return sum;
+    }
+
+    private Cost runUntilServed(int shards) {
+        Cost sum = new Cost(0, 0, 0);
+        long limitMillis = nowMillis + LIMIT_MILLIS;
+        while (plan.map(p -> p.owners().size()).orElse(0) < shards) {
+            requireInTime(limitMillis);
+            sum = add(sum, step());
+        }
+        return sum;
+    }
+
+    private Cost runUntilMoved(int shards, ServerId lost) {
+        Cost sum = run(1);
+        long limitMillis = nowMillis + LIMIT_MILLIS;
+        while (plan.orElseThrow().owners().size() < shards || owns(lost)) {
+            requireInTime(limitMillis);
+            sum = add(sum, step());
+        }
+        return sum;
+    }
+
+    private void requireInTime(long limitMillis) {
+        if (nowMillis > limitMillis) {
+            throw new IllegalStateException("not every shard was served within " + LIMIT_MILLIS + " ms");
+        }
+    }
+
+    private boolean owns(ServerId server) {
+        return plan.orElseThrow().owners().values().stream()
+                .anyMatch(o -> o.server().equals(server));
+    }
+
+    private static Cost add(Cost sum, Cost cost) {
+        return new Cost(
+                sum.processorNanos() + cost.processorNanos(),
+                sum.allocatedBytes() + cost.allocatedBytes(),
+                sum.steps() + 1);
+    }
+
+    /** Runs one step; only the coordinator is measured, not the log or the servers around it. */
+    private Cost step() {
+        nowMillis += STEP_MILLIS;
+        OwnershipInputs inputs = inputs();
+        long thread = Thread.currentThread().getId();
+        long bytes = THREADS.getThreadAllocatedBytes(thread);
+        long nanos = THREADS.getCurrentThreadCpuTime();
+        OwnershipStep step = coordinator.step(inputs, nowMillis);
+        Cost cost =
+                new Cost(THREADS.getCurrentThreadCpuTime() - nanos, THREADS.getThreadAllocatedBytes(thread) - bytes, 1);
+        plan = step.plan().or(() -> plan);
+        records += step.records().size();
+        step.records().forEach(this::append);
+        for (ServerOrder order : step.orders()) {
+            coordinator.orderAnswered(order.server(), order.sequence(), true, nowMillis);
+        }
+        return cost;
+    }
+
+    private OwnershipInputs inputs() {
+        DispatchLedger ledger = new DispatchLedger() {
+            @Override
+            public boolean isLive(VmStart vm, long now) {
+                return true;
+            }
+
+            @Override
+            public boolean hasLeft(VmStart vm, long planVersion, long now) {
+                return plan.filter(p -> p.version() >= planVersion).isPresent();
+            }
+        };
+        return new OwnershipInputs(
+                HERE, LEADER, term, replica.state(), true, members, ledger, 0, Map.of(), true, conditions, Map.of());
+    }
+}
