Shorten the leases so that losing leader and dispatcher together recovers in time

Cause: three processes, the leader killed, which also dispatched: keys were unavailable up to 2,122 ms (target 2,000): 630 ms to the new leader, 1,270 ms for the predecessor's longest lease, the rest for two plans. Leader lease 500 to 400 ms, dispatch lease 900 to 750, server lease 1000 to 850, renewal 300 to 250, start-by 250 to 200; the relations in the settings check still hold.

--- a/core/src/main/java/org/lacewingthread/core/control/ControlSettings.java
+++ b/core/src/main/java/org/lacewingthread/core/control/ControlSettings.java
@@ -31,7 +31,7 @@
 
     /** Defaults that meet {@link #RECOVERY_TARGET_MILLIS}. */
     public static final ControlSettings DEFAULT =
-            new ControlSettings(125, 500, 100, 900, 1_000, 300, 250, 0.02, 100, 2_000);
+            new ControlSettings(125, 400, 100, 750, 850, 250, 200, 0.02, 100, 2_000);
 
     /** Checks the relations between the lengths. */
     public ControlSettings {
