--- a/core/src/main/java/org/lacewingthread/core/ownership/Takeover.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/Takeover.java
@@ -58,9 +58,9 @@
                 : step.inputs().predecessorEndMillis();
     }
 
+    /** Nothing recorded proves nothing: dispatchers are named before the first assignment is read back. */
     private boolean hasNoPredecessor(Step step) {
-        return step.inputs().state().dataCentre(step.inputs().dataCentre()).recordedTerm() == null
-                || !rules.contains(SafetyRule.WAIT_FOR_PREDECESSOR);
+        return step.predecessorGone() || !rules.contains(SafetyRule.WAIT_FOR_PREDECESSOR);
     }
 
     /** Returns the newest ownership that any VM reported for a shard, if it is newer than the recorded one. */
