--- a/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/EntryVmStateMachine.java
@@ -106,7 +106,7 @@
         }
         lastHandledMillis = nowMillis;
         election.checkDeadlines(nowMillis);
-        duties.follow(election.leadingTerm(), replier.conditions(), nowMillis);
+        duties.follow(election.leadingTerm(), replier.conditions(), roster.isFirstRoster(), nowMillis);
         take(event, nowMillis);
         advance(nowMillis);
         for (PeerMessage own = context.outbox().pollToSelf();
@@ -129,7 +129,7 @@
         current |= catchUp.isCurrent();
         boolean logReachable = log.isReachable(nowMillis);
         election.advance(current, log.isPrompt(nowMillis), nowMillis);
-        duties.follow(election.leadingTerm(), replier.conditions(), nowMillis);
+        duties.follow(election.leadingTerm(), replier.conditions(), roster.isFirstRoster(), nowMillis);
         roster.advance(duties.leading(), log.reachedEnd(), logReachable, nowMillis);
         duties.advance(roster.leavingVms(), logReachable, nowMillis);
         snapshots.observe(nowMillis);
@@ -146,6 +146,7 @@
         ApplyResult result = context.replica().apply(entry);
         recent.add(entry);
         appends.readBack(entry);
+        roster.applied(entry, result.isAccepted());
         if (result.outcome() != ApplyResult.Outcome.DUPLICATE) {
             AuditTrail.describe(before, entry, result)
                     .ifPresent(line -> context.outbox().add(new ControlAction.Audit(line)));
--- a/core/src/main/java/org/lacewingthread/core/lease/LeaderDuties.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LeaderDuties.java
@@ -22,6 +22,7 @@
     private final AppendQueue appends;
     private final Heartbeats heartbeats;
     private final Function<Term, OwnershipCoordinator> coordinators;
+    private boolean hasLed;
     private Optional<LeaderTerm> leading = Optional.empty();
 
     LeaderDuties(
@@ -42,13 +43,20 @@
         return leading;
     }
 
-    /** Begins or ends a term as the election decided. */
-    void follow(Optional<Term> term, Map<ServerId, ServerCondition> observed, long nowMillis) {
+    /**
+     * Begins or ends a term as the election decided.
+     *
+     * @param onFirstRoster whether the roster is the data centre's first, with this VM alone: nobody else can
+     *     have led before
+     */
+    void follow(Optional<Term> term, Map<ServerId, ServerCondition> observed, boolean onFirstRoster, long nowMillis) {
         if (leading.map(LeaderTerm::term).equals(term)) {
             return;
         }
         appends.keepOnly(term);
-        leading = term.map(t -> new LeaderTerm(context, t, coordinators.apply(t), leases, nowMillis));
+        boolean hasPredecessor = hasLed || !onFirstRoster;
+        leading = term.map(t -> new LeaderTerm(context, t, coordinators.apply(t), leases, hasPredecessor, nowMillis));
+        hasLed |= leading.isPresent();
         leading.ifPresent(l -> l.observed(observed));
         heartbeats.hurry();
     }
--- a/core/src/main/java/org/lacewingthread/core/lease/LeaderTerm.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LeaderTerm.java
@@ -31,11 +31,17 @@
     private RoutePlan plan;
     private RoutePlan previousPlan;
 
-    LeaderTerm(VmContext context, Term term, OwnershipCoordinator coordinator, HeldLeases leases, long nowMillis) {
+    LeaderTerm(
+            VmContext context,
+            Term term,
+            OwnershipCoordinator coordinator,
+            HeldLeases leases,
+            boolean hasPredecessor,
+            long nowMillis) {
         this.context = context;
         this.term = term;
         this.coordinator = coordinator;
-        boolean waits = context.rules().contains(ProtocolRule.WAIT_BEFORE_TAKEOVER);
+        boolean waits = hasPredecessor && context.rules().contains(ProtocolRule.WAIT_BEFORE_TAKEOVER);
         this.predecessorEndMillis = waits ? context.lengths().predecessorEnd(nowMillis) : nowMillis;
         this.ledger = new DispatchLeaseLedger(context, leases, predecessorEndMillis);
     }
--- a/core/src/main/java/org/lacewingthread/core/lease/RosterKeeper.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/RosterKeeper.java
@@ -10,9 +10,11 @@
 import org.lacewingthread.core.control.PeerMessage.HeartbeatReply;
 import org.lacewingthread.core.control.PeerMessage.MembershipRequested;
 import org.lacewingthread.core.control.PeerMessage.ProgressReported;
+import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.Term;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.DataCentreState;
+import org.lacewingthread.core.log.LogEntry;
 import org.lacewingthread.core.log.LogRecord;
 import org.lacewingthread.core.log.ReplicaState;
 import org.lacewingthread.core.log.RosterMember;
@@ -35,6 +37,7 @@
     private final VmWatch watch;
     private final RosterAcknowledgements acknowledgements = new RosterAcknowledgements();
     private final Map<VmStart, Request> requests = new LinkedHashMap<>();
+    private LogOffset firstRoster = LogOffset.NONE;
     private boolean leaving;
     private long nextRequestMillis = Long.MIN_VALUE;
     private long goneSinceMillis = NEVER;
@@ -58,6 +61,23 @@
         return leaving || isLeaving(context.self());
     }
 
+    /** Takes in a record that was folded. */
+    void applied(LogEntry entry, boolean accepted) {
+        boolean isStart = accepted
+                && entry.body() instanceof LogRecord.RosterChanged change
+                && change.dataCentre().equals(context.identity().dataCentre())
+                && change.baseRevision().equals(LogOffset.NONE);
+        if (isStart && entry.header().writer().equals(context.identity().writer())) {
+            firstRoster = entry.offset();
+        }
+    }
+
+    /** Returns whether the roster is still the data centre's first, which this VM started with itself alone. */
+    boolean isFirstRoster() {
+        return !firstRoster.equals(LogOffset.NONE)
+                && firstRoster.equals(context.dataCentre().rosterRevision());
+    }
+
     void replied(VmStart member, HeartbeatReply reply) {
         if (reply.acknowledgedRoster()) {
             acknowledgements.acknowledged(member, reply.rosterRevision());
