Make ownership steps cheaper as shards and servers grow

Failover lists come from one pass over the servers, a server's list of shards is kept between renewals, checks against the log allocate nothing, at most 4,096 shards start to be served at a time, and dispatchers are counted only when one is missing or balance is due.

--- a/core/src/main/java/org/lacewingthread/core/ownership/DispatcherAssignment.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/DispatcherAssignment.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -57,15 +58,19 @@
      * @param mayAssign whether servers without a dispatcher may get one
      */
     void step(Step step, List<ServerSpec> servers, boolean mayAssign) {
-        for (ServerId server : List.copyOf(new TreeMap<>(dispatched()).keySet())) {
-            VmStart vm = draft.dispatcherOf(server).orElseThrow();
-            if (!step.inputs().members().contains(vm)
-                    && !step.inputs().members().isEmpty()) {
-                remove(server, vm);
-            }
+        Set<VmStart> members = new HashSet<>(step.inputs().members());
+        if (!members.isEmpty()) {
+            draft.dispatchedServers().stream()
+                    .filter(s -> !members.contains(draft.dispatcherOf(s).orElseThrow()))
+                    .sorted()
+                    .toList()
+                    .forEach(s -> remove(s, draft.dispatcherOf(s).orElseThrow()));
         }
         departures.values().removeIf(d -> !rules.contains(SafetyRule.WAIT_FOR_DISPATCHER) || d.isOver(step));
-        if (!mayAssign || step.inputs().members().isEmpty()) {
+        boolean complete =
+                servers.stream().allMatch(s -> draft.dispatcherOf(s.id()).isPresent());
+        boolean balanceDue = step.nowMillis() >= nextBalanceMillis;
+        if (!mayAssign || members.isEmpty() || (complete && !balanceDue)) {
             return;
         }
         Map<VmStart, Integer> counts = counts(step.inputs().members());
@@ -126,10 +131,13 @@
                 counts.keySet().stream().max(Comparator.comparing(counts::get)).orElseThrow();
         VmStart least =
                 counts.keySet().stream().min(Comparator.comparing(counts::get)).orElseThrow();
-        if (counts.get(most) - counts.get(least) < 2 || step.nowMillis() < nextBalanceMillis) {
+        if (step.nowMillis() < nextBalanceMillis) {
             return;
         }
         nextBalanceMillis = step.nowMillis() + BALANCE_INTERVAL_MILLIS;
+        if (counts.get(most) - counts.get(least) < 2) {
+            return;
+        }
         dispatched().entrySet().stream()
                 .filter(e -> e.getValue().equals(most))
                 .map(Map.Entry::getKey)
--- a/core/src/main/java/org/lacewingthread/core/ownership/ServerLease.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ServerLease.java
@@ -33,6 +33,8 @@
     private final Map<ShardId, FencingToken> releasing = new TreeMap<>();
     private final Set<ShardId> released = new HashSet<>();
     private final Set<ShardId> refused = new HashSet<>();
+    private List<ServerOrder.GrantedShard> listed;
+    private FencingToken highest;
     private Pending pending;
     private long sequence;
     private long lastPossibleEndMillis;
@@ -53,6 +55,7 @@
     /** Adds a shard; {@link #isConfirmed} tells when the server has it. */
     void grant(ShardId shard, FencingToken token) {
         granted.put(shard, token);
+        listed = null;
         confirmed.remove(shard);
         releasing.remove(shard);
         released.remove(shard);
@@ -67,6 +70,7 @@
     /** Stops renewing a shard; returns its last possible expiry. */
     long withdraw(ShardId shard) {
         granted.remove(shard);
+        listed = null;
         confirmed.remove(shard);
         return lastPossibleEndMillis;
     }
@@ -124,19 +128,26 @@
         if (granted.isEmpty() || leaseMillis < MIN_LEASE_MILLIS) {
             return Optional.empty();
         }
-        List<ServerOrder.GrantedShard> shards = new ArrayList<>(granted.size());
-        granted.forEach((shard, token) -> shards.add(new ServerOrder.GrantedShard(shard, token)));
-        FencingToken highest =
-                granted.values().stream().max(FencingToken::compareTo).orElseThrow();
-        ServerOrder order = new ServerOrder.Renew(
-                server, ++sequence, highest, leaseMillis, settings.startByMillis(), List.copyOf(shards));
+        listGranted();
+        ServerOrder order =
+                new ServerOrder.Renew(server, ++sequence, highest, leaseMillis, settings.startByMillis(), listed);
         long endMillis = nowMillis + settings.lengthened(leaseMillis + settings.startByMillis());
-        pending = new Pending(order, List.copyOf(granted.keySet()), endMillis, lastPossibleEndMillis);
+        pending = new Pending(order, List.of(), endMillis, lastPossibleEndMillis);
         lastPossibleEndMillis = Math.max(lastPossibleEndMillis, endMillis);
         renewAtMillis = nowMillis + settings.serverRenewalMillis();
         return Optional.of(order);
     }
 
+    private void listGranted() {
+        if (listed != null) {
+            return;
+        }
+        List<ServerOrder.GrantedShard> shards = new ArrayList<>(granted.size());
+        granted.forEach((shard, token) -> shards.add(new ServerOrder.GrantedShard(shard, token)));
+        listed = List.copyOf(shards);
+        highest = granted.values().stream().max(FencingToken::compareTo).orElseThrow();
+    }
+
     /** A retry ends no later than the order that failed could have. */
     private long leaseLength(long nowMillis) {
         long fullMillis = settings.serverLeaseMillis();
@@ -160,12 +171,16 @@
             releaseAnswered(done, accepted, nowMillis);
             return;
         }
+        List<ServerOrder.GrantedShard> shards = ((ServerOrder.Renew) done.order()).shards();
         if (!accepted) {
-            done.shards().stream().filter(granted::containsKey).forEach(refused::add);
+            shards.stream()
+                    .map(ServerOrder.GrantedShard::shard)
+                    .filter(granted::containsKey)
+                    .forEach(refused::add);
             renewAtMillis = nowMillis + settings.serverRenewalMillis();
             return;
         }
-        for (ServerOrder.GrantedShard shard : ((ServerOrder.Renew) done.order()).shards()) {
+        for (ServerOrder.GrantedShard shard : shards) {
             if (shard.token().equals(granted.get(shard.shard()))) {
                 confirmed.add(shard.shard());
             }
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardMoves.java
@@ -52,6 +52,10 @@
         return moves.containsKey(shard);
     }
 
+    int count() {
+        return moves.size();
+    }
+
     /** Counts the shards on their way from a server. */
     long countFrom(ServerId server) {
         return moves.values().stream().filter(m -> server.equals(m.source)).count();
@@ -123,14 +127,23 @@
         if (isMoving(shard) || !draft.serves(shard) || recorder.isPending(shard)) {
             return;
         }
-        ShardAssignment assignment = inUse(step, shard, draft.ownerOf(shard).orElseThrow());
-        if (!step.mayRecord(assignment)) {
-            renewInPlace(step, shard);
-        } else if (!step.isRecorded(assignment)) {
+        RoutePlan.Ownership owner = draft.ownerOf(shard).orElseThrow();
+        if (step.isRecorded(shard, owner.server(), owner.token())) {
+            refreshFailover(step, shard, owner);
+            return;
+        }
+        ShardAssignment assignment = inUse(step, shard, owner);
+        if (step.mayRecord(assignment)) {
             recorder.wantInUse(assignment);
-        } else if (step.inputs().logReachable() && targets.isFailoverOutdated(step, shard)) {
-            List<ServerId> failover = targets.failover(step, shard, assignment.owner());
-            recorder.want(new ShardAssignment(shard, assignment.owner(), failover, assignment.token()));
+        } else {
+            renewInPlace(step, shard);
+        }
+    }
+
+    private void refreshFailover(Step step, ShardId shard, RoutePlan.Ownership owner) {
+        if (step.inputs().logReachable() && targets.isFailoverOutdated(step, shard)) {
+            List<ServerId> failover = targets.failover(step, shard, owner.server());
+            recorder.want(new ShardAssignment(shard, owner.server(), failover, owner.token()));
         }
     }
 
@@ -214,7 +227,7 @@
     }
 
     private void record(Step step, ShardMove move) {
-        if (move.target != null && step.isRecorded(move.assignment())) {
+        if (move.target != null && step.isRecorded(move.shard, move.target, move.token)) {
             if (move.staysInPlace()) {
                 move.stage = Stage.GRANTING;
             } else if (separate(step, move.shard)) {
@@ -326,7 +339,7 @@
 
     /** Returns whether the assignment is recorded, or is a step along the failover list with the log out. */
     private boolean mayUse(Step step, ShardMove move) {
-        if (step.isRecorded(move.assignment()) || !rules.contains(SafetyRule.RECORD_BEFORE_USE)) {
+        if (step.isRecorded(move.shard, move.target, move.token) || !rules.contains(SafetyRule.RECORD_BEFORE_USE)) {
             return true;
         }
         if (move.provisional) {
--- a/core/src/main/java/org/lacewingthread/core/ownership/ShardSurvey.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ShardSurvey.java
@@ -16,7 +16,9 @@
 
 /** Finds shards of this data centre that nobody serves, and shards that it governs no longer. */
 final class ShardSurvey {
-    private static final long INTERVAL_MILLIS = 1_000;
+    private static final long INTERVAL_MILLIS = 5_000;
+    /** Bounds the moves that each step goes through; the rest start when some have ended. */
+    private static final int MAX_MOVES = 4_096;
 
     private final PlanDraft draft;
     private final ServerDirectory directory;
@@ -72,7 +74,7 @@
             boolean known = draft.serves(shard) || moves.isMoving(shard);
             if (known) {
                 checkServed(step, shard, entry);
-            } else if (entry != null && mayAssign) {
+            } else if (entry != null && mayAssign && moves.count() < MAX_MOVES) {
                 serveIfOwn(step, application, shard, entry);
             }
         }
--- a/core/src/main/java/org/lacewingthread/core/ownership/Step.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/Step.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.lacewingthread.core.control.ControlSettings;
+import org.lacewingthread.core.id.FencingToken;
+import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.log.ShardAssignment;
 import org.lacewingthread.core.log.ShardTable;
@@ -59,11 +61,15 @@
     }
 
     boolean isRecorded(ShardAssignment assignment) {
-        ShardTable.Entry entry = entry(assignment.shard());
+        return isRecorded(assignment.shard(), assignment.owner(), assignment.token());
+    }
+
+    boolean isRecorded(ShardId shard, ServerId owner, FencingToken token) {
+        ShardTable.Entry entry = entry(shard);
         return governs(entry)
                 && entry.assignment() != null
-                && entry.assignment().owner().equals(assignment.owner())
-                && entry.assignment().token().equals(assignment.token());
+                && entry.assignment().owner().equals(owner)
+                && entry.assignment().token().equals(token);
     }
 
     boolean predecessorGone() {
--- a/core/src/main/java/org/lacewingthread/core/placement/ShardSpread.java
+++ b/core/src/main/java/org/lacewingthread/core/placement/ShardSpread.java
@@ -1,6 +1,6 @@
 package org.lacewingthread.core.placement;
 
-import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -25,9 +25,8 @@
     /** Servers in a failover list. */
     public static final int FAILOVER_SERVERS = 3;
 
-    private static final int FIRST_FAILOVER_CHOICES = 3;
-
     private final List<Candidate> candidates;
+    private final long[] hashes;
     private final int[] owned;
     private final Map<ServerId, Integer> positions = new HashMap<>();
     private final int[][] firstFailovers;
@@ -58,6 +57,9 @@
      */
     public ShardSpread(List<Candidate> candidates, int totalShards) {
         this.candidates = List.copyOf(candidates);
+        this.hashes = candidates.stream()
+                .mapToLong(c -> Rendezvous.hash(c.server().value()))
+                .toArray();
         this.owned = new int[candidates.size()];
         this.firstFailovers = new int[candidates.size()][candidates.size()];
         this.total = totalShards;
@@ -103,36 +105,54 @@
 
     /** Returns the failover list of a shard, and counts it. */
     public List<ServerId> failover(ShardId shard, ServerId owner) {
-        long key = keyOf(shard);
-        List<Integer> ranked = new ArrayList<>();
+        int[] best = bestRanked(keyOf(shard), positions.getOrDefault(owner, -1));
+        preferLeastUsedFirst(best, positions.get(owner));
+        List<ServerId> list =
+                Arrays.stream(best).mapToObj(i -> candidates.get(i).server()).toList();
+        addFailover(owner, list);
+        return list;
+    }
+
+    /** Returns the positions of the best ranked servers without one, best first. */
+    private int[] bestRanked(long key, int without) {
+        int[] best = new int[FAILOVER_SERVERS];
+        double[] scores = new double[FAILOVER_SERVERS];
+        int count = 0;
         for (int i = 0; i < owned.length; i++) {
-            if (!candidates.get(i).server().equals(owner)) {
-                ranked.add(i);
+            if (i == without) {
+                continue;
             }
+            double score = scoreOf(key, i);
+            int place = count;
+            while (place > 0 && scores[place - 1] < score) {
+                place--;
+            }
+            if (place == FAILOVER_SERVERS) {
+                continue;
+            }
+            count = Math.min(count + 1, FAILOVER_SERVERS);
+            System.arraycopy(best, place, best, place + 1, count - 1 - place);
+            System.arraycopy(scores, place, scores, place + 1, count - 1 - place);
+            best[place] = i;
+            scores[place] = score;
         }
-        ranked.sort(Comparator.comparingDouble((Integer i) -> scoreOf(key, i)).reversed());
-        preferLeastUsedFirst(ranked, positions.get(owner));
-        List<ServerId> list = ranked.stream()
-                .limit(FAILOVER_SERVERS)
-                .map(i -> candidates.get(i).server())
-                .toList();
-        addFailover(owner, list);
-        return list;
+        return Arrays.copyOf(best, count);
     }
 
-    private void preferLeastUsedFirst(List<Integer> ranked, Integer owner) {
-        if (owner == null || ranked.size() < 2) {
+    /** Puts first the server that is first on the fewest lists of the owner. */
+    private void preferLeastUsedFirst(int[] ranked, Integer owner) {
+        if (owner == null || ranked.length == 0) {
             return;
         }
-        int choices = Math.min(FIRST_FAILOVER_CHOICES, ranked.size());
-        int best = 0;
-        for (int i = 1; i < choices; i++) {
-            if (firstFailovers[owner][ranked.get(i)] < firstFailovers[owner][ranked.get(best)]) {
-                best = i;
+        int least = 0;
+        for (int i = 1; i < ranked.length; i++) {
+            if (firstFailovers[owner][ranked[i]] < firstFailovers[owner][ranked[least]]) {
+                least = i;
             }
         }
-        Integer first = ranked.remove(best);
-        ranked.add(0, first);
+        int first = ranked[least];
+        System.arraycopy(ranked, 0, ranked, 1, least);
+        ranked[0] = first;
     }
 
     private Optional<ServerId> leastLoaded() {
@@ -146,8 +166,8 @@
     }
 
     private double scoreOf(long key, int position) {
-        Candidate candidate = candidates.get(position);
-        return Rendezvous.weightedScore(key, Rendezvous.hash(candidate.server().value()), candidate.weight());
+        return Rendezvous.weightedScore(
+                key, hashes[position], candidates.get(position).weight());
     }
 
     private static long keyOf(ShardId shard) {
