Measure control's cost by size and ways to hand on records

All run in virtual time with the real state machine, coordinator and codecs; frames and records cross as bytes. EventQueue of the placement measurement becomes public, PeerFrames gives the frames' bytes.

--- /dev/null
+++ b/bench/src/main/java/org/lacewingthread/bench/capacity/ControlSlopes.java
@@ -0,0 +1,204 @@
+package org.lacewingthread.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.BooleanSupplier;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerId;
+
+/**
+ * Prints what control costs by the size of a deployment: a line a role in steady state, and a line a
+ * change.
+ *
+ * <pre>{@code
+ * java -cp <jar and dependencies> org.lacewingthread.bench.capacity.ControlSlopes [dataCentres vms servers shards]...
+ * }</pre>
+ */
+public final class ControlSlopes {
+    private static final long STEP_MILLIS = 25;
+    private static final long SETTLE_LIMIT_MILLIS = 300_000;
+    private static final long CHANGE_LIMIT_MILLIS = 60_000;
+    private static final long REST_MILLIS = 10_000;
+    private static final double STEADY_SECONDS = 20;
+    private static final double CHANGE_SECONDS = 15;
+    private static final int NUMBERS_PER_SHAPE = 4;
+    private static final List<Shape> SLOPES = List.of(
+            new Shape(1, 4, 20, 1_024),
+            new Shape(1, 4, 20, 1_024),
+            new Shape(1, 8, 20, 1_024),
+            new Shape(1, 16, 20, 1_024),
+            new Shape(1, 32, 20, 1_024),
+            new Shape(1, 64, 20, 1_024),
+            new Shape(1, 8, 60, 4_096),
+            new Shape(1, 8, 120, 4_096),
+            new Shape(1, 8, 60, 1_024),
+            new Shape(1, 8, 60, 16_384),
+            new Shape(3, 4, 20, 4_096),
+            new Shape(7, 4, 20, 4_096));
+
+    private final MeteredDeployment deployment;
+
+    private ControlSlopes(Shape shape) {
+        deployment = new MeteredDeployment(shape);
+    }
+
+    /** Prints the tables of the shapes given, or of a set that shows the slopes. */
+    public static void main(String[] args) {
+        Locale.setDefault(Locale.ROOT);
+        System.out.println("steady: dataCentres vms servers shards role messagesIn/s messagesOut/s bytesIn/s"
+                + " bytesOut/s logReads/s logBytes/s orders/s cpuPercent allocatedKiB/s");
+        System.out.println("change: dataCentres vms servers shards change millisToTakeHold appends appendedBytes"
+                + " peerBytesTotal peerBytesPerVm logBytesPerVm");
+        for (Shape shape : args.length == 0 ? SLOPES : shapes(args)) {
+            new ControlSlopes(shape).measure();
+        }
+    }
+
+    private static List<Shape> shapes(String[] args) {
+        List<Shape> shapes = new ArrayList<>();
+        for (int i = 0; i + NUMBERS_PER_SHAPE <= args.length; i += NUMBERS_PER_SHAPE) {
+            shapes.add(new Shape(
+                    Integer.parseInt(args[i]),
+                    Integer.parseInt(args[i + 1]),
+                    Integer.parseInt(args[i + 2]),
+                    Integer.parseInt(args[i + 3])));
+        }
+        return shapes;
+    }
+
+    private void measure() {
+        runUntil(this::settled, SETTLE_LIMIT_MILLIS);
+        deployment.queue.runFor(REST_MILLIS);
+        Meter steady = measureSteadyState();
+        int vms = deployment.all().size();
+        measureChange("server-lost", steady, vms, this::loseServer);
+        measureChange("configuration", steady, vms, this::publish);
+        measureChange("vm-replaced", steady, vms, this::replaceOrdinaryVm);
+        measureChange("leader-replaced", steady, vms, this::replaceLeader);
+    }
+
+    /** Returns whether every VM is in its roster and every shard has an owner. */
+    private boolean settled() {
+        int shards = deployment.shape.shards();
+        return deployment.vms.entrySet().stream()
+                        .allMatch(e -> rosterIs(e.getKey(), e.getValue().size()))
+                && deployment.vms.values().stream()
+                                .mapToInt(vms -> vms.get(0).plan().owners().size())
+                                .sum()
+                        >= shards;
+    }
+
+    private boolean rosterIs(DataCentreId dataCentre, int size) {
+        return deployment.vms.get(dataCentre).stream()
+                .allMatch(vm -> vm.hasPlan()
+                        && vm.view.state().dataCentres().containsKey(dataCentre)
+                        && vm.view
+                                        .state()
+                                        .dataCentres()
+                                        .get(dataCentre)
+                                        .members()
+                                        .size()
+                                == size
+                        && vm.view.state().dataCentres().get(dataCentre).members().stream()
+                                .anyMatch(m -> m.start().equals(vm.identity.self())));
+    }
+
+    private Meter measureSteadyState() {
+        deployment.all().forEach(vm -> vm.meter.reset());
+        MeteredVm leader = deployment.leader();
+        long appendsBefore = deployment.appends;
+        deployment.queue.runFor((long) (STEADY_SECONDS * 1_000));
+        Meter others = new Meter();
+        deployment.all().stream().filter(vm -> !vm.leads()).forEach(vm -> others.add(vm.meter));
+        int ordinary = (int) deployment.all().stream().filter(vm -> !vm.leads()).count();
+        System.out.println("steady: " + deployment.shape + " ordinary " + others.rates(STEADY_SECONDS, ordinary));
+        System.out.println("steady: " + deployment.shape + " leader " + leader.meter.rates(STEADY_SECONDS, 1));
+        System.out.printf(
+                "appends: %s steady %.2f a second%n",
+                deployment.shape, (deployment.appends - appendsBefore) / STEADY_SECONDS);
+        Meter total = new Meter();
+        deployment.all().forEach(vm -> total.add(vm.meter));
+        return total;
+    }
+
+    /** Makes a change, waits until it took hold, and prints what it cost beyond the steady state. */
+    private void measureChange(String name, Meter steady, int vms, Change change) {
+        deployment.all().forEach(vm -> vm.meter.reset());
+        long appendsBefore = deployment.appends;
+        long bytesBefore = deployment.appendedBytes;
+        long startMillis = deployment.queue.nowMillis();
+        BooleanSupplier done = change.make();
+        runUntil(done, CHANGE_LIMIT_MILLIS);
+        long heldMillis = deployment.queue.nowMillis() - startMillis;
+        deployment.queue.runFor((long) (CHANGE_SECONDS * 1_000));
+        Meter total = new Meter();
+        deployment.all().forEach(vm -> total.add(vm.meter));
+        double windows = (deployment.queue.nowMillis() - startMillis) / 1_000.0 / STEADY_SECONDS;
+        double peerBytes = total.bytesOut - steady.bytesOut * windows;
+        System.out.printf(
+                "change: %s %s %d %d %d %.0f %.0f %d%n",
+                deployment.shape,
+                name,
+                heldMillis,
+                deployment.appends - appendsBefore,
+                deployment.appendedBytes - bytesBefore,
+                peerBytes,
+                peerBytes / vms,
+                total.logBytes / vms);
+    }
+
+    /** Makes a change and returns how to tell that it took hold. */
+    private interface Change {
+        BooleanSupplier make();
+    }
+
+    private BooleanSupplier loseServer() {
+        ServerId server = deployment.leader().plan().dispatchers().keySet().stream()
+                .sorted()
+                .findFirst()
+                .orElseThrow();
+        deployment.lose(server);
+        return () -> deployment.vms.get(deployment.shape.dataCentre(0)).stream()
+                .allMatch(vm -> vm.plan().owners().values().stream()
+                        .noneMatch(owner -> owner.server().equals(server)));
+    }
+
+    private BooleanSupplier publish() {
+        deployment.publish(3);
+        return () -> deployment.all().stream()
+                .allMatch(vm -> vm.view.state().configurationRevision().equals(deployment.configurationOffset()));
+    }
+
+    private BooleanSupplier replaceOrdinaryVm() {
+        DataCentreId first = deployment.shape.dataCentre(0);
+        return replace(deployment.vms.get(first).stream()
+                .filter(vm -> !vm.leads())
+                .findFirst()
+                .orElseThrow());
+    }
+
+    private BooleanSupplier replaceLeader() {
+        return replace(deployment.leader());
+    }
+
+    private BooleanSupplier replace(MeteredVm vm) {
+        DataCentreId dataCentre = vm.identity.dataCentre();
+        deployment.stop(vm);
+        deployment.start(
+                dataCentre, deployment.shape.vms() + (int) vm.identity.self().startNumber() % 1_000);
+        int size = deployment.vms.get(dataCentre).size();
+        return () -> rosterIs(dataCentre, size);
+    }
+
+    private void runUntil(BooleanSupplier condition, long limitMillis) {
+        long endMillis = deployment.queue.nowMillis() + limitMillis;
+        while (!condition.getAsBoolean()) {
+            if (deployment.queue.nowMillis() >= endMillis) {
+                throw new IllegalStateException(
+                        "shape " + deployment.shape + " did not get there in " + limitMillis + " ms");
+            }
+            deployment.queue.runFor(STEP_MILLIS);
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/lacewingthread/bench/capacity/Propagation.java
@@ -0,0 +1,230 @@
+package org.lacewingthread.bench.capacity;
+
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.Set;
+import org.lacewingthread.core.control.ControlSettings;
+import org.lacewingthread.core.control.PeerMessage;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.WriterId;
+import org.lacewingthread.core.log.LogEntry;
+import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.RecordHeader;
+import org.lacewingthread.daemon.peer.LogEntryCodec;
+import org.lacewingthread.daemon.peer.PeerFrames;
+import org.lacewingthread.daemon.platform.LogRecordCodec;
+
+/**
+ * Prints how long a configuration record takes to reach the last entry VM, in virtual time, for each
+ * {@link RelayShape}, and what reading and handing on costs. VMs fail at the moment of publication, which is
+ * the worst moment; a child of a failed parent notices its silence and turns to the next live VM above.
+ *
+ * <pre>{@code
+ * java -cp <jar and dependencies> org.lacewingthread.bench.capacity.Propagation
+ * }</pre>
+ */
+public final class Propagation {
+    private static final int DATA_CENTRES = 7;
+    private static final int FIRST_REGION_DATA_CENTRES = 4;
+    private static final int SERVERS = 300;
+    private static final int ROUNDS = 200;
+    private static final long SEED = 1;
+    private static final double INSIDE_MILLIS = 0.5;
+    private static final double IN_REGION_MILLIS = 1.5;
+    private static final double BETWEEN_REGIONS_MILLIS = 30;
+    private static final double LOG_SERVICE_MILLIS = 5;
+    private static final double PUSH_MILLIS = 0.05;
+    private static final double ASK_TIMEOUT_MILLIS = 250;
+    private static final int SILENT_HEARTBEATS = 3;
+    private static final ControlSettings SETTINGS = ControlSettings.DEFAULT;
+
+    private final List<int[]> dataCentres;
+    private final int[] parents;
+    private final int[] dataCentreOf;
+    private final Random random = new Random(SEED);
+    private Set<Integer> failed = Set.of();
+    private double[] arrivals = {};
+
+    private Propagation(RelayShape way, int vms, int fanOut) {
+        dataCentres = RelayShape.number(vms, DATA_CENTRES);
+        parents = way.parents(dataCentres, fanOut);
+        dataCentreOf = new int[vms + 1];
+        for (int d = 0; d < dataCentres.size(); d++) {
+            for (int vm : dataCentres.get(d)) {
+                dataCentreOf[vm] = d;
+            }
+        }
+    }
+
+    /** Prints the table. */
+    public static void main(String[] args) throws LogRecordCodec.RecordTooLargeException {
+        Locale.setDefault(Locale.ROOT);
+        byte[] record = configurationRecord();
+        int pushBytes = frameBytes(new PeerMessage.LogRecordsOffered(List.of(entry()), new LogOffset(100_000)));
+        int aliveBytes = frameBytes(new PeerMessage.ProgressReported(
+                new DataCentreId("dc-0"), new LogOffset(100_000), new LogOffset(90_000)));
+        System.out.printf("record %d bytes, push %d bytes, liveness %d bytes%n", record.length, pushBytes, aliveBytes);
+        System.out.println("way vms fanOut failed medianLastMillis worstLastMillis logReads/s addedMessages/s"
+                + " addedBytes/s/VM busiestVmAddedBytes/s busiestVmBytesPerRecord");
+        for (int vms : new int[] {12, 150, 450}) {
+            for (RelayShape way : RelayShape.values()) {
+                for (int fanOut : way.isTree() ? new int[] {4, 8} : new int[] {vms}) {
+                    for (int failures : new int[] {0, 2, 32}) {
+                        measure(way, vms, fanOut, failures, pushBytes, aliveBytes);
+                    }
+                }
+            }
+        }
+    }
+
+    private static void measure(RelayShape way, int vms, int fanOut, int failures, int pushBytes, int aliveBytes) {
+        if (failures >= vms) {
+            return;
+        }
+        Propagation propagation = new Propagation(way, vms, fanOut);
+        double[] last = new double[ROUNDS];
+        for (int round = 0; round < ROUNDS; round++) {
+            last[round] = propagation.publish(failures);
+        }
+        Arrays.sort(last);
+        long readers = Arrays.stream(propagation.parents)
+                .filter(p -> p == RelayShape.LOG)
+                .count();
+        double alivePerSecond = way.isTree() ? 1_000.0 / SETTINGS.heartbeatMillis() : 0;
+        double links = vms - readers;
+        int busiest = propagation.mostChildren();
+        System.out.printf(
+                "%s %d %d %d %.0f %.0f %.0f %.0f %.0f %.0f %d%n",
+                way,
+                vms,
+                fanOut,
+                failures,
+                last[ROUNDS / 2],
+                last[ROUNDS - 1],
+                readers * 1_000.0 / SETTINGS.logReadMillis(),
+                links * alivePerSecond,
+                2 * links * alivePerSecond * aliveBytes / vms,
+                busiest * alivePerSecond * aliveBytes,
+                (long) busiest * pushBytes);
+    }
+
+    private int mostChildren() {
+        int[] children = new int[parents.length + 1];
+        for (int parent : parents) {
+            children[parent]++;
+        }
+        children[RelayShape.LOG] = 0;
+        return Arrays.stream(children).max().orElse(0);
+    }
+
+    /** Publishes a record while some VMs fail; returns the time until the last live VM has it. */
+    private double publish(int failures) {
+        Set<Integer> chosen = new HashSet<>();
+        if (failures > 0) {
+            chosen.add(dataCentres.get(random.nextInt(dataCentres.size()))[0]);
+        }
+        while (chosen.size() < failures) {
+            chosen.add(1 + random.nextInt(parents.length));
+        }
+        failed = chosen;
+        arrivals = new double[parents.length + 1];
+        Arrays.fill(arrivals, -1);
+        double last = 0;
+        for (int vm = 1; vm <= parents.length; vm++) {
+            if (!failed.contains(vm)) {
+                last = Math.max(last, arrival(vm));
+            }
+        }
+        return last;
+    }
+
+    private double arrival(int vm) {
+        if (arrivals[vm] < 0) {
+            arrivals[vm] = findArrival(vm);
+        }
+        return arrivals[vm];
+    }
+
+    private double findArrival(int vm) {
+        int parent = parents[vm - 1];
+        if (parent == RelayShape.LOG) {
+            return random.nextDouble() * SETTINGS.logReadMillis() + logReadMillis(vm);
+        }
+        if (!failed.contains(parent)) {
+            return arrival(parent) + pushMillis(parent, vm) + linkMillis(parent, vm);
+        }
+        double askedAtMillis = SETTINGS.heartbeatMillis() * (SILENT_HEARTBEATS - random.nextDouble());
+        int above = parents[parent - 1];
+        while (above != RelayShape.LOG && failed.contains(above)) {
+            askedAtMillis += ASK_TIMEOUT_MILLIS;
+            above = parents[above - 1];
+        }
+        if (above == RelayShape.LOG) {
+            return askedAtMillis + logReadMillis(vm);
+        }
+        return Math.max(askedAtMillis + linkMillis(vm, above), arrival(above)) + linkMillis(above, vm);
+    }
+
+    /** Returns how long a parent takes to get to a child in its turn. */
+    private double pushMillis(int parent, int child) {
+        int turn = 0;
+        for (int vm = 1; vm <= child; vm++) {
+            turn += parents[vm - 1] == parent ? 1 : 0;
+        }
+        return turn * PUSH_MILLIS;
+    }
+
+    private double linkMillis(int from, int to) {
+        int fromDataCentre = dataCentreOf[from];
+        int toDataCentre = dataCentreOf[to];
+        if (fromDataCentre == toDataCentre) {
+            return INSIDE_MILLIS;
+        }
+        return isFirstRegion(fromDataCentre) == isFirstRegion(toDataCentre) ? IN_REGION_MILLIS : BETWEEN_REGIONS_MILLIS;
+    }
+
+    private double logReadMillis(int vm) {
+        double oneWayMillis = isFirstRegion(dataCentreOf[vm]) ? IN_REGION_MILLIS : BETWEEN_REGIONS_MILLIS;
+        return 2 * oneWayMillis + LOG_SERVICE_MILLIS;
+    }
+
+    private static boolean isFirstRegion(int dataCentre) {
+        return dataCentre < FIRST_REGION_DATA_CENTRES;
+    }
+
+    private static LogEntry entry() {
+        RecordHeader header = new RecordHeader(new WriterId("operator"), 0, "operator", 0);
+        LogRecord body = new LogRecord.ConfigurationPublished(
+                LogOffset.NONE, new Shape(DATA_CENTRES, 0, SERVERS / DATA_CENTRES, 16_384).configuration(2));
+        return new LogEntry(new LogOffset(100_000), header, body);
+    }
+
+    private static byte[] configurationRecord() throws LogRecordCodec.RecordTooLargeException {
+        LogEntry entry = entry();
+        return new LogRecordCodec().encode(entry.header(), entry.body());
+    }
+
+    private static int frameBytes(PeerMessage message) {
+        LogRecordCodec codec = new LogRecordCodec();
+        PeerFrames frames = new PeerFrames(new LogEntryCodec() {
+            @Override
+            public byte[] encode(LogEntry entry) {
+                try {
+                    return codec.encode(entry.header(), entry.body());
+                } catch (LogRecordCodec.RecordTooLargeException e) {
+                    throw new IllegalStateException("configuration of " + SERVERS + " servers is too large", e);
+                }
+            }
+
+            @Override
+            public LogEntry decode(LogOffset offset, byte[] data) {
+                return codec.decode(offset, data);
+            }
+        });
+        return frames.encode(message).length + Meter.FRAME_LENGTH_BYTES;
+    }
+}
--- a/bench/src/main/java/org/lacewingthread/bench/placement/EventQueue.java
+++ b/bench/src/main/java/org/lacewingthread/bench/placement/EventQueue.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /** Virtual time: runs actions in the order in which they are due. */
-final class EventQueue {
+public final class EventQueue {
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingLong(Event::atMicros).thenComparingLong(Event::order));
     private long nowMicros;
@@ -12,26 +12,31 @@
 
     private record Event(long atMicros, long order, Runnable action) {}
 
-    long nowMicros() {
+    /** Returns the time in microseconds. */
+    public long nowMicros() {
         return nowMicros;
     }
 
-    long nowMillis() {
+    /** Returns the time in milliseconds. */
+    public long nowMillis() {
         return nowMicros / 1_000;
     }
 
-    void after(long micros, Runnable action) {
+    /** Runs an action once, some time from now. */
+    public void after(long micros, Runnable action) {
         events.add(new Event(nowMicros + micros, order++, action));
     }
 
-    void every(long micros, Runnable action) {
+    /** Runs an action again and again, first one interval from now. */
+    public void every(long micros, Runnable action) {
         after(micros, () -> {
             action.run();
             every(micros, action);
         });
     }
 
-    void runFor(long millis) {
+    /** Moves time on and runs what falls due. */
+    public void runFor(long millis) {
         long endMicros = nowMicros + millis * 1_000;
         while (!events.isEmpty() && events.peek().atMicros() <= endMicros) {
             Event event = events.poll();
