Route a key by its hash, and keep its idempotency records, across splits

Cause: a request named the shard that its first entry VM knew. After the key was split out and moved, such a request went to the former owner, which no longer owned the key; and a repeat looked for its record under the new shard, found none, and ran a second time. Now every VM derives the shard from the key's hash at each step up to the send, and records belong to the shard that the key hashes to. A shard that a split-out key returns to vouches for no more than was known of both.

--- a/core/src/main/java/org/lacewingthread/core/traffic/IdempotencyRecord.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/IdempotencyRecord.java
@@ -25,7 +25,7 @@
     /**
      * An idempotency key with its scope: the same text for another shard is another key.
      *
-     * @param shard the shard
+     * @param shard the shard that the request's key hashes to, whether or not the key is split out
      * @param key the caller's key
      */
     public record Id(ShardId shard, String key) {}
--- a/core/src/main/java/org/lacewingthread/core/traffic/IdempotencyRecords.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/IdempotencyRecords.java
@@ -16,7 +16,7 @@
  * their server, so that a repeat gets the first outcome or "outcome unknown" and never a second run.
  *
  * <pre>{@code
- * switch (records.begin(id, fingerprint, attempt, nowMillis).verdict()) {
+ * switch (records.begin(id, served, fingerprint, attempt, nowMillis).verdict()) {
  *     case RUN: // send it, then records.done(id, outcome) or records.notRun(id) or records.mayHaveRun(id)
  *     ...
  * }
@@ -100,14 +100,33 @@
         entries.putIfAbsent(record.id(), new Entry(record.asCopy(), nowMillis));
     }
 
-    /** Decides on a request; with {@link Verdict#RUN} it counts as running. */
-    public Decision begin(IdempotencyRecord.Id id, long fingerprint, AttemptNumber attempt, long nowMillis) {
+    /**
+     * Takes in that a split-out key was merged back: the shard it came from vouches for no more than
+     * what was known of both.
+     */
+    public void weaken(ShardId shard, ShardId merged, long nowMillis) {
+        if (continuityOf(merged, nowMillis) != RecordContinuity.COMPLETE) {
+            continuities.put(shard, new Since(RecordContinuity.PREDECESSOR_LOST, nowMillis));
+        }
+    }
+
+    /**
+     * Decides on a request; with {@link Verdict#RUN} it counts as running.
+     *
+     * @param id its idempotency key
+     * @param served shard under which its key is served now
+     * @param fingerprint tells whether the key is used for another request
+     * @param attempt what the caller states
+     * @param nowMillis monotonic time
+     */
+    public Decision begin(
+            IdempotencyRecord.Id id, ShardId served, long fingerprint, AttemptNumber attempt, long nowMillis) {
         expire(nowMillis);
         Entry known = entries.get(id);
         if (known != null) {
             return onKnown(known.record(), fingerprint);
         }
-        if (!continuityOf(id.shard(), nowMillis).vouchesFor(attempt)) {
+        if (!continuityOf(served, nowMillis).vouchesFor(attempt)) {
             return new Decision(Verdict.UNKNOWN, null);
         }
         if (entries.size() >= settings.maxRecords()) {
--- a/core/src/test/java/org/lacewingthread/core/traffic/IdempotencyRecordsTest.java
+++ b/core/src/test/java/org/lacewingthread/core/traffic/IdempotencyRecordsTest.java
@@ -28,7 +28,7 @@
     }
 
     private Verdict begin(IdempotencyRecord.Id id, long fingerprint, AttemptNumber attempt, long nowMillis) {
-        return records.begin(id, fingerprint, attempt, nowMillis).verdict();
+        return records.begin(id, id.shard(), fingerprint, attempt, nowMillis).verdict();
     }
 
     private Verdict begin(long nowMillis) {
@@ -40,7 +40,7 @@
         assertThat(begin(0)).isEqualTo(Verdict.RUN);
         assertThat(begin(1)).isEqualTo(Verdict.STILL_RUNNING);
         records.done(KEY, OUTCOME);
-        IdempotencyRecords.Decision decision = records.begin(KEY, 7, AttemptNumber.REPEAT, 2);
+        IdempotencyRecords.Decision decision = records.begin(KEY, KEY.shard(), 7, AttemptNumber.REPEAT, 2);
         assertThat(decision.verdict()).isEqualTo(Verdict.REPLAY);
         assertThat(decision.outcome()).isEqualTo(OUTCOME);
     }
@@ -124,7 +124,8 @@
         IdempotencyRecords next = new IdempotencyRecords(new IdempotencyRecords.Settings(WINDOW_MILLIS, 3, 4));
         next.startShard(SHARD, RecordContinuity.COMPLETE, 5);
         records.copiesOf(Set.of(SHARD)).forEach(record -> next.addCollected(record, 5));
-        assertThat(next.begin(KEY, 7, AttemptNumber.FIRST, 6).verdict()).isEqualTo(Verdict.UNKNOWN);
+        assertThat(next.begin(KEY, KEY.shard(), 7, AttemptNumber.FIRST, 6).verdict())
+                .isEqualTo(Verdict.UNKNOWN);
         assertThat(records.copiesOf(Set.of(new ShardId(SHARD.application(), 4))))
                 .isEmpty();
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RecordKeeper.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RecordKeeper.java
@@ -16,6 +16,7 @@
 import org.lacewingthread.core.control.RoutePlan;
 import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.log.ReplicaState;
 import org.lacewingthread.core.traffic.AttemptNumber;
 import org.lacewingthread.core.traffic.IdempotencyRecord;
 import org.lacewingthread.core.traffic.IdempotencyRecord.Outcome;
@@ -42,8 +43,10 @@
     private final RecordReplica replica;
     private final LongSupplier clockMillis;
     private final Map<ShardId, VmStart> lastDispatchers = new HashMap<>();
+    private final Map<ShardId, ShardId> origins = new HashMap<>();
     private final Set<ShardId> local = new HashSet<>();
     private final Set<ShardId> collecting = new HashSet<>();
+    private volatile RecordShards shards = RecordShards.of(ReplicaState.EMPTY);
     private RoutePlan appliedPlan;
     private long leaseEndMillis = Long.MIN_VALUE;
 
@@ -62,11 +65,12 @@
     void onView(ControlView view) {
         Set<ShardId> gained = takeIn(view);
         if (!gained.isEmpty()) {
-            replica.collect(gained, collected -> onCollected(gained, collected));
+            replica.collect(shards.hashedShardsOf(gained), collected -> onCollected(gained, collected));
         }
     }
 
     private synchronized Set<ShardId> takeIn(ControlView view) {
+        shards = RecordShards.of(view.state());
         forgetIfLapsed(view);
         Optional<RoutePlan> plan = view.plan();
         boolean isNew = plan.isPresent() && (appliedPlan == null || plan.get().isAfter(appliedPlan));
@@ -98,12 +102,13 @@
             }
             lost.remove(shard);
             if (local.add(shard)) {
-                startShard(shard, former == null || former.equals(self));
+                VmStart known = former == null ? lastDispatchers.get(shards.hashedShardOf(shard)) : former;
+                startShard(shard, known == null || known.equals(self));
                 gained.add(shard);
             }
         });
         local.removeAll(lost);
-        lost.forEach(records::endShard);
+        lost.forEach(this::endShard);
         return gained;
     }
 
@@ -112,6 +117,19 @@
                 noOtherKnown ? RecordContinuity.NO_KNOWN_PREDECESSOR : RecordContinuity.PREDECESSOR_LOST;
         records.startShard(shard, continuity, clockMillis.getAsLong());
         collecting.add(shard);
+        ShardId hashed = shards.hashedShardOf(shard);
+        if (!hashed.equals(shard)) {
+            origins.put(shard, hashed);
+        }
+    }
+
+    /** A split-out key that is merged back leaves what is not known of it to the shard it came from. */
+    private void endShard(ShardId shard) {
+        ShardId origin = origins.remove(shard);
+        if (origin != null && local.contains(origin)) {
+            records.weaken(origin, shard, clockMillis.getAsLong());
+        }
+        records.endShard(shard);
     }
 
     private synchronized void onCollected(Set<ShardId> shards, RecordReplica.Collected collected) {
@@ -136,12 +154,13 @@
         }
         Decision decision;
         synchronized (this) {
-            if (collecting.contains(request.shard())) {
+            ShardId served = shards.servedShardOf(request);
+            if (collecting.contains(served)) {
                 ioThread.executeAfter(again, COLLECT_CHECK_MILLIS, TimeUnit.MILLISECONDS);
                 return false;
             }
-            decision =
-                    records.begin(idOf(request), fingerprintOf(request), attemptOf(request), clockMillis.getAsLong());
+            decision = records.begin(
+                    idOf(request), served, fingerprintOf(request), attemptOf(request), clockMillis.getAsLong());
         }
         return carryOut(decision, pending);
     }
@@ -223,9 +242,9 @@
         return records.copiesOf(shards);
     }
 
-    private static IdempotencyRecord.Id idOf(RoutedRequest request) {
+    private IdempotencyRecord.Id idOf(RoutedRequest request) {
         return new IdempotencyRecord.Id(
-                request.shard(), request.idempotencyKey().orElseThrow());
+                shards.hashedShardOf(request), request.idempotencyKey().orElseThrow());
     }
 
     private static long fingerprintOf(RoutedRequest request) {
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RecordShards.java
@@ -0,0 +1,61 @@
+package org.lacewingthread.daemon.dispatch;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.log.ReplicaState;
+import org.lacewingthread.core.log.ShardTable;
+import org.lacewingthread.daemon.exchange.RoutedRequest;
+
+/**
+ * Shards as idempotency records see them. A record belongs to the shard that its key hashes to, so that
+ * it is found whether or not the key is split out at the moment.
+ */
+final class RecordShards {
+    private final Map<ApplicationId, ShardTable> tables;
+    private final Map<ShardId, ShardId> hashedShards;
+
+    private RecordShards(Map<ApplicationId, ShardTable> tables, Map<ShardId, ShardId> hashedShards) {
+        this.tables = tables;
+        this.hashedShards = hashedShards;
+    }
+
+    static RecordShards of(ReplicaState state) {
+        Map<ShardId, ShardId> hashedShards = new HashMap<>();
+        state.shardTables().forEach((application, table) -> table.splitKeys()
+                .forEach((keyHash, index) -> hashedShards.put(
+                        new ShardId(application, index), new ShardId(application, table.hashedIndexOf(keyHash)))));
+        return new RecordShards(state.shardTables(), hashedShards);
+    }
+
+    /** Returns the shard that a request's key belongs to now. */
+    ShardId servedShardOf(RoutedRequest request) {
+        ShardTable table = tables.get(request.shard().application());
+        return table == null
+                ? request.shard()
+                : new ShardId(request.shard().application(), table.indexOf(request.keyHash()));
+    }
+
+    /** Returns the shard that a request's key hashes to. */
+    ShardId hashedShardOf(RoutedRequest request) {
+        ShardTable table = tables.get(request.shard().application());
+        return table == null
+                ? request.shard()
+                : new ShardId(request.shard().application(), table.hashedIndexOf(request.keyHash()));
+    }
+
+    /** Returns the shard that the key of a split-out shard hashes to, or the shard itself. */
+    ShardId hashedShardOf(ShardId shard) {
+        return hashedShards.getOrDefault(shard, shard);
+    }
+
+    /** Returns the shards that the keys of some shards hash to. */
+    Set<ShardId> hashedShardsOf(Set<ShardId> shards) {
+        Set<ShardId> hashed = new HashSet<>();
+        shards.forEach(shard -> hashed.add(hashedShardOf(shard)));
+        return hashed;
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RequestRouter.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RequestRouter.java
@@ -83,7 +83,7 @@
             pending.fail(ResultCode.NOT_READY, NOT_READY_RETRY_MILLIS, "this entry VM has no current state yet");
             return;
         }
-        Route route = snapshot.table().routeOf(request.shard());
+        Route route = snapshot.routeOf(request);
         switch (route.target()) {
             case LOCAL -> dispatcher.submit(pending, route.server());
             case PEER_VM -> relay(pending, relays.toVm(route.vm()));
@@ -164,7 +164,7 @@
     }
 
     private boolean mayGoOn(PendingRequest pending) {
-        Route route = state.snapshot().table().routeOf(pending.request().shard());
+        Route route = state.snapshot().routeOf(pending.request());
         return switch (route.target()) {
             case IN_MOTION -> false;
             case PEER_VM -> relays.toVm(route.vm()).isPresent();
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/SendGate.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/SendGate.java
@@ -25,7 +25,7 @@
 
     /** Returns whether the newest plan names this VM as dispatcher and the server as the shard's owner. */
     boolean isLocal(RoutedRequest request) {
-        return state.snapshot().isLocal(request.shard(), server);
+        return state.snapshot().isLocal(request, server);
     }
 
     boolean holdsLease() {
@@ -42,13 +42,14 @@
         if (pending.isOver() || leaseLeftMillis <= 0 || waitLeftMillis <= 0) {
             return Optional.empty();
         }
-        if (!snapshot.isLocal(request.shard(), server)) {
+        if (!snapshot.isLocal(request, server)) {
             return Optional.empty();
         }
-        Route route = snapshot.table().routeOf(request.shard());
+        Route route = snapshot.routeOf(request);
         long startWithinMillis = Math.min(startByMillis, Math.min(leaseLeftMillis, waitLeftMillis));
         return Optional.of(new SendPermit(List.of(
-                new HeaderField("Lacewingthread-Shard", request.shard().toString()),
+                new HeaderField(
+                        "Lacewingthread-Shard", snapshot.shardOf(request).toString()),
                 new HeaderField("Lacewingthread-Token", route.token().toString()),
                 new HeaderField("Lacewingthread-Start-By-Millis", Long.toString(startWithinMillis)),
                 new HeaderField("Lacewingthread-Deadline-Millis", Long.toString(waitLeftMillis)))));
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerLane.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerLane.java
@@ -94,7 +94,7 @@
             context.giveBack().accept(pending);
             return;
         }
-        load.add(request.shard(), request.keyHash());
+        load.add(context.state().snapshot().shardOf(request), request.keyHash());
         if (!health.isAnswering()) {
             // Proof of "not run": the request was not queued, so it can't be sent.
             pending.fail(ResultCode.OWNER_UNREACHABLE, UNREACHABLE_RETRY_MILLIS, UNREACHABLE);
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/TrafficState.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/TrafficState.java
@@ -5,10 +5,12 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.lacewingthread.core.config.RoutingConfiguration;
 import org.lacewingthread.core.control.ControlView;
+import org.lacewingthread.core.id.ApplicationId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ShardId;
 import org.lacewingthread.core.routing.RequestClassifier;
 import org.lacewingthread.core.routing.RoutingTable;
+import org.lacewingthread.daemon.exchange.RoutedRequest;
 
 /**
  * Newest control state as traffic threads see it: the {@link ControlView} and the {@link RoutingTable}
@@ -40,9 +42,24 @@
             return view != null && view.ready();
         }
 
-        /** Returns whether this VM dispatches a shard's requests to a server. */
-        public boolean isLocal(ShardId shard, ServerId server) {
-            RoutingTable.Route route = table.routeOf(shard);
+        /**
+         * Returns the shard that a request's key belongs to now. The shard that the request names is the
+         * one that its first entry VM knew; the key may have been split out or merged back since.
+         */
+        public ShardId shardOf(RoutedRequest request) {
+            ApplicationId application = request.shard().application();
+            int index = table.shardIndexOf(application, request.keyHash());
+            return index < 0 ? request.shard() : new ShardId(application, index);
+        }
+
+        /** Returns the route of a request's key. */
+        public RoutingTable.Route routeOf(RoutedRequest request) {
+            return table.routeOf(request.shard().application(), request.keyHash());
+        }
+
+        /** Returns whether this VM dispatches a request's key to a server. */
+        public boolean isLocal(RoutedRequest request, ServerId server) {
+            RoutingTable.Route route = routeOf(request);
             return route.target() == RoutingTable.Target.LOCAL && route.server().equals(server);
         }
     }
--- /dev/null
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/SplitKeyTest.java
@@ -0,0 +1,107 @@
+package org.lacewingthread.daemon.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lacewingthread.core.config.RequestClass;
+import org.lacewingthread.core.config.ServerSpec;
+import org.lacewingthread.core.id.ShardId;
+import org.lacewingthread.core.routing.KeyHash;
+import org.lacewingthread.daemon.caller.Caller;
+import org.lacewingthread.daemon.exchange.Failure;
+import org.lacewingthread.daemon.exchange.HeaderField;
+import org.lacewingthread.daemon.exchange.ResponseSink;
+import org.lacewingthread.daemon.exchange.RoutedRequest;
+import org.lacewingthread.standin.BackendServerStandIn;
+import org.lacewingthread.standin.BackendSettings;
+
+class SplitKeyTest {
+    private static final String KEY = "1";
+    private static final long LEASE_MILLIS = 600_000;
+
+    private BackendServerStandIn first;
+    private BackendServerStandIn second;
+    private ServerSpec firstSpec;
+    private ServerSpec secondSpec;
+    private TrafficViews views;
+    private TrafficBench bench;
+    private Caller caller;
+
+    @BeforeEach
+    void start() throws Exception {
+        first = new BackendServerStandIn(0, BackendSettings.of("s1"));
+        second = new BackendServerStandIn(0, BackendSettings.of("s2"));
+        firstSpec = TrafficViews.server("s1", first.uri().getPort(), 20);
+        secondSpec = TrafficViews.server("s2", second.uri().getPort(), 20);
+        views = new TrafficViews(firstSpec, secondSpec);
+        bench = new TrafficBench();
+        caller = new Caller(bench.server.port());
+        bench.state.publish(views.ownedBy(firstSpec.id(), TrafficViews.SELF, TrafficBench.leaseFor(LEASE_MILLIS)));
+    }
+
+    @AfterEach
+    void stop() {
+        bench.close();
+        first.close();
+        second.close();
+    }
+
+    private void splitOutTo(ServerSpec owner) {
+        bench.state.publish(views.splitOut(KEY, firstSpec.id(), owner.id(), TrafficBench.leaseFor(LEASE_MILLIS)));
+    }
+
+    @Test
+    void repeatFindsItsRecordAfterItsKeyWasSplitOutAndMoved() throws Exception {
+        HttpResponse<String> attempt = caller.post("/holds/" + KEY, "{}", "Idempotency-Key", "k");
+        splitOutTo(firstSpec);
+        splitOutTo(secondSpec);
+        HttpResponse<String> repeat = caller.post("/holds/" + KEY, "{}", "Idempotency-Key", "k");
+        assertThat(repeat.body()).isEqualTo(attempt.body());
+        assertThat(first.runs()).hasSize(1);
+        assertThat(second.runs()).isEmpty();
+    }
+
+    @Test
+    void requestThatNamesTheFormerShardOfAKeyGoesToTheKeysOwner() {
+        splitOutTo(secondSpec);
+        ShardId former = new ShardId(TrafficViews.LEDGER, (int) (KeyHash.of(KEY) & 15));
+        RoutedRequest stale = new RoutedRequest(
+                "r1",
+                former,
+                KeyHash.of(KEY),
+                RequestClass.LOOKUP,
+                "GET",
+                "/rugs/" + KEY,
+                List.of(),
+                new byte[0],
+                TrafficBench.leaseFor(LEASE_MILLIS),
+                Optional.empty(),
+                1);
+        bench.router.handle(stale, new IgnoringSink());
+        await().until(() -> second.runs().size() == 1);
+        assertThat(first.runs()).isEmpty();
+    }
+
+    /** Lets an answer pass. */
+    private static final class IgnoringSink implements ResponseSink {
+        @Override
+        public void onHead(int status, List<HeaderField> headers) {}
+
+        @Override
+        public void onBody(byte[] chunk, Runnable consumed) {
+            consumed.run();
+        }
+
+        @Override
+        public void onEnd() {}
+
+        @Override
+        public void onFailure(Failure failure) {}
+    }
+}
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/TrafficViews.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/TrafficViews.java
@@ -27,6 +27,7 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.ReplicaState;
 import org.lacewingthread.core.log.ShardTable;
+import org.lacewingthread.core.routing.KeyHash;
 
 /** Makes control views by hand: one application whose shards are all owned by one server at a time. */
 public final class TrafficViews {
@@ -86,6 +87,22 @@
         return view(plan, dispatchDeadlineMillis);
     }
 
+    /** Returns a view in which a key is split out and owned by one server, and all other shards by another. */
+    public ControlView splitOut(String key, ServerId owner, ServerId ownerOfKey, long dispatchDeadlineMillis) {
+        ControlView whole = ownedBy(owner, SELF, dispatchDeadlineMillis);
+        RoutePlan plan = whole.plan().orElseThrow();
+        Map<ShardId, RoutePlan.Ownership> owners = new HashMap<>(plan.owners());
+        FencingToken token = new FencingToken(plan.term(), plan.version());
+        owners.put(new ShardId(LEDGER, SHARDS), new RoutePlan.Ownership(ownerOfKey, token));
+        Map<ServerId, VmStart> dispatchers = new HashMap<>();
+        dispatchers.put(owner, SELF);
+        dispatchers.put(ownerOfKey, SELF);
+        ShardTable.Entry entry = new ShardTable.Entry(MARAS, null, null);
+        ShardTable split =
+                new ShardTable(SHARDS, Collections.nCopies(SHARDS + 1, entry), Map.of(KeyHash.of(key), SHARDS));
+        return view(split, new RoutePlan(plan.term(), plan.version(), dispatchers, owners), dispatchDeadlineMillis);
+    }
+
     /** Returns a view in which every shard is in motion. */
     public ControlView inMotion(long dispatchDeadlineMillis) {
         version++;
@@ -94,12 +111,16 @@
     }
 
     private ControlView view(RoutePlan plan, long dispatchDeadlineMillis) {
+        return view(table, plan, dispatchDeadlineMillis);
+    }
+
+    private ControlView view(ShardTable shards, RoutePlan plan, long dispatchDeadlineMillis) {
         ReplicaState state = new ReplicaState(
                 new LogOffset(9),
                 new LogOffset(1),
                 configuration,
                 Map.of(),
-                Map.of(LEDGER, table),
+                Map.of(LEDGER, shards),
                 Set.of(),
                 Set.of(),
                 Map.of(),
