Measure the bytes of orders and the loss of a rack

Orders to servers that check tokens name every shard, so their size grows with the shards; the meter counted only their number. ServerOrderSender.encode gives the body that is sent.

--- a/bench/src/main/java/org/lacewingthread/bench/capacity/ControlSlopes.java
+++ b/bench/src/main/java/org/lacewingthread/bench/capacity/ControlSlopes.java
@@ -3,7 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 
@@ -23,6 +25,7 @@
     private static final double STEADY_SECONDS = 20;
     private static final double CHANGE_SECONDS = 15;
     private static final int NUMBERS_PER_SHAPE = 4;
+    private static final int RACKS = 4;
     private static final List<Shape> SLOPES = List.of(
             new Shape(1, 4, 20, 1_024),
             new Shape(1, 4, 20, 1_024),
@@ -47,7 +50,7 @@
     public static void main(String[] args) {
         Locale.setDefault(Locale.ROOT);
         System.out.println("steady: dataCentres vms servers shards role messagesIn/s messagesOut/s bytesIn/s"
-                + " bytesOut/s logReads/s logBytes/s orders/s cpuPercent allocatedKiB/s");
+                + " bytesOut/s logReads/s logBytes/s orders/s orderBytes/s cpuPercent allocatedKiB/s");
         System.out.println("change: dataCentres vms servers shards change millisToTakeHold appends appendedBytes"
                 + " peerBytesTotal peerBytesPerVm logBytesPerVm");
         for (Shape shape : args.length == 0 ? SLOPES : shapes(args)) {
@@ -76,6 +79,7 @@
         measureChange("configuration", steady, vms, this::publish);
         measureChange("vm-replaced", steady, vms, this::replaceOrdinaryVm);
         measureChange("leader-replaced", steady, vms, this::replaceLeader);
+        measureChange("rack-lost", steady, vms, this::loseRack);
     }
 
     /** Returns whether every VM is in its roster and every shard has an owner. */
@@ -164,6 +168,25 @@
                         .noneMatch(owner -> owner.server().equals(server)));
     }
 
+    /** Loses a part of the first data centre's servers and of its entry VMs at once; the VMs are replaced. */
+    private BooleanSupplier loseRack() {
+        DataCentreId dataCentre = deployment.shape.dataCentre(0);
+        Set<ServerId> servers = deployment.leader().plan().dispatchers().keySet().stream()
+                .sorted()
+                .limit(Math.max(1, deployment.shape.servers() / RACKS))
+                .collect(Collectors.toSet());
+        servers.forEach(deployment::lose);
+        deployment.vms.get(dataCentre).stream()
+                .filter(vm -> !vm.leads())
+                .limit(deployment.shape.vms() / RACKS)
+                .toList()
+                .forEach(this::replace);
+        int size = deployment.vms.get(dataCentre).size();
+        return () -> rosterIs(dataCentre, size)
+                && deployment.leader().plan().owners().values().stream()
+                        .noneMatch(owner -> servers.contains(owner.server()));
+    }
+
     private BooleanSupplier publish() {
         deployment.publish(3);
         return () -> deployment.all().stream()
--- a/bench/src/main/java/org/lacewingthread/bench/capacity/Meter.java
+++ b/bench/src/main/java/org/lacewingthread/bench/capacity/Meter.java
@@ -17,6 +17,7 @@
     long logReads;
     long logBytes;
     long orders;
+    long orderBytes;
     long cpuNanos;
     long allocatedBytes;
 
@@ -28,6 +29,7 @@
         logReads = 0;
         logBytes = 0;
         orders = 0;
+        orderBytes = 0;
         cpuNanos = 0;
         allocatedBytes = 0;
     }
@@ -40,6 +42,7 @@
         logReads += other.logReads;
         logBytes += other.logBytes;
         orders += other.orders;
+        orderBytes += other.orderBytes;
         cpuNanos += other.cpuNanos;
         allocatedBytes += other.allocatedBytes;
     }
@@ -67,7 +70,7 @@
     String rates(double seconds, int vms) {
         double n = seconds * vms;
         return String.format(
-                "%.1f %.1f %.0f %.0f %.1f %.0f %.1f %.3f %.0f",
+                "%.1f %.1f %.0f %.0f %.1f %.0f %.1f %.0f %.3f %.0f",
                 messagesIn / n,
                 messagesOut / n,
                 bytesIn / n,
@@ -75,6 +78,7 @@
                 logReads / n,
                 logBytes / n,
                 orders / n,
+                orderBytes / n,
                 cpuNanos / n / 1e7,
                 allocatedBytes / n / 1024);
     }
--- a/bench/src/main/java/org/lacewingthread/bench/capacity/MeteredDeployment.java
+++ b/bench/src/main/java/org/lacewingthread/bench/capacity/MeteredDeployment.java
@@ -24,6 +24,7 @@
 import org.lacewingthread.core.log.LogRecord;
 import org.lacewingthread.core.log.RecordHeader;
 import org.lacewingthread.core.log.RosterMember;
+import org.lacewingthread.daemon.backend.ServerOrderSender;
 import org.lacewingthread.daemon.peer.LogEntryCodec;
 import org.lacewingthread.daemon.peer.PeerFrames;
 import org.lacewingthread.daemon.platform.LogRecordCodec;
@@ -184,6 +185,7 @@
 
     void order(MeteredVm vm, ServerOrder order) {
         vm.meter.orders++;
+        vm.meter.run(() -> vm.meter.orderBytes += ServerOrderSender.encode(order).length);
         if (lost.contains(order.server())) {
             queue.after(
                     ORDER_TIMEOUT_MICROS,
--- a/daemon/src/main/java/org/lacewingthread/daemon/backend/ServerOrderSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/backend/ServerOrderSender.java
@@ -132,11 +132,17 @@
     private static BackendCall callOf(ServerOrder order) {
         String id = "order-" + order.server() + "-" + order.sequence();
         List<HeaderField> headers = List.of(new HeaderField("Content-Type", "application/json"));
-        if (order instanceof ServerOrder.Renew renew) {
-            return new BackendCall(id, "PUT", "/.lacewingthread/lease", headers, bytes(bodyOf(renew)), false);
+        if (order instanceof ServerOrder.Renew) {
+            return new BackendCall(id, "PUT", "/.lacewingthread/lease", headers, encode(order), false);
         }
-        ServerOrder.Release release = (ServerOrder.Release) order;
-        return new BackendCall(id, "POST", "/.lacewingthread/release", headers, bytes(bodyOf(release)), false);
+        return new BackendCall(id, "POST", "/.lacewingthread/release", headers, encode(order), false);
+    }
+
+    /** Returns the body in which an order is sent. */
+    public static byte[] encode(ServerOrder order) {
+        return order instanceof ServerOrder.Renew renew
+                ? bytes(bodyOf(renew))
+                : bytes(bodyOf((ServerOrder.Release) order));
     }
 
     private static Map<String, Object> bodyOf(ServerOrder.Renew renew) {
