--- a/daemon/src/main/java/org/lacewingthread/daemon/entry/EntryVm.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/entry/EntryVm.java
@@ -39,6 +39,7 @@
 import org.lacewingthread.daemon.exchange.RequestHandler;
 import org.lacewingthread.daemon.exchange.ResponseSink;
 import org.lacewingthread.daemon.exchange.RoutedRequest;
+import org.lacewingthread.daemon.operator.ControlMetrics;
 import org.lacewingthread.daemon.operator.OperatorServer;
 import org.lacewingthread.daemon.operator.VmStatus;
 import org.lacewingthread.daemon.peer.PeerNetwork;
@@ -132,6 +133,7 @@
         this.router = new RequestRouter(
                 traffic, dispatcher, new RosterRelays(traffic, peers, EntryVm::nowMillis), worker, EntryVm::nowMillis);
         this.callers = openCallers(trafficMetrics);
+        new ControlMetrics(metrics, this::status).register();
         this.operators = new OperatorServer(
                 settings.host(),
                 settings.operatorPort(),
