Send a release at once when no order is unanswered

A release waited for the next renewal, up to 300 ms; a trial of 300 random histories showed a shard unserved for 630 ms while it moved for balance (limit of the check: 600 ms).

--- a/core/src/main/java/org/lacewingthread/core/ownership/ServerLease.java
+++ b/core/src/main/java/org/lacewingthread/core/ownership/ServerLease.java
@@ -39,6 +39,7 @@
     private long sequence;
     private long lastPossibleEndMillis;
     private long renewAtMillis = Long.MIN_VALUE;
+    private long releaseAtMillis = Long.MIN_VALUE;
     private long retryEndMillis = Long.MIN_VALUE;
     private long lostUntilMillis = Long.MIN_VALUE;
     private int failures;
@@ -108,10 +109,13 @@
             failed(pending.order().sequence(), nowMillis);
         }
         boolean waiting = pending != null && rules.contains(SafetyRule.ONE_ORDER_AT_A_TIME);
-        if (waiting || !answering || nowMillis < renewAtMillis) {
+        if (waiting || !answering) {
             return Optional.empty();
         }
-        return releasing.isEmpty() ? renew(nowMillis) : Optional.of(release(nowMillis));
+        if (!releasing.isEmpty() && nowMillis >= releaseAtMillis) {
+            return Optional.of(release(nowMillis));
+        }
+        return nowMillis < renewAtMillis ? Optional.empty() : renew(nowMillis);
     }
 
     private ServerOrder release(long nowMillis) {
@@ -189,7 +193,7 @@
 
     private void releaseAnswered(Pending done, boolean accepted, long nowMillis) {
         if (!accepted) {
-            renewAtMillis = nowMillis + settings.serverRenewalMillis();
+            releaseAtMillis = nowMillis + settings.serverRenewalMillis();
             done.shards().forEach(releasing::remove);
             return;
         }
@@ -213,5 +217,6 @@
             lostUntilMillis = nowMillis + LOST_MILLIS;
         }
         renewAtMillis = nowMillis + settings.heartbeatMillis();
+        releaseAtMillis = renewAtMillis;
     }
 }
