Remove a restarted VM's old process before its new one joins

New tests: a leaving VM hands over and leaves the roster; a VM cut from the log gets records from its peers.

--- a/core/src/main/java/org/lacewingthread/core/lease/RosterKeeper.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/RosterKeeper.java
@@ -12,6 +12,7 @@
 import org.lacewingthread.core.control.PeerMessage.ProgressReported;
 import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.Term;
+import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.DataCentreState;
 import org.lacewingthread.core.log.LogEntry;
@@ -182,7 +183,7 @@
         Optional<RosterMember> newcomer = requests.values().stream()
                 .filter(r -> !isLeaving(r.member().start()))
                 .map(Request::member)
-                .filter(m -> dataCentre.member(m.start()).isEmpty())
+                .filter(m -> hasNoProcessOf(dataCentre, m.start().vm()))
                 .findFirst();
         if (newcomer.isPresent()) {
             List<RosterMember> members = new ArrayList<>(dataCentre.members());
@@ -191,7 +192,15 @@
         }
     }
 
+    /** A restarted process joins after its predecessor was removed, so that the roster does not grow meanwhile. */
+    private static boolean hasNoProcessOf(DataCentreState dataCentre, VmId vm) {
+        return dataCentre.members().stream().noneMatch(m -> m.start().vm().equals(vm));
+    }
+
     private boolean isToBeRemoved(VmStart vm, LeaderTerm leader, long nowMillis) {
+        if (watch.isReplaced(vm)) {
+            return true;
+        }
         if (!leader.ledger().isLive(vm, nowMillis)) {
             return watch.isGone(vm, nowMillis);
         }
--- a/core/src/main/java/org/lacewingthread/core/lease/VmWatch.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/VmWatch.java
@@ -67,9 +67,14 @@
         return leaving.contains(vm);
     }
 
+    /** Returns whether another process runs on a member's VM. */
+    boolean isReplaced(VmStart member) {
+        return isOtherOfSameVm(member, self) || replaced.contains(member);
+    }
+
     /** Returns whether a member no longer exists. */
     boolean isGone(VmStart member, long nowMillis) {
-        if (isOtherOfSameVm(member, self) || replaced.contains(member)) {
+        if (isReplaced(member)) {
             return true;
         }
         if (lastListMillis == Long.MIN_VALUE || nowMillis - lastListMillis > LIST_KEPT_MILLIS) {
--- a/core/src/test/java/org/lacewingthread/core/lease/EntryVmStateMachineTest.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/EntryVmStateMachineTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.lacewingthread.core.control.ControlEvent;
 import org.lacewingthread.core.id.ServerId;
 
 class EntryVmStateMachineTest {
@@ -40,4 +41,39 @@
         }
         assertThat(group.checks.violations).isEmpty();
     }
+
+    @Test
+    void aLeavingVmHandsOverItsServersAndThenLeavesTheRoster() {
+        List<SimulatedVm> vms =
+                List.of(group.start("maras-1", 1), group.start("maras-2", 1), group.start("maras-3", 1));
+        group.runFor(8_000);
+
+        vms.get(2).deliver(new ControlEvent.LeaveRequested());
+        group.runFor(4_000);
+
+        assertThat(vms.get(2).view.leaving()).isTrue();
+        assertThat(vms.get(0).view.state().roster(SimulatedGroup.MARAS))
+                .containsExactlyInAnyOrder(
+                        vms.get(0).identity.member(), vms.get(1).identity.member());
+        for (int i = 0; i < 3; i++) {
+            ServerId server = new ServerId("server-" + i);
+            assertThat(vms.subList(0, 2))
+                    .filteredOn(v -> v.dispatchesFor(server))
+                    .hasSize(1);
+        }
+        assertThat(group.checks.violations).isEmpty();
+    }
+
+    @Test
+    void aVmThatCannotReadTheLogGetsItsRecordsFromItsPeers() {
+        List<SimulatedVm> vms =
+                List.of(group.start("maras-1", 1), group.start("maras-2", 1), group.start("maras-3", 1));
+        group.runFor(8_000);
+        group.cutFromLog.add("maras-3");
+
+        group.servers = new SimulatedServers(group, 2);
+        group.runFor(1_500);
+
+        assertThat(vms.get(2).view.state().configuration().servers()).hasSize(2);
+    }
 }
