--- /dev/null
+++ b/bench/src/main/java/org/lacewingthread/bench/capacity/SnapshotStart.java
@@ -0,0 +1,87 @@
+package org.lacewingthread.bench.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.lacewingthread.core.id.LogOffset;
+import org.lacewingthread.core.id.WriterId;
+import org.lacewingthread.core.log.LogEntry;
+import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.core.log.LogReplica;
+import org.lacewingthread.core.log.RecordHeader;
+import org.lacewingthread.core.log.ReplicaState;
+import org.lacewingthread.core.routing.RequestClassifier;
+import org.lacewingthread.daemon.platform.LogRecordCodec;
+
+/**
+ * Prints what a start from a snapshot costs: the bytes of the snapshot of a deployment that ran, the time to
+ * decode it, to restore a replica and to compile its selectors, and the heap that a replica takes.
+ *
+ * <pre>{@code
+ * java -cp <jar and dependencies> org.lacewingthread.bench.capacity.SnapshotStart
+ * }</pre>
+ */
+public final class SnapshotStart {
+    private static final int ROUNDS = 20;
+    private static final long SETTLE_MILLIS = 30_000;
+    private static final int MAX_RECORD_BYTES = 64 << 20;
+
+    private SnapshotStart() {}
+
+    /** Prints the table. */
+    public static void main(String[] args) throws LogRecordCodec.RecordTooLargeException {
+        System.out.println("shards servers dataCentres snapshotBytes firstStartMicros bestStartMicros heapBytes");
+        measure(new Shape(4, 1, 9, 2_048));
+        measure(new Shape(7, 1, 43, 16_384));
+    }
+
+    private static void measure(Shape shape) throws LogRecordCodec.RecordTooLargeException {
+        byte[] snapshot = snapshotOf(shape);
+        long firstNanos = -1;
+        long bestNanos = Long.MAX_VALUE;
+        List<LogReplica> kept = new ArrayList<>();
+        long heapBefore = usedHeapBytes();
+        for (int round = 0; round < ROUNDS; round++) {
+            long startNanos = System.nanoTime();
+            kept.add(start(snapshot));
+            long nanos = System.nanoTime() - startNanos;
+            firstNanos = firstNanos < 0 ? nanos : firstNanos;
+            bestNanos = Math.min(bestNanos, nanos);
+        }
+        long heapBytes = (usedHeapBytes() - heapBefore) / kept.size();
+        System.out.printf(
+                "%d %d %d %d %d %d %d%n",
+                shape.shards(),
+                shape.servers() * shape.dataCentres(),
+                shape.dataCentres(),
+                snapshot.length,
+                TimeUnit.NANOSECONDS.toMicros(firstNanos),
+                TimeUnit.NANOSECONDS.toMicros(bestNanos),
+                heapBytes);
+    }
+
+    private static byte[] snapshotOf(Shape shape) throws LogRecordCodec.RecordTooLargeException {
+        MeteredDeployment deployment = new MeteredDeployment(shape);
+        deployment.queue.runFor(SETTLE_MILLIS);
+        ReplicaState state = deployment.leader().view.state();
+        RecordHeader header = new RecordHeader(new WriterId("bench"), 0, "bench", 0);
+        return new LogRecordCodec(MAX_RECORD_BYTES).encode(header, new LogRecord.SnapshotTaken(state));
+    }
+
+    private static LogReplica start(byte[] snapshot) {
+        LogReplica replica = new LogReplica();
+        LogEntry entry = new LogRecordCodec(MAX_RECORD_BYTES).decode(new LogOffset(1_000_000), snapshot);
+        ReplicaState state = replica.snapshotAhead(entry).orElseThrow();
+        if (!replica.restore(state)) {
+            throw new IllegalStateException("snapshot of " + snapshot.length + " bytes was not taken in");
+        }
+        RequestClassifier.compile(replica.state().configuration());
+        return replica;
+    }
+
+    private static long usedHeapBytes() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
