--- a/bench/src/main/java/org/lacewingthread/bench/capacity/ControlSlopes.java
+++ b/bench/src/main/java/org/lacewingthread/bench/capacity/ControlSlopes.java
@@ -1,11 +1,13 @@
 package org.lacewingthread.bench.capacity;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import org.lacewingthread.core.control.RoutePlan;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 
@@ -80,6 +82,7 @@
         measureChange("vm-replaced", steady, vms, this::replaceOrdinaryVm);
         measureChange("leader-replaced", steady, vms, this::replaceLeader);
         measureChange("rack-lost", steady, vms, this::loseRack);
+        measureChange("server-lost-until-owned", steady, vms, this::loseServerUntilOwned);
     }
 
     /** Returns whether every VM is in its roster and every shard has an owner. */
@@ -187,6 +190,22 @@
                         .noneMatch(owner -> servers.contains(owner.server()));
     }
 
+    /** Loses an owner of shards; the change holds when every VM's plan again has an owner for each shard. */
+    private BooleanSupplier loseServerUntilOwned() {
+        RoutePlan before = deployment.leader().plan();
+        ServerId server = before.owners().values().stream()
+                .map(RoutePlan.Ownership::server)
+                .max(Comparator.naturalOrder())
+                .orElseThrow();
+        int owned = before.owners().size();
+        deployment.lose(server);
+        return () -> deployment.vms.get(deployment.shape.dataCentre(0)).stream()
+                .map(MeteredVm::plan)
+                .allMatch(plan -> plan.owners().size() >= owned
+                        && plan.owners().values().stream()
+                                .noneMatch(owner -> owner.server().equals(server)));
+    }
+
     private BooleanSupplier publish() {
         deployment.publish(3);
         return () -> deployment.all().stream()
