Send plan differences over several versions, step the coordinator every 10 ms

Cause: ControlSlopes showed a lost server resending whole plans about ten times, because only one earlier plan was kept, and a leader's coordinator stepping on every event.

--- a/core/src/main/java/org/lacewingthread/core/lease/LeaderDuties.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LeaderDuties.java
@@ -17,12 +17,16 @@
 
 /** Runs the ownership coordinator of the present term and carries out its steps. */
 final class LeaderDuties {
+    /** A leader of 60 servers takes in some 350 events a second; each step looks at every shard. */
+    private static final long STEP_INTERVAL_MILLIS = 10;
+
     private final VmContext context;
     private final HeldLeases leases;
     private final AppendQueue appends;
     private final Heartbeats heartbeats;
     private final Function<Term, OwnershipCoordinator> coordinators;
     private boolean hasLed;
+    private long nextStepMillis = Long.MIN_VALUE;
     private Optional<LeaderTerm> leading = Optional.empty();
 
     LeaderDuties(
@@ -58,6 +62,7 @@
         leading = term.map(t -> new LeaderTerm(context, t, coordinators.apply(t), leases, hasPredecessor, nowMillis));
         hasLed |= leading.isPresent();
         leading.ifPresent(l -> l.observed(observed));
+        nextStepMillis = Long.MIN_VALUE;
         heartbeats.hurry();
     }
 
@@ -85,9 +90,10 @@
 
     /** Lets the coordinator decide. */
     void advance(Set<VmStart> leaving, boolean logReachable, long nowMillis) {
-        if (leading.isEmpty()) {
+        if (leading.isEmpty() || nowMillis < nextStepMillis) {
             return;
         }
+        nextStepMillis = nowMillis + STEP_INTERVAL_MILLIS;
         LeaderTerm leader = leading.get();
         OwnershipStep step = leader.coordinator().step(leader.inputs(leaving, logReachable, nowMillis), nowMillis);
         step.plan().ifPresent(plan -> {
--- a/core/src/main/java/org/lacewingthread/core/lease/LeaderTerm.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LeaderTerm.java
@@ -28,8 +28,7 @@
     private final Map<VmStart, Optional<RoutePlan>> held = new HashMap<>();
     private final Map<ServerId, ServerCondition> conditions = new HashMap<>();
     private final Map<ServerId, ServerLoad> loads = new HashMap<>();
-    private RoutePlan plan;
-    private RoutePlan previousPlan;
+    private final PlanHistory plans = new PlanHistory();
 
     LeaderTerm(
             VmContext context,
@@ -59,13 +58,12 @@
     }
 
     Optional<RoutePlan> plan() {
-        return Optional.ofNullable(plan);
+        return Optional.ofNullable(plans.newest());
     }
 
     /** Takes in a changed plan. */
     void replacePlan(RoutePlan changed) {
-        previousPlan = plan;
-        plan = changed;
+        plans.add(changed);
     }
 
     /** Takes in a reply to a heartbeat of this term; returns whether its sender waits for an echo. */
@@ -78,6 +76,7 @@
 
     private void noteUnreachable(VmStart vm, Set<ServerId> unreachable) {
         unreachable.forEach(s -> conditions.put(s, ServerCondition.UNREACHABLE));
+        RoutePlan plan = plans.newest();
         if (plan == null) {
             return;
         }
@@ -95,18 +94,12 @@
 
     /** Returns the change of plan that a VM lacks. */
     Optional<PlanUpdate> updateFor(VmStart vm) {
-        long applied = ledger.appliedVersion(vm);
-        if (plan == null || applied == plan.version()) {
-            return Optional.empty();
-        }
-        if (previousPlan != null && applied == previousPlan.version()) {
-            return Optional.of(PlanUpdates.between(previousPlan, plan));
-        }
-        return Optional.of(PlanUpdates.whole(plan));
+        return plans.updateFrom(ledger.appliedVersion(vm));
     }
 
     /** Returns whether a VM dispatches for no server any more and has ended what it sent before. */
     boolean hasHandedOver(VmStart vm, long nowMillis) {
+        RoutePlan plan = plans.newest();
         if (plan == null) {
             return nowMillis >= predecessorEndMillis;
         }
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/lease/PlanHistory.java
@@ -0,0 +1,55 @@
+package org.lacewingthread.core.lease;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.lacewingthread.core.control.PlanUpdate;
+import org.lacewingthread.core.control.RoutePlan;
+
+/**
+ * A leader's newest route plan and some earlier ones, so that a member that is a few versions behind
+ * gets the difference rather than the whole plan.
+ */
+final class PlanHistory {
+    /** A lost server changes the plan some ten times within a heartbeat or two. */
+    private static final int MAX_EARLIER_PLANS = 32;
+
+    private final Deque<RoutePlan> earlier = new ArrayDeque<>();
+    private final Map<Long, PlanUpdate> updates = new HashMap<>();
+    private RoutePlan newest;
+
+    /** Takes in a changed plan. */
+    void add(RoutePlan changed) {
+        if (newest != null) {
+            earlier.addLast(newest);
+        }
+        if (earlier.size() > MAX_EARLIER_PLANS) {
+            earlier.removeFirst();
+        }
+        newest = changed;
+        updates.clear();
+    }
+
+    /** Returns the newest plan, or null before the first. */
+    RoutePlan newest() {
+        return newest;
+    }
+
+    /** Returns what brings a member up to date, empty if it is. */
+    Optional<PlanUpdate> updateFrom(long appliedVersion) {
+        if (newest == null || appliedVersion >= newest.version()) {
+            return Optional.empty();
+        }
+        return Optional.of(updates.computeIfAbsent(appliedVersion, this::makeUpdate));
+    }
+
+    private PlanUpdate makeUpdate(long appliedVersion) {
+        return earlier.stream()
+                .filter(plan -> plan.version() == appliedVersion)
+                .findFirst()
+                .map(plan -> PlanUpdates.between(plan, newest))
+                .orElseGet(() -> PlanUpdates.whole(newest));
+    }
+}
