--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/backend/GrantedShards.java
@@ -0,0 +1,64 @@
+package org.lacewingthread.daemon.backend;
+
+import java.util.List;
+import java.util.Map;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.lacewingthread.core.control.ServerOrder;
+import org.lacewingthread.core.id.ApplicationId;
+import org.lacewingthread.core.id.FencingToken;
+
+/**
+ * Shards of one application under one token, as a lease order names them. A server's shards share a few
+ * tokens, so that a shard costs the digits of its index rather than a token.
+ *
+ * @param shard application and indexes, for example {@code ledger/3,7,12-15}
+ * @param token their fencing token
+ */
+record GrantedShards(String shard, String token) {
+    private record Group(ApplicationId application, FencingToken token) implements Comparable<Group> {
+        @Override
+        public int compareTo(Group other) {
+            int byApplication = application.compareTo(other.application);
+            return byApplication != 0 ? byApplication : token.compareTo(other.token);
+        }
+    }
+
+    /** Groups shards by application and token. */
+    static List<GrantedShards> of(List<ServerOrder.GrantedShard> shards) {
+        Map<Group, SortedSet<Integer>> groups = new TreeMap<>();
+        for (ServerOrder.GrantedShard granted : shards) {
+            Group group = new Group(granted.shard().application(), granted.token());
+            groups.computeIfAbsent(group, g -> new TreeSet<>())
+                    .add(granted.shard().index());
+        }
+        return groups.entrySet().stream()
+                .map(entry -> new GrantedShards(
+                        entry.getKey().application() + "/" + ranges(entry.getValue()),
+                        entry.getKey().token().toString()))
+                .toList();
+    }
+
+    private static String ranges(SortedSet<Integer> indexes) {
+        StringBuilder text = new StringBuilder();
+        int first = indexes.first();
+        int last = first;
+        for (int index : indexes) {
+            if (index > last + 1) {
+                append(text, first, last);
+                first = index;
+            }
+            last = index;
+        }
+        append(text, first, last);
+        return text.toString();
+    }
+
+    private static void append(StringBuilder text, int first, int last) {
+        text.append(text.isEmpty() ? "" : ",").append(first);
+        if (last > first) {
+            text.append('-').append(last);
+        }
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/backend/ServerOrderSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/backend/ServerOrderSender.java
@@ -151,13 +151,7 @@
         body.put("token", renew.token().toString());
         body.put("leaseMillis", renew.leaseMillis());
         body.put("startByMillis", renew.startByMillis());
-        body.put(
-                "shards",
-                renew.shards().stream()
-                        .map(granted -> Map.of(
-                                "shard", granted.shard().toString(),
-                                "token", granted.token().toString()))
-                        .toList());
+        body.put("shards", GrantedShards.of(renew.shards()));
         return body;
     }
 
--- a/standin/src/main/java/org/lacewingthread/standin/BackendServerStandIn.java
+++ b/standin/src/main/java/org/lacewingthread/standin/BackendServerStandIn.java
@@ -43,11 +43,14 @@
 
     private record Health(HealthState state, double load, List<String> held) {}
 
-    record LeaseOrder(
-            long sequence, String token, long leaseMillis, long startByMillis, List<LeaseBook.Granted> shards) {
+    record LeaseOrder(long sequence, String token, long leaseMillis, long startByMillis, List<GrantedShards> shards) {
         LeaseOrder {
             shards = shards == null ? List.of() : List.copyOf(shards);
         }
+
+        List<LeaseBook.Granted> granted() {
+            return shards.stream().flatMap(GrantedShards::each).toList();
+        }
     }
 
     record ReleaseOrder(long sequence, String token, List<String> shards) {
@@ -198,7 +201,7 @@
             BackendReplies.refuse(exchange, 503, "the start-by time of the order has passed");
             return;
         }
-        answerOrder(exchange, order.sequence(), runner.grant(order.shards(), order.leaseMillis(), receivedMicros));
+        answerOrder(exchange, order.sequence(), runner.grant(order.granted(), order.leaseMillis(), receivedMicros));
     }
 
     private void release(HttpServerExchange exchange, ReleaseOrder order) {
--- a/standin/src/test/java/org/lacewingthread/standin/BackendLeaseContractTest.java
+++ b/standin/src/test/java/org/lacewingthread/standin/BackendLeaseContractTest.java
@@ -174,6 +174,8 @@
                 "/.lacewingthread/lease   | PUT  | {\"shards\":[{\"shard\":\"ledger\",\"token\":\"1:0:a:1:1\"}]}",
                 "/.lacewingthread/lease   | PUT  | {\"shards\":[{\"shard\":\"ledger/1\",\"token\":\"1:0:a:1\"}]}",
                 "/.lacewingthread/lease   | PUT  | {\"shards\":[{\"shard\":\"ledger/1\"}]}",
+                "/.lacewingthread/lease   | PUT  | {\"shards\":[{\"shard\":\"ledger/5-3\",\"token\":\"1:0:a:1:1\"}]}",
+                "/.lacewingthread/lease   | PUT  | {\"shards\":[{\"shard\":\"ledger/1,\",\"token\":\"1:0:a:1:1\"}]}",
                 "/.lacewingthread/release | POST | {\"shards\":[\"ledger/1\"],\"token\":\"x\"}",
                 "/.lacewingthread/release | POST | {\"shards\":[\"ledger/1\"]}"
             })
