--- a/daemon/src/main/java/org/lacewingthread/daemon/demo/Demo.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/demo/Demo.java
@@ -75,6 +75,7 @@
         phase("undisturbed", () -> {});
         phase("backend server maras-server-1 is lost", () -> cluster.stopServer("maras-server-1"));
         phase("entry VM calca-1 is lost", () -> cluster.stopVm("calca-1"));
+        phase("entry VM maras-2 hands over and leaves", () -> replace("maras-2"));
         phase("backend server calca-server-2 is drained", this::drain);
         phase("operators narrow the group to one label more", () -> narrow(revision));
         long toMillis = DemoCallers.nowMillis();
@@ -82,6 +83,12 @@
         return account(fromMillis, toMillis);
     }
 
+    private void replace(String vm) throws IOException, InterruptedException {
+        cluster.leave(vm);
+        awaitOrFail("departure of " + vm, () -> cluster.hasLeft(vm));
+        cluster.stopLeft(vm);
+    }
+
     private void drain() throws PublishException, InterruptedException {
         publish(new LogRecord.ServerDrainSet(new ServerId("calca-server-2"), true));
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/demo/DemoCluster.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/demo/DemoCluster.java
@@ -41,6 +41,7 @@
     private final VmListStandIn vmList = new VmListStandIn(0);
     private final Map<String, BackendServerStandIn> servers = new LinkedHashMap<>();
     private final Map<String, EntryVm> vms = new LinkedHashMap<>();
+    private final Map<String, EntryVm> leaving = new LinkedHashMap<>();
     private final Map<String, EntrySettings> settings = new LinkedHashMap<>();
     private final List<ServerSpec> specs = new ArrayList<>();
     private final List<Run> runsOfStopped = new ArrayList<>();
@@ -153,6 +154,26 @@
         server.close();
     }
 
+    /** Lets an entry VM hand over its work; the balancer sends it no more callers. */
+    public void leave(String name) {
+        EntryVm vm = vms.remove(name);
+        leaving.put(name, vm);
+        vm.leave();
+    }
+
+    /** Returns whether a VM that was asked to leave is in no roster any more. */
+    public boolean hasLeft(String name) {
+        return vms.values().stream()
+                .map(EntryVm::status)
+                .filter(status -> status.dataCentre().equals(settings.get(name).dataCentre()))
+                .noneMatch(status -> status.roster().stream().anyMatch(member -> member.startsWith(name + "#")));
+    }
+
+    /** Stops an entry VM that has left. */
+    public void stopLeft(String name) {
+        leaving.remove(name).close();
+    }
+
     /** Stops an entry VM without notice. */
     public void stopVm(String name) {
         vms.remove(name).close();
@@ -176,6 +197,7 @@
     @Override
     public void close() {
         vms.values().forEach(EntryVm::close);
+        leaving.values().forEach(EntryVm::close);
         servers.values().forEach(BackendServerStandIn::close);
         vmList.close();
         log.close();
--- a/daemon/src/main/java/org/lacewingthread/daemon/entry/EntryVm.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/entry/EntryVm.java
@@ -135,12 +135,7 @@
         this.callers = openCallers(trafficMetrics);
         new ControlMetrics(metrics, this::status).register();
         this.operators = new OperatorServer(
-                settings.host(),
-                settings.operatorPort(),
-                this::status,
-                audit::lines,
-                metrics,
-                () -> control.offer(new ControlEvent.LeaveRequested()));
+                settings.host(), settings.operatorPort(), this::status, audit::lines, metrics, this::leave);
     }
 
     /**
@@ -252,6 +247,11 @@
         return view == null ? VmStatus.starting(identity) : VmStatus.of(view, nowMillis());
     }
 
+    /** Starts to hand over this VM's work; it then leaves the roster and may be stopped. */
+    public void leave() {
+        control.offer(new ControlEvent.LeaveRequested());
+    }
+
     /** Blocks until the process is told to stop. */
     public void awaitStop() throws InterruptedException {
         Thread.currentThread().join();
