--- a/daemon/src/main/java/org/lacewingthread/daemon/demo/Demo.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/demo/Demo.java
@@ -9,6 +9,7 @@
 import org.lacewingthread.core.id.LogOffset;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.log.LogRecord;
+import org.lacewingthread.daemon.entry.EntryVm;
 import org.lacewingthread.daemon.operator.VmStatus;
 import org.lacewingthread.daemon.operator.publish.PublishException;
 import org.lacewingthread.daemon.operator.publish.PublisherClock;
@@ -31,6 +32,9 @@
     private static final long PHASE_MILLIS = 4_000;
     private static final long POLL_MILLIS = 50;
 
+    /** Requests that other data centres relayed through the leaving VM end meanwhile. */
+    private static final long STOP_GRACE_MILLIS = 1_000;
+
     private final PrintStream out;
     private DemoCluster cluster;
     private DemoCallers callers;
@@ -75,7 +79,8 @@
         phase("undisturbed", () -> {});
         phase("backend server maras-server-1 is lost", () -> cluster.stopServer("maras-server-1"));
         phase("entry VM calca-1 is lost", () -> cluster.stopVm("calca-1"));
-        phase("entry VM maras-2 hands over and leaves", () -> replace("maras-2"));
+        String leader = leaderOf("maras");
+        phase("entry VM " + leader + ", the leader, hands over and leaves", () -> replace(leader));
         phase("backend server calca-server-2 is drained", this::drain);
         phase("operators narrow the group to one label more", () -> narrow(revision));
         long toMillis = DemoCallers.nowMillis();
@@ -83,9 +88,19 @@
         return account(fromMillis, toMillis);
     }
 
+    private String leaderOf(String dataCentre) {
+        return cluster.vms().values().stream()
+                .map(EntryVm::status)
+                .filter(status -> status.dataCentre().equals(dataCentre))
+                .map(VmStatus::leader)
+                .findFirst()
+                .orElseThrow();
+    }
+
     private void replace(String vm) throws IOException, InterruptedException {
         cluster.leave(vm);
         awaitOrFail("departure of " + vm, () -> cluster.hasLeft(vm));
+        TimeUnit.MILLISECONDS.sleep(STOP_GRACE_MILLIS);
         cluster.stopLeft(vm);
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerLink.java
@@ -178,6 +178,11 @@
         listener.onDisconnected();
     }
 
+    /** Closes the link later, so that requests in flight on it can end. */
+    void closeAfter(long millis) {
+        loop.schedule(this::close, millis, TimeUnit.MILLISECONDS);
+    }
+
     void close() {
         loop.execute(() -> {
             closed = true;
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerNetwork.java
@@ -121,7 +121,7 @@
         return relays.computeIfAbsent(member.start(), start -> openRelay(member));
     }
 
-    /** Closes the links to all processes but these. */
+    /** Closes the links to all processes but these; requests in flight to the others may still end. */
     public void retainOnly(Set<VmStart> members) {
         controlLinks.entrySet().removeIf(entry -> {
             boolean gone = !members.contains(entry.getKey());
@@ -133,7 +133,7 @@
         relays.entrySet().removeIf(entry -> {
             boolean gone = !members.contains(entry.getKey());
             if (gone) {
-                entry.getValue().link().close();
+                entry.getValue().link().closeAfter(PeerProtocol.MAX_REQUEST_MILLIS);
             }
             return gone;
         });
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerProtocol.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerProtocol.java
@@ -22,6 +22,9 @@
     static final long PING_INTERVAL_MILLIS = 200;
     static final long SILENCE_LIMIT_MILLIS = 600;
 
+    /** No caller waits longer for an answer. */
+    static final long MAX_REQUEST_MILLIS = 60_000;
+
     private PeerProtocol() {}
 
     static void addFraming(ChannelPipeline pipeline) {
--- a/daemon/src/test/java/org/lacewingthread/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/peer/PeerNetworkTest.java
@@ -36,7 +36,6 @@
 import org.lacewingthread.core.log.RosterMember;
 import org.lacewingthread.core.traffic.IdempotencyRecord;
 import org.lacewingthread.core.traffic.ResultCode;
-import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
 import org.lacewingthread.daemon.exchange.RequestHandler;
 import org.lacewingthread.daemon.exchange.ResponseSink;
@@ -133,6 +132,23 @@
         assertThat(sink.failure.code()).isEqualTo(ResultCode.DEADLINE_PASSED);
     }
 
+    @Test
+    void requestInFlightEndsAlthoughItsVmLeftTheRoster() {
+        List<ResponseSink> arrived = new CopyOnWriteArrayList<>();
+        handler = (request, sink) -> {
+            arrived.add(sink);
+            return () -> {};
+        };
+        RecordingSink sink = new RecordingSink();
+        sender.relayTo(member(receiver.port())).handle(request("a", 10_000), sink);
+        await().until(() -> arrived.size() == 1);
+        sender.retainOnly(Set.of());
+        arrived.get(0).onHead(200, List.of());
+        arrived.get(0).onEnd();
+        await().until(() -> sink.ended || sink.failure != null);
+        assertThat(sink.failure).isNull();
+    }
+
     @Test
     void cancellationReachesTheOtherVm() {
         AtomicInteger arrived = new AtomicInteger();
@@ -355,33 +371,4 @@
             }
         }
     }
-
-    /** Remembers one answer. */
-    private static final class RecordingSink implements ResponseSink {
-        private final List<String> body = new CopyOnWriteArrayList<>();
-        private volatile int status;
-        private volatile boolean ended;
-        private volatile Failure failure;
-
-        @Override
-        public void onHead(int newStatus, List<HeaderField> headers) {
-            status = newStatus;
-        }
-
-        @Override
-        public void onBody(byte[] chunk, Runnable consumed) {
-            body.add(new String(chunk, StandardCharsets.UTF_8));
-            consumed.run();
-        }
-
-        @Override
-        public void onEnd() {
-            ended = true;
-        }
-
-        @Override
-        public void onFailure(Failure newFailure) {
-            failure = newFailure;
-        }
-    }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/lacewingthread/daemon/peer/RecordingSink.java
@@ -0,0 +1,37 @@
+package org.lacewingthread.daemon.peer;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.lacewingthread.daemon.exchange.Failure;
+import org.lacewingthread.daemon.exchange.HeaderField;
+import org.lacewingthread.daemon.exchange.ResponseSink;
+
+/** Remembers one answer. */
+final class RecordingSink implements ResponseSink {
+    final List<String> body = new CopyOnWriteArrayList<>();
+    volatile int status;
+    volatile boolean ended;
+    volatile Failure failure;
+
+    @Override
+    public void onHead(int newStatus, List<HeaderField> headers) {
+        status = newStatus;
+    }
+
+    @Override
+    public void onBody(byte[] chunk, Runnable consumed) {
+        body.add(new String(chunk, StandardCharsets.UTF_8));
+        consumed.run();
+    }
+
+    @Override
+    public void onEnd() {
+        ended = true;
+    }
+
+    @Override
+    public void onFailure(Failure newFailure) {
+        failure = newFailure;
+    }
+}
