Leave the roster only when other VMs have taken over every server

Cause: a leader that left handed its servers over in two plans, one without a dispatcher and one with the new.

--- a/core/src/main/java/org/lacewingthread/core/lease/LeaderTerm.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/LeaderTerm.java
@@ -97,13 +97,29 @@
         return plans.updateFrom(ledger.appliedVersion(vm));
     }
 
-    /** Returns whether a VM dispatches for no server any more and has ended what it sent before. */
+    /**
+     * Returns whether a VM dispatches for no server any more and has ended what it sent before, and whether
+     * other VMs have taken over all its servers: a successor waits for every server without a dispatcher.
+     */
     boolean hasHandedOver(VmStart vm, long nowMillis) {
         RoutePlan plan = plans.newest();
         if (plan == null) {
             return nowMillis >= predecessorEndMillis;
         }
-        return !plan.dispatchers().containsValue(vm) && ledger.hasLeft(vm, plan.version(), nowMillis);
+        return !plan.dispatchers().containsValue(vm)
+                && ledger.hasLeft(vm, plan.version(), nowMillis)
+                && isTakenOver(plan, vm, nowMillis);
+    }
+
+    private boolean isTakenOver(RoutePlan plan, VmStart leaving, long nowMillis) {
+        boolean allDispatched = plans.dispatchedServers().stream()
+                .filter(server -> context.state().server(server) != null)
+                .allMatch(plan.dispatchers()::containsKey);
+        return allDispatched
+                && context.roster().stream()
+                        .map(RosterMember::start)
+                        .filter(vm -> !vm.equals(leaving) && ledger.isLive(vm, nowMillis))
+                        .allMatch(vm -> ledger.appliedVersion(vm) >= plan.version());
     }
 
     /** Returns what the coordinator decides on. */
--- a/core/src/main/java/org/lacewingthread/core/lease/PlanHistory.java
+++ b/core/src/main/java/org/lacewingthread/core/lease/PlanHistory.java
@@ -1,12 +1,16 @@
 package org.lacewingthread.core.lease;
 
 import java.util.ArrayDeque;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.lacewingthread.core.control.PlanUpdate;
 import org.lacewingthread.core.control.RoutePlan;
+import org.lacewingthread.core.id.ServerId;
 
 /**
  * A leader's newest route plan and some earlier ones, so that a member that is a few versions behind
@@ -18,6 +22,7 @@
 
     private final Deque<RoutePlan> earlier = new ArrayDeque<>();
     private final Map<Long, PlanUpdate> updates = new HashMap<>();
+    private final Set<ServerId> dispatchedServers = new TreeSet<>();
     private RoutePlan newest;
 
     /** Takes in a changed plan. */
@@ -29,6 +34,7 @@
             earlier.removeFirst();
         }
         newest = changed;
+        dispatchedServers.addAll(changed.dispatchers().keySet());
         updates.clear();
     }
 
@@ -37,6 +43,11 @@
         return newest;
     }
 
+    /** Returns every server that had a dispatcher in some plan. */
+    Set<ServerId> dispatchedServers() {
+        return Collections.unmodifiableSet(dispatchedServers);
+    }
+
     /** Returns what brings a member up to date, empty if it is. */
     Optional<PlanUpdate> updateFrom(long appliedVersion) {
         if (newest == null || appliedVersion >= newest.version()) {
