--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
@@ -0,0 +1,37 @@
+package org.lacewingthread.core.dispatch;
+
+/** How sending a request to a server ended. */
+public enum AttemptResult {
+    /** A whole answer. */
+    ANSWERED(true, false),
+    /** The server answered with a failure of its own. */
+    SERVER_FAILED(true, true),
+    /** The server was full and did not run it. */
+    REJECTED(false, false),
+    /** The server does not own the key or is another one; it did not run it. */
+    MISDIRECTED(false, false),
+    /** It was not sent, because no connection could be made. */
+    NOT_SENT(false, true),
+    /** The connection broke, or the answer was not usable. */
+    BROKEN(false, true),
+    /** No answer in time, or nobody waits for it any more. */
+    ABANDONED(false, false);
+
+    private final boolean timed;
+    private final boolean suspicious;
+
+    AttemptResult(boolean timed, boolean suspicious) {
+        this.timed = timed;
+        this.suspicious = suspicious;
+    }
+
+    /** Tells whether its duration says how fast the server is. */
+    public boolean isTimed() {
+        return timed;
+    }
+
+    /** Tells whether it speaks against the server's health. */
+    public boolean isSuspicious() {
+        return suspicious;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -0,0 +1,267 @@
+package org.lacewingthread.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.random.RandomGenerator;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.keyrange.RangeOwnership;
+import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
+
+/**
+ * Chooses a server for each request: the owner of its key, or the server that is expected to answer
+ * first. Requests for which no server has room wait here, the most urgent first, and are refused as
+ * soon as no server can answer them in time.
+ *
+ * <pre>{@code
+ * for (Decision decision : dispatcher.submit(request, nowMillis)) { ... }
+ * ...
+ * for (Decision decision : dispatcher.onEnded(server, result, elapsedMillis, report, nowMillis)) { ... }
+ * }</pre>
+ *
+ * <p>Times are milliseconds of a steady clock.
+ */
+public final class RequestDispatcher {
+    /** Requests above a server's slots that it should have at most; the rest waits here by rank. */
+    private static final int WAITING_PLACES = 2;
+    /** Places of a server's own queue that are counted on when this VM has nothing at the server. */
+    private static final int QUEUE_PLACES = 5;
+    /** Requests of one service that may wait here. */
+    private static final int MAX_WAITING = 400;
+    /** Added to the expected time of a server in another data centre, so that near servers win ties. */
+    private static final double REMOTE_PENALTY_MILLIS = 15;
+    /** Spread of the random factor that keeps entry VMs from all choosing the same server. */
+    private static final double SPREAD_RATIO = 0.3;
+    /** How long a server that is leaving may still get requests for keys that it owns. */
+    private static final long LEAVING_USE_MILLIS = 1_000;
+    /** Shortest and longest time after which a refused caller is asked to return. */
+    private static final long MIN_RETRY_AFTER_MILLIS = 50;
+
+    private static final long MAX_RETRY_AFTER_MILLIS = 1_000;
+    /** A request whose key has no owner is refused this long before an answer stops being prompt. */
+    private static final long OWNER_MARGIN_MILLIS = 100;
+    /** When a caller may return whose key had no owner; about the time of a move. */
+    private static final long NO_OWNER_RETRY_AFTER_MILLIS = 300;
+    /** Share of a service time that has to be left for a request to be worth sending. */
+    private static final double MIN_TIME_LEFT_RATIO = 0.5;
+
+    private static final Comparator<DispatchRequest> MOST_URGENT_FIRST = Comparator.comparingInt(
+                    DispatchRequest::priority)
+            .thenComparingLong(DispatchRequest::deadlineMillis)
+            .thenComparingLong(DispatchRequest::number);
+
+    private final DataCentreId dataCentre;
+    private final RandomGenerator random;
+    private final Map<ServerStart, ServerLoadState> servers = new HashMap<>();
+    private final Map<ServiceId, List<ServerLoadState>> serversByService = new HashMap<>();
+    private final Map<ServiceId, TreeSet<DispatchRequest>> waiting = new HashMap<>();
+    private RangeTable table = RangeTable.EMPTY;
+
+    /**
+     * Creates a dispatcher that knows no servers.
+     *
+     * @param dataCentre where this entry VM runs
+     * @param random seeded source of the spread among equal servers
+     */
+    public RequestDispatcher(DataCentreId dataCentre, RandomGenerator random) {
+        this.dataCentre = dataCentre;
+        this.random = random;
+    }
+
+    /** Takes in the known servers and the owners of keys. */
+    public List<Decision> onView(List<KnownServer> known, RangeTable ranges, long nowMillis) {
+        table = ranges;
+        serversByService.clear();
+        Map<ServerStart, ServerLoadState> former = new HashMap<>(servers);
+        servers.clear();
+        for (KnownServer server : known) {
+            ServerLoadState state = former.getOrDefault(server.start(), new ServerLoadState(server));
+            state.update(server);
+            servers.put(server.start(), state);
+            serversByService
+                    .computeIfAbsent(server.entry().service(), service -> new ArrayList<>())
+                    .add(state);
+        }
+        return tick(nowMillis);
+    }
+
+    /** Takes in a request; the decisions may concern others that wait as well. */
+    public List<Decision> submit(DispatchRequest request, long nowMillis) {
+        TreeSet<DispatchRequest> queue =
+                waiting.computeIfAbsent(request.service(), s -> new TreeSet<>(MOST_URGENT_FIRST));
+        queue.add(request);
+        List<Decision> decisions = new ArrayList<>();
+        decide(request.service(), decisions, nowMillis);
+        if (queue.size() > MAX_WAITING) {
+            DispatchRequest last = queue.pollLast();
+            decisions.add(new Decision.Refuse(last, RefusalCause.OVERLOADED, MAX_RETRY_AFTER_MILLIS));
+        }
+        return decisions;
+    }
+
+    /** Forgets a request that waits; its caller left. */
+    public void cancel(DispatchRequest request) {
+        TreeSet<DispatchRequest> queue = waiting.get(request.service());
+        if (queue != null) {
+            queue.remove(request);
+        }
+    }
+
+    /** Takes in the end of an attempt that a {@link Decision.Offer} began. */
+    public List<Decision> onEnded(
+            Decision.Offer offer,
+            AttemptResult result,
+            double elapsedMillis,
+            Optional<LoadReport> report,
+            long nowMillis) {
+        ServerLoadState state = servers.get(offer.server().start());
+        if (state != null) {
+            state.onEnded(result, elapsedMillis, report, nowMillis);
+        }
+        List<Decision> decisions = new ArrayList<>();
+        decide(offer.request().service(), decisions, nowMillis);
+        return decisions;
+    }
+
+    /** Decides anew about all that wait. */
+    public List<Decision> tick(long nowMillis) {
+        List<Decision> decisions = new ArrayList<>();
+        for (ServiceId service : List.copyOf(waiting.keySet())) {
+            decide(service, decisions, nowMillis);
+        }
+        return decisions;
+    }
+
+    /** Returns how many requests wait. */
+    public int waitingCount() {
+        return waiting.values().stream().mapToInt(TreeSet::size).sum();
+    }
+
+    /** Returns the service time of a server as measured here, in milliseconds. */
+    public Optional<Double> serviceMillis(ServerStart server) {
+        return Optional.ofNullable(servers.get(server)).map(ServerLoadState::serviceMillis);
+    }
+
+    private void decide(ServiceId service, List<Decision> decisions, long nowMillis) {
+        TreeSet<DispatchRequest> queue = waiting.get(service);
+        if (queue == null || queue.isEmpty()) {
+            return;
+        }
+        Map<ServerId, Integer> aheadByServer = new HashMap<>();
+        for (Iterator<DispatchRequest> all = queue.iterator(); all.hasNext(); ) {
+            DispatchRequest request = all.next();
+            Optional<Decision> decision = decide(request, aheadByServer, nowMillis);
+            if (decision.isPresent()) {
+                all.remove();
+                decisions.add(decision.get());
+            }
+        }
+    }
+
+    private Optional<Decision> decide(DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
+        if (nowMillis >= request.deadlineMillis()) {
+            return refuse(request, RefusalCause.DEADLINE_PASSED, MIN_RETRY_AFTER_MILLIS);
+        }
+        return request.key().isPresent()
+                ? decideKeyed(request, aheadByServer, nowMillis)
+                : decideFree(request, aheadByServer, nowMillis);
+    }
+
+    private Optional<Decision> decideKeyed(
+            DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
+        Optional<RangeOwnership> ownership =
+                table.find(request.service(), request.key().getAsInt());
+        ServerLoadState owner = ownership
+                .filter(found -> !found.isMoving())
+                .map(found -> servers.get(found.owner()))
+                .orElse(null);
+        boolean usable = owner != null && mayUseOwner(owner.known(), nowMillis);
+        if (!usable) {
+            boolean patient = nowMillis < request.targetAtMillis() - OWNER_MARGIN_MILLIS;
+            return patient ? Optional.empty() : refuse(request, RefusalCause.NO_OWNER, NO_OWNER_RETRY_AFTER_MILLIS);
+        }
+        int ahead = aheadByServer.getOrDefault(owner.entry().start().server(), 0);
+        return decideAt(request, owner, ahead, aheadByServer, nowMillis);
+    }
+
+    private static boolean mayUseOwner(KnownServer server, long nowMillis) {
+        return server.leavingSinceMillis()
+                .map(since -> nowMillis < since + LEAVING_USE_MILLIS)
+                .orElse(true);
+    }
+
+    private Optional<Decision> decideFree(
+            DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
+        List<ServerLoadState> ready = serversByService.getOrDefault(request.service(), List.of()).stream()
+                .filter(state -> state.known().isReady())
+                .toList();
+        if (ready.isEmpty()) {
+            return refuse(request, RefusalCause.NO_SERVER, NO_OWNER_RETRY_AFTER_MILLIS);
+        }
+        List<ServerLoadState> healthy = ready.stream()
+                .filter(state -> !state.isEjected(nowMillis))
+                .filter(state ->
+                        !request.avoided().contains(state.entry().start().server()))
+                .toList();
+        List<ServerLoadState> candidates = healthy.isEmpty() ? ready : healthy;
+        ServerLoadState best = null;
+        double bestMillis = Double.MAX_VALUE;
+        for (ServerLoadState state : candidates) {
+            double expected = expectedMillis(state, aheadByServer, nowMillis);
+            boolean better = expected < bestMillis;
+            best = better ? state : best;
+            bestMillis = better ? expected : bestMillis;
+        }
+        int ahead = aheadByServer.getOrDefault(best.entry().start().server(), 0);
+        return decideAt(request, best, ahead, aheadByServer, nowMillis);
+    }
+
+    private double expectedMillis(ServerLoadState state, Map<ServerId, Integer> aheadByServer, long nowMillis) {
+        int ahead = aheadByServer.getOrDefault(state.entry().start().server(), 0);
+        double expected = state.expectedMillis(ahead, nowMillis) + coldPenaltyMillis(state);
+        double spread = 1 + SPREAD_RATIO * (random.nextDouble() - 0.5);
+        double remote = state.entry().dataCentre().equals(dataCentre) ? 0 : REMOTE_PENALTY_MILLIS;
+        boolean full = !state.hasRoom(WAITING_PLACES, QUEUE_PLACES, nowMillis);
+        return expected * spread + remote + (full ? state.serviceMillis() : 0);
+    }
+
+    private static double coldPenaltyMillis(ServerLoadState state) {
+        return state.entry().cold() ? state.serviceMillis() : 0;
+    }
+
+    private Optional<Decision> decideAt(
+            DispatchRequest request,
+            ServerLoadState state,
+            int ahead,
+            Map<ServerId, Integer> aheadByServer,
+            long nowMillis) {
+        double expected = state.expectedMillis(ahead, nowMillis);
+        double leftMillis = request.deadlineMillis() - nowMillis;
+        boolean hopeless = leftMillis < state.serviceMillis() * MIN_TIME_LEFT_RATIO
+                || (ahead > 0 && expected - state.serviceMillis() > leftMillis);
+        if (hopeless) {
+            long retryAfter = Math.round(Math.max(0, expected - state.serviceMillis()));
+            return refuse(request, RefusalCause.OVERLOADED, retryAfter);
+        }
+        if (ahead == 0 && state.hasRoom(WAITING_PLACES, QUEUE_PLACES, nowMillis)) {
+            state.onSent();
+            return Optional.of(new Decision.Offer(request, state.entry(), Math.round(expected)));
+        }
+        aheadByServer.merge(state.entry().start().server(), 1, Integer::sum);
+        return Optional.empty();
+    }
+
+    private static Optional<Decision> refuse(DispatchRequest request, RefusalCause cause, long retryAfterMillis) {
+        long bounded = Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, retryAfterMillis));
+        return Optional.of(new Decision.Refuse(request, cause, bounded));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -0,0 +1,114 @@
+package org.lacewingthread.core.dispatch;
+
+import java.util.Optional;
+import org.lacewingthread.core.registry.ServerEntry;
+import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
+
+/** What this entry VM knows about one server's load, speed and health. */
+final class ServerLoadState {
+    /** Weight of the newest measurement in averages; follows a change within about ten requests. */
+    private static final double AVERAGE_WEIGHT = 0.15;
+    /** Time of a request until one was measured. */
+    private static final double INITIAL_SERVICE_MILLIS = 100;
+    /** Failures in a row after which a server is left out for a while. */
+    private static final int EJECT_AFTER_FAILURES = 3;
+    /** How long a server is left out the first time. */
+    private static final long EJECT_MILLIS = 1_000;
+    /** Longest time that a server is left out. */
+    private static final long MAX_EJECT_MILLIS = 4_000;
+    /** How long a server that turned requests away is left alone. */
+    private static final long FULL_PAUSE_MILLIS = 40;
+
+    private KnownServer known;
+    private int inFlight;
+    private double othersLoad;
+    private long othersLoadAtMillis;
+    private double serviceMillis = INITIAL_SERVICE_MILLIS;
+    private int failuresInRow;
+    private long ejectedUntilMillis = Long.MIN_VALUE / 2;
+    private long fullUntilMillis = Long.MIN_VALUE / 2;
+
+    ServerLoadState(KnownServer known) {
+        this.known = known;
+    }
+
+    void update(KnownServer newest) {
+        known = newest;
+    }
+
+    ServerEntry entry() {
+        return known.entry();
+    }
+
+    KnownServer known() {
+        return known;
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
+    double serviceMillis() {
+        return serviceMillis;
+    }
+
+    void onSent() {
+        inFlight++;
+    }
+
+    void onEnded(AttemptResult result, double elapsedMillis, Optional<LoadReport> report, long nowMillis) {
+        inFlight = Math.max(0, inFlight - 1);
+        report.ifPresent(load -> {
+            othersLoad = Math.max(0, load.total() - inFlight);
+            othersLoadAtMillis = nowMillis;
+        });
+        if (result.isTimed()) {
+            double places = report.map(LoadReport::total).orElse(0) + 1.0;
+            double share = Math.min(1, Math.max(1, known.entry().slots()) / places);
+            serviceMillis += AVERAGE_WEIGHT * (elapsedMillis * share - serviceMillis);
+        }
+        if (result == AttemptResult.REJECTED) {
+            fullUntilMillis = nowMillis + FULL_PAUSE_MILLIS;
+        }
+        noteHealth(result, nowMillis);
+    }
+
+    private void noteHealth(AttemptResult result, long nowMillis) {
+        if (!result.isSuspicious()) {
+            failuresInRow = result == AttemptResult.ANSWERED ? 0 : failuresInRow;
+            return;
+        }
+        failuresInRow++;
+        if (failuresInRow >= EJECT_AFTER_FAILURES) {
+            int doublings = Math.min(2, failuresInRow - EJECT_AFTER_FAILURES);
+            ejectedUntilMillis = nowMillis + Math.min(MAX_EJECT_MILLIS, EJECT_MILLIS << doublings);
+        }
+    }
+
+    boolean isEjected(long nowMillis) {
+        return nowMillis < ejectedUntilMillis;
+    }
+
+    /** Returns the requests of other entry VMs that the server probably has now. */
+    double othersLoad(long nowMillis) {
+        double age = nowMillis - othersLoadAtMillis;
+        return othersLoad * Math.exp(-age / Math.max(1, serviceMillis));
+    }
+
+    /** Tells whether another request would run soon, or at least find a place in the server's queue. */
+    boolean hasRoom(int waitingPlaces, int queuePlaces, long nowMillis) {
+        if (nowMillis < fullUntilMillis) {
+            return false;
+        }
+        double others = othersLoad(nowMillis);
+        int slots = known.entry().slots();
+        return inFlight == 0 ? others < slots + queuePlaces : inFlight + others < slots + waitingPlaces;
+    }
+
+    /** Returns how long a request that is sent now takes, if this many are sent before it. */
+    double expectedMillis(int ahead, long nowMillis) {
+        int slots = known.entry().slots();
+        double waiting = Math.max(0, inFlight + othersLoad(nowMillis) + ahead + 1 - slots);
+        return serviceMillis * (1 + waiting / slots);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -0,0 +1,424 @@
+package org.lacewingthread.core.keyrange;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.id.VmStart;
+
+/**
+ * Leads the ownership of key ranges: one entry VM at a time records owners in the store, grants them
+ * their ranges and renews the grants. Safety rests on three rules:
+ *
+ * <ul>
+ *   <li>Every change of owner is recorded before it is carried out, by a conditional append, so that
+ *       of two leaders only the newer one can move keys.
+ *   <li>A new owner gets its grant after the former one has released the keys, started anew, or can no
+ *       longer hold them because its last grant ran out.
+ *   <li>A grant without answer is followed by one with a higher fence, and a move starts only from a
+ *       grant that was answered, so that no late grant revives a former owner.
+ * </ul>
+ *
+ * <pre>{@code
+ * coordinator.onTable(table, logEnd, nowMillis);
+ * coordinator.onChosen(true, nowMillis);
+ * for (CoordinatorAction action : coordinator.step(servers, load, nowMillis)) { ... }
+ * }</pre>
+ *
+ * <p>Times are milliseconds of a clock that never goes back and counts suspension.
+ */
+public final class RangeCoordinator {
+    /** Pause before a call is repeated that got no answer. */
+    private static final long RETRY_MILLIS = 250;
+    /** Pause before a record is written again that failed. */
+    private static final long RECORD_RETRY_MILLIS = 200;
+    /** How often loads are compared for balance. */
+    private static final long BALANCE_MILLIS = 1_000;
+    /** How long a server that answered no grants gets none after its last one ran out. */
+    private static final long SILENT_REST_MILLIS = 3_000;
+    /** Fences of one term; a term never needs as many grants. */
+    private static final long FENCES_PER_TERM = 1_000_000;
+
+    private final VmStart self;
+    private final RangeLeaseTimes times;
+    private final List<RangeHold> holds = new ArrayList<>();
+    private final Map<Long, RangeHold> calls = new HashMap<>();
+    private final Map<ServerStart, Long> silentUntilMillis = new HashMap<>();
+    private RangeTable table = RangeTable.EMPTY;
+    private long logEnd = -1;
+    private boolean chosen;
+    private boolean leading;
+    private long ledSinceMillis;
+    private long storeHeardMillis = Long.MIN_VALUE / 2;
+    private boolean recordPending;
+    private long nextRecordAtMillis;
+    private long nextBalanceAtMillis;
+    private long nextFence;
+    private long nextCall;
+
+    /**
+     * What the leader knows about the servers of one keyed service.
+     *
+     * @param capacityByServer servers that may own keys, with their relative capacity
+     * @param registered lives of servers that the registry names, ready or not
+     * @param load load of the key space
+     */
+    public record ServiceView(
+            Map<ServerStart, Double> capacityByServer, Set<ServerStart> registered, KeyLoad.Profile load) {}
+
+    /** Creates a coordinator that knows nothing yet. */
+    public RangeCoordinator(VmStart self, RangeLeaseTimes times) {
+        this.self = self;
+        this.times = times;
+    }
+
+    /** Returns the newest table. */
+    public RangeTable table() {
+        return table;
+    }
+
+    /** Tells whether this process leads, as far as it knows. */
+    public boolean isLeading() {
+        return leading;
+    }
+
+    /** Takes in whether this entry VM is the one that should lead. */
+    public void onChosen(boolean isChosen) {
+        chosen = isChosen;
+    }
+
+    /**
+     * Takes in that the store was heard.
+     *
+     * @param askedAtMillis when the question was sent
+     */
+    public void onStoreHeard(long askedAtMillis) {
+        storeHeardMillis = Math.max(storeHeardMillis, askedAtMillis);
+    }
+
+    /**
+     * Takes in the newest recorded table.
+     *
+     * @param recorded the table
+     * @param end end of the log behind it
+     * @return whether it is news
+     */
+    public boolean onTable(RangeTable recorded, long end, long nowMillis) {
+        if (end < logEnd || (end == logEnd && recorded.equals(table))) {
+            return false;
+        }
+        logEnd = end;
+        adopt(recorded, nowMillis);
+        return true;
+    }
+
+    /**
+     * Takes in the outcome of a {@link CoordinatorAction.RecordTable}.
+     *
+     * @param newEnd end of the log behind the record if it was appended; empty if it was refused or its
+     *     fate is unknown, in which case the log tells
+     */
+    public void onRecorded(CoordinatorAction.RecordTable record, Optional<Long> newEnd, long nowMillis) {
+        recordPending = false;
+        nextRecordAtMillis = nowMillis + RECORD_RETRY_MILLIS;
+        if (newEnd.isPresent() && newEnd.get() > logEnd) {
+            nextRecordAtMillis = nowMillis;
+            logEnd = newEnd.get();
+            onStoreHeard(nowMillis);
+            adopt(record.table(), nowMillis);
+        }
+    }
+
+    private void adopt(RangeTable recorded, long nowMillis) {
+        boolean leads = recorded.leader().filter(self::equals).isPresent();
+        boolean newTerm = recorded.term() != table.term();
+        table = recorded;
+        if (!leads) {
+            leading = false;
+            holds.clear();
+            calls.clear();
+            return;
+        }
+        if (!leading || newTerm) {
+            leading = true;
+            ledSinceMillis = nowMillis;
+            nextFence = recorded.term() * FENCES_PER_TERM;
+            holds.clear();
+            calls.clear();
+        }
+        rebuildHolds(nowMillis);
+    }
+
+    private void rebuildHolds(long nowMillis) {
+        List<RangeHold> former = List.copyOf(holds);
+        holds.clear();
+        table.rangesByService().forEach((service, ranges) -> {
+            List<RangeHold> known =
+                    former.stream().filter(hold -> hold.service.equals(service)).toList();
+            ranges.forEach(ownership -> holds.add(holdFor(service, ownership, known, nowMillis)));
+        });
+        calls.values().removeIf(hold -> !holds.contains(hold));
+    }
+
+    private RangeHold holdFor(ServiceId service, RangeOwnership ownership, List<RangeHold> known, long nowMillis) {
+        List<RangeHold> overlapping =
+                known.stream().filter(hold -> hold.overlaps(ownership.range())).toList();
+        if (overlapping.size() == 1 && overlapping.get(0).matches(ownership)) {
+            RangeHold same = overlapping.get(0);
+            if (!ownership.isMoving() || same.movingFrom.equals(ownership.movingFrom())) {
+                return same;
+            }
+        }
+        RangeHold.Phase phase = ownership.isMoving() ? RangeHold.Phase.RELEASING : RangeHold.Phase.HELD;
+        RangeHold hold = new RangeHold(service, ownership, phase);
+        hold.nextCallAtMillis = nowMillis;
+        hold.fence = newFence();
+        hold.formerFence = hold.fence;
+        long unknownHeldUntil = times.heldUntilMillis(ledSinceMillis + times.leaderSilenceMillis());
+        boolean grantedInEarlierTerm = overlapping.isEmpty() && nowMillis == ledSinceMillis;
+        hold.ownerHeldUntilMillis = grantedInEarlierTerm ? unknownHeldUntil : nowMillis;
+        hold.formerHeldUntilMillis = hold.ownerHeldUntilMillis;
+        for (RangeHold other : overlapping) {
+            inherit(hold, other);
+        }
+        return hold;
+    }
+
+    private static void inherit(RangeHold hold, RangeHold other) {
+        if (hold.movingFrom.filter(other.owner::equals).isPresent()) {
+            hold.formerHeldUntilMillis = Math.max(hold.formerHeldUntilMillis, other.ownerHeldUntilMillis);
+            hold.formerFence = other.fence;
+        }
+        if (other.phase == RangeHold.Phase.RELEASING && hold.movingFrom.equals(other.movingFrom)) {
+            hold.formerHeldUntilMillis = Math.max(hold.formerHeldUntilMillis, other.formerHeldUntilMillis);
+            hold.formerFence = other.formerFence;
+        }
+        if (hold.owner.equals(other.owner)) {
+            hold.ownerHeldUntilMillis = Math.max(hold.ownerHeldUntilMillis, other.ownerHeldUntilMillis);
+        }
+    }
+
+    private long newFence() {
+        nextFence++;
+        return nextFence;
+    }
+
+    /** Takes in an answered or failed grant. */
+    public void onGrantAnswer(long call, GrantOutcome outcome, long nowMillis) {
+        RangeHold hold = calls.remove(call);
+        if (hold == null) {
+            return;
+        }
+        hold.callPending = false;
+        hold.ownerHeldUntilMillis = Math.max(hold.ownerHeldUntilMillis, times.heldUntilMillis(nowMillis));
+        if (outcome == GrantOutcome.GRANTED) {
+            hold.phase = RangeHold.Phase.HELD;
+            hold.confirmed = true;
+            hold.unansweredSinceMillis = Optional.empty();
+            silentUntilMillis.remove(hold.owner);
+            hold.handover = Optional.empty();
+            hold.nextCallAtMillis = nowMillis + times.renewMillis();
+        } else {
+            hold.confirmed = false;
+            hold.fence = newFence();
+            hold.nextCallAtMillis = nowMillis + RETRY_MILLIS;
+        }
+        if (outcome == GrantOutcome.UNKNOWN) {
+            noteSilence(hold, nowMillis);
+        }
+    }
+
+    private void noteSilence(RangeHold hold, long nowMillis) {
+        long since = hold.unansweredSinceMillis.orElse(nowMillis);
+        hold.unansweredSinceMillis = Optional.of(since);
+        if (nowMillis - since >= times.holdMillis() / 2) {
+            silentUntilMillis.put(hold.owner, hold.ownerHeldUntilMillis + SILENT_REST_MILLIS);
+        }
+    }
+
+    /**
+     * Takes in an answered or failed release.
+     *
+     * @param released whether the server has let go of the keys
+     * @param handover token for the next owner
+     */
+    public void onReleaseAnswer(long call, boolean released, Optional<String> handover, long nowMillis) {
+        RangeHold hold = calls.remove(call);
+        if (hold == null) {
+            return;
+        }
+        hold.callPending = false;
+        hold.nextCallAtMillis = released ? nowMillis : nowMillis + RETRY_MILLIS;
+        if (released) {
+            hold.handover = handover;
+            startGranting(hold);
+        }
+    }
+
+    private void startGranting(RangeHold hold) {
+        hold.phase = RangeHold.Phase.GRANTING;
+        hold.fence = newFence();
+    }
+
+    /** Returns what to do now. */
+    public List<CoordinatorAction> step(Map<ServiceId, ServiceView> services, long nowMillis) {
+        List<CoordinatorAction> actions = new ArrayList<>();
+        if (!leading) {
+            claim(actions, nowMillis);
+            return actions;
+        }
+        if (nowMillis - storeHeardMillis > times.leaderSilenceMillis()) {
+            return actions;
+        }
+        silentUntilMillis.values().removeIf(until -> until <= nowMillis);
+        for (RangeHold hold : holds) {
+            stepHold(hold, services.get(hold.service), actions, nowMillis);
+        }
+        record(services, actions, nowMillis);
+        return actions;
+    }
+
+    private void claim(List<CoordinatorAction> actions, long nowMillis) {
+        if (chosen && logEnd >= 0 && !recordPending && nowMillis >= nextRecordAtMillis) {
+            propose(table.withLeader(table.term() + 1, self), actions);
+        }
+    }
+
+    private void propose(RangeTable proposal, List<CoordinatorAction> actions) {
+        recordPending = true;
+        actions.add(new CoordinatorAction.RecordTable(proposal, logEnd));
+    }
+
+    private void stepHold(RangeHold hold, ServiceView view, List<CoordinatorAction> actions, long nowMillis) {
+        if (hold.phase == RangeHold.Phase.RELEASING && formerIsGone(hold, view, nowMillis)) {
+            hold.callPending = false;
+            hold.nextCallAtMillis = nowMillis;
+            startGranting(hold);
+        }
+        if (hold.callPending || nowMillis < hold.nextCallAtMillis || isLeftToExpire(hold, view)) {
+            return;
+        }
+        boolean moveConfirmed = nowMillis - storeHeardMillis <= times.moveConfirmMillis();
+        if (hold.phase != RangeHold.Phase.HELD && !moveConfirmed) {
+            return;
+        }
+        long call = ++nextCall;
+        hold.callPending = true;
+        calls.put(call, hold);
+        if (hold.phase == RangeHold.Phase.RELEASING) {
+            actions.add(new CoordinatorAction.Release(
+                    call, hold.service, hold.movingFrom.orElseThrow(), hold.range, hold.formerFence));
+        } else {
+            actions.add(new CoordinatorAction.Grant(
+                    call, hold.service, hold.owner, hold.range, hold.fence, times.holdMillis(), hold.handover));
+        }
+    }
+
+    /** Tells whether renewals would only delay the takeover of a lost server's keys. */
+    private boolean isLeftToExpire(RangeHold hold, ServiceView view) {
+        if (hold.phase == RangeHold.Phase.RELEASING) {
+            return false;
+        }
+        boolean gone = view != null && !view.registered().contains(hold.owner);
+        return silentUntilMillis.containsKey(hold.owner) || (gone && !hold.confirmed);
+    }
+
+    private static boolean formerIsGone(RangeHold hold, ServiceView view, long nowMillis) {
+        return nowMillis >= hold.formerHeldUntilMillis || startedAnew(hold.movingFrom.orElseThrow(), view);
+    }
+
+    private static boolean startedAnew(ServerStart former, ServiceView view) {
+        return view != null
+                && view.registered().stream()
+                        .anyMatch(start -> start.server().equals(former.server())
+                                && start.startedUnixMillis() > former.startedUnixMillis());
+    }
+
+    private void record(Map<ServiceId, ServiceView> services, List<CoordinatorAction> actions, long nowMillis) {
+        if (recordPending || nowMillis < nextRecordAtMillis || logEnd < 0) {
+            return;
+        }
+        boolean balances = nowMillis >= nextBalanceAtMillis;
+        if (balances) {
+            nextBalanceAtMillis = nowMillis + BALANCE_MILLIS;
+        }
+        RangeTable proposal = table;
+        for (Map.Entry<ServiceId, ServiceView> service : new TreeMap<>(services).entrySet()) {
+            List<RangeOwnership> wanted = wantedRanges(service.getKey(), service.getValue(), balances, nowMillis);
+            proposal = proposal.withRanges(service.getKey(), wanted);
+        }
+        if (!proposal.equals(table)) {
+            propose(proposal, actions);
+        }
+    }
+
+    private List<RangeOwnership> wantedRanges(ServiceId service, ServiceView view, boolean balances, long nowMillis) {
+        Map<ServerStart, Double> usable = new TreeMap<>(view.capacityByServer());
+        usable.keySet().removeAll(silentUntilMillis.keySet());
+        List<RangeHold> serviceHolds =
+                holds.stream().filter(hold -> hold.service.equals(service)).toList();
+        List<RangeOwnership> current = serviceHolds.stream()
+                .map(hold -> planningView(hold, usable, view, nowMillis))
+                .toList();
+        boolean complete =
+                current.stream().allMatch(ownership -> ownership.isMoving() || usable.containsKey(ownership.owner()))
+                        && current.stream()
+                                        .mapToInt(ownership -> ownership.range().size())
+                                        .sum()
+                                == KeyRange.MAX_KEY + 1;
+        Set<ServerStart> unconfirmed = new TreeSet<>();
+        serviceHolds.stream().filter(hold -> !hold.confirmed).forEach(hold -> unconfirmed.add(hold.owner));
+        List<RangeOwnership> wanted = complete && !balances
+                ? current
+                : RangePlanner.plan(current, usable, view.load(), piece -> !unconfirmed.contains(piece.owner()));
+        return wanted.stream()
+                .map(piece -> withFormerOwner(piece, serviceHolds))
+                .toList();
+    }
+
+    /**
+     * Shows a hold to the planner: a range that can't change its owner now as moving, and one whose
+     * owner is to be replaced as settled there.
+     */
+    private static RangeOwnership planningView(
+            RangeHold hold, Map<ServerStart, Double> usable, ServiceView view, long nowMillis) {
+        boolean ownerUsable = usable.containsKey(hold.owner);
+        if (hold.phase != RangeHold.Phase.HELD) {
+            return ownerUsable
+                    ? new RangeOwnership(hold.range, hold.owner, hold.movingFrom)
+                    : RangeOwnership.settled(hold.range, hold.owner);
+        }
+        boolean mayMove = ownerUsable
+                || hold.confirmed
+                || nowMillis >= hold.ownerHeldUntilMillis
+                || startedAnew(hold.owner, view);
+        return mayMove
+                ? RangeOwnership.settled(hold.range, hold.owner)
+                : new RangeOwnership(hold.range, hold.owner, Optional.of(hold.owner));
+    }
+
+    /** Names who may still hold a range that gets another owner. */
+    private static RangeOwnership withFormerOwner(RangeOwnership wanted, List<RangeHold> serviceHolds) {
+        if (wanted.movingFrom().filter(wanted.owner()::equals).isPresent()) {
+            return RangeOwnership.settled(wanted.range(), wanted.owner());
+        }
+        if (wanted.isMoving()) {
+            return wanted;
+        }
+        for (RangeHold hold : serviceHolds) {
+            if (!hold.overlaps(wanted.range()) || hold.owner.equals(wanted.owner())) {
+                continue;
+            }
+            Optional<ServerStart> former =
+                    hold.phase == RangeHold.Phase.RELEASING ? hold.movingFrom : Optional.of(hold.owner);
+            return new RangeOwnership(wanted.range(), wanted.owner(), former);
+        }
+        return wanted;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
@@ -0,0 +1,57 @@
+package org.lacewingthread.core.keyrange;
+
+import java.util.Optional;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+
+/** What the leader knows about one range's grants. */
+final class RangeHold {
+    /** Step of a move. */
+    enum Phase {
+        /** The former owner may still hold the keys. */
+        RELEASING,
+        /** Nobody else holds the keys; the owner's first grant is on its way. */
+        GRANTING,
+        /** The owner holds the keys; renewed from time to time. */
+        HELD
+    }
+
+    final ServiceId service;
+    final KeyRange range;
+    final ServerStart owner;
+    final Optional<ServerStart> movingFrom;
+    Phase phase;
+    /** Fence of the newest grant to the owner, or of the former owner's while releasing. */
+    long fence;
+    /** When no grant to the owner can be in force any more. */
+    long ownerHeldUntilMillis;
+    /** When no grant to the former owner can be in force any more. */
+    long formerHeldUntilMillis;
+    /** Fence of the former owner's newest grant. */
+    long formerFence;
+    /** Whether the newest grant was answered and every unanswered one had a lower fence. */
+    boolean confirmed;
+    /** Whether a call is on its way. */
+    boolean callPending;
+
+    long nextCallAtMillis;
+    Optional<String> handover = Optional.empty();
+    /** When the first of the newest run of grants went unanswered; empty while the owner answers. */
+    Optional<Long> unansweredSinceMillis = Optional.empty();
+
+    RangeHold(ServiceId service, RangeOwnership ownership, Phase phase) {
+        this.service = service;
+        this.range = ownership.range();
+        this.owner = ownership.owner();
+        this.movingFrom = ownership.movingFrom();
+        this.phase = phase;
+    }
+
+    boolean matches(RangeOwnership ownership) {
+        return range.equals(ownership.range()) && owner.equals(ownership.owner());
+    }
+
+    boolean overlaps(KeyRange other) {
+        return range.firstKey() <= other.lastKey() && other.firstKey() <= range.lastKey();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeTable.java
@@ -0,0 +1,100 @@
+package org.lacewingthread.core.keyrange;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.id.VmStart;
+
+/**
+ * The recorded owners of all ranges, and the entry VM that may change them.
+ *
+ * @param term grows with each change of leader
+ * @param leader process that leads in this term; empty before the first
+ * @param rangesByService ranges in key order
+ */
+public record RangeTable(long term, Optional<VmStart> leader, Map<ServiceId, List<RangeOwnership>> rangesByService) {
+    /** The table before anything is recorded. */
+    public static final RangeTable EMPTY = new RangeTable(0, Optional.empty(), Map.of());
+
+    /** Copies the ranges and checks their order. */
+    public RangeTable {
+        Map<ServiceId, List<RangeOwnership>> copy = new TreeMap<>();
+        rangesByService.forEach((service, ranges) -> copy.put(service, checkedCopy(service, ranges)));
+        rangesByService = Collections.unmodifiableMap(copy);
+    }
+
+    private static List<RangeOwnership> checkedCopy(ServiceId service, List<RangeOwnership> ranges) {
+        int nextKey = 0;
+        for (RangeOwnership ownership : ranges) {
+            if (ownership.range().firstKey() < nextKey) {
+                throw new IllegalArgumentException("ranges of service \"" + service + "\" overlap at key "
+                        + ownership.range().firstKey());
+            }
+            nextKey = ownership.range().lastKey() + 1;
+        }
+        return List.copyOf(ranges);
+    }
+
+    /** Returns the ranges of a service, in key order. */
+    public List<RangeOwnership> ranges(ServiceId service) {
+        return rangesByService.getOrDefault(service, List.of());
+    }
+
+    /** Returns the range that holds a key. */
+    public Optional<RangeOwnership> find(ServiceId service, int key) {
+        List<RangeOwnership> ranges = ranges(service);
+        int low = 0;
+        int high = ranges.size() - 1;
+        while (low <= high) {
+            int middle = (low + high) >>> 1;
+            KeyRange range = ranges.get(middle).range();
+            if (range.contains(key)) {
+                return Optional.of(ranges.get(middle));
+            }
+            if (key < range.firstKey()) {
+                high = middle - 1;
+            } else {
+                low = middle + 1;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns a table in which this process leads. */
+    public RangeTable withLeader(long newTerm, VmStart newLeader) {
+        return new RangeTable(newTerm, Optional.of(newLeader), rangesByService);
+    }
+
+    /** Returns a table with other ranges for one service; neighbours that belong together are joined. */
+    public RangeTable withRanges(ServiceId service, List<RangeOwnership> ranges) {
+        Map<ServiceId, List<RangeOwnership>> changed = new TreeMap<>(rangesByService);
+        changed.put(service, joined(ranges));
+        return new RangeTable(term, leader, changed);
+    }
+
+    private static List<RangeOwnership> joined(List<RangeOwnership> ranges) {
+        List<RangeOwnership> sorted = new ArrayList<>(ranges);
+        Collections.sort(sorted);
+        List<RangeOwnership> result = new ArrayList<>();
+        for (RangeOwnership next : sorted) {
+            RangeOwnership last = result.isEmpty() ? null : result.get(result.size() - 1);
+            boolean joins = last != null
+                    && last.range().lastKey() + 1 == next.range().firstKey()
+                    && last.owner().equals(next.owner())
+                    && !last.isMoving()
+                    && !next.isMoving();
+            if (joins) {
+                KeyRange range =
+                        new KeyRange(last.range().firstKey(), next.range().lastKey());
+                result.set(result.size() - 1, RangeOwnership.settled(range, last.owner()));
+            } else {
+                result.add(next);
+            }
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/events/package-info.java
@@ -0,0 +1,2 @@
+/** Structured logs: one JSON line for each decision. */
+package org.lacewingthread.daemon.events;
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
@@ -0,0 +1,132 @@
+package org.lacewingthread.daemon.intake;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.serving.CallerLimits;
+
+/**
+ * Accepts callers. All methods but {@link #open} run on the traffic thread.
+ *
+ * <pre>{@code
+ * CallerListener listener = new CallerListener(sink, clockMillis);
+ * listener.open(eventLoop, "10.1.0.35", 8144);
+ * }</pre>
+ */
+public final class CallerListener {
+    private static final int MAX_LINE_BYTES = 16_384;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+    private static final int BACKLOG = 1_024;
+    private static final long CHECK_INTERVAL_MILLIS = 1_000;
+
+    private final RequestSink sink;
+    private final LongSupplier clockMillis;
+    private final Set<CallerConnection> connections = new LinkedHashSet<>();
+    private CallerLimits limits = CallerLimits.DEFAULT;
+    private boolean stopping;
+
+    /** Creates a listener without opening its port. */
+    public CallerListener(RequestSink sink, LongSupplier clockMillis) {
+        this.sink = sink;
+        this.clockMillis = clockMillis;
+    }
+
+    /**
+     * Opens the port and waits until it accepts.
+     *
+     * @return the listening channel
+     * @throws InterruptedException if the thread is interrupted while it waits
+     */
+    public Channel open(EventLoopGroup traffic, String host, int port) throws InterruptedException {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(traffic)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new StrictDecoder(limits.maxHeaderBytes()))
+                                .addLast(new HttpResponseEncoder())
+                                .addLast(new CallerConnection(CallerListener.this, sink, clockMillis));
+                    }
+                });
+        Channel channel = bootstrap.bind(host, port).sync().channel();
+        traffic.scheduleAtFixedRate(
+                this::checkTimes, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        return channel;
+    }
+
+    /** Refuses a request that states its length in two ways, which hides a second request in the first. */
+    private static final class StrictDecoder extends HttpRequestDecoder {
+        StrictDecoder(int maxHeaderBytes) {
+            super(MAX_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES);
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("both Content-Length and Transfer-Encoding are set");
+        }
+    }
+
+    /** Applies limits of a new configuration. */
+    public void setLimits(CallerLimits newLimits) {
+        limits = newLimits;
+    }
+
+    /** Makes each connection end with its next answer. */
+    public void stop() {
+        stopping = true;
+    }
+
+    /** Closes all connections. */
+    public void closeAll() {
+        List.copyOf(connections).forEach(CallerConnection::close);
+    }
+
+    /** Returns how many connections have a request under way. */
+    public int busyConnectionCount() {
+        return (int)
+                connections.stream().filter(connection -> !connection.isIdle()).count();
+    }
+
+    /** Returns how many connections are open. */
+    public int connectionCount() {
+        return connections.size();
+    }
+
+    CallerLimits limits() {
+        return limits;
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    void onOpened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void onClosed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+
+    private void checkTimes() {
+        long nowMillis = clockMillis.getAsLong();
+        List.copyOf(connections).forEach(connection -> connection.checkTime(nowMillis));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/RequestSink.java
@@ -0,0 +1,13 @@
+package org.lacewingthread.daemon.intake;
+
+/** Takes requests from callers; runs on the traffic thread. */
+public interface RequestSink {
+    /** Takes a whole request. */
+    void onRequest(CallerRequest request);
+
+    /** Takes in that the caller of an unanswered request has left. */
+    void onCallerGone(CallerRequest request);
+
+    /** Takes in a request that is not valid and was answered already. */
+    void onInvalid(int status, String reason);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/CallerAnswers.java
@@ -0,0 +1,104 @@
+package org.lacewingthread.daemon.router;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.traffic.ResultCode;
+import org.lacewingthread.daemon.events.EventLog;
+import org.lacewingthread.daemon.http.WholeResponse;
+import org.lacewingthread.daemon.intake.CallerRequest;
+
+/** Answers callers, and logs and counts each answer. Runs on the traffic thread. */
+final class CallerAnswers {
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    private final HeaderNames names;
+    private final EventLog events;
+    private final RouterMetrics metrics;
+    private final LongSupplier clockMillis;
+
+    CallerAnswers(HeaderNames names, EventLog events, RouterMetrics metrics, LongSupplier clockMillis) {
+        this.names = names;
+        this.events = events;
+        this.metrics = metrics;
+        this.clockMillis = clockMillis;
+    }
+
+    /** Passes a server's answer on. */
+    void deliver(RoutedCall call, WholeResponse response) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        RequestHeaders.copyEndToEnd(response.headers(), headers);
+        headers.set(names.requestId(), call.requestId);
+        call.caller.reply().answer(response.status(), headers, response.body());
+        log(call, ResultCode.DONE, response.status(), null);
+    }
+
+    /** Refuses a request that has not run. */
+    void refuse(RoutedCall call, ResultCode code, String reason, long retryAfterMillis) {
+        send(call.caller, call.requestId, code, retryAfterMillis);
+        log(call, code, code.httpStatus(), reason);
+    }
+
+    /** Ends a request whose outcome is not known. */
+    void giveUp(RoutedCall call, ResultCode code, String reason) {
+        send(call.caller, call.requestId, code, 0);
+        log(call, code, code.httpStatus(), reason);
+    }
+
+    /** Refuses a request before it has a route. */
+    void refuseUnrouted(CallerRequest request, String requestId, ResultCode code, String reason) {
+        send(request, requestId, code, 0);
+        metrics.onAnswer(code, "none", clockMillis.getAsLong() - request.arrivedMillis());
+        events.write("request.refused", "request", requestId, "code", code.number(), "reason", reason);
+    }
+
+    /** Logs that a caller left before its answer. */
+    void callerLeft(RoutedCall call) {
+        log(call, ResultCode.CANCELLED, ResultCode.CANCELLED.httpStatus(), "the caller left");
+    }
+
+    private void send(CallerRequest request, String requestId, ResultCode code, long retryAfterMillis) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        if (!requestId.isEmpty()) {
+            headers.set(names.requestId(), requestId);
+        }
+        if (retryAfterMillis > 0) {
+            headers.set(
+                    HttpHeaderNames.RETRY_AFTER,
+                    String.format(Locale.ROOT, "%.3f", retryAfterMillis / MILLIS_PER_SECOND));
+        }
+        String body = code.number() + " " + code.message() + "\n";
+        request.reply().answer(code.httpStatus(), headers, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+    }
+
+    private void log(RoutedCall call, ResultCode code, int status, String reason) {
+        long elapsedMillis = clockMillis.getAsLong() - call.caller.arrivedMillis();
+        metrics.onAnswer(code, call.route.name(), elapsedMillis);
+        events.write(
+                "request.ended",
+                "request",
+                call.requestId,
+                "route",
+                call.route.name(),
+                "service",
+                call.service,
+                "key",
+                call.key.isPresent() ? call.key.getAsInt() : null,
+                "code",
+                code.number(),
+                "status",
+                status,
+                "elapsed_ms",
+                elapsedMillis,
+                "sends",
+                call.sends,
+                "tried",
+                call.story.length() == 0 ? null : call.story.toString().trim(),
+                "reason",
+                reason);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlClock.java
@@ -0,0 +1,46 @@
+package org.lacewingthread.daemon.router;
+
+import java.util.function.LongSupplier;
+
+/**
+ * A clock that never goes back and counts suspension. The monotonic clock may stand still while a
+ * machine is suspended, and the time of day may jump, so each reading advances by whichever moved
+ * further: a lease may seem to end early, never late.
+ */
+public final class ControlClock {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    /** A lead of the time of day over the monotonic clock that counts as a suspension. */
+    private static final long SUSPENSION_NANOS = 200 * NANOS_PER_MILLI;
+
+    private final LongSupplier nanos;
+    private final LongSupplier wallMillis;
+    private long lastNanos;
+    private long lastWallMillis;
+    private long nowNanos;
+
+    /** Creates a clock on the system's clocks. */
+    public ControlClock() {
+        this(System::nanoTime, System::currentTimeMillis);
+    }
+
+    /** Creates a clock on other clocks. */
+    ControlClock(LongSupplier nanos, LongSupplier wallMillis) {
+        this.nanos = nanos;
+        this.wallMillis = wallMillis;
+        this.lastNanos = nanos.getAsLong();
+        this.lastWallMillis = wallMillis.getAsLong();
+    }
+
+    /** Returns the milliseconds since the clock was created. */
+    public synchronized long nowMillis() {
+        long nanosNow = nanos.getAsLong();
+        long wallNow = wallMillis.getAsLong();
+        long monotonicStep = Math.max(0, nanosNow - lastNanos);
+        long wallStep = (wallNow - lastWallMillis) * NANOS_PER_MILLI;
+        boolean suspended = wallStep - monotonicStep > SUSPENSION_NANOS;
+        nowNanos += suspended ? wallStep : monotonicStep;
+        lastNanos = nanosNow;
+        lastWallMillis = wallNow;
+        return nowNanos / NANOS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -0,0 +1,352 @@
+package org.lacewingthread.daemon.router;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.keyrange.CoordinatorAction;
+import org.lacewingthread.core.keyrange.GrantOutcome;
+import org.lacewingthread.core.keyrange.KeyLoad;
+import org.lacewingthread.core.keyrange.RangeCoordinator;
+import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.registry.ServerEntry;
+import org.lacewingthread.core.registry.ServerRegistry;
+import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
+import org.lacewingthread.core.serving.ServiceSpec;
+import org.lacewingthread.core.serving.ServingConfiguration;
+import org.lacewingthread.daemon.events.EventLog;
+
+/**
+ * Owns the control state: configuration, known servers and ownership of key ranges. Runs on the
+ * control thread and hands immutable views to the traffic side.
+ */
+final class ControlLoop implements Platform.Listener {
+    private static final long LEADER_TICK_MILLIS = 20;
+    private static final long FOLLOWER_TICK_MILLIS = 100;
+    /** How long samples of key loads count; a hot key shows within a second or two. */
+    private static final long LOAD_WINDOW_MILLIS = 6_000;
+    /** Load spread over keys without samples; about the cost of a few requests. */
+    private static final double EVEN_LOAD_COST = 2_000;
+    /** Lapsed entries are back within about two seconds of the registry's return. */
+    private static final long LAPSE_GRACE_MILLIS = 2_000;
+    /** Bounds of a server's speed relative to the mean, so that few measurements can't mislead. */
+    private static final double MIN_SPEED = 0.5;
+
+    private static final double MAX_SPEED = 1.8;
+    private static final int MAX_REMEMBERED_SERVERS = 1_000;
+
+    private final Platform platform;
+    private final RangeCoordinator coordinator;
+    private final ControlClock clock;
+    private final EventLoop eventLoop;
+    private final EventLog events;
+    private final Consumer<ServingConfiguration> onConfiguration;
+    private final BiConsumer<List<KnownServer>, RangeTable> onView;
+    private final ServerRegistry registry = new ServerRegistry(LAPSE_GRACE_MILLIS);
+    private final Map<ServiceId, KeyLoad> keyLoads = new HashMap<>();
+    private final Map<ServerStart, ServerEntry> remembered = new HashMap<>();
+    private Map<ServerStart, Double> serviceMillis = Map.of();
+    private Optional<ServingConfiguration> configuration = Optional.empty();
+    private List<KnownServer> publishedServers = List.of();
+    private RangeTable publishedTable = RangeTable.EMPTY;
+    private boolean serversKnown;
+    private boolean wasLeading;
+    private boolean stopped;
+
+    ControlLoop(
+            Platform platform,
+            RangeCoordinator coordinator,
+            ControlClock clock,
+            EventLoop eventLoop,
+            EventLog events,
+            Consumer<ServingConfiguration> onConfiguration,
+            BiConsumer<List<KnownServer>, RangeTable> onView) {
+        this.platform = platform;
+        this.coordinator = coordinator;
+        this.clock = clock;
+        this.eventLoop = eventLoop;
+        this.events = events;
+        this.onConfiguration = onConfiguration;
+        this.onView = onView;
+    }
+
+    void start() {
+        eventLoop.execute(() -> {
+            platform.start(this);
+            tick();
+        });
+    }
+
+    /** Stops leading and lets the platform choose another VM. */
+    void leave() {
+        eventLoop.execute(() -> {
+            stopped = true;
+            coordinator.onChosen(false);
+            platform.leave();
+        });
+    }
+
+    /** Tells whether configuration and servers are known. */
+    boolean isReady() {
+        return configuration.isPresent() && serversKnown;
+    }
+
+    boolean isLeading() {
+        return coordinator.isLeading();
+    }
+
+    /** Takes what a request of a key cost. */
+    void onKeyCost(ServiceId service, int key, double costMillis) {
+        eventLoop.execute(() -> keyLoad(service).add(key, costMillis, clock.nowMillis()));
+    }
+
+    /** Takes the service times that the traffic side measured. */
+    void onServiceTimes(Map<ServerStart, Double> measured) {
+        eventLoop.execute(() -> serviceMillis = measured);
+    }
+
+    private KeyLoad keyLoad(ServiceId service) {
+        return keyLoads.computeIfAbsent(service, id -> new KeyLoad(LOAD_WINDOW_MILLIS, EVEN_LOAD_COST));
+    }
+
+    private void tick() {
+        long tickMillis = coordinator.isLeading() ? LEADER_TICK_MILLIS : FOLLOWER_TICK_MILLIS;
+        eventLoop.schedule(this::tick, tickMillis, TimeUnit.MILLISECONDS);
+        step();
+    }
+
+    private void step() {
+        long nowMillis = clock.nowMillis();
+        publish(nowMillis);
+        noteLeadership();
+        if (configuration.isEmpty() || !serversKnown) {
+            return;
+        }
+        for (CoordinatorAction action : coordinator.step(serviceViews(nowMillis), nowMillis)) {
+            carryOut(action);
+        }
+    }
+
+    private void noteLeadership() {
+        if (wasLeading != coordinator.isLeading()) {
+            wasLeading = coordinator.isLeading();
+            platform.setLeading(wasLeading);
+            events.write(
+                    wasLeading ? "leadership.gained" : "leadership.lost",
+                    "term",
+                    coordinator.table().term(),
+                    "leader",
+                    coordinator.table().leader().map(Object::toString).orElse(null));
+        }
+    }
+
+    private void publish(long nowMillis) {
+        List<KnownServer> servers = registry.servers(nowMillis);
+        RangeTable table = coordinator.table();
+        if (!servers.equals(publishedServers) || !table.equals(publishedTable)) {
+            publishedServers = servers;
+            publishedTable = table;
+            onView.accept(servers, table);
+        }
+    }
+
+    private Map<ServiceId, RangeCoordinator.ServiceView> serviceViews(long nowMillis) {
+        Map<ServiceId, RangeCoordinator.ServiceView> views = new TreeMap<>();
+        if (!coordinator.isLeading()) {
+            return views;
+        }
+        for (ServiceSpec service : configuration.orElseThrow().services().values()) {
+            if (service.keyed()) {
+                views.put(service.id(), serviceView(service.id(), nowMillis));
+            }
+        }
+        return views;
+    }
+
+    private RangeCoordinator.ServiceView serviceView(ServiceId service, long nowMillis) {
+        Map<ServerStart, Double> capacity = new TreeMap<>();
+        Set<ServerStart> registered = new HashSet<>();
+        double meanMillis = serviceMillis.values().stream()
+                .mapToDouble(Double::doubleValue)
+                .average()
+                .orElse(1);
+        for (KnownServer server : publishedServers) {
+            if (!server.entry().service().equals(service)) {
+                continue;
+            }
+            boolean departed =
+                    server.leavingSinceMillis().isPresent() && !server.entry().draining();
+            if (!departed) {
+                registered.add(server.start());
+            }
+            if (server.isReady()) {
+                double speed = meanMillis / serviceMillis.getOrDefault(server.start(), meanMillis);
+                double bounded = Math.max(MIN_SPEED, Math.min(MAX_SPEED, speed));
+                capacity.put(server.start(), server.entry().slots() * bounded);
+            }
+        }
+        return new RangeCoordinator.ServiceView(
+                capacity, registered, keyLoad(service).profile(nowMillis));
+    }
+
+    private void carryOut(CoordinatorAction action) {
+        if (action instanceof CoordinatorAction.RecordTable record) {
+            platform.record(record, newEnd -> onRecorded(record, newEnd));
+        } else if (action instanceof CoordinatorAction.Grant grant) {
+            Optional<ServerEntry> server = Optional.ofNullable(remembered.get(grant.server()));
+            if (server.isPresent()) {
+                platform.grant(server.get(), grant, outcome -> {
+                    coordinator.onGrantAnswer(grant.call(), outcome, clock.nowMillis());
+                    if (outcome != GrantOutcome.GRANTED) {
+                        events.write(
+                                "grant.failed",
+                                "server",
+                                grant.server(),
+                                "range",
+                                grant.range(),
+                                "fence",
+                                grant.fence(),
+                                "outcome",
+                                outcome);
+                    }
+                });
+            }
+        } else if (action instanceof CoordinatorAction.Release release) {
+            Optional<ServerEntry> server = Optional.ofNullable(remembered.get(release.server()));
+            if (server.isPresent()) {
+                platform.release(server.get(), release, (released, handover) -> {
+                    coordinator.onReleaseAnswer(release.call(), released, handover, clock.nowMillis());
+                    events.write(
+                            "release.ended",
+                            "server",
+                            release.server(),
+                            "range",
+                            release.range(),
+                            "fence",
+                            release.fence(),
+                            "released",
+                            released,
+                            "handover",
+                            handover.isPresent());
+                    step();
+                });
+            }
+        }
+    }
+
+    private void onRecorded(CoordinatorAction.RecordTable record, Optional<Long> newEnd) {
+        coordinator.onRecorded(record, newEnd, clock.nowMillis());
+        events.write(
+                newEnd.isPresent() ? "table.recorded" : "table.not-recorded",
+                "term",
+                record.table().term(),
+                "expected_end",
+                record.expectedEnd(),
+                "moving",
+                record.table().rangesByService().values().stream()
+                        .flatMap(List::stream)
+                        .filter(ownership -> ownership.isMoving())
+                        .count());
+        step();
+    }
+
+    @Override
+    public void onConfiguration(ServingConfiguration newest) {
+        if (configuration.isPresent() && configuration.get().version() >= newest.version()) {
+            return;
+        }
+        configuration = Optional.of(newest);
+        events.write(
+                "configuration.applied",
+                "version",
+                newest.version(),
+                "routes",
+                newest.routes().size(),
+                "services",
+                newest.services().size());
+        onConfiguration.accept(newest);
+    }
+
+    @Override
+    public void onRegistryReached() {
+        registry.onReachable(clock.nowMillis());
+    }
+
+    @Override
+    public void onServer(ServerEntry entry) {
+        remember(entry);
+        registry.put(entry, clock.nowMillis());
+        events.write(
+                "server.seen",
+                "server",
+                entry.start(),
+                "service",
+                entry.service(),
+                "address",
+                entry.host() + ":" + entry.port(),
+                "draining",
+                entry.draining());
+        publish(clock.nowMillis());
+    }
+
+    private void remember(ServerEntry entry) {
+        if (remembered.size() >= MAX_REMEMBERED_SERVERS) {
+            Set<ServerStart> known = new HashSet<>();
+            publishedServers.forEach(server -> known.add(server.start()));
+            remembered.keySet().retainAll(known);
+        }
+        remembered.put(entry.start(), entry);
+    }
+
+    @Override
+    public void onServerGone(ServerId server) {
+        registry.remove(server, clock.nowMillis());
+        events.write("server.entry-gone", "server", server);
+        publish(clock.nowMillis());
+    }
+
+    @Override
+    public void onServers(List<ServerEntry> entries) {
+        entries.forEach(this::remember);
+        registry.replaceAll(entries, clock.nowMillis());
+        serversKnown = true;
+        events.write("servers.listed", "count", entries.size());
+        publish(clock.nowMillis());
+    }
+
+    @Override
+    public void onTable(RangeTable table, long end, long askedAtMillis) {
+        if (coordinator.onTable(table, end, clock.nowMillis())) {
+            events.write(
+                    "table.read",
+                    "term",
+                    table.term(),
+                    "leader",
+                    table.leader().map(Object::toString).orElse(null),
+                    "end",
+                    end);
+        }
+        coordinator.onStoreHeard(askedAtMillis);
+        step();
+    }
+
+    @Override
+    public void onTableUnchanged(long askedAtMillis) {
+        coordinator.onStoreHeard(askedAtMillis);
+    }
+
+    @Override
+    public void onChosen(boolean chosen) {
+        coordinator.onChosen(chosen && !stopped);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/HeaderNames.java
@@ -0,0 +1,21 @@
+package org.lacewingthread.daemon.router;
+
+/**
+ * Names of the headers that the router reads or sets.
+ *
+ * @param requestId id of one attempt of a caller; servers return it
+ * @param deadlineMillis milliseconds that the sender still waits
+ * @param seal proof that a server made the answer
+ * @param expectedServer id of the only server that may run the request
+ * @param serverLoad running requests, waiting requests and slots of a server
+ * @param notRun present if the server did not run the request
+ * @param key numeric key of the request
+ */
+public record HeaderNames(
+        String requestId,
+        String deadlineMillis,
+        String seal,
+        String expectedServer,
+        String serverLoad,
+        String notRun,
+        String key) {}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -0,0 +1,69 @@
+package org.lacewingthread.daemon.router;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.keyrange.CoordinatorAction;
+import org.lacewingthread.core.keyrange.GrantOutcome;
+import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.registry.ServerEntry;
+import org.lacewingthread.core.serving.ServingConfiguration;
+
+/** What the router needs of the platform that it runs on. All methods and callbacks run on the control thread. */
+public interface Platform {
+    /** Takes what the platform tells. */
+    interface Listener {
+        /** Takes the newest configuration. */
+        void onConfiguration(ServingConfiguration configuration);
+
+        /** Takes in that the registry of servers answered. */
+        void onRegistryReached();
+
+        /** Takes a new or changed server. */
+        void onServer(ServerEntry entry);
+
+        /** Takes in that a server's entry is gone. */
+        void onServerGone(ServerId server);
+
+        /** Takes a whole listing of the registry. */
+        void onServers(List<ServerEntry> entries);
+
+        /**
+         * Takes the newest table of owners.
+         *
+         * @param end end of the log behind it
+         * @param askedAtMillis when the question was sent, by the control clock
+         */
+        void onTable(RangeTable table, long end, long askedAtMillis);
+
+        /**
+         * Takes in that the table of owners has not changed.
+         *
+         * @param askedAtMillis when the question was sent, by the control clock
+         */
+        void onTableUnchanged(long askedAtMillis);
+
+        /** Takes whether this entry VM is the one that should lead. */
+        void onChosen(boolean chosen);
+    }
+
+    /** Starts to read; everything arrives at the listener. */
+    void start(Listener listener);
+
+    /** Asks the registry more often while this VM leads, since it moves the keys of leaving servers. */
+    void setLeading(boolean leading);
+
+    /** Appends a table; the result is the new end of the log, or empty if it was refused or is unknown. */
+    void record(CoordinatorAction.RecordTable action, Consumer<Optional<Long>> result);
+
+    /** Sends a grant to a server. */
+    void grant(ServerEntry server, CoordinatorAction.Grant action, Consumer<GrantOutcome> result);
+
+    /** Sends a release to a server; the result is whether it let go, and its handover token. */
+    void release(ServerEntry server, CoordinatorAction.Release action, BiConsumer<Boolean, Optional<String>> result);
+
+    /** Tells the platform that this VM leaves. */
+    void leave();
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableJson.java
@@ -0,0 +1,95 @@
+package org.lacewingthread.daemon.router;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.keyrange.KeyRange;
+import org.lacewingthread.core.keyrange.RangeOwnership;
+import org.lacewingthread.core.keyrange.RangeTable;
+
+/** The recorded form of a table of owners: JSON, so that operators can read it. */
+public final class RangeTableJson {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private RangeTableJson() {}
+
+    /** Writes a table. */
+    public static byte[] write(RangeTable table) {
+        ObjectNode root = MAPPER.createObjectNode();
+        root.put("term", table.term());
+        table.leader()
+                .ifPresent(leader -> root.put("leader", leader.vm().value()).put("leaderStart", leader.startNumber()));
+        ObjectNode services = root.putObject("services");
+        table.rangesByService().forEach((service, ranges) -> {
+            ArrayNode rows = services.putArray(service.value());
+            ranges.forEach(ownership -> writeRow(rows.addArray(), ownership));
+        });
+        try {
+            return MAPPER.writeValueAsBytes(root);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("table of term " + table.term() + " can't be written as JSON", e);
+        }
+    }
+
+    private static void writeRow(ArrayNode row, RangeOwnership ownership) {
+        row.add(ownership.range().firstKey()).add(ownership.range().lastKey());
+        writeServer(row, ownership.owner());
+        ownership.movingFrom().ifPresent(from -> writeServer(row, from));
+    }
+
+    private static void writeServer(ArrayNode row, ServerStart server) {
+        row.add(server.server().value()).add(server.startedUnixMillis());
+    }
+
+    /**
+     * Reads a table.
+     *
+     * @throws IOException if the bytes are not a table
+     */
+    public static RangeTable read(byte[] bytes) throws IOException {
+        try {
+            JsonNode root = MAPPER.readTree(bytes);
+            Optional<VmStart> leader = root.has("leader")
+                    ? Optional.of(new VmStart(
+                            new VmId(root.get("leader").textValue()),
+                            root.get("leaderStart").longValue()))
+                    : Optional.empty();
+            Map<ServiceId, List<RangeOwnership>> services = new TreeMap<>();
+            root.get("services")
+                    .fields()
+                    .forEachRemaining(field -> services.put(new ServiceId(field.getKey()), readRows(field.getValue())));
+            return new RangeTable(root.get("term").longValue(), leader, services);
+        } catch (IllegalArgumentException | NullPointerException e) {
+            throw new IOException("the record is no table of owners: " + new String(bytes, StandardCharsets.UTF_8), e);
+        }
+    }
+
+    private static List<RangeOwnership> readRows(JsonNode rows) {
+        List<RangeOwnership> ranges = new ArrayList<>();
+        for (JsonNode row : rows) {
+            KeyRange range = new KeyRange(row.get(0).intValue(), row.get(1).intValue());
+            Optional<ServerStart> from = row.size() > 4 ? Optional.of(readServer(row, 4)) : Optional.empty();
+            ranges.add(new RangeOwnership(range, readServer(row, 2), from));
+        }
+        return ranges;
+    }
+
+    private static ServerStart readServer(JsonNode row, int at) {
+        return new ServerStart(
+                new ServerId(row.get(at).textValue()), row.get(at + 1).longValue());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -0,0 +1,376 @@
+package org.lacewingthread.daemon.router;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+import org.lacewingthread.core.dispatch.AttemptResult;
+import org.lacewingthread.core.dispatch.Decision;
+import org.lacewingthread.core.dispatch.LoadReport;
+import org.lacewingthread.core.dispatch.RefusalCause;
+import org.lacewingthread.core.dispatch.RequestDispatcher;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.registry.ServerEntry;
+import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
+import org.lacewingthread.core.serving.Route;
+import org.lacewingthread.core.serving.RouteTable;
+import org.lacewingthread.core.serving.ServiceSpec;
+import org.lacewingthread.core.serving.ServingConfiguration;
+import org.lacewingthread.core.serving.SplitChooser;
+import org.lacewingthread.core.traffic.ResultCode;
+import org.lacewingthread.core.traffic.RetryBudget;
+import org.lacewingthread.daemon.events.EventLog;
+import org.lacewingthread.daemon.http.ConnectionPool;
+import org.lacewingthread.daemon.http.WholeResponse;
+import org.lacewingthread.daemon.intake.CallerReply;
+import org.lacewingthread.daemon.intake.CallerRequest;
+import org.lacewingthread.daemon.intake.RequestSink;
+
+/** Takes requests through routing, dispatch, sending, repeats and the answer. Runs on the traffic thread. */
+final class RequestEngine implements RequestSink {
+    /** Attempts that may fail before the request was sent; more would only delay the refusal. */
+    private static final int MAX_UNSENT_ATTEMPTS = 3;
+
+    private static final long NO_CALL = -1;
+    /** Cost of a request in the load of keys; only proportions matter. */
+    private static final double REQUEST_COST = 100;
+
+    private static final int FIRST_SERVER_ERROR = 500;
+    /** Longest time to connect to a server; data centres are a few milliseconds apart. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 400;
+    /** Idle connections are closed after this time, well before servers close them. */
+    private static final long MAX_IDLE_MILLIS = 4_000;
+
+    private final HeaderNames names;
+    private final EventLog events;
+    private final RouterMetrics metrics;
+    private final RequestDispatcher dispatcher;
+    private final ConnectionPool<ServerStart> connections;
+    private final AttemptSender sender;
+    private final CallerAnswers answers;
+    private final RetryBudget budget;
+    private final LongSupplier clockMillis;
+    private final KeyLoadSink keyLoads;
+    private final SplitChooser splits = new SplitChooser();
+    private final Map<Long, RoutedCall> calls = new HashMap<>();
+    private final Map<CallerReply, Long> numberByReply = new HashMap<>();
+    private Optional<ServingConfiguration> configuration = Optional.empty();
+    private RouteTable routes = new RouteTable(List.of());
+    private long nextNumber;
+
+    /** Takes what requests of keys cost. */
+    interface KeyLoadSink {
+        /** Takes one request's cost in milliseconds. */
+        void onKeyCost(ServiceId service, int key, double costMillis);
+    }
+
+    RequestEngine(
+            HeaderNames names,
+            EventLog events,
+            RouterMetrics metrics,
+            RequestDispatcher dispatcher,
+            EventLoop eventLoop,
+            RetryBudget budget,
+            LongSupplier clockMillis,
+            KeyLoadSink keyLoads) {
+        this.names = names;
+        this.events = events;
+        this.metrics = metrics;
+        this.dispatcher = dispatcher;
+        this.connections = new ConnectionPool<>(eventLoop, clockMillis, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
+        this.sender = new AttemptSender(names, connections, clockMillis, this);
+        this.answers = new CallerAnswers(names, events, metrics, clockMillis);
+        this.budget = budget;
+        this.clockMillis = clockMillis;
+        this.keyLoads = keyLoads;
+    }
+
+    void onConfiguration(ServingConfiguration newest) {
+        configuration = Optional.of(newest);
+        routes = new RouteTable(newest.routes());
+    }
+
+    void onView(List<KnownServer> servers, RangeTable table) {
+        Set<ServerStart> known = servers.stream().map(KnownServer::start).collect(Collectors.toSet());
+        connections.trim(known::contains);
+        carryOut(dispatcher.onView(servers, table, clockMillis.getAsLong()));
+    }
+
+    /** Looks at deadlines and at requests that wait. */
+    void tick() {
+        long nowMillis = clockMillis.getAsLong();
+        for (RoutedCall call : List.copyOf(calls.values())) {
+            if (nowMillis >= call.deadlineMillis) {
+                onDeadline(call);
+            }
+        }
+        carryOut(dispatcher.tick(nowMillis));
+    }
+
+    int unansweredCount() {
+        return calls.size();
+    }
+
+    int waitingCount() {
+        return dispatcher.waitingCount();
+    }
+
+    long connectionsOpened() {
+        return connections.openedCount();
+    }
+
+    Optional<Double> serviceMillis(ServerStart server) {
+        return dispatcher.serviceMillis(server);
+    }
+
+    @Override
+    public void onInvalid(int status, String reason) {
+        metrics.onInvalid(status);
+        events.write("request.invalid", "status", status, "reason", reason);
+    }
+
+    @Override
+    public void onRequest(CallerRequest request) {
+        String requestId = request.headers().get(names.requestId());
+        if (requestId == null || requestId.isEmpty()) {
+            answers.refuseUnrouted(
+                    request, "", ResultCode.MALFORMED_REQUEST, "header " + names.requestId() + " is missing");
+            return;
+        }
+        if (configuration.isEmpty()) {
+            answers.refuseUnrouted(request, requestId, ResultCode.NOT_READY, "no configuration is known yet");
+            return;
+        }
+        String host =
+                Optional.ofNullable(request.headers().get(HttpHeaderNames.HOST)).orElse("");
+        Optional<Route> route = routes.find(host, request.target());
+        if (route.isEmpty()) {
+            answers.refuseUnrouted(
+                    request,
+                    requestId,
+                    ResultCode.NO_SELECTOR,
+                    "no route for host \"" + host + "\" and target \"" + request.target() + "\" in version "
+                            + configuration.get().version());
+            return;
+        }
+        onRouted(request, requestId, route.get());
+    }
+
+    private void onRouted(CallerRequest request, String requestId, Route route) {
+        ServiceId service = splits.next(route);
+        OptionalInt key = OptionalInt.empty();
+        if (isKeyed(service)) {
+            key = RequestHeaders.key(request.headers(), names.key());
+            if (key.isEmpty()) {
+                answers.refuseUnrouted(
+                        request,
+                        requestId,
+                        ResultCode.KEY_MISSING,
+                        "header " + names.key() + " is missing or not a key, and service \"" + service
+                                + "\" is divided by key");
+                return;
+            }
+        }
+        long waitMillis = RequestHeaders.deadlineMillis(request.headers(), names.deadlineMillis())
+                .orElse(route.timeoutMillis());
+        long deadlineMillis = request.arrivedMillis() + Math.min(waitMillis, route.timeoutMillis());
+        RoutedCall call = new RoutedCall(++nextNumber, request, requestId, route, service, key, deadlineMillis);
+        calls.put(call.number, call);
+        numberByReply.put(request.reply(), call.number);
+        budget.onFirstAttempt();
+        submit(call);
+    }
+
+    private boolean isKeyed(ServiceId service) {
+        return configuration
+                .map(c -> c.services().get(service))
+                .map(ServiceSpec::keyed)
+                .orElse(false);
+    }
+
+    private void submit(RoutedCall call) {
+        call.attempt = Optional.empty();
+        call.waiting = Optional.of(call.toDispatch());
+        carryOut(dispatcher.submit(call.waiting.get(), clockMillis.getAsLong()));
+    }
+
+    private void carryOut(List<Decision> decisions) {
+        for (Decision decision : decisions) {
+            RoutedCall call = calls.get(decision.request().number());
+            if (call == null) {
+                continue;
+            }
+            call.waiting = Optional.empty();
+            if (decision instanceof Decision.Offer offer) {
+                call.serversTried.add(offer.server().start().server());
+                sender.send(call, offer);
+            } else if (decision instanceof Decision.Refuse refuse) {
+                refuse(call, refuse.cause(), refuse.retryAfterMillis());
+            }
+        }
+    }
+
+    private void refuse(RoutedCall call, RefusalCause cause, long retryAfterMillis) {
+        if (call.mayHaveRun) {
+            finish(call);
+            answers.giveUp(call, ResultCode.ANSWER_LOST, "no second attempt: " + cause);
+            return;
+        }
+        ResultCode code =
+                switch (cause) {
+                    case OVERLOADED, DEADLINE_PASSED -> ResultCode.OVERLOADED;
+                    case NO_OWNER -> ResultCode.NO_OWNER;
+                    case NO_SERVER -> ResultCode.OWNER_UNREACHABLE;
+                };
+        finish(call);
+        answers.refuse(call, code, cause.toString(), retryAfterMillis);
+    }
+
+    private void finish(RoutedCall call) {
+        call.finished = true;
+        calls.remove(call.number);
+        numberByReply.remove(call.caller.reply());
+    }
+
+    private void onDeadline(RoutedCall call) {
+        call.waiting.ifPresent(dispatcher::cancel);
+        boolean sent = call.attempt.map(attempt -> attempt.connection != null).orElse(false) || call.mayHaveRun;
+        finish(call);
+        if (sent) {
+            call.attempt.ifPresent(
+                    attempt -> connections.distrust(attempt.offer.server().start()));
+            answers.giveUp(call, ResultCode.OUTCOME_UNKNOWN, "the deadline passed while a server worked on it");
+        } else {
+            answers.refuse(call, ResultCode.OVERLOADED, "the deadline passed before it was sent", 0);
+        }
+        abandonAttempt(call);
+    }
+
+    @Override
+    public void onCallerGone(CallerRequest request) {
+        Optional<RoutedCall> gone =
+                Optional.ofNullable(calls.get(numberByReply.getOrDefault(request.reply(), NO_CALL)));
+        gone.ifPresent(call -> {
+            call.waiting.ifPresent(dispatcher::cancel);
+            finish(call);
+            answers.callerLeft(call);
+            if (call.route.repeatability().maySendAgain(true)) {
+                abandonAttempt(call);
+            }
+        });
+    }
+
+    private void abandonAttempt(RoutedCall call) {
+        call.attempt.filter(attempt -> !attempt.ended).ifPresent(attempt -> {
+            if (attempt.connection != null) {
+                attempt.connection.abort();
+            }
+            endAttempt(attempt, AttemptResult.ABANDONED, Optional.empty());
+        });
+    }
+
+    /** Notes the end of an attempt; returns false if it had ended before. */
+    private boolean endAttempt(RoutedCall.Attempt attempt, AttemptResult result, Optional<LoadReport> report) {
+        if (attempt.ended) {
+            return false;
+        }
+        attempt.ended = true;
+        double elapsedMillis = (System.nanoTime() - attempt.startedNanos) / 1e6;
+        metrics.onAttempt(result, elapsedMillis);
+        carryOut(dispatcher.onEnded(attempt.offer, result, elapsedMillis, report, clockMillis.getAsLong()));
+        return true;
+    }
+
+    /** Takes a whole response of a server. */
+    void onResponse(RoutedCall call, RoutedCall.Attempt attempt, WholeResponse response) {
+        ServerEntry server = attempt.offer.server();
+        connections.giveBack(server.start(), attempt.connection);
+        Optional<LoadReport> report = RequestHeaders.load(response.headers(), names.serverLoad());
+        AttemptResult result = ServerAnswers.classify(response, names);
+        if (!endAttempt(attempt, result, report)) {
+            return;
+        }
+        call.story.append(' ').append(server.start().server()).append(':').append(response.status());
+        if (call.key.isPresent() && result == AttemptResult.ANSWERED) {
+            keyLoads.onKeyCost(call.service, call.key.getAsInt(), REQUEST_COST);
+        }
+        if (call.finished) {
+            return;
+        }
+        if (result == AttemptResult.ANSWERED) {
+            finish(call);
+            answers.deliver(call, response);
+        } else if (result == AttemptResult.REJECTED || result == AttemptResult.MISDIRECTED) {
+            retryOrRefuse(call, result);
+        } else {
+            call.mayHaveRun = true;
+            boolean fromServer = result == AttemptResult.SERVER_FAILED && response.status() >= FIRST_SERVER_ERROR;
+            retryOrGiveUp(call, fromServer ? Optional.of(response) : Optional.empty(), "the answer is not usable");
+        }
+    }
+
+    /** Takes a failed attempt. */
+    void onFailure(RoutedCall call, RoutedCall.Attempt attempt, boolean sent, String reason) {
+        AttemptResult result = sent ? AttemptResult.BROKEN : AttemptResult.NOT_SENT;
+        if (!endAttempt(attempt, result, Optional.empty())) {
+            return;
+        }
+        call.story
+                .append(' ')
+                .append(attempt.offer.server().start().server())
+                .append(':')
+                .append(reason);
+        if (call.finished) {
+            return;
+        }
+        if (sent) {
+            call.mayHaveRun = true;
+            retryOrGiveUp(call, Optional.empty(), reason);
+        } else if (++call.unsentAttempts < MAX_UNSENT_ATTEMPTS) {
+            submit(call);
+        } else {
+            finish(call);
+            answers.refuse(call, ResultCode.OWNER_UNREACHABLE, reason, 0);
+        }
+    }
+
+    private void retryOrRefuse(RoutedCall call, AttemptResult result) {
+        if (call.sends < call.route.maxAttempts() && hasTime(call) && budget.tryTake()) {
+            submit(call);
+            return;
+        }
+        finish(call);
+        if (call.mayHaveRun) {
+            answers.giveUp(call, ResultCode.ANSWER_LOST, "a repeat was turned away: " + result);
+        } else {
+            answers.refuse(call, ResultCode.OWNER_REFUSED, "the server turned it away: " + result, 0);
+        }
+    }
+
+    private void retryOrGiveUp(RoutedCall call, Optional<WholeResponse> failure, String reason) {
+        boolean maySendAgain =
+                call.route.repeatability().maySendAgain(true) && call.sends < call.route.maxAttempts() && hasTime(call);
+        if (maySendAgain && budget.tryTake()) {
+            submit(call);
+            return;
+        }
+        finish(call);
+        if (failure.isPresent()) {
+            answers.deliver(call, failure.get());
+        } else {
+            answers.giveUp(call, ResultCode.ANSWER_LOST, reason);
+        }
+    }
+
+    private boolean hasTime(RoutedCall call) {
+        return call.deadlineMillis - clockMillis.getAsLong() > call.route.targetLatencyMillis() / 3;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestHeaders.java
@@ -0,0 +1,92 @@
+package org.lacewingthread.daemon.router;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.lacewingthread.core.dispatch.LoadReport;
+import org.lacewingthread.core.keyrange.KeyRange;
+
+/** Reads and copies headers. */
+final class RequestHeaders {
+    /** Headers that concern one connection, or that the sender sets for itself. */
+    private static final Set<String> CONNECTION_HEADERS = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect");
+
+    private static final int MAX_DIGITS = 9;
+
+    private RequestHeaders() {}
+
+    /** Copies all headers but those that concern one connection. */
+    static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
+        Set<String> named = from.getAll(HttpHeaderNames.CONNECTION).stream()
+                .flatMap(value -> Stream.of(value.split(",")))
+                .map(value -> value.trim().toLowerCase(Locale.ROOT))
+                .collect(Collectors.toSet());
+        for (Map.Entry<String, String> header : from) {
+            String name = header.getKey().toLowerCase(Locale.ROOT);
+            if (!CONNECTION_HEADERS.contains(name) && !named.contains(name)) {
+                to.add(header.getKey(), header.getValue());
+            }
+        }
+    }
+
+    /** Reads a numeric key; empty if it is missing or out of range. */
+    static OptionalInt key(HttpHeaders headers, String name) {
+        Optional<Long> value = number(headers.get(name));
+        return value.isPresent() && value.get() <= KeyRange.MAX_KEY
+                ? OptionalInt.of(value.get().intValue())
+                : OptionalInt.empty();
+    }
+
+    /** Reads a deadline in milliseconds; empty if it is missing or not a number. */
+    static Optional<Long> deadlineMillis(HttpHeaders headers, String name) {
+        String text = headers.get(name);
+        int fraction = text == null ? -1 : text.indexOf('.');
+        return number(fraction < 0 ? text : text.substring(0, fraction));
+    }
+
+    /** Reads a server's load: running, waiting and slots. */
+    static Optional<LoadReport> load(HttpHeaders headers, String name) {
+        String text = headers.get(name);
+        if (text == null) {
+            return Optional.empty();
+        }
+        String[] parts = text.split(",", -1);
+        if (parts.length != 3) {
+            return Optional.empty();
+        }
+        Optional<Long> running = number(parts[0].trim());
+        Optional<Long> waiting = number(parts[1].trim());
+        Optional<Long> slots = number(parts[2].trim()).filter(count -> count > 0);
+        return running.isEmpty() || waiting.isEmpty() || slots.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new LoadReport(
+                        running.get().intValue(),
+                        waiting.get().intValue(),
+                        slots.get().intValue()));
+    }
+
+    private static Optional<Long> number(String text) {
+        boolean digits = text != null
+                && !text.isEmpty()
+                && text.length() <= MAX_DIGITS
+                && text.chars().allMatch(c -> c >= '0' && c <= '9');
+        return digits ? Optional.of(Long.parseLong(text)) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RoutedCall.java
@@ -0,0 +1,77 @@
+package org.lacewingthread.daemon.router;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.lacewingthread.core.dispatch.Decision;
+import org.lacewingthread.core.dispatch.DispatchRequest;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.serving.Route;
+import org.lacewingthread.daemon.http.OutboundConnection;
+import org.lacewingthread.daemon.intake.CallerRequest;
+
+/** State of one caller's request from its arrival to its answer. */
+final class RoutedCall {
+    final long number;
+    final CallerRequest caller;
+    final String requestId;
+    final Route route;
+    final ServiceId service;
+    final OptionalInt key;
+    /** When the caller, or the route's timeout, stops waiting. */
+    final long deadlineMillis;
+
+    final Set<ServerId> serversTried = new HashSet<>();
+    /** What was tried, for the log. */
+    final StringBuilder story = new StringBuilder();
+
+    /** The request while it waits for a server. */
+    Optional<DispatchRequest> waiting = Optional.empty();
+    /** The attempt under way. */
+    Optional<Attempt> attempt = Optional.empty();
+
+    int sends;
+    int unsentAttempts;
+    /** Whether an attempt may have run. */
+    boolean mayHaveRun;
+
+    boolean finished;
+
+    /** One attempt at a server. */
+    static final class Attempt {
+        final Decision.Offer offer;
+        final long startedNanos;
+        OutboundConnection connection;
+        boolean ended;
+
+        Attempt(Decision.Offer offer, long startedNanos) {
+            this.offer = offer;
+            this.startedNanos = startedNanos;
+        }
+    }
+
+    RoutedCall(
+            long number,
+            CallerRequest caller,
+            String requestId,
+            Route route,
+            ServiceId service,
+            OptionalInt key,
+            long deadlineMillis) {
+        this.number = number;
+        this.caller = caller;
+        this.requestId = requestId;
+        this.route = route;
+        this.service = service;
+        this.key = key;
+        this.deadlineMillis = deadlineMillis;
+    }
+
+    DispatchRequest toDispatch() {
+        long targetAtMillis = Math.min(deadlineMillis, caller.arrivedMillis() + route.targetLatencyMillis());
+        return new DispatchRequest(
+                number, service, key, route.priority(), targetAtMillis, deadlineMillis, serversTried);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -0,0 +1,61 @@
+package org.lacewingthread.daemon.router;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.lacewingthread.core.dispatch.AttemptResult;
+import org.lacewingthread.core.traffic.ResultCode;
+
+/** Counters, histograms and gauges of a router process; OPERATIONS.md lists them. */
+final class RouterMetrics {
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<String, Timer> timers = new HashMap<>();
+
+    void onAnswer(ResultCode code, String route, long elapsedMillis) {
+        timer("lacewingthread.router.requests", "code", Integer.toString(code.number()), "route", route)
+                .record(elapsedMillis, TimeUnit.MILLISECONDS);
+    }
+
+    void onAttempt(AttemptResult result, double elapsedMillis) {
+        timer("lacewingthread.router.attempts", "result", result.name(), "route", "all")
+                .record(Math.round(elapsedMillis * 1e3), TimeUnit.MICROSECONDS);
+    }
+
+    void onInvalid(int status) {
+        registry.counter("lacewingthread.router.invalid", "status", Integer.toString(status))
+                .increment();
+    }
+
+    void gauge(String name, String description, Supplier<Number> value) {
+        Gauge.builder("lacewingthread.router." + name, value)
+                .description(description)
+                .register(registry);
+    }
+
+    String scrape() {
+        return registry.scrape();
+    }
+
+    private Timer timer(String name, String tag, String value, String secondTag, String secondValue) {
+        return timers.computeIfAbsent(name + '|' + value + '|' + secondValue, id -> Timer.builder(name)
+                .tag(tag, value)
+                .tag(secondTag, secondValue)
+                .serviceLevelObjectives(
+                        Duration.ofMillis(5),
+                        Duration.ofMillis(20),
+                        Duration.ofMillis(50),
+                        Duration.ofMillis(100),
+                        Duration.ofMillis(200),
+                        Duration.ofMillis(400),
+                        Duration.ofMillis(800),
+                        Duration.ofMillis(1_600),
+                        Duration.ofMillis(3_200))
+                .register(registry));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
@@ -0,0 +1,32 @@
+package org.lacewingthread.daemon.router;
+
+import java.net.InetSocketAddress;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.keyrange.RangeLeaseTimes;
+
+/**
+ * Settings of a router process.
+ *
+ * @param vm this entry VM
+ * @param dataCentre where it runs
+ * @param callers address for callers
+ * @param readiness address for the balancer's readiness question
+ * @param metrics address for metrics
+ * @param drainMillis time within which a leaving server gets no more requests
+ * @param stopMillis time from the order to stop until the process has to be gone
+ * @param retryRatio extra attempts as a share of first attempts, over all VMs
+ * @param retryReserve extra attempts that this VM may save up
+ * @param leaseTimes lengths of key range leases
+ */
+public record RouterSettings(
+        VmId vm,
+        DataCentreId dataCentre,
+        InetSocketAddress callers,
+        InetSocketAddress readiness,
+        InetSocketAddress metrics,
+        long drainMillis,
+        long stopMillis,
+        double retryRatio,
+        double retryReserve,
+        RangeLeaseTimes leaseTimes) {}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ServerAnswers.java
@@ -0,0 +1,34 @@
+package org.lacewingthread.daemon.router;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import org.lacewingthread.core.dispatch.AttemptResult;
+import org.lacewingthread.daemon.http.WholeResponse;
+
+/** Tells what a server's response means. */
+final class ServerAnswers {
+    private static final int MISDIRECTED = 421;
+    private static final int FIRST_SERVER_ERROR = 500;
+    private static final int FIRST_SUCCESS = 200;
+    private static final int FIRST_REDIRECT = 300;
+
+    private ServerAnswers() {}
+
+    static AttemptResult classify(WholeResponse response, HeaderNames names) {
+        if (response.status() == MISDIRECTED) {
+            return AttemptResult.MISDIRECTED;
+        }
+        if (response.headers().contains(names.notRun())) {
+            return AttemptResult.REJECTED;
+        }
+        boolean sealed = response.headers().contains(names.seal());
+        boolean success = response.status() >= FIRST_SUCCESS && response.status() < FIRST_REDIRECT;
+        boolean foreignBody = response.headers().contains(HttpHeaderNames.CONTENT_ENCODING);
+        if (success) {
+            return sealed && !foreignBody ? AttemptResult.ANSWERED : AttemptResult.BROKEN;
+        }
+        if (response.status() >= FIRST_SERVER_ERROR) {
+            return AttemptResult.SERVER_FAILED;
+        }
+        return sealed ? AttemptResult.ANSWERED : AttemptResult.BROKEN;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/StatusListener.java
@@ -0,0 +1,90 @@
+package org.lacewingthread.daemon.router;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Function;
+
+/** Answers short questions about this process, such as readiness and metrics. */
+final class StatusListener {
+    private static final int MAX_REQUEST_BYTES = 8_192;
+
+    private final Function<String, Page> pages;
+
+    /**
+     * An answer.
+     *
+     * @param status HTTP status
+     * @param text plain text
+     */
+    record Page(HttpResponseStatus status, String text) {}
+
+    /**
+     * Creates a listener without opening its port.
+     *
+     * @param pages answers a request target
+     */
+    StatusListener(Function<String, Page> pages) {
+        this.pages = pages;
+    }
+
+    /** Opens the port and waits until it accepts. */
+    Channel open(EventLoopGroup group, InetSocketAddress address) throws InterruptedException {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
+                                .addLast(new Handler());
+                    }
+                })
+                .bind(address)
+                .sync()
+                .channel();
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            Page page = pages.apply(request.uri());
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, page.status(), Unpooled.copiedBuffer(page.text(), StandardCharsets.UTF_8));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+            HttpUtil.setKeepAlive(response, HttpUtil.isKeepAlive(request));
+            context.writeAndFlush(response);
+            if (!HttpUtil.isKeepAlive(request)) {
+                context.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
