Take no requests late in a stop; collect key loads from all VMs; check range ownership by histories

The port and idle connections now close 2.9 s after the signal. Load reports go to the leader by datagram, so that busy ranges are cut within a second.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -34,7 +34,7 @@
     /** Requests above a server's slots that it should have at most; the rest waits here by rank. */
     private static final int WAITING_PLACES = 2;
     /** Places of a server's own queue that are counted on when this VM has nothing at the server. */
-    private static final int QUEUE_PLACES = 5;
+    private static final int QUEUE_PLACES = 4;
     /** Requests of one service that may wait here. */
     private static final int MAX_WAITING = 400;
     /** Added to the expected time of a server in another data centre, so that near servers win ties. */
@@ -247,7 +247,7 @@
         double expected = state.expectedMillis(ahead, nowMillis);
         double leftMillis = request.deadlineMillis() - nowMillis;
         boolean hopeless = leftMillis < state.serviceMillis() * MIN_TIME_LEFT_RATIO
-                || (ahead > 0 && expected - state.serviceMillis() > leftMillis);
+                || expected - state.serviceMillis() > leftMillis;
         if (hopeless) {
             long retryAfter = Math.round(Math.max(0, expected - state.serviceMillis()));
             return refuse(request, RefusalCause.OVERLOADED, retryAfter);
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -19,6 +19,9 @@
     /** How long a server that turned requests away is left alone. */
     private static final long FULL_PAUSE_MILLIS = 40;
 
+    /** Service times after which a reported load counts for about a third. */
+    private static final double DECAY_SERVICE_TIMES = 2;
+
     private KnownServer known;
     private int inFlight;
     private double othersLoad;
@@ -92,7 +95,7 @@
     /** Returns the requests of other entry VMs that the server probably has now. */
     double othersLoad(long nowMillis) {
         double age = nowMillis - othersLoadAtMillis;
-        return othersLoad * Math.exp(-age / Math.max(1, serviceMillis));
+        return othersLoad * Math.exp(-age / Math.max(1, serviceMillis * DECAY_SERVICE_TIMES));
     }
 
     /** Tells whether another request would run soon, or at least find a place in the server's queue. */
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -10,7 +10,6 @@
 import java.util.TreeSet;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
-import org.lacewingthread.core.id.VmStart;
 
 /**
  * Leads the ownership of key ranges: one entry VM at a time records owners in the store, grants them
@@ -36,6 +35,8 @@
 public final class RangeCoordinator {
     /** Pause before a call is repeated that got no answer. */
     private static final long RETRY_MILLIS = 250;
+    /** A grant arrives within this time of its sending, or never; calls are cut off before. */
+    private static final long MAX_CALL_MILLIS = 2_000;
     /** Pause before a record is written again that failed. */
     private static final long RECORD_RETRY_MILLIS = 200;
     /** How often loads are compared for balance. */
@@ -45,7 +46,7 @@
     /** Fences of one term; a term never needs as many grants. */
     private static final long FENCES_PER_TERM = 1_000_000;
 
-    private final VmStart self;
+    private final Leader self;
     private final RangeLeaseTimes times;
     private final List<RangeHold> holds = new ArrayList<>();
     private final Map<Long, RangeHold> calls = new HashMap<>();
@@ -73,7 +74,7 @@
             Map<ServerStart, Double> capacityByServer, Set<ServerStart> registered, KeyLoad.Profile load) {}
 
     /** Creates a coordinator that knows nothing yet. */
-    public RangeCoordinator(VmStart self, RangeLeaseTimes times) {
+    public RangeCoordinator(Leader self, RangeLeaseTimes times) {
         this.self = self;
         this.times = times;
     }
@@ -136,7 +137,10 @@
     }
 
     private void adopt(RangeTable recorded, long nowMillis) {
-        boolean leads = recorded.leader().filter(self::equals).isPresent();
+        boolean leads = recorded.leader()
+                .map(Leader::process)
+                .filter(self.process()::equals)
+                .isPresent();
         boolean newTerm = recorded.term() != table.term();
         table = recorded;
         if (!leads) {
@@ -216,8 +220,9 @@
             return;
         }
         hold.callPending = false;
-        hold.ownerHeldUntilMillis = Math.max(hold.ownerHeldUntilMillis, times.heldUntilMillis(nowMillis));
         if (outcome == GrantOutcome.GRANTED) {
+            // Earlier grants without answer had lower fences and can't take effect any more.
+            hold.ownerHeldUntilMillis = times.heldUntilMillis(nowMillis);
             hold.phase = RangeHold.Phase.HELD;
             hold.confirmed = true;
             hold.unansweredSinceMillis = Optional.empty();
@@ -315,6 +320,8 @@
             actions.add(new CoordinatorAction.Release(
                     call, hold.service, hold.movingFrom.orElseThrow(), hold.range, hold.formerFence));
         } else {
+            hold.ownerHeldUntilMillis =
+                    Math.max(hold.ownerHeldUntilMillis, times.heldUntilMillis(nowMillis + MAX_CALL_MILLIS));
             actions.add(new CoordinatorAction.Grant(
                     call, hold.service, hold.owner, hold.range, hold.fence, times.holdMillis(), hold.handover));
         }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangePlanner.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangePlanner.java
@@ -18,7 +18,7 @@
     /** Load over the mean at which a server gives up keys; below it, noise would move keys about. */
     private static final double BUSY_FACTOR = 1.3;
     /** Moves in one plan for balance; bounds how many keys wait at the same time. */
-    private static final int MAX_BALANCE_MOVES = 4;
+    private static final int MAX_BALANCE_MOVES = 8;
     /** A load share below which a piece is not cut further when it is dealt. */
     private static final double WHOLE_PIECE_FACTOR = 0.6;
     /** Ranges a server above which pieces are no longer cut, since each range costs renewals. */
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeTable.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeTable.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.lacewingthread.core.id.ServiceId;
-import org.lacewingthread.core.id.VmStart;
 
 /**
  * The recorded owners of all ranges, and the entry VM that may change them.
@@ -16,7 +15,7 @@
  * @param leader process that leads in this term; empty before the first
  * @param rangesByService ranges in key order
  */
-public record RangeTable(long term, Optional<VmStart> leader, Map<ServiceId, List<RangeOwnership>> rangesByService) {
+public record RangeTable(long term, Optional<Leader> leader, Map<ServiceId, List<RangeOwnership>> rangesByService) {
     /** The table before anything is recorded. */
     public static final RangeTable EMPTY = new RangeTable(0, Optional.empty(), Map.of());
 
@@ -65,7 +64,7 @@
     }
 
     /** Returns a table in which this process leads. */
-    public RangeTable withLeader(long newTerm, VmStart newLeader) {
+    public RangeTable withLeader(long newTerm, Leader newLeader) {
         return new RangeTable(newTerm, Optional.of(newLeader), rangesByService);
     }
 
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeWorld.java
@@ -0,0 +1,193 @@
+package org.lacewingthread.core.keyrange;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.id.VmStart;
+
+/**
+ * Coordinators, servers and a store in virtual time. Calls may be delayed, lost, or carried out late
+ * without an answer.
+ */
+final class RangeWorld {
+    static final ServiceId SERVICE = new ServiceId("orders");
+    static final RangeLeaseTimes TIMES = new RangeLeaseTimes(6_000, 1_500, 10_000, 3_000, 0.03);
+    private static final long STEP_MILLIS = 10;
+    private static final int[] CHECKED_KEYS = {0, 1_000, 8_191, 20_000, 32_768, 40_000, 50_000, 65_535};
+
+    final RandomGenerator random;
+    final Map<String, RangeCoordinator> coordinators = new TreeMap<>();
+    final Set<String> cutFromStore = new HashSet<>();
+    final Set<String> stoppedVms = new HashSet<>();
+    final Map<ServerStart, SimulatedKeyServer> servers = new TreeMap<>();
+    final Set<ServerStart> ready = new HashSet<>();
+    final Set<ServerStart> registered = new HashSet<>();
+    final Set<ServerStart> silent = new HashSet<>();
+    final KeyLoad load = new KeyLoad(6_000, 2_000);
+    final List<String> violations = new ArrayList<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    long nowMillis = 1_000;
+    String chosen = "a";
+    double lateRatio;
+    private RangeTable recorded = RangeTable.EMPTY;
+    private long logEnd;
+    private long nextEvent;
+
+    private record Event(long atMillis, long order, Runnable task) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    RangeWorld(RandomGenerator random) {
+        this.random = random;
+    }
+
+    void addVm(String name) {
+        Leader leader = new Leader(new VmStart(new VmId(name), random.nextLong(1L << 40)), "10.0.0.1", 7_000);
+        coordinators.put(name, new RangeCoordinator(leader, TIMES));
+    }
+
+    ServerStart addServer(String name, long startedMillis) {
+        ServerStart start = new ServerStart(new ServerId(name), startedMillis);
+        servers.put(start, new SimulatedKeyServer(start));
+        ready.add(start);
+        registered.add(start);
+        return start;
+    }
+
+    RangeTable recorded() {
+        return recorded;
+    }
+
+    void run(long millis) {
+        long endMillis = nowMillis + millis;
+        while (nowMillis < endMillis) {
+            nowMillis += STEP_MILLIS;
+            while (!events.isEmpty() && events.peek().atMillis() <= nowMillis) {
+                events.poll().task().run();
+            }
+            coordinators.forEach(this::stepVm);
+            check();
+        }
+    }
+
+    private void stepVm(String name, RangeCoordinator coordinator) {
+        if (stoppedVms.contains(name)) {
+            return;
+        }
+        coordinator.onChosen(name.equals(chosen) && !cutFromStore.contains(name));
+        if (!cutFromStore.contains(name)) {
+            coordinator.onTable(recorded, logEnd, nowMillis);
+            coordinator.onStoreHeard(nowMillis);
+        }
+        Map<ServerStart, Double> capacity = new TreeMap<>();
+        ready.forEach(server -> capacity.put(server, 2.0));
+        RangeCoordinator.ServiceView view =
+                new RangeCoordinator.ServiceView(capacity, Set.copyOf(registered), load.profile(nowMillis));
+        for (CoordinatorAction action : coordinator.step(Map.of(SERVICE, view), nowMillis)) {
+            carryOut(name, coordinator, action);
+        }
+    }
+
+    private void carryOut(String name, RangeCoordinator coordinator, CoordinatorAction action) {
+        if (action instanceof CoordinatorAction.RecordTable record) {
+            boolean reached = !cutFromStore.contains(name);
+            later(5, () -> {
+                Optional<Long> end = reached ? append(record) : Optional.empty();
+                later(5, () -> coordinator.onRecorded(record, end, nowMillis));
+            });
+        } else if (action instanceof CoordinatorAction.Grant grant) {
+            sendGrant(coordinator, grant);
+        } else if (action instanceof CoordinatorAction.Release release) {
+            sendRelease(coordinator, release);
+        }
+    }
+
+    private Optional<Long> append(CoordinatorAction.RecordTable record) {
+        if (record.expectedEnd() != logEnd) {
+            return Optional.empty();
+        }
+        recorded = record.table();
+        logEnd++;
+        return Optional.of(logEnd);
+    }
+
+    private void sendGrant(RangeCoordinator coordinator, CoordinatorAction.Grant grant) {
+        SimulatedKeyServer server = servers.get(grant.server());
+        long arrivedMillis = nowMillis + 2;
+        boolean reachable = server.alive && !silent.contains(server.start);
+        boolean late = random.nextDouble() < lateRatio;
+        if (reachable && !late) {
+            later(2, () -> {
+                boolean granted = server.grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedMillis);
+                GrantOutcome outcome = granted ? GrantOutcome.GRANTED : GrantOutcome.FENCED;
+                later(2, () -> coordinator.onGrantAnswer(grant.call(), outcome, nowMillis));
+            });
+            return;
+        }
+        if (reachable) {
+            later(
+                    2_000 + random.nextInt(10_000),
+                    () -> server.grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedMillis));
+        }
+        later(1_000, () -> coordinator.onGrantAnswer(grant.call(), GrantOutcome.UNKNOWN, nowMillis));
+    }
+
+    private void sendRelease(RangeCoordinator coordinator, CoordinatorAction.Release release) {
+        SimulatedKeyServer server = servers.get(release.server());
+        if (!server.alive || silent.contains(server.start)) {
+            later(5_000, () -> coordinator.onReleaseAnswer(release.call(), false, Optional.empty(), nowMillis));
+            return;
+        }
+        later(2, () -> {
+            server.release(release.range());
+            later(100, () -> coordinator.onReleaseAnswer(release.call(), true, Optional.of("token"), nowMillis));
+        });
+    }
+
+    private void later(long delayMillis, Runnable task) {
+        events.add(new Event(nowMillis + delayMillis, nextEvent++, task));
+    }
+
+    private void check() {
+        for (int key : CHECKED_KEYS) {
+            List<ServerStart> holders = servers.values().stream()
+                    .filter(server -> server.holds(key, nowMillis))
+                    .map(server -> server.start)
+                    .toList();
+            if (holders.size() > 1) {
+                violations.add("at " + nowMillis + " ms key " + key + " is held by " + holders);
+            }
+        }
+    }
+
+    /** Returns how many of the checked keys have a holder that the table names. */
+    long servedKeys() {
+        long served = 0;
+        for (int key : CHECKED_KEYS) {
+            Optional<RangeOwnership> ownership = recorded.find(SERVICE, key);
+            boolean holds = ownership.isPresent()
+                    && !ownership.get().isMoving()
+                    && servers.get(ownership.get().owner()).holds(key, nowMillis);
+            served += holds ? 1 : 0;
+        }
+        return served;
+    }
+
+    int checkedKeys() {
+        return CHECKED_KEYS.length;
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -43,8 +43,8 @@
     private static final int MAX_LINE_BYTES = 16_384;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_CHUNK_BYTES = 65_536;
-    /** Keep-alive probes find a silent peer after about five seconds. */
-    private static final int PROBE_IDLE_SECONDS = 3;
+    /** Keep-alive probes find a silent peer after about three seconds. */
+    private static final int PROBE_IDLE_SECONDS = 1;
 
     private static final int PROBE_INTERVAL_SECONDS = 1;
     private static final int PROBE_COUNT = 2;
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
@@ -35,6 +35,7 @@
     private final LongSupplier clockMillis;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private CallerLimits limits = CallerLimits.DEFAULT;
+    private Channel listening;
     private boolean stopping;
 
     /** Creates a listener without opening its port. */
@@ -65,10 +66,10 @@
                                 .addLast(new CallerConnection(CallerListener.this, sink, clockMillis));
                     }
                 });
-        Channel channel = bootstrap.bind(host, port).sync().channel();
+        listening = bootstrap.bind(host, port).sync().channel();
         traffic.scheduleAtFixedRate(
                 this::checkTimes, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        return channel;
+        return listening;
     }
 
     /** Refuses a request that states its length in two ways, which hides a second request in the first. */
@@ -93,9 +94,10 @@
         stopping = true;
     }
 
-    /** Closes all connections. */
-    public void closeAll() {
-        List.copyOf(connections).forEach(CallerConnection::close);
+    /** Takes no more requests: closes the port and the connections without a request under way. */
+    public void refuseMore() {
+        listening.close();
+        List.copyOf(connections).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
     }
 
     /** Returns how many connections have a request under way. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -1,6 +1,7 @@
 package org.lacewingthread.daemon.router;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,9 +15,11 @@
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
 import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.KeyLoad;
+import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.registry.ServerEntry;
@@ -30,7 +33,7 @@
  * Owns the control state: configuration, known servers and ownership of key ranges. Runs on the
  * control thread and hands immutable views to the traffic side.
  */
-final class ControlLoop implements Platform.Listener {
+final class ControlLoop implements Platform.Listener, LoadReports.Receiver {
     private static final long LEADER_TICK_MILLIS = 20;
     private static final long FOLLOWER_TICK_MILLIS = 100;
     /** How long samples of key loads count; a hot key shows within a second or two. */
@@ -45,6 +48,15 @@
     private static final double MAX_SPEED = 1.8;
     private static final int MAX_REMEMBERED_SERVERS = 1_000;
 
+    /** How often load is reported to the leader. */
+    private static final long REPORT_MILLIS = 500;
+    /** Cost of a request in the load of keys; only proportions matter. */
+    private static final double REQUEST_COST = 100;
+    /** Weight of the newest of the entry VMs' measurements in a server's time. */
+    private static final double AVERAGE_WEIGHT = 0.2;
+
+    private final VmStart self;
+    private final LoadReports reports;
     private final Platform platform;
     private final RangeCoordinator coordinator;
     private final ControlClock clock;
@@ -55,7 +67,8 @@
     private final ServerRegistry registry = new ServerRegistry(LAPSE_GRACE_MILLIS);
     private final Map<ServiceId, KeyLoad> keyLoads = new HashMap<>();
     private final Map<ServerStart, ServerEntry> remembered = new HashMap<>();
-    private Map<ServerStart, Double> serviceMillis = Map.of();
+    private final Map<ServerStart, Double> serviceMillis = new HashMap<>();
+    private Map<ServerStart, Double> ownServiceMillis = Map.of();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private List<KnownServer> publishedServers = List.of();
     private RangeTable publishedTable = RangeTable.EMPTY;
@@ -64,6 +77,7 @@
     private boolean stopped;
 
     ControlLoop(
+            VmStart self,
             Platform platform,
             RangeCoordinator coordinator,
             ControlClock clock,
@@ -71,6 +85,8 @@
             EventLog events,
             Consumer<ServingConfiguration> onConfiguration,
             BiConsumer<List<KnownServer>, RangeTable> onView) {
+        this.self = self;
+        this.reports = new LoadReports(events, this);
         this.platform = platform;
         this.coordinator = coordinator;
         this.clock = clock;
@@ -80,7 +96,12 @@
         this.onView = onView;
     }
 
+    void openReports(InetSocketAddress address) throws InterruptedException {
+        reports.open(eventLoop, address);
+    }
+
     void start() {
+        eventLoop.scheduleAtFixedRate(this::report, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
         eventLoop.execute(() -> {
             platform.start(this);
             tick();
@@ -105,14 +126,45 @@
         return coordinator.isLeading();
     }
 
-    /** Takes what a request of a key cost. */
-    void onKeyCost(ServiceId service, int key, double costMillis) {
-        eventLoop.execute(() -> keyLoad(service).add(key, costMillis, clock.nowMillis()));
+    /** Takes a request of a key from the traffic side. */
+    void onKeyAsked(ServiceId service, int key) {
+        eventLoop.execute(() -> {
+            if (coordinator.isLeading()) {
+                onKey(service, key);
+            } else {
+                reports.add(service, key);
+            }
+        });
+    }
+
+    private void report() {
+        Optional<Leader> leader = coordinator.table().leader();
+        if (leader.isEmpty() || coordinator.isLeading()) {
+            reports.clear();
+            return;
+        }
+        reports.send(self.vm().value(), leader.get(), ownServiceMillis);
+        ownServiceMillis = Map.of();
+    }
+
+    @Override
+    public void onKey(ServiceId service, int key) {
+        keyLoad(service).add(key, REQUEST_COST, clock.nowMillis());
+    }
+
+    @Override
+    public void onServiceTime(String vm, ServerStart server, double millis) {
+        serviceMillis.merge(server, millis, (known, newest) -> known + AVERAGE_WEIGHT * (newest - known));
     }
 
     /** Takes the service times that the traffic side measured. */
     void onServiceTimes(Map<ServerStart, Double> measured) {
-        eventLoop.execute(() -> serviceMillis = measured);
+        eventLoop.execute(() -> {
+            ownServiceMillis = measured;
+            if (coordinator.isLeading()) {
+                measured.forEach((server, millis) -> onServiceTime(self.vm().value(), server, millis));
+            }
+        });
     }
 
     private KeyLoad keyLoad(ServiceId service) {
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -0,0 +1,126 @@
+package org.lacewingthread.daemon.router;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.keyrange.Leader;
+import org.lacewingthread.daemon.events.EventLog;
+
+/**
+ * Tells the leader which keys were asked for and how fast servers are. Reports are datagrams: a lost
+ * one only makes the leader's picture a little thinner. Runs on the control thread.
+ */
+final class LoadReports {
+    /** Keys in one report; keeps a datagram below the usual size of a packet. */
+    private static final int MAX_KEYS = 180;
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final EventLog events;
+    private final Receiver receiver;
+    private final Map<ServiceId, List<Integer>> keys = new TreeMap<>();
+    private Channel channel;
+
+    /** Takes what other entry VMs report. */
+    interface Receiver {
+        /** Takes a key that was asked for. */
+        void onKey(ServiceId service, int key);
+
+        /** Takes a server's time for a request, as one entry VM measured it. */
+        void onServiceTime(String vm, ServerStart server, double millis);
+    }
+
+    LoadReports(EventLog events, Receiver receiver) {
+        this.events = events;
+        this.receiver = receiver;
+    }
+
+    void open(EventLoop eventLoop, InetSocketAddress address) throws InterruptedException {
+        channel = new Bootstrap()
+                .group(eventLoop)
+                .channel(NioDatagramChannel.class)
+                .handler(new Handler())
+                .bind(address)
+                .sync()
+                .channel();
+    }
+
+    void add(ServiceId service, int key) {
+        List<Integer> list = keys.computeIfAbsent(service, id -> new ArrayList<>());
+        if (list.size() < MAX_KEYS) {
+            list.add(key);
+        }
+    }
+
+    /** Sends what was collected since the last report. */
+    void send(String vm, Leader leader, Map<ServerStart, Double> serviceMillis) {
+        ObjectNode root = MAPPER.createObjectNode().put("vm", vm);
+        ObjectNode services = root.putObject("keys");
+        keys.forEach((service, list) -> {
+            ArrayNode array = services.putArray(service.value());
+            list.forEach(array::add);
+        });
+        ObjectNode times = root.putObject("times");
+        serviceMillis.forEach((server, millis) -> times.putArray(server.server().value())
+                .add(server.startedUnixMillis())
+                .add(Math.round(millis)));
+        keys.clear();
+        channel.writeAndFlush(new DatagramPacket(
+                Unpooled.copiedBuffer(root.toString(), StandardCharsets.UTF_8),
+                new InetSocketAddress(leader.reportHost(), leader.reportPort())));
+    }
+
+    /** Drops what was collected, because nobody leads. */
+    void clear() {
+        keys.clear();
+    }
+
+    private final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            try {
+                take(MAPPER.readTree(ByteBufUtil.getBytes(packet.content())));
+            } catch (IOException | IllegalArgumentException e) {
+                events.write("report.unreadable", "from", packet.sender(), "reason", e.getMessage());
+            }
+        }
+
+        private void take(JsonNode report) {
+            report.path("keys").fields().forEachRemaining(service -> {
+                ServiceId id = new ServiceId(service.getKey());
+                service.getValue().forEach(key -> receiver.onKey(id, key.asInt()));
+            });
+            String vm = report.path("vm").asText();
+            report.path("times").fields().forEachRemaining(time -> {
+                ServerStart server = new ServerStart(
+                        new ServerId(time.getKey()), time.getValue().path(0).asLong());
+                receiver.onServiceTime(vm, server, time.getValue().path(1).asDouble());
+            });
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            events.write("report.failed", "reason", cause);
+        }
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableJson.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableJson.java
@@ -18,6 +18,7 @@
 import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.KeyRange;
+import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeOwnership;
 import org.lacewingthread.core.keyrange.RangeTable;
 
@@ -32,7 +33,10 @@
         ObjectNode root = MAPPER.createObjectNode();
         root.put("term", table.term());
         table.leader()
-                .ifPresent(leader -> root.put("leader", leader.vm().value()).put("leaderStart", leader.startNumber()));
+                .ifPresent(leader -> root.put("leader", leader.process().vm().value())
+                        .put("leaderStart", leader.process().startNumber())
+                        .put("reportHost", leader.reportHost())
+                        .put("reportPort", leader.reportPort()));
         ObjectNode services = root.putObject("services");
         table.rangesByService().forEach((service, ranges) -> {
             ArrayNode rows = services.putArray(service.value());
@@ -63,11 +67,7 @@
     public static RangeTable read(byte[] bytes) throws IOException {
         try {
             JsonNode root = MAPPER.readTree(bytes);
-            Optional<VmStart> leader = root.has("leader")
-                    ? Optional.of(new VmStart(
-                            new VmId(root.get("leader").textValue()),
-                            root.get("leaderStart").longValue()))
-                    : Optional.empty();
+            Optional<Leader> leader = root.has("leader") ? Optional.of(readLeader(root)) : Optional.empty();
             Map<ServiceId, List<RangeOwnership>> services = new TreeMap<>();
             root.get("services")
                     .fields()
@@ -78,6 +78,16 @@
         }
     }
 
+    private static Leader readLeader(JsonNode root) {
+        VmStart process = new VmStart(
+                new VmId(root.get("leader").textValue()),
+                root.get("leaderStart").longValue());
+        return new Leader(
+                process,
+                root.get("reportHost").textValue(),
+                root.get("reportPort").intValue());
+    }
+
     private static List<RangeOwnership> readRows(JsonNode rows) {
         List<RangeOwnership> ranges = new ArrayList<>();
         for (JsonNode row : rows) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -40,8 +40,8 @@
     private static final int MAX_UNSENT_ATTEMPTS = 3;
 
     private static final long NO_CALL = -1;
-    /** Cost of a request in the load of keys; only proportions matter. */
-    private static final double REQUEST_COST = 100;
+    /** Taken off a caller's deadline, so that the answer reaches the caller in time. */
+    private static final long RETURN_MILLIS = 15;
 
     private static final int FIRST_SERVER_ERROR = 500;
     /** Longest time to connect to a server; data centres are a few milliseconds apart. */
@@ -66,10 +66,10 @@
     private RouteTable routes = new RouteTable(List.of());
     private long nextNumber;
 
-    /** Takes what requests of keys cost. */
+    /** Takes which keys are asked for. */
     interface KeyLoadSink {
-        /** Takes one request's cost in milliseconds. */
-        void onKeyCost(ServiceId service, int key, double costMillis);
+        /** Takes the key of one request. */
+        void onKeyAsked(ServiceId service, int key);
     }
 
     RequestEngine(
@@ -180,12 +180,14 @@
             }
         }
         long waitMillis = RequestHeaders.deadlineMillis(request.headers(), names.deadlineMillis())
+                .map(millis -> Math.max(1, millis - RETURN_MILLIS))
                 .orElse(route.timeoutMillis());
         long deadlineMillis = request.arrivedMillis() + Math.min(waitMillis, route.timeoutMillis());
         RoutedCall call = new RoutedCall(++nextNumber, request, requestId, route, service, key, deadlineMillis);
         calls.put(call.number, call);
         numberByReply.put(request.reply(), call.number);
         budget.onFirstAttempt();
+        key.ifPresent(asked -> keyLoads.onKeyAsked(service, asked));
         submit(call);
     }
 
@@ -299,9 +301,6 @@
             return;
         }
         call.story.append(' ').append(server.start().server()).append(':').append(response.status());
-        if (call.key.isPresent() && result == AttemptResult.ANSWERED) {
-            keyLoads.onKeyCost(call.service, call.key.getAsInt(), REQUEST_COST);
-        }
         if (call.finished) {
             return;
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -13,6 +13,7 @@
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
@@ -36,11 +37,11 @@
     /** Resolution of deadlines and of waiting requests. */
     private static final long TRAFFIC_TICK_MILLIS = 10;
 
-    private static final long SERVICE_TIMES_MILLIS = 1_000;
-    /** How long a stopping process keeps accepting, so that the balancer has seen it is not ready. */
-    private static final long BALANCER_NOTICE_MILLIS = 3_500;
+    private static final long SERVICE_TIMES_MILLIS = 2_000;
+    /** How long a stopping process takes requests; the balancer sends no more after two questions a second apart. */
+    private static final long BALANCER_NOTICE_MILLIS = 2_900;
     /** Left before the process has to be gone. */
-    private static final long STOP_MARGIN_MILLIS = 400;
+    private static final long STOP_MARGIN_MILLIS = 250;
 
     private static final long STOP_CHECK_MILLIS = 50;
 
@@ -85,7 +86,7 @@
                 trafficLoop,
                 new RetryBudget(settings.retryRatio(), settings.retryReserve()),
                 RouterProcess::trafficNowMillis,
-                (service, key, cost) -> controlState.onKeyCost(service, key, cost));
+                (service, key) -> controlState.onKeyAsked(service, key));
         this.callers = new CallerListener(engine, RouterProcess::trafficNowMillis);
     }
 
@@ -95,9 +96,12 @@
      * @throws InterruptedException if the thread is interrupted while ports open
      */
     public void start(PlatformFactory platform) throws InterruptedException {
+        Leader leader = new Leader(
+                self, settings.reports().getHostString(), settings.reports().getPort());
         controlState = new ControlLoop(
+                self,
                 platform.create(controlLoop, self, controlClock),
-                new RangeCoordinator(self, settings.leaseTimes()),
+                new RangeCoordinator(leader, settings.leaseTimes()),
                 controlClock,
                 controlLoop,
                 events,
@@ -112,6 +116,7 @@
         trafficLoop.scheduleAtFixedRate(engine::tick, TRAFFIC_TICK_MILLIS, TRAFFIC_TICK_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleAtFixedRate(
                 this::reportServiceTimes, SERVICE_TIMES_MILLIS, SERVICE_TIMES_MILLIS, TimeUnit.MILLISECONDS);
+        controlState.openReports(settings.reports());
         controlState.start();
         events.write("process.started", "start", self, "callers", settings.callers());
     }
@@ -182,6 +187,9 @@
         trafficLoop.scheduleAtFixedRate(
                 () -> {
                     boolean noticed = trafficNowMillis() - startedMillis >= BALANCER_NOTICE_MILLIS;
+                    if (noticed) {
+                        callers.refuseMore();
+                    }
                     if (noticed && callers.connectionCount() == 0) {
                         quiet.countDown();
                     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
@@ -13,6 +13,7 @@
  * @param callers address for callers
  * @param readiness address for the balancer's readiness question
  * @param metrics address for metrics
+ * @param reports address for load reports of other entry VMs
  * @param drainMillis time within which a leaving server gets no more requests
  * @param stopMillis time from the order to stop until the process has to be gone
  * @param retryRatio extra attempts as a share of first attempts, over all VMs
@@ -25,6 +26,7 @@
         InetSocketAddress callers,
         InetSocketAddress readiness,
         InetSocketAddress metrics,
+        InetSocketAddress reports,
         long drainMillis,
         long stopMillis,
         double retryRatio,
