Keep a leader that is well; wait less for ranges that were already moving

The leader now answers load reports, and another VM takes over only when these answers stop or tell of a long silence of the store. A range on record as moving is not renewed by anybody, so its former owner's hold ends one hold after the takeover.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -184,7 +184,7 @@
                 .filter(found -> !found.isMoving())
                 .map(found -> servers.get(found.owner()))
                 .orElse(null);
-        boolean usable = owner != null && mayUseOwner(owner.known(), nowMillis);
+        boolean usable = owner != null && mayUseOwner(owner.known(), nowMillis) && !owner.isEjected(nowMillis);
         if (!usable) {
             boolean patient = nowMillis < request.targetAtMillis() - OWNER_MARGIN_MILLIS;
             return patient ? Optional.empty() : refuse(request, RefusalCause.NO_OWNER, NO_OWNER_RETRY_AFTER_MILLIS);
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -16,6 +16,10 @@
     private static final long EJECT_MILLIS = 1_000;
     /** Longest time that a server is left out. */
     private static final long MAX_EJECT_MILLIS = 4_000;
+    /** How long a server that does not hold a key is left alone; about the time of a renewal. */
+    private static final long MISDIRECTED_PAUSE_MILLIS = 150;
+    /** How long a server that can't be connected to is left out. */
+    private static final long UNREACHABLE_MILLIS = 500;
     /** How long a server that turned requests away is left alone. */
     private static final long FULL_PAUSE_MILLIS = 40;
 
@@ -72,6 +76,8 @@
         }
         if (result == AttemptResult.REJECTED) {
             fullUntilMillis = nowMillis + FULL_PAUSE_MILLIS;
+        } else if (result == AttemptResult.MISDIRECTED) {
+            fullUntilMillis = nowMillis + MISDIRECTED_PAUSE_MILLIS;
         }
         noteHealth(result, nowMillis);
     }
@@ -82,6 +88,9 @@
             return;
         }
         failuresInRow++;
+        if (result == AttemptResult.NOT_SENT) {
+            ejectedUntilMillis = Math.max(ejectedUntilMillis, nowMillis + UNREACHABLE_MILLIS);
+        }
         if (failuresInRow >= EJECT_AFTER_FAILURES) {
             int doublings = Math.min(2, failuresInRow - EJECT_AFTER_FAILURES);
             ejectedUntilMillis = nowMillis + Math.min(MAX_EJECT_MILLIS, EJECT_MILLIS << doublings);
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -39,6 +39,10 @@
     private static final long MAX_CALL_MILLIS = 2_000;
     /** Pause before a record is written again that failed. */
     private static final long RECORD_RETRY_MILLIS = 200;
+    /** How long word from the leader keeps another VM from taking over. */
+    private static final long LEADER_TRUST_MILLIS = 1_500;
+    /** A leader that the store has not answered for this long is replaced by one that it answers. */
+    private static final long LEADER_STORE_SILENCE_MILLIS = 2_500;
     /** How often loads are compared for balance. */
     private static final long BALANCE_MILLIS = 1_000;
     /** How long a server that answered no grants gets none after its last one ran out. */
@@ -56,6 +60,7 @@
     private boolean chosen;
     private boolean leading;
     private long ledSinceMillis;
+    private long leaderTrustedUntilMillis = Long.MIN_VALUE / 2;
     private long storeHeardMillis = Long.MIN_VALUE / 2;
     private boolean recordPending;
     private long nextRecordAtMillis;
@@ -94,6 +99,22 @@
         chosen = isChosen;
     }
 
+    /**
+     * Takes in that the leader answered a report.
+     *
+     * @param storeSilenceMillis how long the leader has had no word from the store
+     */
+    public void onLeaderHeard(long storeSilenceMillis, long nowMillis) {
+        if (storeSilenceMillis < LEADER_STORE_SILENCE_MILLIS) {
+            leaderTrustedUntilMillis = nowMillis + LEADER_TRUST_MILLIS;
+        }
+    }
+
+    /** Returns how long there has been no word from the store. */
+    public long storeSilenceMillis(long nowMillis) {
+        return nowMillis - storeHeardMillis;
+    }
+
     /**
      * Takes in that the store was heard.
      *
@@ -187,7 +208,9 @@
         long unknownHeldUntil = times.heldUntilMillis(ledSinceMillis + times.leaderSilenceMillis());
         boolean grantedInEarlierTerm = overlapping.isEmpty() && nowMillis == ledSinceMillis;
         hold.ownerHeldUntilMillis = grantedInEarlierTerm ? unknownHeldUntil : nowMillis;
-        hold.formerHeldUntilMillis = hold.ownerHeldUntilMillis;
+        // No leader renews a former owner's grant once the move is on record.
+        hold.formerHeldUntilMillis =
+                grantedInEarlierTerm ? times.heldUntilMillis(nowMillis + MAX_CALL_MILLIS) : nowMillis;
         for (RangeHold other : overlapping) {
             inherit(hold, other);
         }
@@ -290,7 +313,8 @@
     }
 
     private void claim(List<CoordinatorAction> actions, long nowMillis) {
-        if (chosen && logEnd >= 0 && !recordPending && nowMillis >= nextRecordAtMillis) {
+        boolean leaderIsWell = nowMillis < leaderTrustedUntilMillis;
+        if (chosen && !leaderIsWell && logEnd >= 0 && !recordPending && nowMillis >= nextRecordAtMillis) {
             propose(table.withLeader(table.term() + 1, self), actions);
         }
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -68,6 +68,7 @@
     private final Map<ServiceId, KeyLoad> keyLoads = new HashMap<>();
     private final Map<ServerStart, ServerEntry> remembered = new HashMap<>();
     private final Map<ServerStart, Double> serviceMillis = new HashMap<>();
+    private final Set<ServerStart> unanswering = new HashSet<>();
     private Map<ServerStart, Double> ownServiceMillis = Map.of();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private List<KnownServer> publishedServers = List.of();
@@ -147,6 +148,18 @@
         ownServiceMillis = Map.of();
     }
 
+    @Override
+    public Optional<Long> storeSilenceMillis() {
+        return coordinator.isLeading() && !stopped
+                ? Optional.of(coordinator.storeSilenceMillis(clock.nowMillis()))
+                : Optional.empty();
+    }
+
+    @Override
+    public void onLeaderAnswer(long storeSilenceMillis) {
+        coordinator.onLeaderHeard(storeSilenceMillis, clock.nowMillis());
+    }
+
     @Override
     public void onKey(ServiceId service, int key) {
         keyLoad(service).add(key, REQUEST_COST, clock.nowMillis());
@@ -259,18 +272,7 @@
             if (server.isPresent()) {
                 platform.grant(server.get(), grant, outcome -> {
                     coordinator.onGrantAnswer(grant.call(), outcome, clock.nowMillis());
-                    if (outcome != GrantOutcome.GRANTED) {
-                        events.write(
-                                "grant.failed",
-                                "server",
-                                grant.server(),
-                                "range",
-                                grant.range(),
-                                "fence",
-                                grant.fence(),
-                                "outcome",
-                                outcome);
-                    }
+                    noteAnswer(grant.server(), outcome != GrantOutcome.UNKNOWN);
                 });
             }
         } else if (action instanceof CoordinatorAction.Release release) {
@@ -278,24 +280,33 @@
             if (server.isPresent()) {
                 platform.release(server.get(), release, (released, handover) -> {
                     coordinator.onReleaseAnswer(release.call(), released, handover, clock.nowMillis());
-                    events.write(
-                            "release.ended",
-                            "server",
-                            release.server(),
-                            "range",
-                            release.range(),
-                            "fence",
-                            release.fence(),
-                            "released",
-                            released,
-                            "handover",
-                            handover.isPresent());
+                    noteAnswer(release.server(), released);
+                    if (released) {
+                        events.write(
+                                "range.released",
+                                "server",
+                                release.server(),
+                                "range",
+                                release.range(),
+                                "fence",
+                                release.fence(),
+                                "handover",
+                                handover.isPresent());
+                    }
                     step();
                 });
             }
         }
     }
 
+    private void noteAnswer(ServerStart server, boolean answered) {
+        if (answered && unanswering.remove(server)) {
+            events.write("server.orders-answered", "server", server);
+        } else if (!answered && unanswering.add(server)) {
+            events.write("server.orders-unanswered", "server", server);
+        }
+    }
+
     private void onRecorded(CoordinatorAction.RecordTable record, Optional<Long> newEnd) {
         coordinator.onRecorded(record, newEnd, clock.nowMillis());
         events.write(
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -19,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
@@ -34,6 +35,7 @@
     /** Keys in one report; keeps a datagram below the usual size of a packet. */
     private static final int MAX_KEYS = 180;
 
+    private static final String STORE_SILENCE = "storeSilenceMillis";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final EventLog events;
@@ -43,6 +45,12 @@
 
     /** Takes what other entry VMs report. */
     interface Receiver {
+        /** Returns what the leader answers to a report; empty if this process does not lead. */
+        Optional<Long> storeSilenceMillis();
+
+        /** Takes in that the leader answered, and how long it has had no word from the store. */
+        void onLeaderAnswer(long storeSilenceMillis);
+
         /** Takes a key that was asked for. */
         void onKey(ServiceId service, int key);
 
@@ -99,12 +107,25 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             try {
-                take(MAPPER.readTree(ByteBufUtil.getBytes(packet.content())));
+                JsonNode message = MAPPER.readTree(ByteBufUtil.getBytes(packet.content()));
+                if (message.has(STORE_SILENCE)) {
+                    receiver.onLeaderAnswer(message.path(STORE_SILENCE).asLong());
+                    return;
+                }
+                take(message);
+                receiver.storeSilenceMillis().ifPresent(silence -> answer(context, packet.sender(), silence));
             } catch (IOException | IllegalArgumentException e) {
                 events.write("report.unreadable", "from", packet.sender(), "reason", e.getMessage());
             }
         }
 
+        private void answer(ChannelHandlerContext context, InetSocketAddress reporter, long storeSilenceMillis) {
+            String text = MAPPER.createObjectNode()
+                    .put(STORE_SILENCE, storeSilenceMillis)
+                    .toString();
+            context.writeAndFlush(new DatagramPacket(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8), reporter));
+        }
+
         private void take(JsonNode report) {
             report.path("keys").fields().forEachRemaining(service -> {
                 ServiceId id = new ServiceId(service.getKey());
