Learn from former leaders that they stopped, and end silent holds sooner

Cause: a new leader assumed that its predecessor may renew for ten more seconds, so keys of lost servers stayed without owner for 16 s after each change. Former leaders now stand in the table until they have answered that they stopped, or another process answers in their place.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import java.util.TreeSet;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.id.VmStart;
 
 /**
  * Leads the ownership of key ranges: one entry VM at a time records owners in the store, grants them
@@ -36,7 +38,11 @@
     /** Pause before a call is repeated that got no answer. */
     private static final long RETRY_MILLIS = 250;
     /** A grant arrives within this time of its sending, or never; calls are cut off before. */
-    private static final long MAX_CALL_MILLIS = 2_000;
+    private static final long MAX_CALL_MILLIS = 1_200;
+    /** A grant whose call was cut off has arrived within this time, or never does. */
+    private static final long CUT_OFF_MILLIS = 50;
+    /** How long a server may leave renewals unanswered before they stop and its hold runs out. */
+    private static final long SILENCE_MILLIS = 1_000;
     /** Pause before a record is written again that failed. */
     private static final long RECORD_RETRY_MILLIS = 200;
     /** How long word from the leader keeps another VM from taking over. */
@@ -57,6 +63,7 @@
     private final Map<ServerStart, Long> silentUntilMillis = new HashMap<>();
     private RangeTable table = RangeTable.EMPTY;
     private long logEnd = -1;
+    private final Set<Leader> formerLeaders = new HashSet<>();
     private boolean chosen;
     private boolean leading;
     private long ledSinceMillis;
@@ -110,6 +117,42 @@
         }
     }
 
+    /** Returns the former leaders that may not know yet that they were replaced. */
+    public Set<Leader> formerLeadersToTell() {
+        return leading ? Set.copyOf(formerLeaders) : Set.of();
+    }
+
+    /** Takes in that a former leader has stopped, or that another process runs in its place. */
+    public void onFormerLeaderStopped(VmStart former, long nowMillis) {
+        boolean removed = formerLeaders.removeIf(leader -> leader.process().equals(former));
+        if (removed && formerLeaders.isEmpty()) {
+            noteFormerLeadersStopped(nowMillis);
+        }
+    }
+
+    /** Takes in that a newer leader exists; its table follows. */
+    public void onNewTerm(long term) {
+        if (leading && term > table.term()) {
+            stopLeading();
+        }
+    }
+
+    private void stopLeading() {
+        leading = false;
+        holds.clear();
+        calls.clear();
+    }
+
+    private void noteFormerLeadersStopped(long nowMillis) {
+        for (RangeHold hold : holds) {
+            if (hold.formerLeadersMayRenew) {
+                hold.formerLeadersMayRenew = false;
+                hold.ownerHeldUntilMillis =
+                        Math.max(hold.ownerHeldUntilMillis, times.heldUntilMillis(nowMillis + MAX_CALL_MILLIS));
+            }
+        }
+    }
+
     /** Returns how long there has been no word from the store. */
     public long storeSilenceMillis(long nowMillis) {
         return nowMillis - storeHeardMillis;
@@ -165,14 +208,16 @@
         boolean newTerm = recorded.term() != table.term();
         table = recorded;
         if (!leads) {
-            leading = false;
-            holds.clear();
-            calls.clear();
+            stopLeading();
             return;
         }
         if (!leading || newTerm) {
             leading = true;
             ledSinceMillis = nowMillis;
+            formerLeaders.clear();
+            formerLeaders.addAll(recorded.formerLeaders());
+            formerLeaders.removeIf(
+                    former -> former.process().vm().equals(self.process().vm()));
             nextFence = recorded.term() * FENCES_PER_TERM;
             holds.clear();
             calls.clear();
@@ -205,12 +250,12 @@
         hold.nextCallAtMillis = nowMillis;
         hold.fence = newFence();
         hold.formerFence = hold.fence;
-        long unknownHeldUntil = times.heldUntilMillis(ledSinceMillis + times.leaderSilenceMillis());
         boolean grantedInEarlierTerm = overlapping.isEmpty() && nowMillis == ledSinceMillis;
-        hold.ownerHeldUntilMillis = grantedInEarlierTerm ? unknownHeldUntil : nowMillis;
+        hold.formerLeadersMayRenew = grantedInEarlierTerm && !formerLeaders.isEmpty();
         // No leader renews a former owner's grant once the move is on record.
-        hold.formerHeldUntilMillis =
-                grantedInEarlierTerm ? times.heldUntilMillis(nowMillis + MAX_CALL_MILLIS) : nowMillis;
+        long heldUntilMillis = grantedInEarlierTerm ? times.heldUntilMillis(nowMillis + MAX_CALL_MILLIS) : nowMillis;
+        hold.ownerHeldUntilMillis = heldUntilMillis;
+        hold.formerHeldUntilMillis = heldUntilMillis;
         for (RangeHold other : overlapping) {
             inherit(hold, other);
         }
@@ -227,6 +272,7 @@
             hold.formerFence = other.formerFence;
         }
         if (hold.owner.equals(other.owner)) {
+            hold.formerLeadersMayRenew |= other.formerLeadersMayRenew;
             hold.ownerHeldUntilMillis = Math.max(hold.ownerHeldUntilMillis, other.ownerHeldUntilMillis);
         }
     }
@@ -246,6 +292,7 @@
         if (outcome == GrantOutcome.GRANTED) {
             // Earlier grants without answer had lower fences and can't take effect any more.
             hold.ownerHeldUntilMillis = times.heldUntilMillis(nowMillis);
+            hold.formerLeadersMayRenew = false;
             hold.phase = RangeHold.Phase.HELD;
             hold.confirmed = true;
             hold.unansweredSinceMillis = Optional.empty();
@@ -253,6 +300,8 @@
             hold.handover = Optional.empty();
             hold.nextCallAtMillis = nowMillis + times.renewMillis();
         } else {
+            hold.ownerHeldUntilMillis =
+                    Math.max(hold.ownerHeldBeforeCallMillis, times.heldUntilMillis(nowMillis + CUT_OFF_MILLIS));
             hold.confirmed = false;
             hold.fence = newFence();
             hold.nextCallAtMillis = nowMillis + RETRY_MILLIS;
@@ -265,7 +314,7 @@
     private void noteSilence(RangeHold hold, long nowMillis) {
         long since = hold.unansweredSinceMillis.orElse(nowMillis);
         hold.unansweredSinceMillis = Optional.of(since);
-        if (nowMillis - since >= times.holdMillis() / 2) {
+        if (nowMillis - since >= SILENCE_MILLIS) {
             silentUntilMillis.put(hold.owner, hold.ownerHeldUntilMillis + SILENT_REST_MILLIS);
         }
     }
@@ -304,6 +353,10 @@
         if (nowMillis - storeHeardMillis > times.leaderSilenceMillis()) {
             return actions;
         }
+        if (!formerLeaders.isEmpty() && nowMillis >= ledSinceMillis + times.leaderSilenceMillis()) {
+            formerLeaders.clear();
+            noteFormerLeadersStopped(nowMillis);
+        }
         silentUntilMillis.values().removeIf(until -> until <= nowMillis);
         for (RangeHold hold : holds) {
             stepHold(hold, services.get(hold.service), actions, nowMillis);
@@ -344,6 +397,7 @@
             actions.add(new CoordinatorAction.Release(
                     call, hold.service, hold.movingFrom.orElseThrow(), hold.range, hold.formerFence));
         } else {
+            hold.ownerHeldBeforeCallMillis = hold.ownerHeldUntilMillis;
             hold.ownerHeldUntilMillis =
                     Math.max(hold.ownerHeldUntilMillis, times.heldUntilMillis(nowMillis + MAX_CALL_MILLIS));
             actions.add(new CoordinatorAction.Grant(
@@ -379,7 +433,7 @@
         if (balances) {
             nextBalanceAtMillis = nowMillis + BALANCE_MILLIS;
         }
-        RangeTable proposal = table;
+        RangeTable proposal = formerLeaders.isEmpty() ? table.withoutFormerLeaders() : table;
         for (Map.Entry<ServiceId, ServiceView> service : new TreeMap<>(services).entrySet()) {
             List<RangeOwnership> wanted = wantedRanges(service.getKey(), service.getValue(), balances, nowMillis);
             proposal = proposal.withRanges(service.getKey(), wanted);
@@ -420,15 +474,15 @@
     private static RangeOwnership planningView(
             RangeHold hold, Map<ServerStart, Double> usable, ServiceView view, long nowMillis) {
         boolean ownerUsable = usable.containsKey(hold.owner);
+        boolean ownerMayHold = hold.formerLeadersMayRenew || nowMillis < hold.ownerHeldUntilMillis;
         if (hold.phase != RangeHold.Phase.HELD) {
-            return ownerUsable
+            // An earlier leader may have granted the range to the owner before the release was noted.
+            boolean pinned = hold.phase == RangeHold.Phase.RELEASING && ownerMayHold;
+            return ownerUsable || pinned
                     ? new RangeOwnership(hold.range, hold.owner, hold.movingFrom)
                     : RangeOwnership.settled(hold.range, hold.owner);
         }
-        boolean mayMove = ownerUsable
-                || hold.confirmed
-                || nowMillis >= hold.ownerHeldUntilMillis
-                || startedAnew(hold.owner, view);
+        boolean mayMove = ownerUsable || hold.confirmed || !ownerMayHold || startedAnew(hold.owner, view);
         return mayMove
                 ? RangeOwnership.settled(hold.range, hold.owner)
                 : new RangeOwnership(hold.range, hold.owner, Optional.of(hold.owner));
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
@@ -25,6 +25,10 @@
     long fence;
     /** When no grant to the owner can be in force any more. */
     long ownerHeldUntilMillis;
+    /** The same before the grant that is on its way. */
+    long ownerHeldBeforeCallMillis;
+    /** Whether a former leader may still renew the owner's grant. */
+    boolean formerLeadersMayRenew;
     /** When no grant to the former owner can be in force any more. */
     long formerHeldUntilMillis;
     /** Fence of the former owner's newest grant. */
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeTable.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeTable.java
@@ -13,14 +13,20 @@
  *
  * @param term grows with each change of leader
  * @param leader process that leads in this term; empty before the first
+ * @param formerLeaders earlier leaders that may not know yet that they were replaced
  * @param rangesByService ranges in key order
  */
-public record RangeTable(long term, Optional<Leader> leader, Map<ServiceId, List<RangeOwnership>> rangesByService) {
+public record RangeTable(
+        long term,
+        Optional<Leader> leader,
+        List<Leader> formerLeaders,
+        Map<ServiceId, List<RangeOwnership>> rangesByService) {
     /** The table before anything is recorded. */
-    public static final RangeTable EMPTY = new RangeTable(0, Optional.empty(), Map.of());
+    public static final RangeTable EMPTY = new RangeTable(0, Optional.empty(), List.of(), Map.of());
 
     /** Copies the ranges and checks their order. */
     public RangeTable {
+        formerLeaders = List.copyOf(formerLeaders);
         Map<ServiceId, List<RangeOwnership>> copy = new TreeMap<>();
         rangesByService.forEach((service, ranges) -> copy.put(service, checkedCopy(service, ranges)));
         rangesByService = Collections.unmodifiableMap(copy);
@@ -65,14 +71,21 @@
 
     /** Returns a table in which this process leads. */
     public RangeTable withLeader(long newTerm, Leader newLeader) {
-        return new RangeTable(newTerm, Optional.of(newLeader), rangesByService);
+        List<Leader> former = new ArrayList<>(formerLeaders);
+        leader.filter(old -> !former.contains(old)).ifPresent(former::add);
+        return new RangeTable(newTerm, Optional.of(newLeader), former, rangesByService);
+    }
+
+    /** Returns a table without former leaders, since none of them leads any more. */
+    public RangeTable withoutFormerLeaders() {
+        return new RangeTable(term, leader, List.of(), rangesByService);
     }
 
     /** Returns a table with other ranges for one service; neighbours that belong together are joined. */
     public RangeTable withRanges(ServiceId service, List<RangeOwnership> ranges) {
         Map<ServiceId, List<RangeOwnership>> changed = new TreeMap<>(rangesByService);
         changed.put(service, joined(ranges));
-        return new RangeTable(term, leader, changed);
+        return new RangeTable(term, leader, formerLeaders, changed);
     }
 
     private static List<RangeOwnership> joined(List<RangeOwnership> ranges) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -48,6 +48,8 @@
     private static final double MAX_SPEED = 1.8;
     private static final int MAX_REMEMBERED_SERVERS = 1_000;
 
+    /** How often former leaders are told of the new term until they answer. */
+    private static final long TELL_MILLIS = 200;
     /** How often load is reported to the leader. */
     private static final long REPORT_MILLIS = 500;
     /** Cost of a request in the load of keys; only proportions matter. */
@@ -102,6 +104,7 @@
     }
 
     void start() {
+        eventLoop.scheduleAtFixedRate(this::tellFormerLeaders, TELL_MILLIS, TELL_MILLIS, TimeUnit.MILLISECONDS);
         eventLoop.scheduleAtFixedRate(this::report, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
         eventLoop.execute(() -> {
             platform.start(this);
@@ -160,6 +163,29 @@
         coordinator.onLeaderHeard(storeSilenceMillis, clock.nowMillis());
     }
 
+    @Override
+    public Optional<VmStart> processNotLeadingBefore(long term) {
+        coordinator.onNewTerm(term);
+        return coordinator.isLeading() ? Optional.empty() : Optional.of(self);
+    }
+
+    @Override
+    public void onNotLeading(VmStart process) {
+        long nowMillis = clock.nowMillis();
+        for (Leader former : coordinator.formerLeadersToTell()) {
+            if (former.process().vm().equals(process.vm())) {
+                coordinator.onFormerLeaderStopped(former.process(), nowMillis);
+            }
+        }
+    }
+
+    private void tellFormerLeaders() {
+        coordinator
+                .formerLeadersToTell()
+                .forEach(former ->
+                        reports.tellNewTerm(former, coordinator.table().term()));
+    }
+
     @Override
     public void onKey(ServiceId service, int key) {
         keyLoad(service).add(key, REQUEST_COST, clock.nowMillis());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -24,6 +24,8 @@
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.daemon.events.EventLog;
 
@@ -36,6 +38,9 @@
     private static final int MAX_KEYS = 180;
 
     private static final String STORE_SILENCE = "storeSilenceMillis";
+    private static final String NEW_TERM = "newTerm";
+    private static final String NOT_LEADING_VM = "notLeadingVm";
+    private static final String NOT_LEADING_START = "notLeadingStart";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final EventLog events;
@@ -51,6 +56,12 @@
         /** Takes in that the leader answered, and how long it has had no word from the store. */
         void onLeaderAnswer(long storeSilenceMillis);
 
+        /** Returns this process, if it does not lead in any term before this one; empty if it may. */
+        Optional<VmStart> processNotLeadingBefore(long term);
+
+        /** Takes in which process runs where a former leader ran, and that it does not lead. */
+        void onNotLeading(VmStart process);
+
         /** Takes a key that was asked for. */
         void onKey(ServiceId service, int key);
 
@@ -93,9 +104,19 @@
                 .add(server.startedUnixMillis())
                 .add(Math.round(millis)));
         keys.clear();
-        channel.writeAndFlush(new DatagramPacket(
-                Unpooled.copiedBuffer(root.toString(), StandardCharsets.UTF_8),
-                new InetSocketAddress(leader.reportHost(), leader.reportPort())));
+        send(root, new InetSocketAddress(leader.reportHost(), leader.reportPort()));
+    }
+
+    /** Tells a former leader that a new term began; it answers once it does not lead any more. */
+    void tellNewTerm(Leader former, long term) {
+        send(
+                MAPPER.createObjectNode().put(NEW_TERM, term),
+                new InetSocketAddress(former.reportHost(), former.reportPort()));
+    }
+
+    private void send(ObjectNode message, InetSocketAddress receiverAddress) {
+        channel.writeAndFlush(
+                new DatagramPacket(Unpooled.copiedBuffer(message.toString(), StandardCharsets.UTF_8), receiverAddress));
     }
 
     /** Drops what was collected, because nobody leads. */
@@ -112,20 +133,30 @@
                     receiver.onLeaderAnswer(message.path(STORE_SILENCE).asLong());
                     return;
                 }
+                if (message.has(NOT_LEADING_VM)) {
+                    receiver.onNotLeading(new VmStart(
+                            new VmId(message.path(NOT_LEADING_VM).asText()),
+                            message.path(NOT_LEADING_START).asLong()));
+                    return;
+                }
+                if (message.has(NEW_TERM)) {
+                    receiver.processNotLeadingBefore(message.path(NEW_TERM).asLong())
+                            .ifPresent(process -> send(
+                                    MAPPER.createObjectNode()
+                                            .put(NOT_LEADING_VM, process.vm().value())
+                                            .put(NOT_LEADING_START, process.startNumber()),
+                                    packet.sender()));
+                    return;
+                }
                 take(message);
-                receiver.storeSilenceMillis().ifPresent(silence -> answer(context, packet.sender(), silence));
+                receiver.storeSilenceMillis()
+                        .ifPresent(silence ->
+                                send(MAPPER.createObjectNode().put(STORE_SILENCE, silence), packet.sender()));
             } catch (IOException | IllegalArgumentException e) {
                 events.write("report.unreadable", "from", packet.sender(), "reason", e.getMessage());
             }
         }
 
-        private void answer(ChannelHandlerContext context, InetSocketAddress reporter, long storeSilenceMillis) {
-            String text = MAPPER.createObjectNode()
-                    .put(STORE_SILENCE, storeSilenceMillis)
-                    .toString();
-            context.writeAndFlush(new DatagramPacket(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8), reporter));
-        }
-
         private void take(JsonNode report) {
             report.path("keys").fields().forEachRemaining(service -> {
                 ServiceId id = new ServiceId(service.getKey());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableJson.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableJson.java
@@ -32,11 +32,9 @@
     public static byte[] write(RangeTable table) {
         ObjectNode root = MAPPER.createObjectNode();
         root.put("term", table.term());
-        table.leader()
-                .ifPresent(leader -> root.put("leader", leader.process().vm().value())
-                        .put("leaderStart", leader.process().startNumber())
-                        .put("reportHost", leader.reportHost())
-                        .put("reportPort", leader.reportPort()));
+        table.leader().ifPresent(leader -> root.set("leader", write(leader)));
+        ArrayNode former = root.putArray("formerLeaders");
+        table.formerLeaders().forEach(leader -> former.add(write(leader)));
         ObjectNode services = root.putObject("services");
         table.rangesByService().forEach((service, ranges) -> {
             ArrayNode rows = services.putArray(service.value());
@@ -67,25 +65,33 @@
     public static RangeTable read(byte[] bytes) throws IOException {
         try {
             JsonNode root = MAPPER.readTree(bytes);
-            Optional<Leader> leader = root.has("leader") ? Optional.of(readLeader(root)) : Optional.empty();
+            Optional<Leader> leader =
+                    root.has("leader") ? Optional.of(readLeader(root.get("leader"))) : Optional.empty();
+            List<Leader> former = new ArrayList<>();
+            root.get("formerLeaders").forEach(node -> former.add(readLeader(node)));
             Map<ServiceId, List<RangeOwnership>> services = new TreeMap<>();
             root.get("services")
                     .fields()
                     .forEachRemaining(field -> services.put(new ServiceId(field.getKey()), readRows(field.getValue())));
-            return new RangeTable(root.get("term").longValue(), leader, services);
+            return new RangeTable(root.get("term").longValue(), leader, former, services);
         } catch (IllegalArgumentException | NullPointerException e) {
             throw new IOException("the record is no table of owners: " + new String(bytes, StandardCharsets.UTF_8), e);
         }
     }
 
-    private static Leader readLeader(JsonNode root) {
+    private static ObjectNode write(Leader leader) {
+        return MAPPER.createObjectNode()
+                .put("vm", leader.process().vm().value())
+                .put("start", leader.process().startNumber())
+                .put("host", leader.reportHost())
+                .put("port", leader.reportPort());
+    }
+
+    private static Leader readLeader(JsonNode node) {
         VmStart process = new VmStart(
-                new VmId(root.get("leader").textValue()),
-                root.get("leaderStart").longValue());
+                new VmId(node.get("vm").textValue()), node.get("start").longValue());
         return new Leader(
-                process,
-                root.get("reportHost").textValue(),
-                root.get("reportPort").intValue());
+                process, node.get("host").textValue(), node.get("port").intValue());
     }
 
     private static List<RangeOwnership> readRows(JsonNode rows) {
