--- a/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
@@ -8,8 +8,10 @@
     SERVER_FAILED(true, true),
     /** The server was full and did not run it. */
     REJECTED(false, false),
-    /** The server does not own the key or is another one; it did not run it. */
+    /** The server does not own the key; it did not run it. */
     MISDIRECTED(false, false),
+    /** Another server has the address; it did not run it. */
+    REPLACED(false, false),
     /** It was not sent, because no connection could be made. */
     NOT_SENT(false, true),
     /** The connection broke, or the answer was not usable. */
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -38,7 +38,7 @@
     /** Requests of one service that may wait here. */
     private static final int MAX_WAITING = 400;
     /** Added to the expected time of a server in another data centre, so that near servers win ties. */
-    private static final double REMOTE_PENALTY_MILLIS = 15;
+    private static final double REMOTE_PENALTY_MILLIS = 40;
     /** Spread of the random factor that keeps entry VMs from all choosing the same server. */
     private static final double SPREAD_RATIO = 0.3;
     /** How long a server that is leaving may still get requests for keys that it owns. */
@@ -184,7 +184,10 @@
                 .filter(found -> !found.isMoving())
                 .map(found -> servers.get(found.owner()))
                 .orElse(null);
-        boolean usable = owner != null && mayUseOwner(owner.known(), nowMillis) && !owner.isEjected(nowMillis);
+        boolean usable = owner != null
+                && mayUseOwner(owner.known(), nowMillis)
+                && !owner.isEjected(nowMillis)
+                && !owner.isReplaced();
         if (!usable) {
             boolean patient = nowMillis < request.targetAtMillis() - OWNER_MARGIN_MILLIS;
             return patient ? Optional.empty() : refuse(request, RefusalCause.NO_OWNER, NO_OWNER_RETRY_AFTER_MILLIS);
@@ -202,7 +205,7 @@
     private Optional<Decision> decideFree(
             DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
         List<ServerLoadState> ready = serversByService.getOrDefault(request.service(), List.of()).stream()
-                .filter(state -> state.known().isReady())
+                .filter(state -> state.known().isReady() && !state.isReplaced())
                 .toList();
         if (ready.isEmpty()) {
             return refuse(request, RefusalCause.NO_SERVER, NO_OWNER_RETRY_AFTER_MILLIS);
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -31,6 +31,7 @@
     private double othersLoad;
     private long othersLoadAtMillis;
     private double serviceMillis = INITIAL_SERVICE_MILLIS;
+    private boolean replaced;
     private int failuresInRow;
     private long ejectedUntilMillis = Long.MIN_VALUE / 2;
     private long fullUntilMillis = Long.MIN_VALUE / 2;
@@ -79,9 +80,15 @@
         } else if (result == AttemptResult.MISDIRECTED) {
             fullUntilMillis = nowMillis + MISDIRECTED_PAUSE_MILLIS;
         }
+        replaced |= result == AttemptResult.REPLACED;
         noteHealth(result, nowMillis);
     }
 
+    /** Tells whether another server has this one's address, so that this one has ended. */
+    boolean isReplaced() {
+        return replaced;
+    }
+
     private void noteHealth(AttemptResult result, long nowMillis) {
         if (!result.isSuspicious()) {
             failuresInRow = result == AttemptResult.ANSWERED ? 0 : failuresInRow;
--- a/core/src/main/java/org/lacewingthread/core/keyrange/GrantOutcome.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/GrantOutcome.java
@@ -6,6 +6,8 @@
     GRANTED,
     /** The server has seen a higher fence on some of the keys. */
     FENCED,
+    /** Another server has the address, so this one has ended and holds nothing. */
+    ENDED,
     /** No usable answer; the grant may still take effect. */
     UNKNOWN
 }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -7,9 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
-import java.util.TreeSet;
-import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.id.VmStart;
 
@@ -41,8 +38,6 @@
     private static final long MAX_CALL_MILLIS = 1_200;
     /** A grant whose call was cut off has arrived within this time, or never does. */
     private static final long CUT_OFF_MILLIS = 50;
-    /** How long a server may leave renewals unanswered before they stop and its hold runs out. */
-    private static final long SILENCE_MILLIS = 1_000;
     /** Pause before a record is written again that failed. */
     private static final long RECORD_RETRY_MILLIS = 200;
     /** How long word from the leader keeps another VM from taking over. */
@@ -51,8 +46,6 @@
     private static final long LEADER_STORE_SILENCE_MILLIS = 2_500;
     /** How often loads are compared for balance. */
     private static final long BALANCE_MILLIS = 1_000;
-    /** How long a server that answered no grants gets none after its last one ran out. */
-    private static final long SILENT_REST_MILLIS = 3_000;
     /** Fences of one term; a term never needs as many grants. */
     private static final long FENCES_PER_TERM = 1_000_000;
 
@@ -60,7 +53,7 @@
     private final RangeLeaseTimes times;
     private final List<RangeHold> holds = new ArrayList<>();
     private final Map<Long, RangeHold> calls = new HashMap<>();
-    private final Map<ServerStart, Long> silentUntilMillis = new HashMap<>();
+    private final ServerEvidence evidence = new ServerEvidence();
     private RangeTable table = RangeTable.EMPTY;
     private long logEnd = -1;
     private final Set<Leader> formerLeaders = new HashSet<>();
@@ -75,16 +68,6 @@
     private long nextFence;
     private long nextCall;
 
-    /**
-     * What the leader knows about the servers of one keyed service.
-     *
-     * @param capacityByServer servers that may own keys, with their relative capacity
-     * @param registered lives of servers that the registry names, ready or not
-     * @param load load of the key space
-     */
-    public record ServiceView(
-            Map<ServerStart, Double> capacityByServer, Set<ServerStart> registered, KeyLoad.Profile load) {}
-
     /** Creates a coordinator that knows nothing yet. */
     public RangeCoordinator(Leader self, RangeLeaseTimes times) {
         this.self = self;
@@ -245,41 +228,22 @@
                 return same;
             }
         }
-        RangeHold.Phase phase = ownership.isMoving() ? RangeHold.Phase.RELEASING : RangeHold.Phase.HELD;
-        RangeHold hold = new RangeHold(service, ownership, phase);
-        hold.nextCallAtMillis = nowMillis;
-        hold.fence = newFence();
-        hold.formerFence = hold.fence;
+        RangeHold hold = new RangeHold(service, ownership, newFence(), nowMillis);
         boolean grantedInEarlierTerm = overlapping.isEmpty() && nowMillis == ledSinceMillis;
-        hold.formerLeadersMayRenew = grantedInEarlierTerm && !formerLeaders.isEmpty();
-        // No leader renews a former owner's grant once the move is on record.
-        long heldUntilMillis = grantedInEarlierTerm ? times.heldUntilMillis(nowMillis + MAX_CALL_MILLIS) : nowMillis;
-        hold.ownerHeldUntilMillis = heldUntilMillis;
-        hold.formerHeldUntilMillis = heldUntilMillis;
+        if (grantedInEarlierTerm) {
+            hold.formerLeadersMayRenew = !formerLeaders.isEmpty();
+            // No leader renews a former owner's grant once the move is on record.
+            hold.ownerHeldUntilMillis = times.heldUntilMillis(nowMillis + MAX_CALL_MILLIS);
+            hold.formerHeldUntilMillis = hold.ownerHeldUntilMillis;
+        }
         for (RangeHold other : overlapping) {
-            inherit(hold, other);
+            hold.inherit(other);
         }
         return hold;
     }
 
-    private static void inherit(RangeHold hold, RangeHold other) {
-        if (hold.movingFrom.filter(other.owner::equals).isPresent()) {
-            hold.formerHeldUntilMillis = Math.max(hold.formerHeldUntilMillis, other.ownerHeldUntilMillis);
-            hold.formerFence = other.fence;
-        }
-        if (other.phase == RangeHold.Phase.RELEASING && hold.movingFrom.equals(other.movingFrom)) {
-            hold.formerHeldUntilMillis = Math.max(hold.formerHeldUntilMillis, other.formerHeldUntilMillis);
-            hold.formerFence = other.formerFence;
-        }
-        if (hold.owner.equals(other.owner)) {
-            hold.formerLeadersMayRenew |= other.formerLeadersMayRenew;
-            hold.ownerHeldUntilMillis = Math.max(hold.ownerHeldUntilMillis, other.ownerHeldUntilMillis);
-        }
-    }
-
     private long newFence() {
-        nextFence++;
-        return nextFence;
+        return ++nextFence;
     }
 
     /** Takes in an answered or failed grant. */
@@ -296,7 +260,7 @@
             hold.phase = RangeHold.Phase.HELD;
             hold.confirmed = true;
             hold.unansweredSinceMillis = Optional.empty();
-            silentUntilMillis.remove(hold.owner);
+            evidence.noteAnswered(hold.owner);
             hold.handover = Optional.empty();
             hold.nextCallAtMillis = nowMillis + times.renewMillis();
         } else {
@@ -306,43 +270,35 @@
             hold.fence = newFence();
             hold.nextCallAtMillis = nowMillis + RETRY_MILLIS;
         }
-        if (outcome == GrantOutcome.UNKNOWN) {
-            noteSilence(hold, nowMillis);
-        }
-    }
-
-    private void noteSilence(RangeHold hold, long nowMillis) {
-        long since = hold.unansweredSinceMillis.orElse(nowMillis);
-        hold.unansweredSinceMillis = Optional.of(since);
-        if (nowMillis - since >= SILENCE_MILLIS) {
-            silentUntilMillis.put(hold.owner, hold.ownerHeldUntilMillis + SILENT_REST_MILLIS);
+        if (outcome == GrantOutcome.ENDED) {
+            evidence.noteEnded(hold.owner);
+        } else if (outcome == GrantOutcome.UNKNOWN) {
+            evidence.noteUnanswered(hold, nowMillis);
         }
     }
 
     /**
      * Takes in an answered or failed release.
      *
-     * @param released whether the server has let go of the keys
+     * @param outcome whether the server has let go of the keys
      * @param handover token for the next owner
      */
-    public void onReleaseAnswer(long call, boolean released, Optional<String> handover, long nowMillis) {
+    public void onReleaseAnswer(long call, ReleaseOutcome outcome, Optional<String> handover, long nowMillis) {
         RangeHold hold = calls.remove(call);
         if (hold == null) {
             return;
         }
         hold.callPending = false;
-        hold.nextCallAtMillis = released ? nowMillis : nowMillis + RETRY_MILLIS;
-        if (released) {
+        hold.nextCallAtMillis = outcome == ReleaseOutcome.UNKNOWN ? nowMillis + RETRY_MILLIS : nowMillis;
+        if (outcome == ReleaseOutcome.ENDED) {
+            hold.movingFrom.ifPresent(evidence::noteEnded);
+        }
+        if (outcome != ReleaseOutcome.UNKNOWN) {
             hold.handover = handover;
-            startGranting(hold);
+            hold.startGranting(newFence());
         }
     }
 
-    private void startGranting(RangeHold hold) {
-        hold.phase = RangeHold.Phase.GRANTING;
-        hold.fence = newFence();
-    }
-
     /** Returns what to do now. */
     public List<CoordinatorAction> step(Map<ServiceId, ServiceView> services, long nowMillis) {
         List<CoordinatorAction> actions = new ArrayList<>();
@@ -357,7 +313,7 @@
             formerLeaders.clear();
             noteFormerLeadersStopped(nowMillis);
         }
-        silentUntilMillis.values().removeIf(until -> until <= nowMillis);
+        evidence.forgetBefore(nowMillis);
         for (RangeHold hold : holds) {
             stepHold(hold, services.get(hold.service), actions, nowMillis);
         }
@@ -381,7 +337,7 @@
         if (hold.phase == RangeHold.Phase.RELEASING && formerIsGone(hold, view, nowMillis)) {
             hold.callPending = false;
             hold.nextCallAtMillis = nowMillis;
-            startGranting(hold);
+            hold.startGranting(newFence());
         }
         if (hold.callPending || nowMillis < hold.nextCallAtMillis || isLeftToExpire(hold, view)) {
             return;
@@ -411,18 +367,11 @@
             return false;
         }
         boolean gone = view != null && !view.registered().contains(hold.owner);
-        return silentUntilMillis.containsKey(hold.owner) || (gone && !hold.confirmed);
+        return evidence.isSilentOrEnded(hold.owner) || (gone && !hold.confirmed);
     }
 
-    private static boolean formerIsGone(RangeHold hold, ServiceView view, long nowMillis) {
-        return nowMillis >= hold.formerHeldUntilMillis || startedAnew(hold.movingFrom.orElseThrow(), view);
-    }
-
-    private static boolean startedAnew(ServerStart former, ServiceView view) {
-        return view != null
-                && view.registered().stream()
-                        .anyMatch(start -> start.server().equals(former.server())
-                                && start.startedUnixMillis() > former.startedUnixMillis());
+    private boolean formerIsGone(RangeHold hold, ServiceView view, long nowMillis) {
+        return nowMillis >= hold.formerHeldUntilMillis || evidence.hasEnded(hold.movingFrom.orElseThrow(), view);
     }
 
     private void record(Map<ServiceId, ServiceView> services, List<CoordinatorAction> actions, long nowMillis) {
@@ -433,77 +382,10 @@
         if (balances) {
             nextBalanceAtMillis = nowMillis + BALANCE_MILLIS;
         }
-        RangeTable proposal = formerLeaders.isEmpty() ? table.withoutFormerLeaders() : table;
-        for (Map.Entry<ServiceId, ServiceView> service : new TreeMap<>(services).entrySet()) {
-            List<RangeOwnership> wanted = wantedRanges(service.getKey(), service.getValue(), balances, nowMillis);
-            proposal = proposal.withRanges(service.getKey(), wanted);
-        }
+        RangeTable base = formerLeaders.isEmpty() ? table.withoutFormerLeaders() : table;
+        RangeTable proposal = new RangeProposals(holds, evidence, nowMillis).propose(base, services, balances);
         if (!proposal.equals(table)) {
             propose(proposal, actions);
         }
     }
-
-    private List<RangeOwnership> wantedRanges(ServiceId service, ServiceView view, boolean balances, long nowMillis) {
-        Map<ServerStart, Double> usable = new TreeMap<>(view.capacityByServer());
-        usable.keySet().removeAll(silentUntilMillis.keySet());
-        List<RangeHold> serviceHolds =
-                holds.stream().filter(hold -> hold.service.equals(service)).toList();
-        List<RangeOwnership> current = serviceHolds.stream()
-                .map(hold -> planningView(hold, usable, view, nowMillis))
-                .toList();
-        boolean complete =
-                current.stream().allMatch(ownership -> ownership.isMoving() || usable.containsKey(ownership.owner()))
-                        && current.stream()
-                                        .mapToInt(ownership -> ownership.range().size())
-                                        .sum()
-                                == KeyRange.MAX_KEY + 1;
-        Set<ServerStart> unconfirmed = new TreeSet<>();
-        serviceHolds.stream().filter(hold -> !hold.confirmed).forEach(hold -> unconfirmed.add(hold.owner));
-        List<RangeOwnership> wanted = complete && !balances
-                ? current
-                : RangePlanner.plan(current, usable, view.load(), piece -> !unconfirmed.contains(piece.owner()));
-        return wanted.stream()
-                .map(piece -> withFormerOwner(piece, serviceHolds))
-                .toList();
-    }
-
-    /**
-     * Shows a hold to the planner: a range that can't change its owner now as moving, and one whose
-     * owner is to be replaced as settled there.
-     */
-    private static RangeOwnership planningView(
-            RangeHold hold, Map<ServerStart, Double> usable, ServiceView view, long nowMillis) {
-        boolean ownerUsable = usable.containsKey(hold.owner);
-        boolean ownerMayHold = hold.formerLeadersMayRenew || nowMillis < hold.ownerHeldUntilMillis;
-        if (hold.phase != RangeHold.Phase.HELD) {
-            // An earlier leader may have granted the range to the owner before the release was noted.
-            boolean pinned = hold.phase == RangeHold.Phase.RELEASING && ownerMayHold;
-            return ownerUsable || pinned
-                    ? new RangeOwnership(hold.range, hold.owner, hold.movingFrom)
-                    : RangeOwnership.settled(hold.range, hold.owner);
-        }
-        boolean mayMove = ownerUsable || hold.confirmed || !ownerMayHold || startedAnew(hold.owner, view);
-        return mayMove
-                ? RangeOwnership.settled(hold.range, hold.owner)
-                : new RangeOwnership(hold.range, hold.owner, Optional.of(hold.owner));
-    }
-
-    /** Names who may still hold a range that gets another owner. */
-    private static RangeOwnership withFormerOwner(RangeOwnership wanted, List<RangeHold> serviceHolds) {
-        if (wanted.movingFrom().filter(wanted.owner()::equals).isPresent()) {
-            return RangeOwnership.settled(wanted.range(), wanted.owner());
-        }
-        if (wanted.isMoving()) {
-            return wanted;
-        }
-        for (RangeHold hold : serviceHolds) {
-            if (!hold.overlaps(wanted.range()) || hold.owner.equals(wanted.owner())) {
-                continue;
-            }
-            Optional<ServerStart> former =
-                    hold.phase == RangeHold.Phase.RELEASING ? hold.movingFrom : Optional.of(hold.owner);
-            return new RangeOwnership(wanted.range(), wanted.owner(), former);
-        }
-        return wanted;
-    }
 }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
@@ -43,12 +43,17 @@
     /** When the first of the newest run of grants went unanswered; empty while the owner answers. */
     Optional<Long> unansweredSinceMillis = Optional.empty();
 
-    RangeHold(ServiceId service, RangeOwnership ownership, Phase phase) {
+    RangeHold(ServiceId service, RangeOwnership ownership, long fence, long nowMillis) {
         this.service = service;
         this.range = ownership.range();
         this.owner = ownership.owner();
         this.movingFrom = ownership.movingFrom();
-        this.phase = phase;
+        this.phase = ownership.isMoving() ? Phase.RELEASING : Phase.HELD;
+        this.fence = fence;
+        this.formerFence = fence;
+        this.nextCallAtMillis = nowMillis;
+        this.ownerHeldUntilMillis = nowMillis;
+        this.formerHeldUntilMillis = nowMillis;
     }
 
     boolean matches(RangeOwnership ownership) {
@@ -58,4 +63,26 @@
     boolean overlaps(KeyRange other) {
         return range.firstKey() <= other.lastKey() && other.firstKey() <= range.lastKey();
     }
+
+    /** Notes that the former owner holds the keys no longer. */
+    void startGranting(long newFence) {
+        phase = Phase.GRANTING;
+        fence = newFence;
+    }
+
+    /** Takes over what is known of an overlapping range before the table changed. */
+    void inherit(RangeHold other) {
+        if (movingFrom.filter(other.owner::equals).isPresent()) {
+            formerHeldUntilMillis = Math.max(formerHeldUntilMillis, other.ownerHeldUntilMillis);
+            formerFence = other.fence;
+        }
+        if (other.phase == Phase.RELEASING && movingFrom.equals(other.movingFrom)) {
+            formerHeldUntilMillis = Math.max(formerHeldUntilMillis, other.formerHeldUntilMillis);
+            formerFence = other.formerFence;
+        }
+        if (owner.equals(other.owner)) {
+            formerLeadersMayRenew |= other.formerLeadersMayRenew;
+            ownerHeldUntilMillis = Math.max(ownerHeldUntilMillis, other.ownerHeldUntilMillis);
+        }
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/ReleaseOutcome.java
@@ -0,0 +1,11 @@
+package org.lacewingthread.core.keyrange;
+
+/** How a release ended. */
+public enum ReleaseOutcome {
+    /** The server has let go of the keys, and its work on them has ended. */
+    RELEASED,
+    /** Another server has the address, so this one has ended and holds nothing. */
+    ENDED,
+    /** No usable answer. */
+    UNKNOWN
+}
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeWorld.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeWorld.java
@@ -95,8 +95,7 @@
         }
         Map<ServerStart, Double> capacity = new TreeMap<>();
         ready.forEach(server -> capacity.put(server, 2.0));
-        RangeCoordinator.ServiceView view =
-                new RangeCoordinator.ServiceView(capacity, Set.copyOf(registered), load.profile(nowMillis));
+        ServiceView view = new ServiceView(capacity, Set.copyOf(registered), load.profile(nowMillis));
         for (Leader former : coordinator.formerLeadersToTell()) {
             RangeCoordinator told = coordinators.get(former.process().vm().value());
             if (!stoppedVms.contains(former.process().vm().value()) && random.nextInt(4) == 0) {
@@ -156,12 +155,18 @@
     private void sendRelease(RangeCoordinator coordinator, CoordinatorAction.Release release) {
         SimulatedKeyServer server = servers.get(release.server());
         if (!server.alive || silent.contains(server.start)) {
-            later(5_000, () -> coordinator.onReleaseAnswer(release.call(), false, Optional.empty(), nowMillis));
+            later(
+                    5_000,
+                    () -> coordinator.onReleaseAnswer(
+                            release.call(), ReleaseOutcome.UNKNOWN, Optional.empty(), nowMillis));
             return;
         }
         later(2, () -> {
             server.release(release.range());
-            later(100, () -> coordinator.onReleaseAnswer(release.call(), true, Optional.of("token"), nowMillis));
+            later(
+                    100,
+                    () -> coordinator.onReleaseAnswer(
+                            release.call(), ReleaseOutcome.RELEASED, Optional.of("token"), nowMillis));
         });
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -22,6 +22,8 @@
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.keyrange.ReleaseOutcome;
+import org.lacewingthread.core.keyrange.ServiceView;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
@@ -46,6 +48,9 @@
     private static final double MIN_SPEED = 0.5;
 
     private static final double MAX_SPEED = 1.8;
+    /** Capacity of a server that has just started, relative to a warm one. */
+    private static final double COLD_CAPACITY_RATIO = 0.6;
+
     private static final int MAX_REMEMBERED_SERVERS = 1_000;
 
     /** How often former leaders are told of the new term until they answer. */
@@ -251,8 +256,8 @@
         }
     }
 
-    private Map<ServiceId, RangeCoordinator.ServiceView> serviceViews(long nowMillis) {
-        Map<ServiceId, RangeCoordinator.ServiceView> views = new TreeMap<>();
+    private Map<ServiceId, ServiceView> serviceViews(long nowMillis) {
+        Map<ServiceId, ServiceView> views = new TreeMap<>();
         if (!coordinator.isLeading()) {
             return views;
         }
@@ -264,7 +269,7 @@
         return views;
     }
 
-    private RangeCoordinator.ServiceView serviceView(ServiceId service, long nowMillis) {
+    private ServiceView serviceView(ServiceId service, long nowMillis) {
         Map<ServerStart, Double> capacity = new TreeMap<>();
         Set<ServerStart> registered = new HashSet<>();
         double meanMillis = serviceMillis.values().stream()
@@ -283,11 +288,11 @@
             if (server.isReady()) {
                 double speed = meanMillis / serviceMillis.getOrDefault(server.start(), meanMillis);
                 double bounded = Math.max(MIN_SPEED, Math.min(MAX_SPEED, speed));
-                capacity.put(server.start(), server.entry().slots() * bounded);
+                double warmth = server.entry().cold() ? COLD_CAPACITY_RATIO : 1;
+                capacity.put(server.start(), server.entry().slots() * bounded * warmth);
             }
         }
-        return new RangeCoordinator.ServiceView(
-                capacity, registered, keyLoad(service).profile(nowMillis));
+        return new ServiceView(capacity, registered, keyLoad(service).profile(nowMillis));
     }
 
     private void carryOut(CoordinatorAction action) {
@@ -304,10 +309,10 @@
         } else if (action instanceof CoordinatorAction.Release release) {
             Optional<ServerEntry> server = Optional.ofNullable(remembered.get(release.server()));
             if (server.isPresent()) {
-                platform.release(server.get(), release, (released, handover) -> {
-                    coordinator.onReleaseAnswer(release.call(), released, handover, clock.nowMillis());
-                    noteAnswer(release.server(), released);
-                    if (released) {
+                platform.release(server.get(), release, (outcome, handover) -> {
+                    coordinator.onReleaseAnswer(release.call(), outcome, handover, clock.nowMillis());
+                    noteAnswer(release.server(), outcome != ReleaseOutcome.UNKNOWN);
+                    if (outcome == ReleaseOutcome.RELEASED) {
                         events.write(
                                 "range.released",
                                 "server",
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/HeaderNames.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/HeaderNames.java
@@ -7,6 +7,7 @@
  * @param deadlineMillis milliseconds that the sender still waits
  * @param seal proof that a server made the answer
  * @param expectedServer id of the only server that may run the request
+ * @param server id of the server that answers
  * @param serverLoad running requests, waiting requests and slots of a server
  * @param notRun present if the server did not run the request
  * @param key numeric key of the request
@@ -16,6 +17,7 @@
         String deadlineMillis,
         String seal,
         String expectedServer,
+        String server,
         String serverLoad,
         String notRun,
         String key) {}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -8,6 +8,7 @@
 import org.lacewingthread.core.keyrange.CoordinatorAction;
 import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.keyrange.ReleaseOutcome;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.serving.ServingConfiguration;
 
@@ -61,8 +62,9 @@
     /** Sends a grant to a server. */
     void grant(ServerEntry server, CoordinatorAction.Grant action, Consumer<GrantOutcome> result);
 
-    /** Sends a release to a server; the result is whether it let go, and its handover token. */
-    void release(ServerEntry server, CoordinatorAction.Release action, BiConsumer<Boolean, Optional<String>> result);
+    /** Sends a release to a server; the result is its outcome and the handover token. */
+    void release(
+            ServerEntry server, CoordinatorAction.Release action, BiConsumer<ReleaseOutcome, Optional<String>> result);
 
     /** Tells the platform that this VM leaves. */
     void leave();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +40,11 @@
     /** Attempts that may fail before the request was sent; more would only delay the refusal. */
     private static final int MAX_UNSENT_ATTEMPTS = 3;
 
+    private static final Set<AttemptResult> NOT_RUN =
+            EnumSet.of(AttemptResult.REJECTED, AttemptResult.MISDIRECTED, AttemptResult.REPLACED);
+    /** When a caller may return whose request a server turned away; about one service time. */
+    private static final long TURNED_AWAY_RETRY_AFTER_MILLIS = 100;
+
     private static final long NO_CALL = -1;
     /** Taken off a caller's deadline, so that the answer reaches the caller in time. */
     private static final long RETURN_MILLIS = 15;
@@ -296,7 +302,8 @@
         ServerEntry server = attempt.offer.server();
         connections.giveBack(server.start(), attempt.connection);
         Optional<LoadReport> report = RequestHeaders.load(response.headers(), names.serverLoad());
-        AttemptResult result = ServerAnswers.classify(response, names);
+        AttemptResult result =
+                ServerAnswers.classify(response, names, server.start().server());
         if (!endAttempt(attempt, result, report)) {
             return;
         }
@@ -307,7 +314,7 @@
         if (result == AttemptResult.ANSWERED) {
             finish(call);
             answers.deliver(call, response);
-        } else if (result == AttemptResult.REJECTED || result == AttemptResult.MISDIRECTED) {
+        } else if (NOT_RUN.contains(result)) {
             retryOrRefuse(call, result);
         } else {
             call.mayHaveRun = true;
@@ -337,7 +344,7 @@
             submit(call);
         } else {
             finish(call);
-            answers.refuse(call, ResultCode.OWNER_UNREACHABLE, reason, 0);
+            answers.refuse(call, ResultCode.OWNER_UNREACHABLE, reason, TURNED_AWAY_RETRY_AFTER_MILLIS);
         }
     }
 
@@ -350,7 +357,11 @@
         if (call.mayHaveRun) {
             answers.giveUp(call, ResultCode.ANSWER_LOST, "a repeat was turned away: " + result);
         } else {
-            answers.refuse(call, ResultCode.OWNER_REFUSED, "the server turned it away: " + result, 0);
+            answers.refuse(
+                    call,
+                    ResultCode.OWNER_REFUSED,
+                    "the server turned it away: " + result,
+                    TURNED_AWAY_RETRY_AFTER_MILLIS);
         }
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ServerAnswers.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ServerAnswers.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.lacewingthread.core.dispatch.AttemptResult;
+import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.daemon.http.WholeResponse;
 
 /** Tells what a server's response means. */
@@ -13,9 +14,11 @@
 
     private ServerAnswers() {}
 
-    static AttemptResult classify(WholeResponse response, HeaderNames names) {
+    static AttemptResult classify(WholeResponse response, HeaderNames names, ServerId expected) {
         if (response.status() == MISDIRECTED) {
-            return AttemptResult.MISDIRECTED;
+            String answering = response.headers().get(names.server());
+            boolean replaced = answering != null && !answering.equals(expected.value());
+            return replaced ? AttemptResult.REPLACED : AttemptResult.MISDIRECTED;
         }
         if (response.headers().contains(names.notRun())) {
             return AttemptResult.REJECTED;
