--- a/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
@@ -20,15 +20,15 @@
  * }</pre>
  */
 public final class ServerRegistry {
-    /** A gap between successful reads that counts as an outage of the registry. */
-    private static final long OUTAGE_MILLIS = 1_500;
+    /** Failed reads over this time count as an outage of the registry. */
+    private static final long OUTAGE_MILLIS = 1_000;
 
     /** How long a server without entry may still get requests for keys that it owns; half a drain. */
     private static final long DEPARTED_USE_MILLIS = 1_000;
 
     private final long lapseGraceMillis;
     private final Map<ServerId, KnownServer> servers = new TreeMap<>();
-    private long lastReachedMillis = Long.MIN_VALUE / 2;
+    private Optional<Long> unreachableSinceMillis = Optional.of(Long.MIN_VALUE / 2);
     private long graceUntilMillis = Long.MIN_VALUE / 2;
 
     /**
@@ -70,10 +70,17 @@
 
     /** Notes that the registry answered. */
     public void onReachable(long nowMillis) {
-        if (nowMillis - lastReachedMillis > OUTAGE_MILLIS) {
+        if (unreachableSinceMillis
+                .filter(since -> nowMillis - since > OUTAGE_MILLIS)
+                .isPresent()) {
             graceUntilMillis = nowMillis + lapseGraceMillis;
         }
-        lastReachedMillis = nowMillis;
+        unreachableSinceMillis = Optional.empty();
+    }
+
+    /** Notes that the registry did not answer. */
+    public void onUnreachable(long nowMillis) {
+        unreachableSinceMillis = Optional.of(unreachableSinceMillis.orElse(nowMillis));
     }
 
     /** Takes in a new or changed entry. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -17,12 +16,9 @@
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
-import org.lacewingthread.core.keyrange.GrantOutcome;
-import org.lacewingthread.core.keyrange.KeyLoad;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeTable;
-import org.lacewingthread.core.keyrange.ReleaseOutcome;
 import org.lacewingthread.core.keyrange.ServiceView;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry;
@@ -38,29 +34,14 @@
 final class ControlLoop implements Platform.Listener, LoadReports.Receiver {
     private static final long LEADER_TICK_MILLIS = 20;
     private static final long FOLLOWER_TICK_MILLIS = 100;
-    /** How long samples of key loads count; a hot key shows within a second or two. */
-    private static final long LOAD_WINDOW_MILLIS = 6_000;
-    /** Load spread over keys without samples; about the cost of a few requests. */
-    private static final double EVEN_LOAD_COST = 2_000;
     /** Lapsed entries are back within about two seconds of the registry's return. */
     private static final long LAPSE_GRACE_MILLIS = 2_000;
-    /** Bounds of a server's speed relative to the mean, so that few measurements can't mislead. */
-    private static final double MIN_SPEED = 0.5;
-
-    private static final double MAX_SPEED = 1.8;
-    /** Capacity of a server that has just started, relative to a warm one. */
-    private static final double COLD_CAPACITY_RATIO = 0.6;
-
-    private static final int MAX_REMEMBERED_SERVERS = 1_000;
-
     /** How often former leaders are told of the new term until they answer. */
     private static final long TELL_MILLIS = 200;
+    /** A leader that the registry has not answered for this long can't tell of changes. */
+    private static final long MAX_REGISTRY_SILENCE_MILLIS = 800;
     /** How often load is reported to the leader. */
     private static final long REPORT_MILLIS = 500;
-    /** Cost of a request in the load of keys; only proportions matter. */
-    private static final double REQUEST_COST = 100;
-    /** Weight of the newest of the entry VMs' measurements in a server's time. */
-    private static final double AVERAGE_WEIGHT = 0.2;
 
     private final VmStart self;
     private final LoadReports reports;
@@ -72,14 +53,13 @@
     private final Consumer<ServingConfiguration> onConfiguration;
     private final BiConsumer<List<KnownServer>, RangeTable> onView;
     private final ServerRegistry registry = new ServerRegistry(LAPSE_GRACE_MILLIS);
-    private final Map<ServiceId, KeyLoad> keyLoads = new HashMap<>();
-    private final Map<ServerStart, ServerEntry> remembered = new HashMap<>();
-    private final Map<ServerStart, Double> serviceMillis = new HashMap<>();
-    private final Set<ServerStart> unanswering = new HashSet<>();
+    private final KeyspaceLoad load = new KeyspaceLoad();
+    private final OrderCarrier orders;
     private Map<ServerStart, Double> ownServiceMillis = Map.of();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private List<KnownServer> publishedServers = List.of();
     private RangeTable publishedTable = RangeTable.EMPTY;
+    private long registryReachedMillis = Long.MIN_VALUE / 2;
     private boolean serversKnown;
     private boolean wasLeading;
     private boolean stopped;
@@ -102,6 +82,7 @@
         this.events = events;
         this.onConfiguration = onConfiguration;
         this.onView = onView;
+        this.orders = new OrderCarrier(platform, coordinator, clock, events, this::step);
     }
 
     void openReports(InetSocketAddress address) throws InterruptedException {
@@ -157,15 +138,23 @@
     }
 
     @Override
-    public Optional<Long> storeSilenceMillis() {
-        return coordinator.isLeading() && !stopped
-                ? Optional.of(coordinator.storeSilenceMillis(clock.nowMillis()))
-                : Optional.empty();
+    public Optional<LoadReports.LeaderWord> leaderWord() {
+        if (!coordinator.isLeading() || stopped) {
+            return Optional.empty();
+        }
+        long nowMillis = clock.nowMillis();
+        return Optional.of(new LoadReports.LeaderWord(
+                coordinator.storeSilenceMillis(nowMillis),
+                nowMillis - registryReachedMillis,
+                platform.registryPosition()));
     }
 
     @Override
-    public void onLeaderAnswer(long storeSilenceMillis) {
-        coordinator.onLeaderHeard(storeSilenceMillis, clock.nowMillis());
+    public void onLeaderWord(LoadReports.LeaderWord word) {
+        coordinator.onLeaderHeard(word.storeSilenceMillis(), clock.nowMillis());
+        if (word.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
+            platform.onLeaderRegistryPosition(word.registryPosition());
+        }
     }
 
     @Override
@@ -193,12 +182,12 @@
 
     @Override
     public void onKey(ServiceId service, int key) {
-        keyLoad(service).add(key, REQUEST_COST, clock.nowMillis());
+        load.onKey(service, key, clock.nowMillis());
     }
 
     @Override
     public void onServiceTime(String vm, ServerStart server, double millis) {
-        serviceMillis.merge(server, millis, (known, newest) -> known + AVERAGE_WEIGHT * (newest - known));
+        load.onServiceTime(server, millis);
     }
 
     /** Takes the service times that the traffic side measured. */
@@ -211,10 +200,6 @@
         });
     }
 
-    private KeyLoad keyLoad(ServiceId service) {
-        return keyLoads.computeIfAbsent(service, id -> new KeyLoad(LOAD_WINDOW_MILLIS, EVEN_LOAD_COST));
-    }
-
     private void tick() {
         long tickMillis = coordinator.isLeading() ? LEADER_TICK_MILLIS : FOLLOWER_TICK_MILLIS;
         eventLoop.schedule(this::tick, tickMillis, TimeUnit.MILLISECONDS);
@@ -229,7 +214,13 @@
             return;
         }
         for (CoordinatorAction action : coordinator.step(serviceViews(nowMillis), nowMillis)) {
-            carryOut(action);
+            if (action instanceof CoordinatorAction.RecordTable record) {
+                platform.record(record, newEnd -> onRecorded(record, newEnd));
+            } else if (action instanceof CoordinatorAction.Grant grant) {
+                orders.grant(grant);
+            } else if (action instanceof CoordinatorAction.Release release) {
+                orders.release(release);
+            }
         }
     }
 
@@ -263,81 +254,12 @@
         }
         for (ServiceSpec service : configuration.orElseThrow().services().values()) {
             if (service.keyed()) {
-                views.put(service.id(), serviceView(service.id(), nowMillis));
+                views.put(service.id(), load.view(service.id(), publishedServers, nowMillis));
             }
         }
         return views;
     }
 
-    private ServiceView serviceView(ServiceId service, long nowMillis) {
-        Map<ServerStart, Double> capacity = new TreeMap<>();
-        Set<ServerStart> registered = new HashSet<>();
-        double meanMillis = serviceMillis.values().stream()
-                .mapToDouble(Double::doubleValue)
-                .average()
-                .orElse(1);
-        for (KnownServer server : publishedServers) {
-            if (!server.entry().service().equals(service)) {
-                continue;
-            }
-            boolean departed =
-                    server.leavingSinceMillis().isPresent() && !server.entry().draining();
-            if (!departed) {
-                registered.add(server.start());
-            }
-            if (server.isReady()) {
-                double speed = meanMillis / serviceMillis.getOrDefault(server.start(), meanMillis);
-                double bounded = Math.max(MIN_SPEED, Math.min(MAX_SPEED, speed));
-                double warmth = server.entry().cold() ? COLD_CAPACITY_RATIO : 1;
-                capacity.put(server.start(), server.entry().slots() * bounded * warmth);
-            }
-        }
-        return new ServiceView(capacity, registered, keyLoad(service).profile(nowMillis));
-    }
-
-    private void carryOut(CoordinatorAction action) {
-        if (action instanceof CoordinatorAction.RecordTable record) {
-            platform.record(record, newEnd -> onRecorded(record, newEnd));
-        } else if (action instanceof CoordinatorAction.Grant grant) {
-            Optional<ServerEntry> server = Optional.ofNullable(remembered.get(grant.server()));
-            if (server.isPresent()) {
-                platform.grant(server.get(), grant, outcome -> {
-                    coordinator.onGrantAnswer(grant.call(), outcome, clock.nowMillis());
-                    noteAnswer(grant.server(), outcome != GrantOutcome.UNKNOWN);
-                });
-            }
-        } else if (action instanceof CoordinatorAction.Release release) {
-            Optional<ServerEntry> server = Optional.ofNullable(remembered.get(release.server()));
-            if (server.isPresent()) {
-                platform.release(server.get(), release, (outcome, handover) -> {
-                    coordinator.onReleaseAnswer(release.call(), outcome, handover, clock.nowMillis());
-                    noteAnswer(release.server(), outcome != ReleaseOutcome.UNKNOWN);
-                    if (outcome == ReleaseOutcome.RELEASED) {
-                        events.write(
-                                "range.released",
-                                "server",
-                                release.server(),
-                                "range",
-                                release.range(),
-                                "fence",
-                                release.fence(),
-                                "handover",
-                                handover.isPresent());
-                    }
-                    step();
-                });
-            }
-        }
-    }
-
-    private void noteAnswer(ServerStart server, boolean answered) {
-        if (answered && unanswering.remove(server)) {
-            events.write("server.orders-answered", "server", server);
-        } else if (!answered && unanswering.add(server)) {
-            events.write("server.orders-unanswered", "server", server);
-        }
-    }
-
     private void onRecorded(CoordinatorAction.RecordTable record, Optional<Long> newEnd) {
         coordinator.onRecorded(record, newEnd, clock.nowMillis());
         events.write(
@@ -373,7 +295,13 @@
 
     @Override
     public void onRegistryReached() {
-        registry.onReachable(clock.nowMillis());
+        registryReachedMillis = clock.nowMillis();
+        registry.onReachable(registryReachedMillis);
+    }
+
+    @Override
+    public void onRegistryUnreachable() {
+        registry.onUnreachable(clock.nowMillis());
     }
 
     @Override
@@ -394,12 +322,9 @@
     }
 
     private void remember(ServerEntry entry) {
-        if (remembered.size() >= MAX_REMEMBERED_SERVERS) {
-            Set<ServerStart> known = new HashSet<>();
-            publishedServers.forEach(server -> known.add(server.start()));
-            remembered.keySet().retainAll(known);
-        }
-        remembered.put(entry.start(), entry);
+        Set<ServerStart> known = new HashSet<>();
+        publishedServers.forEach(server -> known.add(server.start()));
+        orders.remember(entry, known);
     }
 
     @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -38,6 +38,8 @@
     private static final int MAX_KEYS = 180;
 
     private static final String STORE_SILENCE = "storeSilenceMillis";
+    private static final String REGISTRY_SILENCE = "registrySilenceMillis";
+    private static final String REGISTRY_POSITION = "registryPosition";
     private static final String NEW_TERM = "newTerm";
     private static final String NOT_LEADING_VM = "notLeadingVm";
     private static final String NOT_LEADING_START = "notLeadingStart";
@@ -48,13 +50,22 @@
     private final Map<ServiceId, List<Integer>> keys = new TreeMap<>();
     private Channel channel;
 
+    /**
+     * What a leader tells those that report to it.
+     *
+     * @param storeSilenceMillis how long it has had no word from the store
+     * @param registrySilenceMillis how long it has had no word from the registry of servers
+     * @param registryPosition position of the newest change of a server that it has read
+     */
+    record LeaderWord(long storeSilenceMillis, long registrySilenceMillis, long registryPosition) {}
+
     /** Takes what other entry VMs report. */
     interface Receiver {
         /** Returns what the leader answers to a report; empty if this process does not lead. */
-        Optional<Long> storeSilenceMillis();
+        Optional<LeaderWord> leaderWord();
 
-        /** Takes in that the leader answered, and how long it has had no word from the store. */
-        void onLeaderAnswer(long storeSilenceMillis);
+        /** Takes the leader's answer. */
+        void onLeaderWord(LeaderWord word);
 
         /** Returns this process, if it does not lead in any term before this one; empty if it may. */
         Optional<VmStart> processNotLeadingBefore(long term);
@@ -130,7 +141,10 @@
             try {
                 JsonNode message = MAPPER.readTree(ByteBufUtil.getBytes(packet.content()));
                 if (message.has(STORE_SILENCE)) {
-                    receiver.onLeaderAnswer(message.path(STORE_SILENCE).asLong());
+                    receiver.onLeaderWord(new LeaderWord(
+                            message.path(STORE_SILENCE).asLong(),
+                            message.path(REGISTRY_SILENCE).asLong(),
+                            message.path(REGISTRY_POSITION).asLong()));
                     return;
                 }
                 if (message.has(NOT_LEADING_VM)) {
@@ -149,14 +163,19 @@
                     return;
                 }
                 take(message);
-                receiver.storeSilenceMillis()
-                        .ifPresent(silence ->
-                                send(MAPPER.createObjectNode().put(STORE_SILENCE, silence), packet.sender()));
+                receiver.leaderWord().ifPresent(word -> send(encoded(word), packet.sender()));
             } catch (IOException | IllegalArgumentException e) {
                 events.write("report.unreadable", "from", packet.sender(), "reason", e.getMessage());
             }
         }
 
+        private ObjectNode encoded(LeaderWord word) {
+            return MAPPER.createObjectNode()
+                    .put(STORE_SILENCE, word.storeSilenceMillis())
+                    .put(REGISTRY_SILENCE, word.registrySilenceMillis())
+                    .put(REGISTRY_POSITION, word.registryPosition());
+        }
+
         private void take(JsonNode report) {
             report.path("keys").fields().forEachRemaining(service -> {
                 ServiceId id = new ServiceId(service.getKey());
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/OrderCarrier.java
@@ -0,0 +1,89 @@
+package org.lacewingthread.daemon.router;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.keyrange.CoordinatorAction;
+import org.lacewingthread.core.keyrange.GrantOutcome;
+import org.lacewingthread.core.keyrange.RangeCoordinator;
+import org.lacewingthread.core.keyrange.ReleaseOutcome;
+import org.lacewingthread.core.registry.ServerEntry;
+import org.lacewingthread.daemon.events.EventLog;
+
+/** Carries the coordinator's orders to servers and their answers back. Runs on the control thread. */
+final class OrderCarrier {
+    private static final int MAX_REMEMBERED_SERVERS = 1_000;
+
+    private final Platform platform;
+    private final RangeCoordinator coordinator;
+    private final ControlClock clock;
+    private final EventLog events;
+    private final Runnable onAnswer;
+    private final Map<ServerStart, ServerEntry> remembered = new HashMap<>();
+    private final Set<ServerStart> unanswering = new HashSet<>();
+
+    OrderCarrier(
+            Platform platform, RangeCoordinator coordinator, ControlClock clock, EventLog events, Runnable onAnswer) {
+        this.platform = platform;
+        this.coordinator = coordinator;
+        this.clock = clock;
+        this.events = events;
+        this.onAnswer = onAnswer;
+    }
+
+    /** Remembers a server's address beyond its entry, for orders that end its ownership. */
+    void remember(ServerEntry entry, Set<ServerStart> known) {
+        if (remembered.size() >= MAX_REMEMBERED_SERVERS) {
+            remembered.keySet().retainAll(known);
+        }
+        remembered.put(entry.start(), entry);
+    }
+
+    void grant(CoordinatorAction.Grant grant) {
+        Optional<ServerEntry> server = Optional.ofNullable(remembered.get(grant.server()));
+        if (server.isEmpty()) {
+            coordinator.onGrantAnswer(grant.call(), GrantOutcome.UNKNOWN, clock.nowMillis());
+            return;
+        }
+        platform.grant(server.get(), grant, outcome -> {
+            coordinator.onGrantAnswer(grant.call(), outcome, clock.nowMillis());
+            noteAnswer(grant.server(), outcome != GrantOutcome.UNKNOWN);
+        });
+    }
+
+    void release(CoordinatorAction.Release release) {
+        Optional<ServerEntry> server = Optional.ofNullable(remembered.get(release.server()));
+        if (server.isEmpty()) {
+            coordinator.onReleaseAnswer(release.call(), ReleaseOutcome.UNKNOWN, Optional.empty(), clock.nowMillis());
+            return;
+        }
+        platform.release(server.get(), release, (outcome, handover) -> {
+            coordinator.onReleaseAnswer(release.call(), outcome, handover, clock.nowMillis());
+            noteAnswer(release.server(), outcome != ReleaseOutcome.UNKNOWN);
+            if (outcome == ReleaseOutcome.RELEASED) {
+                events.write(
+                        "range.released",
+                        "server",
+                        release.server(),
+                        "range",
+                        release.range(),
+                        "fence",
+                        release.fence(),
+                        "handover",
+                        handover.isPresent());
+            }
+            onAnswer.run();
+        });
+    }
+
+    private void noteAnswer(ServerStart server, boolean answered) {
+        if (answered && unanswering.remove(server)) {
+            events.write("server.orders-answered", "server", server);
+        } else if (!answered && unanswering.add(server)) {
+            events.write("server.orders-unanswered", "server", server);
+        }
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -22,6 +22,9 @@
         /** Takes in that the registry of servers answered. */
         void onRegistryReached();
 
+        /** Takes in that the registry of servers did not answer. */
+        void onRegistryUnreachable();
+
         /** Takes a new or changed server. */
         void onServer(ServerEntry entry);
 
@@ -56,6 +59,16 @@
     /** Asks the registry more often while this VM leads, since it moves the keys of leaving servers. */
     void setLeading(boolean leading);
 
+    /** Returns the position in the registry's history of the newest change of a server that was read. */
+    long registryPosition();
+
+    /**
+     * Takes in what the leader has read of the registry, which it reads more often than others.
+     *
+     * @param position position of the newest change that the leader has read
+     */
+    void onLeaderRegistryPosition(long position);
+
     /** Appends a table; the result is the new end of the log, or empty if it was refused or is unknown. */
     void record(CoordinatorAction.RecordTable action, Consumer<Optional<Long>> result);
 
