--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/dispatch/RequestDispatcherTest.java
@@ -0,0 +1,179 @@
+package org.lacewingthread.core.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.keyrange.KeyRange;
+import org.lacewingthread.core.keyrange.RangeOwnership;
+import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.registry.ServerEntry;
+import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
+
+class RequestDispatcherTest {
+    private static final ServiceId DESK = new ServiceId("desk");
+    private static final ServiceId ORDERS = new ServiceId("orders");
+    private static final DataCentreId HERE = new DataCentreId("maras");
+
+    private final RequestDispatcher dispatcher = new RequestDispatcher(HERE, new SplittableRandom(1));
+    private long nextNumber;
+
+    private static KnownServer server(String id, ServiceId service) {
+        ServerEntry entry =
+                new ServerEntry(new ServerStart(new ServerId(id), 1), service, "10.0.0.1", 8080, HERE, 2, false, false);
+        return new KnownServer(entry, Optional.empty(), Optional.empty());
+    }
+
+    private DispatchRequest request(ServiceId service, int priority, long deadlineMillis) {
+        return new DispatchRequest(
+                ++nextNumber, service, OptionalInt.empty(), priority, deadlineMillis, deadlineMillis, Set.of());
+    }
+
+    private DispatchRequest keyed(int key, long targetMillis, long deadlineMillis) {
+        return new DispatchRequest(
+                ++nextNumber, ORDERS, OptionalInt.of(key), 1, targetMillis, deadlineMillis, Set.of());
+    }
+
+    private static RangeTable ownedBy(KnownServer owner, Optional<ServerStart> movingFrom) {
+        return RangeTable.EMPTY.withRanges(
+                ORDERS, List.of(new RangeOwnership(KeyRange.ALL, owner.start(), movingFrom)));
+    }
+
+    private static List<Decision.Offer> offers(List<Decision> decisions) {
+        return decisions.stream()
+                .filter(Decision.Offer.class::isInstance)
+                .map(Decision.Offer.class::cast)
+                .toList();
+    }
+
+    private static List<Decision.Refuse> refusals(List<Decision> decisions) {
+        return decisions.stream()
+                .filter(Decision.Refuse.class::isInstance)
+                .map(Decision.Refuse.class::cast)
+                .toList();
+    }
+
+    @Test
+    void aKeyGoesToItsOwner() {
+        KnownServer owner = server("s1", ORDERS);
+        dispatcher.onView(List.of(server("s0", ORDERS), owner), ownedBy(owner, Optional.empty()), 0);
+        List<Decision> decisions = dispatcher.submit(keyed(7, 300, 800), 0);
+        assertThat(offers(decisions))
+                .singleElement()
+                .satisfies(offer -> assertThat(offer.server().start()).isEqualTo(owner.start()));
+    }
+
+    @Test
+    void aKeyInAMoveWaitsAndGoesOnWhenTheMoveEnds() {
+        KnownServer owner = server("s1", ORDERS);
+        KnownServer former = server("s0", ORDERS);
+        dispatcher.onView(List.of(former, owner), ownedBy(owner, Optional.of(former.start())), 0);
+        assertThat(dispatcher.submit(keyed(7, 300, 800), 0)).isEmpty();
+        List<Decision> decisions = dispatcher.onView(List.of(former, owner), ownedBy(owner, Optional.empty()), 50);
+        assertThat(offers(decisions)).hasSize(1);
+    }
+
+    @Test
+    void aKeyWithoutOwnerIsRefusedBeforeItsAnswerWouldBeLate() {
+        dispatcher.onView(List.of(), RangeTable.EMPTY, 0);
+        assertThat(dispatcher.submit(keyed(7, 300, 800), 0)).isEmpty();
+        assertThat(refusals(dispatcher.tick(250))).singleElement().satisfies(refusal -> {
+            assertThat(refusal.cause()).isEqualTo(RefusalCause.NO_OWNER);
+            assertThat(refusal.retryAfterMillis()).isPositive();
+        });
+    }
+
+    @Test
+    void aServiceWithoutServerRefusesAtOnce() {
+        dispatcher.onView(List.of(), RangeTable.EMPTY, 0);
+        assertThat(refusals(dispatcher.submit(request(DESK, 0, 500), 0)))
+                .extracting(Decision.Refuse::cause)
+                .containsExactly(RefusalCause.NO_SERVER);
+    }
+
+    /** Pattern: strict priority under overload; the most urgent request gets the next free place. */
+    @Test
+    void aFreePlaceGoesToTheMostUrgentRequest() {
+        dispatcher.onView(List.of(server("s0", DESK)), RangeTable.EMPTY, 0);
+        List<Decision.Offer> sent = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            sent.addAll(offers(dispatcher.submit(request(DESK, 2, 2_500), 0)));
+        }
+        assertThat(sent).hasSize(4);
+        DispatchRequest low = request(DESK, 2, 2_500);
+        DispatchRequest high = request(DESK, 0, 2_500);
+        assertThat(dispatcher.submit(low, 0)).isEmpty();
+        assertThat(dispatcher.submit(high, 0)).isEmpty();
+        List<Decision> next = dispatcher.onEnded(sent.get(0), AttemptResult.ANSWERED, 50, Optional.empty(), 50);
+        assertThat(offers(next)).extracting(Decision.Offer::request).containsExactly(high);
+    }
+
+    /** Pattern: load shedding; what can't be served in time is refused while its caller can still act. */
+    @Test
+    void aRequestThatNoServerCanAnswerInTimeIsRefusedAtOnce() {
+        dispatcher.onView(List.of(server("s0", DESK)), RangeTable.EMPTY, 0);
+        List<Decision> last = List.of();
+        for (int i = 0; i < 60; i++) {
+            last = dispatcher.submit(request(DESK, 1, 1_000), 0);
+        }
+        assertThat(refusals(last)).singleElement().satisfies(refusal -> {
+            assertThat(refusal.cause()).isEqualTo(RefusalCause.OVERLOADED);
+            assertThat(refusal.retryAfterMillis()).isPositive();
+        });
+    }
+
+    /** Pattern: outlier ejection; a server whose answers fail gets no more work for a while. */
+    @Test
+    void aServerThatFailsInARowIsLeftOut() {
+        dispatcher.onView(List.of(server("s0", DESK), server("s1", DESK)), RangeTable.EMPTY, 0);
+        int failures = 0;
+        while (failures < 3) {
+            Decision.Offer offer =
+                    offers(dispatcher.submit(request(DESK, 1, 5_000), 0)).get(0);
+            boolean bad = offer.server().start().server().value().equals("s0");
+            failures += bad ? 1 : 0;
+            dispatcher.onEnded(offer, bad ? AttemptResult.BROKEN : AttemptResult.ANSWERED, 100, Optional.empty(), 0);
+        }
+        for (int i = 0; i < 4; i++) {
+            assertThat(offers(dispatcher.submit(request(DESK, 1, 5_000), 10))
+                            .get(0)
+                            .server()
+                            .start()
+                            .server()
+                            .value())
+                    .isEqualTo("s1");
+        }
+    }
+
+    @Test
+    void aServerWhoseAddressHasAnotherServerGetsNothingMore() {
+        KnownServer owner = server("s1", ORDERS);
+        dispatcher.onView(List.of(owner), ownedBy(owner, Optional.empty()), 0);
+        Decision.Offer offer = offers(dispatcher.submit(keyed(7, 300, 800), 0)).get(0);
+        dispatcher.onEnded(offer, AttemptResult.REPLACED, 2, Optional.empty(), 2);
+        assertThat(dispatcher.submit(keyed(7, 310, 800), 10)).isEmpty();
+    }
+
+    /** Pattern: least expected time; load goes to the servers that are free. */
+    @Test
+    void loadIsSpreadOverServers() {
+        dispatcher.onView(List.of(server("s0", DESK), server("s1", DESK), server("s2", DESK)), RangeTable.EMPTY, 0);
+        Map<String, Long> counts = new java.util.TreeMap<>();
+        for (int i = 0; i < 6; i++) {
+            offers(dispatcher.submit(request(DESK, 1, 5_000), 0))
+                    .forEach(offer ->
+                            counts.merge(offer.server().start().server().value(), 1L, Long::sum));
+        }
+        assertThat(counts).containsOnly(Map.entry("s0", 2L), Map.entry("s1", 2L), Map.entry("s2", 2L));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/registry/ServerRegistryTest.java
@@ -0,0 +1,83 @@
+package org.lacewingthread.core.registry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+
+class ServerRegistryTest {
+    private final ServerRegistry registry = new ServerRegistry(2_000);
+
+    private static ServerEntry entry(String id, long started, boolean draining) {
+        return new ServerEntry(
+                new ServerStart(new ServerId(id), started),
+                new ServiceId("orders"),
+                "10.0.0.1",
+                8080,
+                new DataCentreId("maras"),
+                2,
+                draining,
+                false);
+    }
+
+    @BeforeEach
+    void reach() {
+        registry.onReachable(0);
+        registry.replaceAll(List.of(entry("a", 1, false), entry("b", 1, false)), 10_000);
+    }
+
+    @Test
+    void aDrainingServerIsNotReadyAndKeepsTheTimeOfTheFirstNotice() {
+        registry.put(entry("a", 1, true), 11_000);
+        registry.put(entry("a", 1, true), 12_000);
+        assertThat(registry.servers(12_000).get(0).isReady()).isFalse();
+        assertThat(registry.servers(12_000).get(0).leavingSinceMillis()).contains(11_000L);
+    }
+
+    @Test
+    void aServerWithoutEntryTakesNoNewWorkAndIsForgottenSoon() {
+        registry.remove(new ServerId("a"), 11_000);
+        assertThat(registry.servers(11_100).get(0).isReady()).isFalse();
+        assertThat(registry.servers(12_100)).hasSize(1);
+    }
+
+    @Test
+    void entriesThatLapsedInAnOutageAreKeptForTheGracePeriod() {
+        registry.onUnreachable(11_000);
+        registry.onUnreachable(15_000);
+        registry.onReachable(16_000);
+        registry.remove(new ServerId("a"), 16_000);
+        assertThat(registry.servers(17_900)).hasSize(2).allMatch(ServerRegistry.KnownServer::isReady);
+        assertThat(registry.servers(18_100)).hasSize(1);
+    }
+
+    @Test
+    void anEntryThatIsBackWithinTheGracePeriodStays() {
+        registry.onUnreachable(11_000);
+        registry.onReachable(16_000);
+        registry.remove(new ServerId("a"), 16_000);
+        registry.put(entry("a", 1, false), 17_000);
+        assertThat(registry.servers(30_000)).hasSize(2);
+    }
+
+    @Test
+    void oneFailedReadIsNoOutage() {
+        registry.onUnreachable(11_000);
+        registry.onReachable(11_300);
+        registry.remove(new ServerId("a"), 11_400);
+        assertThat(registry.servers(11_500).get(0).isReady()).isFalse();
+    }
+
+    @Test
+    void aServerThatStartedAnewUnderItsIdIsAnotherLife() {
+        registry.put(entry("a", 1, true), 11_000);
+        registry.put(entry("a", 2, false), 12_000);
+        assertThat(registry.servers(12_000).get(0).start().startedUnixMillis()).isEqualTo(2);
+        assertThat(registry.servers(12_000).get(0).isReady()).isTrue();
+    }
+}
