--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -180,17 +180,17 @@
             DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
         Optional<RangeOwnership> ownership =
                 table.find(request.service(), request.key().getAsInt());
-        ServerLoadState owner = ownership
-                .filter(found -> !found.isMoving())
-                .map(found -> servers.get(found.owner()))
-                .orElse(null);
+        if (ownership.isEmpty() || ownership.get().isMoving()) {
+            boolean patient = nowMillis < request.targetAtMillis() - OWNER_MARGIN_MILLIS;
+            return patient ? Optional.empty() : refuse(request, RefusalCause.NO_OWNER, NO_OWNER_RETRY_AFTER_MILLIS);
+        }
+        ServerLoadState owner = servers.get(ownership.get().owner());
         boolean usable = owner != null
                 && mayUseOwner(owner.known(), nowMillis)
                 && !owner.isEjected(nowMillis)
                 && !owner.isReplaced();
         if (!usable) {
-            boolean patient = nowMillis < request.targetAtMillis() - OWNER_MARGIN_MILLIS;
-            return patient ? Optional.empty() : refuse(request, RefusalCause.NO_OWNER, NO_OWNER_RETRY_AFTER_MILLIS);
+            return refuse(request, RefusalCause.NO_OWNER, NO_OWNER_RETRY_AFTER_MILLIS);
         }
         int ahead = aheadByServer.getOrDefault(owner.entry().start().server(), 0);
         return decideAt(request, owner, ahead, aheadByServer, nowMillis);
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -18,7 +18,7 @@
     private static final long MAX_EJECT_MILLIS = 4_000;
     /** How long a server that does not hold a key is left alone; about the time of a renewal. */
     private static final long MISDIRECTED_PAUSE_MILLIS = 150;
-    /** How long a server that can't be connected to is left out. */
+    /** How long a server that can't be connected to is left out the first time. */
     private static final long UNREACHABLE_MILLIS = 500;
     /** How long a server that turned requests away is left alone. */
     private static final long FULL_PAUSE_MILLIS = 40;
@@ -96,7 +96,8 @@
         }
         failuresInRow++;
         if (result == AttemptResult.NOT_SENT) {
-            ejectedUntilMillis = Math.max(ejectedUntilMillis, nowMillis + UNREACHABLE_MILLIS);
+            int doublings = Math.min(2, failuresInRow - 1);
+            ejectedUntilMillis = Math.max(ejectedUntilMillis, nowMillis + (UNREACHABLE_MILLIS << doublings));
         }
         if (failuresInRow >= EJECT_AFTER_FAILURES) {
             int doublings = Math.min(2, failuresInRow - EJECT_AFTER_FAILURES);
--- a/core/src/main/java/org/lacewingthread/core/keyrange/ServerEvidence.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/ServerEvidence.java
@@ -10,7 +10,7 @@
 /** What a leader's own calls and the registry say about lives of servers that are silent or over. */
 final class ServerEvidence {
     /** How long a server may leave renewals unanswered before they stop and its hold runs out. */
-    private static final long SILENCE_MILLIS = 1_000;
+    private static final long SILENCE_MILLIS = 900;
     /** How long a server that answered no grants gets none after its last one ran out. */
     private static final long SILENT_REST_MILLIS = 3_000;
 
