Treat a renewal under way as unconfirmed until it is answered

Cause: history seed 18: a move began while a renewal with the same fence was on its way; it arrived after the release and revived the former owner.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -353,6 +353,8 @@
             actions.add(new CoordinatorAction.Release(
                     call, hold.service, hold.movingFrom.orElseThrow(), hold.range, hold.formerFence));
         } else {
+            // Until its answer, the renewal may still arrive after a release of the same fence.
+            hold.confirmed = false;
             hold.ownerHeldBeforeCallMillis = hold.ownerHeldUntilMillis;
             hold.ownerHeldUntilMillis =
                     Math.max(hold.ownerHeldUntilMillis, times.heldUntilMillis(nowMillis + MAX_CALL_MILLIS));
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
@@ -6,10 +6,11 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.lacewingthread.core.id.ServerStart;
 
 class RangeCoordinatorTest {
@@ -103,8 +104,13 @@
         assertThat(world.violations).isEmpty();
     }
 
+    /** Seeds 10, 17 and 18 failed before: a move beside a renewal under way, a target of an earlier term. */
+    static LongStream seeds() {
+        return LongStream.rangeClosed(1, Long.getLong("lacewingthread.range.seeds", 40));
+    }
+
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+    @MethodSource("seeds")
     void noKeyEverHasTwoHolders(long seed) {
         RandomGenerator random = new SplittableRandom(seed);
         createWorld(random);
