--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeProposals.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeProposals.java
@@ -69,8 +69,8 @@
         boolean ownerUsable = usable.containsKey(hold.owner);
         boolean ownerMayHold = hold.formerLeadersMayRenew || nowMillis < hold.ownerHeldUntilMillis;
         if (hold.phase != RangeHold.Phase.HELD) {
-            // An earlier leader may have granted the range to the owner before the release was noted.
-            boolean pinned = hold.phase == RangeHold.Phase.RELEASING && ownerMayHold;
+            // A grant without answer, or of an earlier leader, may still take effect at the owner.
+            boolean pinned = ownerMayHold && !evidence.hasEnded(hold.owner, view);
             return ownerUsable || pinned
                     ? new RangeOwnership(hold.range, hold.owner, hold.movingFrom)
                     : RangeOwnership.settled(hold.range, hold.owner);
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
@@ -104,9 +104,13 @@
         assertThat(world.violations).isEmpty();
     }
 
-    /** Seeds 10, 17 and 18 failed before: a move beside a renewal under way, a target of an earlier term. */
+    /**
+     * Seeds that failed before: 10 and 18 moved a range beside a renewal under way, 17 gave up the target
+     * of an earlier term's move, 261 and 266 gave up a target whose grant had no answer yet.
+     */
     static LongStream seeds() {
-        return LongStream.rangeClosed(1, Long.getLong("lacewingthread.range.seeds", 40));
+        return LongStream.concat(
+                LongStream.rangeClosed(1, Long.getLong("lacewingthread.range.seeds", 40)), LongStream.of(261, 266));
     }
 
     @ParameterizedTest
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/events/LoggedTask.java
@@ -0,0 +1,24 @@
+package org.lacewingthread.daemon.events;
+
+/**
+ * A repeated task whose failure is logged and does not end the repetition.
+ *
+ * <pre>{@code
+ * loop.scheduleAtFixedRate(new LoggedTask(events, "deadlines", engine::tick), 10, 10, MILLISECONDS);
+ * }</pre>
+ *
+ * @param events takes failures
+ * @param name names the task in the log
+ * @param task what to do
+ */
+public record LoggedTask(EventLog events, String name, Runnable task) implements Runnable {
+    @Override
+    public void run() {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            events.write("task.failed", "task", name, "reason", e, "at", trace.length == 0 ? null : trace[0]);
+        }
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -26,6 +26,7 @@
 import org.lacewingthread.core.serving.ServiceSpec;
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.daemon.events.EventLog;
+import org.lacewingthread.daemon.events.LoggedTask;
 
 /**
  * Owns the control state: configuration, known servers and ownership of key ranges. Runs on the
@@ -90,8 +91,13 @@
     }
 
     void start() {
-        eventLoop.scheduleAtFixedRate(this::tellFormerLeaders, TELL_MILLIS, TELL_MILLIS, TimeUnit.MILLISECONDS);
-        eventLoop.scheduleAtFixedRate(this::report, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+        eventLoop.scheduleAtFixedRate(
+                new LoggedTask(events, "tell-former-leaders", this::tellFormerLeaders),
+                TELL_MILLIS,
+                TELL_MILLIS,
+                TimeUnit.MILLISECONDS);
+        eventLoop.scheduleAtFixedRate(
+                new LoggedTask(events, "report", this::report), REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
         eventLoop.execute(() -> {
             platform.start(this);
             tick();
@@ -144,16 +150,14 @@
         }
         long nowMillis = clock.nowMillis();
         return Optional.of(new LoadReports.LeaderWord(
-                coordinator.storeSilenceMillis(nowMillis),
-                nowMillis - registryReachedMillis,
-                platform.registryPosition()));
+                coordinator.storeSilenceMillis(nowMillis), nowMillis - registryReachedMillis, platform.positions()));
     }
 
     @Override
     public void onLeaderWord(LoadReports.LeaderWord word) {
         coordinator.onLeaderHeard(word.storeSilenceMillis(), clock.nowMillis());
         if (word.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
-            platform.onLeaderRegistryPosition(word.registryPosition());
+            platform.onLeaderPositions(word.positions());
         }
     }
 
@@ -203,7 +207,7 @@
     private void tick() {
         long tickMillis = coordinator.isLeading() ? LEADER_TICK_MILLIS : FOLLOWER_TICK_MILLIS;
         eventLoop.schedule(this::tick, tickMillis, TimeUnit.MILLISECONDS);
-        step();
+        new LoggedTask(events, "control", this::step).run();
     }
 
     private void step() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -40,6 +40,8 @@
     private static final String STORE_SILENCE = "storeSilenceMillis";
     private static final String REGISTRY_SILENCE = "registrySilenceMillis";
     private static final String REGISTRY_POSITION = "registryPosition";
+    private static final String CONFIGURATION_POSITION = "configurationPosition";
+    private static final String TABLE_POSITION = "tablePosition";
     private static final String NEW_TERM = "newTerm";
     private static final String NOT_LEADING_VM = "notLeadingVm";
     private static final String NOT_LEADING_START = "notLeadingStart";
@@ -55,9 +57,9 @@
      *
      * @param storeSilenceMillis how long it has had no word from the store
      * @param registrySilenceMillis how long it has had no word from the registry of servers
-     * @param registryPosition position of the newest change of a server that it has read
+     * @param positions how far it has read
      */
-    record LeaderWord(long storeSilenceMillis, long registrySilenceMillis, long registryPosition) {}
+    record LeaderWord(long storeSilenceMillis, long registrySilenceMillis, Platform.Positions positions) {}
 
     /** Takes what other entry VMs report. */
     interface Receiver {
@@ -144,7 +146,10 @@
                     receiver.onLeaderWord(new LeaderWord(
                             message.path(STORE_SILENCE).asLong(),
                             message.path(REGISTRY_SILENCE).asLong(),
-                            message.path(REGISTRY_POSITION).asLong()));
+                            new Platform.Positions(
+                                    message.path(REGISTRY_POSITION).asLong(),
+                                    message.path(CONFIGURATION_POSITION).asLong(),
+                                    message.path(TABLE_POSITION).asLong())));
                     return;
                 }
                 if (message.has(NOT_LEADING_VM)) {
@@ -173,7 +178,9 @@
             return MAPPER.createObjectNode()
                     .put(STORE_SILENCE, word.storeSilenceMillis())
                     .put(REGISTRY_SILENCE, word.registrySilenceMillis())
-                    .put(REGISTRY_POSITION, word.registryPosition());
+                    .put(REGISTRY_POSITION, word.positions().registry())
+                    .put(CONFIGURATION_POSITION, word.positions().configuration())
+                    .put(TABLE_POSITION, word.positions().table());
         }
 
         private void take(JsonNode report) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -59,15 +59,20 @@
     /** Asks the registry more often while this VM leads, since it moves the keys of leaving servers. */
     void setLeading(boolean leading);
 
-    /** Returns the position in the registry's history of the newest change of a server that was read. */
-    long registryPosition();
-
     /**
-     * Takes in what the leader has read of the registry, which it reads more often than others.
+     * Positions behind the newest records that were read.
      *
-     * @param position position of the newest change that the leader has read
+     * @param registry behind the newest change of a server
+     * @param configuration behind the newest configuration
+     * @param table behind the newest table of owners
      */
-    void onLeaderRegistryPosition(long position);
+    record Positions(long registry, long configuration, long table) {}
+
+    /** Returns how far this VM has read. */
+    Positions positions();
+
+    /** Takes in how far the leader has read, which asks more often than others. */
+    void onLeaderPositions(Positions positions);
 
     /** Appends a table; the result is the new end of the log, or empty if it was refused or is unknown. */
     void record(CoordinatorAction.RecordTable action, Consumer<Optional<Long>> result);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -20,6 +20,7 @@
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.core.traffic.RetryBudget;
 import org.lacewingthread.daemon.events.EventLog;
+import org.lacewingthread.daemon.events.LoggedTask;
 import org.lacewingthread.daemon.intake.CallerListener;
 
 /**
@@ -113,9 +114,16 @@
         new StatusListener(target -> readiness()).open(control, settings.readiness());
         new StatusListener(target -> new StatusListener.Page(HttpResponseStatus.OK, metrics.scrape()))
                 .open(control, settings.metrics());
-        trafficLoop.scheduleAtFixedRate(engine::tick, TRAFFIC_TICK_MILLIS, TRAFFIC_TICK_MILLIS, TimeUnit.MILLISECONDS);
         trafficLoop.scheduleAtFixedRate(
-                this::reportServiceTimes, SERVICE_TIMES_MILLIS, SERVICE_TIMES_MILLIS, TimeUnit.MILLISECONDS);
+                new LoggedTask(events, "deadlines", engine::tick),
+                TRAFFIC_TICK_MILLIS,
+                TRAFFIC_TICK_MILLIS,
+                TimeUnit.MILLISECONDS);
+        trafficLoop.scheduleAtFixedRate(
+                new LoggedTask(events, "service-times", this::reportServiceTimes),
+                SERVICE_TIMES_MILLIS,
+                SERVICE_TIMES_MILLIS,
+                TimeUnit.MILLISECONDS);
         controlState.openReports(settings.reports());
         controlState.start();
         events.write("process.started", "start", self, "callers", settings.callers());
