End attempts of callers that left at their deadline

Cause: an at-most-once request whose caller left stayed at its server without a deadline; at a silent server such attempts used up the places counted for it, and every later request was refused.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/CallerAnswers.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/CallerAnswers.java
@@ -12,7 +12,7 @@
 import org.lacewingthread.daemon.http.WholeResponse;
 import org.lacewingthread.daemon.intake.CallerRequest;
 
-/** Answers callers, and logs and counts each answer. Runs on the traffic thread. */
+/** Answers callers that are still there, and logs and counts each answer. Runs on the traffic thread. */
 final class CallerAnswers {
     private static final double MILLIS_PER_SECOND = 1e3;
 
@@ -30,6 +30,9 @@
 
     /** Passes a server's answer on. */
     void deliver(RoutedCall call, WholeResponse response) {
+        if (call.callerGone) {
+            return;
+        }
         HttpHeaders headers = new DefaultHttpHeaders();
         RequestHeaders.copyEndToEnd(response.headers(), headers);
         headers.set(names.requestId(), call.requestId);
@@ -39,12 +42,18 @@
 
     /** Refuses a request that has not run. */
     void refuse(RoutedCall call, ResultCode code, String reason, long retryAfterMillis) {
+        if (call.callerGone) {
+            return;
+        }
         send(call.caller, call.requestId, code, retryAfterMillis);
         log(call, code, code.httpStatus(), reason);
     }
 
     /** Ends a request whose outcome is not known. */
     void giveUp(RoutedCall call, ResultCode code, String reason) {
+        if (call.callerGone) {
+            return;
+        }
         send(call.caller, call.requestId, code, 0);
         log(call, code, code.httpStatus(), reason);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -268,9 +268,12 @@
                 Optional.ofNullable(calls.get(numberByReply.getOrDefault(request.reply(), NO_CALL)));
         gone.ifPresent(call -> {
             call.waiting.ifPresent(dispatcher::cancel);
-            finish(call);
             answers.callerLeft(call);
-            if (call.route.repeatability().maySendAgain(true)) {
+            call.callerGone = true;
+            boolean runsOn =
+                    call.attempt.isPresent() && !call.route.repeatability().maySendAgain(true);
+            if (!runsOn) {
+                finish(call);
                 abandonAttempt(call);
             }
         });
@@ -381,6 +384,6 @@
     }
 
     private boolean hasTime(RoutedCall call) {
-        return call.deadlineMillis - clockMillis.getAsLong() > call.route.targetLatencyMillis() / 3;
+        return !call.callerGone && call.deadlineMillis - clockMillis.getAsLong() > call.route.targetLatencyMillis() / 3;
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RoutedCall.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RoutedCall.java
@@ -38,6 +38,8 @@
     boolean mayHaveRun;
 
     boolean finished;
+    /** Whether the caller left while a server may be at work on its at-most-once request. */
+    boolean callerGone;
 
     /** One attempt at a server. */
     static final class Attempt {
