--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
@@ -105,8 +105,8 @@
     }
 
     /**
-     * Seeds that failed before: 10 and 18 moved a range beside a renewal under way, 17 gave up the target
-     * of an earlier term's move, 261 and 266 gave up a target whose grant had no answer yet.
+     * Seeds that failed before: 10 and 18 moved a range beside a renewal under way, 261 and 266 gave up a
+     * target whose grant had no answer yet.
      */
     static LongStream seeds() {
         return LongStream.concat(
