Log every failure that was swallowed, and end busy connections of a stopping process

A stopping process closed only idle connections, so a caller that pipelines without a pause was served until the process was gone. Change: failures are written with the line of code that threw them; a connection takes no more requests once the listener refuses them and ends with the last answer of those it took.

--- a/daemon/src/main/java/org/lacewingthread/daemon/events/EventLog.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/events/EventLog.java
@@ -6,6 +6,7 @@
 import java.io.OutputStream;
 import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -60,6 +61,23 @@
         }
     }
 
+    /**
+     * Writes one event about a failure, with the failure and the line of code that threw it.
+     *
+     * @param event what failed, in dotted lower case
+     * @param cause the failure
+     * @param namesAndValues further fields, as in {@link #write}
+     */
+    public void writeFailure(String event, Throwable cause, Object... namesAndValues) {
+        StackTraceElement[] trace = cause.getStackTrace();
+        Object[] fields = Arrays.copyOf(namesAndValues, namesAndValues.length + 4);
+        fields[namesAndValues.length] = "reason";
+        fields[namesAndValues.length + 1] = cause;
+        fields[namesAndValues.length + 2] = "at";
+        fields[namesAndValues.length + 3] = trace.length == 0 ? null : trace[0];
+        write(event, fields);
+    }
+
     /** Returns how many lines were dropped and not yet reported. */
     public long droppedCount() {
         return dropped.get();
--- a/daemon/src/main/java/org/lacewingthread/daemon/events/LoggedTask.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/events/LoggedTask.java
@@ -17,8 +17,7 @@
         try {
             task.run();
         } catch (RuntimeException e) {
-            StackTraceElement[] trace = e.getStackTrace();
-            events.write("task.failed", "task", name, "reason", e, "at", trace.length == 0 ? null : trace[0]);
+            events.writeFailure("task.failed", e, "task", name);
         }
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -48,6 +48,7 @@
     private long headReadMillis;
     private long lastActiveMillis;
     private boolean closing;
+    private boolean takingNoMore;
 
     CallerConnection(CallerListener owner, RequestSink sink, LongSupplier clockMillis) {
         this.owner = owner;
@@ -108,7 +109,7 @@
             if (closing) {
                 return;
             }
-            if (message instanceof HttpRequest request) {
+            if (message instanceof HttpRequest request && !takingNoMore) {
                 onHead(request);
             }
             if (message instanceof HttpContent content && head != null) {
@@ -192,7 +193,8 @@
         while (!slots.isEmpty() && slots.peekFirst().response != null) {
             Slot slot = slots.removeFirst();
             wrote = true;
-            boolean last = !slot.keepAlive || (closing && slots.isEmpty()) || (owner.isStopping() && slots.isEmpty());
+            boolean ending = closing || takingNoMore || owner.isStopping();
+            boolean last = !slot.keepAlive || (ending && slots.isEmpty());
             if (last) {
                 slot.response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
                 closing = true;
@@ -241,6 +243,15 @@
         }
     }
 
+    /** Ends the connection once the requests that were taken are answered; later ones are left unread. */
+    void takeNoMore() {
+        if (isIdle()) {
+            close();
+        } else {
+            takingNoMore = true;
+        }
+    }
+
     boolean isIdle() {
         return slots.isEmpty() && head == null;
     }
@@ -252,6 +263,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        sink.onConnectionFailed(cause, slots.size());
         channel.close();
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
@@ -94,10 +94,15 @@
         stopping = true;
     }
 
-    /** Takes no more requests: closes the port and the connections without a request under way. */
+    /** Takes no more requests: closes the port, and each connection once its requests are answered. */
     public void refuseMore() {
         listening.close();
-        List.copyOf(connections).stream().filter(CallerConnection::isIdle).forEach(CallerConnection::close);
+        List.copyOf(connections).forEach(CallerConnection::takeNoMore);
+    }
+
+    /** Tells whether the port takes connections. */
+    boolean isOpen() {
+        return listening != null && listening.isOpen();
     }
 
     /** Returns how many connections have a request under way. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/RequestSink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/RequestSink.java
@@ -10,4 +10,7 @@
 
     /** Takes in a request that is not valid and was answered already. */
     void onInvalid(int status, String reason);
+
+    /** Takes in that a connection broke, and how many of its requests were unanswered. */
+    void onConnectionFailed(Throwable cause, int unanswered);
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -143,6 +143,11 @@
         events.write("request.invalid", "status", status, "reason", reason);
     }
 
+    @Override
+    public void onConnectionFailed(Throwable cause, int unanswered) {
+        events.writeFailure("caller.connection-failed", cause, "unanswered", unanswered);
+    }
+
     @Override
     public void onRequest(CallerRequest request) {
         String requestId = request.headers().get(names.requestId());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -111,8 +111,8 @@
         registerGauges();
         callers.open(
                 traffic, settings.callers().getHostString(), settings.callers().getPort());
-        new StatusListener(target -> readiness()).open(control, settings.readiness());
-        new StatusListener(target -> new StatusListener.Page(HttpResponseStatus.OK, metrics.scrape()))
+        new StatusListener(events, target -> readiness()).open(control, settings.readiness());
+        new StatusListener(events, target -> new StatusListener.Page(HttpResponseStatus.OK, metrics.scrape()))
                 .open(control, settings.metrics());
         trafficLoop.scheduleAtFixedRate(
                 new LoggedTask(events, "deadlines", engine::tick),
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/StatusListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/StatusListener.java
@@ -22,11 +22,13 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
+import org.lacewingthread.daemon.events.EventLog;
 
 /** Answers short questions about this process, such as readiness and metrics. */
 final class StatusListener {
     private static final int MAX_REQUEST_BYTES = 8_192;
 
+    private final EventLog events;
     private final Function<String, Page> pages;
 
     /**
@@ -40,9 +42,11 @@
     /**
      * Creates a listener without opening its port.
      *
+     * @param events takes failures
      * @param pages answers a request target
      */
-    StatusListener(Function<String, Page> pages) {
+    StatusListener(EventLog events, Function<String, Page> pages) {
+        this.events = events;
         this.pages = pages;
     }
 
@@ -84,6 +88,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            events.writeFailure("status.connection-failed", cause);
             context.close();
         }
     }
