Pause owners that break requests off instead of giving them up; share connections among VMs

Change: a broken request pauses its server for 40 to 320 ms; only connections that can't be made let an owner count as unreachable. Each VM has its share of the connections that a server takes; the leader counts the VMs that report.

--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ConnectionShares.java
@@ -0,0 +1,40 @@
+package org.lacewingthread.core.dispatch;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.serving.ServiceSpec;
+
+/**
+ * Divides the connections that a server takes among the entry VMs, so that together they stay below
+ * the number above which it resets connections.
+ *
+ * <pre>{@code
+ * dispatcher.onConnectionLimits(ConnectionShares.limits(configuration.services().values(), 12));
+ * }</pre>
+ */
+public final class ConnectionShares {
+    /** Share of a server's connections that is given out; the rest is left to orders and to restarts. */
+    private static final double USED_RATIO = 0.9;
+
+    private ConnectionShares() {}
+
+    /**
+     * Returns how many connections one entry VM may have to each server of a service, at least one.
+     *
+     * @param entryVmCount entry VMs that share the servers
+     * @throws IllegalArgumentException if there are fewer than one
+     */
+    public static Map<ServiceId, Integer> limits(Collection<ServiceSpec> services, int entryVmCount) {
+        if (entryVmCount < 1) {
+            throw new IllegalArgumentException(entryVmCount + " entry VMs can't share connections; count this one too");
+        }
+        Map<ServiceId, Integer> limits = new HashMap<>();
+        for (ServiceSpec service : services) {
+            int share = (int) (service.maxConnections() * USED_RATIO / entryVmCount);
+            limits.put(service.id(), Math.max(1, share));
+        }
+        return limits;
+    }
+}
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -65,6 +65,7 @@
     private final Map<ServiceId, List<ServerLoadState>> serversByService = new HashMap<>();
     private final Map<ServiceId, TreeSet<DispatchRequest>> waiting = new HashMap<>();
     private RangeTable table = RangeTable.EMPTY;
+    private Map<ServiceId, Integer> connectionLimits = Map.of();
 
     /**
      * Creates a dispatcher that knows no servers.
@@ -86,6 +87,7 @@
         for (KnownServer server : known) {
             ServerLoadState state = former.getOrDefault(server.start(), new ServerLoadState(server));
             state.update(server);
+            applyConnectionLimit(state);
             servers.put(server.start(), state);
             serversByService
                     .computeIfAbsent(server.entry().service(), service -> new ArrayList<>())
@@ -94,6 +96,20 @@
         return tick(nowMillis);
     }
 
+    /**
+     * Takes in how many connections this entry VM may have to each server of a service.
+     *
+     * @param limitByService services that are missing have no limit
+     */
+    public void onConnectionLimits(Map<ServiceId, Integer> limitByService) {
+        connectionLimits = Map.copyOf(limitByService);
+        servers.values().forEach(this::applyConnectionLimit);
+    }
+
+    private void applyConnectionLimit(ServerLoadState state) {
+        state.setConnectionLimit(connectionLimits.getOrDefault(state.entry().service(), Integer.MAX_VALUE));
+    }
+
     /** Takes in a request; the decisions may concern others that wait as well. */
     public List<Decision> submit(DispatchRequest request, long nowMillis) {
         TreeSet<DispatchRequest> queue =
@@ -185,12 +201,12 @@
             return patient ? Optional.empty() : refuse(request, RefusalCause.NO_OWNER, NO_OWNER_RETRY_AFTER_MILLIS);
         }
         ServerLoadState owner = servers.get(ownership.get().owner());
-        boolean usable = owner != null
-                && mayUseOwner(owner.known(), nowMillis)
-                && !owner.isEjected(nowMillis)
-                && !owner.isReplaced();
-        if (!usable) {
-            return refuse(request, RefusalCause.NO_OWNER, NO_OWNER_RETRY_AFTER_MILLIS);
+        if (owner == null || owner.isReplaced() || !mayUseOwner(owner.known(), nowMillis)) {
+            return refuse(request, RefusalCause.OWNER_GONE, NO_OWNER_RETRY_AFTER_MILLIS);
+        }
+        // An owner that breaks connections off may only be full, and nobody else can run the request.
+        if (owner.isUnreachable(nowMillis)) {
+            return refuse(request, RefusalCause.OWNER_UNREACHABLE, NO_OWNER_RETRY_AFTER_MILLIS);
         }
         int ahead = aheadByServer.getOrDefault(owner.entry().start().server(), 0);
         return decideAt(request, owner, ahead, aheadByServer, nowMillis);
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -20,8 +20,10 @@
     private static final long MISDIRECTED_PAUSE_MILLIS = 150;
     /** How long a server that can't be connected to is left out the first time. */
     private static final long UNREACHABLE_MILLIS = 500;
-    /** How long a server that turned requests away is left alone. */
+    /** How long a server that turned requests away, or broke one off, is left alone the first time. */
     private static final long FULL_PAUSE_MILLIS = 40;
+    /** Doublings of that pause while one request after the other is broken off. */
+    private static final int MAX_PAUSE_DOUBLINGS = 3;
 
     /** Service times after which a reported load counts for about a third. */
     private static final double DECAY_SERVICE_TIMES = 2;
@@ -34,6 +36,8 @@
     private boolean replaced;
     private int failuresInRow;
     private long ejectedUntilMillis = Long.MIN_VALUE / 2;
+    private long unreachableUntilMillis = Long.MIN_VALUE / 2;
+    private int connectionLimit = Integer.MAX_VALUE;
     private long fullUntilMillis = Long.MIN_VALUE / 2;
 
     ServerLoadState(KnownServer known) {
@@ -90,14 +94,20 @@
     }
 
     private void noteHealth(AttemptResult result, long nowMillis) {
+        if (result == AttemptResult.ANSWERED) {
+            failuresInRow = 0;
+            unreachableUntilMillis = nowMillis;
+        }
         if (!result.isSuspicious()) {
-            failuresInRow = result == AttemptResult.ANSWERED ? 0 : failuresInRow;
             return;
         }
         failuresInRow++;
         if (result == AttemptResult.NOT_SENT) {
             int doublings = Math.min(2, failuresInRow - 1);
-            ejectedUntilMillis = Math.max(ejectedUntilMillis, nowMillis + (UNREACHABLE_MILLIS << doublings));
+            unreachableUntilMillis = Math.max(unreachableUntilMillis, nowMillis + (UNREACHABLE_MILLIS << doublings));
+        } else if (result == AttemptResult.BROKEN) {
+            int doublings = Math.min(MAX_PAUSE_DOUBLINGS, failuresInRow - 1);
+            fullUntilMillis = Math.max(fullUntilMillis, nowMillis + (FULL_PAUSE_MILLIS << doublings));
         }
         if (failuresInRow >= EJECT_AFTER_FAILURES) {
             int doublings = Math.min(2, failuresInRow - EJECT_AFTER_FAILURES);
@@ -105,8 +115,18 @@
         }
     }
 
+    void setConnectionLimit(int limit) {
+        connectionLimit = limit;
+    }
+
+    /** Tells whether connections to the server can't be made just now. */
+    boolean isUnreachable(long nowMillis) {
+        return nowMillis < unreachableUntilMillis;
+    }
+
+    /** Tells whether others should be preferred, since the server fails or can't be reached. */
     boolean isEjected(long nowMillis) {
-        return nowMillis < ejectedUntilMillis;
+        return nowMillis < ejectedUntilMillis || isUnreachable(nowMillis);
     }
 
     /** Returns the requests of other entry VMs that the server probably has now. */
@@ -117,7 +137,7 @@
 
     /** Tells whether another request would run soon, or at least find a place in the server's queue. */
     boolean hasRoom(int waitingPlaces, int queuePlaces, long nowMillis) {
-        if (nowMillis < fullUntilMillis) {
+        if (nowMillis < fullUntilMillis || inFlight >= connectionLimit) {
             return false;
         }
         double others = othersLoad(nowMillis);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.id.ServerStart;
@@ -57,6 +58,7 @@
     private void send(RoutedCall call, RoutedCall.Attempt attempt, OutboundConnection connection) {
         attempt.connection = connection;
         call.sends++;
+        call.lastSentMillis = OptionalLong.of(clockMillis.getAsLong());
         OutboundConnection.EchoedHeader echo = new OutboundConnection.EchoedHeader(names.requestId(), call.requestId);
         connection.send(request(call, attempt), echo, new ResponseListener() {
             @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/CallerAnswers.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/CallerAnswers.java
@@ -103,6 +103,8 @@
                 status,
                 "elapsed_ms",
                 elapsedMillis,
+                "until_sent_ms",
+                call.lastSentMillis.isPresent() ? call.lastSentMillis.getAsLong() - call.caller.arrivedMillis() : null,
                 "sends",
                 call.sends,
                 "tried",
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.IntConsumer;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -55,6 +56,8 @@
     private final BiConsumer<List<KnownServer>, RangeTable> onView;
     private final ServerRegistry registry = new ServerRegistry(LAPSE_GRACE_MILLIS);
     private final KeyspaceLoad load = new KeyspaceLoad();
+    private final EntryVmCount entryVms = new EntryVmCount();
+    private final IntConsumer onEntryVmCount;
     private final OrderCarrier orders;
     private Map<ServerStart, Double> ownServiceMillis = Map.of();
     private Optional<ServingConfiguration> configuration = Optional.empty();
@@ -73,7 +76,8 @@
             EventLoop eventLoop,
             EventLog events,
             Consumer<ServingConfiguration> onConfiguration,
-            BiConsumer<List<KnownServer>, RangeTable> onView) {
+            BiConsumer<List<KnownServer>, RangeTable> onView,
+            IntConsumer onEntryVmCount) {
         this.self = self;
         this.reports = new LoadReports(events, this);
         this.platform = platform;
@@ -83,6 +87,7 @@
         this.events = events;
         this.onConfiguration = onConfiguration;
         this.onView = onView;
+        this.onEntryVmCount = onEntryVmCount;
         this.orders = new OrderCarrier(platform, coordinator, clock, events, this::step);
     }
 
@@ -135,6 +140,9 @@
 
     private void report() {
         Optional<Leader> leader = coordinator.table().leader();
+        if (coordinator.isLeading()) {
+            onEntryVmCount.accept(entryVms.count(self.vm().value(), clock.nowMillis()));
+        }
         if (leader.isEmpty() || coordinator.isLeading()) {
             reports.clear();
             return;
@@ -150,11 +158,15 @@
         }
         long nowMillis = clock.nowMillis();
         return Optional.of(new LoadReports.LeaderWord(
-                coordinator.storeSilenceMillis(nowMillis), nowMillis - registryReachedMillis, platform.positions()));
+                coordinator.storeSilenceMillis(nowMillis),
+                nowMillis - registryReachedMillis,
+                entryVms.count(self.vm().value(), nowMillis),
+                platform.positions()));
     }
 
     @Override
     public void onLeaderWord(LoadReports.LeaderWord word) {
+        onEntryVmCount.accept(word.entryVms());
         coordinator.onLeaderHeard(word.storeSilenceMillis(), clock.nowMillis());
         if (word.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
             platform.onLeaderPositions(word.positions());
@@ -184,6 +196,11 @@
                         reports.tellNewTerm(former, coordinator.table().term()));
     }
 
+    @Override
+    public void onReport(String vm) {
+        entryVms.onReport(vm, clock.nowMillis());
+    }
+
     @Override
     public void onKey(ServiceId service, int key) {
         load.onKey(service, key, clock.nowMillis());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -39,6 +39,7 @@
 
     private static final String STORE_SILENCE = "storeSilenceMillis";
     private static final String REGISTRY_SILENCE = "registrySilenceMillis";
+    private static final String ENTRY_VMS = "entryVms";
     private static final String REGISTRY_POSITION = "registryPosition";
     private static final String CONFIGURATION_POSITION = "configurationPosition";
     private static final String TABLE_POSITION = "tablePosition";
@@ -57,9 +58,11 @@
      *
      * @param storeSilenceMillis how long it has had no word from the store
      * @param registrySilenceMillis how long it has had no word from the registry of servers
+     * @param entryVms how many entry VMs are alive
      * @param positions how far it has read
      */
-    record LeaderWord(long storeSilenceMillis, long registrySilenceMillis, Platform.Positions positions) {}
+    record LeaderWord(
+            long storeSilenceMillis, long registrySilenceMillis, int entryVms, Platform.Positions positions) {}
 
     /** Takes what other entry VMs report. */
     interface Receiver {
@@ -75,6 +78,9 @@
         /** Takes in which process runs where a former leader ran, and that it does not lead. */
         void onNotLeading(VmStart process);
 
+        /** Takes in that an entry VM reported. */
+        void onReport(String vm);
+
         /** Takes a key that was asked for. */
         void onKey(ServiceId service, int key);
 
@@ -146,6 +152,7 @@
                     receiver.onLeaderWord(new LeaderWord(
                             message.path(STORE_SILENCE).asLong(),
                             message.path(REGISTRY_SILENCE).asLong(),
+                            message.path(ENTRY_VMS).asInt(1),
                             new Platform.Positions(
                                     message.path(REGISTRY_POSITION).asLong(),
                                     message.path(CONFIGURATION_POSITION).asLong(),
@@ -178,6 +185,7 @@
             return MAPPER.createObjectNode()
                     .put(STORE_SILENCE, word.storeSilenceMillis())
                     .put(REGISTRY_SILENCE, word.registrySilenceMillis())
+                    .put(ENTRY_VMS, word.entryVms())
                     .put(REGISTRY_POSITION, word.positions().registry())
                     .put(CONFIGURATION_POSITION, word.positions().configuration())
                     .put(TABLE_POSITION, word.positions().table());
@@ -189,6 +197,7 @@
                 service.getValue().forEach(key -> receiver.onKey(id, key.asInt()));
             });
             String vm = report.path("vm").asText();
+            receiver.onReport(vm);
             report.path("times").fields().forEachRemaining(time -> {
                 ServerStart server = new ServerStart(
                         new ServerId(time.getKey()), time.getValue().path(0).asLong());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -12,6 +12,7 @@
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.lacewingthread.core.dispatch.AttemptResult;
+import org.lacewingthread.core.dispatch.ConnectionShares;
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.dispatch.LoadReport;
 import org.lacewingthread.core.dispatch.RefusalCause;
@@ -70,6 +71,7 @@
     private final Map<CallerReply, Long> numberByReply = new HashMap<>();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private RouteTable routes = new RouteTable(List.of());
+    private OptionalInt entryVmCount = OptionalInt.empty();
     private long nextNumber;
 
     /** Takes which keys are asked for. */
@@ -102,6 +104,20 @@
     void onConfiguration(ServingConfiguration newest) {
         configuration = Optional.of(newest);
         routes = new RouteTable(newest.routes());
+        shareConnections();
+    }
+
+    void onEntryVmCount(int count) {
+        entryVmCount = OptionalInt.of(count);
+        shareConnections();
+    }
+
+    /** Until the number of entry VMs is known, connections have no limit. */
+    private void shareConnections() {
+        if (configuration.isPresent() && entryVmCount.isPresent()) {
+            dispatcher.onConnectionLimits(
+                    ConnectionShares.limits(configuration.get().services().values(), entryVmCount.getAsInt()));
+        }
     }
 
     void onView(List<KnownServer> servers, RangeTable table) {
@@ -240,8 +256,8 @@
         ResultCode code =
                 switch (cause) {
                     case OVERLOADED, DEADLINE_PASSED -> ResultCode.OVERLOADED;
-                    case NO_OWNER -> ResultCode.NO_OWNER;
-                    case NO_SERVER -> ResultCode.OWNER_UNREACHABLE;
+                    case NO_OWNER, OWNER_GONE -> ResultCode.NO_OWNER;
+                    case OWNER_UNREACHABLE, NO_SERVER -> ResultCode.OWNER_UNREACHABLE;
                 };
         finish(call);
         answers.refuse(call, code, cause.toString(), retryAfterMillis);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RoutedCall.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RoutedCall.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.dispatch.DispatchRequest;
@@ -32,6 +33,9 @@
     /** The attempt under way. */
     Optional<Attempt> attempt = Optional.empty();
 
+    /** When the newest attempt was sent; empty before the first. */
+    OptionalLong lastSentMillis = OptionalLong.empty();
+
     int sends;
     int unsentAttempts;
     /** Whether an attempt may have run. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -107,7 +107,8 @@
                 controlLoop,
                 events,
                 this::applyConfiguration,
-                this::applyView);
+                this::applyView,
+                count -> trafficLoop.execute(() -> engine.onEntryVmCount(count)));
         registerGauges();
         callers.open(
                 traffic, settings.callers().getHostString(), settings.callers().getPort());
