--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -22,10 +22,7 @@
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.Route;
-import org.lacewingthread.core.serving.RouteTable;
-import org.lacewingthread.core.serving.ServiceSpec;
 import org.lacewingthread.core.serving.ServingConfiguration;
-import org.lacewingthread.core.serving.SplitChooser;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.core.traffic.RetryBudget;
 import org.lacewingthread.daemon.events.EventLog;
@@ -65,11 +62,9 @@
     private final RetryBudget budget;
     private final LongSupplier clockMillis;
     private final KeyLoadSink keyLoads;
-    private final SplitChooser splits = new SplitChooser();
+    private final ConfiguredRoutes routes = new ConfiguredRoutes();
     private final Map<Long, RoutedCall> calls = new HashMap<>();
     private final Map<CallerReply, Long> numberByReply = new HashMap<>();
-    private Optional<ServingConfiguration> configuration = Optional.empty();
-    private RouteTable routes = new RouteTable(List.of());
     private long nextNumber;
 
     /** Takes which keys are asked for. */
@@ -100,8 +95,13 @@
     }
 
     void onConfiguration(ServingConfiguration newest) {
-        configuration = Optional.of(newest);
-        routes = new RouteTable(newest.routes());
+        routes.apply(newest);
+        dispatcher.onConnectionLimits(routes.connectionLimits());
+    }
+
+    void onEntryVmCount(int count) {
+        routes.onEntryVmCount(count);
+        dispatcher.onConnectionLimits(routes.connectionLimits());
     }
 
     void onView(List<KnownServer> servers, RangeTable table) {
@@ -143,6 +143,11 @@
         events.write("request.invalid", "status", status, "reason", reason);
     }
 
+    @Override
+    public void onConnectionFailed(Throwable cause, int unanswered) {
+        events.writeFailure("caller.connection-failed", cause, "unanswered", unanswered);
+    }
+
     @Override
     public void onRequest(CallerRequest request) {
         String requestId = request.headers().get(names.requestId());
@@ -151,7 +156,7 @@
                     request, "", ResultCode.MALFORMED_REQUEST, "header " + names.requestId() + " is missing");
             return;
         }
-        if (configuration.isEmpty()) {
+        if (routes.version().isEmpty()) {
             answers.refuseUnrouted(request, requestId, ResultCode.NOT_READY, "no configuration is known yet");
             return;
         }
@@ -164,16 +169,16 @@
                     requestId,
                     ResultCode.NO_SELECTOR,
                     "no route for host \"" + host + "\" and target \"" + request.target() + "\" in version "
-                            + configuration.get().version());
+                            + routes.version().getAsLong());
             return;
         }
         onRouted(request, requestId, route.get());
     }
 
     private void onRouted(CallerRequest request, String requestId, Route route) {
-        ServiceId service = splits.next(route);
+        ServiceId service = routes.nextService(route);
         OptionalInt key = OptionalInt.empty();
-        if (isKeyed(service)) {
+        if (routes.isKeyed(service)) {
             key = RequestHeaders.key(request.headers(), names.key());
             if (key.isEmpty()) {
                 answers.refuseUnrouted(
@@ -197,13 +202,6 @@
         submit(call);
     }
 
-    private boolean isKeyed(ServiceId service) {
-        return configuration
-                .map(c -> c.services().get(service))
-                .map(ServiceSpec::keyed)
-                .orElse(false);
-    }
-
     private void submit(RoutedCall call) {
         call.attempt = Optional.empty();
         call.waiting = Optional.of(call.toDispatch());
@@ -235,8 +233,8 @@
         ResultCode code =
                 switch (cause) {
                     case OVERLOADED, DEADLINE_PASSED -> ResultCode.OVERLOADED;
-                    case NO_OWNER -> ResultCode.NO_OWNER;
-                    case NO_SERVER -> ResultCode.OWNER_UNREACHABLE;
+                    case NO_OWNER, OWNER_GONE -> ResultCode.NO_OWNER;
+                    case OWNER_UNREACHABLE, NO_SERVER -> ResultCode.OWNER_UNREACHABLE;
                 };
         finish(call);
         answers.refuse(call, code, cause.toString(), retryAfterMillis);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -107,12 +107,13 @@
                 controlLoop,
                 events,
                 this::applyConfiguration,
-                this::applyView);
+                this::applyView,
+                count -> trafficLoop.execute(() -> engine.onEntryVmCount(count)));
         registerGauges();
         callers.open(
                 traffic, settings.callers().getHostString(), settings.callers().getPort());
-        new StatusListener(target -> readiness()).open(control, settings.readiness());
-        new StatusListener(target -> new StatusListener.Page(HttpResponseStatus.OK, metrics.scrape()))
+        new StatusListener(events, target -> readiness()).open(control, settings.readiness());
+        new StatusListener(events, target -> new StatusListener.Page(HttpResponseStatus.OK, metrics.scrape()))
                 .open(control, settings.metrics());
         trafficLoop.scheduleAtFixedRate(
                 new LoggedTask(events, "deadlines", engine::tick),
