--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -24,6 +24,8 @@
     private static final double MAX_FULL_PAUSE_MILLIS = 1_000;
     /** Slots' worth of requests that a server is taken to have when it turns one away. */
     private static final int FULL_SLOT_COUNTS = 3;
+    /** Pause, in service times, above which a server counts as overloaded. */
+    private static final double PACED_SERVICE_TIMES = 2;
     /** Factor of the pause when a request is turned away, and when one is answered. */
     private static final double PAUSE_GROWTH = 1.5;
 
@@ -76,7 +78,7 @@
 
     /** Tells whether the server was found full lately, so that it gets one request at a time from here. */
     boolean isPaced() {
-        return pauseMillis > serviceMillis;
+        return pauseMillis > serviceMillis * PACED_SERVICE_TIMES;
     }
 
     /** Returns the time between two requests sent from here, if there are always some to send. */
