Prefer servers of the own data centre; pass the recorded table on to VMs that the store refuses

Cause: requests of services without keys went to the server expected to be fastest, often in another data centre, though one at hand would have been prompt. Change: a server at hand is taken if 1.5 times its expected time fits before the target; a VM that has heard nothing from the store for 1.5 s asks the leader for the table, which it gets compressed beside the answer to its report. Only tables on record are passed on. Events of the control thread have a class.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -39,6 +39,8 @@
     private static final int MAX_WAITING = 400;
     /** Added to the expected time of a server in another data centre, so that near servers win ties. */
     private static final double REMOTE_PENALTY_MILLIS = 40;
+    /** A server in this data centre is taken if this many times its expected time fit before the target. */
+    private static final double NEAR_MARGIN = 1.5;
     /** Spread of the random factor that keeps entry VMs from all choosing the same server. */
     private static final double SPREAD_RATIO = 0.3;
     /** How long a server that is leaving may still get requests for keys that it owns. */
@@ -262,18 +264,25 @@
                         !request.avoided().contains(state.entry().start().server()))
                 .toList();
         List<ServerLoadState> candidates = healthy.isEmpty() ? ready : healthy;
-        ServerLoadState best = null;
-        double bestMillis = Double.MAX_VALUE;
-        for (ServerLoadState state : candidates) {
-            double expected = expectedMillis(state, aheadByServer, nowMillis);
-            boolean better = expected < bestMillis;
-            best = better ? state : best;
-            bestMillis = better ? expected : bestMillis;
+        List<ServerLoadState> near = candidates.stream()
+                .filter(state -> state.entry().dataCentre().equals(dataCentre))
+                .toList();
+        Map<ServerLoadState, Double> expected = new HashMap<>();
+        candidates.forEach(state -> expected.put(state, expectedMillis(state, aheadByServer, nowMillis)));
+        ServerLoadState best = fastest(candidates, expected);
+        if (!near.isEmpty()) {
+            ServerLoadState bestNear = fastest(near, expected);
+            double leftMillis = request.targetAtMillis() - nowMillis;
+            best = expected.get(bestNear) * NEAR_MARGIN <= leftMillis ? bestNear : best;
         }
         int ahead = aheadByServer.getOrDefault(best.entry().start().server(), 0);
         return decideAt(request, best, ahead, aheadByServer, nowMillis);
     }
 
+    private static ServerLoadState fastest(List<ServerLoadState> states, Map<ServerLoadState, Double> expected) {
+        return states.stream().min(Comparator.comparingDouble(expected::get)).orElseThrow();
+    }
+
     private double expectedMillis(ServerLoadState state, Map<ServerId, Integer> aheadByServer, long nowMillis) {
         int ahead = aheadByServer.getOrDefault(state.entry().start().server(), 0);
         double expected = state.expectedMillis(ahead, nowMillis) + coldPenaltyMillis(state);
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -75,6 +75,11 @@
         return table;
     }
 
+    /** Returns the end of the log behind the newest table; negative if none is known. */
+    public long logEnd() {
+        return logEnd;
+    }
+
     /** Tells whether this process leads, as far as it knows. */
     public boolean isLeading() {
         return leading;
--- a/core/src/test/java/org/lacewingthread/core/dispatch/RequestDispatcherTest.java
+++ b/core/src/test/java/org/lacewingthread/core/dispatch/RequestDispatcherTest.java
@@ -213,6 +213,29 @@
         assertThat(offers(dispatcher.submit(keyed(8, 300, 800), 0))).isEmpty();
     }
 
+    /** Pattern: zone-aware balancing; traffic between data centres costs more than a short wait. */
+    @Test
+    void aRequestStaysInItsDataCentreWhileAServerThereCanBePrompt() {
+        KnownServer near = server("s0", DESK);
+        ServerEntry away = new ServerEntry(
+                new ServerStart(new ServerId("s1"), 1),
+                DESK,
+                "10.0.0.2",
+                8080,
+                new DataCentreId("away"),
+                2,
+                false,
+                false);
+        dispatcher.onView(
+                List.of(near, new KnownServer(away, Optional.empty(), Optional.empty())), RangeTable.EMPTY, 0);
+        List<String> chosen = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            offers(dispatcher.submit(request(DESK, 1, 280), 0))
+                    .forEach(offer -> chosen.add(offer.server().start().server().value()));
+        }
+        assertThat(chosen).startsWith("s0", "s0", "s0", "s1");
+    }
+
     /** Pattern: least expected time; load goes to the servers that are free. */
     @Test
     void loadIsSpreadOverServers() {
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlEvents.java
@@ -0,0 +1,66 @@
+package org.lacewingthread.daemon.router;
+
+import java.util.List;
+import org.lacewingthread.core.keyrange.CoordinatorAction;
+import org.lacewingthread.core.keyrange.RangeOwnership;
+import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.registry.ServerEntry;
+import org.lacewingthread.core.serving.ServingConfiguration;
+import org.lacewingthread.daemon.events.EventLog;
+
+/**
+ * Writes what changes the process's beliefs about leader, owners, servers and configuration.
+ *
+ * @param events takes the lines
+ */
+record ControlEvents(EventLog events) {
+    void leadership(boolean gained, RangeTable table) {
+        events.write(gained ? "leadership.gained" : "leadership.lost", "term", table.term(), "leader", leader(table));
+    }
+
+    void tableRecorded(CoordinatorAction.RecordTable record, boolean done) {
+        events.write(
+                done ? "table.recorded" : "table.not-recorded",
+                "term",
+                record.table().term(),
+                "expected_end",
+                record.expectedEnd(),
+                "moving",
+                record.table().rangesByService().values().stream()
+                        .flatMap(List::stream)
+                        .filter(RangeOwnership::isMoving)
+                        .count());
+    }
+
+    void tableRead(RangeTable table, long end, String from) {
+        events.write("table.read", "term", table.term(), "leader", leader(table), "end", end, "from", from);
+    }
+
+    void configurationApplied(ServingConfiguration configuration) {
+        events.write(
+                "configuration.applied",
+                "version",
+                configuration.version(),
+                "routes",
+                configuration.routes().size(),
+                "services",
+                configuration.services().size());
+    }
+
+    void serverSeen(ServerEntry entry) {
+        events.write(
+                "server.seen",
+                "server",
+                entry.start(),
+                "service",
+                entry.service(),
+                "address",
+                entry.host() + ":" + entry.port(),
+                "draining",
+                entry.draining());
+    }
+
+    private static String leader(RangeTable table) {
+        return table.leader().map(Object::toString).orElse(null);
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
@@ -42,6 +43,8 @@
     private static final long TELL_MILLIS = 200;
     /** A leader that the registry has not answered for this long can't tell of changes. */
     private static final long MAX_REGISTRY_SILENCE_MILLIS = 800;
+    /** Silence of the store after which the leader is asked for the table that it recorded. */
+    private static final long STORE_SILENCE_MILLIS = 1_500;
     /** How often load is reported to the leader. */
     private static final long REPORT_MILLIS = 500;
 
@@ -52,6 +55,7 @@
     private final ControlClock clock;
     private final EventLoop eventLoop;
     private final EventLog events;
+    private final ControlEvents log;
     private final Consumer<ServingConfiguration> onConfiguration;
     private final BiConsumer<List<KnownServer>, RangeTable> onView;
     private final ServerRegistry registry = new ServerRegistry(LAPSE_GRACE_MILLIS);
@@ -85,6 +89,7 @@
         this.clock = clock;
         this.eventLoop = eventLoop;
         this.events = events;
+        this.log = new ControlEvents(events);
         this.onConfiguration = onConfiguration;
         this.onView = onView;
         this.onEntryVmCount = onEntryVmCount;
@@ -147,7 +152,9 @@
             reports.clear();
             return;
         }
-        reports.send(self.vm().value(), leader.get(), ownServiceMillis);
+        boolean storeIsSilent = coordinator.storeSilenceMillis(clock.nowMillis()) > STORE_SILENCE_MILLIS;
+        OptionalLong wantsTableAfter = storeIsSilent ? OptionalLong.of(coordinator.logEnd()) : OptionalLong.empty();
+        reports.send(self.vm().value(), leader.get(), ownServiceMillis, wantsTableAfter);
         ownServiceMillis = Map.of();
     }
 
@@ -173,6 +180,21 @@
         }
     }
 
+    @Override
+    public Optional<LoadReports.RecordedTable> tableAfter(long position) {
+        return coordinator.isLeading() && coordinator.logEnd() > position
+                ? Optional.of(new LoadReports.RecordedTable(coordinator.table(), coordinator.logEnd()))
+                : Optional.empty();
+    }
+
+    @Override
+    public void onTableFromLeader(LoadReports.RecordedTable recorded) {
+        if (coordinator.onTable(recorded.table(), recorded.end(), clock.nowMillis())) {
+            log.tableRead(recorded.table(), recorded.end(), "leader");
+            publish(clock.nowMillis());
+        }
+    }
+
     @Override
     public Optional<VmStart> processNotLeadingBefore(long term) {
         coordinator.onNewTerm(term);
@@ -249,12 +271,7 @@
         if (wasLeading != coordinator.isLeading()) {
             wasLeading = coordinator.isLeading();
             platform.setLeading(wasLeading);
-            events.write(
-                    wasLeading ? "leadership.gained" : "leadership.lost",
-                    "term",
-                    coordinator.table().term(),
-                    "leader",
-                    coordinator.table().leader().map(Object::toString).orElse(null));
+            log.leadership(wasLeading, coordinator.table());
         }
     }
 
@@ -283,17 +300,7 @@
 
     private void onRecorded(CoordinatorAction.RecordTable record, Optional<Long> newEnd) {
         coordinator.onRecorded(record, newEnd, clock.nowMillis());
-        events.write(
-                newEnd.isPresent() ? "table.recorded" : "table.not-recorded",
-                "term",
-                record.table().term(),
-                "expected_end",
-                record.expectedEnd(),
-                "moving",
-                record.table().rangesByService().values().stream()
-                        .flatMap(List::stream)
-                        .filter(ownership -> ownership.isMoving())
-                        .count());
+        log.tableRecorded(record, newEnd.isPresent());
         step();
     }
 
@@ -303,14 +310,7 @@
             return;
         }
         configuration = Optional.of(newest);
-        events.write(
-                "configuration.applied",
-                "version",
-                newest.version(),
-                "routes",
-                newest.routes().size(),
-                "services",
-                newest.services().size());
+        log.configurationApplied(newest);
         onConfiguration.accept(newest);
     }
 
@@ -329,16 +329,7 @@
     public void onServer(ServerEntry entry) {
         remember(entry);
         registry.put(entry, clock.nowMillis());
-        events.write(
-                "server.seen",
-                "server",
-                entry.start(),
-                "service",
-                entry.service(),
-                "address",
-                entry.host() + ":" + entry.port(),
-                "draining",
-                entry.draining());
+        log.serverSeen(entry);
         publish(clock.nowMillis());
     }
 
@@ -367,14 +358,7 @@
     @Override
     public void onTable(RangeTable table, long end, long askedAtMillis) {
         if (coordinator.onTable(table, end, clock.nowMillis())) {
-            events.write(
-                    "table.read",
-                    "term",
-                    table.term(),
-                    "leader",
-                    table.leader().map(Object::toString).orElse(null),
-                    "end",
-                    end);
+            log.tableRead(table, end, "store");
         }
         coordinator.onStoreHeard(askedAtMillis);
         step();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
@@ -27,6 +28,7 @@
 import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.Leader;
+import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.daemon.events.EventLog;
 
 /**
@@ -43,6 +45,9 @@
     private static final String REGISTRY_POSITION = "registryPosition";
     private static final String CONFIGURATION_POSITION = "configurationPosition";
     private static final String TABLE_POSITION = "tablePosition";
+    private static final String WANTS_TABLE_AFTER = "wantsTableAfter";
+    private static final String TABLE = "table";
+    private static final String TABLE_END = "tableEnd";
     private static final String NEW_TERM = "newTerm";
     private static final String NOT_LEADING_VM = "notLeadingVm";
     private static final String NOT_LEADING_START = "notLeadingStart";
@@ -64,11 +69,25 @@
     record LeaderWord(
             long storeSilenceMillis, long registrySilenceMillis, int entryVms, Platform.Positions positions) {}
 
+    /**
+     * A table that is on record.
+     *
+     * @param table the table
+     * @param end end of the log behind it
+     */
+    record RecordedTable(RangeTable table, long end) {}
+
     /** Takes what other entry VMs report. */
     interface Receiver {
         /** Returns what the leader answers to a report; empty if this process does not lead. */
         Optional<LeaderWord> leaderWord();
 
+        /** Returns the recorded table if it is newer than a position and this process leads. */
+        Optional<RecordedTable> tableAfter(long position);
+
+        /** Takes a recorded table that the leader passed on, because the store is silent here. */
+        void onTableFromLeader(RecordedTable recorded);
+
         /** Takes the leader's answer. */
         void onLeaderWord(LeaderWord word);
 
@@ -110,9 +129,14 @@
         }
     }
 
-    /** Sends what was collected since the last report. */
-    void send(String vm, Leader leader, Map<ServerStart, Double> serviceMillis) {
+    /**
+     * Sends what was collected since the last report.
+     *
+     * @param wantsTableAfter position of the table known here, if the store does not tell of newer ones
+     */
+    void send(String vm, Leader leader, Map<ServerStart, Double> serviceMillis, OptionalLong wantsTableAfter) {
         ObjectNode root = MAPPER.createObjectNode().put("vm", vm);
+        wantsTableAfter.ifPresent(position -> root.put(WANTS_TABLE_AFTER, position));
         ObjectNode services = root.putObject("keys");
         keys.forEach((service, list) -> {
             ArrayNode array = services.putArray(service.value());
@@ -148,6 +172,11 @@
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             try {
                 JsonNode message = MAPPER.readTree(ByteBufUtil.getBytes(packet.content()));
+                if (message.has(TABLE)) {
+                    receiver.onTableFromLeader(new RecordedTable(
+                            RangeTableJson.readCompressed(message.path(TABLE).binaryValue()),
+                            message.path(TABLE_END).asLong()));
+                }
                 if (message.has(STORE_SILENCE)) {
                     receiver.onLeaderWord(new LeaderWord(
                             message.path(STORE_SILENCE).asLong(),
@@ -175,12 +204,22 @@
                     return;
                 }
                 take(message);
-                receiver.leaderWord().ifPresent(word -> send(encoded(word), packet.sender()));
+                receiver.leaderWord().ifPresent(word -> answer(message, word, packet.sender()));
             } catch (IOException | IllegalArgumentException e) {
                 events.write("report.unreadable", "from", packet.sender(), "reason", e.getMessage());
             }
         }
 
+        private void answer(JsonNode report, LeaderWord word, InetSocketAddress reporter) {
+            ObjectNode answer = encoded(word);
+            if (report.has(WANTS_TABLE_AFTER)) {
+                receiver.tableAfter(report.path(WANTS_TABLE_AFTER).asLong())
+                        .ifPresent(recorded -> answer.put(TABLE, RangeTableJson.writeCompressed(recorded.table()))
+                                .put(TABLE_END, recorded.end()));
+            }
+            send(answer, reporter);
+        }
+
         private ObjectNode encoded(LeaderWord word) {
             return MAPPER.createObjectNode()
                     .put(STORE_SILENCE, word.storeSilenceMillis())
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableJson.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableJson.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -12,6 +14,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -47,6 +51,28 @@
         }
     }
 
+    /** Writes a table so that it fits into a datagram. */
+    static byte[] writeCompressed(RangeTable table) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (GZIPOutputStream gzip = new GZIPOutputStream(bytes)) {
+            gzip.write(write(table));
+        } catch (IOException e) {
+            throw new IllegalStateException("table of term " + table.term() + " can't be compressed", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    /**
+     * Reads what {@link #writeCompressed} wrote.
+     *
+     * @throws IOException if the bytes are not a compressed table
+     */
+    static RangeTable readCompressed(byte[] bytes) throws IOException {
+        try (GZIPInputStream gzip = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
+            return read(gzip.readAllBytes());
+        }
+    }
+
     private static void writeRow(ArrayNode row, RangeOwnership ownership) {
         row.add(ownership.range().firstKey()).add(ownership.range().lastKey());
         writeServer(row, ownership.owner());
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeTableJsonTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeTableJsonTest.java
@@ -35,6 +35,8 @@
                                 RangeOwnership.settled(new KeyRange(0, 99), a),
                                 new RangeOwnership(new KeyRange(100, 65_535), b, Optional.of(a))));
         assertThat(RangeTableJson.read(RangeTableJson.write(table))).isEqualTo(table);
+        assertThat(RangeTableJson.readCompressed(RangeTableJson.writeCompressed(table)))
+                .isEqualTo(table);
         assertThat(table.formerLeaders()).containsExactly(FIRST);
     }
 
