--- a/daemon/src/main/java/org/lacewingthread/daemon/cli/Commands.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/cli/Commands.java
@@ -14,6 +14,7 @@
                 new DrainCommand(),
                 new HandoverCommand(),
                 new StatusCommand(),
+                new ExplainCommand(),
                 new AuditCommand(),
                 new DemoCommand(),
                 new StandInCommand(),
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/explain/RequestStory.java
@@ -0,0 +1,150 @@
+package org.lacewingthread.daemon.explain;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.MalformedInputException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.lacewingthread.core.traffic.ResultCode;
+
+/**
+ * The story of one request as the logs of several VMs tell it: how it ended, why, and what the VMs had
+ * noted shortly before that bears on it.
+ *
+ * <pre>{@code
+ * Optional<RequestStory> story = RequestStory.find("9c41d07be2a35f68", List.of(Path.of("vm-1.log")));
+ * story.ifPresent(found -> System.out.println(found.text()));
+ * }</pre>
+ */
+public final class RequestStory {
+    /** How long before the end events may have led to it; holds and changes of leader take less. */
+    private static final long CONTEXT_MILLIS = 10_000;
+    /** Requests that ended alike within this time of it are counted. */
+    private static final long ALIKE_MILLIS = 1_000;
+    /** Events shown; the newest matter most. */
+    private static final int MAX_CONTEXT_LINES = 12;
+
+    private static final Pattern SERVER_NAME = Pattern.compile("i-[0-9A-Za-z]+");
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final LogLine end;
+    private final EndCause cause;
+    private final List<LogLine> context;
+    private final long alike;
+
+    private RequestStory(LogLine end, List<LogLine> lines) {
+        this.end = end;
+        this.cause = EndCause.of(end);
+        List<String> servers = serverNames();
+        List<LogLine> before = lines.stream()
+                .filter(line -> !line.fields().has("request"))
+                .filter(line -> line.atUnixMillis() <= end.atUnixMillis()
+                        && line.atUnixMillis() > end.atUnixMillis() - CONTEXT_MILLIS)
+                .filter(line -> isContext(line, servers))
+                .sorted(Comparator.comparingLong(LogLine::atUnixMillis))
+                .toList();
+        this.context = before.subList(Math.max(0, before.size() - MAX_CONTEXT_LINES), before.size());
+        this.alike = lines.stream()
+                .filter(line -> line.fields().has("request") && line.number("code") == end.number("code"))
+                .filter(line -> line.text("service").equals(end.text("service")))
+                .filter(line -> Math.abs(line.atUnixMillis() - end.atUnixMillis()) <= ALIKE_MILLIS)
+                .count();
+    }
+
+    /**
+     * Finds the line that ends a request.
+     *
+     * @param request its id
+     * @param files logs; lines that are not JSON are skipped
+     * @return empty if no line names it
+     * @throws IOException if a file can't be read
+     */
+    public static Optional<RequestStory> find(String request, List<Path> files) throws IOException {
+        List<LogLine> lines = new ArrayList<>();
+        for (Path file : files) {
+            try (Stream<String> text = Files.lines(file)) {
+                text.map(LogLine::parse).flatMap(Optional::stream).forEach(lines::add);
+            } catch (java.io.UncheckedIOException e) {
+                throw e.getCause() instanceof MalformedInputException
+                        ? new IOException("\"" + file + "\" is not UTF-8 text", e)
+                        : e.getCause();
+            }
+        }
+        return lines.stream()
+                .filter(line ->
+                        line.text("request").equals(request) && line.fields().has("code"))
+                .max(Comparator.comparingLong(LogLine::atUnixMillis))
+                .map(end -> new RequestStory(end, lines));
+    }
+
+    private List<String> serverNames() {
+        Matcher names = SERVER_NAME.matcher(end.text("tried") + " " + end.text("server"));
+        return names.results().map(result -> result.group()).distinct().toList();
+    }
+
+    private boolean isContext(LogLine line, List<String> servers) {
+        if (line.event().equals("log.dropped") && line.vm().equals(end.vm())) {
+            return true;
+        }
+        if (!cause.isRelated(line.event())) {
+            return false;
+        }
+        boolean general = line.event().startsWith("leadership.") || line.event().equals("table.not-recorded");
+        boolean here = line.vm().equals(end.vm()) && !line.event().startsWith("server.");
+        boolean aboutServer = servers.stream().anyMatch(name -> line.details().contains(name));
+        return general || here || aboutServer;
+    }
+
+    /** Returns the story as text of several lines. */
+    public String text() {
+        StringBuilder text = new StringBuilder();
+        text.append("request ").append(end.text("request")).append(" ended on ").append(end.vm());
+        text.append(" at ").append(Instant.ofEpochMilli(end.atUnixMillis()));
+        if (end.fields().has("elapsed_ms")) {
+            text.append(" after ").append(end.number("elapsed_ms")).append(" ms");
+        }
+        text.append("\n  ").append(codeText()).append('\n');
+        text.append("  ").append(end.details()).append('\n');
+        text.append("cause: ").append(cause.describe(end)).append('\n');
+        text.append(alike - 1).append(" other requests of the service ended alike within 1 s\n");
+        if (!context.isEmpty()) {
+            text.append("noted before:\n");
+        }
+        for (LogLine line : context) {
+            double secondsBefore = (line.atUnixMillis() - end.atUnixMillis()) / 1e3;
+            text.append(String.format(
+                    Locale.ROOT, "  %.3f s %s %s %s%n", secondsBefore, line.vm(), line.event(), line.details()));
+        }
+        return text.toString();
+    }
+
+    private String codeText() {
+        int number = (int) end.number("code");
+        return ResultCode.byNumber(number)
+                .map(code -> number + " " + code + ", "
+                        + code.knowledge().toString().toLowerCase(Locale.ROOT).replace('_', ' ') + ": "
+                        + code.message())
+                .orElse(number + ", a code that this version does not know");
+    }
+
+    /** Returns the story as one JSON object. */
+    public String json() {
+        ObjectNode root = MAPPER.createObjectNode();
+        root.set("end", end.json());
+        root.put("cause", cause.name()).put("explanation", cause.describe(end)).put("others_alike", alike - 1);
+        ArrayNode before = root.putArray("noted_before");
+        context.forEach(line -> before.add(line.json()));
+        return root.toString();
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/CallerAnswers.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/CallerAnswers.java
@@ -105,6 +105,10 @@
                 elapsedMillis,
                 "until_sent_ms",
                 call.lastSentMillis.isPresent() ? call.lastSentMillis.getAsLong() - call.caller.arrivedMillis() : null,
+                "server",
+                call.attempt
+                        .map(attempt -> attempt.offer.server().start().server())
+                        .orElse(null),
                 "sends",
                 call.sends,
                 "tried",
--- /dev/null
+++ b/daemon/src/test/java/org/lacewingthread/daemon/cli/ExplainCommandTest.java
@@ -0,0 +1,95 @@
+package org.lacewingthread.daemon.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ExplainCommandTest {
+    private static final String FIRST_VM =
+            """
+            noise that is not JSON
+            {"at_unix_ms":1000,"vm":"vm-1","event":"server.seen","server":"i-7@0"}
+            {"at_unix_ms":61000,"vm":"vm-1","event":"store.lost"}
+            12.345 vm-1 {"at_unix_ms":61500,"vm":"vm-1","event":"request.ended","request":"a1","service":"orders",\
+            "key":7,"code":3005,"status":503,"elapsed_ms":402,"sends":0,"tried":"i-7:no connection: timed out",\
+            "reason":"no connection: timed out"}
+            {"at_unix_ms":61600,"vm":"vm-1","event":"request.ended","request":"a2","service":"orders",\
+            "key":8,"code":4000,"status":504,"elapsed_ms":800,"server":"i-9","sends":1,"reason":"the deadline passed"}
+            {"at_unix_ms":61700,"vm":"vm-1","event":"request.ended","request":"a3","service":"orders",\
+            "key":7,"code":3005,"status":503,"elapsed_ms":0,"sends":0,"reason":"OWNER_UNREACHABLE"}
+            """;
+    private static final String SECOND_VM =
+            """
+            {"at_unix_ms":40000,"vm":"vm-2","event":"server.orders-unanswered","server":"i-7@0"}
+            {"at_unix_ms":60250,"vm":"vm-2","event":"server.orders-unanswered","server":"i-7@0"}
+            {"at_unix_ms":60900,"vm":"vm-2","event":"server.orders-unanswered","server":"i-8@0"}
+            """;
+
+    private final CommandLine commandLine = new CommandLine();
+
+    @TempDir
+    private Path directory;
+
+    private String first;
+    private String second;
+
+    @BeforeEach
+    void writeLogs() throws IOException {
+        first = Files.writeString(directory.resolve("vm-1.log"), FIRST_VM).toString();
+        second = Files.writeString(directory.resolve("vm-2.log"), SECOND_VM).toString();
+    }
+
+    @Test
+    void aRefusalIsExplainedByWhatOtherVmsNotedOfTheServer() {
+        assertThat(commandLine.run("explain", "a1", first, second)).isEqualTo(ExitCode.OK);
+        assertThat(commandLine.out())
+                .isEqualTo(
+                        """
+                        request a1 ended on vm-1 at 1970-01-01T00:01:01.500Z after 402 ms
+                          3005 OWNER_UNREACHABLE, not run: the owner can't be reached
+                          request=a1 service=orders key=7 code=3005 status=503 elapsed_ms=402 sends=0 \
+                        tried=i-7:no connection: timed out reason=no connection: timed out
+                        cause: connections to the server that may run it could not be made
+                        1 other requests of the service ended alike within 1 s
+                        noted before:
+                          -1.250 s vm-2 server.orders-unanswered server=i-7@0
+                        """);
+    }
+
+    @Test
+    void anUnknownOutcomeNamesTheServerThatHadTheRequest() {
+        commandLine.run("explain", "a2", first);
+        assertThat(commandLine.out())
+                .contains(
+                        "cause: server i-9 had it and did not answer before the deadline, so it may have run",
+                        "4000 OUTCOME_UNKNOWN, outcome unknown");
+    }
+
+    @Test
+    void theStoryCanBeJson() {
+        commandLine.run("explain", "--json", "a1", first, second);
+        assertThat(commandLine.out())
+                .startsWith("{\"end\":{\"at_unix_ms\":61500")
+                .contains("\"cause\":\"OWNER_UNREACHABLE\"", "\"others_alike\":1");
+    }
+
+    @Test
+    void aRequestThatIsNowhereIsAnError() {
+        assertThat(commandLine.run("explain", "zz", first, second)).isEqualTo(ExitCode.FAILED);
+        assertThat(commandLine.err())
+                .isEqualTo("request \"zz\" ended in none of these logs; add the log of the VM that took it, "
+                        + "and look there for \"log.dropped\"\n");
+    }
+
+    @Test
+    void aMissingFileAndMissingArgumentsAreErrors() {
+        String missing = directory.resolve("none.log").toString();
+        assertThat(commandLine.run("explain", "a1", missing)).isEqualTo(ExitCode.INVALID_FILE);
+        assertThat(commandLine.run("explain", "a1")).isEqualTo(ExitCode.USAGE);
+    }
+}
