--- a/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
@@ -57,6 +57,12 @@
             Set.of("server.orders", "server.entry-gone"),
             end -> "server " + end.text("server")
                     + " had it and did not answer before the deadline, so it may have run"),
+    NO_SECOND_ATTEMPT(
+            Set.of(4001),
+            "no second attempt",
+            Set.of("server.orders", "server.entry-gone", "table."),
+            end -> "an attempt failed after it may have run (" + end.text("tried") + "), and another one was refused: "
+                    + end.text("reason")),
     ANSWER_LOST(
             Set.of(4001),
             "",
--- a/daemon/src/test/java/org/lacewingthread/daemon/cli/ExplainCommandTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/cli/ExplainCommandTest.java
@@ -22,6 +22,9 @@
             "key":8,"code":4000,"status":504,"elapsed_ms":800,"server":"i-9","sends":1,"reason":"the deadline passed"}
             {"at_unix_ms":61700,"vm":"vm-1","event":"request.ended","request":"a3","service":"orders",\
             "key":7,"code":3005,"status":503,"elapsed_ms":0,"sends":0,"reason":"OWNER_UNREACHABLE"}
+            {"at_unix_ms":63000,"vm":"vm-1","event":"request.ended","request":"a4","service":"orders",\
+            "key":7,"code":4001,"status":502,"elapsed_ms":730,"sends":1,"tried":"i-7:500",\
+            "reason":"no second attempt: OVERLOADED"}
             """;
     private static final String SECOND_VM =
             """
@@ -70,6 +73,14 @@
                         "4000 OUTCOME_UNKNOWN, outcome unknown");
     }
 
+    @Test
+    void aFailedAttemptIsToldApartFromABrokenConnection() {
+        commandLine.run("explain", "a4", first);
+        assertThat(commandLine.out())
+                .contains("cause: an attempt failed after it may have run (i-7:500), and another one was refused: "
+                        + "no second attempt: OVERLOADED\n");
+    }
+
     @Test
     void theStoryCanBeJson() {
         commandLine.run("explain", "--json", "a1", first, second);
