Send no renewal for a range that is being moved, so that none overtakes its release

A renewal that was sent between the proposal of a move and its record carries the same fence as the release and can arrive after it. The window is the store's answer, so a slow store widens it. Change: while a record is on its way, ranges whose owner it changes are not renewed; after a record whose answer was lost, the release waits until a renewal under way has arrived or was cut off.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -59,6 +59,9 @@
     private long leaderTrustedUntilMillis = Long.MIN_VALUE / 2;
     private long storeHeardMillis = Long.MIN_VALUE / 2;
     private boolean recordPending;
+    /** Table that was last sent to be recorded. */
+    private RangeTable proposed = RangeTable.EMPTY;
+
     private long nextRecordAtMillis;
     private long nextBalanceAtMillis;
     private long nextFence;
@@ -320,6 +323,7 @@
 
     private void propose(RangeTable proposal, List<CoordinatorAction> actions) {
         recordPending = true;
+        proposed = proposal;
         actions.add(new CoordinatorAction.RecordTable(proposal, logEnd));
     }
 
@@ -329,7 +333,7 @@
             hold.nextCallAtMillis = nowMillis;
             hold.startGranting(newFence());
         }
-        if (hold.callPending || nowMillis < hold.nextCallAtMillis || isLeftToExpire(hold, view)) {
+        if (hold.callPending || nowMillis < hold.nextCallAtMillis || isLeftToExpire(hold, view) || isBeingMoved(hold)) {
             return;
         }
         boolean moveConfirmed = nowMillis - storeHeardMillis <= times.moveConfirmMillis();
@@ -353,6 +357,15 @@
                 call, hold.service, hold.owner, hold.range, hold.fence, hold.grantedMillis, hold.handover);
     }
 
+    /** A renewal that is sent while a move is being recorded could arrive after the release and revive the hold. */
+    private boolean isBeingMoved(RangeHold hold) {
+        return recordPending
+                && hold.phase == RangeHold.Phase.HELD
+                && proposed.ranges(hold.service).stream()
+                        .anyMatch(planned -> hold.overlaps(planned.range())
+                                && !planned.owner().equals(hold.owner));
+    }
+
     /** Tells whether renewals would only delay the takeover of a lost server's keys. */
     private boolean isLeftToExpire(RangeHold hold, ServiceView view) {
         if (hold.phase == RangeHold.Phase.RELEASING) {
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
@@ -47,6 +47,9 @@
     /** Whether a call is on its way. */
     boolean callPending;
 
+    /** When the newest grant has arrived or was cut off. */
+    long callArrivedByMillis = Long.MIN_VALUE / 2;
+
     long nextCallAtMillis;
     Optional<String> handover = Optional.empty();
     /** When the first of the newest run of grants went unanswered; empty while the owner answers. */
@@ -86,6 +89,7 @@
      * @param latestArrivalMillis when the call has arrived or was cut off
      */
     void onGrantSent(RangeLeaseTimes times, boolean ownerSuspected, long latestArrivalMillis) {
+        callArrivedByMillis = latestArrivalMillis;
         // Until its answer, the renewal may still arrive after a release of the same fence.
         confirmed = false;
         ownerHeldBeforeCallMillis = ownerHeldUntilMillis;
@@ -125,6 +129,10 @@
         if (movingFrom.filter(other.owner::equals).isPresent()) {
             formerHeldUntilMillis = Math.max(formerHeldUntilMillis, other.ownerHeldUntilMillis);
             formerFence = other.fence;
+            if (other.callPending) {
+                // A release must not be overtaken by a renewal that is still on its way.
+                nextCallAtMillis = Math.max(nextCallAtMillis, other.callArrivedByMillis);
+            }
         }
         if (other.phase == Phase.RELEASING && movingFrom.equals(other.movingFrom)) {
             formerHeldUntilMillis = Math.max(formerHeldUntilMillis, other.formerHeldUntilMillis);
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingthread.core.id.ServerStart;
 
 class RangeCoordinatorTest {
@@ -158,6 +159,22 @@
         assertThat(world.servedKeys()).isEqualTo(world.checkedKeys());
     }
 
+    /** A renewal that is sent while a move is being recorded may arrive after the release. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
+    void aRenewalNeverOvertakesARelease(long seed) {
+        RandomGenerator random = new SplittableRandom(seed);
+        createWorld(random);
+        world.jitterMillis = 40;
+        for (int i = 0; i < 40; i++) {
+            world.run(1_500 + random.nextInt(500));
+            ServerStart leaving = List.copyOf(world.ready).get(random.nextInt(world.ready.size()));
+            world.ready.remove(leaving);
+            world.addServer("n" + i, i);
+        }
+        assertThat(world.violations).isEmpty();
+    }
+
     private void disturb(RandomGenerator random, List<String> vms, int round) {
         ServerStart server = List.copyOf(world.servers.keySet()).get(random.nextInt(world.servers.size()));
         String vm = vms.get(random.nextInt(vms.size()));
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeWorld.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeWorld.java
@@ -40,6 +40,9 @@
     long nowMillis = 1_000;
     String chosen = "a";
     double lateRatio;
+    /** Calls to servers take up to this much longer, so that they overtake each other; records always do. */
+    int jitterMillis;
+
     private RangeTable recorded = RangeTable.EMPTY;
     private long logEnd;
     private long nextEvent;
@@ -112,7 +115,7 @@
     private void carryOut(String name, RangeCoordinator coordinator, CoordinatorAction action) {
         if (action instanceof CoordinatorAction.RecordTable record) {
             boolean reached = !cutFromStore.contains(name);
-            later(5, () -> {
+            later(5L + jitterMillis, () -> {
                 Optional<Long> end = reached ? append(record) : Optional.empty();
                 later(5, () -> coordinator.onRecorded(record, end, nowMillis));
             });
@@ -134,11 +137,12 @@
 
     private void sendGrant(RangeCoordinator coordinator, CoordinatorAction.Grant grant) {
         SimulatedKeyServer server = servers.get(grant.server());
-        long arrivedMillis = nowMillis + 2;
+        long delayMillis = 2L + (jitterMillis == 0 ? 0 : random.nextInt(jitterMillis));
+        long arrivedMillis = nowMillis + delayMillis;
         boolean reachable = server.alive && !silent.contains(server.start);
         boolean late = random.nextDouble() < lateRatio;
         if (reachable && !late) {
-            later(2, () -> {
+            later(delayMillis, () -> {
                 boolean granted = server.grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedMillis);
                 GrantOutcome outcome = granted ? GrantOutcome.GRANTED : GrantOutcome.FENCED;
                 later(2, () -> coordinator.onGrantAnswer(grant.call(), outcome, nowMillis));
