--- a/daemon/src/main/java/org/lacewingthread/daemon/explain/LogLine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/explain/LogLine.java
@@ -43,7 +43,7 @@
                             fields))
                     : Optional.empty();
         } catch (JsonProcessingException e) {
-            // The reader counts such lines and the command reports how many there were.
+            // Collected logs hold other output too; a line that is not JSON tells nothing about requests.
             return Optional.empty();
         }
     }
