Tell refused appends from unknown ones and log each append in one line

Cause: StoreClient.append and Platform.appendTable returned an Optional, so an append that the store refused and one whose answer was lost looked alike, and table.not-recorded could not tell the hypotheses of the two-owners incident apart.

Change: AppendResult has the outcomes RECORDED, REFUSED and UNKNOWN.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -173,15 +173,14 @@
     /**
      * Records the result of a {@link CoordinatorAction.RecordTable}.
      *
-     * @param newEnd end of the log after the table if it was appended; empty if the append was refused
-     *     or its result is unknown, in which case the table follows when the log is read
+     * @param result result of the append; if it is unknown, the table follows when the log is read
      */
-    public void onRecorded(CoordinatorAction.RecordTable record, Optional<Long> newEnd, long nowMillis) {
+    public void onRecorded(CoordinatorAction.RecordTable record, AppendResult result, long nowMillis) {
         recordPending = false;
         nextRecordAtMillis = nowMillis + RECORD_RETRY_MILLIS;
-        if (newEnd.isPresent() && newEnd.get() > logEnd) {
+        if (result.newEnd().orElse(-1) > logEnd) {
             nextRecordAtMillis = nowMillis;
-            logEnd = newEnd.get();
+            logEnd = result.newEnd().getAsLong();
             onStoreAnswer(nowMillis);
             applyTable(record.table(), nowMillis);
         }
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
@@ -117,8 +117,8 @@
         if (action instanceof CoordinatorAction.RecordTable record) {
             boolean reached = !disconnectedFromStore.contains(name);
             schedule(5L + maxJitterMillis, () -> {
-                Optional<Long> end = reached ? append(record) : Optional.empty();
-                schedule(5, () -> coordinator.onRecorded(record, end, nowMillis));
+                AppendResult result = reached ? append(record) : AppendResult.unknown();
+                schedule(5, () -> coordinator.onRecorded(record, result, nowMillis));
             });
         } else if (action instanceof CoordinatorAction.Grant grant) {
             sendGrant(coordinator, grant);
@@ -127,13 +127,13 @@
         }
     }
 
-    private Optional<Long> append(CoordinatorAction.RecordTable record) {
+    private AppendResult append(CoordinatorAction.RecordTable record) {
         if (record.expectedEnd() != logEnd) {
-            return Optional.empty();
+            return AppendResult.refused();
         }
         recorded = record.table();
         logEnd++;
-        return Optional.of(logEnd);
+        return AppendResult.recorded(logEnd);
     }
 
     private void sendGrant(RangeCoordinator coordinator, CoordinatorAction.Grant grant) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlEventLogger.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlEventLogger.java
@@ -1,6 +1,7 @@
 package org.lacewingthread.daemon.router;
 
 import java.util.List;
+import org.lacewingthread.core.keyrange.AppendResult;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
 import org.lacewingthread.core.keyrange.RangeOwnership;
 import org.lacewingthread.core.keyrange.RangeTable;
@@ -18,18 +19,41 @@
         events.write(gained ? "leadership.gained" : "leadership.lost", "term", table.term(), "leader", leader(table));
     }
 
-    void logTableRecorded(CoordinatorAction.RecordTable record, boolean recorded) {
+    /**
+     * An append of a range table that was asked for.
+     *
+     * @param record the append
+     * @param previousTable table from which the new one was derived
+     * @param askedMillis when the append was decided, by the control clock
+     */
+    record Append(CoordinatorAction.RecordTable record, RangeTable previousTable, long askedMillis) {}
+
+    void logAppendEnded(Append append, AppendResult result, long answeredMillis) {
+        RangeTable table = append.record().table();
+        RangeTableChanges changes = RangeTableChanges.between(append.previousTable(), table);
         events.write(
-                recorded ? "table.recorded" : "table.not-recorded",
+                result.outcome() == AppendResult.Outcome.RECORDED ? "table.recorded" : "table.not-recorded",
                 "term",
-                record.table().term(),
+                table.term(),
+                "result",
+                result.outcome(),
                 "expected_end",
-                record.expectedEnd(),
+                append.record().expectedEnd(),
+                "new_end",
+                result.newEnd().isPresent() ? result.newEnd().getAsLong() : null,
+                "asked_ms",
+                append.askedMillis(),
+                "answered_ms",
+                answeredMillis,
                 "moving",
-                record.table().rangesByService().values().stream()
+                table.rangesByService().values().stream()
                         .flatMap(List::stream)
                         .filter(RangeOwnership::isMoving)
-                        .count());
+                        .count(),
+                "changed",
+                String.join(", ", changes.listed()),
+                "changed_unlisted",
+                changes.unlistedCount());
     }
 
     void logTableRead(RangeTable table, long end, String from) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -17,6 +17,7 @@
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.keyrange.AppendResult;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
@@ -263,9 +264,11 @@
         if (configuration.isEmpty() || !serversKnown) {
             return;
         }
+        RangeTable previousTable = coordinator.table();
         for (CoordinatorAction action : coordinator.step(serviceViews(nowMillis), nowMillis)) {
             if (action instanceof CoordinatorAction.RecordTable record) {
-                platform.appendTable(record, newEnd -> onTableRecorded(record, newEnd));
+                ControlEventLogger.Append append = new ControlEventLogger.Append(record, previousTable, nowMillis);
+                platform.appendTable(record, result -> onTableRecorded(append, result));
             } else if (action instanceof CoordinatorAction.Grant grant) {
                 rangeCommands.grant(grant);
             } else if (action instanceof CoordinatorAction.Release release) {
@@ -305,9 +308,10 @@
         return views;
     }
 
-    private void onTableRecorded(CoordinatorAction.RecordTable record, Optional<Long> newEnd) {
-        coordinator.onRecorded(record, newEnd, clock.nowMillis());
-        eventLogger.logTableRecorded(record, newEnd.isPresent());
+    private void onTableRecorded(ControlEventLogger.Append append, AppendResult result) {
+        long nowMillis = clock.nowMillis();
+        eventLogger.logAppendEnded(append, result, nowMillis);
+        coordinator.onRecorded(append.record(), result, nowMillis);
         step();
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -5,6 +5,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.keyrange.AppendResult;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
 import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.RangeTable;
@@ -79,11 +80,8 @@
     /** Reports the positions up to which the leader has read; the leader reads more often than the other entry VMs. */
     void onLeaderPositions(Positions positions);
 
-    /**
-     * Appends a range table. The result is the new end of the log; it is empty if the append was refused or its
-     * outcome is unknown.
-     */
-    void appendTable(CoordinatorAction.RecordTable action, Consumer<Optional<Long>> result);
+    /** Appends a range table. */
+    void appendTable(CoordinatorAction.RecordTable action, Consumer<AppendResult> result);
 
     /** Sends a grant of a key range to a server. */
     void grant(ServerEntry server, CoordinatorAction.Grant action, Consumer<GrantOutcome> result);
