--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
@@ -176,6 +176,23 @@
         assertThat(simulation.violations).isEmpty();
     }
 
+    /** Guards against two owners when the target of a move leaves while the former owner releases the keys. */
+    @ParameterizedTest
+    @ValueSource(longs = {400, 410, 420, 430, 440, 450, 460, 470})
+    void targetThatIsReplacedDuringAReleaseIsNotGrantedTheKeys(long targetLeavesAfterMillis) {
+        simulation.maxJitterMillis = 40;
+        simulation.releaseMillis = 400;
+        simulation.runFor(3_000);
+        simulation.ready.remove(serverStarts.get(0));
+        simulation.runFor(targetLeavesAfterMillis);
+        simulation.recorded().ranges(RangeSimulation.SERVICE).stream()
+                .filter(RangeOwnership::isMoving)
+                .forEach(moving -> simulation.ready.remove(moving.owner()));
+        simulation.runFor(8_000);
+        assertThat(simulation.violations).isEmpty();
+        assertThat(simulation.servedKeys()).isEqualTo(simulation.checkedKeys());
+    }
+
     private void injectFault(RandomGenerator random, List<String> vms, int round) {
         ServerStart server = List.copyOf(simulation.servers.keySet()).get(random.nextInt(simulation.servers.size()));
         String vm = vms.get(random.nextInt(vms.size()));
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
@@ -42,6 +42,8 @@
     double lateGrantRatio;
     /** Maximum random delay of a grant, which reorders calls; appends to the store are always delayed by it. */
     int maxJitterMillis;
+    /** Time until the requests that run on released keys have ended. */
+    long releaseMillis = 100;
 
     private RangeTable recorded = RangeTable.EMPTY;
     private long logEnd;
@@ -170,7 +172,7 @@
         schedule(2, () -> {
             server.release(release.range());
             schedule(
-                    100,
+                    releaseMillis,
                     () -> coordinator.onReleaseAnswer(
                             release.call(), ReleaseOutcome.RELEASED, Optional.of("token"), nowMillis));
         });
