--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorFaultTest.java
@@ -0,0 +1,214 @@
+package org.lacewingthread.core.keyrange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.lacewingthread.core.id.ServerStart;
+
+/** Faults of single calls that could give a key two holders. */
+class RangeCoordinatorFaultTest {
+    private final RangeSimulation simulation = new RangeSimulation(new SplittableRandom(7));
+    private final List<ServerStart> serverStarts = new ArrayList<>();
+    private ServerStart drained;
+
+    @BeforeEach
+    void startThreeVmsAndFiveServers() {
+        List.of("a", "b", "c").forEach(simulation::addVm);
+        for (int i = 0; i < 5; i++) {
+            serverStarts.add(simulation.addServer("s" + i, 1));
+        }
+        drained = serverStarts.get(0);
+        simulation.runFor(3_000);
+    }
+
+    /** Guards against renewals by a leader that takes a move without an answer for refused and is then cut off. */
+    @Test
+    void cutOffLeaderDoesNotRenewTheFormerOwnerAfterAnUnansweredMove() {
+        setNextAppend("a", AppendFate.carriedOutWithoutAnswer(5));
+        simulation.ready.remove(drained);
+        runUntilRecorded();
+        cutOff("a");
+        onlyReaches("a", drained);
+        cannotReach("b", drained);
+        simulation.runFor(1_500);
+        simulation.leaderCandidate = "b";
+        simulation.runFor(15_000);
+        assertOneHolderAndFullServiceAfterFaults();
+    }
+
+    /** Guards against a renewal that is sent after an append without an answer and applied after the release. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_300, 1_500, 1_900, 2_300})
+    void renewalAfterAnUnansweredMoveDoesNotRestoreTheReleasedHold(long carriedOutAfterMillis) {
+        setNextAppend("a", AppendFate.carriedOutWithoutAnswer(carriedOutAfterMillis));
+        simulation.ready.remove(drained);
+        long drainMillis = simulation.nowMillis;
+        simulation.grantFate = (vm, grant) ->
+                grant.server().equals(drained) && simulation.nowMillis >= drainMillis + AppendFate.TIMEOUT_MILLIS
+                        ? Optional.of(GrantFate.appliedWithoutAnswer(2, 3_000, GrantFate.TIMEOUT_MILLIS))
+                        : Optional.empty();
+        simulation.runFor(15_000);
+        assertOneHolderAndFullServiceAfterFaults();
+    }
+
+    /** Guards against a release answer that clears the pending grant to the new owner, so that two are under way. */
+    @ParameterizedTest
+    @ValueSource(longs = {3_300, 3_400, 3_500, 3_600, 3_700, 3_800, 3_900, 4_000, 4_100, 4_200, 4_300, 4_400})
+    void releaseAnswerAfterTheHoldExpiredStartsNoSecondGrant(long answeredAfterMillis) {
+        simulation.ready.remove(drained);
+        simulation.releaseFate = (vm, release) -> release.server().equals(drained)
+                ? Optional.of(ReleaseFate.answered(answeredAfterMillis))
+                : Optional.empty();
+        runUntilRecorded();
+        Set<ServerStart> targets = new HashSet<>();
+        List<KeyRange> movedRanges = new ArrayList<>();
+        for (RangeOwnership ownership : simulation.recorded().ranges(RangeSimulation.SERVICE)) {
+            if (ownership.isMoving()) {
+                targets.add(ownership.owner());
+                movedRanges.add(ownership.range());
+            }
+        }
+        AtomicInteger grants = new AtomicInteger();
+        simulation.grantFate = (vm, grant) -> {
+            if (!movedRanges.contains(grant.range()) || !targets.contains(grant.server())) {
+                return Optional.empty();
+            }
+            return Optional.of(
+                    grants.getAndIncrement() < movedRanges.size()
+                            ? GrantFate.answered(2, 400)
+                            : GrantFate.appliedWithoutAnswer(2, 2_500, GrantFate.TIMEOUT_MILLIS));
+        };
+        simulation.runFor(answeredAfterMillis + 360);
+        simulation.ready.removeAll(targets);
+        simulation.runFor(10_000);
+        assertOneHolderAndFullServiceAfterFaults();
+    }
+
+    /** Guards against a former leader that counts its time from the answer of an append, not from its request. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 250, 500, 750})
+    void slowAppendAnswerDoesNotProlongTheFormerLeadersTime(long offsetMillis) {
+        simulation.runFor(offsetMillis);
+        simulation.vms.get("a").readDelayMillis = 2_000;
+        simulation.runFor(2_010);
+        long sentMillis = simulation.nowMillis + 10;
+        setNextAppend("a", AppendFate.answered(5, 1_100));
+        simulation.ready.remove(serverStarts.get(1));
+        runUntilRecorded();
+        onlyReaches("a", drained);
+        cannotReach("b", drained);
+        simulation.isolatedVms.add("a");
+        simulation.leaderCandidate = "b";
+        simulation.grantFate = (vm, grant) -> vm.equals("a") && simulation.nowMillis >= sentMillis + 10_300
+                ? Optional.of(GrantFate.appliedWithoutAnswer(990, 990, GrantFate.TIMEOUT_MILLIS))
+                : Optional.empty();
+        simulation.runFor(1_110);
+        simulation.disconnectedFromStore.add("a");
+        simulation.runFor(20_000);
+        assertOneHolderAndFullServiceAfterFaults();
+    }
+
+    /** Guards against a leader that stood still and counts an old answer of the store as one of the present. */
+    @Test
+    void appendAnswerHandledAfterAPauseDoesNotProlongTheFormerLeadersTime() {
+        setNextAppend("a", AppendFate.answered(5, 100));
+        simulation.ready.remove(serverStarts.get(1));
+        runUntilRecorded();
+        simulation.pause("a", 9_000);
+        onlyReaches("a", drained);
+        cannotReach("b", drained);
+        simulation.leaderCandidate = "b";
+        simulation.runFor(8_900);
+        cutOff("a");
+        simulation.runFor(20_000);
+        assertOneHolderAndFullServiceAfterFaults();
+    }
+
+    /** Guards against a leader that leads again in a term that it left, after its successor took it as stopped. */
+    @Test
+    void leaderThatLeftItsTermDoesNotLeadInItAgainAfterALateAppendAnswer() {
+        simulation.vms.get("a").readDelayMillis = 2_000;
+        simulation.runFor(2_010);
+        setNextAppend("a", AppendFate.answered(5, 1_000));
+        simulation.ready.remove(serverStarts.get(1));
+        runUntilRecorded();
+        onlyReaches("a", drained);
+        cannotReach("b", drained);
+        simulation.leaderCandidate = "b";
+        simulation.runFor(1_010);
+        cutOff("a");
+        simulation.runFor(20_000);
+        assertOneHolderAndFullServiceAfterFaults();
+    }
+
+    /** Guards against a process that leads in a term that was over before it learned that it had become leader. */
+    @Test
+    void processThatLearnsLateOfItsLeadershipDoesNotLeadInATermThatIsOver() {
+        simulation.vms.get("b").readDelayMillis = 2_000;
+        simulation.runFor(2_010);
+        setNextAppend("b", AppendFate.answered(5, 1_000));
+        simulation.leaderCandidate = "b";
+        long end = simulation.store.end();
+        simulation.runUntil(() -> simulation.store.end() > end, 1_000);
+        onlyReaches("b", drained);
+        cannotReach("a", drained);
+        cannotReach("c", drained);
+        simulation.leaderCandidate = "c";
+        simulation.runFor(1_010);
+        cutOff("b");
+        simulation.runFor(20_000);
+        assertOneHolderAndFullServiceAfterFaults();
+    }
+
+    /** Gives the next append of a VM a fate; later ones have the usual one. */
+    private void setNextAppend(String vm, AppendFate fate) {
+        AtomicInteger appends = new AtomicInteger();
+        simulation.appendFate = (sender, record) ->
+                sender.equals(vm) && appends.getAndIncrement() == 0 ? Optional.of(fate) : Optional.empty();
+    }
+
+    private void runUntilRecorded() {
+        long end = simulation.store.end();
+        assertThat(simulation.runUntil(() -> simulation.store.end() > end, 1_000))
+                .isTrue();
+    }
+
+    private void cutOff(String vm) {
+        simulation.disconnectedFromStore.add(vm);
+        simulation.isolatedVms.add(vm);
+    }
+
+    private void onlyReaches(String vm, ServerStart server) {
+        Set<ServerStart> others = new HashSet<>(serverStarts);
+        others.remove(server);
+        simulation.unreachableFrom.put(vm, others);
+    }
+
+    private void cannotReach(String vm, ServerStart server) {
+        simulation.unreachableFrom.put(vm, Set.of(server));
+    }
+
+    private void assertOneHolderAndFullServiceAfterFaults() {
+        simulation.appendFate = (vm, call) -> Optional.empty();
+        simulation.grantFate = (vm, call) -> Optional.empty();
+        simulation.releaseFate = (vm, call) -> Optional.empty();
+        simulation.disconnectedFromStore.clear();
+        simulation.isolatedVms.clear();
+        simulation.unreachableFrom.clear();
+        simulation.vms.values().forEach(vm -> vm.readDelayMillis = 0);
+        simulation.runFor(20_000);
+        assertThat(simulation.violations).as("keys with two holders").isEmpty();
+        assertThat(simulation.prematureGrants).as("grants beside another hold").isEmpty();
+        assertThat(simulation.servedKeys()).isEqualTo(simulation.checkedKeys());
+    }
+}
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
@@ -8,35 +8,57 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
-import org.lacewingthread.core.id.VmId;
-import org.lacewingthread.core.id.VmStart;
 
 /**
- * Simulates coordinators, servers and a store in virtual time. Grants may be delayed, lost, or take
- * effect late without an answer.
+ * Simulates coordinators, servers and a store in virtual time. Any call may be slow, be lost, or take effect without
+ * an answer, as the functions {@link #appendFate}, {@link #grantFate} and {@link #releaseFate} decide.
  */
 final class RangeSimulation {
     static final ServiceId SERVICE = new ServiceId("orders");
     static final RangeLeaseTimes TIMES = new RangeLeaseTimes(4_000, 1_000, 10_000, 3_000, 0.03);
-    static final long CALL_TIMEOUT_MILLIS = 1_000;
+    static final long CALL_TIMEOUT_MILLIS = GrantFate.TIMEOUT_MILLIS;
+    static final int[] CHECKED_KEYS = {0, 1_000, 8_191, 20_000, 32_768, 40_000, 50_000, 65_535};
     private static final long STEP_MILLIS = 10;
-    private static final int[] CHECKED_KEYS = {0, 1_000, 8_191, 20_000, 32_768, 40_000, 50_000, 65_535};
+    /** How often a VM that the store does not answer asks the leader for the table. */
+    private static final long TABLE_REQUEST_INTERVAL_MILLIS = 500;
+    /** Store silence from which a VM asks the leader for the table. */
+    private static final long MAX_STORE_SILENCE_MILLIS = 1_500;
 
     final RandomGenerator random;
-    final Map<String, RangeCoordinator> coordinators = new TreeMap<>();
+    final Map<String, SimulatedVm> vms = new TreeMap<>();
+    final SimulatedStore store = new SimulatedStore();
     final Set<String> disconnectedFromStore = new HashSet<>();
+    /** VMs that take no steps, although they still receive answers. */
     final Set<String> stoppedVms = new HashSet<>();
+    /** VMs that exchange no messages with other VMs. */
+    final Set<String> isolatedVms = new HashSet<>();
+
     final Map<ServerStart, SimulatedKeyServer> servers = new TreeMap<>();
     final Set<ServerStart> ready = new HashSet<>();
     final Set<ServerStart> registered = new HashSet<>();
     final Set<ServerStart> unreachable = new HashSet<>();
+    /** Servers that one VM can't reach, by the name of the VM. */
+    final Map<String, Set<ServerStart>> unreachableFrom = new TreeMap<>();
+    /** Ended servers at whose address another one answers. */
+    final Set<ServerStart> replaced = new HashSet<>();
+
     final KeyLoad load = new KeyLoad(6_000, 2_000);
+    /** Keys that two servers held at the same time. */
     final List<String> violations = new ArrayList<>();
-    private final PriorityQueue<ScheduledTask> scheduledTasks = new PriorityQueue<>();
+    /** Grants that were sent while another server might still hold or get a key. */
+    final List<String> prematureGrants = new ArrayList<>();
+
+    /** Fates of appends, by the name of the VM; without one, the usual answer follows. */
+    BiFunction<String, CoordinatorAction.RecordTable, Optional<AppendFate>> appendFate = (vm, call) -> Optional.empty();
+
+    BiFunction<String, CoordinatorAction.Grant, Optional<GrantFate>> grantFate = (vm, call) -> Optional.empty();
+    BiFunction<String, CoordinatorAction.Release, Optional<ReleaseFate>> releaseFate = (vm, call) -> Optional.empty();
     long nowMillis = 1_000;
     String leaderCandidate = "a";
     double lateGrantRatio;
@@ -45,8 +67,8 @@
     /** Time until the requests that run on released keys have ended. */
     long releaseMillis = 100;
 
-    private RangeTable recorded = RangeTable.EMPTY;
-    private long logEnd;
+    private final SimulatedNetwork network = new SimulatedNetwork(this);
+    private final PriorityQueue<ScheduledTask> scheduledTasks = new PriorityQueue<>();
     private long nextTaskNumber;
 
     private record ScheduledTask(long atMillis, long order, Runnable task) implements Comparable<ScheduledTask> {
@@ -62,8 +84,7 @@
     }
 
     void addVm(String name) {
-        Leader leader = new Leader(new VmStart(new VmId(name), random.nextLong(1L << 40)), "10.0.0.1", 7_000);
-        coordinators.put(name, new RangeCoordinator(leader, TIMES));
+        vms.put(name, new SimulatedVm(name, random.nextLong(1L << 40)));
     }
 
     ServerStart addServer(String name, long startedMillis) {
@@ -74,112 +95,210 @@
         return start;
     }
 
+    /** Lets a VM stand still; its clock is right when it goes on. */
+    void pause(String vm, long millis) {
+        vms.get(vm).pausedUntilMillis = nowMillis + millis;
+    }
+
     RangeTable recorded() {
-        return recorded;
+        return store.newest();
     }
 
     void runFor(long millis) {
         long endMillis = nowMillis + millis;
         while (nowMillis < endMillis) {
-            nowMillis += STEP_MILLIS;
-            while (!scheduledTasks.isEmpty() && scheduledTasks.peek().atMillis() <= nowMillis) {
-                scheduledTasks.poll().task().run();
-            }
-            coordinators.forEach(this::stepVm);
-            checkForDoubleHolders();
+            runStep();
+        }
+    }
+
+    /** Runs until a condition holds, for a limited time; returns whether it holds. */
+    boolean runUntil(BooleanSupplier condition, long maxMillis) {
+        long endMillis = nowMillis + maxMillis;
+        while (!condition.getAsBoolean() && nowMillis < endMillis) {
+            runStep();
         }
+        return condition.getAsBoolean();
     }
 
-    private void stepVm(String name, RangeCoordinator coordinator) {
-        if (stoppedVms.contains(name)) {
+    private void runStep() {
+        nowMillis += STEP_MILLIS;
+        while (!scheduledTasks.isEmpty() && scheduledTasks.peek().atMillis() <= nowMillis) {
+            scheduledTasks.poll().task().run();
+        }
+        vms.values().forEach(this::stepVm);
+        checkForDoubleHolders();
+    }
+
+    void schedule(long delayMillis, Runnable task) {
+        scheduledTasks.add(new ScheduledTask(nowMillis + delayMillis, nextTaskNumber++, task));
+    }
+
+    private void stepVm(SimulatedVm vm) {
+        if (vm.isPaused(nowMillis) || stoppedVms.contains(vm.name)) {
             return;
         }
-        coordinator.setLeaderCandidate(name.equals(leaderCandidate) && !disconnectedFromStore.contains(name));
-        if (!disconnectedFromStore.contains(name)) {
-            coordinator.onTable(recorded, logEnd, nowMillis);
-            coordinator.onStoreAnswer(nowMillis);
+        if (!vm.stepsBeforeWaitingAnswers) {
+            vm.handleWaitingAnswers();
         }
+        RangeCoordinator coordinator = vm.coordinator;
+        coordinator.setLeaderCandidate(vm.name.equals(leaderCandidate) && !disconnectedFromStore.contains(vm.name));
+        readTable(vm);
         Map<ServerStart, Double> capacity = new TreeMap<>();
         ready.forEach(server -> capacity.put(server, 2.0));
         ServiceView view = new ServiceView(capacity, Set.copyOf(registered), load.profile(nowMillis));
-        for (Leader former : coordinator.formerLeadersToNotify()) {
-            RangeCoordinator formerCoordinator =
-                    coordinators.get(former.process().vm().value());
-            if (!stoppedVms.contains(former.process().vm().value()) && random.nextInt(4) == 0) {
-                formerCoordinator.onTable(recorded, logEnd, nowMillis);
-                coordinator.onFormerLeaderStopped(former.process(), nowMillis);
-            }
-        }
+        announceTerm(vm);
         for (CoordinatorAction action : coordinator.step(Map.of(SERVICE, view), nowMillis)) {
-            execute(name, coordinator, action);
+            execute(vm, coordinator, action);
         }
+        vm.handleWaitingAnswers();
     }
 
-    private void execute(String name, RangeCoordinator coordinator, CoordinatorAction action) {
-        if (action instanceof CoordinatorAction.RecordTable record) {
-            boolean reached = !disconnectedFromStore.contains(name);
-            schedule(5L + maxJitterMillis, () -> {
-                Optional<Long> end = reached ? append(record) : Optional.empty();
-                schedule(5, () -> coordinator.onRecorded(record, end, nowMillis));
+    private void readTable(SimulatedVm vm) {
+        RangeCoordinator coordinator = vm.coordinator;
+        if (disconnectedFromStore.contains(vm.name)) {
+            requestTableFromLeader(vm);
+            return;
+        }
+        RangeTable table = store.newest();
+        long end = store.end();
+        long askedAtMillis = nowMillis;
+        if (vm.readDelayMillis == 0) {
+            coordinator.onTable(table, end, nowMillis);
+            coordinator.onStoreAnswer(askedAtMillis);
+        } else if (!vm.readPending) {
+            vm.readPending = true;
+            schedule(vm.readDelayMillis, () -> {
+                vm.readPending = false;
+                if (!disconnectedFromStore.contains(vm.name)) {
+                    vm.receive(
+                            () -> {
+                                coordinator.onTable(table, end, nowMillis);
+                                coordinator.onStoreAnswer(askedAtMillis);
+                            },
+                            nowMillis);
+                }
             });
-        } else if (action instanceof CoordinatorAction.Grant grant) {
-            sendGrant(coordinator, grant);
-        } else if (action instanceof CoordinatorAction.Release release) {
-            sendRelease(coordinator, release);
         }
     }
 
-    private Optional<Long> append(CoordinatorAction.RecordTable record) {
-        if (record.expectedEnd() != logEnd) {
-            return Optional.empty();
+    private void requestTableFromLeader(SimulatedVm vm) {
+        boolean asks = nowMillis % TABLE_REQUEST_INTERVAL_MILLIS == 0
+                && !vm.coordinator.isLeading()
+                && vm.coordinator.storeSilenceMillis(nowMillis) > MAX_STORE_SILENCE_MILLIS;
+        if (!asks) {
+            return;
+        }
+        vm.coordinator
+                .table()
+                .leader()
+                .map(leader -> vms.get(leader.process().vm().value()))
+                .filter(leader -> exchangeMessages(vm, leader) && leader.coordinator.isLeading())
+                .map(leader -> leader.coordinator)
+                .ifPresent(leader -> vm.coordinator.onTable(leader.table(), leader.logEnd(), nowMillis));
+    }
+
+    private void announceTerm(SimulatedVm vm) {
+        for (Leader former : vm.coordinator.formerLeadersToNotify()) {
+            SimulatedVm formerVm = vms.get(former.process().vm().value());
+            if (exchangeMessages(vm, formerVm) && random.nextInt(4) == 0) {
+                formerVm.coordinator.onNewTerm(vm.coordinator.table().term());
+                if (!formerVm.coordinator.isLeading()) {
+                    vm.coordinator.onFormerLeaderStopped(former.process(), nowMillis);
+                }
+            }
+        }
+    }
+
+    private boolean exchangeMessages(SimulatedVm sender, SimulatedVm receiver) {
+        return !stoppedVms.contains(receiver.name)
+                && !receiver.isPaused(nowMillis)
+                && !isolatedVms.contains(sender.name)
+                && !isolatedVms.contains(receiver.name);
+    }
+
+    private void execute(SimulatedVm vm, RangeCoordinator coordinator, CoordinatorAction action) {
+        if (action instanceof CoordinatorAction.RecordTable record) {
+            sendAppend(vm, coordinator, record);
+        } else if (action instanceof CoordinatorAction.Grant grant) {
+            GrantFate fate = grantFate.apply(vm.name, grant).orElseGet(() -> usualGrant(vm.name, grant));
+            network.send(
+                    vm.name,
+                    grant,
+                    fate,
+                    outcome ->
+                            vm.receive(() -> coordinator.onGrantAnswer(grant.call(), outcome, nowMillis), nowMillis));
+        } else if (action instanceof CoordinatorAction.Release release) {
+            ReleaseFate fate =
+                    releaseFate.apply(vm.name, release).orElseGet(() -> ReleaseFate.answered(2 + releaseMillis));
+            network.send(
+                    vm.name,
+                    release,
+                    fate,
+                    outcome -> vm.receive(
+                            () -> coordinator.onReleaseAnswer(
+                                    release.call(),
+                                    outcome,
+                                    outcome == ReleaseOutcome.RELEASED ? Optional.of("token") : Optional.empty(),
+                                    nowMillis),
+                            nowMillis));
         }
-        recorded = record.table();
-        logEnd++;
-        return Optional.of(logEnd);
     }
 
-    private void sendGrant(RangeCoordinator coordinator, CoordinatorAction.Grant grant) {
-        SimulatedKeyServer server = servers.get(grant.server());
+    private GrantFate usualGrant(String vm, CoordinatorAction.Grant grant) {
         long delayMillis = 2L + (maxJitterMillis == 0 ? 0 : random.nextInt(maxJitterMillis));
-        long arrivedMillis = nowMillis + delayMillis;
-        boolean reachable = server.alive && !unreachable.contains(server.start);
         boolean late = random.nextDouble() < lateGrantRatio;
-        if (reachable && !late) {
-            schedule(delayMillis, () -> {
-                boolean granted = server.grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedMillis);
-                GrantOutcome outcome = granted ? GrantOutcome.GRANTED : GrantOutcome.FENCED;
-                schedule(2, () -> coordinator.onGrantAnswer(grant.call(), outcome, nowMillis));
-            });
-            return;
+        if (!network.reaches(vm, grant.server())) {
+            return GrantFate.lost(CALL_TIMEOUT_MILLIS);
         }
-        if (reachable) {
-            schedule(
-                    2_000 + random.nextInt(10_000),
-                    () -> server.grant(grant.range(), grant.fence(), grant.holdMillis(), arrivedMillis));
+        return late
+                ? GrantFate.appliedWithoutAnswer(delayMillis, 2_000 + random.nextInt(10_000), CALL_TIMEOUT_MILLIS)
+                : GrantFate.answered(delayMillis, delayMillis + 2);
+    }
+
+    private void sendAppend(SimulatedVm vm, RangeCoordinator coordinator, CoordinatorAction.RecordTable record) {
+        long sentMillis = nowMillis;
+        AppendFate fate = appendFate
+                .apply(vm.name, record)
+                .orElseGet(() -> AppendFate.answered(5L + maxJitterMillis, 10L + maxJitterMillis));
+        if (disconnectedFromStore.contains(vm.name)) {
+            fate = new AppendFate(Optional.empty(), AppendFate.Reply.NONE, 10L + maxJitterMillis);
+        }
+        AppendFate.Reply reply = fate.reply();
+        long replyMillis = sentMillis + fate.repliedAfterMillis();
+        fate.carriedOutAfterMillis()
+                .ifPresent(delayMillis -> schedule(delayMillis, () -> {
+                    AppendAnswer answer =
+                            store.append(record).map(AppendAnswer::recorded).orElse(AppendAnswer.REFUSED);
+                    if (reply == AppendFate.Reply.RESULT) {
+                        schedule(
+                                Math.max(5, replyMillis - nowMillis),
+                                () -> receiveAppendAnswer(vm, coordinator, record, answer, sentMillis));
+                    }
+                }));
+        if (reply != AppendFate.Reply.RESULT) {
+            AppendAnswer answer = reply == AppendFate.Reply.NONE ? AppendAnswer.UNKNOWN : AppendAnswer.REFUSED;
+            schedule(fate.repliedAfterMillis(), () -> receive(vm, coordinator, record, answer));
         }
-        schedule(CALL_TIMEOUT_MILLIS, () -> coordinator.onGrantAnswer(grant.call(), GrantOutcome.UNKNOWN, nowMillis));
     }
 
-    private void sendRelease(RangeCoordinator coordinator, CoordinatorAction.Release release) {
-        SimulatedKeyServer server = servers.get(release.server());
-        if (!server.alive || unreachable.contains(server.start)) {
-            schedule(
-                    5_000,
-                    () -> coordinator.onReleaseAnswer(
-                            release.call(), ReleaseOutcome.UNKNOWN, Optional.empty(), nowMillis));
-            return;
+    /** Delivers the answer of the store, unless the VM was cut off from it meanwhile. */
+    private void receiveAppendAnswer(
+            SimulatedVm vm,
+            RangeCoordinator coordinator,
+            CoordinatorAction.RecordTable record,
+            AppendAnswer answer,
+            long sentMillis) {
+        if (disconnectedFromStore.contains(vm.name)) {
+            long timeoutMillis = Math.max(0, sentMillis + AppendFate.TIMEOUT_MILLIS - nowMillis);
+            schedule(timeoutMillis, () -> receive(vm, coordinator, record, AppendAnswer.UNKNOWN));
+        } else {
+            receive(vm, coordinator, record, answer);
         }
-        schedule(2, () -> {
-            server.release(release.range());
-            schedule(
-                    releaseMillis,
-                    () -> coordinator.onReleaseAnswer(
-                            release.call(), ReleaseOutcome.RELEASED, Optional.of("token"), nowMillis));
-        });
     }
 
-    private void schedule(long delayMillis, Runnable task) {
-        scheduledTasks.add(new ScheduledTask(nowMillis + delayMillis, nextTaskNumber++, task));
+    private void receive(
+            SimulatedVm vm, RangeCoordinator coordinator, CoordinatorAction.RecordTable record, AppendAnswer answer) {
+        vm.receive(() -> coordinator.onRecorded(record, answer.end(), nowMillis), nowMillis);
     }
 
     private void checkForDoubleHolders() {
@@ -198,7 +317,7 @@
     long servedKeys() {
         long served = 0;
         for (int key : CHECKED_KEYS) {
-            Optional<RangeOwnership> ownership = recorded.find(SERVICE, key);
+            Optional<RangeOwnership> ownership = recorded().find(SERVICE, key);
             boolean holds = ownership.isPresent()
                     && !ownership.get().isMoving()
                     && servers.get(ownership.get().owner()).holds(key, nowMillis);
--- a/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedKeyServer.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedKeyServer.java
@@ -29,10 +29,23 @@
             return false;
         }
         seenFences.add(new SeenFence(range, fence));
-        heldRanges.add(new HeldRange(range, fence, arrivedMillis + Math.round(holdMillis * CLOCK_SLOWDOWN_RATIO)));
+        heldRanges.add(new HeldRange(range, fence, heldUntilMillis(arrivedMillis, holdMillis)));
         return true;
     }
 
+    static long heldUntilMillis(long arrivedMillis, long holdMillis) {
+        return arrivedMillis + Math.round(holdMillis * CLOCK_SLOWDOWN_RATIO);
+    }
+
+    /** Returns the highest fence of the grants that were applied to a key; a release is not remembered. */
+    long highestFence(int key) {
+        return seenFences.stream()
+                .filter(seenFence -> seenFence.range().contains(key))
+                .mapToLong(SeenFence::fence)
+                .max()
+                .orElse(0);
+    }
+
     void release(KeyRange range) {
         List<HeldRange> kept = new ArrayList<>();
         for (HeldRange hold : heldRanges) {
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedVm.java
@@ -0,0 +1,52 @@
+package org.lacewingthread.core.keyrange;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.id.VmStart;
+
+/** An entry VM that may stand still for a while; answers that arrive meanwhile wait until it goes on. */
+final class SimulatedVm {
+    final String name;
+    RangeCoordinator coordinator;
+    /** Time from the request until the answer of each read of the table; the answer tells the state at the request. */
+    long readDelayMillis;
+
+    boolean readPending;
+    /** Whether the VM takes a step before it handles the answers that arrived while it stood still. */
+    boolean stepsBeforeWaitingAnswers;
+
+    long pausedUntilMillis = Long.MIN_VALUE / 2;
+    private final List<Runnable> waitingAnswers = new ArrayList<>();
+
+    SimulatedVm(String name, long startedMillis) {
+        this.name = name;
+        start(startedMillis);
+    }
+
+    /** Starts a process in place of the present one, if there is one. */
+    void start(long startedMillis) {
+        Leader leader = new Leader(new VmStart(new VmId(name), startedMillis), "10.0.0.1", 7_000);
+        coordinator = new RangeCoordinator(leader, RangeSimulation.TIMES);
+        waitingAnswers.clear();
+        readPending = false;
+    }
+
+    boolean isPaused(long nowMillis) {
+        return nowMillis < pausedUntilMillis;
+    }
+
+    void receive(Runnable answer, long nowMillis) {
+        if (isPaused(nowMillis)) {
+            waitingAnswers.add(answer);
+        } else {
+            answer.run();
+        }
+    }
+
+    void handleWaitingAnswers() {
+        List<Runnable> answers = List.copyOf(waitingAnswers);
+        waitingAnswers.clear();
+        answers.forEach(Runnable::run);
+    }
+}
