--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorFaultTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorFaultTest.java
@@ -34,6 +34,7 @@
     /** Guards against renewals by a leader that takes a move without an answer for refused and is then cut off. */
     @Test
     void cutOffLeaderDoesNotRenewTheFormerOwnerAfterAnUnansweredMove() {
+        readSlowly("a", 100);
         setNextAppend("a", AppendFate.carriedOutWithoutAnswer(5));
         simulation.ready.remove(drained);
         runUntilRecorded();
@@ -99,8 +100,7 @@
     @ValueSource(longs = {0, 250, 500, 750})
     void slowAppendAnswerDoesNotProlongTheFormerLeadersTime(long offsetMillis) {
         simulation.runFor(offsetMillis);
-        simulation.vms.get("a").readDelayMillis = 2_000;
-        simulation.runFor(2_010);
+        readSlowly("a", 2_000);
         long sentMillis = simulation.nowMillis + 10;
         setNextAppend("a", AppendFate.answered(5, 1_100));
         simulation.ready.remove(serverStarts.get(1));
@@ -121,6 +121,7 @@
     /** Guards against a leader that stood still and counts an old answer of the store as one of the present. */
     @Test
     void appendAnswerHandledAfterAPauseDoesNotProlongTheFormerLeadersTime() {
+        readSlowly("a", 100);
         setNextAppend("a", AppendFate.answered(5, 100));
         simulation.ready.remove(serverStarts.get(1));
         runUntilRecorded();
@@ -137,8 +138,7 @@
     /** Guards against a leader that leads again in a term that it left, after its successor took it as stopped. */
     @Test
     void leaderThatLeftItsTermDoesNotLeadInItAgainAfterALateAppendAnswer() {
-        simulation.vms.get("a").readDelayMillis = 2_000;
-        simulation.runFor(2_010);
+        readSlowly("a", 2_000);
         setNextAppend("a", AppendFate.answered(5, 1_000));
         simulation.ready.remove(serverStarts.get(1));
         runUntilRecorded();
@@ -154,8 +154,7 @@
     /** Guards against a process that leads in a term that was over before it learned that it had become leader. */
     @Test
     void processThatLearnsLateOfItsLeadershipDoesNotLeadInATermThatIsOver() {
-        simulation.vms.get("b").readDelayMillis = 2_000;
-        simulation.runFor(2_010);
+        readSlowly("b", 2_000);
         setNextAppend("b", AppendFate.answered(5, 1_000));
         simulation.leaderCandidate = "b";
         long end = simulation.store.end();
@@ -177,6 +176,12 @@
                 sender.equals(vm) && appends.getAndIncrement() == 0 ? Optional.of(fate) : Optional.empty();
     }
 
+    /** Delays a VM's reads of the table, so that it learns of its appends by their answers. */
+    private void readSlowly(String vm, long delayMillis) {
+        simulation.vms.get(vm).readDelayMillis = delayMillis;
+        simulation.runFor(delayMillis + 10);
+    }
+
     private void runUntilRecorded() {
         long end = simulation.store.end();
         assertThat(simulation.runUntil(() -> simulation.store.end() > end, 1_000))
