Report takeovers and the start of a term from the range coordinator

Cause: the log did not show why a former owner counted as gone, nor from when a new leader takes former leaders as stopped, since the coordinator kept both to itself.

Change: RangeEventListener, given to RangeCoordinator by a second constructor, hears of each takeover with its reason, of the start of a term and of the stop of former leaders. awaitsAnswer tells whether an answer is still expected. Decisions are unchanged.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -36,10 +36,6 @@
     private static final long MAX_CALL_DELIVERY_MILLIS = 1_200;
     /** Delay after an attempt to record a table that was refused or got no answer. */
     private static final long RECORD_RETRY_MILLIS = 200;
-    /** Time after an answer of the leader during which no other VM takes over. */
-    private static final long LEADER_ANSWER_VALIDITY_MILLIS = 1_500;
-    /** Store silence of the leader from which its answers don't prevent takeover by a VM that the store answers. */
-    private static final long MAX_LEADER_STORE_SILENCE_MILLIS = 2_500;
     /** Interval at which ranges may move to balance load. */
     private static final long BALANCE_INTERVAL_MILLIS = 1_000;
     /** Fences reserved for each term; more than a term can use. */
@@ -47,16 +43,17 @@
 
     private final Leader self;
     private final RangeLeaseTimes times;
+    private final RangeEventListener listener;
     private final List<RangeHold> holds = new ArrayList<>();
     private final Map<Long, RangeHold> pendingCalls = new HashMap<>();
     private final ServerLiveness liveness = new ServerLiveness();
+    private final LeaderPresence leaderPresence = new LeaderPresence();
     private RangeTable table = RangeTable.EMPTY;
     private long logEnd = -1;
     private final Set<Leader> formerLeaders = new HashSet<>();
     private boolean leaderCandidate;
     private boolean leading;
     private long leadingSinceMillis;
-    private long leaderPresumedAliveUntilMillis = Long.MIN_VALUE / 2;
     private long storeAnsweredMillis = Long.MIN_VALUE / 2;
     private boolean recordPending;
     /** Newest table that this process proposed to record, whether or not the append succeeded. */
@@ -69,8 +66,14 @@
 
     /** Creates a coordinator without a table, which therefore doesn't lead. */
     public RangeCoordinator(Leader self, RangeLeaseTimes times) {
+        this(self, times, RangeEventListener.NONE);
+    }
+
+    /** Creates a coordinator without a table that reports its decisions to a listener. */
+    public RangeCoordinator(Leader self, RangeLeaseTimes times, RangeEventListener listener) {
         this.self = self;
         this.times = times;
+        this.listener = listener;
     }
 
     /** Returns the newest known table. */
@@ -99,9 +102,7 @@
      * @param storeSilenceMillis time since the store last answered the leader
      */
     public void onLeaderAnswer(long storeSilenceMillis, long nowMillis) {
-        if (storeSilenceMillis < MAX_LEADER_STORE_SILENCE_MILLIS) {
-            leaderPresumedAliveUntilMillis = nowMillis + LEADER_ANSWER_VALIDITY_MILLIS;
-        }
+        leaderPresence.recordAnswer(storeSilenceMillis, nowMillis);
     }
 
     /** Returns former leaders that may not know of the new term yet; empty unless this process leads. */
@@ -113,7 +114,7 @@
     public void onFormerLeaderStopped(VmStart former, long nowMillis) {
         boolean removed = formerLeaders.removeIf(leader -> leader.process().equals(former));
         if (removed && formerLeaders.isEmpty()) {
-            boundHoldsRenewedByFormerLeaders(nowMillis);
+            onFormerLeadersStopped(RangeEventListener.StopEvidence.ANSWER, nowMillis);
         }
     }
 
@@ -130,14 +131,9 @@
         pendingCalls.clear();
     }
 
-    private void boundHoldsRenewedByFormerLeaders(long nowMillis) {
-        for (RangeHold hold : holds) {
-            if (hold.formerLeadersMayRenew) {
-                hold.formerLeadersMayRenew = false;
-                hold.ownerHeldUntilMillis = Math.max(
-                        hold.ownerHeldUntilMillis, times.heldUntilMillis(nowMillis + MAX_CALL_DELIVERY_MILLIS));
-            }
-        }
+    private void onFormerLeadersStopped(RangeEventListener.StopEvidence evidence, long nowMillis) {
+        holds.forEach(hold -> hold.onFormerLeadersStopped(times, nowMillis + MAX_CALL_DELIVERY_MILLIS));
+        listener.onFormerLeadersStopped(evidence, nowMillis);
     }
 
     /** Returns the time since the newest request that the store answered was sent. */
@@ -205,6 +201,8 @@
             formerLeaders.removeIf(
                     former -> former.process().vm().equals(self.process().vm()));
             nextFence = recorded.term() * FENCES_PER_TERM;
+            long formerLeadersStoppedByMillis = nowMillis + times.maxStoreSilenceMillis();
+            listener.onTermStarted(table.term(), Set.copyOf(formerLeaders), formerLeadersStoppedByMillis, nowMillis);
             holds.clear();
             pendingCalls.clear();
         }
@@ -249,6 +247,11 @@
         return ++nextFence;
     }
 
+    /** Returns whether a grant or release awaits its answer and belongs to a range of the table. */
+    public boolean awaitsAnswer(long call) {
+        return pendingCalls.containsKey(call);
+    }
+
     /** Records the result of a grant; ignored if the call no longer belongs to a range of the table. */
     public void onGrantAnswer(long call, GrantOutcome outcome, long nowMillis) {
         RangeHold hold = pendingCalls.remove(call);
@@ -258,15 +261,10 @@
         hold.callPending = false;
         if (outcome == GrantOutcome.GRANTED) {
             hold.onGranted(times, nowMillis);
-            liveness.recordAnswer(hold.owner);
         } else {
             hold.onGrantFailed(times, newFence(), nowMillis);
         }
-        if (outcome == GrantOutcome.SERVER_REPLACED) {
-            liveness.recordEnded(hold.owner);
-        } else if (outcome == GrantOutcome.UNKNOWN) {
-            liveness.recordUnansweredGrant(hold, nowMillis);
-        }
+        liveness.recordGrantOutcome(hold, outcome, nowMillis);
     }
 
     /**
@@ -286,7 +284,7 @@
         }
         if (outcome != ReleaseOutcome.UNKNOWN) {
             hold.handover = handover;
-            hold.startGranting(newFence());
+            hold.startGranting(newFence(), TakeoverReason.of(outcome), listener, nowMillis);
         }
     }
 
@@ -302,7 +300,7 @@
         }
         if (!formerLeaders.isEmpty() && nowMillis >= leadingSinceMillis + times.maxStoreSilenceMillis()) {
             formerLeaders.clear();
-            boundHoldsRenewedByFormerLeaders(nowMillis);
+            onFormerLeadersStopped(RangeEventListener.StopEvidence.TIME, nowMillis);
         }
         liveness.removeExpired(nowMillis);
         for (RangeHold hold : holds) {
@@ -313,7 +311,7 @@
     }
 
     private void claimLeadership(List<CoordinatorAction> actions, long nowMillis) {
-        boolean leaderAlive = nowMillis < leaderPresumedAliveUntilMillis;
+        boolean leaderAlive = leaderPresence.isPresumedAlive(nowMillis);
         if (leaderCandidate && !leaderAlive && logEnd >= 0 && !recordPending && nowMillis >= nextRecordAtMillis) {
             proposeTable(table.withLeader(table.term() + 1, self), actions);
         }
@@ -329,7 +327,7 @@
         if (hold.phase == RangeHold.Phase.RELEASING && formerOwnerCannotHold(hold, view, nowMillis)) {
             hold.callPending = false;
             hold.nextCallAtMillis = nowMillis;
-            hold.startGranting(newFence());
+            hold.startGranting(newFence(), hold.reasonWithoutRelease(nowMillis), listener, nowMillis);
         }
         if (hold.callPending
                 || nowMillis < hold.nextCallAtMillis
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
@@ -77,9 +77,29 @@
     }
 
     /** Starts to grant the range to its owner, since the former owner no longer holds the keys. */
-    void startGranting(long newFence) {
+    void startGranting(long newFence, TakeoverReason reason, RangeEventListener listener, long nowMillis) {
         phase = Phase.GRANTING;
         fence = newFence;
+        ServerStart formerOwner = movingFrom.orElseThrow();
+        listener.onTakeover(
+                service, range, owner, formerOwner, reason, newFence, formerOwnerHeldUntilMillis, nowMillis);
+    }
+
+    /** Returns why a former owner that has not answered a release can't hold the keys any more. */
+    TakeoverReason reasonWithoutRelease(long nowMillis) {
+        return nowMillis >= formerOwnerHeldUntilMillis ? TakeoverReason.EXPIRED : TakeoverReason.ENDED;
+    }
+
+    /**
+     * Bounds the time for which a renewal by a former leader may be in force.
+     *
+     * @param latestArrivalMillis time by which each call of the former leaders has arrived or was aborted
+     */
+    void onFormerLeadersStopped(RangeLeaseTimes times, long latestArrivalMillis) {
+        if (formerLeadersMayRenew) {
+            formerLeadersMayRenew = false;
+            ownerHeldUntilMillis = Math.max(ownerHeldUntilMillis, times.heldUntilMillis(latestArrivalMillis));
+        }
     }
 
     /**
--- a/core/src/main/java/org/lacewingthread/core/keyrange/ServerLiveness.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/ServerLiveness.java
@@ -21,9 +21,16 @@
     private final Map<ServerStart, Long> unresponsiveUntilMillis = new HashMap<>();
     private final Set<ServerStart> suspected = new HashSet<>();
 
-    void recordAnswer(ServerStart server) {
-        unresponsiveUntilMillis.remove(server);
-        suspected.remove(server);
+    /** Records what the outcome of a grant shows of the owner; a refused grant shows nothing. */
+    void recordGrantOutcome(RangeHold hold, GrantOutcome outcome, long nowMillis) {
+        if (outcome == GrantOutcome.GRANTED) {
+            unresponsiveUntilMillis.remove(hold.owner);
+            suspected.remove(hold.owner);
+        } else if (outcome == GrantOutcome.SERVER_REPLACED) {
+            recordEnded(hold.owner);
+        } else if (outcome == GrantOutcome.UNKNOWN) {
+            recordUnansweredGrant(hold, nowMillis);
+        }
     }
 
     /** Returns whether a server left a grant unanswered and has accepted none since. */
@@ -31,8 +38,7 @@
         return suspected.contains(server);
     }
 
-    /** Records that a grant got no answer. */
-    void recordUnansweredGrant(RangeHold hold, long nowMillis) {
+    private void recordUnansweredGrant(RangeHold hold, long nowMillis) {
         suspected.add(hold.owner);
         long since = hold.unansweredSinceMillis.orElse(nowMillis);
         hold.unansweredSinceMillis = Optional.of(since);
