Log grants, releases, takeovers and terms with the times of each step

Cause: no line told when a grant was decided, sent and answered, which fence and hold it stated, or why its range was taken over, so the hypotheses of the two-owners incident could not be told apart.

Change: grant.ended and release.ended are written when a call ends, range.takeover, term.started and term.former-leaders-stopped when the coordinator reports them. Renewals that were granted within 100 ms, with a fence that was granted before, are only counted: timers by outcome and service cover all grants and releases.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlEventLogger.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlEventLogger.java
@@ -1,20 +1,31 @@
 package org.lacewingthread.daemon.router;
 
 import java.util.List;
+import java.util.Set;
+import java.util.function.LongUnaryOperator;
+import java.util.stream.Collectors;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.keyrange.AppendResult;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
+import org.lacewingthread.core.keyrange.KeyRange;
+import org.lacewingthread.core.keyrange.Leader;
+import org.lacewingthread.core.keyrange.RangeEventListener;
 import org.lacewingthread.core.keyrange.RangeOwnership;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.keyrange.TakeoverReason;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.daemon.events.EventLog;
 
 /**
- * Logs changes in the process's knowledge of the leader, the range table, the servers and the configuration.
+ * Logs changes in the process's knowledge of the leader, the range table, the servers and the configuration, and the
+ * decisions of the coordinator of key ranges.
  *
  * @param events log that the events are written to
+ * @param storeSilenceMillis returns for a time how long the store has been silent then
  */
-record ControlEventLogger(EventLog events) {
+record ControlEventLogger(EventLog events, LongUnaryOperator storeSilenceMillis) implements RangeEventListener {
     void logLeadershipChange(boolean gained, RangeTable table) {
         events.write(gained ? "leadership.gained" : "leadership.lost", "term", table.term(), "leader", leader(table));
     }
@@ -56,6 +67,69 @@
                 changes.unlistedCount());
     }
 
+    @Override
+    public void onTakeover(
+            ServiceId service,
+            KeyRange range,
+            ServerStart owner,
+            ServerStart formerOwner,
+            TakeoverReason reason,
+            long fence,
+            long formerHeldUntilMillis,
+            long nowMillis) {
+        events.write(
+                "range.takeover",
+                "service",
+                service,
+                "range",
+                range,
+                "server",
+                owner,
+                "former_server",
+                formerOwner,
+                "reason",
+                reason,
+                "fence",
+                fence,
+                "former_held_until_ms",
+                formerHeldUntilMillis,
+                "taken_over_ms",
+                nowMillis,
+                "store_silence_ms",
+                storeSilenceMillis.applyAsLong(nowMillis));
+    }
+
+    @Override
+    public void onTermStarted(long term, Set<Leader> formerLeaders, long formerLeadersStoppedByMillis, long nowMillis) {
+        events.write(
+                "term.started",
+                "term",
+                term,
+                "former_leaders",
+                formerLeaders.stream()
+                        .map(leader -> leader.process().toString())
+                        .sorted()
+                        .collect(Collectors.joining(", ")),
+                "former_leaders_stopped_by_ms",
+                formerLeaders.isEmpty() ? null : formerLeadersStoppedByMillis,
+                "started_ms",
+                nowMillis,
+                "store_silence_ms",
+                storeSilenceMillis.applyAsLong(nowMillis));
+    }
+
+    @Override
+    public void onFormerLeadersStopped(StopEvidence evidence, long nowMillis) {
+        events.write(
+                "term.former-leaders-stopped",
+                "evidence",
+                evidence,
+                "stopped_ms",
+                nowMillis,
+                "store_silence_ms",
+                storeSilenceMillis.applyAsLong(nowMillis));
+    }
+
     void logTableRead(RangeTable table, long end, String from) {
         events.write("table.read", "term", table.term(), "leader", leader(table), "end", end, "from", from);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -21,6 +21,7 @@
 import org.lacewingthread.core.keyrange.CoordinatorAction;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
+import org.lacewingthread.core.keyrange.RangeLeaseTimes;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.keyrange.ServiceView;
 import org.lacewingthread.core.registry.ServerEntry;
@@ -77,27 +78,33 @@
     private boolean stopped;
 
     ControlLoop(
-            VmStart self,
+            Leader self,
+            RangeLeaseTimes leaseTimes,
             Platform platform,
-            RangeCoordinator coordinator,
             ControlClock clock,
             EventLoop eventLoop,
             EventLog events,
+            RouterMetrics metrics,
             Consumer<ServingConfiguration> onConfiguration,
             BiConsumer<List<KnownServer>, RangeTable> topologyListener,
             IntConsumer entryVmCountListener) {
-        this.self = self;
+        this.self = self.process();
         this.reportChannel = new ReportChannel(events, this);
         this.platform = platform;
-        this.coordinator = coordinator;
+        this.eventLogger = new ControlEventLogger(events, this::storeSilenceMillis);
+        this.coordinator = new RangeCoordinator(self, leaseTimes, eventLogger);
         this.clock = clock;
         this.eventLoop = eventLoop;
         this.events = events;
-        this.eventLogger = new ControlEventLogger(events);
         this.onConfiguration = onConfiguration;
         this.topologyListener = topologyListener;
         this.entryVmCountListener = entryVmCountListener;
-        this.rangeCommands = new RangeCommandSender(platform, coordinator, clock, events, this::step);
+        this.rangeCommands = new RangeCommandSender(
+                platform, coordinator, clock, events, new RangeCommandLog(events, metrics), this::step);
+    }
+
+    private long storeSilenceMillis(long nowMillis) {
+        return coordinator.storeSilenceMillis(nowMillis);
     }
 
     void openReportChannel(InetSocketAddress address) throws InterruptedException {
@@ -270,9 +277,9 @@
                 ControlEventLogger.Append append = new ControlEventLogger.Append(record, previousTable, nowMillis);
                 platform.appendTable(record, result -> onTableRecorded(append, result));
             } else if (action instanceof CoordinatorAction.Grant grant) {
-                rangeCommands.grant(grant);
+                rangeCommands.grant(grant, nowMillis);
             } else if (action instanceof CoordinatorAction.Release release) {
-                rangeCommands.release(release);
+                rangeCommands.release(release, nowMillis);
             }
         }
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
-import java.util.function.BiConsumer;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.keyrange.AppendResult;
@@ -83,12 +83,28 @@
     /** Appends a range table. */
     void appendTable(CoordinatorAction.RecordTable action, Consumer<AppendResult> result);
 
+    /**
+     * How a grant ended.
+     *
+     * @param outcome the outcome
+     * @param sentAtMillis when the call was handed to a connection, by the control clock; empty if it never was
+     */
+    record GrantResult(GrantOutcome outcome, OptionalLong sentAtMillis) {}
+
     /** Sends a grant of a key range to a server. */
-    void grant(ServerEntry server, CoordinatorAction.Grant action, Consumer<GrantOutcome> result);
+    void grant(ServerEntry server, CoordinatorAction.Grant action, Consumer<GrantResult> result);
+
+    /**
+     * How a release ended.
+     *
+     * @param outcome the outcome
+     * @param handover token for the next owner, if the server returned one
+     * @param sentAtMillis when the call was handed to a connection, by the control clock; empty if it never was
+     */
+    record ReleaseResult(ReleaseOutcome outcome, Optional<String> handover, OptionalLong sentAtMillis) {}
 
-    /** Asks a server to release a key range; the result is the outcome and the handover token for the next owner. */
-    void release(
-            ServerEntry server, CoordinatorAction.Release action, BiConsumer<ReleaseOutcome, Optional<String>> result);
+    /** Asks a server to release a key range. */
+    void release(ServerEntry server, CoordinatorAction.Release action, Consumer<ReleaseResult> result);
 
     /** Leaves the group of entry VMs, so that another one is selected as leader. */
     void leave();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
@@ -24,6 +25,7 @@
     private final RangeCoordinator coordinator;
     private final ControlClock clock;
     private final EventLog events;
+    private final RangeCommandLog commandLog;
     private final Runnable onReleaseAnswered;
     private final Map<ServerStart, ServerEntry> lastKnownEntries = new HashMap<>();
     private final Set<ServerStart> unresponsiveServers = new HashSet<>();
@@ -33,11 +35,13 @@
             RangeCoordinator coordinator,
             ControlClock clock,
             EventLog events,
+            RangeCommandLog commandLog,
             Runnable onReleaseAnswered) {
         this.platform = platform;
         this.coordinator = coordinator;
         this.clock = clock;
         this.events = events;
+        this.commandLog = commandLog;
         this.onReleaseAnswered = onReleaseAnswered;
     }
 
@@ -54,28 +58,52 @@
         lastKnownEntries.put(entry.start(), entry);
     }
 
-    void grant(CoordinatorAction.Grant grant) {
+    /**
+     * Sends a grant.
+     *
+     * @param decidedMillis when the coordinator decided it, by the control clock
+     */
+    void grant(CoordinatorAction.Grant grant, long decidedMillis) {
         Optional<ServerEntry> server = Optional.ofNullable(lastKnownEntries.get(grant.server()));
         if (server.isEmpty()) {
-            coordinator.onGrantAnswer(grant.call(), GrantOutcome.UNKNOWN, clock.nowMillis());
+            onGrantEnded(grant, decidedMillis, new Platform.GrantResult(GrantOutcome.UNKNOWN, OptionalLong.empty()));
             return;
         }
-        platform.grant(server.get(), grant, outcome -> {
-            coordinator.onGrantAnswer(grant.call(), outcome, clock.nowMillis());
-            trackResponsiveness(grant.server(), outcome != GrantOutcome.UNKNOWN);
+        platform.grant(server.get(), grant, result -> {
+            onGrantEnded(grant, decidedMillis, result);
+            trackResponsiveness(grant.server(), result.outcome() != GrantOutcome.UNKNOWN);
         });
     }
 
-    void release(CoordinatorAction.Release release) {
+    private void onGrantEnded(CoordinatorAction.Grant grant, long decidedMillis, Platform.GrantResult result) {
+        long endedMillis = clock.nowMillis();
+        boolean awaited = coordinator.awaitsAnswer(grant.call());
+        commandLog.onGrantEnded(
+                grant,
+                result.outcome(),
+                new RangeCommandLog.CallTimes(decidedMillis, result.sentAtMillis(), endedMillis),
+                awaited);
+        coordinator.onGrantAnswer(grant.call(), result.outcome(), endedMillis);
+    }
+
+    /**
+     * Sends a release.
+     *
+     * @param decidedMillis when the coordinator decided it, by the control clock
+     */
+    void release(CoordinatorAction.Release release, long decidedMillis) {
         Optional<ServerEntry> server = Optional.ofNullable(lastKnownEntries.get(release.server()));
         if (server.isEmpty()) {
-            coordinator.onReleaseAnswer(release.call(), ReleaseOutcome.UNKNOWN, Optional.empty(), clock.nowMillis());
+            onReleaseEnded(
+                    release,
+                    decidedMillis,
+                    new Platform.ReleaseResult(ReleaseOutcome.UNKNOWN, Optional.empty(), OptionalLong.empty()));
             return;
         }
-        platform.release(server.get(), release, (outcome, handover) -> {
-            coordinator.onReleaseAnswer(release.call(), outcome, handover, clock.nowMillis());
-            trackResponsiveness(release.server(), outcome != ReleaseOutcome.UNKNOWN);
-            if (outcome == ReleaseOutcome.RELEASED) {
+        platform.release(server.get(), release, result -> {
+            onReleaseEnded(release, decidedMillis, result);
+            trackResponsiveness(release.server(), result.outcome() != ReleaseOutcome.UNKNOWN);
+            if (result.outcome() == ReleaseOutcome.RELEASED) {
                 events.write(
                         "range.released",
                         "server",
@@ -85,12 +113,23 @@
                         "fence",
                         release.fence(),
                         "handover",
-                        handover.isPresent());
+                        result.handover().isPresent());
             }
             onReleaseAnswered.run();
         });
     }
 
+    private void onReleaseEnded(CoordinatorAction.Release release, long decidedMillis, Platform.ReleaseResult result) {
+        long endedMillis = clock.nowMillis();
+        boolean awaited = coordinator.awaitsAnswer(release.call());
+        commandLog.onReleaseEnded(
+                release,
+                result.outcome(),
+                new RangeCommandLog.CallTimes(decidedMillis, result.sentAtMillis(), endedMillis),
+                awaited);
+        coordinator.onReleaseAnswer(release.call(), result.outcome(), result.handover(), endedMillis);
+    }
+
     private void trackResponsiveness(ServerStart server, boolean answered) {
         if (answered && unresponsiveServers.remove(server)) {
             events.write("server.orders-answered", "server", server);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -5,17 +5,20 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.lacewingthread.core.dispatch.AttemptResult;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.keyrange.GrantOutcome;
+import org.lacewingthread.core.keyrange.ReleaseOutcome;
 import org.lacewingthread.core.traffic.ResultCode;
 
-/** Counters, histograms and gauges of a router process; OPERATIONS.md describes them. */
+/** Counters, histograms and gauges of a router process; OPERATIONS.md describes them. Thread-safe. */
 final class RouterMetrics {
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-    private final Map<String, Timer> timers = new HashMap<>();
+    private final Map<String, Timer> timers = new ConcurrentHashMap<>();
 
     void onAnswer(ResultCode code, String route, long elapsedMillis) {
         timer("lacewingthread.router.requests", "code", Integer.toString(code.number()), "route", route)
@@ -27,6 +30,16 @@
                 .record(Math.round(elapsedMillis * 1e3), TimeUnit.MICROSECONDS);
     }
 
+    void onGrantEnded(ServiceId service, GrantOutcome outcome, long elapsedMillis) {
+        timer("lacewingthread.router.grants", "outcome", outcome.name(), "service", service.value())
+                .record(elapsedMillis, TimeUnit.MILLISECONDS);
+    }
+
+    void onReleaseEnded(ServiceId service, ReleaseOutcome outcome, long elapsedMillis) {
+        timer("lacewingthread.router.releases", "outcome", outcome.name(), "service", service.value())
+                .record(elapsedMillis, TimeUnit.MILLISECONDS);
+    }
+
     void onInvalid(int status) {
         registry.counter("lacewingthread.router.invalid", "status", Integer.toString(status))
                 .increment();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -14,7 +14,6 @@
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.Leader;
-import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
@@ -105,12 +104,13 @@
                 settings.reportAddress().getHostString(),
                 settings.reportAddress().getPort());
         controlLoop = new ControlLoop(
-                self,
+                leader,
+                settings.leaseTimes(),
                 platform.create(controlEventLoop, self, controlClock),
-                new RangeCoordinator(leader, settings.leaseTimes()),
                 controlClock,
                 controlEventLoop,
                 events,
+                metrics,
                 this::applyConfiguration,
                 this::applyTopology,
                 count -> trafficEventLoop.execute(() -> engine.onEntryVmCount(count)));
