Log which owners a table that was read has changed

Cause: an append with unknown result shows in the log only if a later read tells which owners it recorded; table.read named the end of the log, which another VM's append moves as well. The test of the bound on remembered fences wrote more lines than the event log queues, so a line too many could have been dropped unseen.

Change: table.read lists the ranges that differ from the table known before, like table.recorded. The bound on fences is a constructor parameter for the test, which now counts all lines.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlEventLogger.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlEventLogger.java
@@ -62,7 +62,7 @@
                         .filter(RangeOwnership::isMoving)
                         .count(),
                 "changed",
-                String.join(", ", changes.listed()),
+                changes.text(),
                 "changed_unlisted",
                 changes.unlistedCount());
     }
@@ -130,8 +130,22 @@
                 storeSilenceMillis.applyAsLong(nowMillis));
     }
 
-    void logTableRead(RangeTable table, long end, String from) {
-        events.write("table.read", "term", table.term(), "leader", leader(table), "end", end, "from", from);
+    void logTableRead(RangeTable previousTable, RangeTable table, long end, String from) {
+        RangeTableChanges changes = RangeTableChanges.between(previousTable, table);
+        events.write(
+                "table.read",
+                "term",
+                table.term(),
+                "leader",
+                leader(table),
+                "end",
+                end,
+                "from",
+                from,
+                "changed",
+                changes.text(),
+                "changed_unlisted",
+                changes.unlistedCount());
     }
 
     void logConfigurationApplied(ServingConfiguration configuration) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -203,8 +203,9 @@
 
     @Override
     public void onTableFromLeader(ReportChannel.RecordedTable recorded) {
+        RangeTable previousTable = coordinator.table();
         if (coordinator.onTable(recorded.table(), recorded.logEnd(), clock.nowMillis())) {
-            eventLogger.logTableRead(recorded.table(), recorded.logEnd(), "leader");
+            eventLogger.logTableRead(previousTable, recorded.table(), recorded.logEnd(), "leader");
             publish(clock.nowMillis());
         }
     }
@@ -375,8 +376,9 @@
 
     @Override
     public void onRangeTable(RangeTable table, long end, long askedAtMillis) {
+        RangeTable previousTable = coordinator.table();
         if (coordinator.onTable(table, end, clock.nowMillis())) {
-            eventLogger.logTableRead(table, end, "store");
+            eventLogger.logTableRead(previousTable, table, end, "store");
         }
         coordinator.onStoreAnswer(askedAtMillis);
         step();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandLog.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandLog.java
@@ -16,10 +16,11 @@
     /** A grant that takes longer is logged. */
     static final long SLOW_GRANT_MILLIS = 100;
 
-    static final int MAX_REMEMBERED_FENCES = 4_096;
+    private static final int MAX_REMEMBERED_FENCES = 4_096;
 
     private final EventLog events;
     private final RouterMetrics metrics;
+    private final int maxRememberedFences;
     /** Fences of granted ranges, least recently used first; each fence belongs to one server and range. */
     private final Map<Long, Boolean> grantedFences = new LinkedHashMap<>(16, 0.75f, true);
 
@@ -41,8 +42,14 @@
     }
 
     RangeCommandLog(EventLog events, RouterMetrics metrics) {
+        this(events, metrics, MAX_REMEMBERED_FENCES);
+    }
+
+    /** Creates a log that remembers another number of fences, for tests. */
+    RangeCommandLog(EventLog events, RouterMetrics metrics, int maxRememberedFences) {
         this.events = events;
         this.metrics = metrics;
+        this.maxRememberedFences = maxRememberedFences;
     }
 
     /**
@@ -85,7 +92,7 @@
 
     private boolean isFirstWithFence(long fence) {
         boolean first = grantedFences.put(fence, true) == null;
-        if (grantedFences.size() > MAX_REMEMBERED_FENCES) {
+        if (grantedFences.size() > maxRememberedFences) {
             grantedFences.remove(grantedFences.keySet().iterator().next());
         }
         return first;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableChanges.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableChanges.java
@@ -43,6 +43,10 @@
         return new RangeTableChanges(listed, unlistedCount);
     }
 
+    String text() {
+        return String.join(", ", listed);
+    }
+
     private static String describe(ServiceId service, RangeOwnership ownership) {
         String former = ownership.movingFrom().map(server -> server + ">").orElse("");
         return service + ":" + ownership.range() + " " + former + ownership.owner();
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/ControlEventLoggerTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/ControlEventLoggerTest.java
@@ -65,6 +65,15 @@
                         + "\"asked_ms\":1000,\"answered_ms\":2200,");
     }
 
+    @Test
+    void tableThatIsReadIsLoggedWithTheRangesThatDifferFromTheTableBefore() {
+        ControlEventLogger.Append append = append();
+        logger.logTableRead(append.previousTable(), append.record().table(), 7, "store");
+        assertThat(onlyLine())
+                .isEqualTo("{\"table.read\",\"term\":0,\"end\":7,\"from\":\"store\","
+                        + "\"changed\":\"orders:0-65535 i-1@11>i-2@22\",\"changed_unlisted\":0}");
+    }
+
     @Test
     void takeoverIsLoggedWithItsReasonTheFormerHoldAndTheSilenceOfTheStore() {
         logger.onTakeover(ORDERS, new KeyRange(0, 99), SECOND, FIRST, TakeoverReason.EXPIRED, 3_000_148, 4_900, 5_000);
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandLogTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandLogTest.java
@@ -22,12 +22,13 @@
 class RangeCommandLogTest {
     private static final ServiceId ORDERS = new ServiceId("orders");
     private static final ServerStart SERVER = new ServerStart(new ServerId("i-1"), 11);
+    private static final int MAX_REMEMBERED_FENCES = 8;
     private static final KeyRange RANGE = new KeyRange(100, 199);
 
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final EventLog events = new EventLog("vm-1", out, () -> 5);
     private final RouterMetrics metrics = new RouterMetrics();
-    private final RangeCommandLog log = new RangeCommandLog(events, metrics);
+    private final RangeCommandLog log = new RangeCommandLog(events, metrics, MAX_REMEMBERED_FENCES);
 
     private void grantEnded(long fence, GrantOutcome outcome, long elapsedMillis, boolean awaited) {
         CoordinatorAction.Grant grant =
@@ -88,14 +89,16 @@
     }
 
     @Test
-    void fencesInUseAreRememberedWhenOlderOnesAreForgotten() {
-        for (long fence = 1; fence <= 2L * RangeCommandLog.MAX_REMEMBERED_FENCES; fence++) {
+    void fencesInUseAreRememberedWhenUnusedOnesAreForgotten() {
+        for (long fence = 1; fence <= 2 * MAX_REMEMBERED_FENCES; fence++) {
             grantEnded(fence, GrantOutcome.GRANTED, 10, true);
             grantEnded(1, GrantOutcome.GRANTED, 10, true);
         }
-        long linesOfFirstFence =
-                lines().stream().filter(line -> line.contains("\"fence\":1,")).count();
-        assertThat(linesOfFirstFence).isEqualTo(1);
+        grantEnded(2, GrantOutcome.GRANTED, 10, true);
+        List<String> lines = lines();
+        assertThat(lines).hasSize(2 * MAX_REMEMBERED_FENCES + 1);
+        assertThat(lines).filteredOn(line -> line.contains("\"fence\":1,")).hasSize(1);
+        assertThat(lines).filteredOn(line -> line.contains("\"fence\":2,")).hasSize(2);
     }
 
     @ParameterizedTest
