Reports between entry VMs arrive whole on deployments with many servers

From the code: such a report gives the leader no load, no service times and no sign that the VM is alive, and it is not answered.

Cause: a datagram channel of Netty receives into 2,048 bytes unless told otherwise and drops the rest of a datagram. A report grew with servers, services and keys; an answer grew with the ranges. Above 65,507 bytes a datagram can't be sent at all, and that failure was dropped without a log line.

Fix: the receiver takes datagrams of any size, in one reused buffer (the deployment has Netty's pool switched off). The first one always has the VM, the wanted table position and as many service times as fit; the rest wait for the next reports, those that have waited longest first. Keys follow in further datagrams, at most 720 a report. A status whose table does not fit beside it in 1,400 bytes is also sent alone. No field on the wire is new.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -155,7 +155,7 @@
             entryVmCountListener.accept(entryVmCounter.count(self.vm().value(), clock.nowMillis()));
         }
         if (leader.isEmpty() || coordinator.isLeading()) {
-            reportChannel.discardKeys();
+            reportChannel.discardLoad();
             return;
         }
         boolean storeSilent = coordinator.storeSilenceMillis(clock.nowMillis()) > MAX_STORE_SILENCE_MILLIS;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -2,13 +2,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
@@ -16,12 +16,10 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
+import java.util.Base64;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.TreeMap;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -37,8 +35,11 @@
  * ones of their term. Runs on the control thread.
  */
 final class ReportChannel {
-    /** Most keys of a service in one report; keeps a datagram below the usual size of a packet. */
-    private static final int MAX_KEYS_PER_SERVICE = 180;
+    /** Most bytes of a datagram's content: 65,535 without the headers of IPv4 and UDP. */
+    static final int MAX_DATAGRAM_BYTES = 65_507;
+
+    /** Most bytes of an encoded range table, so that the leader's status fits into the same datagram. */
+    private static final int MAX_TABLE_BYTES = MAX_DATAGRAM_BYTES - PendingReport.MAX_DATAGRAM_BYTES;
 
     private static final String STORE_SILENCE = "storeSilenceMillis";
     private static final String REGISTRY_SILENCE = "registrySilenceMillis";
@@ -46,7 +47,6 @@
     private static final String REGISTRY_POSITION = "registryPosition";
     private static final String CONFIGURATION_POSITION = "configurationPosition";
     private static final String TABLE_POSITION = "tablePosition";
-    private static final String WANTS_TABLE_AFTER = "wantsTableAfter";
     private static final String TABLE = "table";
     private static final String TABLE_END = "tableEnd";
     private static final String NEW_TERM = "newTerm";
@@ -56,8 +56,9 @@
 
     private final EventLog events;
     private final Listener listener;
-    private final Map<ServiceId, List<Integer>> keysByService = new TreeMap<>();
+    private final PendingReport pendingReport = new PendingReport();
     private Channel channel;
+    private Optional<EncodedTable> newestEncodedTable = Optional.empty();
 
     /**
      * The leader's answer to a report.
@@ -78,6 +79,14 @@
      */
     record RecordedTable(RangeTable table, long logEnd) {}
 
+    /**
+     * A recorded table in the form in which it is sent; kept because many VMs ask for the same table.
+     *
+     * @param recorded the table
+     * @param base64 the table as compressed JSON; empty if it does not fit into a datagram
+     */
+    private record EncodedTable(RecordedTable recorded, Optional<String> base64) {}
+
     /** Handles the messages of other entry VMs. */
     interface Listener {
         /** Returns the answer to a report; empty if this process does not lead. */
@@ -117,6 +126,7 @@
         channel = new Bootstrap()
                 .group(eventLoop)
                 .channel(NioDatagramChannel.class)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new ReusedReceiveBuffer(MAX_DATAGRAM_BYTES))
                 .handler(new DatagramHandler())
                 .bind(address)
                 .sync()
@@ -125,32 +135,21 @@
 
     /** Adds a requested key to the next report, unless the report is full. */
     void addKey(ServiceId service, int key) {
-        List<Integer> list = keysByService.computeIfAbsent(service, id -> new ArrayList<>());
-        if (list.size() < MAX_KEYS_PER_SERVICE) {
-            list.add(key);
-        }
+        pendingReport.addKey(service, key);
     }
 
     /**
-     * Sends the keys added since the last report, and the given service times, to the leader.
+     * Sends the keys added since the last report, and service times, to the leader. Service times that do not fit are
+     * sent with the next reports.
      *
+     * @param serviceMillis newest service times of servers
      * @param wantsTableAfter log position after the range table known here, so that the leader sends a newer one;
      *     empty while the store answers
      */
     void sendReport(String vm, Leader leader, Map<ServerStart, Double> serviceMillis, OptionalLong wantsTableAfter) {
-        ObjectNode root = MAPPER.createObjectNode().put("vm", vm);
-        wantsTableAfter.ifPresent(position -> root.put(WANTS_TABLE_AFTER, position));
-        ObjectNode services = root.putObject("keys");
-        keysByService.forEach((service, list) -> {
-            ArrayNode array = services.putArray(service.value());
-            list.forEach(array::add);
-        });
-        ObjectNode times = root.putObject("times");
-        serviceMillis.forEach((server, millis) -> times.putArray(server.server().value())
-                .add(server.startedUnixMillis())
-                .add(Math.round(millis)));
-        keysByService.clear();
-        send(root, new InetSocketAddress(leader.reportHost(), leader.reportPort()));
+        pendingReport.addServiceTimes(serviceMillis);
+        InetSocketAddress recipient = new InetSocketAddress(leader.reportHost(), leader.reportPort());
+        pendingReport.takeDatagrams(vm, wantsTableAfter).forEach(datagram -> send(datagram, recipient));
     }
 
     /** Tells a former leader that a new term has begun; it answers once it has stopped leading. */
@@ -161,13 +160,24 @@
     }
 
     private void send(ObjectNode message, InetSocketAddress recipient) {
-        channel.writeAndFlush(
-                new DatagramPacket(Unpooled.copiedBuffer(message.toString(), StandardCharsets.UTF_8), recipient));
+        send(encode(message), recipient);
+    }
+
+    private static byte[] encode(ObjectNode message) {
+        return message.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    /** Discards the keys added since the last report; for use while there is no leader to report to. */
-    void discardKeys() {
-        keysByService.clear();
+    private void send(byte[] datagram, InetSocketAddress recipient) {
+        if (datagram.length > MAX_DATAGRAM_BYTES) {
+            events.write("report.too-large", "to", recipient, "bytes", datagram.length, "limit", MAX_DATAGRAM_BYTES);
+            return;
+        }
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), recipient));
+    }
+
+    /** Discards the load that was not yet reported; for use while there is no leader to report to. */
+    void discardLoad() {
+        pendingReport.clear();
     }
 
     private final class DatagramHandler extends SimpleChannelInboundHandler<DatagramPacket> {
@@ -207,20 +217,53 @@
                     return;
                 }
                 processReport(message);
-                listener.leaderStatus().ifPresent(status -> sendStatus(message, status, packet.sender()));
+                boolean firstOfReport = message.has(PendingReport.TIMES);
+                if (firstOfReport) {
+                    listener.leaderStatus().ifPresent(status -> sendStatus(message, status, packet.sender()));
+                }
             } catch (IOException | IllegalArgumentException e) {
                 events.write("report.unreadable", "from", packet.sender(), "reason", e.getMessage());
             }
         }
 
+        /** Sends the status, and the range table if it is wanted. The loss of a large table leaves the status intact. */
         private void sendStatus(JsonNode report, LeaderStatus status, InetSocketAddress reporter) {
-            ObjectNode response = encode(status);
-            if (report.has(WANTS_TABLE_AFTER)) {
-                listener.recordedTableAfter(report.path(WANTS_TABLE_AFTER).asLong())
-                        .ifPresent(recorded -> response.put(TABLE, RangeTableJson.writeCompressed(recorded.table()))
-                                .put(TABLE_END, recorded.logEnd()));
+            Optional<EncodedTable> table = report.has(PendingReport.WANTS_TABLE_AFTER)
+                    ? listener.recordedTableAfter(
+                                    report.path(PendingReport.WANTS_TABLE_AFTER).asLong())
+                            .map(this::encode)
+                    : Optional.empty();
+            Optional<byte[]> statusAndTable = table.flatMap(EncodedTable::base64)
+                    .map(base64 -> ReportChannel.encode(encode(status)
+                            .put(TABLE, base64)
+                            .put(TABLE_END, table.get().recorded().logEnd())));
+            boolean statusNeedsOwnDatagram =
+                    statusAndTable.isEmpty() || statusAndTable.get().length > PendingReport.MAX_DATAGRAM_BYTES;
+            if (statusNeedsOwnDatagram) {
+                send(encode(status), reporter);
+            }
+            statusAndTable.ifPresent(datagram -> send(datagram, reporter));
+        }
+
+        private EncodedTable encode(RecordedTable recorded) {
+            if (newestEncodedTable.isEmpty()
+                    || !newestEncodedTable.get().recorded().equals(recorded)) {
+                String base64 = Base64.getEncoder().encodeToString(RangeTableJson.writeCompressed(recorded.table()));
+                boolean fits = base64.length() <= MAX_TABLE_BYTES;
+                if (!fits) {
+                    events.write(
+                            "report.too-large",
+                            "content",
+                            "range table",
+                            "bytes",
+                            base64.length(),
+                            "limit",
+                            MAX_TABLE_BYTES);
+                }
+                newestEncodedTable =
+                        Optional.of(new EncodedTable(recorded, fits ? Optional.of(base64) : Optional.empty()));
             }
-            send(response, reporter);
+            return newestEncodedTable.get();
         }
 
         private ObjectNode encode(LeaderStatus status) {
@@ -234,13 +277,13 @@
         }
 
         private void processReport(JsonNode report) {
-            report.path("keys").fields().forEachRemaining(service -> {
+            report.path(PendingReport.KEYS).fields().forEachRemaining(service -> {
                 ServiceId id = new ServiceId(service.getKey());
                 service.getValue().forEach(key -> listener.onReportedKey(id, key.asInt()));
             });
-            String vm = report.path("vm").asText();
+            String vm = report.path(PendingReport.VM).asText();
             listener.onReport(vm);
-            report.path("times").fields().forEachRemaining(time -> {
+            report.path(PendingReport.TIMES).fields().forEachRemaining(time -> {
                 ServerStart server = new ServerStart(
                         new ServerId(time.getKey()), time.getValue().path(0).asLong());
                 listener.onReportedServiceTime(
