Reports that arrive together are kept while the leader's control thread is busy

All VMs report every 500 ms, so a leader that is busy for longer than that loses reports of a large deployment.

Cause: the buffer was left at the kernel's default. It is now 1 MiB; Linux doubles the value and caps it at net.core.rmem_max first. The kernel takes the memory only while datagrams wait.

busyLeaderReceivesReportsOf150VmsThatArriveTogether failed before: the reports of the VMs 92 to 149 were missing after 10 s.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -41,6 +41,9 @@
     /** Most bytes of an encoded range table, so that the leader's status fits into the same datagram. */
     private static final int MAX_TABLE_BYTES = MAX_DATAGRAM_BYTES - PendingReport.MAX_DATAGRAM_BYTES;
 
+    /** Size of the kernel's receive buffer: room for the reports of 450 VMs while the control thread is busy. */
+    private static final int SOCKET_BUFFER_BYTES = 1 << 20;
+
     private static final String STORE_SILENCE = "storeSilenceMillis";
     private static final String REGISTRY_SILENCE = "registrySilenceMillis";
     private static final String ENTRY_VMS = "entryVms";
@@ -127,6 +130,7 @@
                 .group(eventLoop)
                 .channel(NioDatagramChannel.class)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new ReusedReceiveBuffer(MAX_DATAGRAM_BYTES))
+                .option(ChannelOption.SO_RCVBUF, SOCKET_BUFFER_BYTES)
                 .handler(new DatagramHandler())
                 .bind(address)
                 .sync()
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -20,6 +21,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -353,4 +355,34 @@
         assertThat(followerListener.received).hasOnlyElementsOfType(ReportChannel.LeaderStatus.class);
         await().until(() -> eventLines.toString(StandardCharsets.UTF_8).contains("\"report.too-large\""));
     }
+
+    /** Guards against reports that the kernel drops, because many VMs report while the leader's thread is busy. */
+    @Test
+    void busyLeaderReceivesReportsOf150VmsThatArriveTogether() throws IOException {
+        CountDownLatch reportsSent = new CountDownLatch(1);
+        loop.execute(() -> awaitLatch(reportsSent));
+        List<String> vms =
+                IntStream.range(0, 150).mapToObj(number -> "entry-" + number).toList();
+        try (DatagramSocket reporter = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            for (String vm : vms) {
+                ObjectNode report = new ObjectMapper().createObjectNode().put("vm", vm);
+                ArrayNode keys = report.putObject("keys").putArray("orders");
+                IntStream.range(0, KEYS_PER_SERVICE).forEach(key -> keys.add(KeyRange.MAX_KEY - key));
+                byte[] bytes = report.toString().getBytes(StandardCharsets.UTF_8);
+                reporter.send(new DatagramPacket(
+                        bytes, bytes.length, new InetSocketAddress(leader.reportHost(), leader.reportPort())));
+            }
+        } finally {
+            reportsSent.countDown();
+        }
+        await().untilAsserted(() -> assertThat(leaderListener.received).containsAll(vms));
+    }
+
+    private static void awaitLatch(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
