Send no grant to an owner that a table being recorded replaces

Cause: while A released keys that were moving to B, B began to drain, and the leader proposed to move them to C instead. When A's answer came before the record's, the leader granted the keys to B: isMoveBeingRecorded held calls back only for ranges in phase HELD. Then the record was answered. Its range knew A and C, inherited nothing from the replaced target, and C was granted the keys beside B. The class of fault: a decision derived from a state that went on changing while its record was pending.

Why it works: a proposal gives keys to another owner only if the present one can't hold them, is confirmed, or has none of them yet. From then on the present owner gets no grant in any phase until the result of the record is known, so that this is still true when the record takes effect.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -332,7 +332,7 @@
         if (hold.callPending
                 || nowMillis < hold.nextCallAtMillis
                 || shouldLetExpire(hold, view)
-                || isMoveBeingRecorded(hold)) {
+                || isOwnerBeingReplaced(hold)) {
             return;
         }
         boolean moveConfirmed = nowMillis - storeAnsweredMillis <= times.maxStoreSilenceForMovesMillis();
@@ -356,10 +356,13 @@
                 call, hold.service, hold.owner, hold.range, hold.fence, hold.lastGrantMillis, hold.handover);
     }
 
-    /** Returns whether a move is being recorded; a renewal might arrive after the release and restore the hold. */
-    private boolean isMoveBeingRecorded(RangeHold hold) {
+    /**
+     * Returns whether a table is being recorded that gives keys of the range to another owner. A grant to the present
+     * one might arrive after the release, or would be unknown to the move that follows.
+     */
+    private boolean isOwnerBeingReplaced(RangeHold hold) {
         return recordPending
-                && hold.phase == RangeHold.Phase.HELD
+                && hold.phase != RangeHold.Phase.RELEASING
                 && proposedTable.ranges(hold.service).stream()
                         .anyMatch(planned -> hold.overlaps(planned.range())
                                 && !planned.owner().equals(hold.owner));
