Never lead again in a term older than one that was announced

What could happen: a leader that was told of a newer term answered that it no longer leads; then the answer of its last append, or a read of its own table, arrived late and made it lead again in the old term, with fences that start over. The next leader had taken it as stopped and moved keys that it then renewed.

Cause: onNewTerm cleared the state of the term without remembering the newer one, and applyTable leads in any table that names this process.

Why it works: the newest term that was announced or read is kept, and a table of an older term is known but not led in.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -54,6 +54,8 @@
     private boolean leaderCandidate;
     private boolean leading;
     private long leadingSinceMillis;
+    /** Newest term that this process has been told of. */
+    private long newestTerm;
     private long storeAnsweredMillis = Long.MIN_VALUE / 2;
     private boolean recordPending;
     /** Newest table that this process proposed to record, whether or not the append succeeded. */
@@ -118,9 +120,13 @@
         }
     }
 
-    /** Stops leading if the term is newer than that of the table; the new term's table follows later. */
+    /**
+     * Stops leading in terms before the given one, for good: neither a table that is read late nor the late answer of an
+     * append makes this process lead in them again.
+     */
     public void onNewTerm(long term) {
-        if (leading && term > table.term()) {
+        newestTerm = Math.max(newestTerm, term);
+        if (leading && table.term() < newestTerm) {
             stopLeading();
         }
     }
@@ -189,7 +195,8 @@
                 .isPresent();
         boolean newTerm = recorded.term() != table.term();
         table = recorded;
-        if (!recordedAsLeader) {
+        newestTerm = Math.max(newestTerm, recorded.term());
+        if (!recordedAsLeader || recorded.term() < newestTerm) {
             stopLeading();
             return;
         }
