Count contact with the store from the append's sending, not from its answer

What could happen: a leader that records a table hears of it up to 1.2 s after the store took it, and counted that moment as contact. It acted up to 1.2 s longer than the next leader, which takes over right after the append, allows for.

Cause: onRecorded passed the time of the answer to onStoreAnswer, whose parameter is the time of the question.

Why it works: the former leader's last contact is now at or before the append that preceded the takeover, so its longest silence ends no later than the next leader assumes.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -58,6 +58,7 @@
     private long newestTerm;
     private long storeAnsweredMillis = Long.MIN_VALUE / 2;
     private boolean recordPending;
+    private long recordAskedMillis;
     /** Newest table that this process proposed to record, whether or not the append succeeded. */
     private RangeTable proposedTable = RangeTable.EMPTY;
 
@@ -183,7 +184,7 @@
         if (result.newEnd().orElse(-1) > logEnd) {
             nextRecordAtMillis = nowMillis;
             logEnd = result.newEnd().getAsLong();
-            onStoreAnswer(nowMillis);
+            onStoreAnswer(recordAskedMillis);
             applyTable(record.table(), nowMillis);
         }
     }
@@ -320,12 +321,13 @@
     private void claimLeadership(List<CoordinatorAction> actions, long nowMillis) {
         boolean leaderAlive = leaderPresence.isPresumedAlive(nowMillis);
         if (leaderCandidate && !leaderAlive && logEnd >= 0 && !recordPending && nowMillis >= nextRecordAtMillis) {
-            proposeTable(table.withLeader(table.term() + 1, self), actions);
+            proposeTable(table.withLeader(table.term() + 1, self), actions, nowMillis);
         }
     }
 
-    private void proposeTable(RangeTable proposal, List<CoordinatorAction> actions) {
+    private void proposeTable(RangeTable proposal, List<CoordinatorAction> actions, long nowMillis) {
         recordPending = true;
+        recordAskedMillis = nowMillis;
         proposedTable = proposal;
         actions.add(new CoordinatorAction.RecordTable(proposal, logEnd));
     }
@@ -400,7 +402,7 @@
         RangeTable base = formerLeaders.isEmpty() ? table.withoutFormerLeaders() : table;
         RangeTable proposal = new RangeTableProposer(holds, liveness, nowMillis).propose(base, services, balancesLoad);
         if (!proposal.equals(table)) {
-            proposeTable(proposal, actions);
+            proposeTable(proposal, actions, nowMillis);
         }
     }
 }
