--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
@@ -0,0 +1,284 @@
+package org.lacewingthread.core.keyrange;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+
+/**
+ * Records every grant that may be in force at a server or may still take effect there, whatever became of the range
+ * that it was sent for. A range may be granted to a server only while no other server can hold any of its keys:
+ *
+ * <pre>{@code
+ * if (!ledger.mayBeHeldByOthers(service, range, server, liveness::isEnded, nowMillis)) {
+ *     ledger.onGrantSent(call, service, server, range, fence, holdMillis, latestArrivalMillis);
+ * }
+ * }</pre>
+ *
+ * <p>A grant is pending until its call is answered or aborted. It is settled once it can't newly take effect: because
+ * the server answered it, or because the server accepted a higher fence for the keys. Only settled grants are cleared by
+ * a release, since an unanswered one may be applied after the release.
+ */
+final class GrantLedger {
+    /** A grant whose call was aborted reaches the server within this time after the abort, or never. */
+    private static final long ABORTED_CALL_DELIVERY_MILLIS = 50;
+    /** Call number of grants that leaders of earlier terms may have sent. */
+    private static final long NO_CALL = 0;
+
+    private static final long UNBOUNDED = Long.MAX_VALUE;
+
+    private final RangeLeaseTimes times;
+    private final Map<ServerStart, List<Entry>> entriesByServer = new HashMap<>();
+    private long settlements;
+
+    private enum State {
+        /** The call has neither been answered nor aborted. */
+        PENDING,
+        /** The grant may take effect later. */
+        UNSETTLED,
+        /** The grant has taken effect, or never will. */
+        SETTLED
+    }
+
+    /**
+     * A grant, or the part of one that covers some of its keys.
+     *
+     * @param heldUntilMillis time after which the grant can't be in force; {@link #UNBOUNDED} while former leaders may
+     *     renew it
+     * @param settlement number of the settlement, which orders it against releases; 0 unless settled
+     */
+    private record Entry(
+            ServiceId service,
+            KeyRange range,
+            long call,
+            long fence,
+            long holdMillis,
+            State state,
+            long heldUntilMillis,
+            long settlement) {
+        boolean overlaps(ServiceId otherService, KeyRange other) {
+            return service.equals(otherService) && range.overlaps(other);
+        }
+
+        boolean isInForce(long nowMillis) {
+            return state == State.PENDING || nowMillis < heldUntilMillis;
+        }
+
+        Entry withRange(KeyRange part) {
+            return new Entry(service, part, call, fence, holdMillis, state, heldUntilMillis, settlement);
+        }
+
+        Entry unsettled(long untilMillis) {
+            return new Entry(service, range, call, fence, holdMillis, State.UNSETTLED, untilMillis, 0);
+        }
+
+        Entry settled(long untilMillis, long number) {
+            return new Entry(service, range, call, fence, holdMillis, State.SETTLED, untilMillis, number);
+        }
+    }
+
+    GrantLedger(RangeLeaseTimes times) {
+        this.times = times;
+    }
+
+    /** Records that a grant is sent; the call arrives by the given time, or is aborted. */
+    void onGrantSent(
+            long call,
+            ServiceId service,
+            ServerStart server,
+            KeyRange range,
+            long fence,
+            long holdMillis,
+            long latestArrivalMillis) {
+        long untilMillis = times.heldUntilMillis(latestArrivalMillis, holdMillis);
+        entriesOf(server).add(new Entry(service, range, call, fence, holdMillis, State.PENDING, untilMillis, 0));
+    }
+
+    /**
+     * Records that leaders of earlier terms may have granted a range to its owner.
+     *
+     * @param latestArrivalMillis time by which their last grant arrives; empty while they may renew it
+     */
+    void addGrantOfFormerLeaders(
+            ServiceId service, ServerStart owner, KeyRange range, Optional<Long> latestArrivalMillis) {
+        long untilMillis = latestArrivalMillis.map(times::heldUntilMillis).orElse(UNBOUNDED);
+        entriesOf(owner).add(formerLeadersEntry(service, range).unsettled(untilMillis));
+    }
+
+    /**
+     * Records that a former owner may hold a range whose move was recorded in an earlier term. A leader sends it no
+     * grant once the move may be recorded, and moves keys only from an owner whose grants are settled.
+     */
+    void addGrantBeforeRecordedMove(
+            ServiceId service, ServerStart formerOwner, KeyRange range, long latestArrivalMillis) {
+        entriesOf(formerOwner)
+                .add(formerLeadersEntry(service, range)
+                        .settled(times.heldUntilMillis(latestArrivalMillis), ++settlements));
+    }
+
+    private Entry formerLeadersEntry(ServiceId service, KeyRange range) {
+        return new Entry(service, range, NO_CALL, 0, times.holdMillis(), State.UNSETTLED, UNBOUNDED, 0);
+    }
+
+    /** Records that former leaders have stopped, and that their last grants arrive by the given time. */
+    void onFormerLeadersStopped(long latestArrivalMillis) {
+        long untilMillis = times.heldUntilMillis(latestArrivalMillis);
+        entriesByServer
+                .values()
+                .forEach(entries -> entries.replaceAll(
+                        entry -> entry.heldUntilMillis() == UNBOUNDED ? entry.unsettled(untilMillis) : entry));
+    }
+
+    /** Records that the answers of this process's calls are not followed any more, as a term begins or ends. */
+    void abandonPendingCalls(long latestArrivalMillis) {
+        entriesByServer
+                .values()
+                .forEach(entries -> entries.replaceAll(entry -> entry.state() == State.PENDING
+                        ? entry.unsettled(times.heldUntilMillis(latestArrivalMillis, entry.holdMillis()))
+                        : entry));
+    }
+
+    /** Records the answer of a grant, or that its call was aborted. */
+    void onGrantAnswer(long call, ServerStart server, GrantOutcome outcome, long nowMillis) {
+        List<Entry> entries = entriesOf(server);
+        switch (outcome) {
+            case GRANTED -> onGranted(call, entries, nowMillis);
+            case UNKNOWN -> entries.replaceAll(entry -> entry.call() == call && entry.state() == State.PENDING
+                    ? entry.unsettled(
+                            times.heldUntilMillis(nowMillis + ABORTED_CALL_DELIVERY_MILLIS, entry.holdMillis()))
+                    : entry);
+            case FENCED -> entries.removeIf(entry -> entry.call() == call);
+            case SERVER_REPLACED -> removeServer(server);
+        }
+    }
+
+    private void onGranted(long call, List<Entry> entries, long nowMillis) {
+        for (Entry granted : List.copyOf(entries)) {
+            if (granted.call() == call) {
+                settleSuperseded(granted, entries, nowMillis);
+            }
+        }
+    }
+
+    /** Settles an accepted grant, and what it covers of the server's grants with lower fences. */
+    private void settleSuperseded(Entry granted, List<Entry> entries, long nowMillis) {
+        entries.remove(granted);
+        long heldUntilMillis = times.heldUntilMillis(nowMillis, granted.holdMillis());
+        List<Entry> kept = new ArrayList<>();
+        for (Entry entry : entries) {
+            boolean superseded = entry.fence() < granted.fence() && entry.overlaps(granted.service(), granted.range());
+            if (superseded && entry.state() != State.SETTLED) {
+                entry.range().without(granted.range()).forEach(part -> kept.add(entry.withRange(part)));
+                long endMillis = Math.min(
+                        entry.state() == State.PENDING ? UNBOUNDED : entry.heldUntilMillis(),
+                        times.heldUntilMillis(nowMillis, entry.holdMillis()));
+                kept.add(entry.withRange(entry.range().intersection(granted.range()))
+                        .settled(endMillis, ++settlements));
+            } else {
+                kept.add(entry);
+            }
+        }
+        kept.removeIf(entry -> entry.state() == State.SETTLED
+                && entry.service().equals(granted.service())
+                && entry.range().without(granted.range()).isEmpty()
+                && entry.heldUntilMillis() <= heldUntilMillis);
+        kept.add(granted.settled(heldUntilMillis, ++settlements));
+        entries.clear();
+        entries.addAll(kept);
+    }
+
+    /** Returns a mark to be taken when a release is sent; {@link #onReleased} clears what was settled before it. */
+    long settlementMark() {
+        return settlements;
+    }
+
+    /** Records that a server released a range; grants settled after the mark may have arrived later and remain. */
+    void onReleased(ServiceId service, ServerStart server, KeyRange range, long settlementMark) {
+        List<Entry> entries = entriesOf(server);
+        for (Entry entry : List.copyOf(entries)) {
+            boolean cleared = entry.state() == State.SETTLED
+                    && entry.settlement() <= settlementMark
+                    && entry.overlaps(service, range);
+            if (cleared) {
+                entries.remove(entry);
+                entry.range().without(range).forEach(part -> entries.add(entry.withRange(part)));
+            }
+        }
+    }
+
+    /** Records that a server has ended and holds nothing. */
+    void removeServer(ServerStart server) {
+        entriesByServer.remove(server);
+    }
+
+    /** Returns whether a server other than the given one may hold a key of the range, now or later. */
+    boolean mayBeHeldByOthers(
+            ServiceId service, KeyRange range, ServerStart server, Predicate<ServerStart> hasEnded, long nowMillis) {
+        for (Map.Entry<ServerStart, List<Entry>> other : entriesByServer.entrySet()) {
+            boolean mayHold = !other.getKey().equals(server) && mayHold(service, range, other.getValue(), nowMillis);
+            if (mayHold && !hasEnded.test(other.getKey())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns whether a server may hold a key of the range, now or later. */
+    boolean mayHold(ServiceId service, ServerStart server, KeyRange range, long nowMillis) {
+        return mayHold(service, range, entriesByServer.getOrDefault(server, List.of()), nowMillis);
+    }
+
+    private static boolean mayHold(ServiceId service, KeyRange range, List<Entry> entries, long nowMillis) {
+        for (Entry entry : entries) {
+            if (entry.overlaps(service, range) && entry.isInForce(nowMillis)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns whether a grant of some of the keys to the server awaits its answer. */
+    boolean hasPendingGrant(ServiceId service, ServerStart server, KeyRange range) {
+        return entriesByServer.getOrDefault(server, List.of()).stream()
+                .anyMatch(entry -> entry.state() == State.PENDING && entry.overlaps(service, range));
+    }
+
+    /** Returns whether the server holds keys of the range, and none of its grants for them may newly take effect. */
+    boolean isConfirmed(ServiceId service, ServerStart server, KeyRange range, long nowMillis) {
+        boolean holds = false;
+        for (Entry entry : entriesByServer.getOrDefault(server, List.of())) {
+            if (entry.overlaps(service, range) && entry.isInForce(nowMillis)) {
+                if (entry.state() != State.SETTLED) {
+                    return false;
+                }
+                holds = true;
+            }
+        }
+        return holds;
+    }
+
+    /** Returns the time after which the server can't hold any key of the range, or the present time if it can't now. */
+    long heldUntilMillis(ServiceId service, ServerStart server, KeyRange range, long nowMillis) {
+        long untilMillis = nowMillis;
+        for (Entry entry : entriesByServer.getOrDefault(server, List.of())) {
+            if (entry.overlaps(service, range)) {
+                untilMillis = Math.max(untilMillis, entry.heldUntilMillis());
+            }
+        }
+        return untilMillis;
+    }
+
+    private List<Entry> entriesOf(ServerStart server) {
+        return entriesByServer.computeIfAbsent(server, start -> new ArrayList<>());
+    }
+
+    /** Drops the grants that can't be in force any more. */
+    void removeExpired(long nowMillis) {
+        entriesByServer.values().forEach(entries -> entries.removeIf(entry -> !entry.isInForce(nowMillis)));
+        entriesByServer.values().removeIf(List::isEmpty);
+    }
+}
--- a/core/src/main/java/org/lacewingthread/core/keyrange/KeyRange.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/KeyRange.java
@@ -1,5 +1,8 @@
 package org.lacewingthread.core.keyrange;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * A non-empty interval of the numeric key space.
  *
@@ -30,6 +33,35 @@
         return firstKey <= key && key <= lastKey;
     }
 
+    /** Returns whether a range has keys in common with this one. */
+    public boolean overlaps(KeyRange other) {
+        return firstKey <= other.lastKey && other.firstKey <= lastKey;
+    }
+
+    /**
+     * Returns the keys that this range has in common with another one.
+     *
+     * @throws IllegalArgumentException if there are none
+     */
+    public KeyRange intersection(KeyRange other) {
+        return new KeyRange(Math.max(firstKey, other.firstKey), Math.min(lastKey, other.lastKey));
+    }
+
+    /** Returns what is left of this range without the keys of another one: up to two ranges, in key order. */
+    public List<KeyRange> without(KeyRange other) {
+        if (!overlaps(other)) {
+            return List.of(this);
+        }
+        List<KeyRange> rest = new ArrayList<>();
+        if (firstKey < other.firstKey) {
+            rest.add(below(other.firstKey));
+        }
+        if (lastKey > other.lastKey) {
+            rest.add(from(other.lastKey + 1));
+        }
+        return rest;
+    }
+
     /** Returns the number of keys in this range. */
     public int size() {
         return lastKey - firstKey + 1;
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -1,7 +1,6 @@
 package org.lacewingthread.core.keyrange;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +11,7 @@
 
 /**
  * Coordinates the ownership of key ranges on one entry VM. The leader records owners in the store,
- * grants them their ranges and renews the grants. Three rules keep a key from having two holders:
+ * grants them their ranges and renews the grants. These rules keep a key from having two holders:
  *
  * <ul>
  *   <li>A change of owner is recorded by a conditional append before it is carried out, so that of two
@@ -21,6 +20,8 @@
  *       no longer hold them because its last grant has expired.
  *   <li>An unanswered grant is followed by one with a higher fence, and a move starts only from an
  *       answered grant, so that no delayed grant restores a former owner's hold.
+ *   <li>While a table is being recorded that gives keys to another owner, their present owner gets no
+ *       grant.
  * </ul>
  *
  * <pre>{@code
@@ -32,21 +33,14 @@
  * <p>Times are in milliseconds of a monotonic clock that also advances while the machine is suspended.
  */
 public final class RangeCoordinator {
-    /** A grant arrives within this time after it is sent, or never; calls are aborted earlier. */
-    private static final long MAX_CALL_DELIVERY_MILLIS = 1_200;
-    /** Delay after an attempt to record a table that was refused or got no answer. */
-    private static final long RECORD_RETRY_MILLIS = 200;
     /** Interval at which ranges may move to balance load. */
     private static final long BALANCE_INTERVAL_MILLIS = 1_000;
-    /** Fences reserved for each term; more than a term can use. */
-    private static final long FENCES_PER_TERM = 1_000_000;
 
     private final Leader self;
     private final RangeLeaseTimes times;
     private final RangeEventListener listener;
-    private final List<RangeHold> holds = new ArrayList<>();
-    private final Map<Long, RangeHold> pendingCalls = new HashMap<>();
-    private final ServerLiveness liveness = new ServerLiveness();
+    private final RangeHolds holds;
+    private final TableAppends appends = new TableAppends();
     private final LeaderPresence leaderPresence = new LeaderPresence();
     private RangeTable table = RangeTable.EMPTY;
     private long logEnd = -1;
@@ -56,16 +50,9 @@
     private long leadingSinceMillis;
     /** Newest term that this process has been told of. */
     private long newestTerm;
-    private long storeAnsweredMillis = Long.MIN_VALUE / 2;
-    private boolean recordPending;
-    private long recordAskedMillis;
-    /** Newest table that this process proposed to record, whether or not the append succeeded. */
-    private RangeTable proposedTable = RangeTable.EMPTY;
 
-    private long nextRecordAtMillis;
+    private long storeAnsweredMillis = Long.MIN_VALUE / 2;
     private long nextBalanceAtMillis;
-    private long nextFence;
-    private long nextCallId;
 
     /** Creates a coordinator without a table, which therefore doesn't lead. */
     public RangeCoordinator(Leader self, RangeLeaseTimes times) {
@@ -77,6 +64,7 @@
         this.self = self;
         this.times = times;
         this.listener = listener;
+        this.holds = new RangeHolds(times, listener);
     }
 
     /** Returns the newest known table. */
@@ -135,11 +123,10 @@
     private void stopLeading() {
         leading = false;
         holds.clear();
-        pendingCalls.clear();
     }
 
     private void onFormerLeadersStopped(RangeEventListener.StopEvidence evidence, long nowMillis) {
-        holds.forEach(hold -> hold.onFormerLeadersStopped(times, nowMillis + MAX_CALL_DELIVERY_MILLIS));
+        holds.onFormerLeadersStopped(nowMillis);
         listener.onFormerLeadersStopped(evidence, nowMillis);
     }
 
@@ -168,23 +155,29 @@
         if (end < logEnd || (end == logEnd && recorded.equals(table))) {
             return false;
         }
-        logEnd = end;
+        advanceLog(end);
         applyTable(recorded, nowMillis);
         return true;
     }
 
+    private void advanceLog(long end) {
+        logEnd = end;
+        appends.onLogEnd(end);
+    }
+
     /**
      * Records the result of a {@link CoordinatorAction.RecordTable}.
      *
      * @param result result of the append; if it is unknown, the table follows when the log is read
      */
     public void onRecorded(CoordinatorAction.RecordTable record, AppendResult result, long nowMillis) {
-        recordPending = false;
-        nextRecordAtMillis = nowMillis + RECORD_RETRY_MILLIS;
-        if (result.newEnd().orElse(-1) > logEnd) {
-            nextRecordAtMillis = nowMillis;
-            logEnd = result.newEnd().getAsLong();
-            onStoreAnswer(recordAskedMillis);
+        appends.onResult(result, nowMillis);
+        if (result.outcome() != AppendResult.Outcome.RECORDED) {
+            return;
+        }
+        onStoreAnswer(appends.askedMillis());
+        if (result.newEnd().getAsLong() > logEnd) {
+            advanceLog(result.newEnd().getAsLong());
             applyTable(record.table(), nowMillis);
         }
     }
@@ -208,92 +201,31 @@
             formerLeaders.addAll(recorded.formerLeaders());
             formerLeaders.removeIf(
                     former -> former.process().vm().equals(self.process().vm()));
-            nextFence = recorded.term() * FENCES_PER_TERM;
             long formerLeadersStoppedByMillis = nowMillis + times.maxStoreSilenceMillis();
             listener.onTermStarted(table.term(), Set.copyOf(formerLeaders), formerLeadersStoppedByMillis, nowMillis);
-            holds.clear();
-            pendingCalls.clear();
-        }
-        rebuildHolds(nowMillis);
-    }
-
-    private void rebuildHolds(long nowMillis) {
-        List<RangeHold> former = List.copyOf(holds);
-        holds.clear();
-        table.rangesByService().forEach((service, ranges) -> {
-            List<RangeHold> known =
-                    former.stream().filter(hold -> hold.service.equals(service)).toList();
-            ranges.forEach(ownership -> holds.add(holdFor(service, ownership, known, nowMillis)));
-        });
-        pendingCalls.values().removeIf(hold -> !holds.contains(hold));
-    }
-
-    private RangeHold holdFor(ServiceId service, RangeOwnership ownership, List<RangeHold> known, long nowMillis) {
-        List<RangeHold> overlapping =
-                known.stream().filter(hold -> hold.overlaps(ownership.range())).toList();
-        if (overlapping.size() == 1 && overlapping.get(0).matches(ownership)) {
-            RangeHold same = overlapping.get(0);
-            if (!ownership.isMoving() || same.movingFrom.equals(ownership.movingFrom())) {
-                return same;
-            }
-        }
-        RangeHold hold = new RangeHold(service, ownership, newFence(), nowMillis);
-        boolean grantedInEarlierTerm = overlapping.isEmpty() && nowMillis == leadingSinceMillis;
-        if (grantedInEarlierTerm) {
-            hold.formerLeadersMayRenew = !formerLeaders.isEmpty();
-            // Once a move is recorded, no leader renews the former owner's grant.
-            hold.ownerHeldUntilMillis = times.heldUntilMillis(nowMillis + MAX_CALL_DELIVERY_MILLIS);
-            hold.formerOwnerHeldUntilMillis = hold.ownerHeldUntilMillis;
-        }
-        for (RangeHold other : overlapping) {
-            hold.inheritFrom(other);
+            holds.startTerm(recorded, !formerLeaders.isEmpty(), nowMillis);
+        } else {
+            holds.applyTable(recorded, nowMillis);
         }
-        return hold;
     }
 
-    private long newFence() {
-        return ++nextFence;
-    }
-
-    /** Returns whether a grant or release awaits its answer and belongs to a range of the table. */
+    /** Returns whether a grant or release awaits its answer and belongs to the present term. */
     public boolean awaitsAnswer(long call) {
-        return pendingCalls.containsKey(call);
+        return holds.awaitsAnswer(call);
     }
 
-    /** Records the result of a grant; ignored if the call no longer belongs to a range of the table. */
+    /** Records the result of a grant; ignored if the call belongs to an earlier term. */
     public void onGrantAnswer(long call, GrantOutcome outcome, long nowMillis) {
-        RangeHold hold = pendingCalls.remove(call);
-        if (hold == null) {
-            return;
-        }
-        hold.callPending = false;
-        if (outcome == GrantOutcome.GRANTED) {
-            hold.onGranted(times, nowMillis);
-        } else {
-            hold.onGrantFailed(times, newFence(), nowMillis);
-        }
-        liveness.recordGrantOutcome(hold, outcome, nowMillis);
+        holds.onGrantAnswer(call, outcome, nowMillis);
     }
 
     /**
-     * Records the result of a release; ignored if the call no longer belongs to a range of the table.
+     * Records the result of a release; ignored if the call belongs to an earlier term.
      *
      * @param handover token for the next owner, if the server returned one
      */
     public void onReleaseAnswer(long call, ReleaseOutcome outcome, Optional<String> handover, long nowMillis) {
-        RangeHold hold = pendingCalls.remove(call);
-        if (hold == null) {
-            return;
-        }
-        hold.callPending = false;
-        hold.nextCallAtMillis = outcome == ReleaseOutcome.UNKNOWN ? nowMillis + RangeHold.RETRY_MILLIS : nowMillis;
-        if (outcome == ReleaseOutcome.SERVER_REPLACED) {
-            hold.movingFrom.ifPresent(liveness::recordEnded);
-        }
-        if (outcome != ReleaseOutcome.UNKNOWN) {
-            hold.handover = handover;
-            hold.startGranting(newFence(), TakeoverReason.of(outcome), listener, nowMillis);
-        }
+        holds.onReleaseAnswer(call, outcome, handover, nowMillis);
     }
 
     /** Returns the actions to carry out now: calls to servers and, at most, one table to record. */
@@ -310,99 +242,41 @@
             formerLeaders.clear();
             onFormerLeadersStopped(RangeEventListener.StopEvidence.TIME, nowMillis);
         }
-        liveness.removeExpired(nowMillis);
-        for (RangeHold hold : holds) {
-            stepHold(hold, services.get(hold.service), actions, nowMillis);
-        }
+        boolean movesAllowed = nowMillis - storeAnsweredMillis <= times.maxStoreSilenceForMovesMillis();
+        holds.step(
+                services,
+                movesAllowed,
+                hold -> appends.mayReplaceOwner(hold.service, hold.range, hold.owner),
+                actions,
+                nowMillis);
         recordTableChanges(services, actions, nowMillis);
         return actions;
     }
 
     private void claimLeadership(List<CoordinatorAction> actions, long nowMillis) {
         boolean leaderAlive = leaderPresence.isPresumedAlive(nowMillis);
-        if (leaderCandidate && !leaderAlive && logEnd >= 0 && !recordPending && nowMillis >= nextRecordAtMillis) {
-            proposeTable(table.withLeader(table.term() + 1, self), actions, nowMillis);
+        if (leaderCandidate && !leaderAlive && logEnd >= 0 && appends.mayCall(nowMillis)) {
+            actions.add(appends.start(table.withLeader(table.term() + 1, self), logEnd, nowMillis));
         }
     }
 
-    private void proposeTable(RangeTable proposal, List<CoordinatorAction> actions, long nowMillis) {
-        recordPending = true;
-        recordAskedMillis = nowMillis;
-        proposedTable = proposal;
-        actions.add(new CoordinatorAction.RecordTable(proposal, logEnd));
-    }
-
-    private void stepHold(RangeHold hold, ServiceView view, List<CoordinatorAction> actions, long nowMillis) {
-        if (hold.phase == RangeHold.Phase.RELEASING && formerOwnerCannotHold(hold, view, nowMillis)) {
-            hold.callPending = false;
-            hold.nextCallAtMillis = nowMillis;
-            hold.startGranting(newFence(), hold.reasonWithoutRelease(nowMillis), listener, nowMillis);
-        }
-        if (hold.callPending
-                || nowMillis < hold.nextCallAtMillis
-                || shouldLetExpire(hold, view)
-                || isOwnerBeingReplaced(hold)) {
-            return;
-        }
-        boolean moveConfirmed = nowMillis - storeAnsweredMillis <= times.maxStoreSilenceForMovesMillis();
-        if (hold.phase != RangeHold.Phase.HELD && !moveConfirmed) {
+    private void recordTableChanges(
+            Map<ServiceId, ServiceView> services, List<CoordinatorAction> actions, long nowMillis) {
+        if (!appends.mayCall(nowMillis) || logEnd < 0) {
             return;
         }
-        long call = ++nextCallId;
-        hold.callPending = true;
-        pendingCalls.put(call, hold);
-        if (hold.phase == RangeHold.Phase.RELEASING) {
-            actions.add(new CoordinatorAction.Release(
-                    call, hold.service, hold.movingFrom.orElseThrow(), hold.range, hold.formerOwnerFence));
-        } else {
-            actions.add(createGrant(call, hold, nowMillis));
-        }
-    }
-
-    private CoordinatorAction.Grant createGrant(long call, RangeHold hold, long nowMillis) {
-        hold.onGrantSent(times, liveness.isSuspected(hold.owner), nowMillis + MAX_CALL_DELIVERY_MILLIS);
-        return new CoordinatorAction.Grant(
-                call, hold.service, hold.owner, hold.range, hold.fence, hold.lastGrantMillis, hold.handover);
-    }
-
-    /**
-     * Returns whether a table is being recorded that gives keys of the range to another owner. A grant to the present
-     * one might arrive after the release, or would be unknown to the move that follows.
-     */
-    private boolean isOwnerBeingReplaced(RangeHold hold) {
-        return recordPending
-                && hold.phase != RangeHold.Phase.RELEASING
-                && proposedTable.ranges(hold.service).stream()
-                        .anyMatch(planned -> hold.overlaps(planned.range())
-                                && !planned.owner().equals(hold.owner));
-    }
-
-    /** Returns whether a hold is not renewed, since that would delay the takeover of a lost server's keys. */
-    private boolean shouldLetExpire(RangeHold hold, ServiceView view) {
-        if (hold.phase == RangeHold.Phase.RELEASING) {
-            return false;
+        RangeTable proposal = proposeTable(services, nowMillis);
+        if (!proposal.equals(table)) {
+            actions.add(appends.start(proposal, logEnd, nowMillis));
         }
-        boolean unregistered = view != null && !view.registered().contains(hold.owner);
-        return liveness.isUnresponsiveOrEnded(hold.owner) || (unregistered && !hold.confirmed);
-    }
-
-    private boolean formerOwnerCannotHold(RangeHold hold, ServiceView view, long nowMillis) {
-        return nowMillis >= hold.formerOwnerHeldUntilMillis || liveness.hasEnded(hold.movingFrom.orElseThrow(), view);
     }
 
-    private void recordTableChanges(
-            Map<ServiceId, ServiceView> services, List<CoordinatorAction> actions, long nowMillis) {
-        if (recordPending || nowMillis < nextRecordAtMillis || logEnd < 0) {
-            return;
-        }
+    private RangeTable proposeTable(Map<ServiceId, ServiceView> services, long nowMillis) {
         boolean balancesLoad = nowMillis >= nextBalanceAtMillis;
         if (balancesLoad) {
             nextBalanceAtMillis = nowMillis + BALANCE_INTERVAL_MILLIS;
         }
         RangeTable base = formerLeaders.isEmpty() ? table.withoutFormerLeaders() : table;
-        RangeTable proposal = new RangeTableProposer(holds, liveness, nowMillis).propose(base, services, balancesLoad);
-        if (!proposal.equals(table)) {
-            proposeTable(proposal, actions, nowMillis);
-        }
+        return holds.propose(base, services, balancesLoad, nowMillis);
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
@@ -4,14 +4,14 @@
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 
-/** The leader's state of one range: the step of its move, and how long each owner may hold the keys. */
+/** The leader's state of one range: the step of its move, the call under way and the next one. */
 final class RangeHold {
     /** Delay before a failed call is repeated. */
     static final long RETRY_MILLIS = 250;
-    /** A grant whose call was aborted reaches the server within this time after the abort, or never. */
-    private static final long ABORTED_CALL_DELIVERY_MILLIS = 50;
     /** Shortest useful hold; if less is left, a server that may be lost is granted the full hold. */
     private static final long MIN_USEFUL_HOLD_MILLIS = 300;
+    /** Value of {@link #pendingCall} while no call awaits its answer. */
+    private static final long NO_CALL = 0;
 
     /** A step of a move, or the state after it. */
     enum Phase {
@@ -30,31 +30,22 @@
     Phase phase;
     /** Fence of the next grant to the owner; raised after a grant that failed. */
     long fence;
-    /** Time after which no grant to the owner can be in force. */
-    long ownerHeldUntilMillis;
-    /** Value of {@link #ownerHeldUntilMillis} before the newest grant was sent. */
-    long ownerHeldUntilBeforeCallMillis;
     /** Hold that the newest grant to the owner states, in milliseconds. */
     long lastGrantMillis;
-    /** Whether a former leader that has not stopped yet may renew the owner's grant. */
-    boolean formerLeadersMayRenew;
-    /** Time after which no grant to the former owner can be in force. */
-    long formerOwnerHeldUntilMillis;
     /** Fence of the former owner's newest grant, or a higher one if a former leader sent that grant. */
     long formerOwnerFence;
-    /** Whether the newest grant was accepted and every unanswered one had a lower fence. */
-    boolean confirmed;
-    /** Whether a grant or release awaits its answer. */
-    boolean callPending;
-
-    /** Time by which the newest grant has arrived or was aborted. */
-    long callDeliveredByMillis = Long.MIN_VALUE / 2;
+    /** Time after which no grant to the former owner can be in force, unless it releases the keys earlier. */
+    long formerOwnerHeldUntilMillis;
+    /** What the answer of the release shows; empty until there is one. */
+    Optional<TakeoverReason> releaseResult = Optional.empty();
 
     long nextCallAtMillis;
     Optional<String> handover = Optional.empty();
     /** When the first of the consecutive unanswered grants failed; empty while the owner answers. */
     Optional<Long> unansweredSinceMillis = Optional.empty();
 
+    private long pendingCall = NO_CALL;
+
     RangeHold(ServiceId service, RangeOwnership ownership, long fence, long nowMillis) {
         this.service = service;
         this.range = ownership.range();
@@ -62,108 +53,111 @@
         this.movingFrom = ownership.movingFrom();
         this.phase = ownership.isMoving() ? Phase.RELEASING : Phase.HELD;
         this.fence = fence;
-        this.formerOwnerFence = fence;
         this.nextCallAtMillis = nowMillis;
-        this.ownerHeldUntilMillis = nowMillis;
-        this.formerOwnerHeldUntilMillis = nowMillis;
     }
 
     boolean matches(RangeOwnership ownership) {
         return range.equals(ownership.range()) && owner.equals(ownership.owner());
     }
 
-    boolean overlaps(KeyRange other) {
-        return range.firstKey() <= other.lastKey() && other.firstKey() <= range.lastKey();
+    boolean isCallPending() {
+        return pendingCall != NO_CALL;
     }
 
-    /** Starts to grant the range to its owner, since the former owner no longer holds the keys. */
-    void startGranting(long newFence, TakeoverReason reason, RangeEventListener listener, long nowMillis) {
-        phase = Phase.GRANTING;
-        fence = newFence;
-        ServerStart formerOwner = movingFrom.orElseThrow();
-        listener.onTakeover(
-                service, range, owner, formerOwner, reason, newFence, formerOwnerHeldUntilMillis, nowMillis);
+    /** Records that a call is sent; the answers of earlier ones no longer change the state of the range. */
+    void onCallSent(long call) {
+        pendingCall = call;
     }
 
-    /** Returns why a former owner that has not answered a release can't hold the keys any more. */
-    TakeoverReason reasonWithoutRelease(long nowMillis) {
-        return nowMillis >= formerOwnerHeldUntilMillis ? TakeoverReason.EXPIRED : TakeoverReason.ENDED;
+    /** Ends the call under way if it is the given one; returns whether it is. */
+    boolean endCall(long call) {
+        if (pendingCall != call) {
+            return false;
+        }
+        pendingCall = NO_CALL;
+        return true;
     }
 
-    /**
-     * Bounds the time for which a renewal by a former leader may be in force.
-     *
-     * @param latestArrivalMillis time by which each call of the former leaders has arrived or was aborted
-     */
-    void onFormerLeadersStopped(RangeLeaseTimes times, long latestArrivalMillis) {
-        if (formerLeadersMayRenew) {
-            formerLeadersMayRenew = false;
-            ownerHeldUntilMillis = Math.max(ownerHeldUntilMillis, times.heldUntilMillis(latestArrivalMillis));
-        }
+    /** Starts to grant the range to its owner, since no other server can hold its keys. */
+    void startGranting(long newFence, RangeEventListener listener, long nowMillis) {
+        phase = Phase.GRANTING;
+        fence = newFence;
+        pendingCall = NO_CALL;
+        nextCallAtMillis = nowMillis;
+        TakeoverReason withoutRelease =
+                nowMillis >= formerOwnerHeldUntilMillis ? TakeoverReason.EXPIRED : TakeoverReason.ENDED;
+        listener.onTakeover(
+                service,
+                range,
+                owner,
+                movingFrom.orElseThrow(),
+                releaseResult.orElse(withoutRelease),
+                newFence,
+                formerOwnerHeldUntilMillis,
+                nowMillis);
     }
 
     /**
-     * Records that a grant is sent, and sets its hold. The grant to a server that may be lost ends no
-     * later than the one before it, so that the attempt does not delay the takeover of the keys.
+     * Sets the hold of the grant that is sent next. The grant to a server that may be lost ends no later than the one
+     * before it, so that the attempt does not delay the takeover of the keys.
      *
      * @param ownerSuspected whether the owner left a grant unanswered and has accepted none since
+     * @param heldUntilMillis time after which none of the owner's grants so far can be in force
      * @param latestArrivalMillis time by which the call has arrived or was aborted
      */
-    void onGrantSent(RangeLeaseTimes times, boolean ownerSuspected, long latestArrivalMillis) {
-        callDeliveredByMillis = latestArrivalMillis;
-        // Until it is answered, the renewal may arrive after a release that has the same fence.
-        confirmed = false;
-        ownerHeldUntilBeforeCallMillis = ownerHeldUntilMillis;
-        long cappedHoldMillis = times.holdMillisEndingBy(ownerHeldUntilMillis, latestArrivalMillis);
+    void prepareGrant(RangeLeaseTimes times, boolean ownerSuspected, long heldUntilMillis, long latestArrivalMillis) {
+        long cappedHoldMillis = times.holdMillisEndingBy(heldUntilMillis, latestArrivalMillis);
         boolean extendsHold = !ownerSuspected || cappedHoldMillis < MIN_USEFUL_HOLD_MILLIS;
         lastGrantMillis = extendsHold ? times.holdMillis() : cappedHoldMillis;
-        if (extendsHold) {
-            ownerHeldUntilMillis = Math.max(ownerHeldUntilMillis, times.heldUntilMillis(latestArrivalMillis));
-        }
     }
 
     void onGranted(RangeLeaseTimes times, long nowMillis) {
-        boolean fullHold = lastGrantMillis == times.holdMillis();
-        if (fullHold) {
-            // Earlier unanswered grants had lower fences and can no longer take effect.
-            ownerHeldUntilMillis = times.heldUntilMillis(nowMillis);
-        }
-        formerLeadersMayRenew = false;
         phase = Phase.HELD;
-        confirmed = true;
         unansweredSinceMillis = Optional.empty();
         handover = Optional.empty();
+        boolean fullHold = lastGrantMillis == times.holdMillis();
         nextCallAtMillis = fullHold ? nowMillis + times.renewalIntervalMillis() : nowMillis;
     }
 
-    void onGrantFailed(RangeLeaseTimes times, long newFence, long nowMillis) {
-        boolean fullHold = lastGrantMillis == times.holdMillis();
-        long heldUntilMillis = fullHold
-                ? times.heldUntilMillis(nowMillis + ABORTED_CALL_DELIVERY_MILLIS)
-                : ownerHeldUntilBeforeCallMillis;
-        ownerHeldUntilMillis = Math.max(ownerHeldUntilBeforeCallMillis, heldUntilMillis);
-        confirmed = false;
+    void onGrantFailed(long newFence, long nowMillis) {
         fence = newFence;
         nextCallAtMillis = nowMillis + RETRY_MILLIS;
     }
 
-    /** Carries over the state of an overlapping range of the previous table. */
-    void inheritFrom(RangeHold other) {
+    void onReleaseAnswer(ReleaseOutcome outcome, Optional<String> token, long nowMillis) {
+        nextCallAtMillis = outcome == ReleaseOutcome.UNKNOWN ? nowMillis + RETRY_MILLIS : nowMillis;
+        if (outcome != ReleaseOutcome.UNKNOWN) {
+            releaseResult = Optional.of(TakeoverReason.of(outcome));
+            handover = token;
+        }
+    }
+
+    /**
+     * Carries over the state of an overlapping range of the previous table.
+     *
+     * @return whether the release under way at the other range now belongs to this one
+     */
+    boolean inheritFrom(RangeHold other) {
         if (movingFrom.filter(other.owner::equals).isPresent()) {
-            formerOwnerHeldUntilMillis = Math.max(formerOwnerHeldUntilMillis, other.ownerHeldUntilMillis);
-            formerOwnerFence = other.fence;
-            if (other.callPending) {
-                // A pending renewal must not arrive after the release.
-                nextCallAtMillis = Math.max(nextCallAtMillis, other.callDeliveredByMillis);
-            }
+            formerOwnerFence = Math.max(formerOwnerFence, other.fence);
         }
-        if (other.phase == Phase.RELEASING && movingFrom.equals(other.movingFrom)) {
-            formerOwnerHeldUntilMillis = Math.max(formerOwnerHeldUntilMillis, other.formerOwnerHeldUntilMillis);
-            formerOwnerFence = other.formerOwnerFence;
+        boolean sameFormerOwner = movingFrom.isPresent() && movingFrom.equals(other.movingFrom);
+        if (sameFormerOwner && other.phase == Phase.RELEASING) {
+            formerOwnerFence = Math.max(formerOwnerFence, other.formerOwnerFence);
         }
-        if (owner.equals(other.owner)) {
-            formerLeadersMayRenew |= other.formerLeadersMayRenew;
-            ownerHeldUntilMillis = Math.max(ownerHeldUntilMillis, other.ownerHeldUntilMillis);
+        if (!sameFormerOwner || !range.equals(other.range) || other.phase == Phase.HELD) {
+            return false;
         }
+        releaseResult = other.releaseResult;
+        handover = other.handover;
+        if (other.phase != Phase.RELEASING || !other.isCallPending()) {
+            return false;
+        }
+        pendingCall = other.pendingCall;
+        return true;
+    }
+
+    long pendingCall() {
+        return pendingCall;
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -0,0 +1,241 @@
+package org.lacewingthread.core.keyrange;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+
+/** The ranges of the recorded table as the leader of a term sees them: sends their calls and applies the answers. */
+final class RangeHolds {
+    /** A grant arrives within this time after it is sent, or never; calls are aborted earlier. */
+    private static final long MAX_CALL_DELIVERY_MILLIS = 1_200;
+    /** Fences reserved for each term; more than a term can use. */
+    private static final long FENCES_PER_TERM = 1_000_000;
+
+    private final RangeLeaseTimes times;
+    private final RangeEventListener listener;
+    private final GrantLedger ledger;
+    private final ServerLiveness liveness = new ServerLiveness();
+    private final List<RangeHold> holds = new ArrayList<>();
+    private final Map<Long, PendingCall> pendingCalls = new HashMap<>();
+    private long nextFence;
+    private long nextCallId;
+
+    /**
+     * A grant or a release that awaits its answer.
+     *
+     * @param hold range for which it was sent
+     * @param server server that received it
+     * @param settlementMark for a release, the newest settlement when it was sent
+     */
+    private record PendingCall(RangeHold hold, ServerStart server, long settlementMark) {}
+
+    RangeHolds(RangeLeaseTimes times, RangeEventListener listener) {
+        this.times = times;
+        this.listener = listener;
+        this.ledger = new GrantLedger(times);
+    }
+
+    /** Forgets the ranges and the calls under way, since this process stops leading. */
+    void clear() {
+        holds.clear();
+        pendingCalls.clear();
+    }
+
+    /**
+     * Starts a term with the ranges of a table.
+     *
+     * @param formerLeadersMayRenew whether leaders of earlier terms may still renew the grants of the recorded owners
+     */
+    void startTerm(RangeTable table, boolean formerLeadersMayRenew, long nowMillis) {
+        clear();
+        nextFence = table.term() * FENCES_PER_TERM;
+        long latestArrivalMillis = nowMillis + MAX_CALL_DELIVERY_MILLIS;
+        ledger.abandonPendingCalls(latestArrivalMillis);
+        Optional<Long> lastRenewalMillis = formerLeadersMayRenew ? Optional.empty() : Optional.of(latestArrivalMillis);
+        table.rangesByService()
+                .forEach((service, ranges) -> ranges.forEach(ownership -> {
+                    ledger.addGrantOfFormerLeaders(service, ownership.owner(), ownership.range(), lastRenewalMillis);
+                    ownership
+                            .movingFrom()
+                            .ifPresent(former -> ledger.addGrantBeforeRecordedMove(
+                                    service, former, ownership.range(), latestArrivalMillis));
+                }));
+        applyTable(table, nowMillis);
+    }
+
+    /** Records that the leaders of earlier terms have stopped. */
+    void onFormerLeadersStopped(long nowMillis) {
+        ledger.onFormerLeadersStopped(nowMillis + MAX_CALL_DELIVERY_MILLIS);
+    }
+
+    /** Applies a newer table of the same term. */
+    void applyTable(RangeTable table, long nowMillis) {
+        List<RangeHold> former = List.copyOf(holds);
+        holds.clear();
+        table.rangesByService().forEach((service, ranges) -> {
+            List<RangeHold> known =
+                    former.stream().filter(hold -> hold.service.equals(service)).toList();
+            ranges.forEach(ownership -> holds.add(holdFor(service, ownership, known, nowMillis)));
+        });
+    }
+
+    private RangeHold holdFor(ServiceId service, RangeOwnership ownership, List<RangeHold> known, long nowMillis) {
+        List<RangeHold> overlapping = known.stream()
+                .filter(hold -> hold.range.overlaps(ownership.range()))
+                .toList();
+        if (overlapping.size() == 1 && overlapping.get(0).matches(ownership)) {
+            RangeHold same = overlapping.get(0);
+            if (!ownership.isMoving() || same.movingFrom.equals(ownership.movingFrom())) {
+                return same;
+            }
+        }
+        RangeHold hold = new RangeHold(service, ownership, newFence(), nowMillis);
+        for (RangeHold other : overlapping) {
+            if (hold.inheritFrom(other)) {
+                pendingCalls.computeIfPresent(
+                        hold.pendingCall(),
+                        (call, pending) -> new PendingCall(hold, pending.server(), pending.settlementMark()));
+            }
+        }
+        if (hold.formerOwnerFence == 0) {
+            hold.formerOwnerFence = hold.fence;
+        }
+        hold.movingFrom.ifPresent(former ->
+                hold.formerOwnerHeldUntilMillis = ledger.heldUntilMillis(service, former, hold.range, nowMillis));
+        return hold;
+    }
+
+    private long newFence() {
+        return ++nextFence;
+    }
+
+    /** Returns whether a call awaits its answer. */
+    boolean awaitsAnswer(long call) {
+        return pendingCalls.containsKey(call);
+    }
+
+    /** Records the result of a grant. It counts even if the table has changed meanwhile. */
+    void onGrantAnswer(long call, GrantOutcome outcome, long nowMillis) {
+        PendingCall pending = pendingCalls.remove(call);
+        if (pending == null) {
+            return;
+        }
+        RangeHold hold = pending.hold();
+        ledger.onGrantAnswer(call, pending.server(), outcome, nowMillis);
+        boolean newest = hold.endCall(call);
+        if (newest && outcome == GrantOutcome.GRANTED) {
+            hold.onGranted(times, nowMillis);
+        } else if (newest) {
+            hold.onGrantFailed(newFence(), nowMillis);
+        }
+        long heldUntilMillis = ledger.heldUntilMillis(hold.service, hold.owner, hold.range, nowMillis);
+        liveness.recordGrantOutcome(hold, outcome, heldUntilMillis, nowMillis);
+    }
+
+    /** Records the result of a release. It counts even if the table has changed meanwhile. */
+    void onReleaseAnswer(long call, ReleaseOutcome outcome, Optional<String> handover, long nowMillis) {
+        PendingCall pending = pendingCalls.remove(call);
+        if (pending == null) {
+            return;
+        }
+        RangeHold hold = pending.hold();
+        switch (outcome) {
+            case RELEASED -> ledger.onReleased(hold.service, pending.server(), hold.range, pending.settlementMark());
+            case SERVER_REPLACED -> {
+                liveness.recordEnded(pending.server());
+                ledger.removeServer(pending.server());
+            }
+            case UNKNOWN -> {}
+        }
+        if (hold.endCall(call)) {
+            hold.onReleaseAnswer(outcome, handover, nowMillis);
+            startGrantingIfFree(hold, null, nowMillis);
+        }
+    }
+
+    /**
+     * Adds the calls to send now.
+     *
+     * @param movesAllowed whether the store answered recently enough for steps of moves
+     * @param ownerMayBeReplaced whether a table that may have been recorded gives keys of a range to another owner; a
+     *     grant to the present owner would be unknown to the move, or arrive after the release
+     */
+    void step(
+            Map<ServiceId, ServiceView> services,
+            boolean movesAllowed,
+            Predicate<RangeHold> ownerMayBeReplaced,
+            List<CoordinatorAction> actions,
+            long nowMillis) {
+        liveness.removeExpired(nowMillis);
+        ledger.removeExpired(nowMillis);
+        for (RangeHold hold : holds) {
+            ServiceView view = services.get(hold.service);
+            startGrantingIfFree(hold, view, nowMillis);
+            boolean stepAllowed = movesAllowed || hold.phase == RangeHold.Phase.HELD;
+            if (hold.isCallPending() || nowMillis < hold.nextCallAtMillis || !stepAllowed) {
+                continue;
+            }
+            if (hold.phase == RangeHold.Phase.RELEASING) {
+                release(hold, actions);
+            } else if (!shouldLetExpire(hold, view, nowMillis)
+                    && !ownerMayBeReplaced.test(hold)
+                    && isFree(hold, view, nowMillis)) {
+                grant(hold, actions, nowMillis);
+            }
+        }
+    }
+
+    private void startGrantingIfFree(RangeHold hold, ServiceView view, long nowMillis) {
+        if (hold.phase == RangeHold.Phase.RELEASING && isFree(hold, view, nowMillis)) {
+            hold.startGranting(newFence(), listener, nowMillis);
+        }
+    }
+
+    /** Returns whether no server but the owner can hold keys of the range. */
+    private boolean isFree(RangeHold hold, ServiceView view, long nowMillis) {
+        return !ledger.mayBeHeldByOthers(
+                hold.service, hold.range, hold.owner, server -> liveness.hasEnded(server, view), nowMillis);
+    }
+
+    /** Asks the former owner to release the range, unless a grant that is under way might arrive after the release. */
+    private void release(RangeHold hold, List<CoordinatorAction> actions) {
+        ServerStart formerOwner = hold.movingFrom.orElseThrow();
+        if (hold.releaseResult.isPresent() || ledger.hasPendingGrant(hold.service, formerOwner, hold.range)) {
+            return;
+        }
+        long call = ++nextCallId;
+        hold.onCallSent(call);
+        pendingCalls.put(call, new PendingCall(hold, formerOwner, ledger.settlementMark()));
+        actions.add(new CoordinatorAction.Release(call, hold.service, formerOwner, hold.range, hold.formerOwnerFence));
+    }
+
+    private void grant(RangeHold hold, List<CoordinatorAction> actions, long nowMillis) {
+        long call = ++nextCallId;
+        long latestArrivalMillis = nowMillis + MAX_CALL_DELIVERY_MILLIS;
+        long heldUntilMillis = ledger.heldUntilMillis(hold.service, hold.owner, hold.range, nowMillis);
+        hold.prepareGrant(times, liveness.isSuspected(hold.owner), heldUntilMillis, latestArrivalMillis);
+        hold.onCallSent(call);
+        pendingCalls.put(call, new PendingCall(hold, hold.owner, 0));
+        ledger.onGrantSent(
+                call, hold.service, hold.owner, hold.range, hold.fence, hold.lastGrantMillis, latestArrivalMillis);
+        actions.add(new CoordinatorAction.Grant(
+                call, hold.service, hold.owner, hold.range, hold.fence, hold.lastGrantMillis, hold.handover));
+    }
+
+    /** Returns whether a hold is not renewed, since that would delay the takeover of a lost server's keys. */
+    private boolean shouldLetExpire(RangeHold hold, ServiceView view, long nowMillis) {
+        boolean unregistered = view != null && !view.registered().contains(hold.owner);
+        return liveness.isUnresponsiveOrEnded(hold.owner)
+                || (unregistered && !ledger.isConfirmed(hold.service, hold.owner, hold.range, nowMillis));
+    }
+
+    /** Returns the table to be recorded next, derived from the state of the ranges. */
+    RangeTable propose(RangeTable base, Map<ServiceId, ServiceView> services, boolean balancesLoad, long nowMillis) {
+        return new RangeTableProposer(holds, ledger, liveness, nowMillis).propose(base, services, balancesLoad);
+    }
+}
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeLeaseTimes.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeLeaseTimes.java
@@ -41,9 +41,18 @@
         }
     }
 
-    /** Returns the time after which a grant that reached its server by a time can't be in force. */
+    /** Returns the time after which a grant of the full hold that reached its server by a time can't be in force. */
     public long heldUntilMillis(long latestArrivalMillis) {
-        return latestArrivalMillis + Math.round(holdMillis * (1 + maxClockDriftRatio));
+        return heldUntilMillis(latestArrivalMillis, holdMillis);
+    }
+
+    /**
+     * Returns the time after which a grant that reached its server by a time can't be in force.
+     *
+     * @param grantedHoldMillis hold that the grant states
+     */
+    public long heldUntilMillis(long latestArrivalMillis, long grantedHoldMillis) {
+        return latestArrivalMillis + Math.round(grantedHoldMillis * (1 + maxClockDriftRatio));
     }
 
     /**
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeTableProposer.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeTableProposer.java
@@ -12,11 +12,13 @@
 /** Derives the table to be recorded next from the state of the leader's ranges and the planner's result. */
 final class RangeTableProposer {
     private final List<RangeHold> holds;
+    private final GrantLedger ledger;
     private final ServerLiveness liveness;
     private final long nowMillis;
 
-    RangeTableProposer(List<RangeHold> holds, ServerLiveness liveness, long nowMillis) {
+    RangeTableProposer(List<RangeHold> holds, GrantLedger ledger, ServerLiveness liveness, long nowMillis) {
         this.holds = holds;
+        this.ledger = ledger;
         this.liveness = liveness;
         this.nowMillis = nowMillis;
     }
@@ -47,7 +49,7 @@
                 .map(hold -> toPlannerInput(hold, usable, view))
                 .toList();
         Set<ServerStart> unconfirmed = new TreeSet<>();
-        serviceHolds.stream().filter(hold -> !hold.confirmed).forEach(hold -> unconfirmed.add(hold.owner));
+        serviceHolds.stream().filter(hold -> !isConfirmed(hold)).forEach(hold -> unconfirmed.add(hold.owner));
         List<RangeOwnership> planned = isFullyOwned(current, usable) && !balances
                 ? current
                 : RangePlanner.plan(
@@ -72,7 +74,7 @@
      */
     private RangeOwnership toPlannerInput(RangeHold hold, Map<ServerStart, Double> usable, ServiceView view) {
         boolean ownerUsable = usable.containsKey(hold.owner);
-        boolean ownerMayHold = hold.formerLeadersMayRenew || nowMillis < hold.ownerHeldUntilMillis;
+        boolean ownerMayHold = ledger.mayHold(hold.service, hold.owner, hold.range, nowMillis);
         if (hold.phase != RangeHold.Phase.HELD) {
             // An unanswered grant, or one of a former leader, may still take effect at the owner.
             boolean mayStillTakeEffect = ownerMayHold && !liveness.hasEnded(hold.owner, view);
@@ -80,12 +82,17 @@
                     ? new RangeOwnership(hold.range, hold.owner, hold.movingFrom)
                     : RangeOwnership.settled(hold.range, hold.owner);
         }
-        boolean mayMove = ownerUsable || hold.confirmed || !ownerMayHold || liveness.hasEnded(hold.owner, view);
+        boolean mayMove = ownerUsable || isConfirmed(hold) || !ownerMayHold || liveness.hasEnded(hold.owner, view);
         return mayMove
                 ? RangeOwnership.settled(hold.range, hold.owner)
                 : new RangeOwnership(hold.range, hold.owner, Optional.of(hold.owner));
     }
 
+    private boolean isConfirmed(RangeHold hold) {
+        return hold.phase == RangeHold.Phase.HELD
+                && ledger.isConfirmed(hold.service, hold.owner, hold.range, nowMillis);
+    }
+
     /** Adds the former owner, which may still hold the keys, to a range that gets another owner. */
     private static RangeOwnership withFormerOwner(RangeOwnership planned, List<RangeHold> serviceHolds) {
         if (planned.movingFrom().filter(planned.owner()::equals).isPresent()) {
@@ -95,7 +102,7 @@
             return planned;
         }
         for (RangeHold hold : serviceHolds) {
-            if (!hold.overlaps(planned.range()) || hold.owner.equals(planned.owner())) {
+            if (!hold.range.overlaps(planned.range()) || hold.owner.equals(planned.owner())) {
                 continue;
             }
             Optional<ServerStart> former =
--- a/core/src/main/java/org/lacewingthread/core/keyrange/ServerLiveness.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/ServerLiveness.java
@@ -21,15 +21,19 @@
     private final Map<ServerStart, Long> unresponsiveUntilMillis = new HashMap<>();
     private final Set<ServerStart> suspected = new HashSet<>();
 
-    /** Records what the outcome of a grant shows of the owner; a refused grant shows nothing. */
-    void recordGrantOutcome(RangeHold hold, GrantOutcome outcome, long nowMillis) {
+    /**
+     * Records what the outcome of a grant shows of the owner; a refused grant shows nothing.
+     *
+     * @param heldUntilMillis time after which none of the owner's grants for the range can be in force
+     */
+    void recordGrantOutcome(RangeHold hold, GrantOutcome outcome, long heldUntilMillis, long nowMillis) {
         if (outcome == GrantOutcome.GRANTED) {
             unresponsiveUntilMillis.remove(hold.owner);
             suspected.remove(hold.owner);
         } else if (outcome == GrantOutcome.SERVER_REPLACED) {
             recordEnded(hold.owner);
         } else if (outcome == GrantOutcome.UNKNOWN) {
-            recordUnansweredGrant(hold, nowMillis);
+            recordUnansweredGrant(hold, heldUntilMillis, nowMillis);
         }
     }
 
@@ -38,13 +42,12 @@
         return suspected.contains(server);
     }
 
-    private void recordUnansweredGrant(RangeHold hold, long nowMillis) {
+    private void recordUnansweredGrant(RangeHold hold, long heldUntilMillis, long nowMillis) {
         suspected.add(hold.owner);
         long since = hold.unansweredSinceMillis.orElse(nowMillis);
         hold.unansweredSinceMillis = Optional.of(since);
         if (nowMillis - since >= UNRESPONSIVE_AFTER_MILLIS) {
-            unresponsiveUntilMillis.merge(
-                    hold.owner, hold.ownerHeldUntilMillis + UNRESPONSIVE_EXCLUSION_MILLIS, Math::max);
+            unresponsiveUntilMillis.merge(hold.owner, heldUntilMillis + UNRESPONSIVE_EXCLUSION_MILLIS, Math::max);
         }
     }
 
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/TableAppends.java
@@ -0,0 +1,59 @@
+package org.lacewingthread.core.keyrange;
+
+import java.util.Optional;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+
+/** The appends of this process to the log of range tables. At most one call is under way. */
+final class TableAppends {
+    /** Delay after an append that was refused or got no answer. */
+    private static final long RETRY_MILLIS = 200;
+
+    private Optional<CoordinatorAction.RecordTable> underWay = Optional.empty();
+    private boolean callPending;
+    private long askedMillis;
+    private long nextCallAtMillis;
+
+    /** Returns whether an append may be sent now. */
+    boolean mayCall(long nowMillis) {
+        return !callPending && nowMillis >= nextCallAtMillis;
+    }
+
+    /** Records that an append is sent, and returns it. */
+    CoordinatorAction.RecordTable start(RangeTable table, long logEnd, long nowMillis) {
+        callPending = true;
+        askedMillis = nowMillis;
+        CoordinatorAction.RecordTable append = new CoordinatorAction.RecordTable(table, logEnd);
+        underWay = Optional.of(append);
+        return append;
+    }
+
+    /** Returns when the newest append was sent. */
+    long askedMillis() {
+        return askedMillis;
+    }
+
+    /** Records the result of the append under way. */
+    void onResult(AppendResult result, long nowMillis) {
+        callPending = false;
+        nextCallAtMillis = result.outcome() == AppendResult.Outcome.RECORDED ? nowMillis : nowMillis + RETRY_MILLIS;
+        if (result.outcome() != AppendResult.Outcome.RECORDED) {
+            underWay = Optional.empty();
+        }
+    }
+
+    /** Records the end of the log. An append takes effect only at its expected end, so a later end resolves it. */
+    void onLogEnd(long logEnd) {
+        if (underWay.filter(append -> logEnd > append.expectedEnd()).isPresent()) {
+            underWay = Optional.empty();
+        }
+    }
+
+    /** Returns whether an append under way gives a key of the range to another owner. */
+    boolean mayReplaceOwner(ServiceId service, KeyRange range, ServerStart owner) {
+        return underWay.stream()
+                .flatMap(append -> append.table().ranges(service).stream())
+                .anyMatch(planned ->
+                        planned.range().overlaps(range) && !planned.owner().equals(owner));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/GrantLedgerTest.java
@@ -0,0 +1,131 @@
+package org.lacewingthread.core.keyrange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+
+class GrantLedgerTest {
+    private static final ServiceId ORDERS = new ServiceId("orders");
+    private static final ServerStart A = new ServerStart(new ServerId("a"), 1);
+    private static final ServerStart B = new ServerStart(new ServerId("b"), 1);
+    private static final KeyRange KEYS = new KeyRange(100, 199);
+    private static final long HOLD_MILLIS = 4_000;
+    private static final long MARGIN_MILLIS = 120;
+
+    private final GrantLedger ledger = new GrantLedger(new RangeLeaseTimes(HOLD_MILLIS, 1_000, 10_000, 3_000, 0.03));
+
+    private void send(long call, ServerStart server, KeyRange range, long fence) {
+        ledger.onGrantSent(call, ORDERS, server, range, fence, HOLD_MILLIS, 1_200);
+    }
+
+    private boolean mayBeHeldByOthers(KeyRange range, ServerStart server, long nowMillis) {
+        return ledger.mayBeHeldByOthers(ORDERS, range, server, ended -> false, nowMillis);
+    }
+
+    @Test
+    void pendingGrantBlocksOtherServersUntilItsCallEnds() {
+        send(1, A, KEYS, 1);
+        assertThat(mayBeHeldByOthers(KEYS, B, 1_000_000)).isTrue();
+        assertThat(mayBeHeldByOthers(KEYS, A, 0)).isFalse();
+        assertThat(mayBeHeldByOthers(new KeyRange(200, 300), B, 0)).isFalse();
+    }
+
+    @Test
+    void acceptedGrantBlocksOtherServersForItsHoldAfterTheAnswer() {
+        send(1, A, KEYS, 1);
+        ledger.onGrantAnswer(1, A, GrantOutcome.GRANTED, 500);
+        assertThat(mayBeHeldByOthers(KEYS, B, 500 + HOLD_MILLIS + MARGIN_MILLIS - 1))
+                .isTrue();
+        assertThat(mayBeHeldByOthers(KEYS, B, 500 + HOLD_MILLIS + MARGIN_MILLIS))
+                .isFalse();
+    }
+
+    @Test
+    void refusedGrantBlocksNobody() {
+        send(1, A, KEYS, 1);
+        ledger.onGrantAnswer(1, A, GrantOutcome.FENCED, 500);
+        assertThat(mayBeHeldByOthers(KEYS, B, 500)).isFalse();
+    }
+
+    @Test
+    void releaseOfSomeKeysFreesOnlyThese() {
+        send(1, A, KEYS, 1);
+        ledger.onGrantAnswer(1, A, GrantOutcome.GRANTED, 500);
+        ledger.onReleased(ORDERS, A, new KeyRange(120, 129), ledger.settlementMark());
+        assertThat(mayBeHeldByOthers(new KeyRange(120, 129), B, 600)).isFalse();
+        assertThat(mayBeHeldByOthers(new KeyRange(100, 119), B, 600)).isTrue();
+        assertThat(mayBeHeldByOthers(new KeyRange(130, 199), B, 600)).isTrue();
+    }
+
+    /** Guards against an unanswered grant that is applied after the release and restores the hold. */
+    @Test
+    void releaseDoesNotFreeKeysOfAnUnansweredGrant() {
+        send(1, A, KEYS, 1);
+        ledger.onGrantAnswer(1, A, GrantOutcome.UNKNOWN, 400);
+        ledger.onReleased(ORDERS, A, KEYS, ledger.settlementMark());
+        assertThat(mayBeHeldByOthers(KEYS, B, 4_500)).isTrue();
+        assertThat(mayBeHeldByOthers(KEYS, B, 4_700)).isFalse();
+    }
+
+    @Test
+    void releaseDoesNotFreeKeysOfAGrantAnsweredAfterItWasSent() {
+        send(1, A, KEYS, 1);
+        long mark = ledger.settlementMark();
+        ledger.onGrantAnswer(1, A, GrantOutcome.GRANTED, 400);
+        ledger.onReleased(ORDERS, A, KEYS, mark);
+        assertThat(mayBeHeldByOthers(KEYS, B, 500)).isTrue();
+    }
+
+    @Test
+    void unansweredGrantIsSettledByAnAcceptedOneWithAHigherFence() {
+        send(1, A, KEYS, 1);
+        ledger.onGrantAnswer(1, A, GrantOutcome.UNKNOWN, 400);
+        assertThat(ledger.isConfirmed(ORDERS, A, KEYS, 400)).isFalse();
+        send(2, A, KEYS, 2);
+        ledger.onGrantAnswer(2, A, GrantOutcome.GRANTED, 600);
+        assertThat(ledger.isConfirmed(ORDERS, A, KEYS, 600)).isTrue();
+        ledger.onReleased(ORDERS, A, KEYS, ledger.settlementMark());
+        assertThat(mayBeHeldByOthers(KEYS, B, 700)).isFalse();
+    }
+
+    @Test
+    void unansweredGrantOfMoreKeysStaysUnsettledOutsideTheAcceptedOnes() {
+        send(1, A, KEYS, 1);
+        ledger.onGrantAnswer(1, A, GrantOutcome.UNKNOWN, 400);
+        send(2, A, new KeyRange(100, 149), 2);
+        ledger.onGrantAnswer(2, A, GrantOutcome.GRANTED, 600);
+        assertThat(ledger.isConfirmed(ORDERS, A, new KeyRange(100, 149), 600)).isTrue();
+        assertThat(ledger.isConfirmed(ORDERS, A, new KeyRange(150, 199), 600)).isFalse();
+    }
+
+    @Test
+    void grantsOfFormerLeadersBlockOtherServersUntilTheseHaveStopped() {
+        ledger.addGrantOfFormerLeaders(ORDERS, A, KEYS, Optional.empty());
+        assertThat(mayBeHeldByOthers(KEYS, B, 1_000_000)).isTrue();
+        ledger.onFormerLeadersStopped(2_000);
+        assertThat(mayBeHeldByOthers(KEYS, B, 2_000 + HOLD_MILLIS)).isTrue();
+        assertThat(mayBeHeldByOthers(KEYS, B, 2_000 + HOLD_MILLIS + MARGIN_MILLIS))
+                .isFalse();
+    }
+
+    @Test
+    void endedServerBlocksNobody() {
+        send(1, A, KEYS, 1);
+        assertThat(ledger.mayBeHeldByOthers(ORDERS, KEYS, B, A::equals, 0)).isFalse();
+        ledger.onGrantAnswer(1, A, GrantOutcome.SERVER_REPLACED, 100);
+        assertThat(mayBeHeldByOthers(KEYS, B, 100)).isFalse();
+    }
+
+    @Test
+    void abandonedCallsBlockOtherServersForTheirHoldAfterTheLatestArrival() {
+        send(1, A, KEYS, 1);
+        ledger.abandonPendingCalls(1_200);
+        assertThat(mayBeHeldByOthers(KEYS, B, 1_200 + HOLD_MILLIS)).isTrue();
+        ledger.removeExpired(1_200 + HOLD_MILLIS + MARGIN_MILLIS);
+        assertThat(mayBeHeldByOthers(KEYS, B, 0)).isFalse();
+    }
+}
