Repeat an append whose result is unknown, and renew no owner that it may replace

What callers could see: two servers run requests for the same keys for up to 6.6 s. A leader recorded a move, got no answer and was cut off from the store together with the former owner. It took the append for refused and went on renewing the former owner for up to 10 s. The next leader read the move, and since no leader renews the former owner once its move is recorded, granted the keys elsewhere when one hold had run out.

Cause: an unknown result was treated as a refusal. That a leader renews no former owner holds only if the leader takes its move as recorded from the moment when it may be.

Change: a table whose append got no answer stays unresolved until the log has grown past its expected end, which decides it either way. Until then the same table is appended again, a refusal of the repetition counts for nothing, and owners that the table replaces get no grant. So that this costs few keys their owner while the store is silent, ranges move for balance only while the store answered within 1.5 s.

Evidence: cutOffLeaderDoesNotRenewTheFormerOwnerAfterAnUnansweredMove failed before this commit.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -20,8 +20,8 @@
  *       no longer hold them because its last grant has expired.
  *   <li>An unanswered grant is followed by one with a higher fence, and a move starts only from an
  *       answered grant, so that no delayed grant restores a former owner's hold.
- *   <li>While a table is being recorded that gives keys to another owner, their present owner gets no
- *       grant.
+ *   <li>While a table may have been recorded that gives keys to another owner, their present owner gets no
+ *       grant. An append whose result is unknown may have been carried out, or may be later.
  * </ul>
  *
  * <pre>{@code
@@ -33,6 +33,11 @@
  * <p>Times are in milliseconds of a monotonic clock that also advances while the machine is suspended.
  */
 public final class RangeCoordinator {
+    /**
+     * Store silence from which no range moves to balance load. The owner of a range is not renewed while the result of
+     * its move is unknown.
+     */
+    private static final long MAX_STORE_SILENCE_FOR_BALANCE_MILLIS = 1_500;
     /** Interval at which ranges may move to balance load. */
     private static final long BALANCE_INTERVAL_MILLIS = 1_000;
 
@@ -168,7 +173,7 @@
     /**
      * Records the result of a {@link CoordinatorAction.RecordTable}.
      *
-     * @param result result of the append; if it is unknown, the table follows when the log is read
+     * @param result result of the append; if it is unknown, the append is repeated until the log shows what happened
      */
     public void onRecorded(CoordinatorAction.RecordTable record, AppendResult result, long nowMillis) {
         appends.onResult(result, nowMillis);
@@ -256,7 +261,8 @@
     private void claimLeadership(List<CoordinatorAction> actions, long nowMillis) {
         boolean leaderAlive = leaderPresence.isPresumedAlive(nowMillis);
         if (leaderCandidate && !leaderAlive && logEnd >= 0 && appends.mayCall(nowMillis)) {
-            actions.add(appends.start(table.withLeader(table.term() + 1, self), logEnd, nowMillis));
+            RangeTable claim = appends.tableToRepeat().orElseGet(() -> table.withLeader(table.term() + 1, self));
+            actions.add(appends.start(claim, logEnd, nowMillis));
         }
     }
 
@@ -265,14 +271,15 @@
         if (!appends.mayCall(nowMillis) || logEnd < 0) {
             return;
         }
-        RangeTable proposal = proposeTable(services, nowMillis);
+        RangeTable proposal = appends.tableToRepeat().orElseGet(() -> proposeTable(services, nowMillis));
         if (!proposal.equals(table)) {
             actions.add(appends.start(proposal, logEnd, nowMillis));
         }
     }
 
     private RangeTable proposeTable(Map<ServiceId, ServiceView> services, long nowMillis) {
-        boolean balancesLoad = nowMillis >= nextBalanceAtMillis;
+        boolean balancesLoad = nowMillis >= nextBalanceAtMillis
+                && nowMillis - storeAnsweredMillis <= MAX_STORE_SILENCE_FOR_BALANCE_MILLIS;
         if (balancesLoad) {
             nextBalanceAtMillis = nowMillis + BALANCE_INTERVAL_MILLIS;
         }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/TableAppends.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/TableAppends.java
@@ -4,13 +4,20 @@
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 
-/** The appends of this process to the log of range tables. At most one call is under way. */
+/**
+ * The appends of this process to the log of range tables. At most one call is under way. An append without answer may
+ * have been carried out, or may be carried out later; it is unresolved until the log is known to have grown, and until
+ * then only the same table is appended again.
+ */
 final class TableAppends {
     /** Delay after an append that was refused or got no answer. */
     private static final long RETRY_MILLIS = 200;
 
-    private Optional<CoordinatorAction.RecordTable> underWay = Optional.empty();
+    private Optional<CoordinatorAction.RecordTable> unresolved = Optional.empty();
     private boolean callPending;
+    /** Whether an earlier call with the unresolved table got no answer. */
+    private boolean mayHaveBeenAppended;
+
     private long askedMillis;
     private long nextCallAtMillis;
 
@@ -19,12 +26,17 @@
         return !callPending && nowMillis >= nextCallAtMillis;
     }
 
+    /** Returns the table whose append has to be repeated; empty if another one may be proposed. */
+    Optional<RangeTable> tableToRepeat() {
+        return unresolved.map(CoordinatorAction.RecordTable::table);
+    }
+
     /** Records that an append is sent, and returns it. */
     CoordinatorAction.RecordTable start(RangeTable table, long logEnd, long nowMillis) {
         callPending = true;
         askedMillis = nowMillis;
         CoordinatorAction.RecordTable append = new CoordinatorAction.RecordTable(table, logEnd);
-        underWay = Optional.of(append);
+        unresolved = Optional.of(append);
         return append;
     }
 
@@ -37,21 +49,23 @@
     void onResult(AppendResult result, long nowMillis) {
         callPending = false;
         nextCallAtMillis = result.outcome() == AppendResult.Outcome.RECORDED ? nowMillis : nowMillis + RETRY_MILLIS;
-        if (result.outcome() != AppendResult.Outcome.RECORDED) {
-            underWay = Optional.empty();
+        mayHaveBeenAppended |= result.outcome() == AppendResult.Outcome.UNKNOWN;
+        if (result.outcome() == AppendResult.Outcome.REFUSED && !mayHaveBeenAppended) {
+            unresolved = Optional.empty();
         }
     }
 
     /** Records the end of the log. An append takes effect only at its expected end, so a later end resolves it. */
     void onLogEnd(long logEnd) {
-        if (underWay.filter(append -> logEnd > append.expectedEnd()).isPresent()) {
-            underWay = Optional.empty();
+        if (unresolved.filter(append -> logEnd > append.expectedEnd()).isPresent()) {
+            unresolved = Optional.empty();
+            mayHaveBeenAppended = false;
         }
     }
 
-    /** Returns whether an append under way gives a key of the range to another owner. */
+    /** Returns whether an unresolved append gives a key of the range to another owner. */
     boolean mayReplaceOwner(ServiceId service, KeyRange range, ServerStart owner) {
-        return underWay.stream()
+        return unresolved.stream()
                 .flatMap(append -> append.table().ranges(service).stream())
                 .anyMatch(planned ->
                         planned.range().overlaps(range) && !planned.owner().equals(owner));
