--- a/core/src/test/java/org/lacewingthread/core/keyrange/RandomCallFates.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RandomCallFates.java
@@ -7,21 +7,23 @@
 final class RandomCallFates {
     private static final int MAX_LATE_GRANT_MILLIS = 12_000;
     private final RandomGenerator random;
-    /** Share of the calls that meet a fault. */
-    double faultRatio;
+    /** Share of the grants and releases that meet a fault. */
+    double callFaultRatio;
+
+    double appendFaultRatio;
 
     RandomCallFates(RandomGenerator random) {
         this.random = random;
     }
 
     void applyTo(RangeSimulation simulation) {
-        simulation.appendFate = (vm, call) -> isFaulty() ? Optional.of(appendFate()) : Optional.empty();
-        simulation.grantFate = (vm, call) -> isFaulty() ? Optional.of(grantFate()) : Optional.empty();
-        simulation.releaseFate = (vm, call) -> isFaulty() ? Optional.of(releaseFate()) : Optional.empty();
+        simulation.appendFate = (vm, call) -> isFaulty(appendFaultRatio) ? Optional.of(appendFate()) : Optional.empty();
+        simulation.grantFate = (vm, call) -> isFaulty(callFaultRatio) ? Optional.of(grantFate()) : Optional.empty();
+        simulation.releaseFate = (vm, call) -> isFaulty(callFaultRatio) ? Optional.of(releaseFate()) : Optional.empty();
     }
 
-    private boolean isFaulty() {
-        return random.nextDouble() < faultRatio;
+    private boolean isFaulty(double ratio) {
+        return random.nextDouble() < ratio;
     }
 
     private AppendFate appendFate() {
--- /dev/null
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RandomFaults.java
@@ -0,0 +1,120 @@
+package org.lacewingthread.core.keyrange;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.lacewingthread.core.id.ServerStart;
+
+/** Draws faults of VMs and servers and the changes that cause moves; each fault ends after a while. */
+final class RandomFaults {
+    /** The longest time that a fault lasts. */
+    static final int MAX_FAULT_MILLIS = 12_000;
+
+    private static final int MIN_READY_SERVERS = 3;
+
+    private final RangeSimulation simulation;
+    private final RandomGenerator random;
+
+    RandomFaults(RangeSimulation simulation, RandomGenerator random) {
+        this.simulation = simulation;
+        this.random = random;
+    }
+
+    void inject(int round) {
+        SimulatedVm vm = pick(List.copyOf(simulation.vms.values()));
+        ServerStart server = pick(List.copyOf(simulation.servers.keySet()));
+        switch (random.nextInt(14)) {
+            case 0, 1, 2 -> drain(server);
+            case 3 -> end(server);
+            case 4 -> simulation.addServer("n" + round, round + 2L);
+            case 5, 6 -> simulation.leaderCandidate = vm.name;
+            case 7 -> cutOffFromStore(vm);
+            case 8 -> cutOffLeader();
+            case 9, 10 -> cutOffServers(vm);
+            case 11 -> pause(vm);
+            case 12 -> {
+                vm.readDelayMillis = random.nextInt(2_500);
+                simulation.schedule(faultMillis(), () -> vm.readDelayMillis = 0);
+            }
+            default -> {
+                if (random.nextInt(3) == 0) {
+                    vm.start(random.nextLong(1L << 40));
+                }
+            }
+        }
+        for (int i = 0; i < 50; i++) {
+            simulation.load.add(random.nextInt(65) * 1_000 + random.nextInt(500), 100, simulation.nowMillis);
+        }
+        for (int i = simulation.ready.size(); i < MIN_READY_SERVERS; i++) {
+            simulation.addServer("r" + round + "-" + i, round + 2L);
+        }
+    }
+
+    private void drain(ServerStart server) {
+        simulation.ready.remove(server);
+        if (random.nextBoolean()) {
+            simulation.schedule(faultMillis(), () -> {
+                if (simulation.servers.get(server).alive) {
+                    simulation.ready.add(server);
+                    simulation.registered.add(server);
+                }
+            });
+        } else if (random.nextInt(3) == 0) {
+            simulation.registered.remove(server);
+        }
+    }
+
+    private void end(ServerStart server) {
+        simulation.servers.get(server).alive = false;
+        simulation.ready.remove(server);
+        simulation.registered.remove(server);
+        if (random.nextBoolean()) {
+            simulation.replaced.add(server);
+        }
+    }
+
+    private void cutOffFromStore(SimulatedVm vm) {
+        simulation.disconnectedFromStore.add(vm.name);
+        boolean isolated = random.nextBoolean();
+        if (isolated) {
+            simulation.isolatedVms.add(vm.name);
+        }
+        simulation.schedule(faultMillis(), () -> {
+            simulation.disconnectedFromStore.remove(vm.name);
+            simulation.isolatedVms.remove(vm.name);
+        });
+    }
+
+    /** Cuts the leader off from the store while a move starts, and lets another VM lead soon afterwards. */
+    private void cutOffLeader() {
+        SimulatedVm leader = simulation.vms.get(simulation.leaderCandidate);
+        simulation.schedule(random.nextInt(300), () -> cutOffFromStore(leader));
+        if (random.nextBoolean()) {
+            cutOffServers(leader);
+        }
+        drain(pick(List.copyOf(simulation.ready)));
+        SimulatedVm next = pick(List.copyOf(simulation.vms.values()));
+        simulation.schedule(random.nextInt(4_000), () -> simulation.leaderCandidate = next.name);
+    }
+
+    private void cutOffServers(SimulatedVm vm) {
+        Set<ServerStart> cutOff = new HashSet<>(simulation.servers.keySet());
+        cutOff.removeIf(server -> random.nextBoolean());
+        simulation.unreachableFrom.put(vm.name, cutOff);
+        simulation.schedule(faultMillis(), () -> simulation.unreachableFrom.remove(vm.name));
+    }
+
+    private void pause(SimulatedVm vm) {
+        vm.stepsBeforeWaitingAnswers = random.nextBoolean();
+        simulation.pause(vm.name, 200 + random.nextInt(6_000));
+    }
+
+    private int faultMillis() {
+        return 200 + random.nextInt(MAX_FAULT_MILLIS - 200);
+    }
+
+    private <T> T pick(List<T> choices) {
+        return choices.get(random.nextInt(choices.size()));
+    }
+}
