--- a/core/src/test/java/org/lacewingthread/core/keyrange/RandomFaults.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RandomFaults.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.lacewingthread.core.id.ServerStart;
@@ -27,7 +28,8 @@
         SimulatedVm vm = pick(List.copyOf(simulation.vms.values()));
         ServerStart server = pick(List.copyOf(simulation.servers.keySet()));
         switch (random.nextInt(storeFails ? 14 : 12)) {
-            case 0, 1, 2 -> drain(server);
+            case 0, 1 -> drain(server);
+            case 2 -> drain(pickTargetOfAMove().orElse(server));
             case 3 -> end(server);
             case 4 -> simulation.addServer("n" + round, round + 2L);
             case 5, 6 -> simulation.leaderCandidate = vm.name;
@@ -67,6 +69,14 @@
         }
     }
 
+    private Optional<ServerStart> pickTargetOfAMove() {
+        List<ServerStart> targets = simulation.recorded().ranges(RangeSimulation.SERVICE).stream()
+                .filter(RangeOwnership::isMoving)
+                .map(RangeOwnership::owner)
+                .toList();
+        return targets.isEmpty() ? Optional.empty() : Optional.of(pick(targets));
+    }
+
     private void end(ServerStart server) {
         simulation.servers.get(server).alive = false;
         simulation.ready.remove(server);
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorHistoryTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorHistoryTest.java
@@ -36,7 +36,7 @@
         RandomFaults faults = new RandomFaults(simulation, random, storeFails);
         simulation.runFor(1_000);
         for (int i = 0; i < ROUNDS; i++) {
-            fates.callFaultRatio = random.nextInt(4) * 0.1;
+            fates.callFaultRatio = random.nextInt(4) * (storeFails ? 0.1 : 0.2);
             fates.appendFaultRatio = random.nextInt(4) * 0.2;
             faults.inject(i);
             simulation.runFor(50 + random.nextInt(1_500));
