--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorFaultTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorFaultTest.java
@@ -129,6 +129,29 @@
         assertOneHolderAndFullServiceAfterFaults();
     }
 
+    /** Guards against the timeout of an old release that starts a second renewal with the fence of the pending one. */
+    @Test
+    void releaseTimeoutAfterTheHoldExpiredStartsNoSecondRenewal() {
+        simulation.ready.remove(drained);
+        long drainMillis = simulation.nowMillis;
+        simulation.releaseFate =
+                (vm, release) -> release.server().equals(drained) ? Optional.of(ReleaseFate.lost()) : Optional.empty();
+        runUntilRecorded();
+        Set<ServerStart> targets = new HashSet<>();
+        simulation.recorded().ranges(RangeSimulation.SERVICE).stream()
+                .filter(RangeOwnership::isMoving)
+                .forEach(moving -> targets.add(moving.owner()));
+        simulation.grantFate = (vm, grant) -> targets.contains(grant.server())
+                        && simulation.nowMillis >= drainMillis + 4_050
+                        && simulation.nowMillis < drainMillis + 5_000
+                ? Optional.of(GrantFate.appliedWithoutAnswer(2, 2_500, GrantFate.TIMEOUT_MILLIS))
+                : Optional.empty();
+        simulation.runFor(5_320);
+        simulation.ready.removeAll(targets);
+        simulation.runFor(10_000);
+        assertOneHolderAndFullServiceAfterFaults();
+    }
+
     /** Guards against a former leader that counts its time from the answer of an append, not from its request. */
     @ParameterizedTest
     @ValueSource(longs = {0, 250, 500, 750})
