Simulate appends that take effect late and without an answer

The simulated logs applied an append within their usual delay or never. SimulatedLog.lateRatio and OwnershipSimulation.lateAppendRatio now let appends take effect up to 6 and 5 s later, after retries and, with startsTermsWithoutClaim, in a later term. FakeLog rejects assignments of a term below the recorded one, as LeadershipApplier does. The options draw no random numbers while they are off, so the runs of present seeds stay the same.

The safety comes from the sequence numbers of writers and the terms of records.

--- a/core/src/test/java/org/lacewingthread/core/lease/LeaseHistoryTest.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/LeaseHistoryTest.java
@@ -40,6 +40,18 @@
         }
     }
 
+    /** Guards against acting on an append as refused although it takes effect after the retries. */
+    @Test
+    void lateAppendsWithoutAnswerCauseNoSecondOwnerAndGroupRecovers() {
+        for (long seed = 0; seed < RUNS; seed++) {
+            LeaseHistory history = new LeaseHistory(seed, EnumSet.allOf(ProtocolRule.class), 4);
+            history.group.log.lateRatio = 0.3;
+            assertThat(history.runRandomly()).as("seed %d", seed).isEmpty();
+            assertThat(history.recover()).as("recovery with seed %d", seed).isNotNegative();
+            assertThat(history.group.checks.violations).as("seed %d", seed).isEmpty();
+        }
+    }
+
     /** Guards against a lease that a server counts from a late order and its leader from the decision. */
     @Test
     void ordersSentJustBeforeTheirDeadlineCauseNoSecondLeaseHolder() {
--- a/core/src/test/java/org/lacewingthread/core/lease/SimulatedGroup.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/SimulatedGroup.java
@@ -136,6 +136,7 @@
         log.unavailable = false;
         log.slow = false;
         log.lossRatio = 0;
+        log.lateRatio = 0;
         lossRatio = 0;
         stallRatio = 0;
     }
@@ -173,7 +174,7 @@
 
     void append(SimulatedVm vm, ControlAction.Append append) {
         boolean refused = log.unavailable || vmsWithoutLogAccess.contains(vm.name);
-        schedule(logDelayMicros(), () -> {
+        schedule(logDelayMicros() + appendDelayMicros(), () -> {
             if (refused) {
                 vm.deliver(new ControlEvent.LogUnavailable());
                 vm.deliver(new ControlEvent.AppendRefused(append.sequence()));
@@ -183,6 +184,12 @@
         });
     }
 
+    /** Returns by how much an unanswered append is late; does not change the random sequence without this fault. */
+    private long appendDelayMicros() {
+        boolean late = log.lateRatio > 0 && random.nextDouble() < log.lateRatio;
+        return late ? 1_000L * random.nextInt(SimulatedLog.LATE_MILLIS) : 0;
+    }
+
     private long logDelayMicros() {
         return log.slow ? 100_000 + random.nextInt(900_000) : 1_000 + random.nextInt(4_000);
     }
--- a/core/src/test/java/org/lacewingthread/core/lease/SimulatedLog.java
+++ b/core/src/test/java/org/lacewingthread/core/lease/SimulatedLog.java
@@ -11,6 +11,7 @@
 
 /** In-memory log of the platform. {@link SimulatedGroup} applies delays and losses. */
 final class SimulatedLog {
+    static final int LATE_MILLIS = 6_000;
     private static final int BATCH_RECORDS = 50;
 
     private final List<LogEntry> entries = new ArrayList<>();
@@ -18,6 +19,8 @@
     boolean unavailable;
     boolean slow;
     double lossRatio;
+    /** Ratio of appends that are not answered and take effect after up to {@link #LATE_MILLIS}. */
+    double lateRatio;
 
     void append(RecordHeader header, LogRecord record) {
         entries.add(new LogEntry(new LogOffset(entries.size()), header, record));
--- a/core/src/test/java/org/lacewingthread/core/ownership/FakeLog.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/FakeLog.java
@@ -83,6 +83,11 @@
         appends.clear();
     }
 
+    /** Keeps records that are not yet applied: a term begun without a claim leaves those of the last one valid. */
+    void startTermWithoutClaim() {
+        offset++;
+    }
+
     /** Applies the appended records whose delay has passed. */
     void applyUntil(long nowMillis) {
         for (Append append : List.copyOf(appends)) {
@@ -138,7 +143,8 @@
 
     private void applyAssignments(LogRecord.AssignmentsRecorded record) {
         offset++;
-        boolean stale = record.assignments().stream().anyMatch(a -> isOlder(a, recorded(a.shard())));
+        boolean ofOlderTerm = recordedTerm != null && recordedTerm.isAfter(record.term());
+        boolean stale = ofOlderTerm || record.assignments().stream().anyMatch(a -> isOlder(a, recorded(a.shard())));
         if (stale) {
             rejected++;
             return;
--- a/core/src/test/java/org/lacewingthread/core/ownership/OwnershipHistoryTest.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/OwnershipHistoryTest.java
@@ -27,7 +27,7 @@
     private static final int SERVERS = 5;
     private static final int VMS = 3;
     private static final long LONGEST_MOVE_MILLIS = 600;
-    private static final long ALL_RULES_RUNS = 60;
+    private static final long ALL_RULES_RUNS = Long.getLong("ownership.history.runs", 60);
     private static final int LEFT_OUT_RULE_RUNS = 4_000;
 
     enum Fault {
@@ -111,7 +111,7 @@
     }
 
     private static boolean isServedAsRecorded(OwnershipSimulation simulation) {
-        return simulation.plan.owners().size() == OwnershipSimulation.SHARDS
+        return simulation.servedShards() == OwnershipSimulation.SHARDS
                 && simulation.plan.owners().entrySet().stream().allMatch(e -> {
                     ShardAssignment recorded = simulation.log.recorded(e.getKey());
                     return recorded.owner().equals(e.getValue().server())
@@ -153,6 +153,26 @@
         assertThat(violations(seed, EnumSet.allOf(SafetyRule.class))).isEmpty();
     }
 
+    /** Guards against treating an append as refused although it takes effect later, also in a later term. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void lateAppendsCauseNoViolationAndEveryShardIsServedAgain(boolean withoutClaim) {
+        for (long seed = 0; seed < ALL_RULES_RUNS; seed++) {
+            OwnershipSimulation simulation =
+                    simulation((int) seed, seed % 2 == 0, seed % 4 == 0, EnumSet.allOf(SafetyRule.class));
+            simulation.lateAppendRatio = 0.3;
+            simulation.startsTermsWithoutClaim = withoutClaim;
+            play(simulation, randomHistory(seed));
+            assertThat(simulation.violations).as("seed %d", seed).isEmpty();
+            endAllFaults(simulation);
+            simulation.runUntil(() -> isServedAsRecorded(simulation), 30_000);
+            assertThat(isServedAsRecorded(simulation))
+                    .as("recovery with seed %d", seed)
+                    .isTrue();
+            assertThat(simulation.violations).as("seed %d", seed).isEmpty();
+        }
+    }
+
     private static Set<String> violations(long seed, Set<SafetyRule> rules) {
         OwnershipSimulation simulation = simulation((int) seed, seed % 2 == 0, seed % 4 == 0, rules);
         play(simulation, randomHistory(seed));
@@ -185,6 +205,7 @@
     private static void endAllFaults(OwnershipSimulation simulation) {
         simulation.logReachable = true;
         simulation.lostAnswerRatio = 0;
+        simulation.lateAppendRatio = 0;
         simulation.leaving.clear();
         simulation.servers.keySet().forEach(server -> {
             simulation.recoverServer(server);
--- a/core/src/test/java/org/lacewingthread/core/ownership/OwnershipSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/ownership/OwnershipSimulation.java
@@ -39,6 +39,7 @@
     static final ApplicationId LEDGER = new ApplicationId("ledger");
     static final int SHARDS = 64;
     static final long TICK_MILLIS = 10;
+    private static final int LATE_APPEND_MILLIS = 5_000;
 
     final ControlSettings settings = ControlSettings.DEFAULT;
     final Random random;
@@ -60,6 +61,12 @@
     private final List<ServerSpec> specs;
     boolean logReachable = true;
     double lostAnswerRatio;
+    /** Ratio of appends that are not answered and take effect after up to {@link #LATE_APPEND_MILLIS}. */
+    double lateAppendRatio;
+
+    /** Whether new terms begin without a claim, so that late appends of the last term stay valid. */
+    boolean startsTermsWithoutClaim;
+
     RoutePlan plan;
     long nowMillis = 1_000;
     private LeaseOwnershipCoordinator coordinator;
@@ -68,6 +75,7 @@
     private Map<VmStart, Optional<RoutePlan>> reportedPlans = Map.of();
     private long leaderFromMillis;
     private long terms;
+    private long lastAppendMillis = Long.MIN_VALUE;
 
     private record ScheduledAction(long atMillis, Runnable action) {}
 
@@ -103,9 +111,15 @@
     /** Replaces the coordinator; the new one leads after a gap, and records not yet applied are dropped. */
     void startTerm(long gapMillis) {
         log.applyUntil(nowMillis);
-        log.startTerm();
         terms++;
-        term = new Term(new LogOffset(100 * terms), 0, vms.get(0).start);
+        if (startsTermsWithoutClaim) {
+            log.startTermWithoutClaim();
+            term = new Term(new LogOffset(100), terms, vms.get(0).start);
+        } else {
+            log.startTerm();
+            term = new Term(new LogOffset(100 * terms), 0, vms.get(0).start);
+        }
+        lastAppendMillis = Long.MIN_VALUE;
         coordinator = new LeaseOwnershipCoordinator(settings, rules);
         plan = null;
         unanswered.clear();
@@ -185,7 +199,7 @@
                 planChecker.checkAppended(assigned, plan);
             }
             if (random.nextDouble() >= lostAnswerRatio) {
-                log.append(record, nowMillis + 20 + random.nextInt(50));
+                append(record);
             }
         }
         step.orders().forEach(this::send);
@@ -194,6 +208,17 @@
         }
     }
 
+    /** Appends a record after those of the same leader, which sends each one once the last one is read back. */
+    private void append(LogRecord record) {
+        long atMillis = nowMillis + 20 + random.nextInt(50);
+        if (lateAppendRatio > 0) {
+            boolean late = random.nextDouble() < lateAppendRatio;
+            atMillis = Math.max(lastAppendMillis, atMillis + (late ? random.nextInt(LATE_APPEND_MILLIS) : 0));
+            lastAppendMillis = atMillis;
+        }
+        log.append(record, atMillis);
+    }
+
     private void sendHeartbeats() {
         for (FakeVm vm : vms) {
             if (vm.up && vm.reachable) {
