Ignore the answer to an earlier collection of idempotency records

What callers saw: a non-repeatable request with a key could run twice. Nobody reported it; found by reading.

Cause: a shard was marked as collecting in a set, without saying for which collection. When a VM lost a shard and got it back while its first collection was unanswered, the late answer ended the second one as complete, without the records that the other VM had made meanwhile.

Evidence: IdempotencyTakeoverTest.answerToCollectionBeforeShardWasLostDoesNotCompleteTheNextCollection failed before: the server ran the request twice (two runs instead of one). It passes now.

Why it works: each shard keeps the number of its newest collection, and only the answer with this number ends it. The records of late answers are still added, since they can only prevent runs.

--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalIdempotencyRecords.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalIdempotencyRecords.java
@@ -48,9 +48,11 @@
     private final Map<ShardId, VmStart> lastDispatchers = new HashMap<>();
     private final Map<ShardId, ShardId> splitKeyOrigins = new HashMap<>();
     private final Set<ShardId> localShards = new HashSet<>();
-    private final Set<ShardId> collectingShards = new HashSet<>();
+    /** Number of the collection that each shard waits for. An answer to an earlier collection may be outdated. */
+    private final Map<ShardId, Long> collectingShards = new HashMap<>();
     private volatile IdempotencyShardMapping shardMapping = IdempotencyShardMapping.of(ReplicaState.EMPTY);
     private RoutePlan appliedPlan;
+    private long lastCollectionNumber;
     private long leaseEndMillis = Long.MIN_VALUE;
 
     LocalIdempotencyRecords(
@@ -67,13 +69,20 @@
 
     /** Applies a view: starts the shards that this VM gains, collects their records, and ends those that it loses. */
     void onViewPublished(ControlView view) {
-        Set<ShardId> gained = applyView(view);
+        Set<ShardId> gained;
+        long collectionNumber;
+        synchronized (this) {
+            collectionNumber = ++lastCollectionNumber;
+            gained = applyView(view);
+        }
         if (!gained.isEmpty()) {
-            replicator.collect(shardMapping.hashedShardsOf(gained), collected -> onCollected(gained, collected));
+            replicator.collect(
+                    shardMapping.hashedShardsOf(gained),
+                    collected -> onCollected(gained, collectionNumber, collected));
         }
     }
 
-    private synchronized Set<ShardId> applyView(ControlView view) {
+    private Set<ShardId> applyView(ControlView view) {
         shardMapping = IdempotencyShardMapping.of(view.state());
         endShardsIfLeaseLapsed(view);
         Optional<RoutePlan> plan = view.plan();
@@ -120,7 +129,7 @@
         RecordContinuity continuity =
                 noOtherKnown ? RecordContinuity.NO_KNOWN_PREDECESSOR : RecordContinuity.PREDECESSOR_LOST;
         records.startShard(shard, continuity, clockMillis.getAsLong());
-        collectingShards.add(shard);
+        collectingShards.put(shard, lastCollectionNumber);
         ShardId hashed = shardMapping.hashedShardOf(shard);
         if (!hashed.equals(shard)) {
             splitKeyOrigins.put(shard, hashed);
@@ -136,12 +145,13 @@
         records.endShard(shard);
     }
 
-    private synchronized void onCollected(Set<ShardId> shards, IdempotencyRecordReplicator.CollectedRecords collected) {
+    private synchronized void onCollected(
+            Set<ShardId> shards, long collectionNumber, IdempotencyRecordReplicator.CollectedRecords collected) {
         long nowMillis = clockMillis.getAsLong();
         collected.records().forEach(record -> records.addTransferred(record, nowMillis));
         for (ShardId shard : shards) {
-            collectingShards.remove(shard);
-            if (collected.complete() && localShards.contains(shard)) {
+            boolean isNewest = collectingShards.remove(shard, collectionNumber);
+            if (isNewest && collected.complete() && localShards.contains(shard)) {
                 records.startShard(shard, RecordContinuity.COMPLETE, nowMillis);
             }
         }
@@ -159,7 +169,7 @@
         Decision decision;
         synchronized (this) {
             ShardId served = shardMapping.currentShardOf(request);
-            if (collectingShards.contains(served)) {
+            if (collectingShards.containsKey(served)) {
                 ioThread.executeAfter(again, COLLECTION_POLL_MILLIS, TimeUnit.MILLISECONDS);
                 return false;
             }
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/IdempotencyTakeoverTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/IdempotencyTakeoverTest.java
@@ -1,11 +1,14 @@
 package org.lacewingthread.daemon.dispatch;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -33,7 +36,9 @@
                 new PeerIdempotencyRecords(IdempotencyRecords.Settings.DEFAULT, TrafficFixture.CLOCK);
         private final List<IdempotencyRecord> puts = new ArrayList<>();
         private ReplicationResult replicationResult = ReplicationResult.ACKNOWLEDGED;
+        private final List<Runnable> heldCollections = new ArrayList<>();
         private boolean complete = true;
+        private boolean holdsCollections;
 
         @Override
         public synchronized void replicate(IdempotencyRecord record, Consumer<ReplicationResult> onResult) {
@@ -44,7 +49,12 @@
 
         @Override
         public synchronized void collect(Set<ShardId> shards, Consumer<CollectedRecords> onResult) {
-            onResult.accept(new CollectedRecords(complete ? copies.copiesOf(shards) : List.of(), complete));
+            CollectedRecords collected = new CollectedRecords(complete ? copies.copiesOf(shards) : List.of(), complete);
+            if (holdsCollections) {
+                heldCollections.add(() -> onResult.accept(collected));
+            } else {
+                onResult.accept(collected);
+            }
         }
     }
 
@@ -119,6 +129,49 @@
         assertThat(backend.runs()).hasSize(result.equals("1000") ? 1 : 0);
     }
 
+    /** Guards against taking the answer to an earlier collection of records for that of the newest one. */
+    @Test
+    void answerToCollectionBeforeShardWasLostDoesNotCompleteTheNextCollection() throws Exception {
+        second.holdsCollections = true;
+        publishDispatcher(ControlViewFactory.SELF);
+        Runnable firstAnswer = second.heldCollections.remove(0);
+        publishDispatcher(ControlViewFactory.OTHER);
+        second.holdsCollections = false;
+        String repeat = runRepeatOnOtherVm();
+        second.holdsCollections = true;
+        publishDispatcher(ControlViewFactory.SELF);
+
+        firstAnswer.run();
+        CompletableFuture<HttpResponse<String>> again = CompletableFuture.supplyAsync(() -> holdUnchecked("2"));
+        await().pollDelay(300, TimeUnit.MILLISECONDS).until(() -> true);
+        assertThat(backend.runs()).hasSize(1);
+        second.heldCollections.remove(0).run();
+
+        assertThat(again.get(10, TimeUnit.SECONDS).body()).isEqualTo(repeat);
+        assertThat(backend.runs()).hasSize(1);
+    }
+
+    /** Runs a second attempt on another VM that dispatches for the server; returns the body of the response. */
+    private String runRepeatOnOtherVm() throws Exception {
+        try (TrafficFixture other = new TrafficFixture(CallerLimits.DEFAULT, second, RelayDirectory.NONE)) {
+            other.state.publish(new ControlViewFactory(server)
+                    .ownedBy(server.id(), ControlViewFactory.SELF, TrafficFixture.deadlineIn(LEASE_MILLIS)));
+            HttpResponse<String> response = new Caller(other.callerServer.port())
+                    .post("/holds/1", "{}", "Idempotency-Key", "k", "Lacewingthread-Attempt", "2");
+            assertThat(Caller.resultOf(response)).isEqualTo("1000");
+            assertThat(backend.runs()).hasSize(1);
+            return response.body();
+        }
+    }
+
+    private HttpResponse<String> holdUnchecked(String attempt) {
+        try {
+            return hold("Idempotency-Key", "k", "Lacewingthread-Attempt", attempt);
+        } catch (Exception e) {
+            throw new IllegalStateException("the request could not be made", e);
+        }
+    }
+
     @Test
     void shardReturningToTheSameVmAcceptsNewKeys() throws Exception {
         second.complete = false;
