Decide queued requests with a key anew after the dispatch lease lapsed

What callers saw: a non-repeatable request with a key could run twice. Nobody reported it; found by reading.

Cause: the decision to run a request was made when it was queued, from records that were complete then. A VM without a dispatch lease goes on queueing. If another VM dispatched for the shard meanwhile and ran a repeat, and the shard came back with one view, the queue was sent under the old decision. The other VM's record did not help: a transferred record was dropped while an attempt was queued under its key.

Evidence: IdempotencyTakeoverTest.requestQueuedBeforeLeaseLapsedIsNotSentAfterAnotherVmRanItsRepeat failed before: the server ran the request twice (run 0 at the other VM, run 1 here). It passes now.

Why it works: an admission names its shard and the start of dispatching that it was made in. It is checked where the permission to send is given; an outdated one returns the request to the router, which admits it again once the records are collected. Views are applied to the records before they are published, so no request is sent under the new view with an old admission. A transferred record is kept beside a queued attempt and counts once that did not run.

--- a/core/src/main/java/org/lacewingthread/core/traffic/IdempotencyRecords.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/IdempotencyRecords.java
@@ -76,7 +76,18 @@
      */
     public record Decision(Verdict verdict, Outcome outcome) {}
 
-    private record Entry(IdempotencyRecord record, long madeAtMillis) {}
+    /**
+     * A record.
+     *
+     * @param record state of the attempts that this VM knows of
+     * @param madeAtMillis when the record was made or transferred
+     * @param transferred record of another VM's attempt, received while an attempt is queued or runs here; null if none
+     */
+    private record Entry(IdempotencyRecord record, long madeAtMillis, Entry transferred) {
+        Entry(IdempotencyRecord record, long madeAtMillis) {
+            this(record, madeAtMillis, null);
+        }
+    }
 
     private record ContinuityStart(RecordContinuity continuity, long sinceMillis) {}
 
@@ -95,9 +106,18 @@
         continuityStarts.remove(shard);
     }
 
-    /** Adds a record that was transferred from another VM, unless one with the same key exists. */
+    /**
+     * Adds a record that was transferred from another VM, unless one with the same key exists. If an attempt is queued
+     * or runs here, the record counts once that attempt turns out not to have run.
+     */
     public void addTransferred(IdempotencyRecord record, long nowMillis) {
-        entries.putIfAbsent(record.id(), new Entry(record.toTransferCopy(), nowMillis));
+        Entry transferred = new Entry(record.toTransferCopy(), nowMillis);
+        entries.merge(
+                record.id(),
+                transferred,
+                (known, added) -> known.record().state() == State.RUNNING
+                        ? new Entry(known.record(), known.madeAtMillis(), added)
+                        : known);
     }
 
     /**
@@ -168,9 +188,15 @@
         update(id, State.MAY_HAVE_RUN, null);
     }
 
-    /** Removes the record of an attempt that provably did not run; the key can be used again. */
+    /**
+     * Removes the record of an attempt that provably did not run; the key can be used again unless another VM's record
+     * of it was transferred meanwhile.
+     */
     public void markNotRun(IdempotencyRecord.Id id) {
-        entries.remove(id);
+        Entry removed = entries.remove(id);
+        if (removed != null && removed.transferred() != null) {
+            entries.put(id, removed.transferred());
+        }
     }
 
     private void update(IdempotencyRecord.Id id, State state, Outcome outcome) {
--- a/core/src/test/java/org/lacewingthread/core/traffic/IdempotencyRecordsTest.java
+++ b/core/src/test/java/org/lacewingthread/core/traffic/IdempotencyRecordsTest.java
@@ -53,6 +53,16 @@
         assertThat(begin(KEY, 7, AttemptNumber.REPEAT, 1)).isEqualTo(Verdict.UNKNOWN);
     }
 
+    /** Guards against running a key again that another VM ran while an attempt was queued here. */
+    @Test
+    void recordTransferredWhileAttemptIsQueuedCountsOnceAttemptDidNotRun() {
+        begin(0);
+        records.addTransferred(new IdempotencyRecord(KEY, 7, IdempotencyRecord.State.DONE, OUTCOME), 1);
+        assertThat(begin(2)).isEqualTo(Verdict.STILL_RUNNING);
+        records.markNotRun(KEY);
+        assertThat(begin(KEY, 7, AttemptNumber.REPEAT, 3)).isEqualTo(Verdict.REPLAY);
+    }
+
     @Test
     void keyIsReusableAfterAnAttemptThatDidNotRun() {
         begin(0);
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalDispatcher.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalDispatcher.java
@@ -86,6 +86,7 @@
                 listener,
                 this::reportDrainedView,
                 pending -> returnToRouter.accept(pending));
+        state.addPreparation(records::prepareView);
         state.addListener(this::onViewPublished);
         worker.getIoThread().executeAtInterval(this::measureLoad, LOAD_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         worker.getIoThread().executeAtInterval(this::tick, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -115,7 +116,7 @@
 
     private void onViewPublished() {
         ControlView view = state.snapshot().view();
-        records.onViewPublished(view);
+        records.onViewPublished();
         openServerDispatchers(view);
         for (ServerDispatcher dispatcher : serverDispatchers.values()) {
             dispatcher.ioThread().execute(dispatcher::onViewPublished);
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalIdempotencyRecords.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalIdempotencyRecords.java
@@ -40,6 +40,10 @@
     private static final String ATTEMPT_HEADER = "Lacewingthread-Attempt";
     private static final long COLLECTION_POLL_MILLIS = 10;
     private static final long FULL_RETRY_MILLIS = 1_000;
+    private static final long NOT_STARTED = -1;
+
+    /** Shard that a request was admitted for, and number of the start of dispatching for it. */
+    record Admission(ShardId shard, long startNumber) {}
 
     private final IdempotencyRecords records;
     private final int maxRecordedBodyBytes;
@@ -47,12 +51,15 @@
     private final LongSupplier clockMillis;
     private final Map<ShardId, VmStart> lastDispatchers = new HashMap<>();
     private final Map<ShardId, ShardId> splitKeyOrigins = new HashMap<>();
-    private final Set<ShardId> localShards = new HashSet<>();
-    /** Number of the collection that each shard waits for. An answer to an earlier collection may be outdated. */
+    /** Shards that this VM dispatches for, with the number of their last start. */
+    private final Map<ShardId, Long> localShards = new HashMap<>();
+    /** Start number for which each shard collects records. An answer for an earlier start may be outdated. */
     private final Map<ShardId, Long> collectingShards = new HashMap<>();
+
     private volatile IdempotencyShardMapping shardMapping = IdempotencyShardMapping.of(ReplicaState.EMPTY);
     private RoutePlan appliedPlan;
-    private long lastCollectionNumber;
+    private Set<ShardId> gainedShards = Set.of();
+    private long lastStartNumber;
     private long leaseEndMillis = Long.MIN_VALUE;
 
     LocalIdempotencyRecords(
@@ -67,18 +74,27 @@
         return maxRecordedBodyBytes;
     }
 
-    /** Applies a view: starts the shards that this VM gains, collects their records, and ends those that it loses. */
-    void onViewPublished(ControlView view) {
+    /**
+     * Applies a view that is about to be published: starts the shards that this VM gains and ends those that it loses.
+     * Requests admitted before a shard ended are no longer sent from then on.
+     */
+    synchronized void prepareView(ControlView view) {
+        lastStartNumber++;
+        gainedShards = applyView(view);
+    }
+
+    /** Collects the records of the shards that this VM gained with the newest view, once it is published. */
+    void onViewPublished() {
         Set<ShardId> gained;
-        long collectionNumber;
+        long startNumber;
         synchronized (this) {
-            collectionNumber = ++lastCollectionNumber;
-            gained = applyView(view);
+            gained = gainedShards;
+            gainedShards = Set.of();
+            startNumber = lastStartNumber;
         }
         if (!gained.isEmpty()) {
             replicator.collect(
-                    shardMapping.hashedShardsOf(gained),
-                    collected -> onCollected(gained, collectionNumber, collected));
+                    shardMapping.hashedShardsOf(gained), collected -> onCollected(gained, startNumber, collected));
         }
     }
 
@@ -93,7 +109,7 @@
     /** Ends all shards if the dispatch lease lapsed: another VM may have dispatched since, whatever the plan says. */
     private void endShardsIfLeaseLapsed(ControlView view) {
         if (clockMillis.getAsLong() >= leaseEndMillis) {
-            localShards.forEach(records::endShard);
+            localShards.keySet().forEach(records::endShard);
             localShards.clear();
             appliedPlan = null;
         }
@@ -103,7 +119,7 @@
     private Set<ShardId> applyPlan(RoutePlan plan, VmStart self) {
         appliedPlan = plan;
         Set<ShardId> gained = new HashSet<>();
-        Set<ShardId> lost = new HashSet<>(localShards);
+        Set<ShardId> lost = new HashSet<>(localShards.keySet());
         plan.owners().forEach((shard, ownership) -> {
             VmStart dispatcher = plan.dispatchers().get(ownership.server());
             if (dispatcher == null) {
@@ -114,13 +130,13 @@
                 return;
             }
             lost.remove(shard);
-            if (localShards.add(shard)) {
+            if (localShards.putIfAbsent(shard, lastStartNumber) == null) {
                 VmStart known = former == null ? lastDispatchers.get(shardMapping.hashedShardOf(shard)) : former;
                 startShard(shard, known == null || known.equals(self));
                 gained.add(shard);
             }
         });
-        localShards.removeAll(lost);
+        localShards.keySet().removeAll(lost);
         lost.forEach(this::endShard);
         return gained;
     }
@@ -129,7 +145,7 @@
         RecordContinuity continuity =
                 noOtherKnown ? RecordContinuity.NO_KNOWN_PREDECESSOR : RecordContinuity.PREDECESSOR_LOST;
         records.startShard(shard, continuity, clockMillis.getAsLong());
-        collectingShards.put(shard, lastCollectionNumber);
+        collectingShards.put(shard, lastStartNumber);
         ShardId hashed = shardMapping.hashedShardOf(shard);
         if (!hashed.equals(shard)) {
             splitKeyOrigins.put(shard, hashed);
@@ -139,19 +155,19 @@
     /** Ends a shard. When a split key is merged back, the shard it came from inherits any gap in its records. */
     private void endShard(ShardId shard) {
         ShardId origin = splitKeyOrigins.remove(shard);
-        if (origin != null && localShards.contains(origin)) {
+        if (origin != null && localShards.containsKey(origin)) {
             records.onKeyMergedBack(origin, shard, clockMillis.getAsLong());
         }
         records.endShard(shard);
     }
 
     private synchronized void onCollected(
-            Set<ShardId> shards, long collectionNumber, IdempotencyRecordReplicator.CollectedRecords collected) {
+            Set<ShardId> shards, long startNumber, IdempotencyRecordReplicator.CollectedRecords collected) {
         long nowMillis = clockMillis.getAsLong();
         collected.records().forEach(record -> records.addTransferred(record, nowMillis));
         for (ShardId shard : shards) {
-            boolean isNewest = collectingShards.remove(shard, collectionNumber);
-            if (isNewest && collected.complete() && localShards.contains(shard)) {
+            boolean isNewest = collectingShards.remove(shard, startNumber);
+            if (isNewest && collected.complete() && localShards.containsKey(shard)) {
                 records.startShard(shard, RecordContinuity.COMPLETE, nowMillis);
             }
         }
@@ -175,10 +191,29 @@
             }
             decision = records.begin(
                     idOf(request), served, fingerprintOf(request), attemptNumberOf(request), clockMillis.getAsLong());
+            pending.setAdmission(admissionOf(request));
         }
         return applyDecision(decision, pending);
     }
 
+    /**
+     * Returns whether the decision to run a request still holds. It does not once this VM stopped dispatching for the
+     * shard, even if it dispatches for it again: another VM may have run a repeat meanwhile.
+     */
+    boolean isAdmissionCurrent(PendingRequest pending) {
+        if (!pending.hasRunningRecord()) {
+            return true;
+        }
+        synchronized (this) {
+            return admissionOf(pending.request()).equals(pending.admission());
+        }
+    }
+
+    private Admission admissionOf(RoutedRequest request) {
+        ShardId served = shardMapping.currentShardOf(request);
+        return new Admission(served, localShards.getOrDefault(served, NOT_STARTED));
+    }
+
     private static boolean applyDecision(Decision decision, PendingRequest pending) {
         switch (decision.verdict()) {
             case RUN -> {
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/PendingRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/PendingRequest.java
@@ -19,6 +19,7 @@
     private DispatchAttempt answeringAttempt;
     private int attemptCount;
     private boolean hasRunningRecord;
+    private LocalIdempotencyRecords.Admission admission;
     private volatile long holdUntilMillis = Long.MAX_VALUE;
 
     PendingRequest(RoutedRequest request, ResponseSink sink) {
@@ -119,6 +120,15 @@
         this.hasRunningRecord = hasRunningRecord;
     }
 
+    /** Returns what the idempotency records based their decision on, or null if they made none. */
+    LocalIdempotencyRecords.Admission admission() {
+        return admission;
+    }
+
+    void setAdmission(LocalIdempotencyRecords.Admission newAdmission) {
+        admission = newAdmission;
+    }
+
     /** Ends the request without a response because its caller left; returns false if it had already ended. */
     boolean endAsCancelled() {
         return ended.compareAndSet(false, true);
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/SendPermitIssuer.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/SendPermitIssuer.java
@@ -13,14 +13,16 @@
 final class SendPermitIssuer {
     private final ServerId server;
     private final TrafficState state;
+    private final LocalIdempotencyRecords records;
     private final LongSupplier clockMillis;
     private final long startByMillis;
 
-    SendPermitIssuer(ServerId server, TrafficState state, LongSupplier clockMillis, long startByMillis) {
+    SendPermitIssuer(ServerId server, ServerDispatcherContext context) {
         this.server = server;
-        this.state = state;
-        this.clockMillis = clockMillis;
-        this.startByMillis = startByMillis;
+        this.state = context.state();
+        this.records = context.records();
+        this.clockMillis = context.clockMillis();
+        this.startByMillis = context.startByMillis();
     }
 
     /** Returns whether the newest plan names this VM as dispatcher and the server as the shard's owner. */
@@ -28,6 +30,11 @@
         return state.snapshot().isDispatchedHere(request, server);
     }
 
+    /** Returns whether a queued request may still be sent from here under the decision that admitted it. */
+    boolean isAdmissionValid(PendingRequest pending) {
+        return isDispatchedHere(pending.request()) && records.isAdmissionCurrent(pending);
+    }
+
     boolean hasDispatchLease() {
         return clockMillis.getAsLong() < state.snapshot().view().dispatchDeadlineMillis();
     }
@@ -42,7 +49,7 @@
         if (pending.isEnded() || leaseLeftMillis <= 0 || waitLeftMillis <= 0) {
             return Optional.empty();
         }
-        if (!snapshot.isDispatchedHere(request, server)) {
+        if (!snapshot.isDispatchedHere(request, server) || !records.isAdmissionCurrent(pending)) {
             return Optional.empty();
         }
         Route route = snapshot.routeOf(request);
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerDispatcher.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerDispatcher.java
@@ -46,8 +46,7 @@
         this.ioThread = ioThread;
         this.connections = new BackendConnectionPool(
                 server, BackendConnectionPool.Limits.forDispatcher(server), ioThread, pool, context.clockMillis());
-        this.permitIssuer =
-                new SendPermitIssuer(server.id(), context.state(), context.clockMillis(), context.startByMillis());
+        this.permitIssuer = new SendPermitIssuer(server.id(), context);
         this.queue = new ServerQueue<>(ServerQueue.Settings.of(server.slots()));
         this.loadMeter = new LoadMeter(server.id(), nowMillis());
         this.probe = new HealthProber(server.id(), connections, ioThread);
@@ -218,7 +217,7 @@
         PendingRequest pending = attempt.pending();
         if (pending.isEnded()) {
             context.records().markNotRun(pending);
-        } else if (!permitIssuer.isDispatchedHere(pending.request())) {
+        } else if (!permitIssuer.isAdmissionValid(pending)) {
             releaseAndReturnToRouter(pending);
         } else if (!permitIssuer.hasDispatchLease()) {
             enqueue(pending);
@@ -320,7 +319,7 @@
 
     /** Returns requests that this VM no longer dispatches to the router, and sends what the new view allows. */
     void onViewPublished() {
-        for (PendingRequest pending : queue.removeIf(queued -> !permitIssuer.isDispatchedHere(queued.request()))) {
+        for (PendingRequest pending : queue.removeIf(queued -> !permitIssuer.isAdmissionValid(queued))) {
             releaseAndReturnToRouter(pending);
         }
         updateDrainedView();
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/TrafficState.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/TrafficState.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import org.lacewingthread.core.config.RoutingConfiguration;
 import org.lacewingthread.core.control.ControlView;
 import org.lacewingthread.core.id.ApplicationId;
@@ -24,6 +25,7 @@
  */
 public final class TrafficState {
     private final AtomicReference<Snapshot> current = new AtomicReference<>(Snapshot.EMPTY);
+    private final List<Consumer<ControlView>> preparations = new CopyOnWriteArrayList<>();
     private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
 
     /**
@@ -73,7 +75,9 @@
     public void publish(ControlView view) {
         Snapshot previous = current.get();
         RoutingTable table = RoutingTable.compile(view, previous.table());
-        current.set(new Snapshot(view, table, classifierOf(view, previous)));
+        Snapshot next = new Snapshot(view, table, classifierOf(view, previous));
+        preparations.forEach(preparation -> preparation.accept(view));
+        current.set(next);
         listeners.forEach(Runnable::run);
     }
 
@@ -84,6 +88,11 @@
         return unchanged ? previous.classifier() : RequestClassifier.compile(configuration);
     }
 
+    /** Adds an action that the control thread runs before it publishes a view; it must not block. */
+    void addPreparation(Consumer<ControlView> preparation) {
+        preparations.add(preparation);
+    }
+
     /** Adds a listener that the control thread runs after every published view; it must not block. */
     void addListener(Runnable listener) {
         listeners.add(listener);
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/IdempotencyTakeoverTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/IdempotencyTakeoverTest.java
@@ -129,6 +129,21 @@
         assertThat(backend.runs()).hasSize(result.equals("1000") ? 1 : 0);
     }
 
+    /** Guards against sending a queued request that another VM ran while this VM had no dispatch lease. */
+    @Test
+    void requestQueuedBeforeLeaseLapsedIsNotSentAfterAnotherVmRanItsRepeat() throws Exception {
+        fixture.state.publish(views.ownedBy(server.id(), ControlViewFactory.SELF, TrafficFixture.deadlineIn(-1)));
+        CompletableFuture<HttpResponse<String>> first = CompletableFuture.supplyAsync(() -> holdUnchecked("1"));
+        await().until(() ->
+                fixture.registry.get("lacewingthread.server.queued").gauge().value() == 1);
+        String repeat = runRepeatOnOtherVm();
+
+        publishDispatcher(ControlViewFactory.SELF);
+
+        assertThat(first.get(10, TimeUnit.SECONDS).body()).isEqualTo(repeat);
+        assertThat(backend.runs()).hasSize(1);
+    }
+
     /** Guards against taking the answer to an earlier collection of records for that of the newest one. */
     @Test
     void answerToCollectionBeforeShardWasLostDoesNotCompleteTheNextCollection() throws Exception {
