Keep a move recorded as moving while no server is usable

What callers could see: two servers run requests for the same keys. While keys moved from a server that had become unreachable, all other servers of the service became unusable, and then the leader changed.

Cause: the proposer shows the planner a moving range without usable target as settled, so that its target may be replaced. With no usable server at all the planner returns its input, and the move was recorded as complete. The next leader granted the keys to the target while the former owner still held them.

Evidence: RangeCoordinatorFaultTest.moveStaysRecordedAsMovingWhileNoServerIsReady failed before (two holders of key 0 from 4,550 ms of the simulation).

Why it works: a range that keeps its owner stays recorded as moving until it is held.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeTableProposer.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeTableProposer.java
@@ -102,12 +102,18 @@
             return planned;
         }
         for (RangeHold hold : serviceHolds) {
-            if (!hold.range.overlaps(planned.range()) || hold.owner.equals(planned.owner())) {
+            if (!hold.range.overlaps(planned.range())) {
                 continue;
             }
-            Optional<ServerStart> former =
-                    hold.phase == RangeHold.Phase.RELEASING ? hold.movingFrom : Optional.of(hold.owner);
-            return new RangeOwnership(planned.range(), planned.owner(), former);
+            if (!hold.owner.equals(planned.owner())) {
+                Optional<ServerStart> former =
+                        hold.phase == RangeHold.Phase.RELEASING ? hold.movingFrom : Optional.of(hold.owner);
+                return new RangeOwnership(planned.range(), planned.owner(), former);
+            }
+            if (hold.phase != RangeHold.Phase.HELD) {
+                // Without a usable server the planner keeps the owner, whose move is not complete.
+                return new RangeOwnership(planned.range(), planned.owner(), hold.movingFrom);
+            }
         }
         return planned;
     }
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorFaultTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorFaultTest.java
@@ -47,6 +47,22 @@
         assertOneHolderAndFullServiceAfterFaults();
     }
 
+    /** Guards against a move that is recorded as complete because no server is left to which its keys could go. */
+    @Test
+    void moveStaysRecordedAsMovingWhileNoServerIsReady() {
+        simulation.unreachable.add(drained);
+        simulation.ready.remove(drained);
+        runUntilRecorded();
+        simulation.ready.clear();
+        simulation.runFor(500);
+        simulation.stoppedVms.add("a");
+        simulation.leaderCandidate = "b";
+        simulation.runFor(5_000);
+        simulation.stoppedVms.clear();
+        simulation.ready.addAll(serverStarts.subList(1, serverStarts.size()));
+        assertOneHolderAndFullServiceAfterFaults();
+    }
+
     /** Guards against a renewal that is sent after an append without an answer and applied after the release. */
     @ParameterizedTest
     @ValueSource(longs = {1_300, 1_500, 1_900, 2_300})
