--- a/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
@@ -145,14 +145,17 @@
     /** Records the answer of a grant, or that its call was aborted. */
     void onGrantAnswer(long call, ServerStart server, GrantOutcome outcome, long nowMillis) {
         List<Entry> entries = entriesOf(server);
-        switch (outcome) {
-            case GRANTED -> onGranted(call, entries, nowMillis);
-            case UNKNOWN -> entries.replaceAll(entry -> entry.call() == call && entry.state() == State.PENDING
+        if (outcome == GrantOutcome.GRANTED) {
+            onGranted(call, entries, nowMillis);
+        } else if (outcome == GrantOutcome.FENCED) {
+            entries.removeIf(entry -> entry.call() == call);
+        } else if (outcome == GrantOutcome.SERVER_REPLACED) {
+            removeServer(server);
+        } else {
+            entries.replaceAll(entry -> entry.call() == call && entry.state() == State.PENDING
                     ? entry.unsettled(
                             times.heldUntilMillis(nowMillis + ABORTED_CALL_DELIVERY_MILLIS, entry.holdMillis()))
                     : entry);
-            case FENCED -> entries.removeIf(entry -> entry.call() == call);
-            case SERVER_REPLACED -> removeServer(server);
         }
     }
 
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -144,13 +144,11 @@
             return;
         }
         RangeHold hold = pending.hold();
-        switch (outcome) {
-            case RELEASED -> ledger.onReleased(hold.service, pending.server(), hold.range, pending.settlementMark());
-            case SERVER_REPLACED -> {
-                liveness.recordEnded(pending.server());
-                ledger.removeServer(pending.server());
-            }
-            case UNKNOWN -> {}
+        if (outcome == ReleaseOutcome.RELEASED) {
+            ledger.onReleased(hold.service, pending.server(), hold.range, pending.settlementMark());
+        } else if (outcome == ReleaseOutcome.SERVER_REPLACED) {
+            liveness.recordEnded(pending.server());
+            ledger.removeServer(pending.server());
         }
         if (hold.endCall(call)) {
             hold.onReleaseAnswer(outcome, handover, nowMillis);
