Forget an unanswered append once the log has resolved it

What callers could see: keys without owner for longer than needed. When the log showed what became of an append before its call timed out, the late result was kept as a mark on the next table. A refusal of that table then counted for nothing: it was repeated unchanged, and the owners that it replaced got no grant.

Evidence: RouterOnPlatformTest.eachAppendIsLoggedWithItsResultTimesAndChangedRanges waited 10 s in vain while the same table was refused every 200 ms; TableAppendsTest.refusedAppendAfterAnUnansweredOneThatWasReadIsNotRepeated failed before.

Why it works: the mark holds only as long as the append that it belongs to is unresolved.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/TableAppends.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/TableAppends.java
@@ -35,6 +35,7 @@
     CoordinatorAction.RecordTable start(RangeTable table, long logEnd, long nowMillis) {
         callPending = true;
         askedMillis = nowMillis;
+        mayHaveBeenAppended &= unresolved.isPresent();
         CoordinatorAction.RecordTable append = new CoordinatorAction.RecordTable(table, logEnd);
         unresolved = Optional.of(append);
         return append;
--- a/core/src/test/java/org/lacewingthread/core/keyrange/TableAppendsTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/TableAppendsTest.java
@@ -59,6 +59,18 @@
         assertThat(mayReplaceA()).isTrue();
     }
 
+    /** Guards against repeating a refused append for good because an earlier, resolved one got no answer. */
+    @Test
+    void refusedAppendAfterAnUnansweredOneThatWasReadIsNotRepeated() {
+        appends.start(TABLE, LOG_END, 0);
+        appends.onLogEnd(LOG_END + 1);
+        appends.onResult(AppendResult.unknown(), 1_200);
+        appends.start(TABLE, LOG_END + 1, 1_400);
+        appends.onResult(AppendResult.refused(), 1_410);
+        assertThat(appends.tableToRepeat()).isEmpty();
+        assertThat(mayReplaceA()).isFalse();
+    }
+
     @Test
     void appendIsRepeated200MillisAfterARefusalAndAtOnceAfterARecord() {
         appends.start(TABLE, LOG_END, 0);
