Send no call later than the next leader allows for

What callers could see: two servers run requests for the same keys, if a leader stood still or ran very slowly between the decision of a grant and its sending. The next leader assumes that calls of this one arrive within 1,200 ms after their decision; nothing kept them to it.

Evidence: RangeCommandSenderTest.callsDecidedOver600MillisAgoAreNotSent failed before.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
@@ -20,6 +20,11 @@
  */
 final class RangeCommandSender {
     private static final int MAX_REMEMBERED_ADDRESSES = 1_000;
+    /**
+     * Time after its decision in which a call is sent. The next leader assumes that the calls of this one arrive within
+     * 1,200 ms after their decision, of which 400 ms are the time limit of a grant.
+     */
+    static final long MAX_SEND_DELAY_MILLIS = 600;
 
     private final Platform platform;
     private final RangeCoordinator coordinator;
@@ -64,7 +69,7 @@
      * @param decidedMillis when the coordinator decided it, by the control clock
      */
     void grant(CoordinatorAction.Grant grant, long decidedMillis) {
-        Optional<ServerEntry> server = Optional.ofNullable(lastKnownEntries.get(grant.server()));
+        Optional<ServerEntry> server = findServer(grant.server(), decidedMillis);
         if (server.isEmpty()) {
             onGrantEnded(grant, decidedMillis, new Platform.GrantResult(GrantOutcome.UNKNOWN, OptionalLong.empty()));
             return;
@@ -75,6 +80,13 @@
         });
     }
 
+    /** Returns the server's entry; empty if its address is not known or if a call was decided too long ago. */
+    private Optional<ServerEntry> findServer(ServerStart server, long decidedMillis) {
+        return clock.nowMillis() - decidedMillis > MAX_SEND_DELAY_MILLIS
+                ? Optional.empty()
+                : Optional.ofNullable(lastKnownEntries.get(server));
+    }
+
     private void onGrantEnded(CoordinatorAction.Grant grant, long decidedMillis, Platform.GrantResult result) {
         long endedMillis = clock.nowMillis();
         boolean awaited = coordinator.awaitsAnswer(grant.call());
@@ -92,7 +104,7 @@
      * @param decidedMillis when the coordinator decided it, by the control clock
      */
     void release(CoordinatorAction.Release release, long decidedMillis) {
-        Optional<ServerEntry> server = Optional.ofNullable(lastKnownEntries.get(release.server()));
+        Optional<ServerEntry> server = findServer(release.server(), decidedMillis);
         if (server.isEmpty()) {
             onReleaseEnded(
                     release,
