--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeTableProposer.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeTableProposer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
@@ -54,8 +55,10 @@
                 ? current
                 : RangePlanner.plan(
                         current, usable, view.load(), ownership -> !unconfirmed.contains(ownership.owner()));
+        NavigableMap<Integer, RangeHold> holdsByFirstKey = new TreeMap<>();
+        serviceHolds.forEach(hold -> holdsByFirstKey.put(hold.range.firstKey(), hold));
         return planned.stream()
-                .map(ownership -> withFormerOwner(ownership, serviceHolds))
+                .map(ownership -> withFormerOwner(ownership, holdsByFirstKey))
                 .toList();
     }
 
@@ -94,14 +97,19 @@
     }
 
     /** Adds the former owner, which may still hold the keys, to a range that gets another owner. */
-    private static RangeOwnership withFormerOwner(RangeOwnership planned, List<RangeHold> serviceHolds) {
+    private static RangeOwnership withFormerOwner(
+            RangeOwnership planned, NavigableMap<Integer, RangeHold> holdsByFirstKey) {
         if (planned.movingFrom().filter(planned.owner()::equals).isPresent()) {
             return RangeOwnership.settled(planned.range(), planned.owner());
         }
         if (planned.isMoving()) {
             return planned;
         }
-        for (RangeHold hold : serviceHolds) {
+        Integer from = holdsByFirstKey.floorKey(planned.range().firstKey());
+        Integer to = planned.range().lastKey();
+        NavigableMap<Integer, RangeHold> candidates =
+                from == null ? holdsByFirstKey.headMap(to, true) : holdsByFirstKey.subMap(from, true, to, true);
+        for (RangeHold hold : candidates.values()) {
             if (!hold.range.overlaps(planned.range())) {
                 continue;
             }
