Pass the end of a call to the coordinator before it is logged

A call that never ends keeps its keys from other servers for the rest of the term, so nothing that may fail comes before it. Found by reading in the review; no failing path is known.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
@@ -90,12 +90,12 @@
     private void onGrantEnded(CoordinatorAction.Grant grant, long decidedMillis, Platform.GrantResult result) {
         long endedMillis = clock.nowMillis();
         boolean awaited = coordinator.awaitsAnswer(grant.call());
+        coordinator.onGrantAnswer(grant.call(), result.outcome(), endedMillis);
         commandLog.onGrantEnded(
                 grant,
                 result.outcome(),
                 new RangeCommandLog.CallTimes(decidedMillis, result.sentAtMillis(), endedMillis),
                 awaited);
-        coordinator.onGrantAnswer(grant.call(), result.outcome(), endedMillis);
     }
 
     /**
@@ -134,12 +134,12 @@
     private void onReleaseEnded(CoordinatorAction.Release release, long decidedMillis, Platform.ReleaseResult result) {
         long endedMillis = clock.nowMillis();
         boolean awaited = coordinator.awaitsAnswer(release.call());
+        coordinator.onReleaseAnswer(release.call(), result.outcome(), result.handover(), endedMillis);
         commandLog.onReleaseEnded(
                 release,
                 result.outcome(),
                 new RangeCommandLog.CallTimes(decidedMillis, result.sentAtMillis(), endedMillis),
                 awaited);
-        coordinator.onReleaseAnswer(release.call(), result.outcome(), result.handover(), endedMillis);
     }
 
     private void trackResponsiveness(ServerStart server, boolean answered) {
