Count a former leader as stopped only by its answer to the present term

What callers could see: two servers run requests for the same keys, in the model. A process confirmed that it led in no term before 2, led again in term 3, and was cut off while it went on renewing. The leader of term 4 got the confirmation late, took the process as stopped and moved its keys.

Cause: the answer named the process but no term.

Change: the answer repeats the announced term, and one for an earlier term is ignored. Answers of earlier builds name none and count as before.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -106,9 +106,15 @@
         return leading ? Set.copyOf(formerLeaders) : Set.of();
     }
 
-    /** Records that a former leader no longer leads, or that another process runs in its place. */
-    public void onFormerLeaderStopped(VmStart former, long nowMillis) {
-        boolean removed = formerLeaders.removeIf(leader -> leader.process().equals(former));
+    /**
+     * Records that a former leader no longer leads, or that another process runs in its place.
+     *
+     * @param beforeTerm term up to which it leads no more; an answer to the announcement of an earlier term is ignored,
+     *     since the process may have led again after it
+     */
+    public void onFormerLeaderStopped(VmStart former, long beforeTerm, long nowMillis) {
+        boolean removed = beforeTerm >= table.term()
+                && formerLeaders.removeIf(leader -> leader.process().equals(former));
         if (removed && formerLeaders.isEmpty()) {
             onFormerLeadersStopped(RangeEventListener.StopEvidence.ANSWER, nowMillis);
         }
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeEventListenerTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeEventListenerTest.java
@@ -89,7 +89,7 @@
 
     /** Renews the first server's hold at 1,000 ms and begins to move its keys at 2,000 ms; returns the release. */
     private CoordinatorAction.Release beginMove() {
-        coordinator.onFormerLeaderStopped(FORMER.process(), nowMillis);
+        coordinator.onFormerLeaderStopped(FORMER.process(), 5, nowMillis);
         List<CoordinatorAction> actions = step(Set.of(FIRST), Set.of(FIRST, SECOND));
         coordinator.onGrantAnswer(only(CoordinatorAction.Grant.class, actions).call(), GrantOutcome.GRANTED, nowMillis);
         recordProposal(actions);
@@ -108,8 +108,8 @@
     void formerLeadersAreReportedAsStoppedWhenTheLastOneAnswers() {
         reported.clear();
         nowMillis = 1_400;
-        coordinator.onFormerLeaderStopped(FORMER.process(), nowMillis);
-        coordinator.onFormerLeaderStopped(FORMER.process(), nowMillis);
+        coordinator.onFormerLeaderStopped(FORMER.process(), 5, nowMillis);
+        coordinator.onFormerLeaderStopped(FORMER.process(), 5, nowMillis);
         assertThat(reported).containsExactly("former leaders stopped by ANSWER at 1400");
     }
 
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
@@ -203,7 +203,8 @@
             if (exchangeMessages(vm, formerVm) && random.nextInt(4) == 0) {
                 formerVm.coordinator.onNewTerm(vm.coordinator.table().term());
                 if (!formerVm.coordinator.isLeading()) {
-                    vm.coordinator.onFormerLeaderStopped(former.process(), nowMillis);
+                    vm.coordinator.onFormerLeaderStopped(
+                            former.process(), vm.coordinator.table().term(), nowMillis);
                 }
             }
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -217,11 +217,11 @@
     }
 
     @Override
-    public void onNotLeading(VmStart process) {
+    public void onNotLeading(VmStart process, long beforeTerm) {
         long nowMillis = clock.nowMillis();
         for (Leader former : coordinator.formerLeadersToNotify()) {
             if (former.process().vm().equals(process.vm())) {
-                coordinator.onFormerLeaderStopped(former.process(), nowMillis);
+                coordinator.onFormerLeaderStopped(former.process(), beforeTerm, nowMillis);
             }
         }
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -55,6 +55,7 @@
     private static final String NEW_TERM = "newTerm";
     private static final String NOT_LEADING_VM = "notLeadingVm";
     private static final String NOT_LEADING_START = "notLeadingStart";
+    private static final String NOT_LEADING_BEFORE_TERM = "notLeadingBeforeTerm";
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final EventLog events;
@@ -107,8 +108,8 @@
         /** Returns this process if it certainly leads in no term before the given one; empty if it may still lead. */
         Optional<VmStart> confirmNotLeadingBefore(long term);
 
-        /** Called with the process that now runs on a former leader's VM and that does not lead. */
-        void onNotLeading(VmStart process);
+        /** Called with the process that now runs on a former leader's VM and that leads in no term before the given. */
+        void onNotLeading(VmStart process, long beforeTerm);
 
         /** Called for each report of an entry VM. */
         void onReport(String vm);
@@ -206,17 +207,22 @@
                     return;
                 }
                 if (message.has(NOT_LEADING_VM)) {
-                    listener.onNotLeading(new VmStart(
+                    VmStart process = new VmStart(
                             new VmId(message.path(NOT_LEADING_VM).asText()),
-                            message.path(NOT_LEADING_START).asLong()));
+                            message.path(NOT_LEADING_START).asLong());
+                    // Earlier builds do not name the term.
+                    listener.onNotLeading(
+                            process, message.path(NOT_LEADING_BEFORE_TERM).asLong(Long.MAX_VALUE));
                     return;
                 }
                 if (message.has(NEW_TERM)) {
-                    listener.confirmNotLeadingBefore(message.path(NEW_TERM).asLong())
+                    long term = message.path(NEW_TERM).asLong();
+                    listener.confirmNotLeadingBefore(term)
                             .ifPresent(process -> send(
                                     MAPPER.createObjectNode()
                                             .put(NOT_LEADING_VM, process.vm().value())
-                                            .put(NOT_LEADING_START, process.startNumber()),
+                                            .put(NOT_LEADING_START, process.startNumber())
+                                            .put(NOT_LEADING_BEFORE_TERM, term),
                                     packet.sender()));
                     return;
                 }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
@@ -96,7 +96,7 @@
         }
 
         @Override
-        public void onNotLeading(VmStart process) {
+        public void onNotLeading(VmStart process, long beforeTerm) {
             received.add(process);
         }
 
