Forget the grants of earlier terms when a process leads again

What callers could see: keys without owner for up to 11.5 s after a change of leader, to a process that had led before.

Cause: the ledger kept the grants of its earlier terms, with holds that nobody bounded any more, beside those that the new term adds for every recorded owner. They blocked owners that another leader had chosen meanwhile.

Why it is safe: a term starts with what any other process would assume from the recorded table, and a leader grants keys only to owners in the recorded table.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
@@ -133,13 +133,9 @@
                         entry -> entry.heldUntilMillis() == UNBOUNDED ? entry.unsettled(untilMillis) : entry));
     }
 
-    /** Records that the answers of this process's calls are not followed any more, as a term begins or ends. */
-    void abandonPendingCalls(long latestArrivalMillis) {
-        entriesByServer
-                .values()
-                .forEach(entries -> entries.replaceAll(entry -> entry.state() == State.PENDING
-                        ? entry.unsettled(times.heldUntilMillis(latestArrivalMillis, entry.holdMillis()))
-                        : entry));
+    /** Forgets all grants, since those of earlier terms are added anew from the table of the new one. */
+    void clear() {
+        entriesByServer.clear();
     }
 
     /** Records the answer of a grant, or that its call was aborted. */
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -55,7 +55,7 @@
         clear();
         nextFence = table.term() * FENCES_PER_TERM;
         long latestArrivalMillis = nowMillis + MAX_CALL_DELIVERY_MILLIS;
-        ledger.abandonPendingCalls(latestArrivalMillis);
+        ledger.clear();
         Optional<Long> lastRenewalMillis = formerLeadersMayRenew ? Optional.empty() : Optional.of(latestArrivalMillis);
         table.rangesByService()
                 .forEach((service, ranges) -> ranges.forEach(ownership -> {
