Let ranges move for balance as long as steps of moves are allowed

The limit of 1,500 ms since the store's answer met long polls of 1,000 ms and would have stopped balancing about half the time, so that added servers got their keys late. Found by reading in the review.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -33,11 +33,6 @@
  * <p>Times are in milliseconds of a monotonic clock that also advances while the machine is suspended.
  */
 public final class RangeCoordinator {
-    /**
-     * Store silence from which no range moves to balance load. The owner of a range is not renewed while the result of
-     * its move is unknown.
-     */
-    private static final long MAX_STORE_SILENCE_FOR_BALANCE_MILLIS = 1_500;
     /** Interval at which ranges may move to balance load. */
     private static final long BALANCE_INTERVAL_MILLIS = 1_000;
 
@@ -285,7 +280,7 @@
 
     private RangeTable proposeTable(Map<ServiceId, ServiceView> services, long nowMillis) {
         boolean balancesLoad = nowMillis >= nextBalanceAtMillis
-                && nowMillis - storeAnsweredMillis <= MAX_STORE_SILENCE_FOR_BALANCE_MILLIS;
+                && nowMillis - storeAnsweredMillis <= times.maxStoreSilenceForMovesMillis();
         if (balancesLoad) {
             nextBalanceAtMillis = nowMillis + BALANCE_INTERVAL_MILLIS;
         }
