Wait for the end of a hold by a clock that no step of the time of day advances

What callers could see: two servers run requests for the same keys after the time of day of the leader's machine jumped forward, while a former owner had not answered its release.

Cause: the control clock advances with the time of day where that runs far ahead, since the machine may have been suspended. That makes a process's own permissions end early, which is safe. The same clock ended its wait for the holds of others early, which is not.

Change: ControlClock tells by how much it may be ahead. The ledger of grants, and the time that former leaders may still act, leave these advances out; after a real suspension they wait longer than needed.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -30,6 +31,7 @@
     private static final long NO_CALL = 0;
 
     private static final long UNBOUNDED = Long.MAX_VALUE;
+    private final LongSupplier clockLeadMillis;
 
     private final RangeLeaseTimes times;
     private final Map<ServerStart, List<Entry>> entriesByServer = new HashMap<>();
@@ -64,8 +66,8 @@
             return service.equals(otherService) && range.overlaps(other);
         }
 
-        boolean isInForce(long nowMillis) {
-            return state == State.PENDING || nowMillis < heldUntilMillis;
+        boolean isInForce(long steadyMillis) {
+            return state == State.PENDING || steadyMillis < heldUntilMillis;
         }
 
         Entry withRange(KeyRange part) {
@@ -81,7 +83,13 @@
         }
     }
 
-    GrantLedger(RangeLeaseTimes times) {
+        this.clockLeadMillis = clockLeadMillis;
+    }
+
+    /** Converts a time of the coordinator's clock to one that advances no faster than the servers' clocks. */
+    private long toSteadyMillis(long clockMillis) {
+        return clockMillis - clockLeadMillis.getAsLong();
+    GrantLedger(RangeLeaseTimes times, LongSupplier clockLeadMillis) {
         this.times = times;
     }
 
@@ -94,7 +102,7 @@
             long fence,
             long holdMillis,
             long latestArrivalMillis) {
-        long untilMillis = times.heldUntilMillis(latestArrivalMillis, holdMillis);
+        long untilMillis = times.heldUntilMillis(toSteadyMillis(latestArrivalMillis), holdMillis);
         entriesOf(server).add(new Entry(service, range, call, fence, holdMillis, State.PENDING, untilMillis, 0));
     }
 
@@ -105,7 +113,10 @@
      */
     void addGrantOfFormerLeaders(
             ServiceId service, ServerStart owner, KeyRange range, Optional<Long> latestArrivalMillis) {
-        long untilMillis = latestArrivalMillis.map(times::heldUntilMillis).orElse(UNBOUNDED);
+        long untilMillis = latestArrivalMillis
+                .map(this::toSteadyMillis)
+                .map(times::heldUntilMillis)
+                .orElse(UNBOUNDED);
         entriesOf(owner).add(formerLeadersEntry(service, range).unsettled(untilMillis));
     }
 
@@ -117,7 +128,7 @@
             ServiceId service, ServerStart formerOwner, KeyRange range, long latestArrivalMillis) {
         entriesOf(formerOwner)
                 .add(formerLeadersEntry(service, range)
-                        .settled(times.heldUntilMillis(latestArrivalMillis), ++settlements));
+                        .settled(times.heldUntilMillis(toSteadyMillis(latestArrivalMillis)), ++settlements));
     }
 
     private Entry formerLeadersEntry(ServiceId service, KeyRange range) {
@@ -126,7 +137,7 @@
 
     /** Records that former leaders have stopped, and that their last grants arrive by the given time. */
     void onFormerLeadersStopped(long latestArrivalMillis) {
-        long untilMillis = times.heldUntilMillis(latestArrivalMillis);
+        long untilMillis = times.heldUntilMillis(toSteadyMillis(latestArrivalMillis));
         entriesByServer
                 .values()
                 .forEach(entries -> entries.replaceAll(
@@ -142,7 +153,7 @@
     void onGrantAnswer(long call, ServerStart server, GrantOutcome outcome, long nowMillis) {
         List<Entry> entries = entriesOf(server);
         if (outcome == GrantOutcome.GRANTED) {
-            onGranted(call, entries, nowMillis);
+            onGranted(call, entries, toSteadyMillis(nowMillis));
         } else if (outcome == GrantOutcome.FENCED) {
             entries.removeIf(entry -> entry.call() == call);
         } else if (outcome == GrantOutcome.SERVER_REPLACED) {
@@ -155,18 +166,18 @@
         }
     }
 
-    private void onGranted(long call, List<Entry> entries, long nowMillis) {
+    private void onGranted(long call, List<Entry> entries, long steadyMillis) {
         for (Entry granted : List.copyOf(entries)) {
             if (granted.call() == call) {
-                settleSuperseded(granted, entries, nowMillis);
+                settleSuperseded(granted, entries, steadyMillis);
             }
         }
     }
 
     /** Settles an accepted grant, and what it covers of the server's grants with lower fences. */
-    private void settleSuperseded(Entry granted, List<Entry> entries, long nowMillis) {
+    private void settleSuperseded(Entry granted, List<Entry> entries, long steadyMillis) {
         entries.remove(granted);
-        long heldUntilMillis = times.heldUntilMillis(nowMillis, granted.holdMillis());
+        long heldUntilMillis = times.heldUntilMillis(steadyMillis, granted.holdMillis());
         List<Entry> kept = new ArrayList<>();
         for (Entry entry : entries) {
             boolean superseded = entry.fence() < granted.fence() && entry.overlaps(granted.service(), granted.range());
@@ -174,7 +185,7 @@
                 entry.range().without(granted.range()).forEach(part -> kept.add(entry.withRange(part)));
                 long endMillis = Math.min(
                         entry.state() == State.PENDING ? UNBOUNDED : entry.heldUntilMillis(),
-                        times.heldUntilMillis(nowMillis, entry.holdMillis()));
+                        times.heldUntilMillis(steadyMillis, entry.holdMillis()));
                 kept.add(entry.withRange(entry.range().intersection(granted.range()))
                         .settled(endMillis, ++settlements));
             } else {
@@ -217,8 +228,9 @@
     /** Returns whether a server other than the given one may hold a key of the range, now or later. */
     boolean mayBeHeldByOthers(
             ServiceId service, KeyRange range, ServerStart server, Predicate<ServerStart> hasEnded, long nowMillis) {
+        long steadyMillis = toSteadyMillis(nowMillis);
         for (Map.Entry<ServerStart, List<Entry>> other : entriesByServer.entrySet()) {
-            boolean mayHold = !other.getKey().equals(server) && mayHold(service, range, other.getValue(), nowMillis);
+            boolean mayHold = !other.getKey().equals(server) && mayHold(service, range, other.getValue(), steadyMillis);
             if (mayHold && !hasEnded.test(other.getKey())) {
                 return true;
             }
@@ -228,12 +240,12 @@
 
     /** Returns whether a server may hold a key of the range, now or later. */
     boolean mayHold(ServiceId service, ServerStart server, KeyRange range, long nowMillis) {
-        return mayHold(service, range, entriesByServer.getOrDefault(server, List.of()), nowMillis);
+        return mayHold(service, range, entriesByServer.getOrDefault(server, List.of()), toSteadyMillis(nowMillis));
     }
 
-    private static boolean mayHold(ServiceId service, KeyRange range, List<Entry> entries, long nowMillis) {
+    private static boolean mayHold(ServiceId service, KeyRange range, List<Entry> entries, long steadyMillis) {
         for (Entry entry : entries) {
-            if (entry.overlaps(service, range) && entry.isInForce(nowMillis)) {
+            if (entry.overlaps(service, range) && entry.isInForce(steadyMillis)) {
                 return true;
             }
         }
@@ -248,9 +260,10 @@
 
     /** Returns whether the server holds keys of the range, and none of its grants for them may newly take effect. */
     boolean isConfirmed(ServiceId service, ServerStart server, KeyRange range, long nowMillis) {
+        long steadyMillis = toSteadyMillis(nowMillis);
         boolean holds = false;
         for (Entry entry : entriesByServer.getOrDefault(server, List.of())) {
-            if (entry.overlaps(service, range) && entry.isInForce(nowMillis)) {
+            if (entry.overlaps(service, range) && entry.isInForce(steadyMillis)) {
                 if (entry.state() != State.SETTLED) {
                     return false;
                 }
@@ -262,13 +275,13 @@
 
     /** Returns the time after which the server can't hold any key of the range, or the present time if it can't now. */
     long heldUntilMillis(ServiceId service, ServerStart server, KeyRange range, long nowMillis) {
-        long untilMillis = nowMillis;
+        long untilMillis = toSteadyMillis(nowMillis);
         for (Entry entry : entriesByServer.getOrDefault(server, List.of())) {
             if (entry.overlaps(service, range)) {
                 untilMillis = Math.max(untilMillis, entry.heldUntilMillis());
             }
         }
-        return untilMillis;
+        return untilMillis == UNBOUNDED ? UNBOUNDED : untilMillis + clockLeadMillis.getAsLong();
     }
 
     private List<Entry> entriesOf(ServerStart server) {
@@ -277,7 +290,8 @@
 
     /** Drops the grants that can't be in force any more. */
     void removeExpired(long nowMillis) {
-        entriesByServer.values().forEach(entries -> entries.removeIf(entry -> !entry.isInForce(nowMillis)));
+        long steadyMillis = toSteadyMillis(nowMillis);
+        entriesByServer.values().forEach(entries -> entries.removeIf(entry -> !entry.isInForce(steadyMillis)));
         entriesByServer.values().removeIf(List::isEmpty);
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.id.VmStart;
 
@@ -30,7 +31,9 @@
  * for (CoordinatorAction action : coordinator.step(services, nowMillis)) { ... }
  * }</pre>
  *
- * <p>Times are in milliseconds of a monotonic clock that also advances while the machine is suspended.
+ * <p>Times are in milliseconds of a monotonic clock that also advances while the machine is suspended. Where this is
+ * judged by the time of day, the clock may run ahead; holds of servers and the time that former leaders may act are
+ * therefore measured without such advances.
  */
 public final class RangeCoordinator {
     /** Interval at which ranges may move to balance load. */
@@ -39,6 +42,7 @@
     private final Leader self;
     private final RangeLeaseTimes times;
     private final RangeEventListener listener;
+    private final LongSupplier clockLeadMillis;
     private final RangeHolds holds;
     private final TableAppends appends = new TableAppends();
     private final LeaderPresence leaderPresence = new LeaderPresence();
@@ -47,7 +51,8 @@
     private final Set<Leader> formerLeaders = new HashSet<>();
     private boolean leaderCandidate;
     private boolean leading;
-    private long leadingSinceMillis;
+    /** Start of the term, by the clock without its advances. */
+    private long leadingSinceSteadyMillis;
     /** Newest term that this process has been told of. */
     private long newestTerm;
 
@@ -56,15 +61,21 @@
 
     /** Creates a coordinator without a table, which therefore doesn't lead. */
     public RangeCoordinator(Leader self, RangeLeaseTimes times) {
-        this(self, times, RangeEventListener.NONE);
+        this(self, times, RangeEventListener.NONE, () -> 0);
     }
 
-    /** Creates a coordinator without a table that reports its decisions to a listener. */
-    public RangeCoordinator(Leader self, RangeLeaseTimes times, RangeEventListener listener) {
+    /**
+     * Creates a coordinator without a table that reports its decisions to a listener.
+     *
+     * @param clockLeadMillis returns by how much the clock may have run ahead so far, in milliseconds; never decreases
+     */
+    public RangeCoordinator(
+            Leader self, RangeLeaseTimes times, RangeEventListener listener, LongSupplier clockLeadMillis) {
         this.self = self;
         this.times = times;
         this.listener = listener;
-        this.holds = new RangeHolds(times, listener);
+        this.clockLeadMillis = clockLeadMillis;
+        this.holds = new RangeHolds(times, listener, clockLeadMillis);
     }
 
     /** Returns the newest known table. */
@@ -202,7 +213,7 @@
         }
         if (!leading || newTerm) {
             leading = true;
-            leadingSinceMillis = nowMillis;
+            leadingSinceSteadyMillis = nowMillis - clockLeadMillis.getAsLong();
             formerLeaders.clear();
             formerLeaders.addAll(recorded.formerLeaders());
             formerLeaders.removeIf(
@@ -244,7 +255,8 @@
         if (nowMillis - storeAnsweredMillis > times.maxStoreSilenceMillis()) {
             return actions;
         }
-        if (!formerLeaders.isEmpty() && nowMillis >= leadingSinceMillis + times.maxStoreSilenceMillis()) {
+        long leadingForMillis = nowMillis - clockLeadMillis.getAsLong() - leadingSinceSteadyMillis;
+        if (!formerLeaders.isEmpty() && leadingForMillis >= times.maxStoreSilenceMillis()) {
             formerLeaders.clear();
             onFormerLeadersStopped(RangeEventListener.StopEvidence.TIME, nowMillis);
         }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -34,10 +35,10 @@
      */
     private record PendingCall(RangeHold hold, ServerStart server, long settlementMark) {}
 
-    RangeHolds(RangeLeaseTimes times, RangeEventListener listener) {
+    RangeHolds(RangeLeaseTimes times, RangeEventListener listener, LongSupplier clockLeadMillis) {
         this.times = times;
         this.listener = listener;
-        this.ledger = new GrantLedger(times);
+        this.ledger = new GrantLedger(times, clockLeadMillis);
     }
 
     /** Forgets the ranges and the calls under way, since this process stops leading. */
--- a/core/src/test/java/org/lacewingthread/core/keyrange/GrantLedgerTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/GrantLedgerTest.java
@@ -16,7 +16,8 @@
     private static final long HOLD_MILLIS = 4_000;
     private static final long MARGIN_MILLIS = 120;
 
-    private final GrantLedger ledger = new GrantLedger(new RangeLeaseTimes(HOLD_MILLIS, 1_000, 10_000, 3_000, 0.03));
+    private final GrantLedger ledger =
+            new GrantLedger(new RangeLeaseTimes(HOLD_MILLIS, 1_000, 10_000, 3_000, 0.03), () -> 0);
 
     private void send(long call, ServerStart server, KeyRange range, long fence) {
         ledger.onGrantSent(call, ORDERS, server, range, fence, HOLD_MILLIS, 1_200);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlClock.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlClock.java
@@ -5,7 +5,8 @@
 /**
  * A clock that never goes back and includes the time during which the machine was suspended. The monotonic clock may
  * stop during a suspension, and the time of day may jump. Each reading therefore advances with the monotonic clock, or
- * with the time of day if that is far ahead. A jump of the time of day can make a lease seem to end early, never late.
+ * with the time of day if that is far ahead. A jump of the time of day can make this process's own leases seem to end
+ * early, never late. For the holds of others, {@link #leadMillis} tells by how much the clock may be ahead.
  */
 public final class ControlClock {
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -17,6 +18,7 @@
     private long lastMonotonicNanos;
     private long lastWallClockMillis;
     private long elapsedNanos;
+    private long leadNanos;
 
     /** Creates a clock that reads the system's clocks. */
     public ControlClock() {
@@ -39,8 +41,17 @@
         long wallClockStepNanos = (wallClockNow - lastWallClockMillis) * NANOS_PER_MILLI;
         boolean suspended = wallClockStepNanos - monotonicStepNanos > SUSPENSION_THRESHOLD_NANOS;
         elapsedNanos += suspended ? wallClockStepNanos : monotonicStepNanos;
+        leadNanos += suspended ? wallClockStepNanos - monotonicStepNanos : 0;
         lastMonotonicNanos = monotonicNow;
         lastWallClockMillis = wallClockNow;
         return elapsedNanos / NANOS_PER_MILLI;
     }
+
+    /**
+     * Returns by how much this clock has advanced more than the monotonic one, in milliseconds: the suspensions so far, or
+     * steps of the time of day that were taken for them.
+     */
+    public synchronized long leadMillis() {
+        return leadNanos / NANOS_PER_MILLI;
+    }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -92,7 +92,7 @@
         this.reportChannel = new ReportChannel(events, this);
         this.platform = platform;
         this.eventLogger = new ControlEventLogger(events, this::storeSilenceMillis);
-        this.coordinator = new RangeCoordinator(self, leaseTimes, eventLogger);
+        this.coordinator = new RangeCoordinator(self, leaseTimes, eventLogger, clock::leadMillis);
         this.clock = clock;
         this.eventLoop = eventLoop;
         this.events = events;
