Log the documented text and the cause when the log can't be read

What operators saw: "the log cant be read: {0}". The cause was lost, and OPERATIONS.md says to look for "the log can't be read" when an entry VM isn't ready.

Cause: log messages with parameters are formatted by MessageFormat, in which an apostrophe starts quoted text.

Why it works: a doubled apostrophe is a literal one.

--- a/daemon/src/main/java/org/lacewingthread/daemon/entry/LogWorker.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/entry/LogWorker.java
@@ -93,7 +93,7 @@
     }
 
     private void reportUnavailable(LogException e) {
-        LOG.log(System.Logger.Level.INFO, "the log can't be read: {0}", e.getMessage());
+        LOG.log(System.Logger.Level.INFO, "the log can''t be read: {0}", e.getMessage());
         events.accept(new ControlEvent.LogUnavailable());
     }
 
