Hedge a late lookup on a connection that was used since it was sent

What callers saw: a lookup ended with 4000 at its deadline although its server was well. After a network fault all pooled connections to the server were silent, and the only hedge was sent on another one of them.

Cause: a hedge took the newest idle connection, whatever its age. Hedges, probes and cancellations leave several pooled connections, so concurrent requests aren't needed: traces of three runs of the old test show two or three pooled connections after its first lookup in a cold JVM. Whether the lookup was answered depended on time: a probe after 250 ms opens a connection that becomes the newest idle one, so a hedge before it failed and a hedge after it succeeded.

Evidence: lookupIsAnsweredByItsHedgeWhileAllPooledConnectionsAreSilent failed before with "4000" instead of "1000", run alone in a cold JVM. A trace of an earlier form of the test, with 50 instead of 500 ms of service time, showed the lookup on the two silent connections, 34 ms apart, and then only probes, each on a new connection, until the deadline of 10 s. It makes the expected service time short first, so that the hedge precedes the probe. silentConnectionIsReplacedWithoutCallingTheServerUnreachable, run alone or first on the former code, failed in one run of four. That run has no trace; the traces of the other three show a probe before the hedge. After: four runs of it alone, two of the new test alone and two of BackendFaultTest (20 tests; one with the earlier form of the new test), no failure.

Why it works: a connection that was used after the late attempt was sent has just worked; otherwise the hedge opens a new one. First attempts and retries choose their connection as before.

--- a/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendConnectionPool.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/backend/BackendConnectionPool.java
@@ -119,8 +119,17 @@
 
     /** Sends a request on an idle connection, or on a new one if none is idle. */
     public Handle send(BackendRequest request, BackendResponseHandler responseHandler) {
+        return sendOnRecentlyUsed(request, responseHandler, Long.MIN_VALUE);
+    }
+
+    /**
+     * Sends a request on an idle connection that was used after the given time, or on a new one if there is none.
+     * A connection that was idle for longer may be unresponsive without being closed.
+     */
+    public Handle sendOnRecentlyUsed(
+            BackendRequest request, BackendResponseHandler responseHandler, long usedAfterMillis) {
         QueuedRequest queued = new QueuedRequest(request, responseHandler);
-        BackendConnection connection = pollIdle();
+        BackendConnection connection = pollIdle(usedAfterMillis);
         if (connection != null) {
             startExchange(queued, connection);
             return queued;
@@ -152,9 +161,9 @@
         failQueuedRequests("the connections to the server were shut down");
     }
 
-    private BackendConnection pollIdle() {
+    private BackendConnection pollIdle(long usedAfterMillis) {
         long oldestMillis = clockMillis.getAsLong() - limits.maxIdleMillis();
-        while (!idleConnections.isEmpty()) {
+        while (!idleConnections.isEmpty() && idleConnections.peekLast().idleSinceMillis > usedAfterMillis) {
             BackendConnection newest = idleConnections.pollLast();
             if (newest.clientConnection.isOpen() && newest.idleSinceMillis >= oldestMillis) {
                 return newest;
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/DispatchAttempt.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/DispatchAttempt.java
@@ -43,13 +43,18 @@
         this.pending = pending;
     }
 
-    void start(BackendConnectionPool connections) {
+    /**
+     * Sends the request.
+     *
+     * @param connectionUsedAfterMillis time after which a pooled connection must have been used to be reused
+     */
+    void start(BackendConnectionPool connections, long connectionUsedAfterMillis) {
         RoutedRequest request = pending.request();
         long leftMillis = Math.max(1, request.deadlineMillis() - dispatcher.nowMillis());
         deadlineTimer = dispatcher.ioThread().executeAfter(this::onDeadline, leftMillis, TimeUnit.MILLISECONDS);
         BackendRequest call = new BackendRequest(
                 request.requestId(), request.method(), request.path(), request.headers(), request.body(), true);
-        BackendConnectionPool.Handle sent = connections.send(call, this);
+        BackendConnectionPool.Handle sent = connections.sendOnRecentlyUsed(call, this, connectionUsedAfterMillis);
         handle = sent;
         if (ended) {
             sent.abandon();
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerDispatcher.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerDispatcher.java
@@ -149,13 +149,13 @@
                 refuse(pending, ResultCode.NOT_READY, REFUSED_RETRY_MILLIS, "its record could not be copied");
                 return;
             }
-            startAttempt(pending);
+            startAttempt(pending, Long.MIN_VALUE);
         });
     }
 
-    private void startAttempt(PendingRequest pending) {
+    private void startAttempt(PendingRequest pending, long connectionUsedAfterMillis) {
         pending.countAttempt();
-        new DispatchAttempt(this, pending).start(connections);
+        new DispatchAttempt(this, pending).start(connections, connectionUsedAfterMillis);
     }
 
     Optional<SendPermit> permitSend(PendingRequest pending) {
@@ -366,7 +366,7 @@
         boolean wanted = resendPolicy.shouldHedge(attempt, queue.upperBoundServiceMillis(), nowMillis);
         if (wanted && permitIssuer.hasDispatchLease() && queue.tryTakeIdleSlot()) {
             if (resendPolicy.tryTakeHedge()) {
-                startAttempt(attempt.pending());
+                startAttempt(attempt.pending(), attempt.sentMillis());
             } else {
                 queue.freeSlot();
             }
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/BackendFaultTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/BackendFaultTest.java
@@ -144,6 +144,25 @@
         assertThat(fixture.observations).isEmpty();
     }
 
+    /** Guards against a hedge that is sent on another pooled connection, which is silent too. */
+    @Test
+    void lookupIsAnsweredByItsHedgeWhileAllPooledConnectionsAreSilent() throws Exception {
+        backend.setFaults(BackendFaults.NONE.withServiceMillis(500));
+        CompletableFuture<HttpResponse<String>> first = caller.getAsync("/rugs/1");
+        CompletableFuture<HttpResponse<String>> concurrent = caller.getAsync("/rugs/2");
+        assertThat(Caller.resultOf(first.get())).isEqualTo("1000");
+        assertThat(Caller.resultOf(concurrent.get())).isEqualTo("1000");
+        backend.setFaults(BackendFaults.NONE);
+        // Shortens the expected service time, so that the hedge is sent before a probe opens a new connection.
+        for (int i = 0; i < 60; i++) {
+            assertThat(lookupResult("/rugs/3")).isEqualTo("1000");
+        }
+        assertThat(backend.openConnections()).isGreaterThanOrEqualTo(2);
+        backend.silenceConnections();
+        assertThat(lookupResult("/rugs/4")).isEqualTo("1000");
+        assertThat(fixture.observations).isEmpty();
+    }
+
     @Test
     void frozenServerIsReportedUnreachableAndServedAfterItsRecovery() throws Exception {
         assertThat(lookupResult("/rugs/1")).isEqualTo("1000");
