Bound the end of a silent server's hold while former leaders may renew it

What callers could see: keys of a silent server without owner for longer than needed after a change of leader. While former leaders may renew a grant, the end of its hold is unknown. Adding a duration to that value overflowed, so a server that left all grants unanswered never counted as unresponsive, and was granted its keys again and again.

Evidence: RangeCoordinatorTermTest.silentServerGetsNoGrantsThreeSecondsIntoATermWhoseFormerLeaderMayRenew failed before.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
@@ -28,7 +28,8 @@
     /** Call number of grants that leaders of earlier terms may have sent. */
     private static final long NO_CALL = 0;
 
-    private static final long UNBOUNDED = Long.MAX_VALUE;
+    /** Far from overflow, since durations are added to it. */
+    private static final long UNBOUNDED = Long.MAX_VALUE / 2;
 
     private final RangeLeaseTimes times;
     private final LongSupplier clockLeadMillis;
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -134,8 +134,10 @@
         } else if (newest) {
             hold.onGrantFailed(newFence(), nowMillis);
         }
+        // Renewals by former leaders have no known end, which must not exclude the server for good.
+        long latestEndMillis = times.heldUntilMillis(nowMillis + MAX_CALL_DELIVERY_MILLIS);
         long heldUntilMillis = ledger.heldUntilMillis(hold.service, hold.owner, hold.range, nowMillis);
-        liveness.recordGrantOutcome(hold, outcome, heldUntilMillis, nowMillis);
+        liveness.recordGrantOutcome(hold, outcome, Math.min(heldUntilMillis, latestEndMillis), nowMillis);
     }
 
     /** Records the result of a release. It counts even if the table has changed meanwhile. */
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTermTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTermTest.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingthread.core.id.ServerStart;
@@ -46,6 +47,24 @@
         assertThat(simulation.prematureGrants).as("grants beside another hold").isEmpty();
     }
 
+    /** Guards against further grants to a silent server while the hold that former leaders may renew has no known end. */
+    @Test
+    void silentServerGetsNoGrantsThreeSecondsIntoATermWhoseFormerLeaderMayRenew() {
+        simulation.disconnectedFromStore.add("a");
+        simulation.isolatedVms.add("a");
+        simulation.unreachableFrom.put("b", Set.of(first));
+        simulation.leaderCandidate = "b";
+        simulation.runFor(3_000);
+        AtomicBoolean granted = new AtomicBoolean();
+        simulation.grantFate = (vm, grant) -> {
+            granted.compareAndSet(false, vm.equals("b") && grant.server().equals(first));
+            return Optional.empty();
+        };
+        simulation.runFor(3_000);
+        assertThat(granted).isFalse();
+        assertThat(simulation.violations).isEmpty();
+    }
+
     /** Guards against grants of an earlier term that block the owners of a later one. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
