--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -21,6 +21,8 @@
  *       no longer hold them because its last grant has expired.
  *   <li>An unanswered grant is followed by one with a higher fence, and a move starts only from an
  *       answered grant, so that no delayed grant restores a former owner's hold.
+ *   <li>A range is granted only while none of the other servers' grants may be in force or arrive, whatever became of
+ *       the ranges that they were sent for.
  *   <li>While a table may have been recorded that gives keys to another owner, their present owner gets no
  *       grant. An append whose result is unknown may have been carried out, or may be later.
  * </ul>
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -191,6 +191,11 @@
         }
     }
 
+    /**
+     * Starts to grant a moving range to its new owner once no other server can hold the keys.
+     *
+     * @param view servers of the service, of which a later start shows that an earlier one has ended; null if not at hand
+     */
     private void startGrantingIfFree(RangeHold hold, ServiceView view, long nowMillis) {
         if (hold.phase == RangeHold.Phase.RELEASING && isFree(hold, view, nowMillis)) {
             hold.startGranting(newFence(), listener, nowMillis);
