--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableChanges.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableChanges.java
@@ -16,7 +16,7 @@
  * @param unlistedCount number of further changed ranges
  */
 record RangeTableChanges(List<String> listed, int unlistedCount) {
-    static final int MAX_LISTED = 12;
+    static final int MAX_LISTED = 64;
 
     RangeTableChanges {
         listed = List.copyOf(listed);
