Log how old the registry's changes may be when they are read

For this the leader returns the time of a report in its answer, so that a VM knows up to when the leader's positions are complete; only the log uses it so far.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -171,6 +171,12 @@
         return Optional.ofNullable(servers.get(server)).map(ServerLoadState::serviceMillis);
     }
 
+    /** Returns when a server was first seen to be leaving; empty if it is not, or is not known. */
+    public Optional<Long> leavingSinceMillis(ServerStart server) {
+        return Optional.ofNullable(servers.get(server))
+                .flatMap(state -> state.knownServer().leavingSinceMillis());
+    }
+
     private void decide(ServiceId service, List<Decision> decisions, long nowMillis) {
         TreeSet<DispatchRequest> queue = waitingByService.get(service);
         if (queue == null || queue.isEmpty()) {
--- a/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
@@ -30,6 +30,7 @@
     private final Map<ServerId, KnownServer> servers = new TreeMap<>();
     private Optional<Long> unreachableSinceMillis = Optional.of(Long.MIN_VALUE / 2);
     private long graceUntilMillis = Long.MIN_VALUE / 2;
+    private long currentAsOfMillis = Long.MIN_VALUE / 2;
 
     /**
      * A server with the times at which it started to leave and is to be dropped.
@@ -83,6 +84,19 @@
         unreachableSinceMillis = Optional.of(unreachableSinceMillis.orElse(nowMillis));
     }
 
+    /**
+     * Records that every change which the registry accepted up to a time is known here. Earlier times than the newest
+     * one have no effect.
+     */
+    public void onCurrent(long asOfMillis) {
+        currentAsOfMillis = Math.max(currentAsOfMillis, asOfMillis);
+    }
+
+    /** Returns the newest time up to which all changes are known; far in the past before the first listing. */
+    public long currentAsOfMillis() {
+        return currentAsOfMillis;
+    }
+
     /** Adds a new entry, or replaces the entry of the same server. */
     public void put(ServerEntry entry, long nowMillis) {
         KnownServer known = servers.get(entry.start().server());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -10,8 +10,10 @@
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.dispatch.Decision;
+import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.registry.ServerEntry;
+import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.http.ConnectionPool;
 import org.lacewingthread.daemon.http.FullResponse;
 import org.lacewingthread.daemon.http.OutboundConnection;
@@ -19,20 +21,28 @@
 
 /** Sends attempts of requests to backend servers. All methods run on the traffic thread. */
 final class AttemptSender {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final HeaderNames headerNames;
     private final ConnectionPool<ServerStart> connections;
+    private final RequestDispatcher dispatcher;
     private final LongSupplier clockMillis;
     private final RequestEngine engine;
+    private final EventLog events;
 
     AttemptSender(
             HeaderNames headerNames,
             ConnectionPool<ServerStart> connections,
+            RequestDispatcher dispatcher,
             LongSupplier clockMillis,
-            RequestEngine engine) {
+            RequestEngine engine,
+            EventLog events) {
         this.headerNames = headerNames;
         this.connections = connections;
+        this.dispatcher = dispatcher;
         this.clockMillis = clockMillis;
         this.engine = engine;
+        this.events = events;
     }
 
     /** Starts an attempt at the chosen server; {@link RequestEngine} is told how it ends. */
@@ -58,6 +68,7 @@
 
     private void send(ActiveRequest request, ActiveRequest.Attempt attempt, OutboundConnection connection) {
         attempt.connection = connection;
+        logIfLeaving(request, attempt);
         request.sentAttempts++;
         request.lastSentMillis = OptionalLong.of(clockMillis.getAsLong());
         OutboundConnection.EchoedHeader echoedHeader =
@@ -79,6 +90,23 @@
         });
     }
 
+    /** Logs a request to a server that is leaving, with the times since the server was seen to leave. */
+    private void logIfLeaving(ActiveRequest request, ActiveRequest.Attempt attempt) {
+        long nowMillis = clockMillis.getAsLong();
+        dispatcher
+                .leavingSinceMillis(attempt.decision.server().start())
+                .ifPresent(since -> events.write(
+                        "request.sent-to-leaving-server",
+                        "request",
+                        request.requestId,
+                        "server",
+                        attempt.decision.server().start(),
+                        "leaving_ms",
+                        nowMillis - since,
+                        "since_decision_ms",
+                        (System.nanoTime() - attempt.startedNanos) / NANOS_PER_MILLI));
+    }
+
     private FullHttpRequest buildRequest(ActiveRequest request, ActiveRequest.Attempt attempt) {
         FullHttpRequest outbound = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -72,7 +72,6 @@
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private List<KnownServer> publishedServers = List.of();
     private RangeTable publishedTable = RangeTable.EMPTY;
-    private long lastRegistryContactMillis = Long.MIN_VALUE / 2;
     private boolean serversKnown;
     private boolean wasLeading;
     private boolean stopped;
@@ -168,7 +167,7 @@
         }
         boolean storeSilent = coordinator.storeSilenceMillis(clock.nowMillis()) > MAX_STORE_SILENCE_MILLIS;
         OptionalLong wantsTableAfter = storeSilent ? OptionalLong.of(coordinator.logEnd()) : OptionalLong.empty();
-        reportChannel.sendReport(self.vm().value(), leader.get(), ownServiceMillis, wantsTableAfter);
+        reportChannel.sendReport(self.vm().value(), leader.get(), clock.nowMillis(), ownServiceMillis, wantsTableAfter);
         ownServiceMillis = Map.of();
     }
 
@@ -180,17 +179,17 @@
         long nowMillis = clock.nowMillis();
         return Optional.of(new ReportChannel.LeaderStatus(
                 coordinator.storeSilenceMillis(nowMillis),
-                nowMillis - lastRegistryContactMillis,
+                nowMillis - registry.currentAsOfMillis(),
                 entryVmCounter.count(self.vm().value(), nowMillis),
                 platform.positions()));
     }
 
     @Override
-    public void onLeaderStatus(ReportChannel.LeaderStatus status) {
+    public void onLeaderStatus(ReportChannel.LeaderStatus status, OptionalLong registryAsOfMillis) {
         entryVmCountListener.accept(status.entryVmCount());
         coordinator.onLeaderAnswer(status.storeSilenceMillis(), clock.nowMillis());
         if (status.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
-            platform.onLeaderPositions(status.positions());
+            platform.onLeaderPositions(status.positions(), registryAsOfMillis);
         }
     }
 
@@ -335,8 +334,12 @@
 
     @Override
     public void onRegistryReached() {
-        lastRegistryContactMillis = clock.nowMillis();
-        registry.onReachable(lastRegistryContactMillis);
+        registry.onReachable(clock.nowMillis());
+    }
+
+    @Override
+    public void onRegistryCurrent(long asOfMillis) {
+        registry.onCurrent(asOfMillis);
     }
 
     @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
@@ -27,6 +27,8 @@
     static final String VM = "vm";
     static final String KEYS = "keys";
     static final String WANTS_TABLE_AFTER = "wantsTableAfter";
+    /** Name of the field with the time at which the report was sent, by the reporter's clock. */
+    static final String SENT_AT = "sentAtMillis";
 
     /** Most bytes of a datagram that carries load; such a datagram is not fragmented on Ethernet. */
     static final int MAX_DATAGRAM_BYTES = 1_400;
@@ -81,12 +83,14 @@
      * Removes the load of the next report and returns its datagrams; there is always a first one.
      *
      * @param vm the reporting entry VM
+     * @param sentAtMillis when the report is sent, by the control clock
      * @param wantsTableAfter log position after the range table known here; empty if no table is wanted
      */
-    List<byte[]> takeDatagrams(String vm, OptionalLong wantsTableAfter) {
+    List<byte[]> takeDatagrams(String vm, long sentAtMillis, OptionalLong wantsTableAfter) {
         List<byte[]> datagrams = new ArrayList<>();
         try {
             Datagram datagram = new Datagram(vm);
+            datagram.json.writeNumberField(SENT_AT, sentAtMillis);
             if (wantsTableAfter.isPresent()) {
                 datagram.json.writeNumberField(WANTS_TABLE_AFTER, wantsTableAfter.getAsLong());
             }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -26,6 +26,13 @@
         /** Called when the registry of servers answered. */
         void onRegistryReached();
 
+        /**
+         * Called when every change that the registry accepted up to a time has been passed on.
+         *
+         * @param asOfMillis the time, by the control clock
+         */
+        void onRegistryCurrent(long asOfMillis);
+
         /** Called when the registry of servers did not answer. */
         void onRegistryUnreachable();
 
@@ -77,8 +84,13 @@
     /** Returns the positions up to which this VM has read. */
     Positions positions();
 
-    /** Reports the positions up to which the leader has read; the leader reads more often than the other entry VMs. */
-    void onLeaderPositions(Positions positions);
+    /**
+     * Reports the positions up to which the leader has read; the leader reads more often than the other entry VMs.
+     *
+     * @param registryAsOfMillis time up to which the leader knows all changes of servers, by this VM's control clock;
+     *     empty if that is not known
+     */
+    void onLeaderPositions(Positions positions, OptionalLong registryAsOfMillis);
 
     /** Appends a range table. */
     void appendTable(CoordinatorAction.RecordTable action, Consumer<AppendResult> result);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -50,6 +50,7 @@
     private static final String REGISTRY_POSITION = "registryPosition";
     private static final String CONFIGURATION_POSITION = "configurationPosition";
     private static final String TABLE_POSITION = "tablePosition";
+    private static final String REPORT_SENT_AT = "reportSentAtMillis";
     private static final String TABLE = "table";
     private static final String TABLE_END = "tableEnd";
     private static final String NEW_TERM = "newTerm";
@@ -68,7 +69,7 @@
      * The leader's answer to a report.
      *
      * @param storeSilenceMillis how long the store has not answered the leader
-     * @param registrySilenceMillis how long the registry of servers has not answered the leader
+     * @param registrySilenceMillis age of the leader's knowledge of the servers
      * @param entryVmCount how many entry VMs are alive
      * @param positions log positions up to which the leader has read
      */
@@ -102,8 +103,13 @@
         /** Called with the recorded range table, which the leader sends while the store does not answer this VM. */
         void onTableFromLeader(RecordedTable recorded);
 
-        /** Called with the leader's answer to a report. */
-        void onLeaderStatus(LeaderStatus status);
+        /**
+         * Called with the leader's answer to a report.
+         *
+         * @param registryAsOfMillis time up to which the leader knows all changes of servers, by this VM's control
+         *     clock; empty if the leader runs an earlier build
+         */
+        void onLeaderStatus(LeaderStatus status, OptionalLong registryAsOfMillis);
 
         /** Returns this process if it certainly leads in no term before the given one; empty if it may still lead. */
         Optional<VmStart> confirmNotLeadingBefore(long term);
@@ -147,14 +153,20 @@
      * Sends the keys added since the last report, and service times, to the leader. Service times that do not fit are
      * sent with the next reports.
      *
+     * @param sentAtMillis the present time by the control clock; the leader's answer returns it
      * @param serviceMillis newest service times of servers
      * @param wantsTableAfter log position after the range table known here, so that the leader sends a newer one;
      *     empty while the store answers
      */
-    void sendReport(String vm, Leader leader, Map<ServerStart, Double> serviceMillis, OptionalLong wantsTableAfter) {
+    void sendReport(
+            String vm,
+            Leader leader,
+            long sentAtMillis,
+            Map<ServerStart, Double> serviceMillis,
+            OptionalLong wantsTableAfter) {
         pendingReport.addServiceTimes(serviceMillis);
         InetSocketAddress recipient = new InetSocketAddress(leader.reportHost(), leader.reportPort());
-        pendingReport.takeDatagrams(vm, wantsTableAfter).forEach(datagram -> send(datagram, recipient));
+        pendingReport.takeDatagrams(vm, sentAtMillis, wantsTableAfter).forEach(datagram -> send(datagram, recipient));
     }
 
     /** Tells a former leader that a new term has begun; it answers once it has stopped leading. */
@@ -196,14 +208,15 @@
                             message.path(TABLE_END).asLong()));
                 }
                 if (message.has(STORE_SILENCE)) {
-                    listener.onLeaderStatus(new LeaderStatus(
+                    LeaderStatus status = new LeaderStatus(
                             message.path(STORE_SILENCE).asLong(),
                             message.path(REGISTRY_SILENCE).asLong(),
                             message.path(ENTRY_VMS).asInt(1),
                             new Platform.Positions(
                                     message.path(REGISTRY_POSITION).asLong(),
                                     message.path(CONFIGURATION_POSITION).asLong(),
-                                    message.path(TABLE_POSITION).asLong())));
+                                    message.path(TABLE_POSITION).asLong()));
+                    listener.onLeaderStatus(status, registryAsOfMillis(message, status));
                     return;
                 }
                 if (message.has(NOT_LEADING_VM)) {
@@ -236,6 +249,14 @@
             }
         }
 
+        /** The leader answered after the report was sent, so what it knows is no older than by this difference. */
+        private OptionalLong registryAsOfMillis(JsonNode message, LeaderStatus status) {
+            JsonNode reportSentAt = message.path(REPORT_SENT_AT);
+            return reportSentAt.isIntegralNumber()
+                    ? OptionalLong.of(reportSentAt.asLong() - status.registrySilenceMillis())
+                    : OptionalLong.empty();
+        }
+
         /** Sends the status, and the range table if it is wanted. The loss of a large table leaves the status intact. */
         private void sendStatus(JsonNode report, LeaderStatus status, InetSocketAddress reporter) {
             Optional<EncodedTable> table = report.has(PendingReport.WANTS_TABLE_AFTER)
@@ -243,14 +264,18 @@
                                     report.path(PendingReport.WANTS_TABLE_AFTER).asLong())
                             .map(this::encode)
                     : Optional.empty();
+            ObjectNode message = encode(status);
+            if (report.has(PendingReport.SENT_AT)) {
+                message.set(REPORT_SENT_AT, report.path(PendingReport.SENT_AT));
+            }
             Optional<byte[]> statusAndTable = table.flatMap(EncodedTable::base64)
-                    .map(base64 -> ReportChannel.encode(encode(status)
+                    .map(base64 -> ReportChannel.encode(message.deepCopy()
                             .put(TABLE, base64)
                             .put(TABLE_END, table.get().recorded().logEnd())));
             boolean statusNeedsOwnDatagram =
                     statusAndTable.isEmpty() || statusAndTable.get().length > PendingReport.MAX_DATAGRAM_BYTES;
             if (statusNeedsOwnDatagram) {
-                send(encode(status), reporter);
+                send(message, reporter);
             }
             statusAndTable.ifPresent(datagram -> send(datagram, reporter));
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -87,7 +87,7 @@
         this.metrics = metrics;
         this.dispatcher = dispatcher;
         this.connections = new ConnectionPool<>(eventLoop, clockMillis, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
-        this.sender = new AttemptSender(headerNames, connections, clockMillis, this);
+        this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
         this.retryBudget = retryBudget;
         this.clockMillis = clockMillis;
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
@@ -60,7 +61,7 @@
         }
 
         @Override
-        public void onLeaderPositions(Positions positions) {}
+        public void onLeaderPositions(Positions positions, OptionalLong registryAsOfMillis) {}
 
         @Override
         public void appendTable(CoordinatorAction.RecordTable action, Consumer<AppendResult> result) {
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
@@ -50,6 +50,8 @@
 
     private static final int MANY_SERVERS = 150;
     private static final int KEYS_PER_SERVICE = 180;
+    private static final long SENT_AT_MILLIS = 77_000;
+    private static final long LEADER_REGISTRY_AGE_MILLIS = 2;
     private static final int RECEIVE_TIMEOUT_MILLIS = 5_000;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -67,12 +69,13 @@
         private final List<Object> received = new CopyOnWriteArrayList<>();
         private volatile Optional<ReportChannel.RecordedTable> recordedTable = Optional.empty();
 
+        private final List<Long> registryTimes = new CopyOnWriteArrayList<>();
         private volatile int entryVmCount = 3;
 
         @Override
         public Optional<ReportChannel.LeaderStatus> leaderStatus() {
-            return recordedTable.map(table ->
-                    new ReportChannel.LeaderStatus(1, 2, entryVmCount, new Platform.Positions(4, 5, table.logEnd())));
+            return recordedTable.map(table -> new ReportChannel.LeaderStatus(
+                    1, LEADER_REGISTRY_AGE_MILLIS, entryVmCount, new Platform.Positions(4, 5, table.logEnd())));
         }
 
         @Override
@@ -86,8 +89,9 @@
         }
 
         @Override
-        public void onLeaderStatus(ReportChannel.LeaderStatus status) {
+        public void onLeaderStatus(ReportChannel.LeaderStatus status, OptionalLong registryAsOfMillis) {
             received.add(status);
+            registryAsOfMillis.ifPresent(registryTimes::add);
         }
 
         @Override
@@ -142,7 +146,7 @@
     private void sendReportAndAwaitStatus(OptionalLong wantsTableAfter) {
         loop.execute(() -> {
             followerChannel.addKey(ORDERS, 7);
-            followerChannel.sendReport("vm-2", leader, Map.of(SERVER, 120.0), wantsTableAfter);
+            followerChannel.sendReport("vm-2", leader, SENT_AT_MILLIS, Map.of(SERVER, 120.0), wantsTableAfter);
         });
         await().until(() -> followerListener.received.stream().anyMatch(ReportChannel.LeaderStatus.class::isInstance));
     }
@@ -152,7 +156,9 @@
         sendReportAndAwaitStatus(OptionalLong.empty());
         assertThat(leaderListener.received).contains("vm-2", ORDERS + "/7", SERVER + "=120.0");
         assertThat(followerListener.received)
-                .containsExactly(new ReportChannel.LeaderStatus(1, 2, 3, new Platform.Positions(4, 5, 12)));
+                .containsExactly(new ReportChannel.LeaderStatus(
+                        1, LEADER_REGISTRY_AGE_MILLIS, 3, new Platform.Positions(4, 5, 12)));
+        assertThat(followerListener.registryTimes).containsExactly(SENT_AT_MILLIS - LEADER_REGISTRY_AGE_MILLIS);
     }
 
     @Test
@@ -209,7 +215,8 @@
     private void sendReportsUntil(int maxReports, Map<ServerStart, Double> newestTimes, BooleanSupplier condition) {
         for (int i = 0; i < maxReports && !condition.getAsBoolean(); i++) {
             long statusesBefore = statusCount();
-            loop.execute(() -> followerChannel.sendReport("vm-2", leader, newestTimes, OptionalLong.empty()));
+            loop.execute(() ->
+                    followerChannel.sendReport("vm-2", leader, SENT_AT_MILLIS, newestTimes, OptionalLong.empty()));
             await().until(() -> statusCount() > statusesBefore);
         }
     }
@@ -233,7 +240,7 @@
         Map<ServerStart, Double> times = timesOfManyServers();
         loop.execute(() -> {
             addManyKeys();
-            followerChannel.sendReport("vm-2", leader, times, OptionalLong.empty());
+            followerChannel.sendReport("vm-2", leader, SENT_AT_MILLIS, times, OptionalLong.empty());
         });
         await().until(() -> statusCount() == 1);
         await().until(() -> leaderListener.received.containsAll(receivedFormOfManyKeys()));
@@ -248,7 +255,7 @@
     void leaderAnswersReportOfSeveralDatagramsOnce() {
         loop.execute(() -> {
             addManyKeys();
-            followerChannel.sendReport("vm-2", leader, timesOfManyServers(), OptionalLong.empty());
+            followerChannel.sendReport("vm-2", leader, SENT_AT_MILLIS, timesOfManyServers(), OptionalLong.empty());
         });
         await().until(() -> leaderListener.received.containsAll(receivedFormOfManyKeys()));
         leaderListener.entryVmCount = 4;
@@ -273,7 +280,7 @@
             Leader former = new Leader(leader.process(), leader.reportHost(), earlierLeader.getLocalPort());
             loop.execute(() -> {
                 addManyKeys();
-                followerChannel.sendReport("vm-2", former, timesOfManyServers(), OptionalLong.of(12));
+                followerChannel.sendReport("vm-2", former, SENT_AT_MILLIS, timesOfManyServers(), OptionalLong.of(12));
             });
             earlierLeader.setSoTimeout(RECEIVE_TIMEOUT_MILLIS);
             int keyCount = 0;
