Stop requests to a leaving owner before its drain time ends, however late the drain is seen

A request that is lost there is one that a caller filed.

Cause: the grace of a leaving owner was one second from the moment this VM saw the drain. The stages before it (leader's read, report, expiry of the leader's positions, read) have limits of their own, and no code compared their sum with drain_ms: RouterSettings.drainMillis was read nowhere.

Fix: a server that leaves is dated back to the last time at which it was known to stay, and the last time for a request to it is one deadline from there: drain_ms less 250 ms for the way. Later stages can use it up but not extend it. Where the view is fresh the grace is longer than before (up to 1.75 s of 2 s).

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -43,8 +43,6 @@
     private static final double LOCAL_PREFERENCE_FACTOR = 1.5;
     /** Width of the random factor that keeps entry VMs from all choosing the same server. */
     private static final double JITTER_RATIO = 0.3;
-    /** How long a leaving server still receives requests for keys that it owns. */
-    private static final long LEAVING_OWNER_GRACE_MILLIS = 1_000;
     /** Bounds of the retry delay given to a refused caller. */
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
 
@@ -171,10 +169,10 @@
         return Optional.ofNullable(servers.get(server)).map(ServerLoadState::serviceMillis);
     }
 
-    /** Returns when a server was first seen to be leaving; empty if it is not, or is not known. */
-    public Optional<Long> leavingSinceMillis(ServerStart server) {
+    /** Returns until when a leaving server gets requests for its keys; empty if it is not leaving, or is not known. */
+    public Optional<Long> acceptsUntilMillis(ServerStart server) {
         return Optional.ofNullable(servers.get(server))
-                .flatMap(state -> state.knownServer().leavingSinceMillis());
+                .flatMap(state -> state.knownServer().acceptsUntilMillis());
     }
 
     private void decide(ServiceId service, List<Decision> decisions, long nowMillis) {
@@ -241,7 +239,7 @@
             return mayWait ? Optional.empty() : refuse(request, RefusalCause.NO_OWNER, NO_OWNER_RETRY_AFTER_MILLIS);
         }
         ServerLoadState owner = servers.get(ownership.get().owner());
-        if (owner == null || owner.isReplaced() || !acceptsOwnedKeys(owner.knownServer(), nowMillis)) {
+        if (owner == null || owner.isReplaced() || !owner.knownServer().acceptsOwnedKeys(nowMillis)) {
             return refuse(request, RefusalCause.OWNER_GONE, NO_OWNER_RETRY_AFTER_MILLIS);
         }
         // An ejected owner is still used: it may reset connections because it is full, and no other server
@@ -253,12 +251,6 @@
         return decideForServer(request, owner, ahead, aheadByServer, nowMillis);
     }
 
-    private static boolean acceptsOwnedKeys(KnownServer server, long nowMillis) {
-        return server.leavingSinceMillis()
-                .map(since -> nowMillis < since + LEAVING_OWNER_GRACE_MILLIS)
-                .orElse(true);
-    }
-
     private Optional<Decision> decideUnkeyed(
             DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
         List<ServerLoadState> ready = serversByService.getOrDefault(request.service(), List.of()).stream()
--- a/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
@@ -13,6 +13,9 @@
  * is removed soon after an outage of the registry is kept for a grace period, because it may have
  * expired during the outage, and a live server registers again within that time.
  *
+ * <p>A server that leaves is dated back to the last time at which it was known to stay, since the registry may have
+ * accepted its drain right after that.
+ *
  * <pre>{@code
  * registry.onReachable(nowMillis);
  * registry.put(entry, nowMillis);
@@ -23,10 +26,13 @@
     /** Time without a successful read from which the registry counts as having had an outage. */
     private static final long MIN_OUTAGE_MILLIS = 1_000;
 
-    /** Time for which a server without entry may still get requests for its keys; half of a drain. */
+    /** How long a server without entry is listed. */
     private static final long REMOVED_RETENTION_MILLIS = 1_000;
+    /** Longest time assumed from the sending of a request until it arrives, also from a busy entry VM. */
+    private static final long MAX_DELIVERY_MILLIS = 250;
 
     private final long outageGraceMillis;
+    private final long drainMillis;
     private final Map<ServerId, KnownServer> servers = new TreeMap<>();
     private Optional<Long> unreachableSinceMillis = Optional.of(Long.MIN_VALUE / 2);
     private long graceUntilMillis = Long.MIN_VALUE / 2;
@@ -36,11 +42,10 @@
      * A server with the times at which it started to leave and is to be dropped.
      *
      * @param entry newest entry
-     * @param leavingSinceMillis when its drain or the removal of its entry was first seen; empty if it is
-     *     not leaving
+     * @param acceptsUntilMillis until when requests for its keys may be sent to it; empty if it is not leaving
      * @param removeAtMillis when it is dropped unless it registers again; empty while it has an entry
      */
-    public record KnownServer(ServerEntry entry, Optional<Long> leavingSinceMillis, Optional<Long> removeAtMillis) {
+    public record KnownServer(ServerEntry entry, Optional<Long> acceptsUntilMillis, Optional<Long> removeAtMillis) {
         /** Returns the server's current start: its id and the start time of its process. */
         public ServerStart start() {
             return entry.start();
@@ -50,13 +55,18 @@
         public KnownServer shiftedBy(long offsetMillis) {
             return new KnownServer(
                     entry,
-                    leavingSinceMillis.map(at -> at + offsetMillis),
+                    acceptsUntilMillis.map(at -> at + offsetMillis),
                     removeAtMillis.map(at -> at + offsetMillis));
         }
 
         /** Returns whether the server takes new requests. */
         public boolean isReady() {
-            return leavingSinceMillis.isEmpty();
+            return acceptsUntilMillis.isEmpty();
+        }
+
+        /** Returns whether a request for one of its keys may be sent to it now. */
+        public boolean acceptsOwnedKeys(long nowMillis) {
+            return acceptsUntilMillis.map(until -> nowMillis < until).orElse(true);
         }
     }
 
@@ -64,9 +74,11 @@
      * Creates a view without known servers; the registry counts as unreachable until it answers.
      *
      * @param outageGraceMillis time after an outage until which entries that are removed are kept
+     * @param drainMillis time from a server's drain, or the removal of its entry, after which no request may arrive
      */
-    public ServerRegistry(long outageGraceMillis) {
+    public ServerRegistry(long outageGraceMillis, long drainMillis) {
         this.outageGraceMillis = outageGraceMillis;
+        this.drainMillis = drainMillis;
     }
 
     /** Records that the registry answered; after an outage, the grace period starts. */
@@ -98,14 +110,20 @@
     }
 
     /** Adds a new entry, or replaces the entry of the same server. */
-    public void put(ServerEntry entry, long nowMillis) {
+    public void put(ServerEntry entry) {
         KnownServer known = servers.get(entry.start().server());
         boolean sameStart = known != null && known.start().equals(entry.start());
-        Optional<Long> leavingSince = Optional.empty();
+        Optional<Long> acceptsUntil = Optional.empty();
         if (entry.draining()) {
-            leavingSince = sameStart && known.entry().draining() ? known.leavingSinceMillis() : Optional.of(nowMillis);
+            acceptsUntil =
+                    Optional.of(sameStart ? known.acceptsUntilMillis().orElse(endOfNewDrain()) : endOfNewDrain());
         }
-        servers.put(entry.start().server(), new KnownServer(entry, leavingSince, Optional.empty()));
+        servers.put(entry.start().server(), new KnownServer(entry, acceptsUntil, Optional.empty()));
+    }
+
+    /** Returns the last time for requests to a server that may have begun to leave right after the last known state. */
+    private long endOfNewDrain() {
+        return currentAsOfMillis + drainMillis - MAX_DELIVERY_MILLIS;
     }
 
     /** Records that a server has no entry any more; it is dropped unless it registers again in time. */
@@ -116,20 +134,20 @@
         }
         if (nowMillis < graceUntilMillis && !known.entry().draining()) {
             servers.put(
-                    server, new KnownServer(known.entry(), known.leavingSinceMillis(), Optional.of(graceUntilMillis)));
+                    server, new KnownServer(known.entry(), known.acceptsUntilMillis(), Optional.of(graceUntilMillis)));
             return;
         }
-        Optional<Long> leavingSince = known.leavingSinceMillis().or(() -> Optional.of(nowMillis));
+        Optional<Long> acceptsUntil = known.acceptsUntilMillis().or(() -> Optional.of(endOfNewDrain()));
         servers.put(
                 server,
-                new KnownServer(known.entry(), leavingSince, Optional.of(nowMillis + REMOVED_RETENTION_MILLIS)));
+                new KnownServer(known.entry(), acceptsUntil, Optional.of(nowMillis + REMOVED_RETENTION_MILLIS)));
     }
 
     /** Applies a complete listing: adds its entries and removes the servers that it doesn't contain. */
     public void replaceAll(List<ServerEntry> entries, long nowMillis) {
         List<ServerId> listed =
                 entries.stream().map(entry -> entry.start().server()).toList();
-        entries.forEach(entry -> put(entry, nowMillis));
+        entries.forEach(this::put);
         new ArrayList<>(servers.keySet())
                 .stream().filter(id -> !listed.contains(id)).forEach(id -> remove(id, nowMillis));
     }
--- a/core/src/test/java/org/lacewingthread/core/registry/ServerRegistryTest.java
+++ b/core/src/test/java/org/lacewingthread/core/registry/ServerRegistryTest.java
@@ -11,7 +11,7 @@
 import org.lacewingthread.core.id.ServiceId;
 
 class ServerRegistryTest {
-    private final ServerRegistry registry = new ServerRegistry(2_000);
+    private final ServerRegistry registry = new ServerRegistry(2_000, 2_000);
 
     private static ServerEntry entry(String id, long started, boolean draining) {
         return new ServerEntry(
@@ -33,10 +33,12 @@
 
     @Test
     void drainingServerIsNotReadyAndKeepsTheTimeOfItsFirstDrainEntry() {
-        registry.put(entry("a", 1, true), 11_000);
-        registry.put(entry("a", 1, true), 12_000);
+        registry.onCurrent(10_500);
+        registry.put(entry("a", 1, true));
+        registry.onCurrent(11_000);
+        registry.put(entry("a", 1, true));
         assertThat(registry.servers(12_000).get(0).isReady()).isFalse();
-        assertThat(registry.servers(12_000).get(0).leavingSinceMillis()).contains(11_000L);
+        assertThat(registry.servers(12_000).get(0).acceptsUntilMillis()).contains(12_250L);
     }
 
     @Test
@@ -61,7 +63,7 @@
         registry.onUnreachable(11_000);
         registry.onReachable(16_000);
         registry.remove(new ServerId("a"), 16_000);
-        registry.put(entry("a", 1, false), 17_000);
+        registry.put(entry("a", 1, false));
         assertThat(registry.servers(30_000)).hasSize(2);
     }
 
@@ -75,8 +77,8 @@
 
     @Test
     void restartedServerReplacesItsDrainingEntry() {
-        registry.put(entry("a", 1, true), 11_000);
-        registry.put(entry("a", 2, false), 12_000);
+        registry.put(entry("a", 1, true));
+        registry.put(entry("a", 2, false));
         assertThat(registry.servers(12_000).get(0).start().startedUnixMillis()).isEqualTo(2);
         assertThat(registry.servers(12_000).get(0).isReady()).isTrue();
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -90,19 +90,19 @@
         });
     }
 
-    /** Logs a request to a server that is leaving, with the times since the server was seen to leave. */
+    /** Logs a request to a server that is leaving, with the time for which it still takes them. */
     private void logIfLeaving(ActiveRequest request, ActiveRequest.Attempt attempt) {
         long nowMillis = clockMillis.getAsLong();
         dispatcher
-                .leavingSinceMillis(attempt.decision.server().start())
-                .ifPresent(since -> events.write(
+                .acceptsUntilMillis(attempt.decision.server().start())
+                .ifPresent(until -> events.write(
                         "request.sent-to-leaving-server",
                         "request",
                         request.requestId,
                         "server",
                         attempt.decision.server().start(),
-                        "leaving_ms",
-                        nowMillis - since,
+                        "accepts_for_ms",
+                        until - nowMillis,
                         "since_decision_ms",
                         (System.nanoTime() - attempt.startedNanos) / NANOS_PER_MILLI));
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -39,11 +39,6 @@
 final class ControlLoop implements Platform.Listener, ReportChannel.Listener {
     private static final long LEADER_TICK_MILLIS = 20;
     private static final long FOLLOWER_TICK_MILLIS = 100;
-    /**
-     * How long removed entries are kept after an outage of the registry. Servers whose entries expired during the
-     * outage register again within about two seconds.
-     */
-    private static final long EXPIRED_ENTRY_GRACE_MILLIS = 2_000;
     /** How often former leaders are told of the new term, until they answer. */
     private static final long NEW_TERM_RESEND_MILLIS = 200;
     /** If the registry has not answered the leader for this long, the leader's read positions are ignored. */
@@ -63,7 +58,7 @@
     private final ControlEventLogger eventLogger;
     private final Consumer<ServingConfiguration> onConfiguration;
     private final BiConsumer<List<KnownServer>, RangeTable> topologyListener;
-    private final ServerRegistry registry = new ServerRegistry(EXPIRED_ENTRY_GRACE_MILLIS);
+    private final ServerRegistry registry;
     private final KeyspaceLoad keyspaceLoad = new KeyspaceLoad();
     private final EntryVmCounter entryVmCounter = new EntryVmCounter();
     private final IntConsumer entryVmCountListener;
@@ -79,6 +74,7 @@
     ControlLoop(
             Leader self,
             RangeLeaseTimes leaseTimes,
+            ServerRegistry registry,
             Platform platform,
             ControlClock clock,
             EventLoop eventLoop,
@@ -88,6 +84,7 @@
             BiConsumer<List<KnownServer>, RangeTable> topologyListener,
             IntConsumer entryVmCountListener) {
         this.self = self.process();
+        this.registry = registry;
         this.reportChannel = new ReportChannel(events, this);
         this.platform = platform;
         this.eventLogger = new ControlEventLogger(events, this::storeSilenceMillis);
@@ -350,7 +347,7 @@
     @Override
     public void onServerChanged(ServerEntry entry) {
         rememberAddress(entry);
-        registry.put(entry, clock.nowMillis());
+        registry.put(entry);
         eventLogger.logServerSeen(entry);
         publish(clock.nowMillis());
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
@@ -60,8 +60,7 @@
         Map<ServerStart, Double> capacityByServer = new TreeMap<>();
         Set<ServerStart> registered = new HashSet<>();
         for (KnownServer server : serviceServers) {
-            boolean departed =
-                    server.leavingSinceMillis().isPresent() && !server.entry().draining();
+            boolean departed = !server.isReady() && !server.entry().draining();
             if (!departed) {
                 registered.add(server.start());
             }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -15,6 +15,7 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.registry.ServerRegistry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.core.traffic.RetryBudget;
@@ -46,6 +47,12 @@
     /** Reserve between the end of the wait for requests and the time at which the process must have ended. */
     private static final long STOP_MARGIN_MILLIS = 250;
 
+    /**
+     * How long removed entries are kept after an outage of the registry. Servers whose entries expired during the
+     * outage register again within about two seconds.
+     */
+    private static final long EXPIRED_ENTRY_GRACE_MILLIS = 2_000;
+
     private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
 
     private final RouterSettings settings;
@@ -106,6 +113,7 @@
         controlLoop = new ControlLoop(
                 leader,
                 settings.leaseTimes(),
+                new ServerRegistry(EXPIRED_ENTRY_GRACE_MILLIS, settings.drainMillis()),
                 platform.create(controlEventLoop, self, controlClock),
                 controlClock,
                 controlEventLoop,
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
@@ -14,7 +14,7 @@
  * @param readinessAddress address at which the load balancer checks readiness
  * @param metricsAddress address at which metrics are read
  * @param reportAddress address at which reports of other entry VMs are received
- * @param drainMillis time within which requests to a leaving server must have stopped
+ * @param drainMillis time from a server's drain after which no request may arrive there
  * @param stopMillis time from the stop signal until the process must have ended
  * @param retryRatio extra attempts as a share of first attempts, over all entry VMs
  * @param maxSavedRetries most extra attempts that this VM can save up
