--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlClock.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlClock.java
@@ -26,7 +26,7 @@
     }
 
     /** Creates a clock that reads the given clocks, for tests. */
-    ControlClock(LongSupplier monotonicNanos, LongSupplier wallClockMillis) {
+    public ControlClock(LongSupplier monotonicNanos, LongSupplier wallClockMillis) {
         this.monotonicNanos = monotonicNanos;
         this.wallClockMillis = wallClockMillis;
         this.lastMonotonicNanos = monotonicNanos.getAsLong();
