Check again before a request is sent that its server takes it

What callers saw: nothing; a request that waited for its connection could reach a server after its drain time (DRAIN), or a server that had handed the key on meanwhile, which costs a second attempt.

Cause: a decision was carried out as it was, up to the connect timeout of 0.4 s later, and later still on a busy VM: no stage after the decision looked at the deadline.

Both cases of LateConnectionTest failed before: a keyed request arrived after the owner's last time, one without a key arrived at a server that had begun to leave.

Fix: with the connection open, the dispatcher is asked whether the decision still holds; if not, the request is decided anew. It was not sent, so it goes to another server or is refused as not run.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
@@ -14,6 +14,8 @@
     REPLACED(false, false),
     /** The request was not sent, because no connection could be opened. */
     NOT_SENT(false, true),
+    /** The request was not sent, because the decision no longer held when its connection was open. */
+    WITHHELD(false, false),
     /** The connection failed during the attempt, or the response was unusable. */
     BROKEN(false, true),
     /** The attempt timed out, or its caller no longer waits for it. */
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -169,6 +169,27 @@
         return Optional.ofNullable(servers.get(server)).map(ServerLoadState::serviceMillis);
     }
 
+    /**
+     * Returns whether a decided request may still be sent, which the sender asks once it has a connection: the server
+     * is known and takes the request, and still owns the key.
+     */
+    public boolean maySend(Decision.Send send, long nowMillis) {
+        DispatchRequest request = send.request();
+        ServerLoadState state = servers.get(send.server().start());
+        if (state == null || state.isReplaced()) {
+            return false;
+        }
+        if (request.key().isEmpty()) {
+            return state.knownServer().isReady();
+        }
+        boolean owns = rangeTable
+                .find(request.service(), request.key().getAsInt())
+                .filter(ownership -> !ownership.isMoving()
+                        && ownership.owner().equals(send.server().start()))
+                .isPresent();
+        return owns && state.knownServer().acceptsOwnedKeys(nowMillis);
+    }
+
     /** Returns until when a leaving server gets requests for its keys; empty if it is not leaving, or is not known. */
     public Optional<Long> acceptsUntilMillis(ServerStart server) {
         return Optional.ofNullable(servers.get(server))
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
+import org.lacewingthread.core.dispatch.AttemptResult;
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
@@ -55,7 +56,10 @@
                     connections.release(decision.server().start(), connection);
                 }
             } else if (connection == null) {
-                engine.onFailure(request, attempt, false, "no connection: " + failure.getMessage());
+                engine.onFailure(request, attempt, AttemptResult.NOT_SENT, "no connection: " + failure.getMessage());
+            } else if (!dispatcher.maySend(decision, clockMillis.getAsLong())) {
+                connections.release(decision.server().start(), connection);
+                engine.onFailure(request, attempt, AttemptResult.WITHHELD, "the server no longer takes the request");
             } else {
                 send(request, attempt, connection);
             }
@@ -85,7 +89,7 @@
                     request.sentAttempts--;
                     attempt.connection = null;
                 }
-                engine.onFailure(request, attempt, sent, reason);
+                engine.onFailure(request, attempt, sent ? AttemptResult.BROKEN : AttemptResult.NOT_SENT, reason);
             }
         });
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -335,9 +335,8 @@
         }
     }
 
-    /** Called when an attempt failed without a response. */
-    void onFailure(ActiveRequest request, ActiveRequest.Attempt attempt, boolean sent, String reason) {
-        AttemptResult result = sent ? AttemptResult.BROKEN : AttemptResult.NOT_SENT;
+    /** Called when an attempt ended without a response; {@link AttemptResult#BROKEN} if it was sent. */
+    void onFailure(ActiveRequest request, ActiveRequest.Attempt attempt, AttemptResult result, String reason) {
         if (!endAttempt(attempt, result, Optional.empty())) {
             return;
         }
@@ -349,7 +348,7 @@
         if (request.finished) {
             return;
         }
-        if (sent) {
+        if (result == AttemptResult.BROKEN) {
             request.mayHaveRun = true;
             retryOrFail(request, Optional.empty(), reason);
         } else if (++request.unsentAttempts < MAX_UNSENT_ATTEMPTS) {
