--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -1,13 +1,11 @@
 package org.lacewingthread.daemon.router;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
@@ -21,7 +19,6 @@
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
-import org.lacewingthread.core.serving.Route;
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.core.traffic.RetryBudget;
@@ -43,9 +40,6 @@
     private static final long REJECTED_RETRY_AFTER_MILLIS = 100;
 
     private static final long NO_REQUEST_NUMBER = -1;
-    /** Subtracted from a caller's deadline, so that the response reaches the caller in time. */
-    private static final long RESPONSE_MARGIN_MILLIS = 15;
-
     private static final int FIRST_SERVER_ERROR = 500;
     /** Ample, since data centres are only a few milliseconds apart. */
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
@@ -63,6 +57,7 @@
     private final LongSupplier clockMillis;
     private final KeyRequestListener keyRequestListener;
     private final ActiveRoutes routing = new ActiveRoutes();
+    private final RequestAdmission admission;
     private final Map<Long, ActiveRequest> activeRequests = new HashMap<>();
     private final Map<CallerResponder, Long> requestNumberByReply = new HashMap<>();
     private long lastRequestNumber;
@@ -89,6 +84,7 @@
         this.connections = new ConnectionPool<>(eventLoop, clockMillis, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
         this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
+        this.admission = new RequestAdmission(headerNames, routing, responder);
         this.retryBudget = retryBudget;
         this.clockMillis = clockMillis;
         this.keyRequestListener = keyRequestListener;
@@ -149,57 +145,17 @@
     }
 
     @Override
-    public void onRequest(CallerRequest request) {
-        String requestId = request.headers().get(headerNames.requestId());
-        if (requestId == null || requestId.isEmpty()) {
-            responder.refuseUnrouted(
-                    request, "", ResultCode.MALFORMED_REQUEST, "header " + headerNames.requestId() + " is missing");
-            return;
-        }
-        if (routing.version().isEmpty()) {
-            responder.refuseUnrouted(request, requestId, ResultCode.NOT_READY, "no configuration has been read yet");
-            return;
-        }
-        String host =
-                Optional.ofNullable(request.headers().get(HttpHeaderNames.HOST)).orElse("");
-        Optional<Route> route = routing.findRoute(host, request.target());
-        if (route.isEmpty()) {
-            responder.refuseUnrouted(
-                    request,
-                    requestId,
-                    ResultCode.NO_SELECTOR,
-                    "no route for host \"" + host + "\" and target \"" + request.target()
-                            + "\" in configuration version " + routing.version().getAsLong());
+    public void onRequest(CallerRequest callerRequest) {
+        Optional<ActiveRequest> admitted = admission.admit(callerRequest, lastRequestNumber + 1);
+        if (admitted.isEmpty()) {
             return;
         }
-        startRequest(request, requestId, route.get());
-    }
-
-    private void startRequest(CallerRequest callerRequest, String requestId, Route route) {
-        ServiceId service = routing.nextService(route);
-        OptionalInt key = OptionalInt.empty();
-        if (routing.isKeyed(service)) {
-            key = RequestHeaders.parseKey(callerRequest.headers(), headerNames.key());
-            if (key.isEmpty()) {
-                responder.refuseUnrouted(
-                        callerRequest,
-                        requestId,
-                        ResultCode.KEY_MISSING,
-                        "header " + headerNames.key() + " is missing or not a valid key, which service \"" + service
-                                + "\" requires");
-                return;
-            }
-        }
-        long waitMillis = RequestHeaders.parseDeadlineMillis(callerRequest.headers(), headerNames.deadlineMillis())
-                .map(millis -> Math.max(1, millis - RESPONSE_MARGIN_MILLIS))
-                .orElse(route.timeoutMillis());
-        long deadlineMillis = callerRequest.arrivedMillis() + Math.min(waitMillis, route.timeoutMillis());
-        ActiveRequest request =
-                new ActiveRequest(++lastRequestNumber, callerRequest, requestId, route, service, key, deadlineMillis);
+        ActiveRequest request = admitted.get();
+        lastRequestNumber = request.number;
         activeRequests.put(request.number, request);
         requestNumberByReply.put(callerRequest.responder(), request.number);
         retryBudget.onFirstAttempt();
-        key.ifPresent(value -> keyRequestListener.onKeyRequested(service, value));
+        request.key.ifPresent(value -> keyRequestListener.onKeyRequested(request.service, value));
         submit(request);
     }
 
