Read the limits that servers name, and log them

Limits are decoded by the adapter's header names and logged when they are named, change, end or can't be read. Nothing is limited yet.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -67,6 +67,7 @@
     private final Map<ServiceId, List<ServerLoadState>> serversByService = new HashMap<>();
     private final Map<ServiceId, TreeSet<DispatchRequest>> waitingByService = new HashMap<>();
     private RangeTable rangeTable = RangeTable.EMPTY;
+    private final ServerLimits limits = new ServerLimits();
     private Map<ServiceId, Integer> connectionLimits = Map.of();
 
     /**
@@ -95,9 +96,24 @@
                     .computeIfAbsent(server.entry().service(), service -> new ArrayList<>())
                     .add(state);
         }
+        limits.retain(servers.keySet());
         return reevaluate(nowMillis);
     }
 
+    /** Records that a server named a limit in a response; returns whether the limit is a new one. */
+    public boolean onLimitNamed(ServerStart server, NamedLimit limit, long nowMillis) {
+        return servers.containsKey(server) && limits.onNamed(server, limit, nowMillis);
+    }
+
+    /**
+     * Records that a server answered a request without naming a limit; returns whether that ends one.
+     *
+     * @param sentAtMillis when the request was sent
+     */
+    public boolean onNoLimitNamed(ServerStart server, long sentAtMillis) {
+        return limits.onNotNamed(server, sentAtMillis);
+    }
+
     /**
      * Sets how many connections this entry VM may open to each server of a service.
      *
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/HeaderNames.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/HeaderNames.java
@@ -1,5 +1,7 @@
 package org.lacewingthread.daemon.router;
 
+import java.util.List;
+
 /**
  * Names of the HTTP headers that the router reads or sets.
  *
@@ -9,6 +11,8 @@
  * @param expectedServer id of the server that the request is meant for; no other server runs it
  * @param respondingServer id of the server that sent the response
  * @param serverLoad running requests, queued requests and slots of a server
+ * @param serverLimits names of the header with the number of requests a second that a server takes from all entry VMs
+ *     together; the first one that is present counts
  * @param notExecuted present in a response if the server did not run the request
  * @param key numeric key of the request
  */
@@ -19,5 +23,11 @@
         String expectedServer,
         String respondingServer,
         String serverLoad,
+        List<String> serverLimits,
         String notExecuted,
-        String key) {}
+        String key) {
+    /** Copies the list. */
+    public HeaderNames {
+        serverLimits = List.copyOf(serverLimits);
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -58,6 +58,7 @@
     private final KeyRequestListener keyRequestListener;
     private final ActiveRoutes routing = new ActiveRoutes();
     private final RequestAdmission admission;
+    private final LimitObserver limits;
     private final Map<Long, ActiveRequest> activeRequests = new HashMap<>();
     private final Map<CallerResponder, Long> requestNumberByReply = new HashMap<>();
     private long lastRequestNumber;
@@ -84,6 +85,7 @@
         this.connections = new ConnectionPool<>(eventLoop, clockMillis, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
         this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
+        this.limits = new LimitObserver(headerNames.serverLimits(), dispatcher, events);
         this.admission = new RequestAdmission(headerNames, routing, responder);
         this.retryBudget = retryBudget;
         this.clockMillis = clockMillis;
@@ -265,6 +267,8 @@
         Optional<LoadReport> report = RequestHeaders.parseLoad(response.headers(), headerNames.serverLoad());
         AttemptResult result =
                 ServerResponses.classify(response, headerNames, server.start().server());
+        limits.onResponse(
+                server.start(), response, result, request.lastSentMillis.orElseThrow(), clockMillis.getAsLong());
         if (!endAttempt(attempt, result, report)) {
             return;
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestHeaders.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestHeaders.java
@@ -2,14 +2,18 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.lacewingthread.core.dispatch.LoadReport;
+import org.lacewingthread.core.dispatch.NamedLimit;
 import org.lacewingthread.core.keyrange.KeyRange;
 
 /** Parses and copies HTTP headers. */
@@ -29,6 +33,7 @@
             "expect");
 
     private static final int MAX_DIGITS = 9;
+    private static final Pattern LIMIT_PATTERN = Pattern.compile("\\s*[0-9]{1,9}(\\.[0-9]{1,9})?\\s*");
 
     private RequestHeaders() {}
 
@@ -82,6 +87,22 @@
                         slots.get().intValue()));
     }
 
+    /**
+     * Returns the text of the limit that a server names.
+     *
+     * @param names names of the header; the first one that is present counts
+     */
+    static Optional<String> limitText(HttpHeaders headers, List<String> names) {
+        return names.stream().map(headers::get).filter(Objects::nonNull).findFirst();
+    }
+
+    /** Parses a limit of requests a second; empty if the text is not a decimal number. */
+    static Optional<NamedLimit> parseLimit(String text) {
+        return LIMIT_PATTERN.matcher(text).matches()
+                ? Optional.of(new NamedLimit(Double.parseDouble(text.trim())))
+                : Optional.empty();
+    }
+
     private static Optional<Long> parseNumber(String text) {
         boolean isNumber = text != null
                 && !text.isEmpty()
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
@@ -49,8 +49,8 @@
     private static final ServiceId ORDERS = new ServiceId("orders");
     private static final ServiceId DESK = new ServiceId("desk");
     private static final DataCentreId HERE = new DataCentreId("maras");
-    private static final HeaderNames NAMES =
-            new HeaderNames("Attempt", "Deadline", "Seal", "Expected", "Instance", "Load", "Not-Executed", "Key");
+    private static final HeaderNames NAMES = new HeaderNames(
+            "Attempt", "Deadline", "Seal", "Expected", "Instance", "Load", List.of("Limit"), "Not-Executed", "Key");
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop eventLoop = group.next();
