Keep the limits that servers name, over all entry VMs together

Cause: no code read the limit, and every VM sent for itself.

Fix: the leader permits each request for a key of a limited server, from one bucket for all VMs, so that the limit follows demand and is kept however the requests are spread; the more urgent go first, and the rest are refused at once with a Retry-After that spreads them. A permit costs one round trip between VMs. Without answers of the leader, and for services without keys, each VM has slots that make up the limit together and can't be saved up. The limit ends with the first answer to a later request that doesn't name it, and the leader tells the others. The planner gives a limited server no more load than its limit uses, so its keys move to servers that can serve them.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/Decision.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/Decision.java
@@ -1,8 +1,9 @@
 package org.lacewingthread.core.dispatch;
 
+import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.registry.ServerEntry;
 
-/** Decision of {@link RequestDispatcher} about one request: send it or refuse it. */
+/** Decision of {@link RequestDispatcher} about one request: send it, refuse it, or ask the leader first. */
 public sealed interface Decision {
     /** Returns the request that the decision is about. */
     DispatchRequest request();
@@ -15,6 +16,23 @@
      */
     record Send(DispatchRequest request, ServerEntry server, long expectedMillis) implements Decision {}
 
+    /**
+     * Asks the leader whether the request may be sent to a server that named a limit. The request waits for {@link
+     * RequestDispatcher#onPermit}, or until the answer is overdue.
+     *
+     * @param server the server
+     * @param limit the limit that the server named
+     * @param namedAtMillis when it did
+     */
+    record AskPermit(DispatchRequest request, ServerStart server, NamedLimit limit, long namedAtMillis)
+            implements Decision {
+        /** Returns the message to the leader. */
+        public PermitRequest permitRequest(long nowMillis) {
+            return new PermitRequest(
+                    request.number(), server, limit, Math.max(0, nowMillis - namedAtMillis), request.priority());
+        }
+    }
+
     /**
      * Refuses the request without sending it; earlier attempts may have been sent.
      *
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/PermitIssuer.java
@@ -0,0 +1,140 @@
+package org.lacewingthread.core.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.lacewingthread.core.id.ServerStart;
+
+/**
+ * Divides the limits that servers name among the requests of all entry VMs: the leader permits each request to such a
+ * server, so that the limit holds for all VMs together and follows demand.
+ *
+ * <pre>{@code
+ * PermitIssuer.Permit permit = issuer.issue(permitRequest, nowMillis);
+ * }</pre>
+ *
+ * <p>A request that gets no permit is told when to come back. More urgent requests go first: while they ask, others
+ * leave one permit unused, but every fourth of these is treated alike, so that none waits for good.
+ *
+ * <p>Times are milliseconds of a monotonic clock. Not safe for use by several threads.
+ */
+public final class PermitIssuer {
+    /** Most permits that are saved up while nobody asks. */
+    private static final double MAX_SAVED_PERMITS = 3;
+    /** A new bucket has one permit, so that a change of leader lets few extra requests through. */
+    private static final double INITIAL_PERMITS = 1;
+    /** How long a more urgent request has precedence after it asked. */
+    private static final long PRECEDENCE_MILLIS = 1_000;
+    /** Refusals in a row after which a less urgent request is treated like an urgent one. */
+    private static final int MAX_REFUSALS_IN_A_ROW = 3;
+    /** A limit that nobody has asked about for this long is forgotten. */
+    private static final long FORGET_AFTER_MILLIS = 10_000;
+
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    private final Map<ServerStart, Bucket> buckets = new HashMap<>();
+
+    /** Permits of one server. */
+    private static final class Bucket {
+        private NamedLimit limit;
+        private long namedAtMillis = Long.MIN_VALUE / 2;
+        private long endedAtMillis = Long.MIN_VALUE / 2;
+        private double permits = INITIAL_PERMITS;
+        private long filledAtMillis;
+        private int mostUrgentPriority;
+        private long mostUrgentAtMillis = Long.MIN_VALUE / 2;
+        private int refusalsInARow;
+        private long askedAtMillis;
+
+        private boolean isEnded() {
+            return endedAtMillis > namedAtMillis;
+        }
+    }
+
+    /**
+     * Answer to a {@link PermitRequest}.
+     *
+     * @param outcome whether the request may be sent
+     * @param retryAfterMillis delay after which a retry may succeed, in milliseconds; 0 unless it is refused
+     */
+    public record Permit(Outcome outcome, long retryAfterMillis) {}
+
+    /** Outcome of a {@link PermitRequest}. */
+    public enum Outcome {
+        /** The request may be sent. */
+        GRANTED,
+        /** The limit is used up. */
+        REFUSED,
+        /** The server no longer names a limit. */
+        NOT_LIMITED
+    }
+
+    /** Decides about one request. */
+    public Permit issue(PermitRequest request, long nowMillis) {
+        Bucket bucket = buckets.computeIfAbsent(request.server(), server -> new Bucket());
+        long namedAtMillis = nowMillis - request.namedAgoMillis();
+        fill(bucket, nowMillis);
+        if (bucket.limit == null || namedAtMillis > bucket.namedAtMillis) {
+            bucket.limit = request.limit();
+            bucket.namedAtMillis = namedAtMillis;
+        }
+        bucket.askedAtMillis = nowMillis;
+        if (bucket.isEnded()) {
+            return new Permit(Outcome.NOT_LIMITED, 0);
+        }
+        if (bucket.permits >= neededPermits(bucket, request.priority(), nowMillis)) {
+            bucket.permits--;
+            bucket.refusalsInARow = 0;
+            return new Permit(Outcome.GRANTED, 0);
+        }
+        bucket.refusalsInARow++;
+        return new Permit(Outcome.REFUSED, retryAfterMillis(bucket));
+    }
+
+    private static void fill(Bucket bucket, long nowMillis) {
+        if (bucket.limit != null) {
+            double filled = (nowMillis - bucket.filledAtMillis) * bucket.limit.perSecond() / MILLIS_PER_SECOND;
+            bucket.permits = Math.min(MAX_SAVED_PERMITS, bucket.permits + filled);
+        }
+        bucket.filledAtMillis = nowMillis;
+    }
+
+    private static double neededPermits(Bucket bucket, int priority, long nowMillis) {
+        boolean precedenceOver = nowMillis - bucket.mostUrgentAtMillis > PRECEDENCE_MILLIS;
+        if (precedenceOver || priority <= bucket.mostUrgentPriority) {
+            bucket.mostUrgentPriority = priority;
+            bucket.mostUrgentAtMillis = nowMillis;
+            return 1;
+        }
+        return bucket.refusalsInARow >= MAX_REFUSALS_IN_A_ROW ? 1 : 2;
+    }
+
+    /** The time until as many permits have been saved up as requests were refused since the last grant. */
+    private static long retryAfterMillis(Bucket bucket) {
+        double missing = bucket.refusalsInARow - Math.min(bucket.permits, 1);
+        return Math.round(missing * MILLIS_PER_SECOND / Math.max(bucket.limit.perSecond(), 1 / MILLIS_PER_SECOND));
+    }
+
+    /**
+     * Records that a server answered without naming a limit.
+     *
+     * @param atMillis when the answer arrived at the entry VM
+     */
+    public void onLimitEnded(ServerStart server, long atMillis) {
+        Bucket bucket = buckets.get(server);
+        if (bucket != null) {
+            bucket.endedAtMillis = Math.max(bucket.endedAtMillis, atMillis);
+        }
+    }
+
+    /** Returns the limits in force that were asked about of late, in requests a second. */
+    public Map<ServerStart, Double> limitsPerSecond(long nowMillis) {
+        buckets.values().removeIf(bucket -> nowMillis - bucket.askedAtMillis > FORGET_AFTER_MILLIS);
+        Map<ServerStart, Double> limits = new HashMap<>();
+        buckets.forEach((server, bucket) -> {
+            if (!bucket.isEnded()) {
+                limits.put(server, bucket.limit.perSecond());
+            }
+        });
+        return limits;
+    }
+}
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
@@ -12,6 +12,8 @@
     OWNER_UNREACHABLE,
     /** The service has no server that accepts new requests. */
     NO_SERVER,
+    /** The server that can run the request named a limit, which is used up. */
+    LIMITED,
     /** The deadline passed while the request waited. */
     DEADLINE_PASSED
 }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -31,18 +31,8 @@
  * <p>Times are milliseconds of a monotonic clock. Not safe for use by several threads.
  */
 public final class RequestDispatcher {
-    /** Requests queued at a server beyond its slots; further ones wait here, where priorities apply. */
-    private static final int MAX_QUEUED_AT_SERVER = 2;
-    /** Other entry VMs' requests that may be queued at a server when this VM sends its only one there. */
-    private static final int MAX_QUEUED_BY_OTHER_VMS = 3;
     /** Maximum number of waiting requests of one service. */
     private static final int MAX_WAITING_REQUESTS = 400;
-    /** Added to the expected time of a server in another data centre, so that local servers win ties. */
-    private static final double REMOTE_PENALTY_MILLIS = 40;
-    /** A local server is preferred if this multiple of its expected time fits before the target. */
-    private static final double LOCAL_PREFERENCE_FACTOR = 1.5;
-    /** Width of the random factor that keeps entry VMs from all choosing the same server. */
-    private static final double JITTER_RATIO = 0.3;
     /** Bounds of the retry delay given to a refused caller. */
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
 
@@ -51,6 +41,10 @@
     private static final long NO_OWNER_REFUSAL_MARGIN_MILLIS = 100;
     /** Retry delay when the key has no owner; about the duration of a range move. */
     private static final long NO_OWNER_RETRY_AFTER_MILLIS = 300;
+    /** Retry delay of a request to a limited server while the leader doesn't answer; about the time of a new leader. */
+    private static final long NO_PERMIT_RETRY_AFTER_MILLIS = 700;
+    /** Largest random addition to the retry delay of a limited request, as a share of it. */
+    private static final double LIMITED_RETRY_SPREAD = 0.5;
     /** Share of the remaining time that may be spent waiting; the rest is left to a refused caller for a retry. */
     private static final double MAX_WAIT_RATIO = 0.85;
     /** Share of the service time that must remain before the deadline for a request to be sent. */
@@ -61,13 +55,13 @@
             .thenComparingLong(DispatchRequest::deadlineMillis)
             .thenComparingLong(DispatchRequest::number);
 
-    private final DataCentreId dataCentre;
     private final RandomGenerator random;
+    private final ServerChooser serverChooser;
     private final Map<ServerStart, ServerLoadState> servers = new HashMap<>();
     private final Map<ServiceId, List<ServerLoadState>> serversByService = new HashMap<>();
     private final Map<ServiceId, TreeSet<DispatchRequest>> waitingByService = new HashMap<>();
     private RangeTable rangeTable = RangeTable.EMPTY;
-    private final ServerLimits limits = new ServerLimits();
+    private final ServerLimits limits;
     private Map<ServiceId, Integer> connectionLimits = Map.of();
 
     /**
@@ -77,8 +71,9 @@
      * @param random seeded source of the jitter in the expected times of servers
      */
     public RequestDispatcher(DataCentreId dataCentre, RandomGenerator random) {
-        this.dataCentre = dataCentre;
         this.random = random;
+        this.serverChooser = new ServerChooser(dataCentre, random);
+        this.limits = new ServerLimits(random);
     }
 
     /** Updates the known servers and the owners of key ranges, and decides about all waiting requests. */
@@ -114,6 +109,30 @@
         return limits.onNotNamed(server, sentAtMillis);
     }
 
+    /** Sets the number of entry VMs, which share the limits of servers. */
+    public void onEntryVmCount(int count) {
+        limits.setEntryVmCount(count);
+    }
+
+    /** Applies the leader's answer to {@link Decision.AskPermit}. */
+    public List<Decision> onPermit(long number, PermitIssuer.Permit permit, long nowMillis) {
+        Optional<DispatchRequest> request = limits.onPermit(number, permit.outcome(), nowMillis);
+        if (request.isEmpty()) {
+            return List.of();
+        }
+        if (permit.outcome() == PermitIssuer.Outcome.REFUSED) {
+            return refuseLimited(request.get(), permit.retryAfterMillis()).stream()
+                    .toList();
+        }
+        return submit(request.get(), nowMillis);
+    }
+
+    /** Refuses a request with a delay that spreads the callers who come back. */
+    private Optional<Decision> refuseLimited(DispatchRequest request, long retryAfterMillis) {
+        double spread = 1 + LIMITED_RETRY_SPREAD * random.nextDouble();
+        return refuse(request, RefusalCause.LIMITED, Math.round(retryAfterMillis * spread));
+    }
+
     /**
      * Sets how many connections this entry VM may open to each server of a service.
      *
@@ -148,6 +167,7 @@
         if (queue != null) {
             queue.remove(request);
         }
+        limits.cancel(request.number());
     }
 
     /** Records the end of an attempt that was sent and decides about the waiting requests of its service. */
@@ -169,6 +189,14 @@
     /** Decides again about all waiting requests; to be called periodically. */
     public List<Decision> reevaluate(long nowMillis) {
         List<Decision> decisions = new ArrayList<>();
+        for (ServerLimits.Unanswered unanswered : limits.takeOverdue(nowMillis)) {
+            if (unanswered.permitted()) {
+                decisions.addAll(submit(unanswered.request(), nowMillis));
+            } else {
+                refuseLimited(unanswered.request(), NO_PERMIT_RETRY_AFTER_MILLIS)
+                        .ifPresent(decisions::add);
+            }
+        }
         for (ServiceId service : List.copyOf(waitingByService.keySet())) {
             decide(service, decisions, nowMillis);
         }
@@ -177,7 +205,8 @@
 
     /** Returns the number of waiting requests of all services. */
     public int waitingCount() {
-        return waitingByService.values().stream().mapToInt(TreeSet::size).sum();
+        return limits.pendingCount()
+                + waitingByService.values().stream().mapToInt(TreeSet::size).sum();
     }
 
     /** Returns the service time of a server as measured by this VM, in milliseconds. */
@@ -296,44 +325,23 @@
         if (ready.isEmpty()) {
             return refuse(request, RefusalCause.NO_SERVER, NO_OWNER_RETRY_AFTER_MILLIS);
         }
-        List<ServerLoadState> healthy = ready.stream()
+        List<ServerLoadState> unlimited = ready.stream()
+                .filter(state -> limits.hasSlot(state.knownServer().start(), nowMillis))
+                .toList();
+        if (unlimited.isEmpty()) {
+            return refuseLimited(request, NO_PERMIT_RETRY_AFTER_MILLIS);
+        }
+        List<ServerLoadState> healthy = unlimited.stream()
                 .filter(state -> !state.isEjected(nowMillis))
                 .filter(state ->
                         !request.triedServers().contains(state.entry().start().server()))
                 .toList();
-        List<ServerLoadState> candidates = healthy.isEmpty() ? ready : healthy;
-        List<ServerLoadState> local = candidates.stream()
-                .filter(state -> state.entry().dataCentre().equals(dataCentre))
-                .toList();
-        Map<ServerLoadState, Double> expected = new HashMap<>();
-        candidates.forEach(state -> expected.put(state, expectedMillis(state, aheadByServer, nowMillis)));
-        ServerLoadState best = fastest(candidates, expected);
-        if (!local.isEmpty()) {
-            ServerLoadState bestLocal = fastest(local, expected);
-            double leftMillis = request.targetAtMillis() - nowMillis;
-            best = expected.get(bestLocal) * LOCAL_PREFERENCE_FACTOR <= leftMillis ? bestLocal : best;
-        }
+        List<ServerLoadState> candidates = healthy.isEmpty() ? unlimited : healthy;
+        ServerLoadState best = serverChooser.choose(candidates, request.targetAtMillis(), aheadByServer, nowMillis);
         int ahead = aheadByServer.getOrDefault(best.entry().start().server(), 0);
         return decideForServer(request, best, ahead, aheadByServer, nowMillis);
     }
 
-    private static ServerLoadState fastest(List<ServerLoadState> states, Map<ServerLoadState, Double> expected) {
-        return states.stream().min(Comparator.comparingDouble(expected::get)).orElseThrow();
-    }
-
-    private double expectedMillis(ServerLoadState state, Map<ServerId, Integer> aheadByServer, long nowMillis) {
-        int ahead = aheadByServer.getOrDefault(state.entry().start().server(), 0);
-        double expected = state.expectedMillis(ahead, nowMillis) + coldPenaltyMillis(state);
-        double spread = 1 + JITTER_RATIO * (random.nextDouble() - 0.5);
-        double remote = state.entry().dataCentre().equals(dataCentre) ? 0 : REMOTE_PENALTY_MILLIS;
-        boolean full = !state.hasCapacity(MAX_QUEUED_AT_SERVER, MAX_QUEUED_BY_OTHER_VMS, nowMillis);
-        return expected * spread + remote + (full ? state.serviceMillis() : 0);
-    }
-
-    private static double coldPenaltyMillis(ServerLoadState state) {
-        return state.entry().cold() ? state.serviceMillis() : 0;
-    }
-
     private Optional<Decision> decideForServer(
             DispatchRequest request,
             ServerLoadState state,
@@ -349,7 +357,14 @@
             long retryAfter = Math.round(Math.max(0, waitMillis));
             return refuse(request, RefusalCause.OVERLOADED, retryAfter);
         }
-        if (ahead == 0 && state.hasCapacity(MAX_QUEUED_AT_SERVER, MAX_QUEUED_BY_OTHER_VMS, nowMillis)) {
+        if (ahead == 0 && state.hasCapacity(nowMillis)) {
+            ServerStart server = state.knownServer().start();
+            boolean permitted = request.key().isPresent()
+                    ? limits.tryUsePermit(request.number(), server, nowMillis)
+                    : limits.tryUseSlot(server, nowMillis);
+            if (!permitted) {
+                return Optional.of(limits.ask(request, server, nowMillis));
+            }
             state.onSent(nowMillis);
             return Optional.of(new Decision.Send(request, state.entry(), Math.round(expected)));
         }
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerChooser.java
@@ -0,0 +1,68 @@
+package org.lacewingthread.core.dispatch;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerId;
+
+/** Chooses the server with the shortest expected response time; prefers servers of the own data centre. */
+final class ServerChooser {
+    /** Added to the expected time of a server in another data centre, so that local servers win ties. */
+    private static final double REMOTE_PENALTY_MILLIS = 40;
+    /** A local server is preferred if this multiple of its expected time fits before the target. */
+    private static final double LOCAL_PREFERENCE_FACTOR = 1.5;
+    /** Width of the random factor that keeps entry VMs from all choosing the same server. */
+    private static final double JITTER_RATIO = 0.3;
+
+    private final DataCentreId dataCentre;
+    private final RandomGenerator random;
+
+    ServerChooser(DataCentreId dataCentre, RandomGenerator random) {
+        this.dataCentre = dataCentre;
+        this.random = random;
+    }
+
+    /**
+     * Chooses a server for one request.
+     *
+     * @param candidates servers to choose from; at least one
+     * @param targetAtMillis time up to which a response is prompt
+     * @param aheadByServer requests that will be sent before this one
+     */
+    ServerLoadState choose(
+            List<ServerLoadState> candidates,
+            long targetAtMillis,
+            Map<ServerId, Integer> aheadByServer,
+            long nowMillis) {
+        Map<ServerLoadState, Double> expected = new HashMap<>();
+        candidates.forEach(state -> expected.put(state, expectedMillis(state, aheadByServer, nowMillis)));
+        List<ServerLoadState> local = candidates.stream().filter(this::isLocal).toList();
+        ServerLoadState best = fastest(candidates, expected);
+        if (local.isEmpty()) {
+            return best;
+        }
+        ServerLoadState bestLocal = fastest(local, expected);
+        double leftMillis = targetAtMillis - nowMillis;
+        return expected.get(bestLocal) * LOCAL_PREFERENCE_FACTOR <= leftMillis ? bestLocal : best;
+    }
+
+    private static ServerLoadState fastest(List<ServerLoadState> states, Map<ServerLoadState, Double> expected) {
+        return states.stream().min(Comparator.comparingDouble(expected::get)).orElseThrow();
+    }
+
+    private double expectedMillis(ServerLoadState state, Map<ServerId, Integer> aheadByServer, long nowMillis) {
+        int ahead = aheadByServer.getOrDefault(state.entry().start().server(), 0);
+        double coldPenalty = state.entry().cold() ? state.serviceMillis() : 0;
+        double spread = 1 + JITTER_RATIO * (random.nextDouble() - 0.5);
+        double remotePenalty = isLocal(state) ? 0 : REMOTE_PENALTY_MILLIS;
+        double fullPenalty = state.hasCapacity(nowMillis) ? 0 : state.serviceMillis();
+        return (state.expectedMillis(ahead, nowMillis) + coldPenalty) * spread + remotePenalty + fullPenalty;
+    }
+
+    private boolean isLocal(ServerLoadState state) {
+        return state.entry().dataCentre().equals(dataCentre);
+    }
+}
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
@@ -1,24 +1,67 @@
 package org.lacewingthread.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
+import java.util.random.RandomGenerator;
 import org.lacewingthread.core.id.ServerStart;
 
 /**
- * The limits that servers name in their responses, as one entry VM knows them. A limit is in force from the response
- * that names it until a response to a later request doesn't.
+ * The limits that servers name in their responses, as one entry VM knows them, and this VM's permits. A limit is in
+ * force from the response that names it until a response to a later request doesn't.
+ *
+ * <p>A request for a key needs a permit of the leader. Requests without key, and all requests while the leader is
+ * silent, use this VM's slots: times that recur so often that the slots of all VMs make up the limit. A slot is lost if it
+ * isn't used soon, since slots saved up by many VMs could be used at once.
  *
  * <p>Times are milliseconds of a monotonic clock. Not safe for use by several threads.
  */
 final class ServerLimits {
+    /** How long a permit may be used; the server may be busy when it arrives. */
+    private static final long PERMIT_VALIDITY_MILLIS = 500;
+    /** Time after which a permit counts as refused, or lost on its way; several times the usual round trip. */
+    private static final long PERMIT_TIMEOUT_MILLIS = 150;
+    /** Overdue answers in a row from which the leader counts as silent. */
+    private static final int MIN_OVERDUE_IN_A_ROW = 3;
+    /** Time from the first of these answers until the leader counts as silent. */
+    private static final long LEADER_SILENCE_MILLIS = 1_000;
+    /** How long a slot may be used. */
+    private static final long SLOT_VALIDITY_MILLIS = 1_000;
+    /** Smallest limit that slots are computed for. */
+    private static final double MIN_LIMIT_PER_SECOND = 1e-3;
+
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    private final RandomGenerator random;
     private final Map<ServerStart, Limit> limits = new HashMap<>();
+    private final Map<Long, Pending> pendingByNumber = new HashMap<>();
+    private final Map<Long, Permitted> permittedByNumber = new HashMap<>();
+    private OptionalInt entryVmCount = OptionalInt.empty();
+    private int overdueInARow;
+    private long firstOverdueMillis;
 
     /** A limit in force. */
     private static final class Limit {
         private NamedLimit named;
         private long namedAtMillis;
+        private long nextSlotMillis;
+    }
+
+    /** A request that waits for the leader's answer. */
+    private record Pending(DispatchRequest request, ServerStart server, long timeoutAtMillis) {}
+
+    private record Permitted(ServerStart server, long validUntilMillis) {}
+
+    ServerLimits(RandomGenerator random) {
+        this.random = random;
+    }
+
+    void setEntryVmCount(int count) {
+        entryVmCount = OptionalInt.of(count);
     }
 
     /** Drops the limits of servers that are no longer known; a restarted server starts without one. */
@@ -26,26 +69,144 @@
         limits.keySet().retainAll(known);
     }
 
-    /** Returns the limit of a server that is in force. */
-    Optional<NamedLimit> limit(ServerStart server) {
-        return Optional.ofNullable(limits.get(server)).map(limit -> limit.named);
-    }
-
     /** Records that a server named a limit in a response; returns whether the limit is a new one. */
     boolean onNamed(ServerStart server, NamedLimit named, long nowMillis) {
-        Limit limit = limits.computeIfAbsent(server, start -> new Limit());
+        Limit limit = limits.get(server);
+        if (limit == null) {
+            limit = new Limit();
+            limits.put(server, limit);
+        }
         boolean changed = !named.equals(limit.named);
         limit.named = named;
         limit.namedAtMillis = nowMillis;
+        if (changed) {
+            limit.nextSlotMillis = nowMillis + Math.round(random.nextDouble() * slotIntervalMillis(limit));
+        }
         return changed;
     }
 
     /**
-     * Records a response without a limit; returns whether it ends one. The response to a request that was sent before the
-     * limit was named may have been made before it too.
+     * Records a response without a limit; returns whether it ends one. The response to a request that was sent before
+     * the limit was named may have been made before it too.
      */
     boolean onNotNamed(ServerStart server, long sentAtMillis) {
         Limit limit = limits.get(server);
         return limit != null && sentAtMillis > limit.namedAtMillis && limits.remove(server, limit);
     }
+
+    boolean isLimited(ServerStart server) {
+        return limits.containsKey(server);
+    }
+
+    /** Returns whether a request for a key may be sent now, and uses up its permit if it needs one. */
+    boolean tryUsePermit(long number, ServerStart server, long nowMillis) {
+        if (!isLimited(server)) {
+            return true;
+        }
+        Permitted permitted = permittedByNumber.remove(number);
+        return permitted != null && permitted.server().equals(server) && nowMillis < permitted.validUntilMillis();
+    }
+
+    /** Returns whether this VM has a slot for a request to a limited server now. */
+    boolean hasSlot(ServerStart server, long nowMillis) {
+        Limit limit = limits.get(server);
+        if (limit == null) {
+            return true;
+        }
+        if (entryVmCount.isEmpty()) {
+            return false;
+        }
+        while (nowMillis >= limit.nextSlotMillis + SLOT_VALIDITY_MILLIS) {
+            limit.nextSlotMillis += slotIntervalMillis(limit);
+        }
+        return nowMillis >= limit.nextSlotMillis;
+    }
+
+    /** Uses the slot of a limited server, if this VM has one now. */
+    boolean tryUseSlot(ServerStart server, long nowMillis) {
+        boolean available = hasSlot(server, nowMillis);
+        Limit limit = limits.get(server);
+        if (available && limit != null) {
+            limit.nextSlotMillis += slotIntervalMillis(limit);
+        }
+        return available;
+    }
+
+    private long slotIntervalMillis(Limit limit) {
+        double perSecond = Math.max(limit.named.perSecond(), MIN_LIMIT_PER_SECOND);
+        return Math.max(1, Math.round(entryVmCount.orElse(1) * MILLIS_PER_SECOND / perSecond));
+    }
+
+    /** Lets a request wait for a permit, and returns the request to send to the leader. */
+    Decision.AskPermit ask(DispatchRequest request, ServerStart server, long nowMillis) {
+        pendingByNumber.put(request.number(), new Pending(request, server, nowMillis + PERMIT_TIMEOUT_MILLIS));
+        Limit limit = limits.get(server);
+        return new Decision.AskPermit(request, server, limit.named, limit.namedAtMillis);
+    }
+
+    int pendingCount() {
+        return pendingByNumber.size();
+    }
+
+    /** Forgets a request that is no longer wanted. */
+    void cancel(long number) {
+        pendingByNumber.remove(number);
+        permittedByNumber.remove(number);
+    }
+
+    /**
+     * Records the leader's answer and returns the request that waited for it; empty if it no longer waits. After a
+     * grant the request has a permit; after {@code NOT_LIMITED} the server counts as not limited.
+     */
+    Optional<DispatchRequest> onPermit(long number, PermitIssuer.Outcome outcome, long nowMillis) {
+        Pending pending = pendingByNumber.remove(number);
+        overdueInARow = 0;
+        if (pending == null) {
+            return Optional.empty();
+        }
+        if (outcome == PermitIssuer.Outcome.GRANTED) {
+            permit(pending, nowMillis);
+        } else if (outcome == PermitIssuer.Outcome.NOT_LIMITED) {
+            limits.remove(pending.server());
+        }
+        return Optional.of(pending.request());
+    }
+
+    private void permit(Pending pending, long nowMillis) {
+        permittedByNumber.put(
+                pending.request().number(), new Permitted(pending.server(), nowMillis + PERMIT_VALIDITY_MILLIS));
+    }
+
+    /** A request that got no answer, and whether a slot of this VM permits it. */
+    record Unanswered(DispatchRequest request, boolean permitted) {}
+
+    /** Removes and returns the requests whose answer is overdue; those for which this VM has a slot get a permit. */
+    List<Unanswered> takeOverdue(long nowMillis) {
+        permittedByNumber.values().removeIf(permitted -> nowMillis >= permitted.validUntilMillis());
+        if (pendingByNumber.isEmpty()) {
+            return List.of();
+        }
+        List<Unanswered> overdue = new ArrayList<>();
+        for (Pending pending : List.copyOf(pendingByNumber.values())) {
+            if (nowMillis < pending.timeoutAtMillis()) {
+                continue;
+            }
+            pendingByNumber.remove(pending.request().number());
+            boolean permitted = isLeaderSilent(nowMillis) && tryUseSlot(pending.server(), nowMillis);
+            if (permitted) {
+                permit(pending, nowMillis);
+            }
+            overdue.add(new Unanswered(pending.request(), permitted));
+        }
+        return overdue;
+    }
+
+    /** Counts an overdue answer; returns whether so many were overdue that the leader counts as silent. */
+    private boolean isLeaderSilent(long nowMillis) {
+        if (overdueInARow == 0) {
+            firstOverdueMillis = nowMillis;
+        }
+        overdueInARow++;
+        return overdueInARow >= MIN_OVERDUE_IN_A_ROW && nowMillis - firstOverdueMillis >= LEADER_SILENCE_MILLIS;
+    }
 }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -39,6 +39,11 @@
     /** Time constant, in service times, of the exponential decay of a reported load. */
     private static final double LOAD_DECAY_SERVICE_TIMES = 5;
 
+    /** Requests queued at a server beyond its slots; further ones wait here, where priorities apply. */
+    private static final int MAX_QUEUED_AT_SERVER = 2;
+    /** Other entry VMs' requests that may be queued at a server when this VM sends its only one there. */
+    private static final int MAX_QUEUED_BY_OTHER_VMS = 3;
+
     private KnownServer knownServer;
     private int inFlight;
     private double otherVmsLoad;
@@ -168,8 +173,8 @@
         return otherVmsLoad * Math.exp(-age / Math.max(1, serviceMillis * LOAD_DECAY_SERVICE_TIMES));
     }
 
-    /** Returns whether the server has a free slot or, within the given limits, space in its queue. */
-    boolean hasCapacity(int maxQueued, int maxQueuedByOtherVms, long nowMillis) {
+    /** Returns whether the server has a free slot, or space in its queue. */
+    boolean hasCapacity(long nowMillis) {
         if (nowMillis < backoffUntilMillis || inFlight >= connectionLimit) {
             return false;
         }
@@ -178,7 +183,9 @@
         }
         double others = otherVmsLoad(nowMillis);
         int slots = knownServer.entry().slots();
-        return inFlight == 0 ? others < slots + maxQueuedByOtherVms : inFlight + others < slots + maxQueued;
+        return inFlight == 0
+                ? others < slots + MAX_QUEUED_BY_OTHER_VMS
+                : inFlight + others < slots + MAX_QUEUED_AT_SERVER;
     }
 
     /** Returns the expected response time of a request if {@code ahead} other requests are sent before it. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -1,5 +1,6 @@
 package org.lacewingthread.daemon.router;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -49,6 +50,8 @@
     private static final long REPORT_INTERVAL_MILLIS = 500;
 
     private final VmStart self;
+    private final FormerLeaderMessages formerLeaders;
+    private final LimitExchange limitExchange;
     private final ReportChannel reportChannel;
     private final Platform platform;
     private final RangeCoordinator coordinator;
@@ -82,14 +85,25 @@
             RouterMetrics metrics,
             Consumer<ServingConfiguration> onConfiguration,
             BiConsumer<List<KnownServer>, RangeTable> topologyListener,
-            IntConsumer entryVmCountListener) {
+            IntConsumer entryVmCountListener,
+            LimitExchange.AnswerListener permitListener) {
         this.self = self.process();
         this.registry = registry;
-        this.reportChannel = new ReportChannel(events, this);
         this.platform = platform;
         this.eventLogger = new ControlEventLogger(events, this::storeSilenceMillis);
         this.coordinator = new RangeCoordinator(self, leaseTimes, eventLogger, clock::leadMillis);
         this.clock = clock;
+        this.formerLeaders = new FormerLeaderMessages(this.self, coordinator, clock);
+        this.limitExchange = new LimitExchange(
+                this.self.vm().value(),
+                eventLoop,
+                clock::nowMillis,
+                events,
+                metrics,
+                coordinator::isLeading,
+                this::sendToLeader,
+                permitListener);
+        this.reportChannel = new ReportChannel(events, this, formerLeaders, limitExchange::onMessage);
         this.eventLoop = eventLoop;
         this.events = events;
         this.onConfiguration = onConfiguration;
@@ -99,6 +113,15 @@
                 platform, coordinator, clock, events, new RangeCommandLog(events, metrics), this::step);
     }
 
+    private void sendToLeader(ObjectNode message) {
+        coordinator.table().leader().ifPresent(leader -> reportChannel.sendTo(leader, message));
+    }
+
+    /** Returns the exchange of permits for limited servers. */
+    LimitExchange limitExchange() {
+        return limitExchange;
+    }
+
     private long storeSilenceMillis(long nowMillis) {
         return coordinator.storeSilenceMillis(nowMillis);
     }
@@ -109,7 +132,7 @@
 
     void start() {
         eventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "tell-former-leaders", this::notifyFormerLeaders),
+                new FailureLoggingTask(events, "tell-former-leaders", () -> formerLeaders.announceTerm(reportChannel)),
                 NEW_TERM_RESEND_MILLIS,
                 NEW_TERM_RESEND_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -206,29 +229,6 @@
         }
     }
 
-    @Override
-    public Optional<VmStart> confirmNotLeadingBefore(long term) {
-        coordinator.onNewTerm(term);
-        return coordinator.isLeading() ? Optional.empty() : Optional.of(self);
-    }
-
-    @Override
-    public void onNotLeading(VmStart process, long beforeTerm) {
-        long nowMillis = clock.nowMillis();
-        for (Leader former : coordinator.formerLeadersToNotify()) {
-            if (former.process().vm().equals(process.vm())) {
-                coordinator.onFormerLeaderStopped(former.process(), beforeTerm, nowMillis);
-            }
-        }
-    }
-
-    private void notifyFormerLeaders() {
-        coordinator
-                .formerLeadersToNotify()
-                .forEach(former -> reportChannel.announceNewTerm(
-                        former, coordinator.table().term()));
-    }
-
     @Override
     public void onReport(String vm) {
         entryVmCounter.onReport(vm, clock.nowMillis());
@@ -304,9 +304,10 @@
         if (!coordinator.isLeading()) {
             return views;
         }
+        Map<ServerStart, Double> limits = limitExchange.limitsPerSecond();
         for (ServiceSpec service : configuration.orElseThrow().services().values()) {
             if (service.keyed()) {
-                views.put(service.id(), keyspaceLoad.view(service.id(), publishedServers, nowMillis));
+                views.put(service.id(), keyspaceLoad.view(service.id(), publishedServers, limits, nowMillis));
             }
         }
         return views;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
@@ -29,6 +29,10 @@
     /** Capacity of a server that has just started, relative to a warmed-up one. */
     private static final double COLD_CAPACITY_RATIO = 0.6;
 
+    /** Capacity of a server whose limit leaves it almost none; loads are divided by it. */
+    private static final double MIN_CAPACITY = 0.01;
+
+    private static final double MILLIS_PER_SECOND = 1e3;
     private static final int MAX_MEASURED_SERVERS = 1_000;
 
     private final Map<ServiceId, KeyLoad> keyLoadByService = new HashMap<>();
@@ -47,8 +51,17 @@
         }
     }
 
-    /** Returns the capacity of a service's servers and the load of its keys. */
-    ServiceView view(ServiceId service, List<KnownServer> servers, long nowMillis) {
+    /**
+     * Returns the capacity of a service's servers and the load of its keys. A server with a limit has no more capacity
+     * than the limit uses, so that its keys move to others.
+     *
+     * @param limitPerSecondByServer limits that servers named
+     */
+    ServiceView view(
+            ServiceId service,
+            List<KnownServer> servers,
+            Map<ServerStart, Double> limitPerSecondByServer,
+            long nowMillis) {
         List<KnownServer> serviceServers = servers.stream()
                 .filter(server -> server.entry().service().equals(service))
                 .toList();
@@ -65,12 +78,22 @@
                 registered.add(server.start());
             }
             if (server.isReady()) {
-                capacityByServer.put(server.start(), capacity(server, meanMillis));
+                Double limitPerSecond = limitPerSecondByServer.get(server.start());
+                double capacity = capacity(server, meanMillis);
+                capacityByServer.put(
+                        server.start(),
+                        limitPerSecond == null ? capacity : limitedCapacity(capacity, limitPerSecond, meanMillis));
             }
         }
         return new ServiceView(capacityByServer, registered, keyLoadOf(service).profile(nowMillis));
     }
 
+    /** A server with one slot and the mean service time has a capacity of 1. */
+    private static double limitedCapacity(double capacity, double limitPerSecond, double meanMillis) {
+        double usedByLimit = limitPerSecond * meanMillis / MILLIS_PER_SECOND;
+        return Math.max(MIN_CAPACITY, Math.min(capacity, usedByLimit));
+    }
+
     private double capacity(KnownServer server, double meanMillis) {
         double speed = meanMillis / serviceMillisByServer.getOrDefault(server.start(), meanMillis);
         double boundedSpeed = Math.max(MIN_RELATIVE_SPEED, Math.min(MAX_RELATIVE_SPEED, speed));
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LimitObserver.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LimitObserver.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.lacewingthread.core.dispatch.AttemptResult;
 import org.lacewingthread.core.dispatch.NamedLimit;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
@@ -20,12 +21,18 @@
     private final List<String> headerNames;
     private final RequestDispatcher dispatcher;
     private final EventLog events;
+    private final Consumer<ServerStart> endListener;
     private final Set<ServerStart> serversWithUnreadableLimit = new HashSet<>();
 
-    LimitObserver(List<String> headerNames, RequestDispatcher dispatcher, EventLog events) {
+    LimitObserver(
+            List<String> headerNames,
+            RequestDispatcher dispatcher,
+            EventLog events,
+            Consumer<ServerStart> endListener) {
         this.headerNames = headerNames;
         this.dispatcher = dispatcher;
         this.events = events;
+        this.endListener = endListener;
     }
 
     /**
@@ -40,6 +47,7 @@
         if (text.isEmpty()) {
             if (result == AttemptResult.ANSWERED && dispatcher.onNoLimitNamed(server, sentAtMillis)) {
                 events.write("server.limit-ended", "server", server);
+                endListener.accept(server);
             }
             return;
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -61,6 +62,8 @@
 
     private final EventLog events;
     private final Listener listener;
+    private final TermListener termListener;
+    private final MessageHandler limitMessages;
     private final PendingReport pendingReport = new PendingReport();
     private Channel channel;
     private Optional<EncodedTable> newestEncodedTable = Optional.empty();
@@ -111,12 +114,6 @@
          */
         void onLeaderStatus(LeaderStatus status, OptionalLong registryAsOfMillis);
 
-        /** Returns this process if it certainly leads in no term before the given one; empty if it may still lead. */
-        Optional<VmStart> confirmNotLeadingBefore(long term);
-
-        /** Called with the process that now runs on a former leader's VM and that leads in no term before the given. */
-        void onNotLeading(VmStart process, long beforeTerm);
-
         /** Called for each report of an entry VM. */
         void onReport(String vm);
 
@@ -127,9 +124,30 @@
         void onReportedServiceTime(String vm, ServerStart server, double millis);
     }
 
-    ReportChannel(EventLog events, Listener listener) {
+    /** Handles the messages between a new leader and former ones. */
+    interface TermListener {
+        /** Returns this process if it certainly leads in no term before the given one; empty if it may still lead. */
+        Optional<VmStart> confirmNotLeadingBefore(long term);
+
+        /** Called with the process that now runs on a former leader's VM and that leads in no term before the given. */
+        void onNotLeading(VmStart process, long beforeTerm);
+    }
+
+    /** Handles datagrams of another kind than reports. */
+    interface MessageHandler {
+        /**
+         * Handles a message if it is of its kind; returns whether it is.
+         *
+         * @param reply sends an answer to the sender
+         */
+        boolean onMessage(JsonNode message, Consumer<ObjectNode> reply);
+    }
+
+    ReportChannel(EventLog events, Listener listener, TermListener termListener, MessageHandler limitMessages) {
         this.events = events;
         this.listener = listener;
+        this.termListener = termListener;
+        this.limitMessages = limitMessages;
     }
 
     void open(EventLoop eventLoop, InetSocketAddress address) throws InterruptedException {
@@ -176,6 +194,11 @@
                 new InetSocketAddress(former.reportHost(), former.reportPort()));
     }
 
+    /** Sends a message of another kind than a report. */
+    void sendTo(Leader recipient, ObjectNode message) {
+        send(message, new InetSocketAddress(recipient.reportHost(), recipient.reportPort()));
+    }
+
     private void send(ObjectNode message, InetSocketAddress recipient) {
         send(encode(message), recipient);
     }
@@ -202,6 +225,9 @@
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             try {
                 JsonNode message = MAPPER.readTree(ByteBufUtil.getBytes(packet.content()));
+                if (limitMessages.onMessage(message, reply -> send(reply, packet.sender()))) {
+                    return;
+                }
                 if (message.has(TABLE)) {
                     listener.onTableFromLeader(new RecordedTable(
                             RangeTableJson.readCompressed(message.path(TABLE).binaryValue()),
@@ -224,13 +250,14 @@
                             new VmId(message.path(NOT_LEADING_VM).asText()),
                             message.path(NOT_LEADING_START).asLong());
                     // Earlier builds do not name the term.
-                    listener.onNotLeading(
+                    termListener.onNotLeading(
                             process, message.path(NOT_LEADING_BEFORE_TERM).asLong(Long.MAX_VALUE));
                     return;
                 }
                 if (message.has(NEW_TERM)) {
                     long term = message.path(NEW_TERM).asLong();
-                    listener.confirmNotLeadingBefore(term)
+                    termListener
+                            .confirmNotLeadingBefore(term)
                             .ifPresent(process -> send(
                                     MAPPER.createObjectNode()
                                             .put(NOT_LEADING_VM, process.vm().value())
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -12,6 +12,8 @@
 import org.lacewingthread.core.dispatch.AttemptResult;
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.dispatch.LoadReport;
+import org.lacewingthread.core.dispatch.PermitIssuer;
+import org.lacewingthread.core.dispatch.PermitRequest;
 import org.lacewingthread.core.dispatch.RefusalCause;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
@@ -56,6 +58,7 @@
     private final RetryBudget retryBudget;
     private final LongSupplier clockMillis;
     private final KeyRequestListener keyRequestListener;
+    private final LimitLink limitLink;
     private final ActiveRoutes routing = new ActiveRoutes();
     private final RequestAdmission admission;
     private final LimitObserver limits;
@@ -69,6 +72,15 @@
         void onKeyRequested(ServiceId service, int key);
     }
 
+    /** The leader, which permits requests to servers that named a limit. */
+    interface LimitLink {
+        /** Asks for a permit; {@link #onPermit} is called with the answer. */
+        void askPermit(PermitRequest request);
+
+        /** Called when a server no longer names a limit. */
+        void onLimitEnded(ServerStart server);
+    }
+
     RequestEngine(
             HeaderNames headerNames,
             EventLog events,
@@ -77,7 +89,8 @@
             EventLoop eventLoop,
             RetryBudget retryBudget,
             LongSupplier clockMillis,
-            KeyRequestListener keyRequestListener) {
+            KeyRequestListener keyRequestListener,
+            LimitLink limitLink) {
         this.headerNames = headerNames;
         this.events = events;
         this.metrics = metrics;
@@ -85,11 +98,12 @@
         this.connections = new ConnectionPool<>(eventLoop, clockMillis, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
         this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
-        this.limits = new LimitObserver(headerNames.serverLimits(), dispatcher, events);
+        this.limits = new LimitObserver(headerNames.serverLimits(), dispatcher, events, limitLink::onLimitEnded);
         this.admission = new RequestAdmission(headerNames, routing, responder);
         this.retryBudget = retryBudget;
         this.clockMillis = clockMillis;
         this.keyRequestListener = keyRequestListener;
+        this.limitLink = limitLink;
     }
 
     void onConfiguration(ServingConfiguration newest) {
@@ -97,7 +111,13 @@
         dispatcher.onConnectionLimits(routing.connectionLimits());
     }
 
+    /** Applies the leader's answer to a request for a permit. */
+    void onPermit(long number, PermitIssuer.Permit permit) {
+        applyDecisions(dispatcher.onPermit(number, permit, clockMillis.getAsLong()));
+    }
+
     void onEntryVmCount(int count) {
+        dispatcher.onEntryVmCount(count);
         routing.onEntryVmCount(count);
         dispatcher.onConnectionLimits(routing.connectionLimits());
     }
@@ -173,6 +193,10 @@
             if (request == null) {
                 continue;
             }
+            if (decision instanceof Decision.AskPermit ask) {
+                limitLink.askPermit(ask.permitRequest(clockMillis.getAsLong()));
+                continue;
+            }
             request.queuedRequest = Optional.empty();
             if (decision instanceof Decision.Send send) {
                 request.triedServers.add(send.server().start().server());
@@ -191,7 +215,7 @@
         }
         ResultCode code =
                 switch (cause) {
-                    case OVERLOADED, DEADLINE_PASSED -> ResultCode.OVERLOADED;
+                    case OVERLOADED, LIMITED, DEADLINE_PASSED -> ResultCode.OVERLOADED;
                     case NO_OWNER, OWNER_GONE -> ResultCode.NO_OWNER;
                     case OWNER_UNREACHABLE, NO_SERVER -> ResultCode.OWNER_UNREACHABLE;
                 };
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.lacewingthread.core.dispatch.AttemptResult;
+import org.lacewingthread.core.dispatch.PermitIssuer;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.ReleaseOutcome;
@@ -40,6 +41,11 @@
                 .record(elapsedMillis, TimeUnit.MILLISECONDS);
     }
 
+    void onPermit(PermitIssuer.Outcome outcome) {
+        registry.counter("lacewingthread.router.permits", "outcome", outcome.name())
+                .increment();
+    }
+
     void onInvalid(int status) {
         registry.counter("lacewingthread.router.invalid", "status", Integer.toString(status))
                 .increment();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -10,6 +10,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.lacewingthread.core.dispatch.PermitRequest;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.VmStart;
@@ -96,10 +97,23 @@
                 trafficEventLoop,
                 new RetryBudget(settings.retryRatio(), settings.maxSavedRetries()),
                 RouterProcess::trafficNowMillis,
-                (service, key) -> controlLoop.onKeyRequested(service, key));
+                (service, key) -> controlLoop.onKeyRequested(service, key),
+                new LimitLink());
         this.callerListener = new CallerListener(engine, RouterProcess::trafficNowMillis);
     }
 
+    private final class LimitLink implements RequestEngine.LimitLink {
+        @Override
+        public void askPermit(PermitRequest request) {
+            controlLoop.limitExchange().ask(request);
+        }
+
+        @Override
+        public void onLimitEnded(ServerStart server) {
+            controlLoop.limitExchange().onLimitEnded(server);
+        }
+    }
+
     /**
      * Opens the ports and starts to follow the platform.
      *
@@ -121,7 +135,8 @@
                 metrics,
                 this::applyConfiguration,
                 this::applyTopology,
-                count -> trafficEventLoop.execute(() -> engine.onEntryVmCount(count)));
+                count -> trafficEventLoop.execute(() -> engine.onEntryVmCount(count)),
+                (number, permit) -> trafficEventLoop.execute(() -> engine.onPermit(number, permit)));
         registerGauges();
         callerListener.open(
                 trafficGroup,
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
@@ -24,6 +24,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.lacewingthread.core.dispatch.PermitRequest;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
@@ -74,7 +75,14 @@
                 eventLoop,
                 new RetryBudget(0.2, 5),
                 nowMillis::get,
-                (service, key) -> {});
+                (service, key) -> {},
+                new RequestEngine.LimitLink() {
+                    @Override
+                    public void askPermit(PermitRequest request) {}
+
+                    @Override
+                    public void onLimitEnded(ServerStart server) {}
+                });
         engine.onConfiguration(new ServingConfiguration(
                 1,
                 List.of(route("orders", ORDERS), route("desk", DESK)),
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
@@ -60,12 +60,14 @@
     private final EventLog events = new EventLog("vm-1", eventLines, () -> 0);
     private final RecordingListener leaderListener = new RecordingListener();
     private final RecordingListener followerListener = new RecordingListener();
-    private final ReportChannel leaderChannel = new ReportChannel(events, leaderListener);
-    private final ReportChannel followerChannel = new ReportChannel(events, followerListener);
+    private final ReportChannel leaderChannel =
+            new ReportChannel(events, leaderListener, leaderListener, (message, reply) -> false);
+    private final ReportChannel followerChannel =
+            new ReportChannel(events, followerListener, followerListener, (message, reply) -> false);
     private Leader leader;
 
     /** Records what it receives; acts as the leader if it has a recorded table. */
-    private static final class RecordingListener implements ReportChannel.Listener {
+    private static final class RecordingListener implements ReportChannel.Listener, ReportChannel.TermListener {
         private final List<Object> received = new CopyOnWriteArrayList<>();
         private volatile Optional<ReportChannel.RecordedTable> recordedTable = Optional.empty();
 
