--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -43,6 +43,8 @@
     private static final long NO_OWNER_RETRY_AFTER_MILLIS = 300;
     /** Retry delay of a request to a limited server while the leader doesn't answer; about the time of a new leader. */
     private static final long NO_PERMIT_RETRY_AFTER_MILLIS = 700;
+    /** Longest retry delay of a request for a key of a limited server; about the time until the key has moved away. */
+    private static final long MAX_LIMITED_RETRY_AFTER_MILLIS = 500;
     /** Largest random addition to the retry delay of a limited request, as a share of it. */
     private static final double LIMITED_RETRY_SPREAD = 0.5;
     /** Share of the remaining time that may be spent waiting; the rest is left to a refused caller for a retry. */
@@ -121,7 +123,8 @@
             return List.of();
         }
         if (permit.outcome() == PermitIssuer.Outcome.REFUSED) {
-            return refuseLimited(request.get(), permit.retryAfterMillis()).stream()
+            return refuseLimited(request.get(), Math.min(MAX_LIMITED_RETRY_AFTER_MILLIS, permit.retryAfterMillis()))
+                    .stream()
                     .toList();
         }
         return submit(request.get(), nowMillis);
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorTest.java
@@ -223,4 +223,29 @@
             simulation.addServer("r" + round, round);
         }
     }
+
+    /** Guards against callers of a server that suddenly takes little, whose keys stay until the next balance. */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 200, 400, 600, 800})
+    void keysLeaveAServerAtOnceWhenItsCapacityFalls(long offsetMillis) {
+        for (int key = 0; key < 65_536; key += 64) {
+            simulation.load.add(key, 100, simulation.nowMillis + 10_000);
+        }
+        simulation.runFor(6_000 + offsetMillis);
+        ServerStart limited = serverStarts.get(0);
+        int before = keysOf(limited);
+        simulation.capacities.put(limited, 0.2);
+        simulation.runFor(500);
+        assertThat(keysOf(limited)).isLessThan(before / 2);
+        simulation.runFor(3_000);
+        assertThat(simulation.servedKeys()).isEqualTo(simulation.checkedKeys());
+        assertThat(simulation.violations).isEmpty();
+    }
+
+    private int keysOf(ServerStart server) {
+        return simulation.recorded().ranges(RangeSimulation.SERVICE).stream()
+                .filter(ownership -> ownership.owner().equals(server))
+                .mapToInt(ownership -> ownership.range().size())
+                .sum();
+    }
 }
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
@@ -42,6 +42,9 @@
     final Map<ServerStart, SimulatedKeyServer> servers = new TreeMap<>();
     final Set<ServerStart> ready = new HashSet<>();
     final Set<ServerStart> registered = new HashSet<>();
+    /** Capacities of servers; others have 2. */
+    final Map<ServerStart, Double> capacities = new TreeMap<>();
+
     final Set<ServerStart> unreachable = new HashSet<>();
     /** Servers that one VM can't reach, by the name of the VM. */
     final Map<String, Set<ServerStart>> unreachableFrom = new TreeMap<>();
@@ -144,7 +147,7 @@
         coordinator.setLeaderCandidate(vm.name.equals(leaderCandidate) && !disconnectedFromStore.contains(vm.name));
         readTable(vm);
         Map<ServerStart, Double> capacity = new TreeMap<>();
-        ready.forEach(server -> capacity.put(server, 2.0));
+        ready.forEach(server -> capacity.put(server, capacities.getOrDefault(server, 2.0)));
         ServiceView view = new ServiceView(capacity, Set.copyOf(registered), load.profile(nowMillis));
         announceTerm(vm);
         for (CoordinatorAction action : coordinator.step(Map.of(SERVICE, view), nowMillis)) {
