--- a/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
@@ -23,6 +23,11 @@
             "deadline",
             Set.of(),
             end -> "its deadline passed while it waited for a free slot on a server"),
+    LIMITED(
+            Set.of(3001),
+            "LIMITED",
+            Set.of("server.limit", "limit."),
+            end -> "the server that may run it named a limit of requests a second, which was used up"),
     OVERLOADED(
             Set.of(3001),
             "",
@@ -31,7 +36,7 @@
     OWNER_GONE(
             Set.of(3002),
             "OWNER_GONE",
-            Set.of("server.entry-gone", "leadership.", "table.", "store."),
+            Set.of("server.entry-gone", "registry.", "leadership.", "table.", "store."),
             end -> "the server that owned its key had left or was replaced, and no other server had taken over yet"),
     NO_OWNER(
             Set.of(3002),
--- a/daemon/src/main/java/org/lacewingthread/daemon/explain/RequestExplanation.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/explain/RequestExplanation.java
@@ -89,7 +89,7 @@
     }
 
     private List<String> serverIds() {
-        Matcher ids = SERVER_ID.matcher(end.text("tried") + " " + end.text("server"));
+        Matcher ids = SERVER_ID.matcher(end.text("tried") + " " + end.text("server") + " " + end.text("reason"));
         return ids.results().map(result -> result.group()).distinct().toList();
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -33,6 +33,9 @@
     /** The current or last attempt; empty until a server is chosen. */
     Optional<Attempt> attempt = Optional.empty();
 
+    /** The limited server for which a permit was last asked; empty if none was. */
+    Optional<ServerId> limitedServer = Optional.empty();
+
     /** When the newest attempt was sent; empty before the first one. */
     OptionalLong lastSentMillis = OptionalLong.empty();
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -194,6 +194,7 @@
                 continue;
             }
             if (decision instanceof Decision.AskPermit ask) {
+                request.limitedServer = Optional.of(ask.server().server());
                 limitLink.askPermit(ask.permitRequest(clockMillis.getAsLong()));
                 continue;
             }
@@ -220,7 +221,10 @@
                     case OWNER_UNREACHABLE, NO_SERVER -> ResultCode.OWNER_UNREACHABLE;
                 };
         finish(request);
-        responder.refuse(request, code, cause.toString(), retryAfterMillis);
+        String limitedBy = cause == RefusalCause.LIMITED
+                ? request.limitedServer.map(server -> " by " + server).orElse("")
+                : "";
+        responder.refuse(request, code, cause + limitedBy, retryAfterMillis);
     }
 
     private void finish(ActiveRequest request) {
--- a/daemon/src/test/java/org/lacewingthread/daemon/cli/ExplainCommandTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/cli/ExplainCommandTest.java
@@ -25,6 +25,9 @@
             {"at_unix_ms":63000,"vm":"vm-1","event":"request.ended","request":"a4","service":"orders",\
             "key":7,"code":4001,"status":502,"elapsed_ms":730,"sends":1,"tried":"i-7:500",\
             "reason":"no second attempt: OVERLOADED"}
+            {"at_unix_ms":63900,"vm":"vm-1","event":"server.limit-named","server":"i-7@0","per_second":2.1}
+            {"at_unix_ms":64000,"vm":"vm-1","event":"request.ended","request":"a5","service":"orders",\
+            "key":7,"code":3001,"status":503,"elapsed_ms":6,"sends":0,"reason":"LIMITED by i-7"}
             """;
     private static final String SECOND_VM =
             """
@@ -73,6 +76,15 @@
                         "4000 OUTCOME_UNKNOWN, outcome unknown");
     }
 
+    @Test
+    void refusalForALimitShowsTheLimitThatTheServerNamed() {
+        commandLine.run("explain", "a5", first);
+        assertThat(commandLine.out())
+                .contains(
+                        "cause: the server that may run it named a limit of requests a second, which was used up",
+                        "-0.100 s vm-1 server.limit-named server=i-7@0 per_second=2.1");
+    }
+
     @Test
     void failedAttemptIsDistinguishedFromBrokenConnection() {
         commandLine.run("explain", "a4", first);
