Move keys for limits that are known together, and keep precedence of urgent requests

A limited server's capacity came from the mean service time, which includes waiting, so it could get more load than its limit. PermitIssuer gave less urgent requests nearly every permit while urgent ones asked (39 of 40 in PermitIssuerTest.lessUrgentRequestsGetSomePermits), since any refusal counted for them.

Fix: the balance keeps its second; limits count for the planner once no new one came for half a second; a limited server's load is at most seven tenths of its limit; refusals to less urgent requests are counted by themselves.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/PermitIssuer.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/PermitIssuer.java
@@ -13,7 +13,7 @@
  * }</pre>
  *
  * <p>A request that gets no permit is told when to come back. More urgent requests go first: while they ask, others
- * leave one permit unused, but every fourth of these is treated alike, so that none waits for good.
+ * leave one permit unused; after some refusals one of these is treated alike, so that none waits for good.
  *
  * <p>Times are milliseconds of a monotonic clock. Not safe for use by several threads.
  */
@@ -24,14 +24,22 @@
     private static final double INITIAL_PERMITS = 1;
     /** How long a more urgent request has precedence after it asked. */
     private static final long PRECEDENCE_MILLIS = 1_000;
-    /** Refusals in a row after which a less urgent request is treated like an urgent one. */
-    private static final int MAX_REFUSALS_IN_A_ROW = 3;
+    /** Refusals to less urgent requests after which the next one is treated like an urgent one. */
+    private static final int MAX_REFUSALS_TO_LESS_URGENT = 12;
     /** A limit that nobody has asked about for this long is forgotten. */
     private static final long FORGET_AFTER_MILLIS = 10_000;
 
     private static final double MILLIS_PER_SECOND = 1e3;
 
+    /** Servers that come into need together name their limits within about this time. */
+    private static final long SETTLING_MILLIS = 500;
+    /** Time after which limits are reported although others keep being named. */
+    private static final long MAX_SETTLING_MILLIS = 2_000;
+
     private final Map<ServerStart, Bucket> buckets = new HashMap<>();
+    private Map<ServerStart, Double> settledLimits = Map.of();
+    private long newestLimitMillis = Long.MIN_VALUE / 2;
+    private long settledAtMillis = Long.MIN_VALUE / 2;
 
     /** Permits of one server. */
     private static final class Bucket {
@@ -43,6 +51,7 @@
         private int mostUrgentPriority;
         private long mostUrgentAtMillis = Long.MIN_VALUE / 2;
         private int refusalsInARow;
+        private int refusalsToLessUrgent;
         private long askedAtMillis;
 
         private boolean isEnded() {
@@ -73,6 +82,9 @@
         Bucket bucket = buckets.computeIfAbsent(request.server(), server -> new Bucket());
         long namedAtMillis = nowMillis - request.namedAgoMillis();
         fill(bucket, nowMillis);
+        if (bucket.limit == null || (bucket.isEnded() && namedAtMillis > bucket.endedAtMillis)) {
+            newestLimitMillis = nowMillis;
+        }
         if (bucket.limit == null || namedAtMillis > bucket.namedAtMillis) {
             bucket.limit = request.limit();
             bucket.namedAtMillis = namedAtMillis;
@@ -81,7 +93,13 @@
         if (bucket.isEnded()) {
             return new Permit(Outcome.NOT_LIMITED, 0);
         }
-        if (bucket.permits >= neededPermits(bucket, request.priority(), nowMillis)) {
+        boolean precedes = takesPrecedence(bucket, request.priority(), nowMillis);
+        boolean leavesPermit = !precedes && bucket.refusalsToLessUrgent < MAX_REFUSALS_TO_LESS_URGENT;
+        boolean granted = bucket.permits >= (leavesPermit ? 2 : 1);
+        if (!precedes) {
+            bucket.refusalsToLessUrgent = granted ? 0 : bucket.refusalsToLessUrgent + 1;
+        }
+        if (granted) {
             bucket.permits--;
             bucket.refusalsInARow = 0;
             return new Permit(Outcome.GRANTED, 0);
@@ -98,14 +116,14 @@
         bucket.filledAtMillis = nowMillis;
     }
 
-    private static double neededPermits(Bucket bucket, int priority, long nowMillis) {
+    private static boolean takesPrecedence(Bucket bucket, int priority, long nowMillis) {
         boolean precedenceOver = nowMillis - bucket.mostUrgentAtMillis > PRECEDENCE_MILLIS;
-        if (precedenceOver || priority <= bucket.mostUrgentPriority) {
-            bucket.mostUrgentPriority = priority;
-            bucket.mostUrgentAtMillis = nowMillis;
-            return 1;
+        if (!precedenceOver && priority > bucket.mostUrgentPriority) {
+            return false;
         }
-        return bucket.refusalsInARow >= MAX_REFUSALS_IN_A_ROW ? 1 : 2;
+        bucket.mostUrgentPriority = priority;
+        bucket.mostUrgentAtMillis = nowMillis;
+        return true;
     }
 
     /** The time until as many permits have been saved up as requests were refused since the last grant. */
@@ -126,15 +144,22 @@
         }
     }
 
-    /** Returns the limits in force that were asked about of late, in requests a second. */
-    public Map<ServerStart, Double> limitsPerSecond(long nowMillis) {
+    /**
+     * Returns the limits in force that were asked about of late, in requests a second. New ones are left out until no
+     * further one is named for a moment, so that keys don't move to servers that are about to name one too.
+     */
+    public Map<ServerStart, Double> settledLimitsPerSecond(long nowMillis) {
         buckets.values().removeIf(bucket -> nowMillis - bucket.askedAtMillis > FORGET_AFTER_MILLIS);
-        Map<ServerStart, Double> limits = new HashMap<>();
-        buckets.forEach((server, bucket) -> {
-            if (!bucket.isEnded()) {
-                limits.put(server, bucket.limit.perSecond());
-            }
-        });
-        return limits;
+        boolean settled = nowMillis - newestLimitMillis >= SETTLING_MILLIS;
+        if (settled || nowMillis - settledAtMillis >= MAX_SETTLING_MILLIS) {
+            settledAtMillis = nowMillis;
+            settledLimits = new HashMap<>();
+            buckets.forEach((server, bucket) -> settledLimits.put(server, bucket.limit.perSecond()));
+        }
+        Map<ServerStart, Double> inForce = new HashMap<>(settledLimits);
+        inForce.keySet()
+                .removeIf(server ->
+                        !buckets.containsKey(server) || buckets.get(server).isEnded());
+        return inForce;
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -1,14 +1,12 @@
 package org.lacewingthread.core.keyrange;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
-import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.id.VmStart;
 
@@ -42,8 +40,6 @@
 public final class RangeCoordinator {
     /** Interval at which ranges may move to balance load. */
     private static final long BALANCE_INTERVAL_MILLIS = 1_000;
-    /** Ranges move at once when a server's capacity falls below this share of that at the last balance. */
-    private static final double CAPACITY_LOSS_RATIO = 0.5;
 
     private final Leader self;
     private final RangeLeaseTimes times;
@@ -64,7 +60,6 @@
 
     private long storeAnsweredMillis = Long.MIN_VALUE / 2;
     private long nextBalanceAtMillis;
-    private final Map<ServerStart, Double> capacityAtLastBalance = new HashMap<>();
 
     /** Creates a coordinator without a table, which therefore doesn't lead. */
     public RangeCoordinator(Leader self, RangeLeaseTimes times) {
@@ -298,22 +293,12 @@
     }
 
     private RangeTable proposeTable(Map<ServiceId, ServiceView> services, long nowMillis) {
-        boolean balancesLoad = (nowMillis >= nextBalanceAtMillis || hasLostCapacity(services))
+        boolean balancesLoad = nowMillis >= nextBalanceAtMillis
                 && nowMillis - storeAnsweredMillis <= times.maxStoreSilenceForMovesMillis();
         if (balancesLoad) {
             nextBalanceAtMillis = nowMillis + BALANCE_INTERVAL_MILLIS;
-            capacityAtLastBalance.clear();
-            services.values().forEach(view -> capacityAtLastBalance.putAll(view.capacityByServer()));
         }
         RangeTable base = formerLeaders.isEmpty() ? table.withoutFormerLeaders() : table;
         return holds.propose(base, services, balancesLoad, nowMillis);
     }
-
-    /** Returns whether a server takes much less than at the last balance, so that its callers would wait for the next. */
-    private boolean hasLostCapacity(Map<ServiceId, ServiceView> services) {
-        return services.values().stream()
-                .flatMap(view -> view.capacityByServer().entrySet().stream())
-                .anyMatch(capacity -> capacity.getValue()
-                        < CAPACITY_LOSS_RATIO * capacityAtLastBalance.getOrDefault(capacity.getKey(), 0.0));
-    }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -304,7 +304,7 @@
         if (!coordinator.isLeading()) {
             return views;
         }
-        Map<ServerStart, Double> limits = limitExchange.limitsPerSecond();
+        Map<ServerStart, Double> limits = limitExchange.settledLimitsPerSecond();
         for (ServiceSpec service : configuration.orElseThrow().services().values()) {
             if (service.keyed()) {
                 views.put(service.id(), keyspaceLoad.view(service.id(), publishedServers, limits, nowMillis));
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
@@ -29,6 +29,8 @@
     /** Capacity of a server that has just started, relative to a warmed-up one. */
     private static final double COLD_CAPACITY_RATIO = 0.6;
 
+    /** Share of a server's limit up to which it is given load; requests come unevenly. */
+    private static final double LIMIT_UTILIZATION = 0.7;
     /** Capacity of a server whose limit leaves it almost none; loads are divided by it. */
     private static final double MIN_CAPACITY = 0.01;
 
@@ -53,7 +55,7 @@
 
     /**
      * Returns the capacity of a service's servers and the load of its keys. A server with a limit has no more capacity
-     * than the limit uses, so that its keys move to others.
+     * than its limit, so that its keys move to others.
      *
      * @param limitPerSecondByServer limits that servers named
      */
@@ -78,20 +80,34 @@
                 registered.add(server.start());
             }
             if (server.isReady()) {
-                Double limitPerSecond = limitPerSecondByServer.get(server.start());
-                double capacity = capacity(server, meanMillis);
-                capacityByServer.put(
-                        server.start(),
-                        limitPerSecond == null ? capacity : limitedCapacity(capacity, limitPerSecond, meanMillis));
+                capacityByServer.put(server.start(), capacity(server, meanMillis));
             }
         }
-        return new ServiceView(capacityByServer, registered, keyLoadOf(service).profile(nowMillis));
+        KeyLoad.Profile load = keyLoadOf(service).profile(nowMillis);
+        double requestsPerSecond = load.sampleCount() * MILLIS_PER_SECOND / LOAD_WINDOW_MILLIS;
+        applyLimits(capacityByServer, limitPerSecondByServer, requestsPerSecond);
+        return new ServiceView(capacityByServer, registered, load);
     }
 
-    /** A server with one slot and the mean service time has a capacity of 1. */
-    private static double limitedCapacity(double capacity, double limitPerSecond, double meanMillis) {
-        double usedByLimit = limitPerSecond * meanMillis / MILLIS_PER_SECOND;
-        return Math.max(MIN_CAPACITY, Math.min(capacity, usedByLimit));
+    /** Reduces the capacities of limited servers, so that their part of the load is below their limit. */
+    private static void applyLimits(
+            Map<ServerStart, Double> capacityByServer,
+            Map<ServerStart, Double> limitPerSecondByServer,
+            double requestsPerSecond) {
+        double total = capacityByServer.values().stream()
+                .mapToDouble(Double::doubleValue)
+                .sum();
+        if (requestsPerSecond <= 0) {
+            return;
+        }
+        double capacityPerRequest = total / requestsPerSecond;
+        capacityByServer.replaceAll((server, capacity) -> {
+            Double limitPerSecond = limitPerSecondByServer.get(server);
+            return limitPerSecond == null
+                    ? capacity
+                    : Math.max(
+                            MIN_CAPACITY, Math.min(capacity, limitPerSecond * LIMIT_UTILIZATION * capacityPerRequest));
+        });
     }
 
     private double capacity(KnownServer server, double meanMillis) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LimitExchange.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LimitExchange.java
@@ -130,9 +130,9 @@
         return permit;
     }
 
-    /** Returns the limits in force that this process knows as the leader, in requests a second. */
-    Map<ServerStart, Double> limitsPerSecond() {
-        return currentIssuer().limitsPerSecond(clockMillis.getAsLong());
+    /** Returns the limits in force that keys are to be moved for, in requests a second. */
+    Map<ServerStart, Double> settledLimitsPerSecond() {
+        return currentIssuer().settledLimitsPerSecond(clockMillis.getAsLong());
     }
 
     /** Returns the issuer of this term; permits that were saved up in an earlier one don't count. */
