--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -200,16 +200,17 @@
         return Optional.of(new ReportChannel.LeaderStatus(
                 coordinator.storeSilenceMillis(nowMillis),
                 nowMillis - registry.currentAsOfMillis(),
+                nowMillis - platform.configurationAsOfMillis(),
                 entryVmCounter.count(self.vm().value(), nowMillis),
                 platform.positions()));
     }
 
     @Override
-    public void onLeaderStatus(ReportChannel.LeaderStatus status, OptionalLong registryAsOfMillis) {
+    public void onLeaderStatus(ReportChannel.LeaderStatus status, Optional<Platform.AsOf> asOf) {
         entryVmCountListener.accept(status.entryVmCount());
         coordinator.onLeaderAnswer(status.storeSilenceMillis(), clock.nowMillis());
         if (status.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
-            platform.onLeaderPositions(status.positions(), registryAsOfMillis);
+            platform.onLeaderPositions(status.positions(), asOf);
         }
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -81,16 +81,26 @@
      */
     record Positions(long registry, long configuration, long table) {}
 
+    /**
+     * Times up to which everything is known, by the control clock of the VM that receives them.
+     *
+     * @param registryMillis up to which all changes of servers are known
+     * @param configurationMillis up to which all configurations are known
+     */
+    record AsOf(long registryMillis, long configurationMillis) {}
+
+    /** Returns the time up to which all configurations have been passed on; far in the past before the first reading. */
+    long configurationAsOfMillis();
+
     /** Returns the positions up to which this VM has read. */
     Positions positions();
 
     /**
      * Reports the positions up to which the leader has read; the leader reads more often than the other entry VMs.
      *
-     * @param registryAsOfMillis time up to which the leader knows all changes of servers, by this VM's control clock;
-     *     empty if that is not known
+     * @param asOf times up to which the positions are complete; empty if that is not known
      */
-    void onLeaderPositions(Positions positions, OptionalLong registryAsOfMillis);
+    void onLeaderPositions(Positions positions, Optional<AsOf> asOf);
 
     /** Appends a range table. */
     void appendTable(CoordinatorAction.RecordTable action, Consumer<AppendResult> result);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -47,6 +47,7 @@
 
     private static final String STORE_SILENCE = "storeSilenceMillis";
     private static final String REGISTRY_SILENCE = "registrySilenceMillis";
+    private static final String CONFIGURATION_AGE = "configurationAgeMillis";
     private static final String ENTRY_VMS = "entryVms";
     private static final String REGISTRY_POSITION = "registryPosition";
     private static final String CONFIGURATION_POSITION = "configurationPosition";
@@ -58,6 +59,9 @@
     private static final String NOT_LEADING_VM = "notLeadingVm";
     private static final String NOT_LEADING_START = "notLeadingStart";
     private static final String NOT_LEADING_BEFORE_TERM = "notLeadingBeforeTerm";
+    /** Age that confirms nothing; earlier builds do not state one. */
+    private static final long UNKNOWN_AGE_MILLIS = Long.MAX_VALUE / 2;
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final EventLog events;
@@ -73,11 +77,16 @@
      *
      * @param storeSilenceMillis how long the store has not answered the leader
      * @param registrySilenceMillis age of the leader's knowledge of the servers
+     * @param configurationAgeMillis age of the leader's knowledge of the configuration
      * @param entryVmCount how many entry VMs are alive
      * @param positions log positions up to which the leader has read
      */
     record LeaderStatus(
-            long storeSilenceMillis, long registrySilenceMillis, int entryVmCount, Platform.Positions positions) {}
+            long storeSilenceMillis,
+            long registrySilenceMillis,
+            long configurationAgeMillis,
+            int entryVmCount,
+            Platform.Positions positions) {}
 
     /**
      * A range table that is recorded in the store.
@@ -109,10 +118,10 @@
         /**
          * Called with the leader's answer to a report.
          *
-         * @param registryAsOfMillis time up to which the leader knows all changes of servers, by this VM's control
-         *     clock; empty if the leader runs an earlier build
+         * @param asOf times up to which the leader knows everything, by this VM's control clock; empty if the leader runs
+         *     an earlier build
          */
-        void onLeaderStatus(LeaderStatus status, OptionalLong registryAsOfMillis);
+        void onLeaderStatus(LeaderStatus status, Optional<Platform.AsOf> asOf);
 
         /** Called for each report of an entry VM. */
         void onReport(String vm);
@@ -237,12 +246,13 @@
                     LeaderStatus status = new LeaderStatus(
                             message.path(STORE_SILENCE).asLong(),
                             message.path(REGISTRY_SILENCE).asLong(),
+                            message.path(CONFIGURATION_AGE).asLong(UNKNOWN_AGE_MILLIS),
                             message.path(ENTRY_VMS).asInt(1),
                             new Platform.Positions(
                                     message.path(REGISTRY_POSITION).asLong(),
                                     message.path(CONFIGURATION_POSITION).asLong(),
                                     message.path(TABLE_POSITION).asLong()));
-                    listener.onLeaderStatus(status, registryAsOfMillis(message, status));
+                    listener.onLeaderStatus(status, asOf(message, status));
                     return;
                 }
                 if (message.has(NOT_LEADING_VM)) {
@@ -277,11 +287,13 @@
         }
 
         /** The leader answered after the report was sent, so what it knows is no older than by this difference. */
-        private OptionalLong registryAsOfMillis(JsonNode message, LeaderStatus status) {
+        private Optional<Platform.AsOf> asOf(JsonNode message, LeaderStatus status) {
             JsonNode reportSentAt = message.path(REPORT_SENT_AT);
             return reportSentAt.isIntegralNumber()
-                    ? OptionalLong.of(reportSentAt.asLong() - status.registrySilenceMillis())
-                    : OptionalLong.empty();
+                    ? Optional.of(new Platform.AsOf(
+                            reportSentAt.asLong() - status.registrySilenceMillis(),
+                            reportSentAt.asLong() - status.configurationAgeMillis()))
+                    : Optional.empty();
         }
 
         /** Sends the status, and the range table if it is wanted. The loss of a large table leaves the status intact. */
@@ -332,6 +344,7 @@
             return MAPPER.createObjectNode()
                     .put(STORE_SILENCE, status.storeSilenceMillis())
                     .put(REGISTRY_SILENCE, status.registrySilenceMillis())
+                    .put(CONFIGURATION_AGE, status.configurationAgeMillis())
                     .put(ENTRY_VMS, status.entryVmCount())
                     .put(REGISTRY_POSITION, status.positions().registry())
                     .put(CONFIGURATION_POSITION, status.positions().configuration())
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
@@ -61,7 +60,12 @@
         }
 
         @Override
-        public void onLeaderPositions(Positions positions, OptionalLong registryAsOfMillis) {}
+        public void onLeaderPositions(Positions positions, Optional<AsOf> asOf) {}
+
+        @Override
+        public long configurationAsOfMillis() {
+            return 0;
+        }
 
         @Override
         public void appendTable(CoordinatorAction.RecordTable action, Consumer<AppendResult> result) {
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
@@ -51,7 +51,6 @@
     private static final int MANY_SERVERS = 150;
     private static final int KEYS_PER_SERVICE = 180;
     private static final long SENT_AT_MILLIS = 77_000;
-    private static final long LEADER_REGISTRY_AGE_MILLIS = 2;
     private static final int RECEIVE_TIMEOUT_MILLIS = 5_000;
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -71,13 +70,13 @@
         private final List<Object> received = new CopyOnWriteArrayList<>();
         private volatile Optional<ReportChannel.RecordedTable> recordedTable = Optional.empty();
 
-        private final List<Long> registryTimes = new CopyOnWriteArrayList<>();
+        private final List<Platform.AsOf> leaderTimes = new CopyOnWriteArrayList<>();
         private volatile int entryVmCount = 3;
 
         @Override
         public Optional<ReportChannel.LeaderStatus> leaderStatus() {
             return recordedTable.map(table -> new ReportChannel.LeaderStatus(
-                    1, LEADER_REGISTRY_AGE_MILLIS, entryVmCount, new Platform.Positions(4, 5, table.logEnd())));
+                    1, 2, 6, entryVmCount, new Platform.Positions(4, 5, table.logEnd())));
         }
 
         @Override
@@ -91,9 +90,9 @@
         }
 
         @Override
-        public void onLeaderStatus(ReportChannel.LeaderStatus status, OptionalLong registryAsOfMillis) {
+        public void onLeaderStatus(ReportChannel.LeaderStatus status, Optional<Platform.AsOf> asOf) {
             received.add(status);
-            registryAsOfMillis.ifPresent(registryTimes::add);
+            asOf.ifPresent(leaderTimes::add);
         }
 
         @Override
@@ -158,9 +157,9 @@
         sendReportAndAwaitStatus(OptionalLong.empty());
         assertThat(leaderListener.received).contains("vm-2", ORDERS + "/7", SERVER + "=120.0");
         assertThat(followerListener.received)
-                .containsExactly(new ReportChannel.LeaderStatus(
-                        1, LEADER_REGISTRY_AGE_MILLIS, 3, new Platform.Positions(4, 5, 12)));
-        assertThat(followerListener.registryTimes).containsExactly(SENT_AT_MILLIS - LEADER_REGISTRY_AGE_MILLIS);
+                .containsExactly(new ReportChannel.LeaderStatus(1, 2, 6, 3, new Platform.Positions(4, 5, 12)));
+        assertThat(followerListener.leaderTimes)
+                .containsExactly(new Platform.AsOf(SENT_AT_MILLIS - 2, SENT_AT_MILLIS - 6));
     }
 
     @Test
