--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -62,8 +62,8 @@
     private final Map<ServerStart, ServerLoadState> servers = new HashMap<>();
     private final Map<ServiceId, List<ServerLoadState>> serversByService = new HashMap<>();
     private final Map<ServiceId, TreeSet<DispatchRequest>> waitingByService = new HashMap<>();
-    private RangeTable rangeTable = RangeTable.EMPTY;
     private final ServerLimits limits;
+    private RangeTable rangeTable = RangeTable.EMPTY;
     private Map<ServiceId, Integer> connectionLimits = Map.of();
 
     /**
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
@@ -116,8 +116,10 @@
         if (entryVmCount.isEmpty()) {
             return false;
         }
-        while (nowMillis >= limit.nextSlotMillis + SLOT_VALIDITY_MILLIS) {
-            limit.nextSlotMillis += slotIntervalMillis(limit);
+        long overdueMillis = nowMillis - limit.nextSlotMillis - SLOT_VALIDITY_MILLIS;
+        if (overdueMillis >= 0) {
+            long intervalMillis = slotIntervalMillis(limit);
+            limit.nextSlotMillis += (overdueMillis / intervalMillis + 1) * intervalMillis;
         }
         return nowMillis >= limit.nextSlotMillis;
     }
