Keep a leader without links to servers from taking them all for lost

Cause: the leader called an owner unresponsive 0.9 s after its first unanswered grant, whoever else was silent, and kept the lead, since only the store and the reports were asked for. Holds ran out and nobody renewed them. Evidence: 23 of 23 owners unanswered within a second, no further grant and no second term until the cut healed. Change: a call without answer tells of its server only if another one answered shortly before the call, and not while this VM's links are impaired; such a leader says so, and a VM that servers answer takes over, only if there is one.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/LeaderPresence.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/LeaderPresence.java
@@ -1,6 +1,6 @@
 package org.lacewingthread.core.keyrange;
 
-/** Tracks whether the leader is presumed to be alive, so that no other VM takes over. */
+/** Tracks whether the leader is presumed to be alive and able to renew grants, so that no other VM takes over. */
 final class LeaderPresence {
     /** Time after an answer of the leader during which no other VM takes over. */
     private static final long LEADER_ANSWER_VALIDITY_MILLIS = 1_500;
@@ -8,14 +8,27 @@
     private static final long MAX_LEADER_STORE_SILENCE_MILLIS = 2_500;
 
     private long presumedAliveUntilMillis = Long.MIN_VALUE / 2;
+    private boolean linksImpaired;
 
-    void recordAnswer(long storeSilenceMillis, long nowMillis) {
+    /**
+     * Records an answer of the leader.
+     *
+     * @param leaderLinksImpaired whether the leader reaches no server, or far fewer than another entry VM
+     */
+    void recordAnswer(long storeSilenceMillis, boolean leaderLinksImpaired, long nowMillis) {
+        linksImpaired = leaderLinksImpaired;
         if (storeSilenceMillis < MAX_LEADER_STORE_SILENCE_MILLIS) {
             presumedAliveUntilMillis = nowMillis + LEADER_ANSWER_VALIDITY_MILLIS;
         }
     }
 
-    boolean isPresumedAlive(long nowMillis) {
-        return nowMillis < presumedAliveUntilMillis;
+    /**
+     * Returns whether the leader keeps another VM from taking over.
+     *
+     * @param reachesServers whether the other VM reaches servers, so that it can renew grants that the leader can't
+     */
+    boolean preventsTakeover(boolean reachesServers, long nowMillis) {
+        boolean presumedAlive = nowMillis < presumedAliveUntilMillis;
+        return presumedAlive && !(linksImpaired && reachesServers);
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -48,6 +48,7 @@
     private final RangeHolds holds;
     private final TableAppends appends = new TableAppends();
     private final LeaderPresence leaderPresence = new LeaderPresence();
+    private final ServerLinks serverLinks = new ServerLinks();
     private RangeTable table = RangeTable.EMPTY;
     private long logEnd = -1;
     private final Set<Leader> formerLeaders = new HashSet<>();
@@ -77,7 +78,7 @@
         this.times = times;
         this.listener = listener;
         this.clockLeadMillis = clockLeadMillis;
-        this.holds = new RangeHolds(times, listener, clockLeadMillis);
+        this.holds = new RangeHolds(times, listener, serverLinks, clockLeadMillis);
     }
 
     /** Returns the newest known table. */
@@ -104,9 +105,26 @@
      * Records that the leader answered a load report.
      *
      * @param storeSilenceMillis time since the store last answered the leader
+     * @param linksImpaired whether the leader reaches no server, or far fewer than another entry VM
      */
-    public void onLeaderAnswer(long storeSilenceMillis, long nowMillis) {
-        leaderPresence.recordAnswer(storeSilenceMillis, nowMillis);
+    public void onLeaderAnswer(long storeSilenceMillis, boolean linksImpaired, long nowMillis) {
+        leaderPresence.recordAnswer(storeSilenceMillis, linksImpaired, nowMillis);
+    }
+
+    /**
+     * Records when any server last answered this VM, be it a grant, a request or a new connection. Only such an answer
+     * shows that the silence of another server is not due to this VM's own links.
+     */
+    public void onServerAnswer(long answeredMillis) {
+        serverLinks.recordAnswer(answeredMillis);
+    }
+
+    /**
+     * Sets whether this VM reaches no server, or far fewer than another entry VM. Such a VM does not claim leadership, and
+     * as leader does not take the silence of servers for their end.
+     */
+    public void setLinksImpaired(boolean impaired) {
+        serverLinks.setImpaired(impaired);
     }
 
     /** Returns former leaders that may not know of the new term yet; empty unless this process leads. */
@@ -274,8 +292,9 @@
     }
 
     private void claimLeadership(List<CoordinatorAction> actions, long nowMillis) {
-        boolean leaderAlive = leaderPresence.isPresumedAlive(nowMillis);
-        if (leaderCandidate && !leaderAlive && logEnd >= 0 && appends.mayCall(nowMillis)) {
+        boolean mayLead = leaderCandidate && !serverLinks.isImpaired();
+        boolean leaderStays = leaderPresence.preventsTakeover(serverLinks.hasRecentAnswer(nowMillis), nowMillis);
+        if (mayLead && !leaderStays && logEnd >= 0 && appends.mayCall(nowMillis)) {
             RangeTable claim = appends.tableToRepeat().orElseGet(() -> table.withLeader(table.term() + 1, self));
             actions.add(appends.start(claim, logEnd, nowMillis));
         }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -20,7 +20,8 @@
     private final RangeLeaseTimes times;
     private final RangeEventListener listener;
     private final GrantLedger ledger;
-    private final ServerLiveness liveness = new ServerLiveness();
+    private final ServerLinks serverLinks;
+    private final ServerLiveness liveness;
     private final List<RangeHold> holds = new ArrayList<>();
     private final Map<Long, PendingCall> pendingCalls = new HashMap<>();
     private long nextFence;
@@ -32,12 +33,16 @@
      * @param hold range for which it was sent
      * @param server server that received it
      * @param settlementMark for a release, the newest settlement when it was sent
+     * @param sentMillis when it was sent
      */
-    private record PendingCall(RangeHold hold, ServerStart server, long settlementMark) {}
+    private record PendingCall(RangeHold hold, ServerStart server, long settlementMark, long sentMillis) {}
 
-    RangeHolds(RangeLeaseTimes times, RangeEventListener listener, LongSupplier clockLeadMillis) {
+    RangeHolds(
+            RangeLeaseTimes times, RangeEventListener listener, ServerLinks serverLinks, LongSupplier clockLeadMillis) {
         this.times = times;
         this.listener = listener;
+        this.serverLinks = serverLinks;
+        this.liveness = new ServerLiveness(serverLinks);
         this.ledger = new GrantLedger(times, clockLeadMillis);
     }
 
@@ -100,7 +105,8 @@
             if (hold.inheritFrom(other)) {
                 pendingCalls.computeIfPresent(
                         hold.pendingCall(),
-                        (call, pending) -> new PendingCall(hold, pending.server(), pending.settlementMark()));
+                        (call, pending) -> new PendingCall(
+                                hold, pending.server(), pending.settlementMark(), pending.sentMillis()));
             }
         }
         if (hold.formerOwnerFence == 0) {
@@ -127,6 +133,9 @@
             return;
         }
         RangeHold hold = pending.hold();
+        if (outcome != GrantOutcome.UNKNOWN) {
+            serverLinks.recordAnswer(nowMillis);
+        }
         ledger.onGrantAnswer(call, pending.server(), outcome, nowMillis);
         boolean newest = hold.endCall(call);
         if (newest && outcome == GrantOutcome.GRANTED) {
@@ -137,7 +146,8 @@
         // Renewals by former leaders have no known end, which must not exclude the server for good.
         long latestEndMillis = times.heldUntilMillis(nowMillis + MAX_CALL_DELIVERY_MILLIS);
         long heldUntilMillis = ledger.heldUntilMillis(hold.service, hold.owner, hold.range, nowMillis);
-        liveness.recordGrantOutcome(hold, outcome, Math.min(heldUntilMillis, latestEndMillis), nowMillis);
+        liveness.recordGrantOutcome(
+                hold, outcome, pending.sentMillis(), Math.min(heldUntilMillis, latestEndMillis), nowMillis);
     }
 
     /** Records the result of a release. It counts even if the table has changed meanwhile. */
@@ -182,7 +192,7 @@
                 continue;
             }
             if (hold.phase == RangeHold.Phase.RELEASING) {
-                release(hold, actions);
+                release(hold, actions, nowMillis);
             } else if (!shouldLetExpire(hold, view, nowMillis)
                     && !ownerMayBeReplaced.test(hold)
                     && isFree(hold, view, nowMillis)) {
@@ -209,14 +219,14 @@
     }
 
     /** Asks the former owner to release the range, unless a grant that is under way might arrive after the release. */
-    private void release(RangeHold hold, List<CoordinatorAction> actions) {
+    private void release(RangeHold hold, List<CoordinatorAction> actions, long nowMillis) {
         ServerStart formerOwner = hold.movingFrom.orElseThrow();
         if (hold.releaseResult.isPresent() || ledger.hasPendingGrant(hold.service, formerOwner, hold.range)) {
             return;
         }
         long call = ++nextCallId;
         hold.onCallSent(call);
-        pendingCalls.put(call, new PendingCall(hold, formerOwner, ledger.settlementMark()));
+        pendingCalls.put(call, new PendingCall(hold, formerOwner, ledger.settlementMark(), nowMillis));
         actions.add(new CoordinatorAction.Release(call, hold.service, formerOwner, hold.range, hold.formerOwnerFence));
     }
 
@@ -226,7 +236,7 @@
         long heldUntilMillis = ledger.heldUntilMillis(hold.service, hold.owner, hold.range, nowMillis);
         hold.prepareGrant(times, liveness.isSuspected(hold.owner), heldUntilMillis, latestArrivalMillis);
         hold.onCallSent(call);
-        pendingCalls.put(call, new PendingCall(hold, hold.owner, 0));
+        pendingCalls.put(call, new PendingCall(hold, hold.owner, 0, nowMillis));
         ledger.onGrantSent(
                 call, hold.service, hold.owner, hold.range, hold.fence, hold.lastGrantMillis, latestArrivalMillis);
         actions.add(new CoordinatorAction.Grant(
--- a/core/src/main/java/org/lacewingthread/core/keyrange/ServerLiveness.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/ServerLiveness.java
@@ -9,7 +9,8 @@
 
 /**
  * Tracks which servers do not answer the leader's grants and which have ended. A {@link ServerStart}
- * is one run of a server process; after a restart it has ended, even if the server keeps its id.
+ * is one run of a server process; after a restart it has ended, even if the server keeps its id. The silence of a
+ * server counts only while this VM's links to other servers work.
  */
 final class ServerLiveness {
     /** Time since the first unanswered grant after which no more are sent, so that the hold expires. */
@@ -20,20 +21,27 @@
     private final Set<ServerStart> ended = new HashSet<>();
     private final Map<ServerStart, Long> unresponsiveUntilMillis = new HashMap<>();
     private final Set<ServerStart> suspected = new HashSet<>();
+    private final ServerLinks serverLinks;
+
+    ServerLiveness(ServerLinks serverLinks) {
+        this.serverLinks = serverLinks;
+    }
 
     /**
      * Records what the outcome of a grant shows of the owner; a refused grant shows nothing.
      *
+     * @param sentMillis when the grant was sent
      * @param heldUntilMillis time after which none of the owner's grants for the range can be in force
      */
-    void recordGrantOutcome(RangeHold hold, GrantOutcome outcome, long heldUntilMillis, long nowMillis) {
+    void recordGrantOutcome(
+            RangeHold hold, GrantOutcome outcome, long sentMillis, long heldUntilMillis, long nowMillis) {
         if (outcome == GrantOutcome.GRANTED) {
             unresponsiveUntilMillis.remove(hold.owner);
             suspected.remove(hold.owner);
         } else if (outcome == GrantOutcome.SERVER_REPLACED) {
             recordEnded(hold.owner);
         } else if (outcome == GrantOutcome.UNKNOWN) {
-            recordUnansweredGrant(hold, heldUntilMillis, nowMillis);
+            recordUnansweredGrant(hold, sentMillis, heldUntilMillis, nowMillis);
         }
     }
 
@@ -42,8 +50,12 @@
         return suspected.contains(server);
     }
 
-    private void recordUnansweredGrant(RangeHold hold, long heldUntilMillis, long nowMillis) {
+    private void recordUnansweredGrant(RangeHold hold, long sentMillis, long heldUntilMillis, long nowMillis) {
         suspected.add(hold.owner);
+        if (!serverLinks.workedAt(sentMillis)) {
+            hold.unansweredSinceMillis = Optional.empty();
+            return;
+        }
         long since = hold.unansweredSinceMillis.orElse(nowMillis);
         hold.unansweredSinceMillis = Optional.of(since);
         if (nowMillis - since >= UNRESPONSIVE_AFTER_MILLIS) {
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
@@ -29,6 +29,12 @@
     private static final long TABLE_REQUEST_INTERVAL_MILLIS = 500;
     /** Store silence from which a VM asks the leader for the table. */
     private static final long MAX_STORE_SILENCE_MILLIS = 1_500;
+    /** How often a VM calls a server, be it for a caller or to find out whether servers answer. */
+    private static final long SERVER_CALL_INTERVAL_MILLIS = 250;
+    /** Time without any answer of a server from which a VM takes its own links for cut. */
+    private static final long LINKS_CUT_AFTER_MILLIS = 700;
+    /** How often a VM reports to the leader, which answers, and joins the group in which the store picks a candidate. */
+    private static final long REPORT_INTERVAL_MILLIS = 500;
 
     final RandomGenerator random;
     final Map<String, SimulatedVm> vms = new TreeMap<>();
@@ -63,7 +69,11 @@
     BiFunction<String, CoordinatorAction.Grant, Optional<GrantFate>> grantFate = (vm, call) -> Optional.empty();
     BiFunction<String, CoordinatorAction.Release, Optional<ReleaseFate>> releaseFate = (vm, call) -> Optional.empty();
     long nowMillis = 1_000;
+    /** The VM that the store picks as the next leader, unless {@link #vmsReport}. */
     String leaderCandidate = "a";
+    /** Whether VMs report to the leader, and the store picks the first VM whose links are not cut as candidate. */
+    boolean vmsReport;
+
     double lateGrantRatio;
     /** Maximum random delay of a grant, which reorders calls; appends to the store are always delayed by it. */
     int maxJitterMillis;
@@ -144,6 +154,10 @@
             vm.handleWaitingAnswers();
         }
         RangeCoordinator coordinator = vm.coordinator;
+        observeServers(vm);
+        if (vmsReport && nowMillis % REPORT_INTERVAL_MILLIS == 0) {
+            report(vm);
+        }
         coordinator.setLeaderCandidate(vm.name.equals(leaderCandidate) && !disconnectedFromStore.contains(vm.name));
         readTable(vm);
         Map<ServerStart, Double> capacity = new TreeMap<>();
@@ -156,6 +170,33 @@
         vm.handleWaitingAnswers();
     }
 
+    /** Lets a VM learn from calls whether servers answer it. */
+    private void observeServers(SimulatedVm vm) {
+        if (nowMillis % SERVER_CALL_INTERVAL_MILLIS != 0) {
+            return;
+        }
+        if (servers.keySet().stream().anyMatch(server -> network.reaches(vm.name, server))) {
+            vm.lastServerAnswerMillis = nowMillis;
+            vm.coordinator.onServerAnswer(nowMillis);
+        }
+        vm.linksCut = nowMillis - vm.lastServerAnswerMillis >= LINKS_CUT_AFTER_MILLIS;
+        vm.coordinator.setLinksImpaired(vm.linksCut);
+    }
+
+    private void report(SimulatedVm vm) {
+        boolean candidateLeft = vms.get(leaderCandidate).linksCut || stoppedVms.contains(leaderCandidate);
+        if (candidateLeft && !vm.linksCut) {
+            leaderCandidate = vm.name;
+        }
+        vm.coordinator
+                .table()
+                .leader()
+                .map(leader -> vms.get(leader.process().vm().value()))
+                .filter(leader -> exchangeMessages(vm, leader) && leader.coordinator.isLeading())
+                .ifPresent(leader -> vm.coordinator.onLeaderAnswer(
+                        leader.coordinator.storeSilenceMillis(nowMillis), leader.linksCut, nowMillis));
+    }
+
     private void readTable(SimulatedVm vm) {
         RangeCoordinator coordinator = vm.coordinator;
         if (disconnectedFromStore.contains(vm.name)) {
--- a/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedVm.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedVm.java
@@ -16,6 +16,11 @@
     /** Whether the VM takes a step before it handles the answers that arrived while it stood still. */
     boolean stepsBeforeWaitingAnswers;
 
+    /** When a server last answered this VM. */
+    long lastServerAnswerMillis;
+    /** Whether the VM takes its own links to the servers for cut. */
+    boolean linksCut;
+
     long pausedUntilMillis = Long.MIN_VALUE / 2;
     private final List<Runnable> waitingAnswers = new ArrayList<>();
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -208,7 +208,7 @@
     @Override
     public void onLeaderStatus(ReportChannel.LeaderStatus status, Optional<Platform.AsOf> asOf) {
         entryVmCountListener.accept(status.entryVmCount());
-        coordinator.onLeaderAnswer(status.storeSilenceMillis(), clock.nowMillis());
+        coordinator.onLeaderAnswer(status.storeSilenceMillis(), false, clock.nowMillis());
         if (status.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
             platform.onLeaderPositions(status.positions(), asOf);
         }
