--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerNetwork.java
@@ -76,7 +76,10 @@
         this.dataCentre = dataCentre;
         this.codec = new PeerMessageCodec(logEntries);
         this.clockMillis = clockMillis;
-        this.server = new PeerServer(codec, listener, handler, records, clockMillis);
+        EntryVmConnection.Services services =
+                new EntryVmConnection.Services(codec, listener, handler, records, clockMillis);
+        this.server = new PeerServer(
+                (sender, purpose, connection) -> new EntryVmConnection(sender, purpose, connection, services));
         this.eventLoopGroup = new NioEventLoopGroup(EVENT_LOOP_THREADS);
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerServer.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerServer.java
@@ -11,9 +11,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.function.LongSupplier;
 import org.lacewingthread.core.id.VmStart;
-import org.lacewingthread.daemon.exchange.RequestHandler;
 import org.lacewingthread.daemon.peer.wire.PeerWire;
 
 /**
@@ -23,24 +21,31 @@
 final class PeerServer {
     private static final System.Logger LOG = System.getLogger(PeerServer.class.getName());
 
-    private final PeerMessageCodec codec;
-    private final PeerNetwork.MessageListener listener;
-    private final RequestHandler handler;
-    private final IdempotencyRecordService records;
-    private final LongSupplier clockMillis;
+    private final ConnectionHandler.Factory handlers;
     private Channel channel;
 
-    PeerServer(
-            PeerMessageCodec codec,
-            PeerNetwork.MessageListener listener,
-            RequestHandler handler,
-            IdempotencyRecordService records,
-            LongSupplier clockMillis) {
-        this.codec = codec;
-        this.listener = listener;
-        this.handler = handler;
-        this.records = records;
-        this.clockMillis = clockMillis;
+    /** Handles the frames of one accepted connection, apart from its hello and pings. */
+    interface ConnectionHandler {
+        /** Called for each frame. */
+        void onFrame(PeerWire.Frame frame);
+
+        /** Called when the connection was closed. */
+        void onDisconnected();
+
+        /** Creates the handlers of accepted connections. */
+        interface Factory {
+            /**
+             * Creates the handler of a connection.
+             *
+             * @param sender process that opened the connection
+             * @param purpose what it will use the connection for
+             */
+            ConnectionHandler create(VmStart sender, PeerWire.Purpose purpose, Channel connection);
+        }
+    }
+
+    PeerServer(ConnectionHandler.Factory handlers) {
+        this.handlers = handlers;
     }
 
     void start(EventLoopGroup group, String host, int port) throws IOException {
@@ -76,36 +81,17 @@
     /** Handles the frames of one accepted connection. */
     private final class PeerConnectionHandler extends SimpleChannelInboundHandler<PeerWire.Frame> {
         private VmStart sender;
-        private RelayServer relay;
+        private ConnectionHandler handler;
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, PeerWire.Frame frame) {
             if (sender == null) {
                 handleHello(context, frame);
-                return;
-            }
-            if (frame.hasPing()) {
+            } else if (frame.hasPing()) {
                 context.writeAndFlush(PeerProtocol.pong(frame.getPing().getNumber()));
-                return;
-            }
-            if (frame.hasRecordPut()) {
-                PeerWire.RecordPut put = frame.getRecordPut();
-                boolean stored = records.put(IdempotencyRecordCodec.decode(put.getRecord()));
-                context.writeAndFlush(IdempotencyRecordCodec.encodeAcknowledgement(put.getNumber(), stored));
-                return;
-            }
-            if (frame.hasRecordsWanted()) {
-                PeerWire.RecordsWanted wanted = frame.getRecordsWanted();
-                IdempotencyRecordService.CollectReply reply =
-                        records.recordsOf(IdempotencyRecordCodec.decodeShards(wanted));
-                context.writeAndFlush(IdempotencyRecordCodec.encodeCollectReply(wanted.getNumber(), reply));
-                return;
+            } else {
+                handler.onFrame(frame);
             }
-            if (relay != null) {
-                relay.onFrame(frame);
-                return;
-            }
-            codec.decode(frame).ifPresent(message -> listener.onMessage(sender, message));
         }
 
         private void handleHello(ChannelHandlerContext context, PeerWire.Frame frame) {
@@ -118,15 +104,13 @@
                         + PeerProtocol.VERSION + "; run the same release on both VMs");
             }
             sender = PlanCodec.decode(hello.getSender());
-            if (hello.getPurpose() == PeerWire.Purpose.TRAFFIC) {
-                relay = new RelayServer(context.channel(), handler, clockMillis);
-            }
+            handler = handlers.create(sender, hello.getPurpose(), context.channel());
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            if (relay != null) {
-                relay.onDisconnected();
+            if (handler != null) {
+                handler.onDisconnected();
             }
         }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayClient.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayClient.java
@@ -7,6 +7,7 @@
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.exchange.Failure;
+import org.lacewingthread.daemon.exchange.RelayedRequest;
 import org.lacewingthread.daemon.exchange.RequestHandler;
 import org.lacewingthread.daemon.exchange.ResponseSink;
 import org.lacewingthread.daemon.exchange.RoutedRequest;
@@ -35,8 +36,24 @@
 
     @Override
     public Cancellation handle(RoutedRequest request, ResponseSink sink) {
+        return handle(
+                request.deadlineMillis(), (stream, nowMillis) -> RequestCodec.encode(stream, request, nowMillis), sink);
+    }
+
+    /** Relays a request of a router. */
+    Cancellation handle(RelayedRequest request, ResponseSink sink) {
+        return handle(
+                request.deadlineMillis(), (stream, nowMillis) -> RequestCodec.encode(stream, request, nowMillis), sink);
+    }
+
+    /** Encodes the first frame of a request; times in it count from the moment of sending. */
+    private interface StartEncoder {
+        PeerWire.Frame encode(long stream, long nowMillis);
+    }
+
+    private Cancellation handle(long deadlineMillis, StartEncoder encoder, ResponseSink sink) {
         StreamHandle stream = new StreamHandle();
-        link.loop().execute(() -> start(stream, request, sink));
+        link.loop().execute(() -> start(stream, deadlineMillis, encoder, sink));
         return () -> link.loop().execute(() -> cancel(stream));
     }
 
@@ -45,9 +62,9 @@
         private long streamId = -1;
     }
 
-    private void start(StreamHandle stream, RoutedRequest request, ResponseSink sink) {
+    private void start(StreamHandle stream, long deadlineMillis, StartEncoder encoder, ResponseSink sink) {
         long nowMillis = clockMillis.getAsLong();
-        if (nowMillis >= request.deadlineMillis()) {
+        if (nowMillis >= deadlineMillis) {
             // Certainly not run, as nothing was written yet.
             sink.onFailure(new Failure(ResultCode.DEADLINE_PASSED, 0, "before the request was relayed"));
             return;
@@ -55,7 +72,7 @@
         long streamId = nextStreamId++;
         stream.streamId = streamId;
         openSinks.put(streamId, sink);
-        link.send(RequestCodec.encode(streamId, request, nowMillis), () -> onNotSent(streamId));
+        link.send(encoder.encode(streamId, nowMillis), () -> onNotSent(streamId));
     }
 
     private void onNotSent(long streamId) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayServer.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayServer.java
@@ -10,27 +10,39 @@
 import java.util.function.LongSupplier;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
+import org.lacewingthread.daemon.exchange.RelayedRequest;
 import org.lacewingthread.daemon.exchange.RequestHandler;
 import org.lacewingthread.daemon.exchange.ResponseSink;
 import org.lacewingthread.daemon.exchange.RoutedRequest;
 import org.lacewingthread.daemon.peer.wire.PeerWire;
 
 /** Handles the requests that another entry VM relays over one connection; confined to its event loop. */
-final class RelayServer {
+final class RelayServer implements PeerServer.ConnectionHandler {
     private final Channel channel;
     private final RequestHandler handler;
+    private final RelayedRequest.Handler routerHandler;
     private final LongSupplier clockMillis;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
 
-    RelayServer(Channel channel, RequestHandler handler, LongSupplier clockMillis) {
+    /**
+     * Creates a server for one connection.
+     *
+     * @param handler handles requests of entry VMs with route plans
+     * @param routerHandler handles requests of routers
+     */
+    RelayServer(
+            Channel channel, RequestHandler handler, RelayedRequest.Handler routerHandler, LongSupplier clockMillis) {
         this.channel = channel;
         this.handler = handler;
+        this.routerHandler = routerHandler;
         this.clockMillis = clockMillis;
     }
 
-    void onFrame(PeerWire.Frame frame) {
+    @Override
+    public void onFrame(PeerWire.Frame frame) {
         switch (frame.getBodyCase()) {
             case REQUEST_START -> start(frame.getRequestStart());
+            case ROUTE_REQUEST_START -> start(frame.getRouteRequestStart());
             case REQUEST_CANCEL -> cancel(frame.getRequestCancel().getStream());
             case RESPONSE_CONSUMED -> onConsumed(frame.getResponseConsumed().getStream());
             default -> throw new IllegalArgumentException(
@@ -45,6 +57,13 @@
         exchange.cancellation = handler.handle(request, exchange);
     }
 
+    private void start(PeerWire.RouteRequestStart start) {
+        RelayedRequest request = RequestCodec.decode(start, clockMillis.getAsLong());
+        Exchange exchange = new Exchange(start.getStream());
+        exchanges.put(start.getStream(), exchange);
+        exchange.cancellation = routerHandler.handle(request, exchange);
+    }
+
     private void cancel(long stream) {
         Exchange exchange = exchanges.remove(stream);
         if (exchange != null && exchange.cancellation != null) {
@@ -60,7 +79,8 @@
         }
     }
 
-    void onDisconnected() {
+    @Override
+    public void onDisconnected() {
         List<Exchange> open = List.copyOf(exchanges.values());
         exchanges.clear();
         open.stream().filter(exchange -> exchange.cancellation != null).forEach(e -> e.cancellation.cancel());
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/wire/PeerWire.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/wire/PeerWire.java
@@ -410,6 +410,21 @@
      */
     org.lacewingthread.daemon.peer.wire.PeerWire.ResponseFailureOrBuilder getResponseFailureOrBuilder();
 
+    /**
+     * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+     * @return Whether the routeRequestStart field is set.
+     */
+    boolean hasRouteRequestStart();
+    /**
+     * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+     * @return The routeRequestStart.
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart getRouteRequestStart();
+    /**
+     * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStartOrBuilder getRouteRequestStartOrBuilder();
+
     /**
      * <code>.lacewingthread.peer.RecordPut record_put = 30;</code>
      * @return Whether the recordPut field is set.
@@ -532,6 +547,7 @@
       RESPONSE_CONSUMED(24),
       RESPONSE_END(25),
       RESPONSE_FAILURE(26),
+      ROUTE_REQUEST_START(27),
       RECORD_PUT(30),
       RECORD_ACK(31),
       RECORDS_WANTED(32),
@@ -570,6 +586,7 @@
           case 24: return RESPONSE_CONSUMED;
           case 25: return RESPONSE_END;
           case 26: return RESPONSE_FAILURE;
+          case 27: return ROUTE_REQUEST_START;
           case 30: return RECORD_PUT;
           case 31: return RECORD_ACK;
           case 32: return RECORDS_WANTED;
@@ -1116,6 +1133,37 @@
       return org.lacewingthread.daemon.peer.wire.PeerWire.ResponseFailure.getDefaultInstance();
     }
 
+    public static final int ROUTE_REQUEST_START_FIELD_NUMBER = 27;
+    /**
+     * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+     * @return Whether the routeRequestStart field is set.
+     */
+    @java.lang.Override
+    public boolean hasRouteRequestStart() {
+      return bodyCase_ == 27;
+    }
+    /**
+     * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+     * @return The routeRequestStart.
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart getRouteRequestStart() {
+      if (bodyCase_ == 27) {
+         return (org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart) body_;
+      }
+      return org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.getDefaultInstance();
+    }
+    /**
+     * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStartOrBuilder getRouteRequestStartOrBuilder() {
+      if (bodyCase_ == 27) {
+         return (org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart) body_;
+      }
+      return org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.getDefaultInstance();
+    }
+
     public static final int RECORD_PUT_FIELD_NUMBER = 30;
     /**
      * <code>.lacewingthread.peer.RecordPut record_put = 30;</code>
@@ -1305,6 +1353,9 @@
       if (bodyCase_ == 26) {
         output.writeMessage(26, (org.lacewingthread.daemon.peer.wire.PeerWire.ResponseFailure) body_);
       }
+      if (bodyCase_ == 27) {
+        output.writeMessage(27, (org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart) body_);
+      }
       if (bodyCase_ == 30) {
         output.writeMessage(30, (org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut) body_);
       }
@@ -1394,6 +1445,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(26, (org.lacewingthread.daemon.peer.wire.PeerWire.ResponseFailure) body_);
       }
+      if (bodyCase_ == 27) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(27, (org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart) body_);
+      }
       if (bodyCase_ == 30) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(30, (org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut) body_);
@@ -1495,6 +1550,10 @@
           if (!getResponseFailure()
               .equals(other.getResponseFailure())) return false;
           break;
+        case 27:
+          if (!getRouteRequestStart()
+              .equals(other.getRouteRequestStart())) return false;
+          break;
         case 30:
           if (!getRecordPut()
               .equals(other.getRecordPut())) return false;
@@ -1594,6 +1653,10 @@
           hash = (37 * hash) + RESPONSE_FAILURE_FIELD_NUMBER;
           hash = (53 * hash) + getResponseFailure().hashCode();
           break;
+        case 27:
+          hash = (37 * hash) + ROUTE_REQUEST_START_FIELD_NUMBER;
+          hash = (53 * hash) + getRouteRequestStart().hashCode();
+          break;
         case 30:
           hash = (37 * hash) + RECORD_PUT_FIELD_NUMBER;
           hash = (53 * hash) + getRecordPut().hashCode();
@@ -1795,6 +1858,9 @@
         if (responseFailureBuilder_ != null) {
           responseFailureBuilder_.clear();
         }
+        if (routeRequestStartBuilder_ != null) {
+          routeRequestStartBuilder_.clear();
+        }
         if (recordPutBuilder_ != null) {
           recordPutBuilder_.clear();
         }
@@ -1916,6 +1982,10 @@
             responseFailureBuilder_ != null) {
           result.body_ = responseFailureBuilder_.build();
         }
+        if (bodyCase_ == 27 &&
+            routeRequestStartBuilder_ != null) {
+          result.body_ = routeRequestStartBuilder_.build();
+        }
         if (bodyCase_ == 30 &&
             recordPutBuilder_ != null) {
           result.body_ = recordPutBuilder_.build();
@@ -2015,6 +2085,10 @@
             mergeResponseFailure(other.getResponseFailure());
             break;
           }
+          case ROUTE_REQUEST_START: {
+            mergeRouteRequestStart(other.getRouteRequestStart());
+            break;
+          }
           case RECORD_PUT: {
             mergeRecordPut(other.getRecordPut());
             break;
@@ -2180,6 +2254,13 @@
                 bodyCase_ = 26;
                 break;
               } // case 210
+              case 218: {
+                input.readMessage(
+                    getRouteRequestStartFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 27;
+                break;
+              } // case 218
               case 242: {
                 input.readMessage(
                     getRecordPutFieldBuilder().getBuilder(),
@@ -4654,6 +4735,148 @@
         return responseFailureBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart, org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStartOrBuilder> routeRequestStartBuilder_;
+      /**
+       * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+       * @return Whether the routeRequestStart field is set.
+       */
+      @java.lang.Override
+      public boolean hasRouteRequestStart() {
+        return bodyCase_ == 27;
+      }
+      /**
+       * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+       * @return The routeRequestStart.
+       */
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart getRouteRequestStart() {
+        if (routeRequestStartBuilder_ == null) {
+          if (bodyCase_ == 27) {
+            return (org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart) body_;
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 27) {
+            return routeRequestStartBuilder_.getMessage();
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+       */
+      public Builder setRouteRequestStart(org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart value) {
+        if (routeRequestStartBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          routeRequestStartBuilder_.setMessage(value);
+        }
+        bodyCase_ = 27;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+       */
+      public Builder setRouteRequestStart(
+          org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.Builder builderForValue) {
+        if (routeRequestStartBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          routeRequestStartBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 27;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+       */
+      public Builder mergeRouteRequestStart(org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart value) {
+        if (routeRequestStartBuilder_ == null) {
+          if (bodyCase_ == 27 &&
+              body_ != org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.getDefaultInstance()) {
+            body_ = org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.newBuilder((org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 27) {
+            routeRequestStartBuilder_.mergeFrom(value);
+          } else {
+            routeRequestStartBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 27;
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+       */
+      public Builder clearRouteRequestStart() {
+        if (routeRequestStartBuilder_ == null) {
+          if (bodyCase_ == 27) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 27) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          routeRequestStartBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.Builder getRouteRequestStartBuilder() {
+        return getRouteRequestStartFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+       */
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStartOrBuilder getRouteRequestStartOrBuilder() {
+        if ((bodyCase_ == 27) && (routeRequestStartBuilder_ != null)) {
+          return routeRequestStartBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 27) {
+            return (org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart) body_;
+          }
+          return org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.lacewingthread.peer.RouteRequestStart route_request_start = 27;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart, org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStartOrBuilder> 
+          getRouteRequestStartFieldBuilder() {
+        if (routeRequestStartBuilder_ == null) {
+          if (!(bodyCase_ == 27)) {
+            body_ = org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.getDefaultInstance();
+          }
+          routeRequestStartBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart, org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStartOrBuilder>(
+                  (org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 27;
+        onChanged();
+        return routeRequestStartBuilder_;
+      }
+
       private com.google.protobuf.SingleFieldBuilder<
           org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut, org.lacewingthread.daemon.peer.wire.PeerWire.RecordPut.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.RecordPutOrBuilder> recordPutBuilder_;
       /**
@@ -27389,217 +27612,2668 @@
         return this;
       }
 
-      private java.lang.Object application_ = "";
+      private java.lang.Object application_ = "";
+      /**
+       * <code>string application = 3;</code>
+       * @return The application.
+       */
+      public java.lang.String getApplication() {
+        java.lang.Object ref = application_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          application_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string application = 3;</code>
+       * @return The bytes for application.
+       */
+      public com.google.protobuf.ByteString
+          getApplicationBytes() {
+        java.lang.Object ref = application_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          application_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string application = 3;</code>
+       * @param value The application to set.
+       * @return This builder for chaining.
+       */
+      public Builder setApplication(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        application_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string application = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearApplication() {
+        application_ = getDefaultInstance().getApplication();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string application = 3;</code>
+       * @param value The bytes for application to set.
+       * @return This builder for chaining.
+       */
+      public Builder setApplicationBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        application_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      private int shardIndex_ ;
+      /**
+       * <code>int32 shard_index = 4;</code>
+       * @return The shardIndex.
+       */
+      @java.lang.Override
+      public int getShardIndex() {
+        return shardIndex_;
+      }
+      /**
+       * <code>int32 shard_index = 4;</code>
+       * @param value The shardIndex to set.
+       * @return This builder for chaining.
+       */
+      public Builder setShardIndex(int value) {
+
+        shardIndex_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 shard_index = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearShardIndex() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        shardIndex_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long keyHash_ ;
+      /**
+       * <code>fixed64 key_hash = 5;</code>
+       * @return The keyHash.
+       */
+      @java.lang.Override
+      public long getKeyHash() {
+        return keyHash_;
+      }
+      /**
+       * <code>fixed64 key_hash = 5;</code>
+       * @param value The keyHash to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKeyHash(long value) {
+
+        keyHash_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 key_hash = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKeyHash() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        keyHash_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object requestClass_ = "";
+      /**
+       * <code>string request_class = 6;</code>
+       * @return The requestClass.
+       */
+      public java.lang.String getRequestClass() {
+        java.lang.Object ref = requestClass_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          requestClass_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string request_class = 6;</code>
+       * @return The bytes for requestClass.
+       */
+      public com.google.protobuf.ByteString
+          getRequestClassBytes() {
+        java.lang.Object ref = requestClass_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          requestClass_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string request_class = 6;</code>
+       * @param value The requestClass to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequestClass(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        requestClass_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string request_class = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequestClass() {
+        requestClass_ = getDefaultInstance().getRequestClass();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string request_class = 6;</code>
+       * @param value The bytes for requestClass to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequestClassBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        requestClass_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object method_ = "";
+      /**
+       * <code>string method = 7;</code>
+       * @return The method.
+       */
+      public java.lang.String getMethod() {
+        java.lang.Object ref = method_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          method_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string method = 7;</code>
+       * @return The bytes for method.
+       */
+      public com.google.protobuf.ByteString
+          getMethodBytes() {
+        java.lang.Object ref = method_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          method_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string method = 7;</code>
+       * @param value The method to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMethod(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        method_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string method = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMethod() {
+        method_ = getDefaultInstance().getMethod();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string method = 7;</code>
+       * @param value The bytes for method to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMethodBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        method_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object path_ = "";
+      /**
+       * <code>string path = 8;</code>
+       * @return The path.
+       */
+      public java.lang.String getPath() {
+        java.lang.Object ref = path_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          path_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string path = 8;</code>
+       * @return The bytes for path.
+       */
+      public com.google.protobuf.ByteString
+          getPathBytes() {
+        java.lang.Object ref = path_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          path_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string path = 8;</code>
+       * @param value The path to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPath(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        path_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string path = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPath() {
+        path_ = getDefaultInstance().getPath();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string path = 8;</code>
+       * @param value The bytes for path to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPathBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        path_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.Header> headers_ =
+        java.util.Collections.emptyList();
+      private void ensureHeadersIsMutable() {
+        if (!((bitField0_ & 0x00000100) != 0)) {
+          headers_ = new java.util.ArrayList<org.lacewingthread.daemon.peer.wire.PeerWire.Header>(headers_);
+          bitField0_ |= 0x00000100;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.Header, org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder> headersBuilder_;
+
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.Header> getHeadersList() {
+        if (headersBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(headers_);
+        } else {
+          return headersBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public int getHeadersCount() {
+        if (headersBuilder_ == null) {
+          return headers_.size();
+        } else {
+          return headersBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.Header getHeaders(int index) {
+        if (headersBuilder_ == null) {
+          return headers_.get(index);
+        } else {
+          return headersBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public Builder setHeaders(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.Header value) {
+        if (headersBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureHeadersIsMutable();
+          headers_.set(index, value);
+          onChanged();
+        } else {
+          headersBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public Builder setHeaders(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder builderForValue) {
+        if (headersBuilder_ == null) {
+          ensureHeadersIsMutable();
+          headers_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          headersBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public Builder addHeaders(org.lacewingthread.daemon.peer.wire.PeerWire.Header value) {
+        if (headersBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureHeadersIsMutable();
+          headers_.add(value);
+          onChanged();
+        } else {
+          headersBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public Builder addHeaders(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.Header value) {
+        if (headersBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureHeadersIsMutable();
+          headers_.add(index, value);
+          onChanged();
+        } else {
+          headersBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public Builder addHeaders(
+          org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder builderForValue) {
+        if (headersBuilder_ == null) {
+          ensureHeadersIsMutable();
+          headers_.add(builderForValue.build());
+          onChanged();
+        } else {
+          headersBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public Builder addHeaders(
+          int index, org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder builderForValue) {
+        if (headersBuilder_ == null) {
+          ensureHeadersIsMutable();
+          headers_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          headersBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public Builder addAllHeaders(
+          java.lang.Iterable<? extends org.lacewingthread.daemon.peer.wire.PeerWire.Header> values) {
+        if (headersBuilder_ == null) {
+          ensureHeadersIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, headers_);
+          onChanged();
+        } else {
+          headersBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public Builder clearHeaders() {
+        if (headersBuilder_ == null) {
+          headers_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000100);
+          onChanged();
+        } else {
+          headersBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public Builder removeHeaders(int index) {
+        if (headersBuilder_ == null) {
+          ensureHeadersIsMutable();
+          headers_.remove(index);
+          onChanged();
+        } else {
+          headersBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder getHeadersBuilder(
+          int index) {
+        return getHeadersFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder getHeadersOrBuilder(
+          int index) {
+        if (headersBuilder_ == null) {
+          return headers_.get(index);  } else {
+          return headersBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public java.util.List<? extends org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder> 
+           getHeadersOrBuilderList() {
+        if (headersBuilder_ != null) {
+          return headersBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(headers_);
+        }
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder addHeadersBuilder() {
+        return getHeadersFieldBuilder().addBuilder(
+            org.lacewingthread.daemon.peer.wire.PeerWire.Header.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder addHeadersBuilder(
+          int index) {
+        return getHeadersFieldBuilder().addBuilder(
+            index, org.lacewingthread.daemon.peer.wire.PeerWire.Header.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       */
+      public java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder> 
+           getHeadersBuilderList() {
+        return getHeadersFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          org.lacewingthread.daemon.peer.wire.PeerWire.Header, org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder> 
+          getHeadersFieldBuilder() {
+        if (headersBuilder_ == null) {
+          headersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              org.lacewingthread.daemon.peer.wire.PeerWire.Header, org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder>(
+                  headers_,
+                  ((bitField0_ & 0x00000100) != 0),
+                  getParentForChildren(),
+                  isClean());
+          headers_ = null;
+        }
+        return headersBuilder_;
+      }
+
+      private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
+      /**
+       * <code>bytes body = 10;</code>
+       * @return The body.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString getBody() {
+        return body_;
+      }
+      /**
+       * <code>bytes body = 10;</code>
+       * @param value The body to set.
+       * @return This builder for chaining.
+       */
+      public Builder setBody(com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        body_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bytes body = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearBody() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        body_ = getDefaultInstance().getBody();
+        onChanged();
+        return this;
+      }
+
+      private long remainingMillis_ ;
+      /**
+       * <code>int64 remaining_millis = 11;</code>
+       * @return The remainingMillis.
+       */
+      @java.lang.Override
+      public long getRemainingMillis() {
+        return remainingMillis_;
+      }
+      /**
+       * <code>int64 remaining_millis = 11;</code>
+       * @param value The remainingMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRemainingMillis(long value) {
+
+        remainingMillis_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 remaining_millis = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRemainingMillis() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        remainingMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object idempotencyKey_ = "";
+      /**
+       * <code>string idempotency_key = 12;</code>
+       * @return The idempotencyKey.
+       */
+      public java.lang.String getIdempotencyKey() {
+        java.lang.Object ref = idempotencyKey_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          idempotencyKey_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string idempotency_key = 12;</code>
+       * @return The bytes for idempotencyKey.
+       */
+      public com.google.protobuf.ByteString
+          getIdempotencyKeyBytes() {
+        java.lang.Object ref = idempotencyKey_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          idempotencyKey_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string idempotency_key = 12;</code>
+       * @param value The idempotencyKey to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIdempotencyKey(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        idempotencyKey_ = value;
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string idempotency_key = 12;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIdempotencyKey() {
+        idempotencyKey_ = getDefaultInstance().getIdempotencyKey();
+        bitField0_ = (bitField0_ & ~0x00000800);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string idempotency_key = 12;</code>
+       * @param value The bytes for idempotencyKey to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIdempotencyKeyBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        idempotencyKey_ = value;
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+
+      private int hops_ ;
+      /**
+       * <code>int32 hops = 13;</code>
+       * @return The hops.
+       */
+      @java.lang.Override
+      public int getHops() {
+        return hops_;
+      }
+      /**
+       * <code>int32 hops = 13;</code>
+       * @param value The hops to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHops(int value) {
+
+        hops_ = value;
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 hops = 13;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHops() {
+        bitField0_ = (bitField0_ & ~0x00001000);
+        hops_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.RequestStart)
+    }
+
+    // @@protoc_insertion_point(class_scope:lacewingthread.peer.RequestStart)
+    private static final org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart();
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<RequestStart>
+        PARSER = new com.google.protobuf.AbstractParser<RequestStart>() {
+      @java.lang.Override
+      public RequestStart parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<RequestStart> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<RequestStart> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RouteRequestStartOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:lacewingthread.peer.RouteRequestStart)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>int64 stream = 1;</code>
+     * @return The stream.
+     */
+    long getStream();
+
+    /**
+     * <code>string request_id = 2;</code>
+     * @return The requestId.
+     */
+    java.lang.String getRequestId();
+    /**
+     * <code>string request_id = 2;</code>
+     * @return The bytes for requestId.
+     */
+    com.google.protobuf.ByteString
+        getRequestIdBytes();
+
+    /**
+     * <code>string service = 3;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 3;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <code>optional int32 key = 4;</code>
+     * @return Whether the key field is set.
+     */
+    boolean hasKey();
+    /**
+     * <code>optional int32 key = 4;</code>
+     * @return The key.
+     */
+    int getKey();
+
+    /**
+     * <code>string route = 5;</code>
+     * @return The route.
+     */
+    java.lang.String getRoute();
+    /**
+     * <code>string route = 5;</code>
+     * @return The bytes for route.
+     */
+    com.google.protobuf.ByteString
+        getRouteBytes();
+
+    /**
+     * <code>bool repeatable = 6;</code>
+     * @return The repeatable.
+     */
+    boolean getRepeatable();
+
+    /**
+     * <code>int32 priority = 7;</code>
+     * @return The priority.
+     */
+    int getPriority();
+
+    /**
+     * <pre>
+     * Servers that the request may still be sent to.
+     * </pre>
+     *
+     * <code>int32 max_attempts = 8;</code>
+     * @return The maxAttempts.
+     */
+    int getMaxAttempts();
+
+    /**
+     * <code>int64 remaining_millis = 9;</code>
+     * @return The remainingMillis.
+     */
+    long getRemainingMillis();
+
+    /**
+     * <pre>
+     * Negative if the time up to which a response is prompt has passed.
+     * </pre>
+     *
+     * <code>sint64 target_remaining_millis = 10;</code>
+     * @return The targetRemainingMillis.
+     */
+    long getTargetRemainingMillis();
+
+    /**
+     * <code>int64 target_latency_millis = 11;</code>
+     * @return The targetLatencyMillis.
+     */
+    long getTargetLatencyMillis();
+
+    /**
+     * <code>string method = 12;</code>
+     * @return The method.
+     */
+    java.lang.String getMethod();
+    /**
+     * <code>string method = 12;</code>
+     * @return The bytes for method.
+     */
+    com.google.protobuf.ByteString
+        getMethodBytes();
+
+    /**
+     * <code>string target = 13;</code>
+     * @return The target.
+     */
+    java.lang.String getTarget();
+    /**
+     * <code>string target = 13;</code>
+     * @return The bytes for target.
+     */
+    com.google.protobuf.ByteString
+        getTargetBytes();
+
+    /**
+     * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
+     */
+    java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.Header> 
+        getHeadersList();
+    /**
+     * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.Header getHeaders(int index);
+    /**
+     * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
+     */
+    int getHeadersCount();
+    /**
+     * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
+     */
+    java.util.List<? extends org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder> 
+        getHeadersOrBuilderList();
+    /**
+     * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
+     */
+    org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder getHeadersOrBuilder(
+        int index);
+
+    /**
+     * <code>bytes body = 15;</code>
+     * @return The body.
+     */
+    com.google.protobuf.ByteString getBody();
+
+    /**
+     * <code>repeated string avoided_servers = 16;</code>
+     * @return A list containing the avoidedServers.
+     */
+    java.util.List<java.lang.String>
+        getAvoidedServersList();
+    /**
+     * <code>repeated string avoided_servers = 16;</code>
+     * @return The count of avoidedServers.
+     */
+    int getAvoidedServersCount();
+    /**
+     * <code>repeated string avoided_servers = 16;</code>
+     * @param index The index of the element to return.
+     * @return The avoidedServers at the given index.
+     */
+    java.lang.String getAvoidedServers(int index);
+    /**
+     * <code>repeated string avoided_servers = 16;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the avoidedServers at the given index.
+     */
+    com.google.protobuf.ByteString
+        getAvoidedServersBytes(int index);
+  }
+  /**
+   * <pre>
+   * A request of a router that has no link of its own to the servers.
+   * </pre>
+   *
+   * Protobuf type {@code lacewingthread.peer.RouteRequestStart}
+   */
+  public static final class RouteRequestStart extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:lacewingthread.peer.RouteRequestStart)
+      RouteRequestStartOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 29,
+        /* patch= */ 3,
+        /* suffix= */ "",
+        RouteRequestStart.class.getName());
+    }
+    // Use RouteRequestStart.newBuilder() to construct.
+    private RouteRequestStart(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RouteRequestStart() {
+      requestId_ = "";
+      service_ = "";
+      route_ = "";
+      method_ = "";
+      target_ = "";
+      headers_ = java.util.Collections.emptyList();
+      body_ = com.google.protobuf.ByteString.EMPTY;
+      avoidedServers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RouteRequestStart_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RouteRequestStart_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.class, org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int STREAM_FIELD_NUMBER = 1;
+    private long stream_ = 0L;
+    /**
+     * <code>int64 stream = 1;</code>
+     * @return The stream.
+     */
+    @java.lang.Override
+    public long getStream() {
+      return stream_;
+    }
+
+    public static final int REQUEST_ID_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object requestId_ = "";
+    /**
+     * <code>string request_id = 2;</code>
+     * @return The requestId.
+     */
+    @java.lang.Override
+    public java.lang.String getRequestId() {
+      java.lang.Object ref = requestId_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        requestId_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string request_id = 2;</code>
+     * @return The bytes for requestId.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getRequestIdBytes() {
+      java.lang.Object ref = requestId_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        requestId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 3;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 3;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int KEY_FIELD_NUMBER = 4;
+    private int key_ = 0;
+    /**
+     * <code>optional int32 key = 4;</code>
+     * @return Whether the key field is set.
+     */
+    @java.lang.Override
+    public boolean hasKey() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>optional int32 key = 4;</code>
+     * @return The key.
+     */
+    @java.lang.Override
+    public int getKey() {
+      return key_;
+    }
+
+    public static final int ROUTE_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object route_ = "";
+    /**
+     * <code>string route = 5;</code>
+     * @return The route.
+     */
+    @java.lang.Override
+    public java.lang.String getRoute() {
+      java.lang.Object ref = route_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        route_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string route = 5;</code>
+     * @return The bytes for route.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getRouteBytes() {
+      java.lang.Object ref = route_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        route_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int REPEATABLE_FIELD_NUMBER = 6;
+    private boolean repeatable_ = false;
+    /**
+     * <code>bool repeatable = 6;</code>
+     * @return The repeatable.
+     */
+    @java.lang.Override
+    public boolean getRepeatable() {
+      return repeatable_;
+    }
+
+    public static final int PRIORITY_FIELD_NUMBER = 7;
+    private int priority_ = 0;
+    /**
+     * <code>int32 priority = 7;</code>
+     * @return The priority.
+     */
+    @java.lang.Override
+    public int getPriority() {
+      return priority_;
+    }
+
+    public static final int MAX_ATTEMPTS_FIELD_NUMBER = 8;
+    private int maxAttempts_ = 0;
+    /**
+     * <pre>
+     * Servers that the request may still be sent to.
+     * </pre>
+     *
+     * <code>int32 max_attempts = 8;</code>
+     * @return The maxAttempts.
+     */
+    @java.lang.Override
+    public int getMaxAttempts() {
+      return maxAttempts_;
+    }
+
+    public static final int REMAINING_MILLIS_FIELD_NUMBER = 9;
+    private long remainingMillis_ = 0L;
+    /**
+     * <code>int64 remaining_millis = 9;</code>
+     * @return The remainingMillis.
+     */
+    @java.lang.Override
+    public long getRemainingMillis() {
+      return remainingMillis_;
+    }
+
+    public static final int TARGET_REMAINING_MILLIS_FIELD_NUMBER = 10;
+    private long targetRemainingMillis_ = 0L;
+    /**
+     * <pre>
+     * Negative if the time up to which a response is prompt has passed.
+     * </pre>
+     *
+     * <code>sint64 target_remaining_millis = 10;</code>
+     * @return The targetRemainingMillis.
+     */
+    @java.lang.Override
+    public long getTargetRemainingMillis() {
+      return targetRemainingMillis_;
+    }
+
+    public static final int TARGET_LATENCY_MILLIS_FIELD_NUMBER = 11;
+    private long targetLatencyMillis_ = 0L;
+    /**
+     * <code>int64 target_latency_millis = 11;</code>
+     * @return The targetLatencyMillis.
+     */
+    @java.lang.Override
+    public long getTargetLatencyMillis() {
+      return targetLatencyMillis_;
+    }
+
+    public static final int METHOD_FIELD_NUMBER = 12;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object method_ = "";
+    /**
+     * <code>string method = 12;</code>
+     * @return The method.
+     */
+    @java.lang.Override
+    public java.lang.String getMethod() {
+      java.lang.Object ref = method_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        method_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string method = 12;</code>
+     * @return The bytes for method.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getMethodBytes() {
+      java.lang.Object ref = method_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        method_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int TARGET_FIELD_NUMBER = 13;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object target_ = "";
+    /**
+     * <code>string target = 13;</code>
+     * @return The target.
+     */
+    @java.lang.Override
+    public java.lang.String getTarget() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        target_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string target = 13;</code>
+     * @return The bytes for target.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getTargetBytes() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        target_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int HEADERS_FIELD_NUMBER = 14;
+    @SuppressWarnings("serial")
+    private java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.Header> headers_;
+    /**
+     * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.Header> getHeadersList() {
+      return headers_;
+    }
+    /**
+     * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder> 
+        getHeadersOrBuilderList() {
+      return headers_;
+    }
+    /**
+     * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
+     */
+    @java.lang.Override
+    public int getHeadersCount() {
+      return headers_.size();
+    }
+    /**
+     * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.Header getHeaders(int index) {
+      return headers_.get(index);
+    }
+    /**
+     * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
+     */
+    @java.lang.Override
+    public org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder getHeadersOrBuilder(
+        int index) {
+      return headers_.get(index);
+    }
+
+    public static final int BODY_FIELD_NUMBER = 15;
+    private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes body = 15;</code>
+     * @return The body.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getBody() {
+      return body_;
+    }
+
+    public static final int AVOIDED_SERVERS_FIELD_NUMBER = 16;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList avoidedServers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string avoided_servers = 16;</code>
+     * @return A list containing the avoidedServers.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getAvoidedServersList() {
+      return avoidedServers_;
+    }
+    /**
+     * <code>repeated string avoided_servers = 16;</code>
+     * @return The count of avoidedServers.
+     */
+    public int getAvoidedServersCount() {
+      return avoidedServers_.size();
+    }
+    /**
+     * <code>repeated string avoided_servers = 16;</code>
+     * @param index The index of the element to return.
+     * @return The avoidedServers at the given index.
+     */
+    public java.lang.String getAvoidedServers(int index) {
+      return avoidedServers_.get(index);
+    }
+    /**
+     * <code>repeated string avoided_servers = 16;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the avoidedServers at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getAvoidedServersBytes(int index) {
+      return avoidedServers_.getByteString(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (stream_ != 0L) {
+        output.writeInt64(1, stream_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, requestId_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, service_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeInt32(4, key_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(route_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 5, route_);
+      }
+      if (repeatable_ != false) {
+        output.writeBool(6, repeatable_);
+      }
+      if (priority_ != 0) {
+        output.writeInt32(7, priority_);
+      }
+      if (maxAttempts_ != 0) {
+        output.writeInt32(8, maxAttempts_);
+      }
+      if (remainingMillis_ != 0L) {
+        output.writeInt64(9, remainingMillis_);
+      }
+      if (targetRemainingMillis_ != 0L) {
+        output.writeSInt64(10, targetRemainingMillis_);
+      }
+      if (targetLatencyMillis_ != 0L) {
+        output.writeInt64(11, targetLatencyMillis_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(method_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 12, method_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 13, target_);
+      }
+      for (int i = 0; i < headers_.size(); i++) {
+        output.writeMessage(14, headers_.get(i));
+      }
+      if (!body_.isEmpty()) {
+        output.writeBytes(15, body_);
+      }
+      for (int i = 0; i < avoidedServers_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 16, avoidedServers_.getRaw(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (stream_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(1, stream_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, requestId_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, service_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(4, key_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(route_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(5, route_);
+      }
+      if (repeatable_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(6, repeatable_);
+      }
+      if (priority_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(7, priority_);
+      }
+      if (maxAttempts_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt32Size(8, maxAttempts_);
+      }
+      if (remainingMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(9, remainingMillis_);
+      }
+      if (targetRemainingMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeSInt64Size(10, targetRemainingMillis_);
+      }
+      if (targetLatencyMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(11, targetLatencyMillis_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(method_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(12, method_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(13, target_);
+      }
+      for (int i = 0; i < headers_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(14, headers_.get(i));
+      }
+      if (!body_.isEmpty()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBytesSize(15, body_);
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < avoidedServers_.size(); i++) {
+          dataSize += computeStringSizeNoTag(avoidedServers_.getRaw(i));
+        }
+        size += dataSize;
+        size += 2 * getAvoidedServersList().size();
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart)) {
+        return super.equals(obj);
+      }
+      org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart other = (org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart) obj;
+
+      if (getStream()
+          != other.getStream()) return false;
+      if (!getRequestId()
+          .equals(other.getRequestId())) return false;
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (hasKey() != other.hasKey()) return false;
+      if (hasKey()) {
+        if (getKey()
+            != other.getKey()) return false;
+      }
+      if (!getRoute()
+          .equals(other.getRoute())) return false;
+      if (getRepeatable()
+          != other.getRepeatable()) return false;
+      if (getPriority()
+          != other.getPriority()) return false;
+      if (getMaxAttempts()
+          != other.getMaxAttempts()) return false;
+      if (getRemainingMillis()
+          != other.getRemainingMillis()) return false;
+      if (getTargetRemainingMillis()
+          != other.getTargetRemainingMillis()) return false;
+      if (getTargetLatencyMillis()
+          != other.getTargetLatencyMillis()) return false;
+      if (!getMethod()
+          .equals(other.getMethod())) return false;
+      if (!getTarget()
+          .equals(other.getTarget())) return false;
+      if (!getHeadersList()
+          .equals(other.getHeadersList())) return false;
+      if (!getBody()
+          .equals(other.getBody())) return false;
+      if (!getAvoidedServersList()
+          .equals(other.getAvoidedServersList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + STREAM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStream());
+      hash = (37 * hash) + REQUEST_ID_FIELD_NUMBER;
+      hash = (53 * hash) + getRequestId().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      if (hasKey()) {
+        hash = (37 * hash) + KEY_FIELD_NUMBER;
+        hash = (53 * hash) + getKey();
+      }
+      hash = (37 * hash) + ROUTE_FIELD_NUMBER;
+      hash = (53 * hash) + getRoute().hashCode();
+      hash = (37 * hash) + REPEATABLE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getRepeatable());
+      hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
+      hash = (53 * hash) + getPriority();
+      hash = (37 * hash) + MAX_ATTEMPTS_FIELD_NUMBER;
+      hash = (53 * hash) + getMaxAttempts();
+      hash = (37 * hash) + REMAINING_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRemainingMillis());
+      hash = (37 * hash) + TARGET_REMAINING_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTargetRemainingMillis());
+      hash = (37 * hash) + TARGET_LATENCY_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTargetLatencyMillis());
+      hash = (37 * hash) + METHOD_FIELD_NUMBER;
+      hash = (53 * hash) + getMethod().hashCode();
+      hash = (37 * hash) + TARGET_FIELD_NUMBER;
+      hash = (53 * hash) + getTarget().hashCode();
+      if (getHeadersCount() > 0) {
+        hash = (37 * hash) + HEADERS_FIELD_NUMBER;
+        hash = (53 * hash) + getHeadersList().hashCode();
+      }
+      hash = (37 * hash) + BODY_FIELD_NUMBER;
+      hash = (53 * hash) + getBody().hashCode();
+      if (getAvoidedServersCount() > 0) {
+        hash = (37 * hash) + AVOIDED_SERVERS_FIELD_NUMBER;
+        hash = (53 * hash) + getAvoidedServersList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A request of a router that has no link of its own to the servers.
+     * </pre>
+     *
+     * Protobuf type {@code lacewingthread.peer.RouteRequestStart}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:lacewingthread.peer.RouteRequestStart)
+        org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStartOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RouteRequestStart_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RouteRequestStart_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.class, org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.Builder.class);
+      }
+
+      // Construct using org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        stream_ = 0L;
+        requestId_ = "";
+        service_ = "";
+        key_ = 0;
+        route_ = "";
+        repeatable_ = false;
+        priority_ = 0;
+        maxAttempts_ = 0;
+        remainingMillis_ = 0L;
+        targetRemainingMillis_ = 0L;
+        targetLatencyMillis_ = 0L;
+        method_ = "";
+        target_ = "";
+        if (headersBuilder_ == null) {
+          headers_ = java.util.Collections.emptyList();
+        } else {
+          headers_ = null;
+          headersBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00002000);
+        body_ = com.google.protobuf.ByteString.EMPTY;
+        avoidedServers_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.internal_static_lacewingthread_peer_RouteRequestStart_descriptor;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart getDefaultInstanceForType() {
+        return org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart build() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart buildPartial() {
+        org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart result = new org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart result) {
+        if (headersBuilder_ == null) {
+          if (((bitField0_ & 0x00002000) != 0)) {
+            headers_ = java.util.Collections.unmodifiableList(headers_);
+            bitField0_ = (bitField0_ & ~0x00002000);
+          }
+          result.headers_ = headers_;
+        } else {
+          result.headers_ = headersBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.stream_ = stream_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.requestId_ = requestId_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.service_ = service_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.key_ = key_;
+          to_bitField0_ |= 0x00000001;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.route_ = route_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.repeatable_ = repeatable_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.priority_ = priority_;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.maxAttempts_ = maxAttempts_;
+        }
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.remainingMillis_ = remainingMillis_;
+        }
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          result.targetRemainingMillis_ = targetRemainingMillis_;
+        }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          result.targetLatencyMillis_ = targetLatencyMillis_;
+        }
+        if (((from_bitField0_ & 0x00000800) != 0)) {
+          result.method_ = method_;
+        }
+        if (((from_bitField0_ & 0x00001000) != 0)) {
+          result.target_ = target_;
+        }
+        if (((from_bitField0_ & 0x00004000) != 0)) {
+          result.body_ = body_;
+        }
+        if (((from_bitField0_ & 0x00008000) != 0)) {
+          avoidedServers_.makeImmutable();
+          result.avoidedServers_ = avoidedServers_;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart) {
+          return mergeFrom((org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart other) {
+        if (other == org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart.getDefaultInstance()) return this;
+        if (other.getStream() != 0L) {
+          setStream(other.getStream());
+        }
+        if (!other.getRequestId().isEmpty()) {
+          requestId_ = other.requestId_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        if (other.hasKey()) {
+          setKey(other.getKey());
+        }
+        if (!other.getRoute().isEmpty()) {
+          route_ = other.route_;
+          bitField0_ |= 0x00000010;
+          onChanged();
+        }
+        if (other.getRepeatable() != false) {
+          setRepeatable(other.getRepeatable());
+        }
+        if (other.getPriority() != 0) {
+          setPriority(other.getPriority());
+        }
+        if (other.getMaxAttempts() != 0) {
+          setMaxAttempts(other.getMaxAttempts());
+        }
+        if (other.getRemainingMillis() != 0L) {
+          setRemainingMillis(other.getRemainingMillis());
+        }
+        if (other.getTargetRemainingMillis() != 0L) {
+          setTargetRemainingMillis(other.getTargetRemainingMillis());
+        }
+        if (other.getTargetLatencyMillis() != 0L) {
+          setTargetLatencyMillis(other.getTargetLatencyMillis());
+        }
+        if (!other.getMethod().isEmpty()) {
+          method_ = other.method_;
+          bitField0_ |= 0x00000800;
+          onChanged();
+        }
+        if (!other.getTarget().isEmpty()) {
+          target_ = other.target_;
+          bitField0_ |= 0x00001000;
+          onChanged();
+        }
+        if (headersBuilder_ == null) {
+          if (!other.headers_.isEmpty()) {
+            if (headers_.isEmpty()) {
+              headers_ = other.headers_;
+              bitField0_ = (bitField0_ & ~0x00002000);
+            } else {
+              ensureHeadersIsMutable();
+              headers_.addAll(other.headers_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.headers_.isEmpty()) {
+            if (headersBuilder_.isEmpty()) {
+              headersBuilder_.dispose();
+              headersBuilder_ = null;
+              headers_ = other.headers_;
+              bitField0_ = (bitField0_ & ~0x00002000);
+              headersBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   getHeadersFieldBuilder() : null;
+            } else {
+              headersBuilder_.addAllMessages(other.headers_);
+            }
+          }
+        }
+        if (other.getBody() != com.google.protobuf.ByteString.EMPTY) {
+          setBody(other.getBody());
+        }
+        if (!other.avoidedServers_.isEmpty()) {
+          if (avoidedServers_.isEmpty()) {
+            avoidedServers_ = other.avoidedServers_;
+            bitField0_ |= 0x00008000;
+          } else {
+            ensureAvoidedServersIsMutable();
+            avoidedServers_.addAll(other.avoidedServers_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                stream_ = input.readInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                requestId_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 26: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              case 32: {
+                key_ = input.readInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 42: {
+                route_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
+              case 48: {
+                repeatable_ = input.readBool();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              case 56: {
+                priority_ = input.readInt32();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              case 64: {
+                maxAttempts_ = input.readInt32();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
+              case 72: {
+                remainingMillis_ = input.readInt64();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 72
+              case 80: {
+                targetRemainingMillis_ = input.readSInt64();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
+              case 88: {
+                targetLatencyMillis_ = input.readInt64();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 88
+              case 98: {
+                method_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000800;
+                break;
+              } // case 98
+              case 106: {
+                target_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00001000;
+                break;
+              } // case 106
+              case 114: {
+                org.lacewingthread.daemon.peer.wire.PeerWire.Header m =
+                    input.readMessage(
+                        org.lacewingthread.daemon.peer.wire.PeerWire.Header.parser(),
+                        extensionRegistry);
+                if (headersBuilder_ == null) {
+                  ensureHeadersIsMutable();
+                  headers_.add(m);
+                } else {
+                  headersBuilder_.addMessage(m);
+                }
+                break;
+              } // case 114
+              case 122: {
+                body_ = input.readBytes();
+                bitField0_ |= 0x00004000;
+                break;
+              } // case 122
+              case 130: {
+                java.lang.String s = input.readStringRequireUtf8();
+                ensureAvoidedServersIsMutable();
+                avoidedServers_.add(s);
+                break;
+              } // case 130
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long stream_ ;
+      /**
+       * <code>int64 stream = 1;</code>
+       * @return The stream.
+       */
+      @java.lang.Override
+      public long getStream() {
+        return stream_;
+      }
+      /**
+       * <code>int64 stream = 1;</code>
+       * @param value The stream to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStream(long value) {
+
+        stream_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 stream = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStream() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        stream_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object requestId_ = "";
+      /**
+       * <code>string request_id = 2;</code>
+       * @return The requestId.
+       */
+      public java.lang.String getRequestId() {
+        java.lang.Object ref = requestId_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          requestId_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string request_id = 2;</code>
+       * @return The bytes for requestId.
+       */
+      public com.google.protobuf.ByteString
+          getRequestIdBytes() {
+        java.lang.Object ref = requestId_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          requestId_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string request_id = 2;</code>
+       * @param value The requestId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequestId(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        requestId_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string request_id = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequestId() {
+        requestId_ = getDefaultInstance().getRequestId();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string request_id = 2;</code>
+       * @param value The bytes for requestId to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequestIdBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        requestId_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object service_ = "";
       /**
-       * <code>string application = 3;</code>
-       * @return The application.
+       * <code>string service = 3;</code>
+       * @return The service.
        */
-      public java.lang.String getApplication() {
-        java.lang.Object ref = application_;
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          application_ = s;
+          service_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string application = 3;</code>
-       * @return The bytes for application.
+       * <code>string service = 3;</code>
+       * @return The bytes for service.
        */
       public com.google.protobuf.ByteString
-          getApplicationBytes() {
-        java.lang.Object ref = application_;
+          getServiceBytes() {
+        java.lang.Object ref = service_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          application_ = b;
+          service_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string application = 3;</code>
-       * @param value The application to set.
+       * <code>string service = 3;</code>
+       * @param value The service to set.
        * @return This builder for chaining.
        */
-      public Builder setApplication(
+      public Builder setService(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        application_ = value;
+        service_ = value;
         bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>string application = 3;</code>
+       * <code>string service = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder clearApplication() {
-        application_ = getDefaultInstance().getApplication();
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
         bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
         return this;
       }
       /**
-       * <code>string application = 3;</code>
-       * @param value The bytes for application to set.
+       * <code>string service = 3;</code>
+       * @param value The bytes for service to set.
        * @return This builder for chaining.
        */
-      public Builder setApplicationBytes(
+      public Builder setServiceBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        application_ = value;
+        service_ = value;
         bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
 
-      private int shardIndex_ ;
+      private int key_ ;
       /**
-       * <code>int32 shard_index = 4;</code>
-       * @return The shardIndex.
+       * <code>optional int32 key = 4;</code>
+       * @return Whether the key field is set.
        */
       @java.lang.Override
-      public int getShardIndex() {
-        return shardIndex_;
-      }
-      /**
-       * <code>int32 shard_index = 4;</code>
-       * @param value The shardIndex to set.
-       * @return This builder for chaining.
-       */
-      public Builder setShardIndex(int value) {
-
-        shardIndex_ = value;
-        bitField0_ |= 0x00000008;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>int32 shard_index = 4;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearShardIndex() {
-        bitField0_ = (bitField0_ & ~0x00000008);
-        shardIndex_ = 0;
-        onChanged();
-        return this;
+      public boolean hasKey() {
+        return ((bitField0_ & 0x00000008) != 0);
       }
-
-      private long keyHash_ ;
       /**
-       * <code>fixed64 key_hash = 5;</code>
-       * @return The keyHash.
+       * <code>optional int32 key = 4;</code>
+       * @return The key.
        */
       @java.lang.Override
-      public long getKeyHash() {
-        return keyHash_;
+      public int getKey() {
+        return key_;
       }
       /**
-       * <code>fixed64 key_hash = 5;</code>
-       * @param value The keyHash to set.
+       * <code>optional int32 key = 4;</code>
+       * @param value The key to set.
        * @return This builder for chaining.
        */
-      public Builder setKeyHash(long value) {
+      public Builder setKey(int value) {
 
-        keyHash_ = value;
-        bitField0_ |= 0x00000010;
+        key_ = value;
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
       /**
-       * <code>fixed64 key_hash = 5;</code>
+       * <code>optional int32 key = 4;</code>
        * @return This builder for chaining.
        */
-      public Builder clearKeyHash() {
-        bitField0_ = (bitField0_ & ~0x00000010);
-        keyHash_ = 0L;
+      public Builder clearKey() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        key_ = 0;
         onChanged();
         return this;
       }
 
-      private java.lang.Object requestClass_ = "";
+      private java.lang.Object route_ = "";
       /**
-       * <code>string request_class = 6;</code>
-       * @return The requestClass.
+       * <code>string route = 5;</code>
+       * @return The route.
        */
-      public java.lang.String getRequestClass() {
-        java.lang.Object ref = requestClass_;
+      public java.lang.String getRoute() {
+        java.lang.Object ref = route_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          requestClass_ = s;
+          route_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string request_class = 6;</code>
-       * @return The bytes for requestClass.
+       * <code>string route = 5;</code>
+       * @return The bytes for route.
        */
       public com.google.protobuf.ByteString
-          getRequestClassBytes() {
-        java.lang.Object ref = requestClass_;
+          getRouteBytes() {
+        java.lang.Object ref = route_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          requestClass_ = b;
+          route_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string request_class = 6;</code>
-       * @param value The requestClass to set.
+       * <code>string route = 5;</code>
+       * @param value The route to set.
        * @return This builder for chaining.
        */
-      public Builder setRequestClass(
+      public Builder setRoute(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        requestClass_ = value;
-        bitField0_ |= 0x00000020;
+        route_ = value;
+        bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
-       * <code>string request_class = 6;</code>
+       * <code>string route = 5;</code>
        * @return This builder for chaining.
        */
-      public Builder clearRequestClass() {
-        requestClass_ = getDefaultInstance().getRequestClass();
-        bitField0_ = (bitField0_ & ~0x00000020);
+      public Builder clearRoute() {
+        route_ = getDefaultInstance().getRoute();
+        bitField0_ = (bitField0_ & ~0x00000010);
         onChanged();
         return this;
       }
       /**
-       * <code>string request_class = 6;</code>
-       * @param value The bytes for requestClass to set.
+       * <code>string route = 5;</code>
+       * @param value The bytes for route to set.
        * @return This builder for chaining.
        */
-      public Builder setRequestClassBytes(
+      public Builder setRouteBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        requestClass_ = value;
+        route_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+
+      private boolean repeatable_ ;
+      /**
+       * <code>bool repeatable = 6;</code>
+       * @return The repeatable.
+       */
+      @java.lang.Override
+      public boolean getRepeatable() {
+        return repeatable_;
+      }
+      /**
+       * <code>bool repeatable = 6;</code>
+       * @param value The repeatable to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRepeatable(boolean value) {
+
+        repeatable_ = value;
         bitField0_ |= 0x00000020;
         onChanged();
         return this;
       }
+      /**
+       * <code>bool repeatable = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRepeatable() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        repeatable_ = false;
+        onChanged();
+        return this;
+      }
+
+      private int priority_ ;
+      /**
+       * <code>int32 priority = 7;</code>
+       * @return The priority.
+       */
+      @java.lang.Override
+      public int getPriority() {
+        return priority_;
+      }
+      /**
+       * <code>int32 priority = 7;</code>
+       * @param value The priority to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPriority(int value) {
+
+        priority_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int32 priority = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPriority() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        priority_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int maxAttempts_ ;
+      /**
+       * <pre>
+       * Servers that the request may still be sent to.
+       * </pre>
+       *
+       * <code>int32 max_attempts = 8;</code>
+       * @return The maxAttempts.
+       */
+      @java.lang.Override
+      public int getMaxAttempts() {
+        return maxAttempts_;
+      }
+      /**
+       * <pre>
+       * Servers that the request may still be sent to.
+       * </pre>
+       *
+       * <code>int32 max_attempts = 8;</code>
+       * @param value The maxAttempts to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMaxAttempts(int value) {
+
+        maxAttempts_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Servers that the request may still be sent to.
+       * </pre>
+       *
+       * <code>int32 max_attempts = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMaxAttempts() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        maxAttempts_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long remainingMillis_ ;
+      /**
+       * <code>int64 remaining_millis = 9;</code>
+       * @return The remainingMillis.
+       */
+      @java.lang.Override
+      public long getRemainingMillis() {
+        return remainingMillis_;
+      }
+      /**
+       * <code>int64 remaining_millis = 9;</code>
+       * @param value The remainingMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRemainingMillis(long value) {
+
+        remainingMillis_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 remaining_millis = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRemainingMillis() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        remainingMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long targetRemainingMillis_ ;
+      /**
+       * <pre>
+       * Negative if the time up to which a response is prompt has passed.
+       * </pre>
+       *
+       * <code>sint64 target_remaining_millis = 10;</code>
+       * @return The targetRemainingMillis.
+       */
+      @java.lang.Override
+      public long getTargetRemainingMillis() {
+        return targetRemainingMillis_;
+      }
+      /**
+       * <pre>
+       * Negative if the time up to which a response is prompt has passed.
+       * </pre>
+       *
+       * <code>sint64 target_remaining_millis = 10;</code>
+       * @param value The targetRemainingMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTargetRemainingMillis(long value) {
+
+        targetRemainingMillis_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Negative if the time up to which a response is prompt has passed.
+       * </pre>
+       *
+       * <code>sint64 target_remaining_millis = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTargetRemainingMillis() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        targetRemainingMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long targetLatencyMillis_ ;
+      /**
+       * <code>int64 target_latency_millis = 11;</code>
+       * @return The targetLatencyMillis.
+       */
+      @java.lang.Override
+      public long getTargetLatencyMillis() {
+        return targetLatencyMillis_;
+      }
+      /**
+       * <code>int64 target_latency_millis = 11;</code>
+       * @param value The targetLatencyMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTargetLatencyMillis(long value) {
+
+        targetLatencyMillis_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 target_latency_millis = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTargetLatencyMillis() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        targetLatencyMillis_ = 0L;
+        onChanged();
+        return this;
+      }
 
       private java.lang.Object method_ = "";
       /**
-       * <code>string method = 7;</code>
+       * <code>string method = 12;</code>
        * @return The method.
        */
       public java.lang.String getMethod() {
@@ -27615,7 +30289,7 @@
         }
       }
       /**
-       * <code>string method = 7;</code>
+       * <code>string method = 12;</code>
        * @return The bytes for method.
        */
       public com.google.protobuf.ByteString
@@ -27632,7 +30306,7 @@
         }
       }
       /**
-       * <code>string method = 7;</code>
+       * <code>string method = 12;</code>
        * @param value The method to set.
        * @return This builder for chaining.
        */
@@ -27640,22 +30314,22 @@
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
         method_ = value;
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000800;
         onChanged();
         return this;
       }
       /**
-       * <code>string method = 7;</code>
+       * <code>string method = 12;</code>
        * @return This builder for chaining.
        */
       public Builder clearMethod() {
         method_ = getDefaultInstance().getMethod();
-        bitField0_ = (bitField0_ & ~0x00000040);
+        bitField0_ = (bitField0_ & ~0x00000800);
         onChanged();
         return this;
       }
       /**
-       * <code>string method = 7;</code>
+       * <code>string method = 12;</code>
        * @param value The bytes for method to set.
        * @return This builder for chaining.
        */
@@ -27664,79 +30338,79 @@
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
         method_ = value;
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000800;
         onChanged();
         return this;
       }
 
-      private java.lang.Object path_ = "";
+      private java.lang.Object target_ = "";
       /**
-       * <code>string path = 8;</code>
-       * @return The path.
+       * <code>string target = 13;</code>
+       * @return The target.
        */
-      public java.lang.String getPath() {
-        java.lang.Object ref = path_;
+      public java.lang.String getTarget() {
+        java.lang.Object ref = target_;
         if (!(ref instanceof java.lang.String)) {
           com.google.protobuf.ByteString bs =
               (com.google.protobuf.ByteString) ref;
           java.lang.String s = bs.toStringUtf8();
-          path_ = s;
+          target_ = s;
           return s;
         } else {
           return (java.lang.String) ref;
         }
       }
       /**
-       * <code>string path = 8;</code>
-       * @return The bytes for path.
+       * <code>string target = 13;</code>
+       * @return The bytes for target.
        */
       public com.google.protobuf.ByteString
-          getPathBytes() {
-        java.lang.Object ref = path_;
+          getTargetBytes() {
+        java.lang.Object ref = target_;
         if (ref instanceof String) {
           com.google.protobuf.ByteString b = 
               com.google.protobuf.ByteString.copyFromUtf8(
                   (java.lang.String) ref);
-          path_ = b;
+          target_ = b;
           return b;
         } else {
           return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>string path = 8;</code>
-       * @param value The path to set.
+       * <code>string target = 13;</code>
+       * @param value The target to set.
        * @return This builder for chaining.
        */
-      public Builder setPath(
+      public Builder setTarget(
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        path_ = value;
-        bitField0_ |= 0x00000080;
+        target_ = value;
+        bitField0_ |= 0x00001000;
         onChanged();
         return this;
       }
       /**
-       * <code>string path = 8;</code>
+       * <code>string target = 13;</code>
        * @return This builder for chaining.
        */
-      public Builder clearPath() {
-        path_ = getDefaultInstance().getPath();
-        bitField0_ = (bitField0_ & ~0x00000080);
+      public Builder clearTarget() {
+        target_ = getDefaultInstance().getTarget();
+        bitField0_ = (bitField0_ & ~0x00001000);
         onChanged();
         return this;
       }
       /**
-       * <code>string path = 8;</code>
-       * @param value The bytes for path to set.
+       * <code>string target = 13;</code>
+       * @param value The bytes for target to set.
        * @return This builder for chaining.
        */
-      public Builder setPathBytes(
+      public Builder setTargetBytes(
           com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
-        path_ = value;
-        bitField0_ |= 0x00000080;
+        target_ = value;
+        bitField0_ |= 0x00001000;
         onChanged();
         return this;
       }
@@ -27744,9 +30418,9 @@
       private java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.Header> headers_ =
         java.util.Collections.emptyList();
       private void ensureHeadersIsMutable() {
-        if (!((bitField0_ & 0x00000100) != 0)) {
+        if (!((bitField0_ & 0x00002000) != 0)) {
           headers_ = new java.util.ArrayList<org.lacewingthread.daemon.peer.wire.PeerWire.Header>(headers_);
-          bitField0_ |= 0x00000100;
+          bitField0_ |= 0x00002000;
          }
       }
 
@@ -27754,7 +30428,7 @@
           org.lacewingthread.daemon.peer.wire.PeerWire.Header, org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder> headersBuilder_;
 
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.Header> getHeadersList() {
         if (headersBuilder_ == null) {
@@ -27764,7 +30438,7 @@
         }
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public int getHeadersCount() {
         if (headersBuilder_ == null) {
@@ -27774,7 +30448,7 @@
         }
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public org.lacewingthread.daemon.peer.wire.PeerWire.Header getHeaders(int index) {
         if (headersBuilder_ == null) {
@@ -27784,7 +30458,7 @@
         }
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public Builder setHeaders(
           int index, org.lacewingthread.daemon.peer.wire.PeerWire.Header value) {
@@ -27801,7 +30475,7 @@
         return this;
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public Builder setHeaders(
           int index, org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder builderForValue) {
@@ -27815,7 +30489,7 @@
         return this;
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public Builder addHeaders(org.lacewingthread.daemon.peer.wire.PeerWire.Header value) {
         if (headersBuilder_ == null) {
@@ -27831,7 +30505,7 @@
         return this;
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public Builder addHeaders(
           int index, org.lacewingthread.daemon.peer.wire.PeerWire.Header value) {
@@ -27848,7 +30522,7 @@
         return this;
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public Builder addHeaders(
           org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder builderForValue) {
@@ -27862,7 +30536,7 @@
         return this;
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public Builder addHeaders(
           int index, org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder builderForValue) {
@@ -27876,7 +30550,7 @@
         return this;
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public Builder addAllHeaders(
           java.lang.Iterable<? extends org.lacewingthread.daemon.peer.wire.PeerWire.Header> values) {
@@ -27891,12 +30565,12 @@
         return this;
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public Builder clearHeaders() {
         if (headersBuilder_ == null) {
           headers_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000100);
+          bitField0_ = (bitField0_ & ~0x00002000);
           onChanged();
         } else {
           headersBuilder_.clear();
@@ -27904,7 +30578,7 @@
         return this;
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public Builder removeHeaders(int index) {
         if (headersBuilder_ == null) {
@@ -27917,14 +30591,14 @@
         return this;
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder getHeadersBuilder(
           int index) {
         return getHeadersFieldBuilder().getBuilder(index);
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder getHeadersOrBuilder(
           int index) {
@@ -27934,7 +30608,7 @@
         }
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public java.util.List<? extends org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder> 
            getHeadersOrBuilderList() {
@@ -27945,14 +30619,14 @@
         }
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder addHeadersBuilder() {
         return getHeadersFieldBuilder().addBuilder(
             org.lacewingthread.daemon.peer.wire.PeerWire.Header.getDefaultInstance());
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder addHeadersBuilder(
           int index) {
@@ -27960,7 +30634,7 @@
             index, org.lacewingthread.daemon.peer.wire.PeerWire.Header.getDefaultInstance());
       }
       /**
-       * <code>repeated .lacewingthread.peer.Header headers = 9;</code>
+       * <code>repeated .lacewingthread.peer.Header headers = 14;</code>
        */
       public java.util.List<org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder> 
            getHeadersBuilderList() {
@@ -27973,7 +30647,7 @@
           headersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               org.lacewingthread.daemon.peer.wire.PeerWire.Header, org.lacewingthread.daemon.peer.wire.PeerWire.Header.Builder, org.lacewingthread.daemon.peer.wire.PeerWire.HeaderOrBuilder>(
                   headers_,
-                  ((bitField0_ & 0x00000100) != 0),
+                  ((bitField0_ & 0x00002000) != 0),
                   getParentForChildren(),
                   isClean());
           headers_ = null;
@@ -27983,7 +30657,7 @@
 
       private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
       /**
-       * <code>bytes body = 10;</code>
+       * <code>bytes body = 15;</code>
        * @return The body.
        */
       @java.lang.Override
@@ -27991,181 +30665,156 @@
         return body_;
       }
       /**
-       * <code>bytes body = 10;</code>
+       * <code>bytes body = 15;</code>
        * @param value The body to set.
        * @return This builder for chaining.
        */
       public Builder setBody(com.google.protobuf.ByteString value) {
         if (value == null) { throw new NullPointerException(); }
         body_ = value;
-        bitField0_ |= 0x00000200;
+        bitField0_ |= 0x00004000;
         onChanged();
         return this;
       }
       /**
-       * <code>bytes body = 10;</code>
+       * <code>bytes body = 15;</code>
        * @return This builder for chaining.
        */
       public Builder clearBody() {
-        bitField0_ = (bitField0_ & ~0x00000200);
+        bitField0_ = (bitField0_ & ~0x00004000);
         body_ = getDefaultInstance().getBody();
         onChanged();
         return this;
       }
 
-      private long remainingMillis_ ;
-      /**
-       * <code>int64 remaining_millis = 11;</code>
-       * @return The remainingMillis.
-       */
-      @java.lang.Override
-      public long getRemainingMillis() {
-        return remainingMillis_;
+      private com.google.protobuf.LazyStringArrayList avoidedServers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureAvoidedServersIsMutable() {
+        if (!avoidedServers_.isModifiable()) {
+          avoidedServers_ = new com.google.protobuf.LazyStringArrayList(avoidedServers_);
+        }
+        bitField0_ |= 0x00008000;
       }
       /**
-       * <code>int64 remaining_millis = 11;</code>
-       * @param value The remainingMillis to set.
-       * @return This builder for chaining.
+       * <code>repeated string avoided_servers = 16;</code>
+       * @return A list containing the avoidedServers.
        */
-      public Builder setRemainingMillis(long value) {
-
-        remainingMillis_ = value;
-        bitField0_ |= 0x00000400;
-        onChanged();
-        return this;
+      public com.google.protobuf.ProtocolStringList
+          getAvoidedServersList() {
+        avoidedServers_.makeImmutable();
+        return avoidedServers_;
       }
       /**
-       * <code>int64 remaining_millis = 11;</code>
-       * @return This builder for chaining.
+       * <code>repeated string avoided_servers = 16;</code>
+       * @return The count of avoidedServers.
        */
-      public Builder clearRemainingMillis() {
-        bitField0_ = (bitField0_ & ~0x00000400);
-        remainingMillis_ = 0L;
-        onChanged();
-        return this;
+      public int getAvoidedServersCount() {
+        return avoidedServers_.size();
       }
-
-      private java.lang.Object idempotencyKey_ = "";
       /**
-       * <code>string idempotency_key = 12;</code>
-       * @return The idempotencyKey.
+       * <code>repeated string avoided_servers = 16;</code>
+       * @param index The index of the element to return.
+       * @return The avoidedServers at the given index.
        */
-      public java.lang.String getIdempotencyKey() {
-        java.lang.Object ref = idempotencyKey_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          idempotencyKey_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
+      public java.lang.String getAvoidedServers(int index) {
+        return avoidedServers_.get(index);
       }
       /**
-       * <code>string idempotency_key = 12;</code>
-       * @return The bytes for idempotencyKey.
+       * <code>repeated string avoided_servers = 16;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the avoidedServers at the given index.
        */
       public com.google.protobuf.ByteString
-          getIdempotencyKeyBytes() {
-        java.lang.Object ref = idempotencyKey_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          idempotencyKey_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+          getAvoidedServersBytes(int index) {
+        return avoidedServers_.getByteString(index);
       }
       /**
-       * <code>string idempotency_key = 12;</code>
-       * @param value The idempotencyKey to set.
+       * <code>repeated string avoided_servers = 16;</code>
+       * @param index The index to set the value at.
+       * @param value The avoidedServers to set.
        * @return This builder for chaining.
        */
-      public Builder setIdempotencyKey(
-          java.lang.String value) {
+      public Builder setAvoidedServers(
+          int index, java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
-        idempotencyKey_ = value;
-        bitField0_ |= 0x00000800;
+        ensureAvoidedServersIsMutable();
+        avoidedServers_.set(index, value);
+        bitField0_ |= 0x00008000;
         onChanged();
         return this;
       }
       /**
-       * <code>string idempotency_key = 12;</code>
+       * <code>repeated string avoided_servers = 16;</code>
+       * @param value The avoidedServers to add.
        * @return This builder for chaining.
        */
-      public Builder clearIdempotencyKey() {
-        idempotencyKey_ = getDefaultInstance().getIdempotencyKey();
-        bitField0_ = (bitField0_ & ~0x00000800);
+      public Builder addAvoidedServers(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureAvoidedServersIsMutable();
+        avoidedServers_.add(value);
+        bitField0_ |= 0x00008000;
         onChanged();
         return this;
       }
       /**
-       * <code>string idempotency_key = 12;</code>
-       * @param value The bytes for idempotencyKey to set.
+       * <code>repeated string avoided_servers = 16;</code>
+       * @param values The avoidedServers to add.
        * @return This builder for chaining.
        */
-      public Builder setIdempotencyKeyBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        idempotencyKey_ = value;
-        bitField0_ |= 0x00000800;
+      public Builder addAllAvoidedServers(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureAvoidedServersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, avoidedServers_);
+        bitField0_ |= 0x00008000;
         onChanged();
         return this;
       }
-
-      private int hops_ ;
       /**
-       * <code>int32 hops = 13;</code>
-       * @return The hops.
-       */
-      @java.lang.Override
-      public int getHops() {
-        return hops_;
-      }
-      /**
-       * <code>int32 hops = 13;</code>
-       * @param value The hops to set.
+       * <code>repeated string avoided_servers = 16;</code>
        * @return This builder for chaining.
        */
-      public Builder setHops(int value) {
-
-        hops_ = value;
-        bitField0_ |= 0x00001000;
+      public Builder clearAvoidedServers() {
+        avoidedServers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00008000);;
         onChanged();
         return this;
       }
       /**
-       * <code>int32 hops = 13;</code>
+       * <code>repeated string avoided_servers = 16;</code>
+       * @param value The bytes of the avoidedServers to add.
        * @return This builder for chaining.
        */
-      public Builder clearHops() {
-        bitField0_ = (bitField0_ & ~0x00001000);
-        hops_ = 0;
+      public Builder addAvoidedServersBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureAvoidedServersIsMutable();
+        avoidedServers_.add(value);
+        bitField0_ |= 0x00008000;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.RequestStart)
+      // @@protoc_insertion_point(builder_scope:lacewingthread.peer.RouteRequestStart)
     }
 
-    // @@protoc_insertion_point(class_scope:lacewingthread.peer.RequestStart)
-    private static final org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:lacewingthread.peer.RouteRequestStart)
+    private static final org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart();
+      DEFAULT_INSTANCE = new org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart();
     }
 
-    public static org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart getDefaultInstance() {
+    public static org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<RequestStart>
-        PARSER = new com.google.protobuf.AbstractParser<RequestStart>() {
+    private static final com.google.protobuf.Parser<RouteRequestStart>
+        PARSER = new com.google.protobuf.AbstractParser<RouteRequestStart>() {
       @java.lang.Override
-      public RequestStart parsePartialFrom(
+      public RouteRequestStart parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -28184,17 +30833,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<RequestStart> parser() {
+    public static com.google.protobuf.Parser<RouteRequestStart> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<RequestStart> getParserForType() {
+    public com.google.protobuf.Parser<RouteRequestStart> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public org.lacewingthread.daemon.peer.wire.PeerWire.RequestStart getDefaultInstanceForType() {
+    public org.lacewingthread.daemon.peer.wire.PeerWire.RouteRequestStart getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -36912,6 +39561,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_lacewingthread_peer_RequestStart_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_lacewingthread_peer_RouteRequestStart_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_lacewingthread_peer_RouteRequestStart_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_lacewingthread_peer_RequestCancel_descriptor;
   private static final 
@@ -36981,7 +39635,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\023lacewingthread.peer\"\373\t\n\005Fr" +
+      "\n\npeer.proto\022\023lacewingthread.peer\"\302\n\n\005Fr" +
       "ame\022+\n\005hello\030\001 \001(\0132\032.lacewingthread.peer" +
       ".HelloH\000\022)\n\004ping\030\002 \001(\0132\031.lacewingthread." +
       "peer.PingH\000\022)\n\004pong\030\003 \001(\0132\031.lacewingthre" +
@@ -37007,117 +39661,129 @@
       "hread.peer.ResponseConsumedH\000\0228\n\014respons" +
       "e_end\030\031 \001(\0132 .lacewingthread.peer.Respon" +
       "seEndH\000\022@\n\020response_failure\030\032 \001(\0132$.lace" +
-      "wingthread.peer.ResponseFailureH\000\0224\n\nrec" +
-      "ord_put\030\036 \001(\0132\036.lacewingthread.peer.Reco" +
-      "rdPutH\000\0224\n\nrecord_ack\030\037 \001(\0132\036.lacewingth" +
-      "read.peer.RecordAckH\000\022<\n\016records_wanted\030" +
-      "  \001(\0132\".lacewingthread.peer.RecordsWante" +
-      "dH\000\022:\n\rrecords_given\030! \001(\0132!.lacewingthr" +
-      "ead.peer.RecordsGivenH\000B\006\n\004body\"\223\001\n\005Hell" +
-      "o\022\030\n\020protocol_version\030\001 \001(\r\022,\n\006sender\030\002 " +
-      "\001(\0132\034.lacewingthread.peer.VmStart\022\023\n\013dat" +
-      "a_centre\030\003 \001(\t\022-\n\007purpose\030\004 \001(\0162\034.lacewi" +
-      "ngthread.peer.Purpose\"\026\n\004Ping\022\016\n\006number\030" +
-      "\001 \001(\003\"\026\n\004Pong\022\016\n\006number\030\001 \001(\003\"+\n\007VmStart" +
-      "\022\n\n\002vm\030\001 \001(\t\022\024\n\014start_number\030\002 \001(\003\"[\n\004Te" +
-      "rm\022\024\n\014claim_offset\030\001 \001(\022\022\017\n\007ordinal\030\002 \001(" +
-      "\003\022,\n\006leader\030\003 \001(\0132\034.lacewingthread.peer." +
-      "VmStart\"F\n\005Token\022\'\n\004term\030\001 \001(\0132\031.lacewin" +
-      "gthread.peer.Term\022\024\n\014plan_version\030\002 \001(\003\"" +
-      "\266\001\n\006Owners\022\024\n\014applications\030\001 \003(\t\022\017\n\007serv" +
-      "ers\030\002 \003(\t\022*\n\006tokens\030\003 \003(\0132\032.lacewingthre" +
-      "ad.peer.Token\022\031\n\021shard_application\030\004 \003(\005" +
-      "\022\023\n\013shard_index\030\005 \003(\005\022\024\n\014shard_server\030\006 " +
-      "\003(\005\022\023\n\013shard_token\030\007 \003(\005\"\\\n\013Dispatchers\022" +
-      ")\n\003vms\030\001 \003(\0132\034.lacewingthread.peer.VmSta" +
-      "rt\022\017\n\007servers\030\002 \003(\t\022\021\n\tserver_vm\030\003 \003(\005\"Q" +
-      "\n\tShardList\022\024\n\014applications\030\001 \003(\t\022\031\n\021sha" +
-      "rd_application\030\002 \003(\005\022\023\n\013shard_index\030\003 \003(" +
-      "\005\"\230\002\n\nPlanUpdate\022\'\n\004term\030\001 \001(\0132\031.lacewin" +
-      "gthread.peer.Term\022\024\n\014from_version\030\002 \001(\022\022" +
-      "\022\n\nto_version\030\003 \001(\003\0225\n\013dispatchers\030\004 \001(\013" +
-      "2 .lacewingthread.peer.Dispatchers\022\033\n\023re" +
-      "moved_dispatchers\030\005 \003(\t\022+\n\006owners\030\006 \001(\0132" +
-      "\033.lacewingthread.peer.Owners\0226\n\016removed_" +
-      "owners\030\007 \001(\0132\036.lacewingthread.peer.Shard" +
-      "List\"\251\001\n\tRoutePlan\022\'\n\004term\030\001 \001(\0132\031.lacew" +
-      "ingthread.peer.Term\022\017\n\007version\030\002 \001(\003\0225\n\013" +
-      "dispatchers\030\003 \001(\0132 .lacewingthread.peer." +
-      "Dispatchers\022+\n\006owners\030\004 \001(\0132\033.lacewingth" +
-      "read.peer.Owners\"\362\001\n\tHeartbeat\022\023\n\013data_c" +
-      "entre\030\001 \001(\t\022\'\n\004term\030\002 \001(\0132\031.lacewingthre" +
-      "ad.peer.Term\022\027\n\017roster_revision\030\003 \001(\022\022\020\n" +
-      "\010sequence\030\004 \001(\003\022\030\n\020echoed_at_millis\030\005 \001(" +
-      "\022\022\033\n\023echoed_plan_version\030\006 \001(\022\022\026\n\016log_en" +
-      "d_offset\030\007 \001(\022\022-\n\004plan\030\010 \001(\0132\037.lacewingt" +
-      "hread.peer.PlanUpdate\"\207\001\n\tShardLoad\022\023\n\013a" +
-      "pplication\030\001 \001(\t\022\r\n\005index\030\002 \001(\005\022\033\n\023reque" +
-      "sts_per_second\030\003 \001(\001\022\030\n\020hottest_key_hash" +
-      "\030\004 \001(\006\022\037\n\027hottest_key_share_ratio\030\005 \001(\001\"" +
-      "q\n\nServerLoad\022\016\n\006server\030\001 \001(\t\022\033\n\023request" +
-      "s_per_second\030\002 \001(\001\0226\n\016hottest_shards\030\003 \003" +
-      "(\0132\036.lacewingthread.peer.ShardLoad\"\255\003\n\016H" +
-      "eartbeatReply\022\'\n\004term\030\001 \001(\0132\031.lacewingth" +
-      "read.peer.Term\022\020\n\010sequence\030\002 \001(\003\022\017\n\007gran" +
-      "ted\030\003 \001(\010\022/\n\014highest_term\030\004 \001(\0132\031.lacewi" +
-      "ngthread.peer.Term\022\027\n\017roster_revision\030\005 " +
-      "\001(\022\022\033\n\023acknowledged_roster\030\006 \001(\010\022\026\n\016appl" +
-      "ied_offset\030\007 \001(\022\022\031\n\021replied_at_millis\030\010 " +
-      "\001(\022\022\034\n\024applied_plan_version\030\t \001(\022\022\035\n\025rel" +
-      "eased_plan_version\030\n \001(\022\022,\n\004held\030\013 \001(\0132\036" +
-      ".lacewingthread.peer.RoutePlan\022\033\n\023unreac" +
-      "hable_servers\030\014 \003(\t\022-\n\004load\030\r \003(\0132\037.lace" +
-      "wingthread.peer.ServerLoad\" \n\020LogRecords" +
-      "Wanted\022\014\n\004from\030\001 \001(\022\"-\n\rEncodedRecord\022\016\n" +
-      "\006offset\030\001 \001(\022\022\014\n\004data\030\002 \001(\014\"\\\n\021LogRecord" +
-      "sOffered\0223\n\007records\030\001 \003(\0132\".lacewingthre" +
-      "ad.peer.EncodedRecord\022\022\n\nend_offset\030\002 \001(" +
-      "\022\"_\n\020ProgressReported\022\023\n\013data_centre\030\001 \001" +
-      "(\t\022\026\n\016applied_offset\030\002 \001(\022\022\036\n\026configurat" +
-      "ion_revision\030\003 \001(\022\"\\\n\014RosterMember\022+\n\005st" +
-      "art\030\001 \001(\0132\034.lacewingthread.peer.VmStart\022" +
-      "\014\n\004host\030\002 \001(\t\022\021\n\tpeer_port\030\003 \001(\005\"n\n\023Memb" +
-      "ershipRequested\022\023\n\013data_centre\030\001 \001(\t\0221\n\006" +
-      "member\030\002 \001(\0132!.lacewingthread.peer.Roste" +
-      "rMember\022\017\n\007leaving\030\003 \001(\010\"\216\001\n\017ServersObse" +
-      "rved\022H\n\nconditions\030\001 \003(\01324.lacewingthrea" +
-      "d.peer.ServersObserved.ConditionsEntry\0321" +
-      "\n\017ConditionsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030" +
-      "\002 \001(\t:\0028\001\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005val" +
-      "ue\030\002 \001(\t\"\240\002\n\014RequestStart\022\016\n\006stream\030\001 \001(" +
-      "\003\022\022\n\nrequest_id\030\002 \001(\t\022\023\n\013application\030\003 \001" +
-      "(\t\022\023\n\013shard_index\030\004 \001(\005\022\020\n\010key_hash\030\005 \001(" +
-      "\006\022\025\n\rrequest_class\030\006 \001(\t\022\016\n\006method\030\007 \001(\t" +
-      "\022\014\n\004path\030\010 \001(\t\022,\n\007headers\030\t \003(\0132\033.lacewi" +
-      "ngthread.peer.Header\022\014\n\004body\030\n \001(\014\022\030\n\020re" +
-      "maining_millis\030\013 \001(\003\022\027\n\017idempotency_key\030" +
-      "\014 \001(\t\022\014\n\004hops\030\r \001(\005\"\037\n\rRequestCancel\022\016\n\006" +
-      "stream\030\001 \001(\003\"\\\n\014ResponseHead\022\016\n\006stream\030\001" +
-      " \001(\003\022\016\n\006status\030\002 \001(\005\022,\n\007headers\030\003 \003(\0132\033." +
-      "lacewingthread.peer.Header\"-\n\014ResponseBo" +
-      "dy\022\016\n\006stream\030\001 \001(\003\022\r\n\005chunk\030\002 \001(\014\"\"\n\020Res" +
-      "ponseConsumed\022\016\n\006stream\030\001 \001(\003\"\035\n\013Respons" +
-      "eEnd\022\016\n\006stream\030\001 \001(\003\"[\n\017ResponseFailure\022" +
-      "\016\n\006stream\030\001 \001(\003\022\014\n\004code\030\002 \001(\005\022\032\n\022retry_a" +
-      "fter_millis\030\003 \001(\003\022\016\n\006detail\030\004 \001(\t\"\235\001\n\021Id" +
-      "empotencyRecord\022\023\n\013application\030\001 \001(\t\022\023\n\013" +
-      "shard_index\030\002 \001(\005\022\013\n\003key\030\003 \001(\t\022\023\n\013finger" +
-      "print\030\004 \001(\006\022\r\n\005state\030\005 \001(\t\022-\n\007outcome\030\006 " +
-      "\001(\0132\034.lacewingthread.peer.Outcome\"F\n\007Out" +
-      "come\022\016\n\006status\030\001 \001(\005\022\017\n\007headers\030\002 \003(\t\022\021\n" +
-      "\004body\030\003 \001(\014H\000\210\001\001B\007\n\005_body\"S\n\tRecordPut\022\016" +
-      "\n\006number\030\001 \001(\003\0226\n\006record\030\002 \001(\0132&.lacewin" +
-      "gthread.peer.IdempotencyRecord\"+\n\tRecord" +
-      "Ack\022\016\n\006number\030\001 \001(\003\022\016\n\006stored\030\002 \001(\010\"O\n\rR" +
-      "ecordsWanted\022\016\n\006number\030\001 \001(\003\022.\n\006shards\030\002" +
-      " \001(\0132\036.lacewingthread.peer.ShardList\"\231\001\n" +
-      "\014RecordsGiven\022\016\n\006number\030\001 \001(\003\0227\n\007records" +
-      "\030\002 \003(\0132&.lacewingthread.peer.Idempotency" +
-      "Record\022*\n\004gone\030\003 \003(\0132\034.lacewingthread.pe" +
-      "er.VmStart\022\024\n\014whole_window\030\004 \001(\010*8\n\007Purp" +
-      "ose\022\023\n\017PURPOSE_UNKNOWN\020\000\022\013\n\007CONTROL\020\001\022\013\n" +
-      "\007TRAFFIC\020\002B/\n#org.lacewingthread.daemon." +
-      "peer.wireB\010PeerWireb\006proto3"
+      "wingthread.peer.ResponseFailureH\000\022E\n\023rou" +
+      "te_request_start\030\033 \001(\0132&.lacewingthread." +
+      "peer.RouteRequestStartH\000\0224\n\nrecord_put\030\036" +
+      " \001(\0132\036.lacewingthread.peer.RecordPutH\000\0224" +
+      "\n\nrecord_ack\030\037 \001(\0132\036.lacewingthread.peer" +
+      ".RecordAckH\000\022<\n\016records_wanted\030  \001(\0132\".l" +
+      "acewingthread.peer.RecordsWantedH\000\022:\n\rre" +
+      "cords_given\030! \001(\0132!.lacewingthread.peer." +
+      "RecordsGivenH\000B\006\n\004body\"\223\001\n\005Hello\022\030\n\020prot" +
+      "ocol_version\030\001 \001(\r\022,\n\006sender\030\002 \001(\0132\034.lac" +
+      "ewingthread.peer.VmStart\022\023\n\013data_centre\030" +
+      "\003 \001(\t\022-\n\007purpose\030\004 \001(\0162\034.lacewingthread." +
+      "peer.Purpose\"\026\n\004Ping\022\016\n\006number\030\001 \001(\003\"\026\n\004" +
+      "Pong\022\016\n\006number\030\001 \001(\003\"+\n\007VmStart\022\n\n\002vm\030\001 " +
+      "\001(\t\022\024\n\014start_number\030\002 \001(\003\"[\n\004Term\022\024\n\014cla" +
+      "im_offset\030\001 \001(\022\022\017\n\007ordinal\030\002 \001(\003\022,\n\006lead" +
+      "er\030\003 \001(\0132\034.lacewingthread.peer.VmStart\"F" +
+      "\n\005Token\022\'\n\004term\030\001 \001(\0132\031.lacewingthread.p" +
+      "eer.Term\022\024\n\014plan_version\030\002 \001(\003\"\266\001\n\006Owner" +
+      "s\022\024\n\014applications\030\001 \003(\t\022\017\n\007servers\030\002 \003(\t" +
+      "\022*\n\006tokens\030\003 \003(\0132\032.lacewingthread.peer.T" +
+      "oken\022\031\n\021shard_application\030\004 \003(\005\022\023\n\013shard" +
+      "_index\030\005 \003(\005\022\024\n\014shard_server\030\006 \003(\005\022\023\n\013sh" +
+      "ard_token\030\007 \003(\005\"\\\n\013Dispatchers\022)\n\003vms\030\001 " +
+      "\003(\0132\034.lacewingthread.peer.VmStart\022\017\n\007ser" +
+      "vers\030\002 \003(\t\022\021\n\tserver_vm\030\003 \003(\005\"Q\n\tShardLi" +
+      "st\022\024\n\014applications\030\001 \003(\t\022\031\n\021shard_applic" +
+      "ation\030\002 \003(\005\022\023\n\013shard_index\030\003 \003(\005\"\230\002\n\nPla" +
+      "nUpdate\022\'\n\004term\030\001 \001(\0132\031.lacewingthread.p" +
+      "eer.Term\022\024\n\014from_version\030\002 \001(\022\022\022\n\nto_ver" +
+      "sion\030\003 \001(\003\0225\n\013dispatchers\030\004 \001(\0132 .lacewi" +
+      "ngthread.peer.Dispatchers\022\033\n\023removed_dis" +
+      "patchers\030\005 \003(\t\022+\n\006owners\030\006 \001(\0132\033.lacewin" +
+      "gthread.peer.Owners\0226\n\016removed_owners\030\007 " +
+      "\001(\0132\036.lacewingthread.peer.ShardList\"\251\001\n\t" +
+      "RoutePlan\022\'\n\004term\030\001 \001(\0132\031.lacewingthread" +
+      ".peer.Term\022\017\n\007version\030\002 \001(\003\0225\n\013dispatche" +
+      "rs\030\003 \001(\0132 .lacewingthread.peer.Dispatche" +
+      "rs\022+\n\006owners\030\004 \001(\0132\033.lacewingthread.peer" +
+      ".Owners\"\362\001\n\tHeartbeat\022\023\n\013data_centre\030\001 \001" +
+      "(\t\022\'\n\004term\030\002 \001(\0132\031.lacewingthread.peer.T" +
+      "erm\022\027\n\017roster_revision\030\003 \001(\022\022\020\n\010sequence" +
+      "\030\004 \001(\003\022\030\n\020echoed_at_millis\030\005 \001(\022\022\033\n\023echo" +
+      "ed_plan_version\030\006 \001(\022\022\026\n\016log_end_offset\030" +
+      "\007 \001(\022\022-\n\004plan\030\010 \001(\0132\037.lacewingthread.pee" +
+      "r.PlanUpdate\"\207\001\n\tShardLoad\022\023\n\013applicatio" +
+      "n\030\001 \001(\t\022\r\n\005index\030\002 \001(\005\022\033\n\023requests_per_s" +
+      "econd\030\003 \001(\001\022\030\n\020hottest_key_hash\030\004 \001(\006\022\037\n" +
+      "\027hottest_key_share_ratio\030\005 \001(\001\"q\n\nServer" +
+      "Load\022\016\n\006server\030\001 \001(\t\022\033\n\023requests_per_sec" +
+      "ond\030\002 \001(\001\0226\n\016hottest_shards\030\003 \003(\0132\036.lace" +
+      "wingthread.peer.ShardLoad\"\255\003\n\016HeartbeatR" +
+      "eply\022\'\n\004term\030\001 \001(\0132\031.lacewingthread.peer" +
+      ".Term\022\020\n\010sequence\030\002 \001(\003\022\017\n\007granted\030\003 \001(\010" +
+      "\022/\n\014highest_term\030\004 \001(\0132\031.lacewingthread." +
+      "peer.Term\022\027\n\017roster_revision\030\005 \001(\022\022\033\n\023ac" +
+      "knowledged_roster\030\006 \001(\010\022\026\n\016applied_offse" +
+      "t\030\007 \001(\022\022\031\n\021replied_at_millis\030\010 \001(\022\022\034\n\024ap" +
+      "plied_plan_version\030\t \001(\022\022\035\n\025released_pla" +
+      "n_version\030\n \001(\022\022,\n\004held\030\013 \001(\0132\036.lacewing" +
+      "thread.peer.RoutePlan\022\033\n\023unreachable_ser" +
+      "vers\030\014 \003(\t\022-\n\004load\030\r \003(\0132\037.lacewingthrea" +
+      "d.peer.ServerLoad\" \n\020LogRecordsWanted\022\014\n" +
+      "\004from\030\001 \001(\022\"-\n\rEncodedRecord\022\016\n\006offset\030\001" +
+      " \001(\022\022\014\n\004data\030\002 \001(\014\"\\\n\021LogRecordsOffered\022" +
+      "3\n\007records\030\001 \003(\0132\".lacewingthread.peer.E" +
+      "ncodedRecord\022\022\n\nend_offset\030\002 \001(\022\"_\n\020Prog" +
+      "ressReported\022\023\n\013data_centre\030\001 \001(\t\022\026\n\016app" +
+      "lied_offset\030\002 \001(\022\022\036\n\026configuration_revis" +
+      "ion\030\003 \001(\022\"\\\n\014RosterMember\022+\n\005start\030\001 \001(\013" +
+      "2\034.lacewingthread.peer.VmStart\022\014\n\004host\030\002" +
+      " \001(\t\022\021\n\tpeer_port\030\003 \001(\005\"n\n\023MembershipReq" +
+      "uested\022\023\n\013data_centre\030\001 \001(\t\0221\n\006member\030\002 " +
+      "\001(\0132!.lacewingthread.peer.RosterMember\022\017" +
+      "\n\007leaving\030\003 \001(\010\"\216\001\n\017ServersObserved\022H\n\nc" +
+      "onditions\030\001 \003(\01324.lacewingthread.peer.Se" +
+      "rversObserved.ConditionsEntry\0321\n\017Conditi" +
+      "onsEntry\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t:\0028\001" +
+      "\"%\n\006Header\022\014\n\004name\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"" +
+      "\240\002\n\014RequestStart\022\016\n\006stream\030\001 \001(\003\022\022\n\nrequ" +
+      "est_id\030\002 \001(\t\022\023\n\013application\030\003 \001(\t\022\023\n\013sha" +
+      "rd_index\030\004 \001(\005\022\020\n\010key_hash\030\005 \001(\006\022\025\n\rrequ" +
+      "est_class\030\006 \001(\t\022\016\n\006method\030\007 \001(\t\022\014\n\004path\030" +
+      "\010 \001(\t\022,\n\007headers\030\t \003(\0132\033.lacewingthread." +
+      "peer.Header\022\014\n\004body\030\n \001(\014\022\030\n\020remaining_m" +
+      "illis\030\013 \001(\003\022\027\n\017idempotency_key\030\014 \001(\t\022\014\n\004" +
+      "hops\030\r \001(\005\"\374\002\n\021RouteRequestStart\022\016\n\006stre" +
+      "am\030\001 \001(\003\022\022\n\nrequest_id\030\002 \001(\t\022\017\n\007service\030" +
+      "\003 \001(\t\022\020\n\003key\030\004 \001(\005H\000\210\001\001\022\r\n\005route\030\005 \001(\t\022\022" +
+      "\n\nrepeatable\030\006 \001(\010\022\020\n\010priority\030\007 \001(\005\022\024\n\014" +
+      "max_attempts\030\010 \001(\005\022\030\n\020remaining_millis\030\t" +
+      " \001(\003\022\037\n\027target_remaining_millis\030\n \001(\022\022\035\n" +
+      "\025target_latency_millis\030\013 \001(\003\022\016\n\006method\030\014" +
+      " \001(\t\022\016\n\006target\030\r \001(\t\022,\n\007headers\030\016 \003(\0132\033." +
+      "lacewingthread.peer.Header\022\014\n\004body\030\017 \001(\014" +
+      "\022\027\n\017avoided_servers\030\020 \003(\tB\006\n\004_key\"\037\n\rReq" +
+      "uestCancel\022\016\n\006stream\030\001 \001(\003\"\\\n\014ResponseHe" +
+      "ad\022\016\n\006stream\030\001 \001(\003\022\016\n\006status\030\002 \001(\005\022,\n\007he" +
+      "aders\030\003 \003(\0132\033.lacewingthread.peer.Header" +
+      "\"-\n\014ResponseBody\022\016\n\006stream\030\001 \001(\003\022\r\n\005chun" +
+      "k\030\002 \001(\014\"\"\n\020ResponseConsumed\022\016\n\006stream\030\001 " +
+      "\001(\003\"\035\n\013ResponseEnd\022\016\n\006stream\030\001 \001(\003\"[\n\017Re" +
+      "sponseFailure\022\016\n\006stream\030\001 \001(\003\022\014\n\004code\030\002 " +
+      "\001(\005\022\032\n\022retry_after_millis\030\003 \001(\003\022\016\n\006detai" +
+      "l\030\004 \001(\t\"\235\001\n\021IdempotencyRecord\022\023\n\013applica" +
+      "tion\030\001 \001(\t\022\023\n\013shard_index\030\002 \001(\005\022\013\n\003key\030\003" +
+      " \001(\t\022\023\n\013fingerprint\030\004 \001(\006\022\r\n\005state\030\005 \001(\t" +
+      "\022-\n\007outcome\030\006 \001(\0132\034.lacewingthread.peer." +
+      "Outcome\"F\n\007Outcome\022\016\n\006status\030\001 \001(\005\022\017\n\007he" +
+      "aders\030\002 \003(\t\022\021\n\004body\030\003 \001(\014H\000\210\001\001B\007\n\005_body\"" +
+      "S\n\tRecordPut\022\016\n\006number\030\001 \001(\003\0226\n\006record\030\002" +
+      " \001(\0132&.lacewingthread.peer.IdempotencyRe" +
+      "cord\"+\n\tRecordAck\022\016\n\006number\030\001 \001(\003\022\016\n\006sto" +
+      "red\030\002 \001(\010\"O\n\rRecordsWanted\022\016\n\006number\030\001 \001" +
+      "(\003\022.\n\006shards\030\002 \001(\0132\036.lacewingthread.peer" +
+      ".ShardList\"\231\001\n\014RecordsGiven\022\016\n\006number\030\001 " +
+      "\001(\003\0227\n\007records\030\002 \003(\0132&.lacewingthread.pe" +
+      "er.IdempotencyRecord\022*\n\004gone\030\003 \003(\0132\034.lac" +
+      "ewingthread.peer.VmStart\022\024\n\014whole_window" +
+      "\030\004 \001(\010*8\n\007Purpose\022\023\n\017PURPOSE_UNKNOWN\020\000\022\013" +
+      "\n\007CONTROL\020\001\022\013\n\007TRAFFIC\020\002B/\n#org.lacewing" +
+      "thread.daemon.peer.wireB\010PeerWireb\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -37128,7 +39794,7 @@
     internal_static_lacewingthread_peer_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Ping", "Pong", "Heartbeat", "HeartbeatReply", "LogRecordsWanted", "LogRecordsOffered", "ProgressReported", "MembershipRequested", "ServersObserved", "RequestStart", "RequestCancel", "ResponseHead", "ResponseBody", "ResponseConsumed", "ResponseEnd", "ResponseFailure", "RecordPut", "RecordAck", "RecordsWanted", "RecordsGiven", "Body", });
+        new java.lang.String[] { "Hello", "Ping", "Pong", "Heartbeat", "HeartbeatReply", "LogRecordsWanted", "LogRecordsOffered", "ProgressReported", "MembershipRequested", "ServersObserved", "RequestStart", "RequestCancel", "ResponseHead", "ResponseBody", "ResponseConsumed", "ResponseEnd", "ResponseFailure", "RouteRequestStart", "RecordPut", "RecordAck", "RecordsWanted", "RecordsGiven", "Body", });
     internal_static_lacewingthread_peer_Hello_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_lacewingthread_peer_Hello_fieldAccessorTable = new
@@ -37279,74 +39945,80 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RequestStart_descriptor,
         new java.lang.String[] { "Stream", "RequestId", "Application", "ShardIndex", "KeyHash", "RequestClass", "Method", "Path", "Headers", "Body", "RemainingMillis", "IdempotencyKey", "Hops", });
-    internal_static_lacewingthread_peer_RequestCancel_descriptor =
+    internal_static_lacewingthread_peer_RouteRequestStart_descriptor =
       getDescriptor().getMessageTypes().get(25);
+    internal_static_lacewingthread_peer_RouteRequestStart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_lacewingthread_peer_RouteRequestStart_descriptor,
+        new java.lang.String[] { "Stream", "RequestId", "Service", "Key", "Route", "Repeatable", "Priority", "MaxAttempts", "RemainingMillis", "TargetRemainingMillis", "TargetLatencyMillis", "Method", "Target", "Headers", "Body", "AvoidedServers", });
+    internal_static_lacewingthread_peer_RequestCancel_descriptor =
+      getDescriptor().getMessageTypes().get(26);
     internal_static_lacewingthread_peer_RequestCancel_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RequestCancel_descriptor,
         new java.lang.String[] { "Stream", });
     internal_static_lacewingthread_peer_ResponseHead_descriptor =
-      getDescriptor().getMessageTypes().get(26);
+      getDescriptor().getMessageTypes().get(27);
     internal_static_lacewingthread_peer_ResponseHead_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ResponseHead_descriptor,
         new java.lang.String[] { "Stream", "Status", "Headers", });
     internal_static_lacewingthread_peer_ResponseBody_descriptor =
-      getDescriptor().getMessageTypes().get(27);
+      getDescriptor().getMessageTypes().get(28);
     internal_static_lacewingthread_peer_ResponseBody_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ResponseBody_descriptor,
         new java.lang.String[] { "Stream", "Chunk", });
     internal_static_lacewingthread_peer_ResponseConsumed_descriptor =
-      getDescriptor().getMessageTypes().get(28);
+      getDescriptor().getMessageTypes().get(29);
     internal_static_lacewingthread_peer_ResponseConsumed_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ResponseConsumed_descriptor,
         new java.lang.String[] { "Stream", });
     internal_static_lacewingthread_peer_ResponseEnd_descriptor =
-      getDescriptor().getMessageTypes().get(29);
+      getDescriptor().getMessageTypes().get(30);
     internal_static_lacewingthread_peer_ResponseEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ResponseEnd_descriptor,
         new java.lang.String[] { "Stream", });
     internal_static_lacewingthread_peer_ResponseFailure_descriptor =
-      getDescriptor().getMessageTypes().get(30);
+      getDescriptor().getMessageTypes().get(31);
     internal_static_lacewingthread_peer_ResponseFailure_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_ResponseFailure_descriptor,
         new java.lang.String[] { "Stream", "Code", "RetryAfterMillis", "Detail", });
     internal_static_lacewingthread_peer_IdempotencyRecord_descriptor =
-      getDescriptor().getMessageTypes().get(31);
+      getDescriptor().getMessageTypes().get(32);
     internal_static_lacewingthread_peer_IdempotencyRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_IdempotencyRecord_descriptor,
         new java.lang.String[] { "Application", "ShardIndex", "Key", "Fingerprint", "State", "Outcome", });
     internal_static_lacewingthread_peer_Outcome_descriptor =
-      getDescriptor().getMessageTypes().get(32);
+      getDescriptor().getMessageTypes().get(33);
     internal_static_lacewingthread_peer_Outcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_Outcome_descriptor,
         new java.lang.String[] { "Status", "Headers", "Body", });
     internal_static_lacewingthread_peer_RecordPut_descriptor =
-      getDescriptor().getMessageTypes().get(33);
+      getDescriptor().getMessageTypes().get(34);
     internal_static_lacewingthread_peer_RecordPut_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RecordPut_descriptor,
         new java.lang.String[] { "Number", "Record", });
     internal_static_lacewingthread_peer_RecordAck_descriptor =
-      getDescriptor().getMessageTypes().get(34);
+      getDescriptor().getMessageTypes().get(35);
     internal_static_lacewingthread_peer_RecordAck_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RecordAck_descriptor,
         new java.lang.String[] { "Number", "Stored", });
     internal_static_lacewingthread_peer_RecordsWanted_descriptor =
-      getDescriptor().getMessageTypes().get(35);
+      getDescriptor().getMessageTypes().get(36);
     internal_static_lacewingthread_peer_RecordsWanted_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RecordsWanted_descriptor,
         new java.lang.String[] { "Number", "Shards", });
     internal_static_lacewingthread_peer_RecordsGiven_descriptor =
-      getDescriptor().getMessageTypes().get(36);
+      getDescriptor().getMessageTypes().get(37);
     internal_static_lacewingthread_peer_RecordsGiven_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_lacewingthread_peer_RecordsGiven_descriptor,
