--- a/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
@@ -8,8 +8,10 @@
     NO_OWNER,
     /** The owner of the key has left or was replaced, and no other server has taken over yet. */
     OWNER_GONE,
-    /** Connections to the owner of the key currently fail. */
+    /** Connections to the owner of the key currently fail, or to all servers of a service without keys. */
     OWNER_UNREACHABLE,
+    /** This entry VM reaches no server at all. */
+    CUT_OFF,
     /** The service has no server that accepts new requests. */
     NO_SERVER,
     /** The server that can run the request named a limit, which is used up. */
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -33,20 +33,8 @@
 public final class RequestDispatcher {
     /** Maximum number of waiting requests of one service. */
     private static final int MAX_WAITING_REQUESTS = 400;
-    /** Bounds of the retry delay given to a refused caller. */
-    private static final long MIN_RETRY_AFTER_MILLIS = 50;
-
-    private static final long MAX_RETRY_AFTER_MILLIS = 1_000;
     /** A request whose key has no owner is refused this long before its target time. */
     private static final long NO_OWNER_REFUSAL_MARGIN_MILLIS = 100;
-    /** Retry delay when the key has no owner; about the duration of a range move. */
-    private static final long NO_OWNER_RETRY_AFTER_MILLIS = 300;
-    /** Retry delay of a request to a limited server while the leader doesn't answer; about the time of a new leader. */
-    private static final long NO_PERMIT_RETRY_AFTER_MILLIS = 700;
-    /** Longest retry delay of a request for a key of a limited server; about the time until the key has moved away. */
-    private static final long MAX_LIMITED_RETRY_AFTER_MILLIS = 500;
-    /** Largest random addition to the retry delay of a limited request, as a share of it. */
-    private static final double LIMITED_RETRY_SPREAD = 0.5;
     /** Share of the remaining time that may be spent waiting; the rest is left to a refused caller for a retry. */
     private static final double MAX_WAIT_RATIO = 0.85;
     /** Share of the service time that must remain before the deadline for a request to be sent. */
@@ -57,7 +45,7 @@
             .thenComparingLong(DispatchRequest::deadlineMillis)
             .thenComparingLong(DispatchRequest::number);
 
-    private final RandomGenerator random;
+    private final Refusals refusals;
     private final ServerChooser serverChooser;
     private final Map<ServerStart, ServerLoadState> servers = new HashMap<>();
     private final Map<ServiceId, List<ServerLoadState>> serversByService = new HashMap<>();
@@ -65,6 +53,7 @@
     private final ServerLimits limits;
     private RangeTable rangeTable = RangeTable.EMPTY;
     private Map<ServiceId, Integer> connectionLimits = Map.of();
+    private boolean cutOff;
 
     /**
      * Creates a dispatcher that knows no servers.
@@ -73,7 +62,7 @@
      * @param random seeded source of the jitter in the expected times of servers
      */
     public RequestDispatcher(DataCentreId dataCentre, RandomGenerator random) {
-        this.random = random;
+        this.refusals = new Refusals(random);
         this.serverChooser = new ServerChooser(dataCentre, random);
         this.limits = new ServerLimits(random);
     }
@@ -123,19 +112,11 @@
             return List.of();
         }
         if (permit.outcome() == PermitIssuer.Outcome.REFUSED) {
-            return refuseLimited(request.get(), Math.min(MAX_LIMITED_RETRY_AFTER_MILLIS, permit.retryAfterMillis()))
-                    .stream()
-                    .toList();
+            return List.of(refusals.limited(request.get(), permit.retryAfterMillis()));
         }
         return submit(request.get(), nowMillis);
     }
 
-    /** Refuses a request with a delay that spreads the callers who come back. */
-    private Optional<Decision> refuseLimited(DispatchRequest request, long retryAfterMillis) {
-        double spread = 1 + LIMITED_RETRY_SPREAD * random.nextDouble();
-        return refuse(request, RefusalCause.LIMITED, Math.round(retryAfterMillis * spread));
-    }
-
     /**
      * Sets how many connections this entry VM may open to each server of a service.
      *
@@ -150,6 +131,23 @@
         state.setConnectionLimit(connectionLimits.getOrDefault(state.entry().service(), Integer.MAX_VALUE));
     }
 
+    /**
+     * Sets whether this VM reaches no server at all. When it does again, failures of single servers are forgotten, since
+     * its own links caused them.
+     */
+    public List<Decision> onCutOffChanged(boolean isCutOff, long nowMillis) {
+        cutOff = isCutOff;
+        if (!cutOff) {
+            servers.values().forEach(ServerLoadState::forgetFailures);
+        }
+        return reevaluate(nowMillis);
+    }
+
+    /** Returns the owner of a request's key; empty if the request has no key, or the key no owner that is known. */
+    public Optional<ServerStart> ownerOf(DispatchRequest request) {
+        return owner(request).map(state -> state.knownServer().start());
+    }
+
     /** Adds a request and returns the decisions that are due, also about other waiting requests. */
     public List<Decision> submit(DispatchRequest request, long nowMillis) {
         TreeSet<DispatchRequest> queue =
@@ -159,7 +157,7 @@
         decide(request.service(), decisions, nowMillis);
         if (queue.size() > MAX_WAITING_REQUESTS) {
             DispatchRequest last = queue.pollLast();
-            decisions.add(new Decision.Refuse(last, RefusalCause.OVERLOADED, MAX_RETRY_AFTER_MILLIS));
+            decisions.add(Refusals.refuse(last, RefusalCause.OVERLOADED, Refusals.MAX_RETRY_AFTER_MILLIS));
         }
         return decisions;
     }
@@ -196,8 +194,7 @@
             if (unanswered.permitted()) {
                 decisions.addAll(submit(unanswered.request(), nowMillis));
             } else {
-                refuseLimited(unanswered.request(), NO_PERMIT_RETRY_AFTER_MILLIS)
-                        .ifPresent(decisions::add);
+                decisions.add(refusals.withoutPermit(unanswered.request()));
             }
         }
         for (ServiceId service : List.copyOf(waitingByService.keySet())) {
@@ -292,7 +289,7 @@
 
     private Optional<Decision> decide(DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
         if (nowMillis >= request.deadlineMillis()) {
-            return refuse(request, RefusalCause.DEADLINE_PASSED, MIN_RETRY_AFTER_MILLIS);
+            return Optional.of(Refusals.refuse(request, RefusalCause.DEADLINE_PASSED, 0));
         }
         return request.key().isPresent()
                 ? decideKeyed(request, aheadByServer, nowMillis)
@@ -305,16 +302,16 @@
                 rangeTable.find(request.service(), request.key().getAsInt());
         if (ownership.isEmpty() || ownership.get().isMoving()) {
             boolean mayWait = nowMillis < request.targetAtMillis() - NO_OWNER_REFUSAL_MARGIN_MILLIS;
-            return mayWait ? Optional.empty() : refuse(request, RefusalCause.NO_OWNER, NO_OWNER_RETRY_AFTER_MILLIS);
+            return mayWait ? Optional.empty() : refuse(request, RefusalCause.NO_OWNER);
         }
         ServerLoadState owner = servers.get(ownership.get().owner());
         if (owner == null || owner.isReplaced() || !owner.knownServer().acceptsOwnedKeys(nowMillis)) {
-            return refuse(request, RefusalCause.OWNER_GONE, NO_OWNER_RETRY_AFTER_MILLIS);
+            return refuse(request, RefusalCause.OWNER_GONE);
         }
         // An ejected owner is still used: it may reset connections because it is full, and no other server
         // can run the request.
-        if (owner.isUnreachable(nowMillis)) {
-            return refuse(request, RefusalCause.OWNER_UNREACHABLE, NO_OWNER_RETRY_AFTER_MILLIS);
+        if (cutOff || owner.isUnreachable(nowMillis)) {
+            return refuse(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
         }
         int ahead = aheadByServer.getOrDefault(owner.entry().start().server(), 0);
         return decideForServer(request, owner, ahead, aheadByServer, nowMillis);
@@ -326,13 +323,16 @@
                 .filter(state -> state.knownServer().isReady() && !state.isReplaced())
                 .toList();
         if (ready.isEmpty()) {
-            return refuse(request, RefusalCause.NO_SERVER, NO_OWNER_RETRY_AFTER_MILLIS);
+            return refuse(request, RefusalCause.NO_SERVER);
         }
         List<ServerLoadState> unlimited = ready.stream()
                 .filter(state -> limits.hasSlot(state.knownServer().start(), nowMillis))
                 .toList();
         if (unlimited.isEmpty()) {
-            return refuseLimited(request, NO_PERMIT_RETRY_AFTER_MILLIS);
+            return Optional.of(refusals.withoutPermit(request));
+        }
+        if (cutOff || unlimited.stream().allMatch(state -> state.isUnreachable(nowMillis))) {
+            return refuse(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
         }
         List<ServerLoadState> healthy = unlimited.stream()
                 .filter(state -> !state.isEjected(nowMillis))
@@ -358,7 +358,7 @@
                 || waitMillis > leftMillis * MAX_WAIT_RATIO;
         if (tooLate) {
             long retryAfter = Math.round(Math.max(0, waitMillis));
-            return refuse(request, RefusalCause.OVERLOADED, retryAfter);
+            return Optional.of(Refusals.refuse(request, RefusalCause.OVERLOADED, retryAfter));
         }
         if (ahead == 0 && state.hasCapacity(nowMillis)) {
             ServerStart server = state.knownServer().start();
@@ -375,8 +375,7 @@
         return Optional.empty();
     }
 
-    private static Optional<Decision> refuse(DispatchRequest request, RefusalCause cause, long retryAfterMillis) {
-        long bounded = Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, retryAfterMillis));
-        return Optional.of(new Decision.Refuse(request, cause, bounded));
+    private static Optional<Decision> refuse(DispatchRequest request, RefusalCause cause) {
+        return Optional.of(Refusals.refuse(request, cause));
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -153,6 +153,13 @@
         }
     }
 
+    /** Treats the server as one that has not failed. */
+    void forgetFailures() {
+        consecutiveFailures = 0;
+        ejectedUntilMillis = Long.MIN_VALUE / 2;
+        unreachableUntilMillis = Long.MIN_VALUE / 2;
+    }
+
     void setConnectionLimit(int limit) {
         connectionLimit = limit;
     }
--- a/core/src/main/java/org/lacewingthread/core/traffic/ResultCode.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/ResultCode.java
@@ -51,6 +51,8 @@
     STILL_RUNNING(3009, 409, Knowledge.OUTCOME_UNKNOWN, "an earlier request with this idempotency key still runs"),
     /** No connection to the entry VM that relays to the owner can be opened. */
     RELAY_UNREACHABLE(3010, 503, Knowledge.NOT_RUN, "the owner's entry VM can't be reached"),
+    /** Neither this entry VM nor another one that it knows reaches a server. */
+    SERVERS_UNREACHABLE(3011, 503, Knowledge.NOT_RUN, "no server can be reached from here at the moment"),
     /** The request was sent and no complete response arrived in time. */
     OUTCOME_UNKNOWN(4000, 504, Knowledge.OUTCOME_UNKNOWN, "the request may have run; no whole answer came in time"),
     /** The request was sent and the connection failed before the response was complete. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
@@ -29,9 +29,27 @@
     private final LongSupplier clockMillis;
     private final int connectTimeoutMillis;
     private final long maxIdleMillis;
+    private final OpenListener<K> openListener;
     private final Map<K, Deque<IdleConnection>> idleByPeer = new HashMap<>();
     private long openedCount;
 
+    /**
+     * Receives the results of opening connections.
+     *
+     * @param <K> key of a peer
+     */
+    public interface OpenListener<K> {
+        /** Called when a new connection to a peer is open. */
+        void onOpened(K peer);
+
+        /**
+         * Called when a new connection to a peer could not be opened.
+         *
+         * @param startedMillis when it was started, by the pool's clock
+         */
+        void onOpenFailed(K peer, long startedMillis);
+    }
+
     private record IdleConnection(OutboundConnection connection, long usableUntilMillis) {}
 
     /**
@@ -44,6 +62,23 @@
      *     the peers, which would otherwise close a connection while a request is on its way
      */
     public ConnectionPool(EventLoop eventLoop, LongSupplier clockMillis, int connectTimeoutMillis, long maxIdleMillis) {
+        this(eventLoop, clockMillis, connectTimeoutMillis, maxIdleMillis, new OpenListener<>() {
+            @Override
+            public void onOpened(K peer) {}
+
+            @Override
+            public void onOpenFailed(K peer, long startedMillis) {}
+        });
+    }
+
+    /** Creates an empty pool whose listener is told of each new connection, before the connection is used. */
+    public ConnectionPool(
+            EventLoop eventLoop,
+            LongSupplier clockMillis,
+            int connectTimeoutMillis,
+            long maxIdleMillis,
+            OpenListener<K> openListener) {
+        this.openListener = openListener;
         this.eventLoop = eventLoop;
         this.clockMillis = clockMillis;
         this.connectTimeoutMillis = connectTimeoutMillis;
@@ -68,8 +103,30 @@
             }
             newest.connection().close();
         }
+        open(peer, address, result);
+    }
+
+    /** Opens a connection to a peer and keeps it as an idle one, to find out whether the peer can be reached. */
+    public void openIdle(K peer, InetSocketAddress address) {
+        open(peer, address, (connection, failure) -> {
+            if (connection != null) {
+                release(peer, connection);
+            }
+        });
+    }
+
+    private void open(K peer, InetSocketAddress address, BiConsumer<OutboundConnection, Throwable> result) {
         openedCount++;
-        OutboundConnection.open(eventLoop, address.getHostString(), address.getPort(), connectTimeoutMillis, result);
+        long startedMillis = clockMillis.getAsLong();
+        OutboundConnection.open(
+                eventLoop, address.getHostString(), address.getPort(), connectTimeoutMillis, (connection, failure) -> {
+                    if (connection != null) {
+                        openListener.onOpened(peer);
+                    } else {
+                        openListener.onOpenFailed(peer, startedMillis);
+                    }
+                    result.accept(connection, failure);
+                });
     }
 
     /** Returns a connection to the pool after its response; closes it if it can't be reused. */
@@ -84,6 +141,14 @@
                 .addFirst(new IdleConnection(connection, clockMillis.getAsLong() + idleMillis));
     }
 
+    /** Closes all idle connections, for example because their peers can't be reached any more. */
+    public void closeAllIdle() {
+        idleByPeer
+                .values()
+                .forEach(idle -> idle.forEach(entry -> entry.connection().close()));
+        idleByPeer.clear();
+    }
+
     /** Closes the idle connections of a peer, for example because a request to it got no response. */
     public void closeIdle(K peer) {
         Deque<IdleConnection> idle = idleByPeer.remove(peer);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -10,6 +10,7 @@
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.serving.Route;
+import org.lacewingthread.daemon.exchange.ResponseSink;
 import org.lacewingthread.daemon.http.OutboundConnection;
 import org.lacewingthread.daemon.intake.CallerRequest;
 
@@ -23,6 +24,8 @@
     final OptionalInt key;
     /** End of the caller's wait or of the route's timeout, whichever is earlier, on the traffic clock. */
     final long deadlineMillis;
+    /** Sends the response to the router that relayed the request; empty if it comes from a caller of this VM. */
+    final Optional<ResponseSink> relayedBy;
 
     final Set<ServerId> triedServers = new HashSet<>();
     /** Server and result of each attempt, for the log. */
@@ -33,6 +36,12 @@
     /** The current or last attempt; empty until a server is chosen. */
     Optional<Attempt> attempt = Optional.empty();
 
+    /** The newest attempt that another entry VM makes for this one; empty if there was none. */
+    Optional<RelayAttempt> relayAttempt = Optional.empty();
+
+    /** Entry VMs that the request was relayed to. */
+    int relayCount;
+
     /** The limited server for which a permit was last asked; empty if none was. */
     Optional<ServerId> limitedServer = Optional.empty();
 
@@ -46,6 +55,8 @@
     boolean mayHaveRun;
 
     boolean finished;
+    /** Called when the request is finished. */
+    Runnable onFinished = () -> {};
     /** Whether the caller disconnected; an at-most-once request that a server may be running is still awaited. */
     boolean callerDisconnected;
 
@@ -69,7 +80,8 @@
             Route route,
             ServiceId service,
             OptionalInt key,
-            long deadlineMillis) {
+            long deadlineMillis,
+            Optional<ResponseSink> relayedBy) {
         this.number = number;
         this.callerRequest = callerRequest;
         this.requestId = requestId;
@@ -77,6 +89,12 @@
         this.service = service;
         this.key = key;
         this.deadlineMillis = deadlineMillis;
+        this.relayedBy = relayedBy;
+    }
+
+    /** Returns whether another entry VM is at work on the request. */
+    boolean isRelayPending() {
+        return relayAttempt.filter(relay -> !relay.isEnded()).isPresent();
     }
 
     /** Returns the request in the form that the dispatcher takes. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -73,6 +73,7 @@
     private void send(ActiveRequest request, ActiveRequest.Attempt attempt, OutboundConnection connection) {
         attempt.connection = connection;
         logIfLeaving(request, attempt);
+        engine.links().onSent();
         request.sentAttempts++;
         request.lastSentMillis = OptionalLong.of(clockMillis.getAsLong());
         OutboundConnection.EchoedHeader echoedHeader =
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -7,13 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.function.IntConsumer;
+import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -37,15 +36,11 @@
  * Holds the control state: configuration, known servers and ownership of key ranges. Runs on the control thread and
  * passes immutable snapshots to the traffic thread.
  */
-final class ControlLoop implements Platform.Listener, ReportChannel.Listener {
+final class ControlLoop implements Platform.Listener {
     private static final long LEADER_TICK_MILLIS = 20;
     private static final long FOLLOWER_TICK_MILLIS = 100;
     /** How often former leaders are told of the new term, until they answer. */
     private static final long NEW_TERM_RESEND_MILLIS = 200;
-    /** If the registry has not answered the leader for this long, the leader's read positions are ignored. */
-    private static final long MAX_REGISTRY_SILENCE_MILLIS = 800;
-    /** If the store has not answered for this long, the leader is asked for the range table that it recorded. */
-    private static final long MAX_STORE_SILENCE_MILLIS = 1_500;
     /** How often each entry VM reports its load to the leader. */
     private static final long REPORT_INTERVAL_MILLIS = 500;
 
@@ -63,19 +58,19 @@
     private final BiConsumer<List<KnownServer>, RangeTable> topologyListener;
     private final ServerRegistry registry;
     private final KeyspaceLoad keyspaceLoad = new KeyspaceLoad();
-    private final EntryVmCounter entryVmCounter = new EntryVmCounter();
-    private final IntConsumer entryVmCountListener;
+    private final LoadReports loadReports;
     private final RangeCommandSender rangeCommands;
-    private Map<ServerStart, Double> ownServiceMillis = Map.of();
     private Optional<ServingConfiguration> configuration = Optional.empty();
     private List<KnownServer> publishedServers = List.of();
     private RangeTable publishedTable = RangeTable.EMPTY;
     private boolean serversKnown;
     private boolean wasLeading;
     private boolean stopped;
+    private boolean leaderEligible = true;
 
     ControlLoop(
             Leader self,
+            DataCentreId dataCentre,
             RangeLeaseTimes leaseTimes,
             ServerRegistry registry,
             Platform platform,
@@ -85,8 +80,9 @@
             RouterMetrics metrics,
             Consumer<ServingConfiguration> onConfiguration,
             BiConsumer<List<KnownServer>, RangeTable> topologyListener,
-            IntConsumer entryVmCountListener,
-            LimitExchange.AnswerListener permitListener) {
+            LoadReports.ResultListener reportListener,
+            LimitExchange.AnswerListener permitListener,
+            RangeCommandSender.CallListener callListener) {
         this.self = self.process();
         this.registry = registry;
         this.platform = platform;
@@ -103,14 +99,16 @@
                 coordinator::isLeading,
                 this::sendToLeader,
                 permitListener);
-        this.reportChannel = new ReportChannel(events, this, formerLeaders, limitExchange::onMessage);
+        this.loadReports = new LoadReports(
+                self, dataCentre, coordinator, registry, platform, clock, eventLogger, keyspaceLoad, reportListener);
+        this.reportChannel = new ReportChannel(events, loadReports, formerLeaders, limitExchange::onMessage);
+        loadReports.start(reportChannel, this::publish);
         this.eventLoop = eventLoop;
         this.events = events;
         this.onConfiguration = onConfiguration;
         this.topologyListener = topologyListener;
-        this.entryVmCountListener = entryVmCountListener;
         this.rangeCommands = new RangeCommandSender(
-                platform, coordinator, clock, events, new RangeCommandLog(events, metrics), this::step);
+                platform, coordinator, clock, events, new RangeCommandLog(events, metrics), this::step, callListener);
     }
 
     private void sendToLeader(ObjectNode message) {
@@ -137,7 +135,7 @@
                 NEW_TERM_RESEND_MILLIS,
                 TimeUnit.MILLISECONDS);
         eventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "report", this::sendReport),
+                new FailureLoggingTask(events, "report", loadReports::send),
                 REPORT_INTERVAL_MILLIS,
                 REPORT_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -151,6 +149,7 @@
     void leave() {
         eventLoop.execute(() -> {
             stopped = true;
+            loadReports.stopAnswering();
             coordinator.setLeaderCandidate(false);
             platform.leave();
         });
@@ -169,89 +168,26 @@
     void onKeyRequested(ServiceId service, int key) {
         eventLoop.execute(() -> {
             if (coordinator.isLeading()) {
-                onReportedKey(service, key);
+                loadReports.onReportedKey(service, key);
             } else {
                 reportChannel.addKey(service, key);
             }
         });
     }
 
-    private void sendReport() {
-        Optional<Leader> leader = coordinator.table().leader();
-        if (coordinator.isLeading()) {
-            entryVmCountListener.accept(entryVmCounter.count(self.vm().value(), clock.nowMillis()));
-        }
-        if (leader.isEmpty() || coordinator.isLeading()) {
-            reportChannel.discardLoad();
-            return;
-        }
-        boolean storeSilent = coordinator.storeSilenceMillis(clock.nowMillis()) > MAX_STORE_SILENCE_MILLIS;
-        OptionalLong wantsTableAfter = storeSilent ? OptionalLong.of(coordinator.logEnd()) : OptionalLong.empty();
-        reportChannel.sendReport(self.vm().value(), leader.get(), clock.nowMillis(), ownServiceMillis, wantsTableAfter);
-        ownServiceMillis = Map.of();
-    }
-
-    @Override
-    public Optional<ReportChannel.LeaderStatus> leaderStatus() {
-        if (!coordinator.isLeading() || stopped) {
-            return Optional.empty();
-        }
-        long nowMillis = clock.nowMillis();
-        return Optional.of(new ReportChannel.LeaderStatus(
-                coordinator.storeSilenceMillis(nowMillis),
-                nowMillis - registry.currentAsOfMillis(),
-                nowMillis - platform.configurationAsOfMillis(),
-                entryVmCounter.count(self.vm().value(), nowMillis),
-                platform.positions()));
-    }
-
-    @Override
-    public void onLeaderStatus(ReportChannel.LeaderStatus status, Optional<Platform.AsOf> asOf) {
-        entryVmCountListener.accept(status.entryVmCount());
-        coordinator.onLeaderAnswer(status.storeSilenceMillis(), false, clock.nowMillis());
-        if (status.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
-            platform.onLeaderPositions(status.positions(), asOf);
-        }
-    }
-
-    @Override
-    public Optional<ReportChannel.RecordedTable> recordedTableAfter(long position) {
-        return coordinator.isLeading() && coordinator.logEnd() > position
-                ? Optional.of(new ReportChannel.RecordedTable(coordinator.table(), coordinator.logEnd()))
-                : Optional.empty();
-    }
-
-    @Override
-    public void onTableFromLeader(ReportChannel.RecordedTable recorded) {
-        RangeTable previousTable = coordinator.table();
-        if (coordinator.onTable(recorded.table(), recorded.logEnd(), clock.nowMillis())) {
-            eventLogger.logTableRead(previousTable, recorded.table(), recorded.logEnd(), "leader");
-            publish(clock.nowMillis());
-        }
-    }
-
-    @Override
-    public void onReport(String vm) {
-        entryVmCounter.onReport(vm, clock.nowMillis());
-    }
-
-    @Override
-    public void onReportedKey(ServiceId service, int key) {
-        keyspaceLoad.recordKey(service, key, clock.nowMillis());
-    }
-
-    @Override
-    public void onReportedServiceTime(String vm, ServerStart server, double millis) {
-        keyspaceLoad.recordServiceTime(server, millis);
-    }
-
     /** Sets the service times that the traffic thread measured; may be called on any thread. */
     void onServiceTimes(Map<ServerStart, Double> measured) {
+        eventLoop.execute(() -> loadReports.onOwnServiceTimes(measured));
+    }
+
+    /** Sets what the traffic thread knows of this VM's links to the servers; may be called on any thread. */
+    void onReach(Reach reach) {
         eventLoop.execute(() -> {
-            ownServiceMillis = measured;
-            if (coordinator.isLeading()) {
-                measured.forEach(
-                        (server, millis) -> onReportedServiceTime(self.vm().value(), server, millis));
+            loadReports.onReach(reach);
+            boolean eligible = !loadReports.isImpaired();
+            if (eligible != leaderEligible) {
+                leaderEligible = eligible;
+                platform.setLeaderEligible(eligible);
             }
         });
     }
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/EntryVmDirectory.java
@@ -0,0 +1,86 @@
+package org.lacewingthread.daemon.router;
+
+import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.reachability.RelayPeer;
+
+/**
+ * The entry VMs that report to the leader: how many there are, and which of them reach servers and can send requests for
+ * those that don't. All methods run on the control thread.
+ */
+final class EntryVmDirectory {
+    /** How long a VM counts as alive after it reported; long enough for several reports to be lost. */
+    private static final long REPORT_VALIDITY_MILLIS = 5_000;
+    /** How long a report shows that a VM reaches servers: two reports may be lost. */
+    private static final long REACH_VALIDITY_MILLIS = 1_500;
+    /** Most VMs named to one VM, so that the answer to a report stays a small datagram. */
+    private static final int MAX_PEERS = 12;
+
+    private final Map<String, Long> seenMillis = new HashMap<>();
+    private final Map<String, Report> reports = new HashMap<>();
+
+    private record Report(long reportedMillis, boolean cutOff, int answeringServers, RelayPeer peer) {}
+
+    /** Records that a VM is alive. */
+    void onSeen(String vm, long nowMillis) {
+        seenMillis.put(vm, nowMillis);
+    }
+
+    /**
+     * Records a report.
+     *
+     * @param address address that the report came from, which also takes relayed requests
+     */
+    void onReport(PendingReport.Reporter reporter, InetSocketAddress address, long nowMillis) {
+        RelayPeer peer = new RelayPeer(
+                new VmId(reporter.vm()),
+                reporter.dataCentre(),
+                address.getAddress().getHostAddress(),
+                address.getPort());
+        seenMillis.put(reporter.vm(), nowMillis);
+        reports.put(reporter.vm(), new Report(nowMillis, reporter.cutOff(), reporter.answeringServers(), peer));
+    }
+
+    /** Returns the number of live entry VMs, including this one. */
+    int count(String self, long nowMillis) {
+        seenMillis.values().removeIf(seen -> nowMillis - seen >= REPORT_VALIDITY_MILLIS);
+        reports.keySet().retainAll(seenMillis.keySet());
+        return seenMillis.size() + (seenMillis.containsKey(self) ? 0 : 1);
+    }
+
+    /** Returns the largest number of servers that answered one of the reporting VMs of late. */
+    int mostAnsweringServers(long nowMillis) {
+        return reports.values().stream()
+                .filter(report -> mayReachServers(report, nowMillis))
+                .mapToInt(Report::answeringServers)
+                .max()
+                .orElse(0);
+    }
+
+    private static boolean mayReachServers(Report report, long nowMillis) {
+        return !report.cutOff() && nowMillis - report.reportedMillis() <= REACH_VALIDITY_MILLIS;
+    }
+
+    /**
+     * Returns VMs that reach servers, as far as is known: those that servers answered of late come first, then those of a
+     * data centre. Each VM gets others first, so that no one is asked by all.
+     *
+     * @param requester VM that may hand requests to them
+     */
+    List<RelayPeer> peersFor(String requester, DataCentreId dataCentre, long nowMillis) {
+        return reports.values().stream()
+                .filter(report -> mayReachServers(report, nowMillis))
+                .filter(report -> !report.peer().vm().value().equals(requester))
+                .sorted(Comparator.comparing((Report report) -> report.answeringServers() == 0)
+                        .thenComparing(report -> !report.peer().dataCentre().equals(dataCentre))
+                        .thenComparing(report -> (report.peer().vm().value() + requester).hashCode()))
+                .limit(MAX_PEERS)
+                .map(Report::peer)
+                .toList();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -0,0 +1,208 @@
+package org.lacewingthread.daemon.router;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.LongConsumer;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.keyrange.Leader;
+import org.lacewingthread.core.keyrange.RangeCoordinator;
+import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.reachability.RelayPeer;
+import org.lacewingthread.core.registry.ServerRegistry;
+
+/**
+ * Reports this VM's load and its links to the servers to the leader and applies the answers; answers the reports of
+ * others while this process leads. Runs on the control thread.
+ */
+final class LoadReports implements ReportChannel.Listener {
+    /** If the registry has not answered the leader for this long, the leader's read positions are ignored. */
+    private static final long MAX_REGISTRY_SILENCE_MILLIS = 800;
+    /** If the store has not answered for this long, the leader is asked for the range table that it recorded. */
+    private static final long MAX_STORE_SILENCE_MILLIS = 1_500;
+
+    private final Leader self;
+    private final DataCentreId dataCentre;
+    private final RangeCoordinator coordinator;
+    private final ServerRegistry registry;
+    private final Platform platform;
+    private final ControlClock clock;
+    private final ControlEventLogger eventLogger;
+    private final KeyspaceLoad keyspaceLoad;
+    private final ResultListener resultListener;
+    private final EntryVmDirectory directory = new EntryVmDirectory();
+    private ReportChannel channel;
+    private LongConsumer publisher;
+    private Map<ServerStart, Double> ownServiceMillis = Map.of();
+    private Reach reach = Reach.UNKNOWN;
+    private boolean stopped;
+
+    /** Receives what the reports show. */
+    interface ResultListener {
+        /** Called with the number of live entry VMs. */
+        void onEntryVmCount(int count);
+
+        /** Called with the entry VMs that can send requests for this one. */
+        void onRelayPeers(List<RelayPeer> peers);
+
+        /** Called when the leader reaches no server, so that this VM may have to take over if it reaches some. */
+        void onLeaderLinksImpaired();
+    }
+
+    LoadReports(
+            Leader self,
+            DataCentreId dataCentre,
+            RangeCoordinator coordinator,
+            ServerRegistry registry,
+            Platform platform,
+            ControlClock clock,
+            ControlEventLogger eventLogger,
+            KeyspaceLoad keyspaceLoad,
+            ResultListener resultListener) {
+        this.self = self;
+        this.dataCentre = dataCentre;
+        this.coordinator = coordinator;
+        this.registry = registry;
+        this.platform = platform;
+        this.clock = clock;
+        this.eventLogger = eventLogger;
+        this.keyspaceLoad = keyspaceLoad;
+        this.resultListener = resultListener;
+    }
+
+    /**
+     * Sets the channel to report through.
+     *
+     * @param tablePublisher called with the present time when a new table is known
+     */
+    void start(ReportChannel reportChannel, LongConsumer tablePublisher) {
+        channel = reportChannel;
+        publisher = tablePublisher;
+    }
+
+    /** Leaves reports unanswered from now on, so that another VM takes over. */
+    void stopAnswering() {
+        stopped = true;
+    }
+
+    /** Sets the service times that this VM measured. */
+    void onOwnServiceTimes(Map<ServerStart, Double> measured) {
+        ownServiceMillis = measured;
+        if (coordinator.isLeading()) {
+            measured.forEach((server, millis) -> onReportedServiceTime(vm(), server, millis));
+        }
+    }
+
+    /** Sets what is known of this VM's links to the servers. */
+    void onReach(Reach newest) {
+        reach = newest;
+        coordinator.onServerAnswer(clock.nowMillis() - newest.answerAgeMillis());
+        updateImpairment();
+    }
+
+    private void updateImpairment() {
+        coordinator.setLinksImpaired(isImpaired());
+    }
+
+    /** Returns whether this VM reaches no server, or far fewer than another one. */
+    boolean isImpaired() {
+        return reach.isImpaired(directory.mostAnsweringServers(clock.nowMillis()));
+    }
+
+    private String vm() {
+        return self.process().vm().value();
+    }
+
+    private PendingReport.Reporter reporter() {
+        return new PendingReport.Reporter(vm(), dataCentre, reach.cutOff(), reach.answeringServers());
+    }
+
+    /** Sends a report to the leader. */
+    void send() {
+        long nowMillis = clock.nowMillis();
+        Optional<Leader> leader = coordinator.table().leader();
+        if (coordinator.isLeading()) {
+            resultListener.onEntryVmCount(directory.count(vm(), nowMillis));
+            resultListener.onRelayPeers(directory.peersFor(vm(), dataCentre, nowMillis));
+            updateImpairment();
+        }
+        if (leader.isEmpty() || coordinator.isLeading()) {
+            channel.discardLoad();
+            return;
+        }
+        boolean storeSilent = coordinator.storeSilenceMillis(nowMillis) > MAX_STORE_SILENCE_MILLIS;
+        OptionalLong wantsTableAfter = storeSilent ? OptionalLong.of(coordinator.logEnd()) : OptionalLong.empty();
+        channel.sendReport(reporter(), leader.get(), nowMillis, ownServiceMillis, wantsTableAfter);
+        ownServiceMillis = Map.of();
+    }
+
+    @Override
+    public Optional<ReportChannel.LeaderStatus> leaderStatus(PendingReport.Reporter reporter) {
+        if (!coordinator.isLeading() || stopped) {
+            return Optional.empty();
+        }
+        long nowMillis = clock.nowMillis();
+        directory.onReport(reporter(), new InetSocketAddress(self.reportHost(), self.reportPort()), nowMillis);
+        return Optional.of(new ReportChannel.LeaderStatus(
+                coordinator.storeSilenceMillis(nowMillis),
+                nowMillis - registry.currentAsOfMillis(),
+                nowMillis - platform.configurationAsOfMillis(),
+                directory.count(vm(), nowMillis),
+                isImpaired(),
+                directory.peersFor(reporter.vm(), reporter.dataCentre(), nowMillis),
+                platform.positions()));
+    }
+
+    @Override
+    public void onLeaderStatus(ReportChannel.LeaderStatus status, Optional<Platform.AsOf> asOf) {
+        resultListener.onEntryVmCount(status.entryVmCount());
+        resultListener.onRelayPeers(status.relayPeers());
+        if (status.linksImpaired()) {
+            resultListener.onLeaderLinksImpaired();
+        }
+        coordinator.onLeaderAnswer(status.storeSilenceMillis(), status.linksImpaired(), clock.nowMillis());
+        if (status.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
+            platform.onLeaderPositions(status.positions(), asOf);
+        }
+    }
+
+    @Override
+    public Optional<ReportChannel.RecordedTable> recordedTableAfter(long position) {
+        return coordinator.isLeading() && coordinator.logEnd() > position
+                ? Optional.of(new ReportChannel.RecordedTable(coordinator.table(), coordinator.logEnd()))
+                : Optional.empty();
+    }
+
+    @Override
+    public void onTableFromLeader(ReportChannel.RecordedTable recorded) {
+        RangeTable previousTable = coordinator.table();
+        if (coordinator.onTable(recorded.table(), recorded.logEnd(), clock.nowMillis())) {
+            eventLogger.logTableRead(previousTable, recorded.table(), recorded.logEnd(), "leader");
+            publisher.accept(clock.nowMillis());
+        }
+    }
+
+    @Override
+    public void onReport(String vm) {
+        directory.onSeen(vm, clock.nowMillis());
+    }
+
+    @Override
+    public void onReporter(PendingReport.Reporter reporter, InetSocketAddress address) {
+        directory.onReport(reporter, address, clock.nowMillis());
+    }
+
+    @Override
+    public void onReportedKey(ServiceId service, int key) {
+        keyspaceLoad.recordKey(service, key, clock.nowMillis());
+    }
+
+    @Override
+    public void onReportedServiceTime(String vm, ServerStart server, double millis) {
+        keyspaceLoad.recordServiceTime(server, millis);
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.TreeMap;
+import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 
@@ -25,6 +26,11 @@
     static final String TIMES = "times";
 
     static final String VM = "vm";
+    /** Names of the fields that tell whether the VM can send requests for others; in the first datagram only. */
+    static final String DATA_CENTRE = "dataCentre";
+
+    static final String ANSWERING_SERVERS = "answeringServers";
+    static final String CUT_OFF = "cutOff";
     static final String KEYS = "keys";
     static final String WANTS_TABLE_AFTER = "wantsTableAfter";
     /** Name of the field with the time at which the report was sent, by the reporter's clock. */
@@ -54,6 +60,16 @@
 
     private int keyCount;
 
+    /**
+     * The entry VM that reports.
+     *
+     * @param vm its name
+     * @param dataCentre its data centre
+     * @param cutOff whether it reaches no server
+     * @param answeringServers number of servers that answered it of late; 0 also if it made no calls
+     */
+    record Reporter(String vm, DataCentreId dataCentre, boolean cutOff, int answeringServers) {}
+
     /** Adds a requested key, unless the report is full. */
     void addKey(ServiceId service, int key) {
         List<Integer> keys = keysByService.computeIfAbsent(service, id -> new ArrayList<>());
@@ -82,14 +98,18 @@
     /**
      * Removes the load of the next report and returns its datagrams; there is always a first one.
      *
-     * @param vm the reporting entry VM
+     * @param reporter the reporting entry VM
      * @param sentAtMillis when the report is sent, by the control clock
      * @param wantsTableAfter log position after the range table known here; empty if no table is wanted
      */
-    List<byte[]> takeDatagrams(String vm, long sentAtMillis, OptionalLong wantsTableAfter) {
+    List<byte[]> takeDatagrams(Reporter reporter, long sentAtMillis, OptionalLong wantsTableAfter) {
         List<byte[]> datagrams = new ArrayList<>();
         try {
+            String vm = reporter.vm();
             Datagram datagram = new Datagram(vm);
+            datagram.json.writeStringField(DATA_CENTRE, reporter.dataCentre().value());
+            datagram.json.writeNumberField(ANSWERING_SERVERS, reporter.answeringServers());
+            datagram.json.writeBooleanField(CUT_OFF, reporter.cutOff());
             datagram.json.writeNumberField(SENT_AT, sentAtMillis);
             if (wantsTableAfter.isPresent()) {
                 datagram.json.writeNumberField(WANTS_TABLE_AFTER, wantsTableAfter.getAsLong());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -128,6 +128,9 @@
     /** Asks a server to release a key range. */
     void release(ServerEntry server, CoordinatorAction.Release action, Consumer<ReleaseResult> result);
 
+    /** Sets whether this VM may be selected as leader; one that reaches no server may not. */
+    void setLeaderEligible(boolean eligible);
+
     /** Leaves the group of entry VMs, so that another one is selected as leader. */
     void leave();
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
@@ -32,22 +32,35 @@
     private final EventLog events;
     private final RangeCommandLog commandLog;
     private final Runnable onReleaseAnswered;
+    private final CallListener callListener;
     private final Map<ServerStart, ServerEntry> lastKnownEntries = new HashMap<>();
     private final Set<ServerStart> unresponsiveServers = new HashSet<>();
 
+    /** Receives whether servers answer grants and releases. */
+    interface CallListener {
+        /**
+         * Called when a call has ended.
+         *
+         * @param elapsedMillis time since it was decided
+         */
+        void onCallEnded(ServerStart server, boolean answered, long elapsedMillis);
+    }
+
     RangeCommandSender(
             Platform platform,
             RangeCoordinator coordinator,
             ControlClock clock,
             EventLog events,
             RangeCommandLog commandLog,
-            Runnable onReleaseAnswered) {
+            Runnable onReleaseAnswered,
+            CallListener callListener) {
         this.platform = platform;
         this.coordinator = coordinator;
         this.clock = clock;
         this.events = events;
         this.commandLog = commandLog;
         this.onReleaseAnswered = onReleaseAnswered;
+        this.callListener = callListener;
     }
 
     /**
@@ -76,7 +89,7 @@
         }
         platform.grant(server.get(), grant, result -> {
             onGrantEnded(grant, decidedMillis, result);
-            trackResponsiveness(grant.server(), result.outcome() != GrantOutcome.UNKNOWN);
+            trackResponsiveness(grant.server(), result.outcome() != GrantOutcome.UNKNOWN, decidedMillis);
         });
     }
 
@@ -114,7 +127,7 @@
         }
         platform.release(server.get(), release, result -> {
             onReleaseEnded(release, decidedMillis, result);
-            trackResponsiveness(release.server(), result.outcome() != ReleaseOutcome.UNKNOWN);
+            trackResponsiveness(release.server(), result.outcome() != ReleaseOutcome.UNKNOWN, decidedMillis);
             if (result.outcome() == ReleaseOutcome.RELEASED) {
                 events.write(
                         "range.released",
@@ -142,7 +155,8 @@
                 awaited);
     }
 
-    private void trackResponsiveness(ServerStart server, boolean answered) {
+    private void trackResponsiveness(ServerStart server, boolean answered, long decidedMillis) {
+        callListener.onCallEnded(server, answered, clock.nowMillis() - decidedMillis);
         if (answered && unresponsiveServers.remove(server)) {
             events.write("server.orders-answered", "server", server);
         } else if (!answered && unresponsiveServers.add(server)) {
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
@@ -0,0 +1,93 @@
+package org.lacewingthread.daemon.router;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import org.lacewingthread.core.reachability.RelayPeer;
+import org.lacewingthread.daemon.exchange.Failure;
+import org.lacewingthread.daemon.exchange.HeaderField;
+import org.lacewingthread.daemon.exchange.RequestHandler;
+import org.lacewingthread.daemon.exchange.ResponseSink;
+import org.lacewingthread.daemon.http.FullResponse;
+
+/** An attempt that another entry VM makes for this one; collects its response. Runs on the traffic thread. */
+final class RelayAttempt implements ResponseSink {
+    private final RelayPeer peer;
+    private final long sentMillis;
+    private final Listener listener;
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private HttpHeaders headers = new DefaultHttpHeaders();
+    private RequestHandler.Cancellation cancellation = () -> {};
+    private int status;
+    private boolean ended;
+
+    /** Receives the end of an attempt; one of the methods is called once. */
+    interface Listener {
+        /** Called with the complete response of a server. */
+        void onResponse(RelayAttempt attempt, FullResponse response);
+
+        /** Called if there is none. */
+        void onFailure(RelayAttempt attempt, Failure failure);
+    }
+
+    RelayAttempt(RelayPeer peer, long sentMillis, Listener listener) {
+        this.peer = peer;
+        this.sentMillis = sentMillis;
+        this.listener = listener;
+    }
+
+    RelayPeer peer() {
+        return peer;
+    }
+
+    long sentMillis() {
+        return sentMillis;
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    void setCancellation(RequestHandler.Cancellation onCancel) {
+        cancellation = onCancel;
+    }
+
+    /** Ends the attempt and tells the other entry VM; the listener is not called. */
+    void cancel() {
+        if (!ended) {
+            ended = true;
+            cancellation.cancel();
+        }
+    }
+
+    @Override
+    public void onHead(int responseStatus, List<HeaderField> fields) {
+        status = responseStatus;
+        fields.forEach(field -> headers.add(field.name(), field.value()));
+    }
+
+    @Override
+    public void onBody(byte[] chunk, Runnable consumed) {
+        body.writeBytes(chunk);
+    }
+
+    @Override
+    public void onEnd() {
+        end(() -> listener.onResponse(
+                this, new FullResponse(status, headers, Unpooled.wrappedBuffer(body.toByteArray()))));
+    }
+
+    @Override
+    public void onFailure(Failure failure) {
+        end(() -> listener.onFailure(this, failure));
+    }
+
+    private void end(Runnable result) {
+        if (!ended) {
+            ended = true;
+            result.run();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
@@ -0,0 +1,250 @@
+package org.lacewingthread.daemon.router;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+import org.lacewingthread.core.dispatch.RequestDispatcher;
+import org.lacewingthread.core.id.DataCentreId;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.reachability.RelayPeer;
+import org.lacewingthread.core.traffic.ResultCode;
+import org.lacewingthread.daemon.events.EventLog;
+import org.lacewingthread.daemon.exchange.Failure;
+import org.lacewingthread.daemon.exchange.HeaderField;
+import org.lacewingthread.daemon.exchange.RelayedRequest;
+import org.lacewingthread.daemon.exchange.RequestHandler;
+import org.lacewingthread.daemon.exchange.ResponseSink;
+import org.lacewingthread.daemon.http.FullResponse;
+
+/**
+ * Hands requests whose server this VM can't reach to entry VMs that can. What was handed over counts as sent: only the
+ * other VM's own answer that the request was not run makes it so. All methods run on the traffic thread.
+ */
+final class RelaySender implements RelayAttempt.Listener {
+    /** Entry VMs that a request is handed to, one after the other; further ones would only delay the refusal. */
+    private static final int MAX_PEERS_PER_REQUEST = 2;
+    /** How long a VM is left out that reaches no server or can't be reached; about two reports to the leader. */
+    private static final long PEER_EXCLUSION_MILLIS = 1_000;
+    /** How long a server is not asked for through others after one of them could not reach it either. */
+    private static final long SERVER_EXCLUSION_MILLIS = 1_000;
+    /** The other VM's answer must be back before this VM's own deadline. */
+    private static final long RESPONSE_MARGIN_MILLIS = 5;
+    /** Largest body that is relayed; half of what may wait in a link's socket. */
+    private static final int MAX_BODY_BYTES = 2 << 20;
+    /** A VM of another data centre is chosen if those of the own one have this many more requests under way. */
+    private static final int OTHER_DATA_CENTRE_PENALTY = 4;
+
+    private final Access access;
+    private final RequestDispatcher dispatcher;
+    private final RequestEngine engine;
+    private final RequestRetries retries;
+    private final ResponseSender responder;
+    private final EventLog events;
+    private final LongSupplier clockMillis;
+    private final Map<RelayPeer, Integer> pendingByPeer = new HashMap<>();
+    private final Map<RelayPeer, Long> excludedUntilMillis = new HashMap<>();
+    private final Map<ServerStart, Long> unreachableUntilMillis = new HashMap<>();
+    private final Map<RelayAttempt, ActiveRequest> requests = new HashMap<>();
+    private List<RelayPeer> peers = List.of();
+
+    /** Carries requests to other entry VMs. */
+    interface Transport {
+        /** Sends a request; returns what cancels it. */
+        RequestHandler.Cancellation send(RelayPeer peer, RelayedRequest request, ResponseSink sink);
+    }
+
+    /**
+     * The way to other entry VMs.
+     *
+     * @param dataCentre data centre of this VM
+     * @param transport carries requests to other VMs
+     * @param random seeded source of the choice among equal VMs
+     */
+    record Access(DataCentreId dataCentre, Transport transport, RandomGenerator random) {}
+
+    RelaySender(
+            Access access,
+            RequestDispatcher dispatcher,
+            RequestEngine engine,
+            RequestRetries retries,
+            ResponseSender responder,
+            EventLog events,
+            LongSupplier clockMillis) {
+        this.access = access;
+        this.dispatcher = dispatcher;
+        this.engine = engine;
+        this.retries = retries;
+        this.responder = responder;
+        this.events = events;
+        this.clockMillis = clockMillis;
+    }
+
+    /** Sets the entry VMs that reach servers. */
+    void setPeers(List<RelayPeer> reachingServers) {
+        peers = List.copyOf(reachingServers);
+        excludedUntilMillis.keySet().retainAll(peers);
+        pendingByPeer.keySet().removeIf(peer -> !peers.contains(peer) && pendingByPeer.get(peer) == 0);
+    }
+
+    /** Returns whether some entry VM may take requests now. */
+    boolean hasPeer() {
+        return choosePeer(clockMillis.getAsLong()).isPresent();
+    }
+
+    /**
+     * Hands a request to another entry VM.
+     *
+     * @return false if it has to be refused here
+     */
+    boolean trySend(ActiveRequest request) {
+        long nowMillis = clockMillis.getAsLong();
+        boolean mayRelay = request.relayedBy.isEmpty()
+                && request.relayCount < MAX_PEERS_PER_REQUEST
+                && request.sentAttempts < request.route.maxAttempts()
+                && request.deadlineMillis - nowMillis > 2 * RESPONSE_MARGIN_MILLIS
+                && request.callerRequest.body().readableBytes() <= MAX_BODY_BYTES;
+        if (!mayRelay || isUnreachableForPeers(request, nowMillis)) {
+            return false;
+        }
+        Optional<RelayPeer> peer = choosePeer(nowMillis);
+        peer.ifPresent(chosen -> send(request, chosen, nowMillis));
+        return peer.isPresent();
+    }
+
+    private boolean isUnreachableForPeers(ActiveRequest request, long nowMillis) {
+        unreachableUntilMillis.values().removeIf(until -> until <= nowMillis);
+        return dispatcher
+                .ownerOf(request.toDispatchRequest())
+                .filter(unreachableUntilMillis::containsKey)
+                .isPresent();
+    }
+
+    private Optional<RelayPeer> choosePeer(long nowMillis) {
+        return peers.stream()
+                .filter(peer -> excludedUntilMillis.getOrDefault(peer, Long.MIN_VALUE) <= nowMillis)
+                .min(Comparator.comparingDouble(this::cost));
+    }
+
+    /** Requests under way, plus what makes a VM of another data centre the second choice; random among equals. */
+    private double cost(RelayPeer peer) {
+        int penalty = peer.dataCentre().equals(access.dataCentre()) ? 0 : OTHER_DATA_CENTRE_PENALTY;
+        return pendingByPeer.getOrDefault(peer, 0) + penalty + access.random().nextDouble();
+    }
+
+    private void send(ActiveRequest request, RelayPeer peer, long nowMillis) {
+        RelayAttempt attempt = new RelayAttempt(peer, nowMillis, this);
+        requests.put(attempt, request);
+        request.relayAttempt = Optional.of(attempt);
+        request.relayCount++;
+        pendingByPeer.merge(peer, 1, Integer::sum);
+        events.write(
+                "request.relayed",
+                "request",
+                request.requestId,
+                "to",
+                peer.vm(),
+                "peers",
+                peers.size(),
+                "left_ms",
+                request.deadlineMillis - nowMillis);
+        attempt.setCancellation(access.transport().send(peer, toRelayedRequest(request), attempt));
+        request.sentAttempts++;
+    }
+
+    private RelayedRequest toRelayedRequest(ActiveRequest request) {
+        HttpHeaders endToEnd = new DefaultHttpHeaders();
+        RequestHeaders.copyEndToEnd(request.callerRequest.headers(), endToEnd);
+        List<HeaderField> headers = new ArrayList<>();
+        endToEnd.forEach(header -> headers.add(new HeaderField(header.getKey(), header.getValue())));
+        Set<ServerId> avoided = new HashSet<>(request.triedServers);
+        return new RelayedRequest(
+                request.requestId,
+                request.service,
+                request.key,
+                request.route.name(),
+                request.route.repeatability(),
+                request.route.priority(),
+                request.route.maxAttempts() - request.sentAttempts,
+                request.deadlineMillis - RESPONSE_MARGIN_MILLIS,
+                request.toDispatchRequest().targetAtMillis(),
+                request.route.targetLatencyMillis(),
+                request.callerRequest.method(),
+                request.callerRequest.target(),
+                headers,
+                ByteBufUtil.getBytes(request.callerRequest.body()),
+                avoided);
+    }
+
+    /** Cancels the attempt of a request that is no longer wanted, if one is under way. */
+    void cancel(ActiveRequest request) {
+        request.relayAttempt.filter(attempt -> !attempt.isEnded()).ifPresent(attempt -> {
+            attempt.cancel();
+            takeEnded(attempt);
+        });
+    }
+
+    private Optional<ActiveRequest> takeEnded(RelayAttempt attempt) {
+        pendingByPeer.computeIfPresent(attempt.peer(), (peer, pending) -> Math.max(0, pending - 1));
+        return Optional.ofNullable(requests.remove(attempt));
+    }
+
+    @Override
+    public void onResponse(RelayAttempt attempt, FullResponse response) {
+        takeEnded(attempt).filter(request -> !request.finished).ifPresent(request -> {
+            addToSummary(request, attempt, Integer.toString(response.status()));
+            engine.finish(request);
+            responder.forwardResponse(request, response);
+        });
+    }
+
+    private static void addToSummary(ActiveRequest request, RelayAttempt attempt, String result) {
+        request.attemptSummary
+                .append(" via ")
+                .append(attempt.peer().vm())
+                .append(':')
+                .append(result);
+    }
+
+    @Override
+    public void onFailure(RelayAttempt attempt, Failure failure) {
+        Optional<ActiveRequest> failed = takeEnded(attempt);
+        boolean peerFailed =
+                failure.code() == ResultCode.RELAY_UNREACHABLE || failure.code() == ResultCode.SERVERS_UNREACHABLE;
+        long nowMillis = clockMillis.getAsLong();
+        if (peerFailed || failure.code() == ResultCode.RELAY_LOST) {
+            excludedUntilMillis.put(attempt.peer(), nowMillis + PEER_EXCLUSION_MILLIS);
+        }
+        failed.filter(request -> !request.finished).ifPresent(request -> {
+            addToSummary(request, attempt, Integer.toString(failure.code().number()));
+            if (failure.code() == ResultCode.OWNER_UNREACHABLE) {
+                dispatcher
+                        .ownerOf(request.toDispatchRequest())
+                        .ifPresent(owner -> unreachableUntilMillis.put(owner, nowMillis + SERVER_EXCLUSION_MILLIS));
+            }
+            if (failure.code().knowledge() == ResultCode.Knowledge.OUTCOME_UNKNOWN) {
+                request.mayHaveRun = true;
+                retries.retryOrFail(
+                        request,
+                        Optional.empty(),
+                        "relayed to " + attempt.peer().vm() + ": " + failure.detail());
+            } else if (peerFailed) {
+                request.sentAttempts--;
+                engine.submit(request);
+            } else {
+                engine.finish(request);
+                retries.refuseRelayed(request, failure);
+            }
+        });
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -17,10 +17,12 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -28,6 +30,7 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.daemon.events.EventLog;
 
 /**
@@ -45,13 +48,6 @@
     /** Size of the kernel's receive buffer: room for the reports of 450 VMs while the control thread is busy. */
     private static final int SOCKET_BUFFER_BYTES = 1 << 20;
 
-    private static final String STORE_SILENCE = "storeSilenceMillis";
-    private static final String REGISTRY_SILENCE = "registrySilenceMillis";
-    private static final String CONFIGURATION_AGE = "configurationAgeMillis";
-    private static final String ENTRY_VMS = "entryVms";
-    private static final String REGISTRY_POSITION = "registryPosition";
-    private static final String CONFIGURATION_POSITION = "configurationPosition";
-    private static final String TABLE_POSITION = "tablePosition";
     private static final String REPORT_SENT_AT = "reportSentAtMillis";
     private static final String TABLE = "table";
     private static final String TABLE_END = "tableEnd";
@@ -59,8 +55,8 @@
     private static final String NOT_LEADING_VM = "notLeadingVm";
     private static final String NOT_LEADING_START = "notLeadingStart";
     private static final String NOT_LEADING_BEFORE_TERM = "notLeadingBeforeTerm";
-    /** Age that confirms nothing; earlier builds do not state one. */
-    private static final long UNKNOWN_AGE_MILLIS = Long.MAX_VALUE / 2;
+    /** Data centre of VMs with earlier builds, which do not state one. */
+    private static final String UNKNOWN_DATA_CENTRE = "unknown";
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -79,6 +75,8 @@
      * @param registrySilenceMillis age of the leader's knowledge of the servers
      * @param configurationAgeMillis age of the leader's knowledge of the configuration
      * @param entryVmCount how many entry VMs are alive
+     * @param linksImpaired whether the leader reaches no server, or far fewer than another entry VM
+     * @param relayPeers entry VMs that can send requests for the one that is answered
      * @param positions log positions up to which the leader has read
      */
     record LeaderStatus(
@@ -86,7 +84,14 @@
             long registrySilenceMillis,
             long configurationAgeMillis,
             int entryVmCount,
-            Platform.Positions positions) {}
+            boolean linksImpaired,
+            List<RelayPeer> relayPeers,
+            Platform.Positions positions) {
+        /** Copies the list. */
+        LeaderStatus {
+            relayPeers = List.copyOf(relayPeers);
+        }
+    }
 
     /**
      * A range table that is recorded in the store.
@@ -106,8 +111,8 @@
 
     /** Handles the messages of other entry VMs. */
     interface Listener {
-        /** Returns the answer to a report; empty if this process does not lead. */
-        Optional<LeaderStatus> leaderStatus();
+        /** Returns the answer to a VM's report; empty if this process does not lead. */
+        Optional<LeaderStatus> leaderStatus(PendingReport.Reporter reporter);
 
         /** Returns the recorded range table if it is newer than a log position and this process leads. */
         Optional<RecordedTable> recordedTableAfter(long position);
@@ -123,9 +128,12 @@
          */
         void onLeaderStatus(LeaderStatus status, Optional<Platform.AsOf> asOf);
 
-        /** Called for each report of an entry VM. */
+        /** Called for each datagram of an entry VM's report. */
         void onReport(String vm);
 
+        /** Called once for each report, with the address that it came from. */
+        void onReporter(PendingReport.Reporter reporter, InetSocketAddress address);
+
         /** Called for each requested key in a report. */
         void onReportedKey(ServiceId service, int key);
 
@@ -186,14 +194,16 @@
      *     empty while the store answers
      */
     void sendReport(
-            String vm,
+            PendingReport.Reporter reporter,
             Leader leader,
             long sentAtMillis,
             Map<ServerStart, Double> serviceMillis,
             OptionalLong wantsTableAfter) {
         pendingReport.addServiceTimes(serviceMillis);
         InetSocketAddress recipient = new InetSocketAddress(leader.reportHost(), leader.reportPort());
-        pendingReport.takeDatagrams(vm, sentAtMillis, wantsTableAfter).forEach(datagram -> send(datagram, recipient));
+        pendingReport
+                .takeDatagrams(reporter, sentAtMillis, wantsTableAfter)
+                .forEach(datagram -> send(datagram, recipient));
     }
 
     /** Tells a former leader that a new term has begun; it answers once it has stopped leading. */
@@ -242,16 +252,8 @@
                             RangeTableJson.readCompressed(message.path(TABLE).binaryValue()),
                             message.path(TABLE_END).asLong()));
                 }
-                if (message.has(STORE_SILENCE)) {
-                    LeaderStatus status = new LeaderStatus(
-                            message.path(STORE_SILENCE).asLong(),
-                            message.path(REGISTRY_SILENCE).asLong(),
-                            message.path(CONFIGURATION_AGE).asLong(UNKNOWN_AGE_MILLIS),
-                            message.path(ENTRY_VMS).asInt(1),
-                            new Platform.Positions(
-                                    message.path(REGISTRY_POSITION).asLong(),
-                                    message.path(CONFIGURATION_POSITION).asLong(),
-                                    message.path(TABLE_POSITION).asLong()));
+                if (LeaderStatusJson.isStatus(message)) {
+                    LeaderStatus status = LeaderStatusJson.read(message);
                     listener.onLeaderStatus(status, asOf(message, status));
                     return;
                 }
@@ -276,10 +278,12 @@
                                     packet.sender()));
                     return;
                 }
-                processReport(message);
+                processLoad(message);
                 boolean firstOfReport = message.has(PendingReport.TIMES);
                 if (firstOfReport) {
-                    listener.leaderStatus().ifPresent(status -> sendStatus(message, status, packet.sender()));
+                    PendingReport.Reporter reporter = reporter(message);
+                    listener.onReporter(reporter, packet.sender());
+                    listener.leaderStatus(reporter).ifPresent(status -> sendStatus(message, status, packet.sender()));
                 }
             } catch (IOException | IllegalArgumentException e) {
                 events.write("report.unreadable", "from", packet.sender(), "reason", e.getMessage());
@@ -303,7 +307,7 @@
                                     report.path(PendingReport.WANTS_TABLE_AFTER).asLong())
                             .map(this::encode)
                     : Optional.empty();
-            ObjectNode message = encode(status);
+            ObjectNode message = LeaderStatusJson.write(status);
             if (report.has(PendingReport.SENT_AT)) {
                 message.set(REPORT_SENT_AT, report.path(PendingReport.SENT_AT));
             }
@@ -340,18 +344,15 @@
             return newestEncodedTable.get();
         }
 
-        private ObjectNode encode(LeaderStatus status) {
-            return MAPPER.createObjectNode()
-                    .put(STORE_SILENCE, status.storeSilenceMillis())
-                    .put(REGISTRY_SILENCE, status.registrySilenceMillis())
-                    .put(CONFIGURATION_AGE, status.configurationAgeMillis())
-                    .put(ENTRY_VMS, status.entryVmCount())
-                    .put(REGISTRY_POSITION, status.positions().registry())
-                    .put(CONFIGURATION_POSITION, status.positions().configuration())
-                    .put(TABLE_POSITION, status.positions().table());
+        private static PendingReport.Reporter reporter(JsonNode report) {
+            return new PendingReport.Reporter(
+                    report.path(PendingReport.VM).asText(),
+                    new DataCentreId(report.path(PendingReport.DATA_CENTRE).asText(UNKNOWN_DATA_CENTRE)),
+                    report.path(PendingReport.CUT_OFF).asBoolean(),
+                    report.path(PendingReport.ANSWERING_SERVERS).asInt());
         }
 
-        private void processReport(JsonNode report) {
+        private void processLoad(JsonNode report) {
             report.path(PendingReport.KEYS).fields().forEachRemaining(service -> {
                 ServiceId id = new ServiceId(service.getKey());
                 service.getValue().forEach(key -> listener.onReportedKey(id, key.asInt()));
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestAdmission.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestAdmission.java
@@ -61,7 +61,14 @@
                             + "\" requires");
         }
         return Optional.of(new ActiveRequest(
-                number, request, requestId, route.get(), service, key, deadlineMillis(request, route.get())));
+                number,
+                request,
+                requestId,
+                route.get(),
+                service,
+                key,
+                deadlineMillis(request, route.get()),
+                Optional.empty()));
     }
 
     private long deadlineMillis(CallerRequest request, Route route) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -2,11 +2,10 @@
 
 import io.netty.channel.EventLoop;
 import java.util.EnumSet;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.lacewingthread.core.dispatch.AttemptResult;
@@ -19,6 +18,7 @@
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
@@ -29,7 +29,6 @@
 import org.lacewingthread.daemon.http.FullResponse;
 import org.lacewingthread.daemon.intake.CallerRequest;
 import org.lacewingthread.daemon.intake.CallerRequestHandler;
-import org.lacewingthread.daemon.intake.CallerResponder;
 
 /** Routes, dispatches, sends, retries and answers requests. All methods run on the traffic thread. */
 final class RequestEngine implements CallerRequestHandler {
@@ -38,10 +37,9 @@
 
     private static final Set<AttemptResult> NOT_RUN =
             EnumSet.of(AttemptResult.REJECTED, AttemptResult.MISDIRECTED, AttemptResult.REPLACED);
-    /** Retry-After of requests that a server rejected; about one service time. */
-    private static final long REJECTED_RETRY_AFTER_MILLIS = 100;
+    private static final Set<RefusalCause> UNREACHABLE =
+            EnumSet.of(RefusalCause.OWNER_UNREACHABLE, RefusalCause.CUT_OFF);
 
-    private static final long NO_REQUEST_NUMBER = -1;
     private static final int FIRST_SERVER_ERROR = 500;
     /** Ample, since data centres are only a few milliseconds apart. */
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
@@ -52,19 +50,20 @@
     private final EventLog events;
     private final RouterMetrics metrics;
     private final RequestDispatcher dispatcher;
+    private final ServerLinkMonitor links;
     private final ConnectionPool<ServerStart> connections;
     private final AttemptSender sender;
     private final ResponseSender responder;
     private final RetryBudget retryBudget;
+    private final RequestRetries retries;
+    private final RelaySender relays;
     private final LongSupplier clockMillis;
     private final KeyRequestListener keyRequestListener;
     private final LimitLink limitLink;
     private final ActiveRoutes routing = new ActiveRoutes();
     private final RequestAdmission admission;
     private final LimitObserver limits;
-    private final Map<Long, ActiveRequest> activeRequests = new HashMap<>();
-    private final Map<CallerResponder, Long> requestNumberByReply = new HashMap<>();
-    private long lastRequestNumber;
+    private final ActiveRequests activeRequests = new ActiveRequests();
 
     /** Receives the keys of requests. */
     interface KeyRequestListener {
@@ -90,17 +89,22 @@
             RetryBudget retryBudget,
             LongSupplier clockMillis,
             KeyRequestListener keyRequestListener,
-            LimitLink limitLink) {
+            LimitLink limitLink,
+            RelaySender.Access relayAccess) {
         this.headerNames = headerNames;
         this.events = events;
         this.metrics = metrics;
         this.dispatcher = dispatcher;
-        this.connections = new ConnectionPool<>(eventLoop, clockMillis, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
+        this.links = new ServerLinkMonitor(events, clockMillis, relayAccess.random(), this::onCutOffChanged);
+        this.connections = new ConnectionPool<>(eventLoop, clockMillis, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS, links);
+        links.setConnections(connections);
         this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
         this.limits = new LimitObserver(headerNames.serverLimits(), dispatcher, events, limitLink::onLimitEnded);
         this.admission = new RequestAdmission(headerNames, routing, responder);
         this.retryBudget = retryBudget;
+        this.retries = new RequestRetries(this, responder, retryBudget, clockMillis);
+        this.relays = new RelaySender(relayAccess, dispatcher, this, retries, responder, events, clockMillis);
         this.clockMillis = clockMillis;
         this.keyRequestListener = keyRequestListener;
         this.limitLink = limitLink;
@@ -125,13 +129,54 @@
     void onTopologyChange(List<KnownServer> servers, RangeTable table) {
         Set<ServerStart> known = servers.stream().map(KnownServer::start).collect(Collectors.toSet());
         connections.evictStale(known::contains);
+        links.onServers(servers);
         applyDecisions(dispatcher.onTopologyChanged(servers, table, clockMillis.getAsLong()));
     }
 
+    /** Returns what is known of this VM's links to the servers. */
+    ServerLinkMonitor links() {
+        return links;
+    }
+
+    /** Sets the entry VMs that reach servers. */
+    void onRelayPeers(List<RelayPeer> peers) {
+        relays.setPeers(peers);
+    }
+
+    /**
+     * Moves requests to other entry VMs when this one no longer reaches any server: those that wait, and those that were
+     * sent and may be repeated. Others are awaited, since a server may have run them.
+     */
+    private void onCutOffChanged(boolean cutOff) {
+        applyDecisions(dispatcher.onCutOffChanged(cutOff, clockMillis.getAsLong()));
+        if (!cutOff) {
+            return;
+        }
+        connections.closeAllIdle();
+        for (ActiveRequest request : activeRequests.all()) {
+            Optional<ActiveRequest.Attempt> attempt = request.attempt.filter(current -> !current.ended);
+            if (attempt.isEmpty()) {
+                continue;
+            }
+            if (attempt.get().connection == null) {
+                onFailure(request, attempt.get(), AttemptResult.NOT_SENT, "no server can be reached");
+            } else if (relays.hasPeer() && retries.tryRepeat(request)) {
+                request.mayHaveRun = true;
+                request.attemptSummary
+                        .append(' ')
+                        .append(attempt.get().decision.server().start().server())
+                        .append(":no server can be reached");
+                abandonAttempt(request);
+                submit(request);
+            }
+        }
+    }
+
     /** Ends requests whose deadline has passed and dispatches queued requests. */
     void tick() {
+        links.tick();
         long nowMillis = clockMillis.getAsLong();
-        for (ActiveRequest request : List.copyOf(activeRequests.values())) {
+        for (ActiveRequest request : activeRequests.all()) {
             if (nowMillis >= request.deadlineMillis) {
                 onDeadlineExpired(request);
             }
@@ -168,20 +213,32 @@
 
     @Override
     public void onRequest(CallerRequest callerRequest) {
-        Optional<ActiveRequest> admitted = admission.admit(callerRequest, lastRequestNumber + 1);
+        Optional<ActiveRequest> admitted = admission.admit(callerRequest, activeRequests.nextNumber());
         if (admitted.isEmpty()) {
             return;
         }
         ActiveRequest request = admitted.get();
-        lastRequestNumber = request.number;
-        activeRequests.put(request.number, request);
-        requestNumberByReply.put(callerRequest.responder(), request.number);
+        activeRequests.add(request);
         retryBudget.onFirstAttempt();
         request.key.ifPresent(value -> keyRequestListener.onKeyRequested(request.service, value));
         submit(request);
     }
 
-    private void submit(ActiveRequest request) {
+    /**
+     * Handles a request that another entry VM relayed, which counted it as its caller's.
+     *
+     * @param request creates the request with the number that it gets
+     * @param onFinished called when the request is finished
+     */
+    void onRelayedRequest(LongFunction<ActiveRequest> request, Runnable onFinished) {
+        ActiveRequest relayed = request.apply(activeRequests.nextNumber());
+        relayed.onFinished = onFinished;
+        activeRequests.add(relayed);
+        submit(relayed);
+    }
+
+    /** Lets the dispatcher decide about a request, for the first time or again. */
+    void submit(ActiveRequest request) {
         request.attempt = Optional.empty();
         request.queuedRequest = Optional.of(request.toDispatchRequest());
         applyDecisions(dispatcher.submit(request.queuedRequest.get(), clockMillis.getAsLong()));
@@ -189,7 +246,8 @@
 
     private void applyDecisions(List<Decision> decisions) {
         for (Decision decision : decisions) {
-            ActiveRequest request = activeRequests.get(decision.request().number());
+            ActiveRequest request =
+                    activeRequests.find(decision.request().number()).orElse(null);
             if (request == null) {
                 continue;
             }
@@ -202,41 +260,29 @@
             if (decision instanceof Decision.Send send) {
                 request.triedServers.add(send.server().start().server());
                 sender.send(request, send);
-            } else if (decision instanceof Decision.Refuse refuse) {
-                refuse(request, refuse.cause(), refuse.retryAfterMillis());
+            } else if (decision instanceof Decision.Refuse refuse && !relay(request, refuse)) {
+                retries.refuse(request, refuse.cause(), refuse.retryAfterMillis());
             }
         }
     }
 
-    private void refuse(ActiveRequest request, RefusalCause cause, long retryAfterMillis) {
-        if (request.mayHaveRun) {
-            finish(request);
-            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "no second attempt: " + cause);
-            return;
-        }
-        ResultCode code =
-                switch (cause) {
-                    case OVERLOADED, LIMITED, DEADLINE_PASSED -> ResultCode.OVERLOADED;
-                    case NO_OWNER, OWNER_GONE -> ResultCode.NO_OWNER;
-                    case OWNER_UNREACHABLE, NO_SERVER -> ResultCode.OWNER_UNREACHABLE;
-                };
-        finish(request);
-        String limitedBy = cause == RefusalCause.LIMITED
-                ? request.limitedServer.map(server -> " by " + server).orElse("")
-                : "";
-        responder.refuse(request, code, cause + limitedBy, retryAfterMillis);
+    private boolean relay(ActiveRequest request, Decision.Refuse refuse) {
+        return UNREACHABLE.contains(refuse.cause()) && relays.trySend(request);
     }
 
-    private void finish(ActiveRequest request) {
+    /** Ends a request; its response is sent by the caller of this method. */
+    void finish(ActiveRequest request) {
         request.finished = true;
-        activeRequests.remove(request.number);
-        requestNumberByReply.remove(request.callerRequest.responder());
+        request.onFinished.run();
+        activeRequests.remove(request);
     }
 
     private void onDeadlineExpired(ActiveRequest request) {
         request.queuedRequest.ifPresent(dispatcher::cancel);
         boolean sent =
-                request.attempt.map(attempt -> attempt.connection != null).orElse(false) || request.mayHaveRun;
+                request.attempt.map(attempt -> attempt.connection != null).orElse(false)
+                        || request.isRelayPending()
+                        || request.mayHaveRun;
         finish(request);
         if (sent) {
             request.attempt.ifPresent(
@@ -251,13 +297,11 @@
 
     @Override
     public void onCallerDisconnected(CallerRequest callerRequest) {
-        Optional<ActiveRequest> abandoned = Optional.ofNullable(
-                activeRequests.get(requestNumberByReply.getOrDefault(callerRequest.responder(), NO_REQUEST_NUMBER)));
-        abandoned.ifPresent(request -> {
+        activeRequests.find(callerRequest.responder()).ifPresent(request -> {
             request.queuedRequest.ifPresent(dispatcher::cancel);
             responder.logCallerDisconnected(request);
             request.callerDisconnected = true;
-            boolean mustFinish = request.attempt.isPresent()
+            boolean mustFinish = (request.attempt.isPresent() || request.isRelayPending())
                     && !request.route.repeatability().maySendAgain(true);
             if (!mustFinish) {
                 finish(request);
@@ -267,6 +311,7 @@
     }
 
     private void abandonAttempt(ActiveRequest request) {
+        relays.cancel(request);
         request.attempt.filter(attempt -> !attempt.ended).ifPresent(attempt -> {
             if (attempt.connection != null) {
                 attempt.connection.abort();
@@ -291,6 +336,7 @@
     /** Called when a server sent a complete response. */
     void onResponse(ActiveRequest request, ActiveRequest.Attempt attempt, FullResponse response) {
         ServerEntry server = attempt.decision.server();
+        links.onAnswer(server.start());
         connections.release(server.start(), attempt.connection);
         Optional<LoadReport> report = RequestHeaders.parseLoad(response.headers(), headerNames.serverLoad());
         AttemptResult result =
@@ -312,11 +358,11 @@
             finish(request);
             responder.forwardResponse(request, response);
         } else if (NOT_RUN.contains(result)) {
-            retryOrRefuse(request, result);
+            retries.retryOrRefuse(request, result);
         } else {
             request.mayHaveRun = true;
             boolean fromServer = result == AttemptResult.SERVER_FAILED && response.status() >= FIRST_SERVER_ERROR;
-            retryOrFail(
+            retries.retryOrFail(
                     request,
                     fromServer ? Optional.of(response) : Optional.empty(),
                     "the server's response is not usable");
@@ -338,50 +384,12 @@
         }
         if (result == AttemptResult.BROKEN) {
             request.mayHaveRun = true;
-            retryOrFail(request, Optional.empty(), reason);
+            retries.retryOrFail(request, Optional.empty(), reason);
         } else if (++request.unsentAttempts < MAX_UNSENT_ATTEMPTS) {
             submit(request);
         } else {
             finish(request);
-            responder.refuse(request, ResultCode.OWNER_UNREACHABLE, reason, REJECTED_RETRY_AFTER_MILLIS);
+            responder.refuse(request, ResultCode.OWNER_UNREACHABLE, reason, RequestRetries.REJECTED_RETRY_AFTER_MILLIS);
         }
     }
-
-    private void retryOrRefuse(ActiveRequest request, AttemptResult result) {
-        if (request.sentAttempts < request.route.maxAttempts() && hasTimeToRetry(request) && retryBudget.tryTake()) {
-            submit(request);
-            return;
-        }
-        finish(request);
-        if (request.mayHaveRun) {
-            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "the server rejected a retry: " + result);
-        } else {
-            responder.refuse(
-                    request,
-                    ResultCode.OWNER_REFUSED,
-                    "the server rejected the request: " + result,
-                    REJECTED_RETRY_AFTER_MILLIS);
-        }
-    }
-
-    private void retryOrFail(ActiveRequest request, Optional<FullResponse> failure, String reason) {
-        boolean maySendAgain = request.route.repeatability().maySendAgain(true)
-                && request.sentAttempts < request.route.maxAttempts()
-                && hasTimeToRetry(request);
-        if (maySendAgain && retryBudget.tryTake()) {
-            submit(request);
-            return;
-        }
-        finish(request);
-        if (failure.isPresent()) {
-            responder.forwardResponse(request, failure.get());
-        } else {
-            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, reason);
-        }
-    }
-
-    private boolean hasTimeToRetry(ActiveRequest request) {
-        return !request.callerDisconnected
-                && request.deadlineMillis - clockMillis.getAsLong() > request.route.targetLatencyMillis() / 3;
-    }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -0,0 +1,107 @@
+package org.lacewingthread.daemon.router;
+
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.dispatch.AttemptResult;
+import org.lacewingthread.core.dispatch.RefusalCause;
+import org.lacewingthread.core.traffic.ResultCode;
+import org.lacewingthread.core.traffic.RetryBudget;
+import org.lacewingthread.daemon.exchange.Failure;
+import org.lacewingthread.daemon.http.FullResponse;
+
+/** Decides whether a request whose attempt failed is sent again, refused or failed. Runs on the traffic thread. */
+final class RequestRetries {
+    /** Retry-After of requests that a server rejected; about one service time. */
+    static final long REJECTED_RETRY_AFTER_MILLIS = 100;
+
+    private final RequestEngine engine;
+    private final ResponseSender responder;
+    private final RetryBudget retryBudget;
+    private final LongSupplier clockMillis;
+
+    RequestRetries(RequestEngine engine, ResponseSender responder, RetryBudget retryBudget, LongSupplier clockMillis) {
+        this.engine = engine;
+        this.responder = responder;
+        this.retryBudget = retryBudget;
+        this.clockMillis = clockMillis;
+    }
+
+    /** Refuses a request that can't be sent now; fails it if an earlier attempt may have run. */
+    void refuse(ActiveRequest request, RefusalCause cause, long retryAfterMillis) {
+        if (request.mayHaveRun) {
+            engine.finish(request);
+            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "no second attempt: " + cause);
+            return;
+        }
+        ResultCode code =
+                switch (cause) {
+                    case OVERLOADED, LIMITED, DEADLINE_PASSED -> ResultCode.OVERLOADED;
+                    case NO_OWNER, OWNER_GONE -> ResultCode.NO_OWNER;
+                    case OWNER_UNREACHABLE, NO_SERVER -> ResultCode.OWNER_UNREACHABLE;
+                    case CUT_OFF -> ResultCode.SERVERS_UNREACHABLE;
+                };
+        engine.finish(request);
+        String limitedBy = cause == RefusalCause.LIMITED
+                ? request.limitedServer.map(server -> " by " + server).orElse("")
+                : "";
+        responder.refuse(request, code, cause + limitedBy, retryAfterMillis);
+    }
+
+    /** Sends a request again that a server did not run, or refuses it. */
+    void retryOrRefuse(ActiveRequest request, AttemptResult result) {
+        if (request.sentAttempts < request.route.maxAttempts() && hasTimeToRetry(request) && retryBudget.tryTake()) {
+            engine.submit(request);
+            return;
+        }
+        engine.finish(request);
+        if (request.mayHaveRun) {
+            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "the server rejected a retry: " + result);
+        } else {
+            responder.refuse(
+                    request,
+                    ResultCode.OWNER_REFUSED,
+                    "the server rejected the request: " + result,
+                    REJECTED_RETRY_AFTER_MILLIS);
+        }
+    }
+
+    /**
+     * Sends a request again that a server may have run, or fails it.
+     *
+     * @param failure response of the server that reports its failure, which is forwarded if the request is not sent again
+     */
+    void retryOrFail(ActiveRequest request, Optional<FullResponse> failure, String reason) {
+        if (tryRepeat(request)) {
+            engine.submit(request);
+            return;
+        }
+        engine.finish(request);
+        if (failure.isPresent()) {
+            responder.forwardResponse(request, failure.get());
+        } else {
+            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, reason);
+        }
+    }
+
+    /** Refuses a finished request that another entry VM refused; fails it if an earlier attempt may have run. */
+    void refuseRelayed(ActiveRequest request, Failure failure) {
+        if (request.mayHaveRun) {
+            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "no second attempt: " + failure.detail());
+        } else {
+            responder.refuse(request, failure.code(), failure.detail(), failure.retryAfterMillis());
+        }
+    }
+
+    /** Returns whether a request that was sent may be sent once more, and takes that from the budget if so. */
+    boolean tryRepeat(ActiveRequest request) {
+        return request.route.repeatability().maySendAgain(true)
+                && request.sentAttempts < request.route.maxAttempts()
+                && hasTimeToRetry(request)
+                && retryBudget.tryTake();
+    }
+
+    private boolean hasTimeToRetry(ActiveRequest request) {
+        return !request.callerDisconnected
+                && request.deadlineMillis - clockMillis.getAsLong() > request.route.targetLatencyMillis() / 3;
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
@@ -9,6 +9,7 @@
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.events.EventLog;
+import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.http.FullResponse;
 import org.lacewingthread.daemon.intake.CallerRequest;
 
@@ -39,7 +40,11 @@
         HttpHeaders headers = new DefaultHttpHeaders();
         RequestHeaders.copyEndToEnd(response.headers(), headers);
         headers.set(headerNames.requestId(), request.requestId);
-        request.callerRequest.responder().respond(response.status(), headers, response.body());
+        if (request.relayedBy.isPresent()) {
+            RelayReceiver.respond(request.relayedBy.get(), response.status(), headers, response.body());
+        } else {
+            request.callerRequest.responder().respond(response.status(), headers, response.body());
+        }
         logRequestEnd(request, ResultCode.DONE, response.status(), null);
     }
 
@@ -48,7 +53,7 @@
         if (request.callerDisconnected) {
             return;
         }
-        send(request.callerRequest, request.requestId, code, retryAfterMillis);
+        send(request, code, retryAfterMillis, reason);
         logRequestEnd(request, code, code.httpStatus(), reason);
     }
 
@@ -57,10 +62,18 @@
         if (request.callerDisconnected) {
             return;
         }
-        send(request.callerRequest, request.requestId, code, 0);
+        send(request, code, 0, reason);
         logRequestEnd(request, code, code.httpStatus(), reason);
     }
 
+    private void send(ActiveRequest request, ResultCode code, long retryAfterMillis, String reason) {
+        if (request.relayedBy.isPresent()) {
+            request.relayedBy.get().onFailure(new Failure(code, retryAfterMillis, reason));
+        } else {
+            send(request.callerRequest, request.requestId, code, retryAfterMillis);
+        }
+    }
+
     /** Refuses a request that could not be routed. */
     void refuseUnrouted(CallerRequest request, String requestId, ResultCode code, String reason) {
         send(request, requestId, code, 0);
@@ -116,6 +129,8 @@
                         .orElse(null),
                 "sends",
                 request.sentAttempts,
+                "relayed_here",
+                request.relayedBy.isPresent() ? true : null,
                 "tried",
                 request.attemptSummary.length() == 0
                         ? null
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.IOException;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,13 +17,18 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.core.registry.ServerRegistry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.core.traffic.RetryBudget;
 import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.events.FailureLoggingTask;
+import org.lacewingthread.daemon.exchange.RelayedRequest;
+import org.lacewingthread.daemon.exchange.RequestHandler;
+import org.lacewingthread.daemon.exchange.ResponseSink;
 import org.lacewingthread.daemon.intake.CallerListener;
+import org.lacewingthread.daemon.peer.RouterRelay;
 
 /**
  * A router process. The traffic thread handles requests; the control thread keeps configuration, servers and ranges.
@@ -39,6 +45,9 @@
     /** How often deadlines and queued requests are checked. */
     private static final long TRAFFIC_TICK_MILLIS = 10;
 
+    /** How often the control thread is told whether servers answer the traffic thread. */
+    private static final long REACH_INTERVAL_MILLIS = 100;
+
     private static final long SERVICE_TIMES_INTERVAL_MILLIS = 2_000;
     /**
      * How long a stopping process accepts requests. The load balancer stops sending them after two readiness checks,
@@ -65,11 +74,13 @@
     private final EventLoop controlEventLoop = controlGroup.next();
     private final ControlClock controlClock = new ControlClock();
     private final RequestEngine engine;
+    private final RouterRelay relay;
     private final CallerListener callerListener;
     private final VmStart self;
     private List<KnownServer> knownServers = List.of();
     private ControlLoop controlLoop;
     private volatile boolean stopping;
+    private volatile Reach reach = Reach.UNKNOWN;
 
     /** Creates the connection to the platform, which runs on the control thread. */
     public interface PlatformFactory {
@@ -98,10 +109,21 @@
                 new RetryBudget(settings.retryRatio(), settings.maxSavedRetries()),
                 RouterProcess::trafficNowMillis,
                 (service, key) -> controlLoop.onKeyRequested(service, key),
-                new LimitLink());
+                new LimitLink(),
+                new RelaySender.Access(settings.dataCentre(), this::relay, random.split()));
+        this.relay = new RouterRelay(
+                self,
+                settings.dataCentre(),
+                trafficEventLoop,
+                new RelayReceiver(engine, () -> !stopping && !engine.links().isCutOff()),
+                RouterProcess::trafficNowMillis);
         this.callerListener = new CallerListener(engine, RouterProcess::trafficNowMillis);
     }
 
+    private RequestHandler.Cancellation relay(RelayPeer peer, RelayedRequest request, ResponseSink sink) {
+        return relay.send(peer, request, sink);
+    }
+
     private final class LimitLink implements RequestEngine.LimitLink {
         @Override
         public void askPermit(PermitRequest request) {
@@ -118,14 +140,16 @@
      * Opens the ports and starts to follow the platform.
      *
      * @throws InterruptedException if the thread is interrupted while the ports are opened
+     * @throws IOException if the port for relayed requests can't be bound
      */
-    public void start(PlatformFactory platform) throws InterruptedException {
+    public void start(PlatformFactory platform) throws InterruptedException, IOException {
         Leader leader = new Leader(
                 self,
                 settings.reportAddress().getHostString(),
                 settings.reportAddress().getPort());
         controlLoop = new ControlLoop(
                 leader,
+                settings.dataCentre(),
                 settings.leaseTimes(),
                 new ServerRegistry(EXPIRED_ENTRY_GRACE_MILLIS, settings.drainMillis()),
                 platform.create(controlEventLoop, self, controlClock),
@@ -135,8 +159,9 @@
                 metrics,
                 this::applyConfiguration,
                 this::applyTopology,
-                count -> trafficEventLoop.execute(() -> engine.onEntryVmCount(count)),
-                (number, permit) -> trafficEventLoop.execute(() -> engine.onPermit(number, permit)));
+                new ReportListener(),
+                (number, permit) -> trafficEventLoop.execute(() -> engine.onPermit(number, permit)),
+                this::onServerCallEnded);
         registerGauges();
         callerListener.open(
                 trafficGroup,
@@ -150,16 +175,51 @@
                 TRAFFIC_TICK_MILLIS,
                 TRAFFIC_TICK_MILLIS,
                 TimeUnit.MILLISECONDS);
+        trafficEventLoop.scheduleAtFixedRate(
+                new FailureLoggingTask(events, "reach", this::reportReach),
+                REACH_INTERVAL_MILLIS,
+                REACH_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
         trafficEventLoop.scheduleAtFixedRate(
                 new FailureLoggingTask(events, "service-times", this::reportServiceTimes),
                 SERVICE_TIMES_INTERVAL_MILLIS,
                 SERVICE_TIMES_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         controlLoop.openReportChannel(settings.reportAddress());
+        relay.listen(
+                settings.reportAddress().getHostString(),
+                settings.reportAddress().getPort());
         controlLoop.start();
         events.write("process.started", "start", self, "callers", settings.callerAddress());
     }
 
+    private void onServerCallEnded(ServerStart server, boolean answered, long elapsedMillis) {
+        trafficEventLoop.execute(() -> {
+            if (answered) {
+                engine.links().onAnswer(server);
+            } else {
+                engine.links().onNoAnswer(server, trafficNowMillis() - elapsedMillis);
+            }
+        });
+    }
+
+    private final class ReportListener implements LoadReports.ResultListener {
+        @Override
+        public void onEntryVmCount(int count) {
+            trafficEventLoop.execute(() -> engine.onEntryVmCount(count));
+        }
+
+        @Override
+        public void onRelayPeers(List<RelayPeer> peers) {
+            trafficEventLoop.execute(() -> engine.onRelayPeers(peers));
+        }
+
+        @Override
+        public void onLeaderLinksImpaired() {
+            trafficEventLoop.execute(() -> engine.links().testIfUnknown());
+        }
+    }
+
     private static long trafficNowMillis() {
         return System.nanoTime() / NANOS_PER_MILLI;
     }
@@ -168,6 +228,7 @@
         metrics.gauge("unanswered", "requests without answer", engine::unansweredCount);
         metrics.gauge("waiting", "requests that wait for a server", engine::waitingCount);
         metrics.gauge("connections.opened", "connections opened to servers", engine::connectionsOpened);
+        metrics.gauge("servers.answering", "servers that answered of late", () -> reach.answeringServers());
         metrics.gauge("leading", "1 while this VM leads the key ranges", () -> controlLoop.isLeading() ? 1 : 0);
         metrics.gauge("ready", "1 while this VM serves callers", () -> isReady() ? 1 : 0);
         metrics.gauge("log.dropped", "log lines dropped and not yet reported", events::droppedCount);
@@ -202,6 +263,11 @@
         });
     }
 
+    private void reportReach() {
+        reach = engine.links().reach();
+        controlLoop.onReach(reach);
+    }
+
     private void reportServiceTimes() {
         Map<ServerStart, Double> measured = new HashMap<>();
         knownServers.forEach(server ->
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
@@ -82,7 +82,13 @@
 
                     @Override
                     public void onLimitEnded(ServerStart server) {}
-                });
+                },
+                new RelaySender.Access(
+                        HERE,
+                        (peer, request, sink) -> {
+                            throw new AssertionError("no request is relayed here");
+                        },
+                        new SplittableRandom(2)));
         engine.onConfiguration(new ServingConfiguration(
                 1,
                 List.of(route("orders", ORDERS), route("desk", DESK)),
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
@@ -42,7 +42,8 @@
             clock,
             events,
             new RangeCommandLog(events, new RouterMetrics(), 8),
-            () -> {});
+            () -> {},
+            (server, answered, elapsedMillis) -> {});
 
     /** Records the calls that are sent. */
     private static final class RecordingPlatform implements Platform {
@@ -82,6 +83,9 @@
             sent.add(action);
         }
 
+        @Override
+        public void setLeaderEligible(boolean eligible) {}
+
         @Override
         public void leave() {}
     }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -38,6 +39,7 @@
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeOwnership;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.daemon.events.EventLog;
 
 /** Sends reports from an entry VM to the leader, and the leader's answers back, over loopback datagrams. */
@@ -50,6 +52,9 @@
 
     private static final int MANY_SERVERS = 150;
     private static final int KEYS_PER_SERVICE = 180;
+    private static final PendingReport.Reporter REPORTER =
+            new PendingReport.Reporter("vm-2", new DataCentreId("maras"), false, 4);
+    private static final RelayPeer PEER = new RelayPeer(new VmId("vm-3"), new DataCentreId("calca"), "10.0.0.3", 7_000);
     private static final long SENT_AT_MILLIS = 77_000;
     private static final int RECEIVE_TIMEOUT_MILLIS = 5_000;
 
@@ -70,13 +75,14 @@
         private final List<Object> received = new CopyOnWriteArrayList<>();
         private volatile Optional<ReportChannel.RecordedTable> recordedTable = Optional.empty();
 
+        private final List<PendingReport.Reporter> reporters = new CopyOnWriteArrayList<>();
         private final List<Platform.AsOf> leaderTimes = new CopyOnWriteArrayList<>();
         private volatile int entryVmCount = 3;
 
         @Override
-        public Optional<ReportChannel.LeaderStatus> leaderStatus() {
+        public Optional<ReportChannel.LeaderStatus> leaderStatus(PendingReport.Reporter reporter) {
             return recordedTable.map(table -> new ReportChannel.LeaderStatus(
-                    1, 2, 6, entryVmCount, new Platform.Positions(4, 5, table.logEnd())));
+                    1, 2, 6, entryVmCount, true, List.of(PEER), new Platform.Positions(4, 5, table.logEnd())));
         }
 
         @Override
@@ -110,6 +116,11 @@
             received.add(vm);
         }
 
+        @Override
+        public void onReporter(PendingReport.Reporter reporter, InetSocketAddress address) {
+            reporters.add(reporter);
+        }
+
         @Override
         public void onReportedKey(ServiceId service, int key) {
             received.add(service + "/" + key);
@@ -147,7 +158,7 @@
     private void sendReportAndAwaitStatus(OptionalLong wantsTableAfter) {
         loop.execute(() -> {
             followerChannel.addKey(ORDERS, 7);
-            followerChannel.sendReport("vm-2", leader, SENT_AT_MILLIS, Map.of(SERVER, 120.0), wantsTableAfter);
+            followerChannel.sendReport(REPORTER, leader, SENT_AT_MILLIS, Map.of(SERVER, 120.0), wantsTableAfter);
         });
         await().until(() -> followerListener.received.stream().anyMatch(ReportChannel.LeaderStatus.class::isInstance));
     }
@@ -157,7 +168,8 @@
         sendReportAndAwaitStatus(OptionalLong.empty());
         assertThat(leaderListener.received).contains("vm-2", ORDERS + "/7", SERVER + "=120.0");
         assertThat(followerListener.received)
-                .containsExactly(new ReportChannel.LeaderStatus(1, 2, 6, 3, new Platform.Positions(4, 5, 12)));
+                .containsExactly(new ReportChannel.LeaderStatus(
+                        1, 2, 6, 3, true, List.of(PEER), new Platform.Positions(4, 5, 12)));
         assertThat(followerListener.leaderTimes)
                 .containsExactly(new Platform.AsOf(SENT_AT_MILLIS - 2, SENT_AT_MILLIS - 6));
     }
@@ -217,7 +229,7 @@
         for (int i = 0; i < maxReports && !condition.getAsBoolean(); i++) {
             long statusesBefore = statusCount();
             loop.execute(() ->
-                    followerChannel.sendReport("vm-2", leader, SENT_AT_MILLIS, newestTimes, OptionalLong.empty()));
+                    followerChannel.sendReport(REPORTER, leader, SENT_AT_MILLIS, newestTimes, OptionalLong.empty()));
             await().until(() -> statusCount() > statusesBefore);
         }
     }
@@ -241,7 +253,7 @@
         Map<ServerStart, Double> times = timesOfManyServers();
         loop.execute(() -> {
             addManyKeys();
-            followerChannel.sendReport("vm-2", leader, SENT_AT_MILLIS, times, OptionalLong.empty());
+            followerChannel.sendReport(REPORTER, leader, SENT_AT_MILLIS, times, OptionalLong.empty());
         });
         await().until(() -> statusCount() == 1);
         await().until(() -> leaderListener.received.containsAll(receivedFormOfManyKeys()));
@@ -256,14 +268,15 @@
     void leaderAnswersReportOfSeveralDatagramsOnce() {
         loop.execute(() -> {
             addManyKeys();
-            followerChannel.sendReport("vm-2", leader, SENT_AT_MILLIS, timesOfManyServers(), OptionalLong.empty());
+            followerChannel.sendReport(REPORTER, leader, SENT_AT_MILLIS, timesOfManyServers(), OptionalLong.empty());
         });
         await().until(() -> leaderListener.received.containsAll(receivedFormOfManyKeys()));
         leaderListener.entryVmCount = 4;
         sendReportsUntil(1, Map.of(), () -> false);
-        await().until(() ->
-                followerListener.received.contains(leaderListener.leaderStatus().orElseThrow()));
+        await().until(() -> followerListener.received.contains(
+                leaderListener.leaderStatus(REPORTER).orElseThrow()));
         assertThat(statusCount()).isEqualTo(2);
+        assertThat(leaderListener.reporters).hasSize(2).containsOnly(REPORTER);
     }
 
     /** Guards against servers that are never reported, because those measured last are always sent first. */
@@ -281,7 +294,7 @@
             Leader former = new Leader(leader.process(), leader.reportHost(), earlierLeader.getLocalPort());
             loop.execute(() -> {
                 addManyKeys();
-                followerChannel.sendReport("vm-2", former, SENT_AT_MILLIS, timesOfManyServers(), OptionalLong.of(12));
+                followerChannel.sendReport(REPORTER, former, SENT_AT_MILLIS, timesOfManyServers(), OptionalLong.of(12));
             });
             earlierLeader.setSoTimeout(RECEIVE_TIMEOUT_MILLIS);
             int keyCount = 0;
