Keep the rest that a server asks for, up to the last stage before the send

What callers saw: servers that asked for 3 s of rest were sent 593 requests in 4 s by all VMs; their callers came back after 100 ms to 1 s, only to be turned away again. Cause: nothing in the dispatch knew of a rest; a refusal leads to a backoff of a second at most. Change: rests by start of a server, kept over gaps in its registration; requests for its keys are refused at once with the time that is left, others go elsewhere, and a decided request isn't sent. Why it works: all sends pass maySend, whatever led to them.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
@@ -16,6 +16,13 @@
     NO_SERVER,
     /** The server that can run the request named a limit, which is used up. */
     LIMITED,
+    /** Each server that can run the request wants no requests of this entry VM for a while. */
+    RESTING,
     /** The deadline passed while the request waited. */
-    DEADLINE_PASSED
+    DEADLINE_PASSED;
+
+    /** Returns whether another entry VM may be able to send the request, since only links of this one are the cause. */
+    public boolean mayBeSentByOthers() {
+        return this == OWNER_UNREACHABLE || this == CUT_OFF;
+    }
 }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/Refusals.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/Refusals.java
@@ -17,6 +17,9 @@
     /** Largest random addition to the retry delay of a limited request, as a share of it. */
     private static final double LIMITED_RETRY_SPREAD = 0.5;
 
+    /** The same for a rest, which may be long. */
+    private static final double RESTING_RETRY_SPREAD = 0.2;
+
     private final RandomGenerator random;
 
     Refusals(RandomGenerator random) {
@@ -43,6 +46,13 @@
         return spread(request, NO_PERMIT_RETRY_AFTER_MILLIS);
     }
 
+    /** Refuses a request to a resting server; callers come back spread over a while after the rest. */
+    Decision.Refuse resting(DispatchRequest request, long remainingMillis) {
+        double factor = 1 + RESTING_RETRY_SPREAD * random.nextDouble();
+        return new Decision.Refuse(
+                request, RefusalCause.RESTING, Math.max(MIN_RETRY_AFTER_MILLIS, Math.round(remainingMillis * factor)));
+    }
+
     private Decision.Refuse spread(DispatchRequest request, long retryAfterMillis) {
         double factor = 1 + LIMITED_RETRY_SPREAD * random.nextDouble();
         return refuse(request, RefusalCause.LIMITED, Math.round(retryAfterMillis * factor));
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.lacewingthread.core.id.DataCentreId;
@@ -51,6 +50,7 @@
     private final Map<ServiceId, List<ServerLoadState>> serversByService = new HashMap<>();
     private final Map<ServiceId, TreeSet<DispatchRequest>> waitingByService = new HashMap<>();
     private final ServerLimits limits;
+    private final RestPeriods rests = new RestPeriods();
     private RangeTable rangeTable = RangeTable.EMPTY;
     private Map<ServiceId, Integer> connectionLimits = Map.of();
     private boolean cutOff;
@@ -100,6 +100,16 @@
         return limits.onNotNamed(server, sentAtMillis);
     }
 
+    /** Records that a server wants no requests of this VM until a time; returns whether that prolongs its rest. */
+    public boolean onRestAsked(ServerStart server, long endMillis) {
+        return rests.onAsked(server, endMillis);
+    }
+
+    /** Returns the time for which a server still wants no requests of this VM, in milliseconds; 0 if it takes them. */
+    public long restMillis(ServerStart server, long nowMillis) {
+        return rests.remainingMillis(server, nowMillis);
+    }
+
     /** Sets the number of entry VMs, which share the limits of servers. */
     public void onEntryVmCount(int count) {
         limits.setEntryVmCount(count);
@@ -189,6 +199,7 @@
 
     /** Decides again about all waiting requests; to be called periodically. */
     public List<Decision> reevaluate(long nowMillis) {
+        rests.removeEnded(nowMillis);
         List<Decision> decisions = new ArrayList<>();
         for (ServerLimits.Unanswered unanswered : limits.takeOverdue(nowMillis)) {
             if (unanswered.permitted()) {
@@ -221,7 +232,7 @@
     public boolean maySend(Decision.Send send, long nowMillis) {
         DispatchRequest request = send.request();
         ServerLoadState state = servers.get(send.server().start());
-        if (state == null || state.isReplaced()) {
+        if (state == null || state.isReplaced() || rests.isResting(send.server().start(), nowMillis)) {
             return false;
         }
         if (request.key().isEmpty()) {
@@ -247,7 +258,7 @@
             return;
         }
         Map<ServerId, Integer> aheadByServer = new HashMap<>();
-        for (DispatchRequest request : dispatchOrder(queue, nowMillis)) {
+        for (DispatchRequest request : DispatchOrder.of(queue, this::owner, nowMillis)) {
             Optional<Decision> decision = decide(request, aheadByServer, nowMillis);
             if (decision.isPresent()) {
                 queue.remove(request);
@@ -256,29 +267,6 @@
         }
     }
 
-    /**
-     * Returns the waiting requests in the order of dispatch: those that can still meet their target
-     * come before those that can't. Of the former, a throttled owner gets the newest first, since with
-     * the oldest first every request would miss its target.
-     */
-    private List<DispatchRequest> dispatchOrder(Set<DispatchRequest> queue, long nowMillis) {
-        List<DispatchRequest> onTime = new ArrayList<>();
-        List<DispatchRequest> late = new ArrayList<>();
-        queue.forEach(request -> (canMeetTarget(request, nowMillis) ? onTime : late).add(request));
-        onTime.sort(Comparator.comparingInt(DispatchRequest::priority).thenComparingLong(request -> owner(request)
-                .filter(ServerLoadState::isThrottled)
-                .map(throttled -> -request.number())
-                .orElse(request.deadlineMillis())));
-        onTime.addAll(late);
-        return onTime;
-    }
-
-    private boolean canMeetTarget(DispatchRequest request, long nowMillis) {
-        double workMillis =
-                owner(request).map(state -> state.expectedMillis(0, nowMillis)).orElse(0.0);
-        return nowMillis + workMillis <= request.targetAtMillis();
-    }
-
     private Optional<ServerLoadState> owner(DispatchRequest request) {
         return request.key().isEmpty()
                 ? Optional.empty()
@@ -308,6 +296,10 @@
         if (owner == null || owner.isReplaced() || !owner.knownServer().acceptsOwnedKeys(nowMillis)) {
             return refuse(request, RefusalCause.OWNER_GONE);
         }
+        long restMillis = restMillis(ownership.get().owner(), nowMillis);
+        if (restMillis > 0) {
+            return Optional.of(refusals.resting(request, restMillis));
+        }
         // An ejected owner is still used: it may reset connections because it is full, and no other server
         // can run the request.
         if (cutOff || owner.isUnreachable(nowMillis)) {
@@ -325,7 +317,13 @@
         if (ready.isEmpty()) {
             return refuse(request, RefusalCause.NO_SERVER);
         }
-        List<ServerLoadState> unlimited = ready.stream()
+        List<ServerLoadState> awake = ready.stream()
+                .filter(state -> !rests.isResting(state.knownServer().start(), nowMillis))
+                .toList();
+        if (awake.isEmpty()) {
+            return Optional.of(refusals.resting(request, rests.shortestMillis(ready, nowMillis)));
+        }
+        List<ServerLoadState> unlimited = awake.stream()
                 .filter(state -> limits.hasSlot(state.knownServer().start(), nowMillis))
                 .toList();
         if (unlimited.isEmpty()) {
