End requests to a server that says itself that it leaves

Cause: only the registry's entry told of a drain. Change: the announcement has an end of its own, at its time plus the drain time less the way; an entry that still says ready doesn't take it back, the earlier of both ends holds, a new start ends it. Result: two cases of LeavingOwnerTest; there is no such call before.

--- a/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
@@ -1,6 +1,7 @@
 package org.lacewingthread.core.registry;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,7 +34,13 @@
 
     private final long outageGraceMillis;
     private final long drainMillis;
+    /** How long the announcement of a server that has no entry is kept, since it may register again. */
+    private static final long ANNOUNCEMENT_RETENTION_MILLIS = 600_000;
+
     private final Map<ServerId, KnownServer> servers = new TreeMap<>();
+    /** Ends of the requests to servers that said themselves that they leave; an entry does not take that back. */
+    private final Map<ServerStart, Long> announcedEndMillis = new HashMap<>();
+
     private Optional<Long> unreachableSinceMillis = Optional.of(Long.MIN_VALUE / 2);
     private long graceUntilMillis = Long.MIN_VALUE / 2;
     private long currentAsOfMillis = Long.MIN_VALUE / 2;
@@ -126,6 +133,26 @@
         return currentAsOfMillis + drainMillis - MAX_DELIVERY_MILLIS;
     }
 
+    /**
+     * Records that a server said itself that it leaves. Only a new start of it ends that; of this time and that of its
+     * entry the earlier one holds.
+     *
+     * @param announcedMillis when its answer arrived
+     * @return whether that was not known
+     */
+    public boolean onLeavingAnnounced(ServerStart server, long announcedMillis) {
+        return announcedEndMillis.putIfAbsent(server, announcedMillis + drainMillis - MAX_DELIVERY_MILLIS) == null;
+    }
+
+    private KnownServer withAnnouncedEnd(KnownServer known) {
+        Long announced = announcedEndMillis.get(known.start());
+        if (announced == null) {
+            return known;
+        }
+        long earlier = Math.min(announced, known.acceptsUntilMillis().orElse(announced));
+        return new KnownServer(known.entry(), Optional.of(earlier), known.removeAtMillis());
+    }
+
     /** Records that a server has no entry any more; it is dropped unless it registers again in time. */
     public void remove(ServerId server, long nowMillis) {
         KnownServer known = servers.get(server);
@@ -157,6 +184,7 @@
         servers.values()
                 .removeIf(known ->
                         known.removeAtMillis().filter(at -> at <= nowMillis).isPresent());
-        return List.copyOf(servers.values());
+        announcedEndMillis.values().removeIf(end -> nowMillis - end > ANNOUNCEMENT_RETENTION_MILLIS);
+        return servers.values().stream().map(this::withAnnouncedEnd).toList();
     }
 }
--- a/core/src/test/java/org/lacewingthread/core/dispatch/LeavingOwnerTest.java
+++ b/core/src/test/java/org/lacewingthread/core/dispatch/LeavingOwnerTest.java
@@ -91,4 +91,27 @@
         DispatchRequest request = new DispatchRequest(1, ORDERS, OptionalInt.of(7), 1, 20_300, 20_800, Set.of());
         assertThat(dispatcher.submit(request, 20_000)).singleElement().isInstanceOf(Decision.Refuse.class);
     }
+
+    /** Guards against requests to a server that says that it leaves while its entry still says that it is ready. */
+    @Test
+    void ownerThatAnnouncedItsLeavingGetsNoRequestAfterTheDrainTime() {
+        assertThat(registry.onLeavingAnnounced(OWNER, 10_500)).isTrue();
+        registry.put(owner(false));
+        assertThat(decideAt(12_000)).isInstanceOf(Decision.Send.class);
+        registry.onCurrent(12_400);
+        registry.put(owner(false));
+        assertThat(decideAt(10_500 + DRAIN_MILLIS)).isInstanceOf(Decision.Refuse.class);
+    }
+
+    /** Guards against a drain that is seen late and prolongs the time of the announcement, and the reverse. */
+    @Test
+    void earlierOfAnnouncementAndDrainHolds() {
+        registry.onLeavingAnnounced(OWNER, 10_500);
+        registry.onCurrent(11_500);
+        registry.put(owner(true));
+        assertThat(decideAt(10_500 + DRAIN_MILLIS)).isInstanceOf(Decision.Refuse.class);
+        ServerStart again = new ServerStart(OWNER.server(), 2);
+        registry.put(new ServerEntry(again, ORDERS, "10.0.0.1", 8080, HERE, 2, false, false));
+        assertThat(registry.servers(13_000).get(0).isReady()).isTrue();
+    }
 }
