Read in servers' responses that they want rest or leave

Cause: Retry-After of a server's 503 and Server-Leaving were read nowhere. Change: each response is read before its attempt is judged. Requests for keys of a resting server are not tried again; the refusal states the rest. Servers that leave are told to the registry and, in reports, to the leader, which moves their keys though it may not reach the registry. Why it works: both are kept by start of the server, and checked right before the send.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
@@ -38,4 +38,9 @@
     public boolean countsAsFailure() {
         return countsAsFailure;
     }
+
+    /** Returns whether the server answered that it did not run the request. */
+    public boolean isRefusedByServer() {
+        return this == REJECTED || this == MISDIRECTED || this == REPLACED;
+    }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlEventLogger.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlEventLogger.java
@@ -175,4 +175,9 @@
     private static String leader(RangeTable table) {
         return table.leader().map(Object::toString).orElse(null);
     }
+
+    /** Logs that a server's answer said that it leaves, before or without its entry. */
+    void logLeavingAnnounced(ServerStart server) {
+        events.write("server.leaving-announced", "server", server);
+    }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -180,6 +180,11 @@
         eventLoop.execute(() -> loadReports.onOwnServiceTimes(measured));
     }
 
+    /** Records that a server's answer said that it leaves; may be called on any thread. */
+    void onServerLeaving(ServerStart server) {
+        eventLoop.execute(() -> loadReports.onServerLeaving(server));
+    }
+
     /** Sets what the traffic thread knows of this VM's links to the servers; may be called on any thread. */
     void onReach(Reach reach) {
         eventLoop.execute(() -> {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/HeaderNames.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/HeaderNames.java
@@ -14,6 +14,8 @@
  * @param serverLimits names of the header with the number of requests a second that a server takes from all entry VMs
  *     together; the first one that is present counts
  * @param notExecuted present in a response if the server did not run the request
+ * @param rest seconds for which a server that turned a request away wants none of this entry VM
+ * @param leaving {@value #LEAVING} in the responses of a server that leaves
  * @param key numeric key of the request
  */
 public record HeaderNames(
@@ -25,7 +27,12 @@
         String serverLoad,
         List<String> serverLimits,
         String notExecuted,
+        String rest,
+        String leaving,
         String key) {
+    /** Value that tells that a server leaves. */
+    public static final String LEAVING = "1";
+
     /** Copies the list. */
     public HeaderNames {
         serverLimits = List.copyOf(serverLimits);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -1,10 +1,12 @@
 package org.lacewingthread.daemon.router;
 
 import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.LongConsumer;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerStart;
@@ -25,6 +27,9 @@
     /** If the store has not answered for this long, the leader is asked for the range table that it recorded. */
     private static final long MAX_STORE_SILENCE_MILLIS = 1_500;
 
+    /** Most servers named in a report, so that it stays one datagram. */
+    private static final int MAX_REPORTED_LEAVING_SERVERS = 10;
+
     private final Leader self;
     private final DataCentreId dataCentre;
     private final RangeCoordinator coordinator;
@@ -39,6 +44,9 @@
     private LongConsumer publisher;
     private Map<ServerStart, Double> ownServiceMillis = Map.of();
     private Reach reach = Reach.UNKNOWN;
+    /** Servers that said that they leave; the newest ones are reported. */
+    private final Set<ServerStart> leavingServers = new LinkedHashSet<>();
+
     private boolean stopped;
 
     /** Receives what the reports show. */
@@ -97,6 +105,15 @@
         }
     }
 
+    /** Records that a server's answer said that it leaves, and tells the leader. */
+    void onServerLeaving(ServerStart server) {
+        if (registry.onLeavingAnnounced(server, clock.nowMillis())) {
+            eventLogger.logLeavingAnnounced(server);
+            leavingServers.add(server);
+            publisher.accept(clock.nowMillis());
+        }
+    }
+
     /** Sets what is known of this VM's links to the servers. */
     void onReach(Reach newest) {
         reach = newest;
@@ -118,7 +135,15 @@
     }
 
     private PendingReport.Reporter reporter() {
-        return new PendingReport.Reporter(vm(), dataCentre, reach.cutOff(), reach.answeringServers());
+        return new PendingReport.Reporter(
+                vm(), dataCentre, reach.cutOff(), reach.answeringServers(), newestLeavingServers());
+    }
+
+    private List<ServerStart> newestLeavingServers() {
+        while (leavingServers.size() > MAX_REPORTED_LEAVING_SERVERS) {
+            leavingServers.remove(leavingServers.iterator().next());
+        }
+        return List.copyOf(leavingServers);
     }
 
     /** Sends a report to the leader. */
@@ -194,6 +219,7 @@
     @Override
     public void onReporter(PendingReport.Reporter reporter, InetSocketAddress address) {
         directory.onReport(reporter, address, clock.nowMillis());
+        reporter.leavingServers().forEach(this::onServerLeaving);
     }
 
     @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
@@ -31,6 +31,7 @@
 
     static final String ANSWERING_SERVERS = "answeringServers";
     static final String CUT_OFF = "cutOff";
+    static final String LEAVING_SERVERS = "leavingServers";
     static final String KEYS = "keys";
     static final String WANTS_TABLE_AFTER = "wantsTableAfter";
     /** Name of the field with the time at which the report was sent, by the reporter's clock. */
@@ -67,8 +68,19 @@
      * @param dataCentre its data centre
      * @param cutOff whether it reaches no server
      * @param answeringServers number of servers that answered it of late; 0 also if it made no calls
+     * @param leavingServers servers whose answers said that they leave
      */
-    record Reporter(String vm, DataCentreId dataCentre, boolean cutOff, int answeringServers) {}
+    record Reporter(
+            String vm,
+            DataCentreId dataCentre,
+            boolean cutOff,
+            int answeringServers,
+            List<ServerStart> leavingServers) {
+        /** Copies the list. */
+        Reporter {
+            leavingServers = List.copyOf(leavingServers);
+        }
+    }
 
     /** Adds a requested key, unless the report is full. */
     void addKey(ServiceId service, int key) {
@@ -110,6 +122,7 @@
             datagram.json.writeStringField(DATA_CENTRE, reporter.dataCentre().value());
             datagram.json.writeNumberField(ANSWERING_SERVERS, reporter.answeringServers());
             datagram.json.writeBooleanField(CUT_OFF, reporter.cutOff());
+            writeServers(datagram, reporter.leavingServers());
             datagram.json.writeNumberField(SENT_AT, sentAtMillis);
             if (wantsTableAfter.isPresent()) {
                 datagram.json.writeNumberField(WANTS_TABLE_AFTER, wantsTableAfter.getAsLong());
@@ -127,6 +140,17 @@
         return datagrams;
     }
 
+    private static void writeServers(Datagram datagram, List<ServerStart> servers) throws IOException {
+        datagram.json.writeArrayFieldStart(LEAVING_SERVERS);
+        for (ServerStart server : servers) {
+            datagram.json.writeStartArray();
+            datagram.json.writeString(server.server().value());
+            datagram.json.writeNumber(server.startedUnixMillis());
+            datagram.json.writeEndArray();
+        }
+        datagram.json.writeEndArray();
+    }
+
     private void takeServiceTimes(Datagram datagram) throws IOException {
         datagram.json.writeObjectFieldStart(TIMES);
         Iterator<Map.Entry<ServerStart, Double>> waiting =
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -16,6 +16,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
@@ -345,11 +346,17 @@
         }
 
         private static PendingReport.Reporter reporter(JsonNode report) {
+            List<ServerStart> leaving = new ArrayList<>();
+            report.path(PendingReport.LEAVING_SERVERS)
+                    .forEach(server -> leaving.add(new ServerStart(
+                            new ServerId(server.path(0).asText()),
+                            server.path(1).asLong())));
             return new PendingReport.Reporter(
                     report.path(PendingReport.VM).asText(),
                     new DataCentreId(report.path(PendingReport.DATA_CENTRE).asText(UNKNOWN_DATA_CENTRE)),
                     report.path(PendingReport.CUT_OFF).asBoolean(),
-                    report.path(PendingReport.ANSWERING_SERVERS).asInt());
+                    report.path(PendingReport.ANSWERING_SERVERS).asInt(),
+                    leaving);
         }
 
         private void processLoad(JsonNode report) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -1,7 +1,6 @@
 package org.lacewingthread.daemon.router;
 
 import io.netty.channel.EventLoop;
-import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -13,7 +12,6 @@
 import org.lacewingthread.core.dispatch.LoadReport;
 import org.lacewingthread.core.dispatch.PermitIssuer;
 import org.lacewingthread.core.dispatch.PermitRequest;
-import org.lacewingthread.core.dispatch.RefusalCause;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -35,11 +33,6 @@
     /** Attempts that may fail before the request is sent; more of them would only delay the refusal. */
     private static final int MAX_UNSENT_ATTEMPTS = 3;
 
-    private static final Set<AttemptResult> NOT_RUN =
-            EnumSet.of(AttemptResult.REJECTED, AttemptResult.MISDIRECTED, AttemptResult.REPLACED);
-    private static final Set<RefusalCause> UNREACHABLE =
-            EnumSet.of(RefusalCause.OWNER_UNREACHABLE, RefusalCause.CUT_OFF);
-
     private static final int FIRST_SERVER_ERROR = 500;
     /** Ample, since data centres are only a few milliseconds apart. */
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
@@ -63,6 +56,7 @@
     private final ActiveRoutes routing = new ActiveRoutes();
     private final RequestAdmission admission;
     private final LimitObserver limits;
+    private final RestObserver rests;
     private final ActiveRequests activeRequests = new ActiveRequests();
 
     /** Receives the keys of requests. */
@@ -78,6 +72,9 @@
 
         /** Called when a server no longer names a limit. */
         void onLimitEnded(ServerStart server);
+
+        /** Called when a server's response said that it leaves. */
+        void onServerLeaving(ServerStart server);
     }
 
     RequestEngine(
@@ -101,6 +98,7 @@
         this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
         this.limits = new LimitObserver(headerNames.serverLimits(), dispatcher, events, limitLink::onLimitEnded);
+        this.rests = new RestObserver(headerNames, dispatcher, events, limitLink::onServerLeaving);
         this.admission = new RequestAdmission(headerNames, routing, responder);
         this.retryBudget = retryBudget;
         this.retries = new RequestRetries(this, responder, retryBudget, clockMillis);
@@ -267,7 +265,7 @@
     }
 
     private boolean relay(ActiveRequest request, Decision.Refuse refuse) {
-        return UNREACHABLE.contains(refuse.cause()) && relays.trySend(request);
+        return refuse.cause().mayBeSentByOthers() && relays.trySend(request);
     }
 
     /** Ends a request; its response is sent by the caller of this method. */
@@ -341,6 +339,7 @@
         Optional<LoadReport> report = RequestHeaders.parseLoad(response.headers(), headerNames.serverLoad());
         AttemptResult result =
                 ServerResponses.classify(response, headerNames, server.start().server());
+        rests.onResponse(server.start(), response, clockMillis.getAsLong());
         limits.onResponse(
                 server.start(), response, result, request.lastSentMillis.orElseThrow(), clockMillis.getAsLong());
         if (!endAttempt(attempt, result, report)) {
@@ -357,8 +356,8 @@
         if (result == AttemptResult.ANSWERED) {
             finish(request);
             responder.forwardResponse(request, response);
-        } else if (NOT_RUN.contains(result)) {
-            retries.retryOrRefuse(request, result);
+        } else if (result.isRefusedByServer()) {
+            retries.retryOrRefuse(request, result, dispatcher.restMillis(server.start(), clockMillis.getAsLong()));
         } else {
             request.mayHaveRun = true;
             boolean fromServer = result == AttemptResult.SERVER_FAILED && response.status() >= FIRST_SERVER_ERROR;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -35,7 +35,7 @@
         }
         ResultCode code =
                 switch (cause) {
-                    case OVERLOADED, LIMITED, DEADLINE_PASSED -> ResultCode.OVERLOADED;
+                    case OVERLOADED, LIMITED, RESTING, DEADLINE_PASSED -> ResultCode.OVERLOADED;
                     case NO_OWNER, OWNER_GONE -> ResultCode.NO_OWNER;
                     case OWNER_UNREACHABLE, NO_SERVER -> ResultCode.OWNER_UNREACHABLE;
                     case CUT_OFF -> ResultCode.SERVERS_UNREACHABLE;
@@ -47,9 +47,17 @@
         responder.refuse(request, code, cause + limitedBy, retryAfterMillis);
     }
 
-    /** Sends a request again that a server did not run, or refuses it. */
-    void retryOrRefuse(ActiveRequest request, AttemptResult result) {
-        if (request.sentAttempts < request.route.maxAttempts() && hasTimeToRetry(request) && retryBudget.tryTake()) {
+    /**
+     * Sends a request again that a server did not run, or refuses it.
+     *
+     * @param restMillis time for which the server wants no requests; nobody else can run a request for its keys
+     */
+    void retryOrRefuse(ActiveRequest request, AttemptResult result, long restMillis) {
+        boolean hopeless = restMillis > 0 && request.key.isPresent();
+        if (!hopeless
+                && request.sentAttempts < request.route.maxAttempts()
+                && hasTimeToRetry(request)
+                && retryBudget.tryTake()) {
             engine.submit(request);
             return;
         }
@@ -61,7 +69,7 @@
                     request,
                     ResultCode.OWNER_REFUSED,
                     "the server rejected the request: " + result,
-                    REJECTED_RETRY_AFTER_MILLIS);
+                    Math.max(REJECTED_RETRY_AFTER_MILLIS, hopeless ? restMillis : 0));
         }
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -134,6 +134,11 @@
         public void onLimitEnded(ServerStart server) {
             controlLoop.limitExchange().onLimitEnded(server);
         }
+
+        @Override
+        public void onServerLeaving(ServerStart server) {
+            controlLoop.onServerLeaving(server);
+        }
     }
 
     /**
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
@@ -51,7 +51,17 @@
     private static final ServiceId DESK = new ServiceId("desk");
     private static final DataCentreId HERE = new DataCentreId("maras");
     private static final HeaderNames NAMES = new HeaderNames(
-            "Attempt", "Deadline", "Seal", "Expected", "Instance", "Load", List.of("Limit"), "Not-Executed", "Key");
+            "Attempt",
+            "Deadline",
+            "Seal",
+            "Expected",
+            "Instance",
+            "Load",
+            List.of("Limit"),
+            "Not-Executed",
+            "Retry-After",
+            "Leaving",
+            "Key");
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop eventLoop = group.next();
@@ -82,6 +92,9 @@
 
                     @Override
                     public void onLimitEnded(ServerStart server) {}
+
+                    @Override
+                    public void onServerLeaving(ServerStart server) {}
                 },
                 new RelaySender.Access(
                         HERE,
