Bound the memory of all unfinished responses together

Cause: a body could have 64 MiB, and several at once more than the heap of 160 MB; a server that goes on answering until the deadline did not count as failing, so that it was chosen again and again. Change: 16 MiB a body, and 32 MiB for all unfinished bodies of an event loop: the connection with the most bytes fails, is closed, and its caller is told that the request may have run.

--- a/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
@@ -25,10 +25,14 @@
  * @param <K> key of a peer; a restarted peer must get a new key
  */
 public final class ConnectionPool<K> {
+    /** Bytes of all unfinished responses together, well below the heap of an entry VM. */
+    private static final long MAX_RESPONSE_BYTES = 32L << 20;
+
     private final EventLoop eventLoop;
     private final LongSupplier clockMillis;
     private final int connectTimeoutMillis;
     private final long maxIdleMillis;
+    private final ResponseMemory responseMemory = new ResponseMemory(MAX_RESPONSE_BYTES);
     private final OpenListener<K> openListener;
     private final Map<K, Deque<IdleConnection>> idleByPeer = new HashMap<>();
     private long openedCount;
@@ -119,7 +123,12 @@
         openedCount++;
         long startedMillis = clockMillis.getAsLong();
         OutboundConnection.open(
-                eventLoop, address.getHostString(), address.getPort(), connectTimeoutMillis, (connection, failure) -> {
+                eventLoop,
+                address.getHostString(),
+                address.getPort(),
+                connectTimeoutMillis,
+                responseMemory,
+                (connection, failure) -> {
                     if (connection != null) {
                         openListener.onOpened(peer);
                     } else {
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -30,7 +30,7 @@
  * connection's event loop.
  *
  * <pre>{@code
- * OutboundConnection.open(eventLoop, "10.0.0.7", 8080, 500, (connection, failure) -> {
+ * OutboundConnection.open(eventLoop, "10.0.0.7", 8080, 500, memory, (connection, failure) -> {
  *     if (connection != null) {
  *         connection.send(request, echoedHeader, listener);
  *     }
@@ -39,7 +39,7 @@
  */
 public final class OutboundConnection {
     /** Maximum size of a response body; a larger one fails the request. */
-    private static final int MAX_BODY_BYTES = 64 << 20;
+    private static final int MAX_BODY_BYTES = 16 << 20;
 
     private static final int MAX_STATUS_LINE_BYTES = 16_384;
     private static final int MAX_HEADER_BYTES = 65_536;
@@ -57,6 +57,8 @@
     private static final String TIMEOUT_PARAMETER = "timeout=";
 
     private final Channel channel;
+    private final ResponseMemory memory;
+    private final ResponseMemory.Reader memoryReader = this::onMemoryExhausted;
     private ResponseListener listener;
     private EchoedHeader echoedHeader;
     private HttpResponse head;
@@ -75,8 +77,9 @@
      */
     public record EchoedHeader(String name, String value) {}
 
-    private OutboundConnection(Channel channel) {
+    private OutboundConnection(Channel channel, ResponseMemory memory) {
         this.channel = channel;
+        this.memory = memory;
     }
 
     /**
@@ -86,6 +89,7 @@
      * @param host host name or address of the peer
      * @param port port of the peer
      * @param connectTimeoutMillis connect timeout
+     * @param memory bounds the response bodies of all connections of the event loop
      * @param result receives the connection, or null and the cause of the failure
      */
     public static void open(
@@ -93,6 +97,7 @@
             String host,
             int port,
             int connectTimeoutMillis,
+            ResponseMemory memory,
             BiConsumer<OutboundConnection, Throwable> result) {
         Bootstrap bootstrap = new Bootstrap()
                 .group(eventLoop)
@@ -106,7 +111,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        OutboundConnection connection = new OutboundConnection(channel);
+                        OutboundConnection connection = new OutboundConnection(channel, memory);
                         channel.pipeline()
                                 .addLast(new HttpClientCodec(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                                 .addLast(connection.new Handler());
@@ -145,6 +150,11 @@
         });
     }
 
+    /** Returns whether a part of the response to the request in progress has arrived. */
+    public boolean isReceiving() {
+        return listener != null && head != null;
+    }
+
     /** Returns whether a request can be sent now. */
     public boolean isUsable() {
         return channel.isActive() && reusable && listener == null;
@@ -160,12 +170,14 @@
 
     /** Closes the connection; a request in progress fails. */
     public void close() {
+        memory.remove(memoryReader);
         reusable = false;
         channel.close();
     }
 
     /** Resets the connection, which discards unsent data; the listener of a request in progress is not called. */
     public void abort() {
+        discardBody();
         listener = null;
         reusable = false;
         if (channel.isActive()) {
@@ -174,7 +186,18 @@
         channel.close();
     }
 
+    private void discardBody() {
+        body = null;
+        head = null;
+        memory.remove(memoryReader);
+    }
+
+    private void onMemoryExhausted() {
+        fail("the unfinished responses of all servers need too much memory, and this one has the most bytes");
+    }
+
     private void fail(String reason) {
+        discardBody();
         ResponseListener current = listener;
         listener = null;
         reusable = false;
@@ -197,6 +220,7 @@
         if (otherRequest) {
             reusable = false;
         }
+        memory.remove(memoryReader);
         head = response;
         body = new ByteArrayOutputStream();
     }
@@ -214,6 +238,10 @@
             fail("the response body exceeds the limit of " + MAX_BODY_BYTES + " bytes");
             return;
         }
+        memory.add(memoryReader, bytes.readableBytes());
+        if (body == null) {
+            return;
+        }
         try {
             bytes.readBytes(body, bytes.readableBytes());
         } catch (IOException e) {
@@ -226,6 +254,7 @@
     }
 
     private void onResponseComplete() {
+        memory.remove(memoryReader);
         HttpResponse response = head;
         head = null;
         if (discardingResponse) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -311,10 +311,14 @@
     private void abandonAttempt(ActiveRequest request) {
         relays.cancel(request);
         request.attempt.filter(attempt -> !attempt.ended).ifPresent(attempt -> {
+            // A server that began to answer and did not end within the time may be sending without end.
+            boolean endless =
+                    !request.callerDisconnected && attempt.connection != null && attempt.connection.isReceiving();
+            AttemptResult result = endless ? AttemptResult.BROKEN : AttemptResult.ABANDONED;
             if (attempt.connection != null) {
                 attempt.connection.abort();
             }
-            endAttempt(attempt, AttemptResult.ABANDONED, Optional.empty());
+            endAttempt(attempt, result, Optional.empty());
         });
     }
 
