Tell a VM that relays a request which server answered

Cause: a VM that forwards a relayed response with Server-Leaving is bound by it as well, and couldn't know whose it is. Change: the response between VMs names its server; the end of requests to it is kept on both.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -71,6 +71,14 @@
             this.decision = decision;
             this.startedNanos = startedNanos;
         }
+
+        /** Appends the server and the attempt's result. */
+        void addToSummary(StringBuilder summary, String result) {
+            summary.append(' ')
+                    .append(decision.server().start().server())
+                    .append(':')
+                    .append(result);
+        }
     }
 
     ActiveRequest(
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
@@ -5,6 +5,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Optional;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
@@ -14,12 +17,18 @@
 
 /** An attempt that another entry VM makes for this one; collects its response. Runs on the traffic thread. */
 final class RelayAttempt implements ResponseSink {
+    /** Field between entry VMs that names the server; it comes before those of the response. */
+    private static final String ANSWERED_BY = "lacewingthread-answered-by";
+
+    private static final char START_SEPARATOR = '@';
+
     private final RelayPeer peer;
     private final long sentMillis;
     private final Listener listener;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpHeaders headers = new DefaultHttpHeaders();
     private RequestHandler.Cancellation cancellation = () -> {};
+    private Optional<ServerStart> server = Optional.empty();
     private int status;
     private boolean ended;
 
@@ -38,6 +47,22 @@
         this.listener = listener;
     }
 
+    /** Returns the field that tells which server answered. */
+    static HeaderField answeredBy(ServerStart server) {
+        return new HeaderField(ANSWERED_BY, server.server().value() + START_SEPARATOR + server.startedUnixMillis());
+    }
+
+    private static ServerStart parseServer(String text) {
+        int separator = text.lastIndexOf(START_SEPARATOR);
+        return new ServerStart(
+                new ServerId(text.substring(0, separator)), Long.parseLong(text.substring(separator + 1)));
+    }
+
+    /** Returns the server that answered; empty while none has. */
+    Optional<ServerStart> server() {
+        return server;
+    }
+
     RelayPeer peer() {
         return peer;
     }
@@ -65,7 +90,13 @@
     @Override
     public void onHead(int responseStatus, List<HeaderField> fields) {
         status = responseStatus;
-        fields.forEach(field -> headers.add(field.name(), field.value()));
+        for (HeaderField field : fields) {
+            if (server.isEmpty() && field.name().equals(ANSWERED_BY)) {
+                server = Optional.of(parseServer(field.value()));
+            } else {
+                headers.add(field.name(), field.value());
+            }
+        }
     }
 
     @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.serving.Route;
 import org.lacewingthread.core.serving.WeightedService;
 import org.lacewingthread.core.traffic.ResultCode;
@@ -110,8 +111,9 @@
     }
 
     /** Sends a server's complete response to the entry VM that relayed the request. */
-    static void respond(ResponseSink sink, int status, HttpHeaders headers, ByteBuf body) {
+    static void respond(ResponseSink sink, ServerStart server, int status, HttpHeaders headers, ByteBuf body) {
         List<HeaderField> fields = new ArrayList<>();
+        fields.add(RelayAttempt.answeredBy(server));
         headers.forEach(header -> fields.add(new HeaderField(header.getKey(), header.getValue())));
         sink.onHead(status, fields);
         ByteBuf unread = body.duplicate();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
@@ -203,6 +203,7 @@
     public void onResponse(RelayAttempt attempt, FullResponse response) {
         takeEnded(attempt).filter(request -> !request.finished).ifPresent(request -> {
             addToSummary(request, attempt, Integer.toString(response.status()));
+            attempt.server().ifPresent(server -> engine.onRelayedResponse(server, response));
             engine.finish(request);
             responder.forwardResponse(request, response);
         });
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -16,7 +16,6 @@
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.keyrange.RangeTable;
-import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
@@ -136,9 +135,9 @@
         return links;
     }
 
-    /** Sets the entry VMs that reach servers. */
-    void onRelayPeers(List<RelayPeer> peers) {
-        relays.setPeers(peers);
+    /** Returns the way to servers over other entry VMs. */
+    RelaySender relays() {
+        return relays;
     }
 
     /**
@@ -160,10 +159,7 @@
                 onFailure(request, attempt.get(), AttemptResult.NOT_SENT, "no server can be reached");
             } else if (relays.hasPeer() && retries.tryRepeat(request)) {
                 request.mayHaveRun = true;
-                request.attemptSummary
-                        .append(' ')
-                        .append(attempt.get().decision.server().start().server())
-                        .append(":no server can be reached");
+                attempt.get().addToSummary(request.attemptSummary, "no server can be reached");
                 abandonAttempt(request);
                 submit(request);
             }
@@ -349,11 +345,7 @@
         if (!endAttempt(attempt, result, report)) {
             return;
         }
-        request.attemptSummary
-                .append(' ')
-                .append(server.start().server())
-                .append(':')
-                .append(response.status());
+        attempt.addToSummary(request.attemptSummary, Integer.toString(response.status()));
         if (request.finished) {
             return;
         }
@@ -372,16 +364,17 @@
         }
     }
 
+    /** Called when another entry VM forwarded a server's response. */
+    void onRelayedResponse(ServerStart server, FullResponse response) {
+        rests.onForwarded(server, response);
+    }
+
     /** Called when an attempt ended without a response; {@link AttemptResult#BROKEN} if it was sent. */
     void onFailure(ActiveRequest request, ActiveRequest.Attempt attempt, AttemptResult result, String reason) {
         if (!endAttempt(attempt, result, Optional.empty())) {
             return;
         }
-        request.attemptSummary
-                .append(' ')
-                .append(attempt.decision.server().start().server())
-                .append(':')
-                .append(reason);
+        attempt.addToSummary(request.attemptSummary, reason);
         if (request.finished) {
             return;
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.function.LongSupplier;
+import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.exchange.Failure;
@@ -41,7 +42,8 @@
         RequestHeaders.copyEndToEnd(response.headers(), headers);
         headers.set(headerNames.requestId(), request.requestId);
         if (request.relayedBy.isPresent()) {
-            RelayReceiver.respond(request.relayedBy.get(), response.status(), headers, response.body());
+            ServerStart server = request.attempt.orElseThrow().decision.server().start();
+            RelayReceiver.respond(request.relayedBy.get(), server, response.status(), headers, response.body());
         } else {
             request.callerRequest.responder().respond(response.status(), headers, response.body());
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RestObserver.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RestObserver.java
@@ -47,10 +47,16 @@
         this.leavingListener = leavingListener;
     }
 
-    void onResponse(ServerStart server, FullResponse response, long nowMillis) {
+    /** Reads a response that is passed on, whichever entry VM sent the request. */
+    void onForwarded(ServerStart server, FullResponse response) {
         if (HeaderNames.LEAVING.equals(response.headers().get(headerNames.leaving()))) {
             leavingListener.accept(server);
         }
+    }
+
+    /** Reads a response to a request that this VM sent. */
+    void onResponse(ServerStart server, FullResponse response, long nowMillis) {
+        onForwarded(server, response);
         String text = response.headers().get(headerNames.rest());
         if (response.status() != SERVICE_UNAVAILABLE || text == null) {
             return;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -216,7 +216,7 @@
 
         @Override
         public void onRelayPeers(List<RelayPeer> peers) {
-            trafficEventLoop.execute(() -> engine.onRelayPeers(peers));
+            trafficEventLoop.execute(() -> engine.relays().setPeers(peers));
         }
 
         @Override
