--- a/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
@@ -20,7 +20,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
@@ -54,7 +53,7 @@
     private static final int KEYS_PER_SERVICE = 180;
     private static final PendingReport.Reporter REPORTER =
             new PendingReport.Reporter("vm-2", new DataCentreId("maras"), false, 4, List.of(SERVER));
-    private static final RelayPeer PEER = new RelayPeer(new VmId("vm-3"), new DataCentreId("calca"), "10.0.0.3", 7_000);
+    static final RelayPeer PEER = new RelayPeer(new VmId("vm-3"), new DataCentreId("calca"), "10.0.0.3", 7_000);
     private static final long SENT_AT_MILLIS = 77_000;
     private static final int RECEIVE_TIMEOUT_MILLIS = 5_000;
 
@@ -62,76 +61,14 @@
     private final EventLoop loop = group.next();
     private final ByteArrayOutputStream eventLines = new ByteArrayOutputStream();
     private final EventLog events = new EventLog("vm-1", eventLines, () -> 0);
-    private final RecordingListener leaderListener = new RecordingListener();
-    private final RecordingListener followerListener = new RecordingListener();
+    private final RecordingReportListener leaderListener = new RecordingReportListener();
+    private final RecordingReportListener followerListener = new RecordingReportListener();
     private final ReportChannel leaderChannel =
             new ReportChannel(events, leaderListener, leaderListener, (message, reply) -> false);
     private final ReportChannel followerChannel =
             new ReportChannel(events, followerListener, followerListener, (message, reply) -> false);
     private Leader leader;
 
-    /** Records what it receives; acts as the leader if it has a recorded table. */
-    private static final class RecordingListener implements ReportChannel.Listener, ReportChannel.TermListener {
-        private final List<Object> received = new CopyOnWriteArrayList<>();
-        private volatile Optional<ReportChannel.RecordedTable> recordedTable = Optional.empty();
-
-        private final List<PendingReport.Reporter> reporters = new CopyOnWriteArrayList<>();
-        private final List<Platform.AsOf> leaderTimes = new CopyOnWriteArrayList<>();
-        private volatile int entryVmCount = 3;
-
-        @Override
-        public Optional<ReportChannel.LeaderStatus> leaderStatus(PendingReport.Reporter reporter) {
-            return recordedTable.map(table -> new ReportChannel.LeaderStatus(
-                    1, 2, 6, entryVmCount, true, List.of(PEER), new Platform.Positions(4, 5, table.logEnd())));
-        }
-
-        @Override
-        public Optional<ReportChannel.RecordedTable> recordedTableAfter(long position) {
-            return recordedTable.filter(table -> table.logEnd() > position);
-        }
-
-        @Override
-        public void onTableFromLeader(ReportChannel.RecordedTable table) {
-            received.add(table);
-        }
-
-        @Override
-        public void onLeaderStatus(ReportChannel.LeaderStatus status, Optional<Platform.AsOf> asOf) {
-            received.add(status);
-            asOf.ifPresent(leaderTimes::add);
-        }
-
-        @Override
-        public Optional<VmStart> confirmNotLeadingBefore(long term) {
-            return recordedTable.isPresent() ? Optional.empty() : Optional.of(new VmStart(new VmId("vm-2"), term));
-        }
-
-        @Override
-        public void onNotLeading(VmStart process, long beforeTerm) {
-            received.add(process);
-        }
-
-        @Override
-        public void onReport(String vm) {
-            received.add(vm);
-        }
-
-        @Override
-        public void onReporter(PendingReport.Reporter reporter, InetSocketAddress address) {
-            reporters.add(reporter);
-        }
-
-        @Override
-        public void onReportedKey(ServiceId service, int key) {
-            received.add(service + "/" + key);
-        }
-
-        @Override
-        public void onReportedServiceTime(String vm, ServerStart server, double millis) {
-            received.add(server + "=" + millis);
-        }
-    }
-
     @BeforeEach
     void open() throws IOException, InterruptedException {
         InetSocketAddress leaderAddress = freeAddress();
