Relay to the VMs that reach servers best, and ask another one for an owner

Cause: VMs whose old connections live on aren't cut off, though they can't open new ones; being near, they were asked first, and one that could not reach an owner kept the asking VM from trying others for a second. Requests without key were refused after three connections without a relay. Evidence: the refusals at the relaying VMs' peers, nearly all at VMs of the same cut data centre, with OWNER_UNREACHABLE at once. Change: reports tell how many servers are silent; VMs with three or more come last. The three best are chosen from. An owner that one VM can't reach is asked for through a second one.

--- a/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
@@ -28,6 +28,11 @@
             "LIMITED",
             Set.of("server.limit", "limit."),
             end -> "the server that may run it named a limit of requests a second, which was used up"),
+    RESTING(
+            Set.of(3001),
+            "RESTING",
+            Set.of("server.rest"),
+            end -> "the server that may run it had turned this VM away and wanted no requests of it for a while"),
     OVERLOADED(
             Set.of(3001),
             "",
@@ -48,6 +53,11 @@
             "",
             Set.of("server.orders", "server.entry-gone", "leadership."),
             end -> "no connection to the server that may run it could be opened"),
+    CUT_OFF(
+            Set.of(3011),
+            "",
+            Set.of("servers."),
+            end -> "this VM reached no server at the time, and knew no other VM that did"),
     TURNED_AWAY(
             Set.of(3006),
             "MISDIRECTED",
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -9,6 +9,7 @@
 import org.lacewingthread.core.dispatch.DispatchRequest;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.core.serving.Route;
 import org.lacewingthread.daemon.exchange.ResponseSink;
 import org.lacewingthread.daemon.http.OutboundConnection;
@@ -40,7 +41,7 @@
     Optional<RelayAttempt> relayAttempt = Optional.empty();
 
     /** Entry VMs that the request was relayed to. */
-    int relayCount;
+    final Set<RelayPeer> relayedTo = new HashSet<>();
 
     /** The limited server for which a permit was last asked; empty if none was. */
     Optional<ServerId> limitedServer = Optional.empty();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/EntryVmDirectory.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/EntryVmDirectory.java
@@ -24,7 +24,17 @@
     private final Map<String, Long> seenMillis = new HashMap<>();
     private final Map<String, Report> reports = new HashMap<>();
 
-    private record Report(long reportedMillis, boolean cutOff, int answeringServers, RelayPeer peer) {}
+    /** What a VM reported, and when. */
+    private record Report(long reportedMillis, PendingReport.Reporter reporter, RelayPeer peer) {
+        boolean mayReachServers(long nowMillis) {
+            return !reporter.cutOff() && nowMillis - reportedMillis <= REACH_VALIDITY_MILLIS;
+        }
+
+        /** Returns whether so many servers are silent that the VM's own links may be the cause. */
+        boolean isSuspect() {
+            return reporter.silentServers() >= Reach.MIN_SILENT_SERVERS;
+        }
+    }
 
     /** Records that a VM is alive. */
     void onSeen(String vm, long nowMillis) {
@@ -43,7 +53,7 @@
                 address.getAddress().getHostAddress(),
                 address.getPort());
         seenMillis.put(reporter.vm(), nowMillis);
-        reports.put(reporter.vm(), new Report(nowMillis, reporter.cutOff(), reporter.answeringServers(), peer));
+        reports.put(reporter.vm(), new Report(nowMillis, reporter, peer));
     }
 
     /** Returns the number of live entry VMs, including this one. */
@@ -56,27 +66,24 @@
     /** Returns the largest number of servers that answered one of the reporting VMs of late. */
     int mostAnsweringServers(long nowMillis) {
         return reports.values().stream()
-                .filter(report -> mayReachServers(report, nowMillis))
-                .mapToInt(Report::answeringServers)
+                .filter(report -> report.mayReachServers(nowMillis))
+                .mapToInt(report -> report.reporter().answeringServers())
                 .max()
                 .orElse(0);
     }
 
-    private static boolean mayReachServers(Report report, long nowMillis) {
-        return !report.cutOff() && nowMillis - report.reportedMillis() <= REACH_VALIDITY_MILLIS;
-    }
-
     /**
-     * Returns VMs that reach servers, as far as is known: those that servers answered of late come first, then those of a
-     * data centre. Each VM gets others first, so that no one is asked by all.
+     * Returns VMs that reach servers, as far as is known: those to which few servers are silent come first, then those that
+     * servers answered of late, then those of a data centre. Each VM gets others first, so that no one is asked by all.
      *
      * @param requester VM that may hand requests to them
      */
     List<RelayPeer> peersFor(String requester, DataCentreId dataCentre, long nowMillis) {
         return reports.values().stream()
-                .filter(report -> mayReachServers(report, nowMillis))
+                .filter(report -> report.mayReachServers(nowMillis))
                 .filter(report -> !report.peer().vm().value().equals(requester))
-                .sorted(Comparator.comparing((Report report) -> report.answeringServers() == 0)
+                .sorted(Comparator.comparing(Report::isSuspect)
+                        .thenComparing(report -> report.reporter().answeringServers() == 0)
                         .thenComparing(report -> !report.peer().dataCentre().equals(dataCentre))
                         .thenComparing(report -> (report.peer().vm().value() + requester).hashCode()))
                 .limit(MAX_PEERS)
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -136,7 +136,12 @@
 
     private PendingReport.Reporter reporter() {
         return new PendingReport.Reporter(
-                vm(), dataCentre, reach.cutOff(), reach.answeringServers(), newestLeavingServers());
+                vm(),
+                dataCentre,
+                reach.cutOff(),
+                reach.answeringServers(),
+                reach.silentServers(),
+                newestLeavingServers());
     }
 
     private List<ServerStart> newestLeavingServers() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
@@ -30,6 +30,7 @@
     static final String DATA_CENTRE = "dataCentre";
 
     static final String ANSWERING_SERVERS = "answeringServers";
+    static final String SILENT_SERVERS = "silentServers";
     static final String CUT_OFF = "cutOff";
     static final String LEAVING_SERVERS = "leavingServers";
     static final String KEYS = "keys";
@@ -68,6 +69,7 @@
      * @param dataCentre its data centre
      * @param cutOff whether it reaches no server
      * @param answeringServers number of servers that answered it of late; 0 also if it made no calls
+     * @param silentServers number of servers that did not answer it of late, or refused its connections
      * @param leavingServers servers whose answers said that they leave
      */
     record Reporter(
@@ -75,6 +77,7 @@
             DataCentreId dataCentre,
             boolean cutOff,
             int answeringServers,
+            int silentServers,
             List<ServerStart> leavingServers) {
         /** Copies the list. */
         Reporter {
@@ -121,6 +124,7 @@
             Datagram datagram = new Datagram(vm);
             datagram.json.writeStringField(DATA_CENTRE, reporter.dataCentre().value());
             datagram.json.writeNumberField(ANSWERING_SERVERS, reporter.answeringServers());
+            datagram.json.writeNumberField(SILENT_SERVERS, reporter.silentServers());
             datagram.json.writeBooleanField(CUT_OFF, reporter.cutOff());
             writeServers(datagram, reporter.leavingServers());
             datagram.json.writeNumberField(SENT_AT, sentAtMillis);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Reach.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Reach.java
@@ -10,7 +10,7 @@
  */
 record Reach(boolean cutOff, int answeringServers, int silentServers, long answerAgeMillis) {
     /** Silent servers from which this VM's own links may be the cause. */
-    private static final int MIN_SILENT_SERVERS = 3;
+    static final int MIN_SILENT_SERVERS = 3;
     /** Another VM reaches far more servers if it reaches this multiple, and one more. */
     private static final int FAR_MORE_FACTOR = 2;
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
@@ -42,6 +42,8 @@
     private static final long RESPONSE_MARGIN_MILLIS = 5;
     /** Largest body that is relayed; half of what may wait in a link's socket. */
     private static final int MAX_BODY_BYTES = 2 << 20;
+    /** Peers to choose from; enough to spread requests, and few enough to leave out those that reach servers badly. */
+    private static final int MAX_CHOICES = 3;
     /** A VM of another data centre is chosen if those of the own one have this many more requests under way. */
     private static final int OTHER_DATA_CENTRE_PENALTY = 4;
 
@@ -99,7 +101,7 @@
 
     /** Returns whether some entry VM may take requests now. */
     boolean hasPeer() {
-        return choosePeer(clockMillis.getAsLong()).isPresent();
+        return choosePeer(Set.of(), clockMillis.getAsLong()).isPresent();
     }
 
     /**
@@ -110,14 +112,14 @@
     boolean trySend(ActiveRequest request) {
         long nowMillis = clockMillis.getAsLong();
         boolean mayRelay = request.relayedBy.isEmpty()
-                && request.relayCount < MAX_PEERS_PER_REQUEST
+                && request.relayedTo.size() < MAX_PEERS_PER_REQUEST
                 && request.sentAttempts < request.route.maxAttempts()
                 && request.deadlineMillis - nowMillis > 2 * RESPONSE_MARGIN_MILLIS
                 && request.callerRequest.body().readableBytes() <= MAX_BODY_BYTES;
         if (!mayRelay || isUnreachableForPeers(request, nowMillis)) {
             return false;
         }
-        Optional<RelayPeer> peer = choosePeer(nowMillis);
+        Optional<RelayPeer> peer = choosePeer(request.relayedTo, nowMillis);
         peer.ifPresent(chosen -> send(request, chosen, nowMillis));
         return peer.isPresent();
     }
@@ -130,9 +132,12 @@
                 .isPresent();
     }
 
-    private Optional<RelayPeer> choosePeer(long nowMillis) {
+    /** Chooses among the first peers, which the leader names in the order of how well they reach servers. */
+    private Optional<RelayPeer> choosePeer(Set<RelayPeer> tried, long nowMillis) {
         return peers.stream()
+                .filter(peer -> !tried.contains(peer))
                 .filter(peer -> excludedUntilMillis.getOrDefault(peer, Long.MIN_VALUE) <= nowMillis)
+                .limit(MAX_CHOICES)
                 .min(Comparator.comparingDouble(this::cost));
     }
 
@@ -146,7 +151,7 @@
         RelayAttempt attempt = new RelayAttempt(peer, nowMillis, this);
         requests.put(attempt, request);
         request.relayAttempt = Optional.of(attempt);
-        request.relayCount++;
+        request.relayedTo.add(peer);
         pendingByPeer.merge(peer, 1, Integer::sum);
         events.write(
                 "request.relayed",
@@ -228,7 +233,9 @@
         }
         failed.filter(request -> !request.finished).ifPresent(request -> {
             addToSummary(request, attempt, Integer.toString(failure.code().number()));
-            if (failure.code() == ResultCode.OWNER_UNREACHABLE) {
+            boolean ownerUnreachable = failure.code() == ResultCode.OWNER_UNREACHABLE;
+            boolean mayAskAnother = ownerUnreachable && request.relayedTo.size() < MAX_PEERS_PER_REQUEST;
+            if (ownerUnreachable && !mayAskAnother) {
                 dispatcher
                         .ownerOf(request.toDispatchRequest())
                         .ifPresent(owner -> unreachableUntilMillis.put(owner, nowMillis + SERVER_EXCLUSION_MILLIS));
@@ -239,7 +246,7 @@
                         request,
                         Optional.empty(),
                         "relayed to " + attempt.peer().vm() + ": " + failure.detail());
-            } else if (peerFailed) {
+            } else if (peerFailed || mayAskAnother) {
                 request.sentAttempts--;
                 engine.submit(request);
             } else {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -356,6 +356,7 @@
                     new DataCentreId(report.path(PendingReport.DATA_CENTRE).asText(UNKNOWN_DATA_CENTRE)),
                     report.path(PendingReport.CUT_OFF).asBoolean(),
                     report.path(PendingReport.ANSWERING_SERVERS).asInt(),
+                    report.path(PendingReport.SILENT_SERVERS).asInt(),
                     leaving);
         }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -383,7 +383,7 @@
             retries.retryOrFail(request, Optional.empty(), reason);
         } else if (++request.unsentAttempts < MAX_UNSENT_ATTEMPTS) {
             submit(request);
-        } else {
+        } else if (result == AttemptResult.WITHHELD || !relays.trySend(request)) {
             finish(request);
             responder.refuse(request, ResultCode.OWNER_UNREACHABLE, reason, RequestRetries.REJECTED_RETRY_AFTER_MILLIS);
         }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/EntryVmDirectoryTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/EntryVmDirectoryTest.java
@@ -19,14 +19,16 @@
 
     @BeforeEach
     void report() {
-        report("near", MARAS, false, 5);
-        report("far", CALCA, false, 9);
-        report("idle", MARAS, false, 0);
-        report("cut", MARAS, true, 0);
+        report("near", MARAS, false, 5, 2);
+        report("far", CALCA, false, 9, 0);
+        report("idle", MARAS, false, 0, 0);
+        report("refused", MARAS, false, 4, 3);
+        report("cut", MARAS, true, 0, 3);
     }
 
-    private void report(String vm, DataCentreId dataCentre, boolean cutOff, int answering) {
-        directory.onReport(new PendingReport.Reporter(vm, dataCentre, cutOff, answering, List.of()), ADDRESS, 1_000);
+    private void report(String vm, DataCentreId dataCentre, boolean cutOff, int answering, int silent) {
+        directory.onReport(
+                new PendingReport.Reporter(vm, dataCentre, cutOff, answering, silent, List.of()), ADDRESS, 1_000);
     }
 
     private List<String> peersOfCut(long nowMillis) {
@@ -35,16 +37,17 @@
                 .toList();
     }
 
+    /** Guards against requests to VMs whose new connections are refused as well, because they are near. */
     @Test
-    void vmsThatServersAnsweredComeFirstThenThoseOfTheOwnDataCentre() {
-        assertThat(peersOfCut(1_500)).containsExactly("near", "far", "idle");
+    void vmsThatServersAnsweredComeFirstAndThoseWithSilentServersLast() {
+        assertThat(peersOfCut(1_500)).containsExactly("near", "far", "idle", "refused");
     }
 
     /** Guards against requests to VMs that have reported nothing for a while. */
     @Test
     void oldReportsNameNobody() {
         assertThat(peersOfCut(2_600)).isEmpty();
-        assertThat(directory.count("cut", 2_600)).isEqualTo(4);
+        assertThat(directory.count("cut", 2_600)).isEqualTo(5);
         assertThat(directory.count("cut", 6_100)).isEqualTo(1);
     }
 
