An answer to a request counts only with the request's id

Callers got another request's answer (MIXED) behind servers that send second answers. OutboundConnection dropped an answer whose id differed, but took one without an id, or with a second id behind the right one, for the request in progress.

Now an answer counts only if every id in it is the request's. Any other one is dropped, its connection is not used again, and the request goes on waiting for its own answer there. If the dropped one has no end, nothing can follow it: the request ends at once, as one that may have run. The id is set when a request is sent, so that it is one even if the caller's request has it twice.

--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -22,6 +22,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.List;
 import java.util.function.BiConsumer;
 import jdk.net.ExtendedSocketOptions;
 
@@ -69,13 +70,19 @@
     private long idleLimitMillis = Long.MAX_VALUE;
 
     /**
-     * A request header that the peer copies into its response. A response with a different value belongs to an
-     * earlier request and is discarded.
+     * A request header that the peer copies into its response. A response without it, or with another value, belongs to
+     * no request or to an earlier one; it is discarded.
      *
      * @param name header name
      * @param value value in the request
      */
-    public record EchoedHeader(String name, String value) {}
+    public record EchoedHeader(String name, String value) {
+        /** Returns whether a response carries this value and no other one. */
+        boolean isIn(HttpResponse response) {
+            List<String> values = response.headers().getAll(name);
+            return !values.isEmpty() && values.stream().allMatch(value::equals);
+        }
+    }
 
     private OutboundConnection(Channel channel, ResponseMemory memory) {
         this.channel = channel;
@@ -213,13 +220,15 @@
             return;
         }
         boolean interim = response.status().code() < 200;
-        boolean otherRequest = echoedHeader != null
-                && response.headers().contains(echoedHeader.name())
-                && !echoedHeader.value().equals(response.headers().get(echoedHeader.name()));
-        discardingResponse = interim || otherRequest;
-        if (otherRequest) {
+        boolean foreign = !interim && echoedHeader != null && !echoedHeader.isIn(response);
+        discardingResponse = interim || foreign;
+        if (foreign) {
             reusable = false;
         }
+        if (foreign && !isFramed(response)) {
+            fail("a response that is not the request's has no end, so that none can follow it");
+            return;
+        }
         memory.remove(memoryReader);
         head = response;
         body = new ByteArrayOutputStream();
@@ -260,8 +269,7 @@
         if (discardingResponse) {
             return;
         }
-        boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-        reusable &= requestWritten && framed && HttpUtil.isKeepAlive(response);
+        reusable &= requestWritten && isFramed(response) && HttpUtil.isKeepAlive(response);
         readIdleLimit(response.headers().get(KEEP_ALIVE_HEADER));
         ResponseListener current = listener;
         listener = null;
@@ -272,6 +280,10 @@
                 response.status().code(), response.headers(), Unpooled.wrappedBuffer(body.toByteArray())));
     }
 
+    private static boolean isFramed(HttpResponse response) {
+        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+    }
+
     private void readIdleLimit(String keepAlive) {
         int at = keepAlive == null ? -1 : keepAlive.indexOf(TIMEOUT_PARAMETER);
         if (at < 0) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -121,6 +121,7 @@
         RequestHeaders.copyEndToEnd(request.callerRequest.headers(), outbound.headers());
         long remainingMillis = Math.max(1, request.deadlineMillis - clockMillis.getAsLong());
         outbound.headers().set(headerNames.deadlineMillis(), remainingMillis);
+        outbound.headers().set(headerNames.requestId(), request.requestId);
         outbound.headers()
                 .set(
                         headerNames.expectedServer(),
