A connection is used again only after the read that brought its response

Callers got another request's answer (MIXED), and the answer of one call could decide the next one. A response was handed over within the read that brought it; the connection went back to the pool, the next request was sent on it, and the rest of the same read was handed to that request.

Now a whole response is handed over when its read is over. Bytes behind it, also a part of a line or a line end, end the connection, and bytes that come while nothing is awaited are not decoded at all. A call without an id fails as one that may have run if its connection was used before and brings more than one response: which one is its own can't be told. So does one whose response came before it was written.

--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -14,8 +14,9 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -42,9 +43,6 @@
     /** Maximum size of a response body; a larger one fails the request. */
     private static final int MAX_BODY_BYTES = 16 << 20;
 
-    private static final int MAX_STATUS_LINE_BYTES = 16_384;
-    private static final int MAX_HEADER_BYTES = 65_536;
-    private static final int MAX_CHUNK_BYTES = 65_536;
     /** Start of TCP keep-alive probes; with two probes one second apart, a dead peer is detected in about 3 s. */
     private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
 
@@ -60,11 +58,18 @@
     private final Channel channel;
     private final ResponseMemory memory;
     private final ResponseMemory.Reader memoryReader = this::onMemoryExhausted;
+    private final ResponseDecoder decoder = new ResponseDecoder(new Expectation());
     private ResponseListener listener;
+    private int sentRequests;
+    private boolean awaitsHeadOnly;
     private EchoedHeader echoedHeader;
     private HttpResponse head;
     private ByteArrayOutputStream body;
     private boolean discardingResponse;
+    /** The whole response while the read that brought it is not over; null otherwise. */
+    private FullResponse wholeResponse;
+
+    private boolean surplus;
     private boolean reusable = true;
     private boolean requestWritten;
     private long idleLimitMillis = Long.MAX_VALUE;
@@ -120,7 +125,8 @@
                     protected void initChannel(SocketChannel channel) {
                         OutboundConnection connection = new OutboundConnection(channel, memory);
                         channel.pipeline()
-                                .addLast(new HttpClientCodec(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(connection.decoder)
+                                .addLast(new HttpRequestEncoder())
                                 .addLast(connection.new Handler());
                     }
                 });
@@ -134,7 +140,9 @@
     }
 
     /**
-     * Sends a request.
+     * Sends a request. A peer's response that is whole is delivered at the end of the read that brought it. If more bytes
+     * were read behind it, the connection ends. A response without an echoed header counts only if it can be no other
+     * request's: a request that finds two responses on a connection that was used before fails as one that was sent.
      *
      * @param request request to send; its reference is released
      * @param echoedHeader header that identifies the response; null if the peer doesn't echo one
@@ -149,6 +157,8 @@
         this.listener = listener;
         this.echoedHeader = echoedHeader;
         requestWritten = false;
+        sentRequests++;
+        awaitsHeadOnly = HttpMethod.HEAD.equals(request.method());
         channel.writeAndFlush(request).addListener(future -> {
             requestWritten = future.isSuccess();
             if (!future.isSuccess()) {
@@ -194,6 +204,7 @@
     }
 
     private void discardBody() {
+        wholeResponse = null;
         body = null;
         head = null;
         memory.remove(memoryReader);
@@ -204,6 +215,11 @@
     }
 
     private void fail(String reason) {
+        if (wholeResponse != null) {
+            reusable = false;
+            deliver();
+            return;
+        }
         discardBody();
         ResponseListener current = listener;
         listener = null;
@@ -269,15 +285,33 @@
         if (discardingResponse) {
             return;
         }
+        if (echoedHeader == null && !requestWritten) {
+            fail("a response arrived before the request was written");
+            return;
+        }
         reusable &= requestWritten && isFramed(response) && HttpUtil.isKeepAlive(response);
         readIdleLimit(response.headers().get(KEEP_ALIVE_HEADER));
+        surplus = decoder.hasUndecodedBytes();
+        wholeResponse = new FullResponse(
+                response.status().code(), response.headers(), Unpooled.wrappedBuffer(body.toByteArray()));
+    }
+
+    /** Hands a whole response over, once nothing that was read with it is left that the next request could meet. */
+    private void deliver() {
+        FullResponse response = wholeResponse;
+        boolean doubtful = surplus && echoedHeader == null && sentRequests > 1;
         ResponseListener current = listener;
+        wholeResponse = null;
         listener = null;
+        reusable &= !surplus;
         if (!reusable) {
             channel.close();
         }
-        current.onResponse(new FullResponse(
-                response.status().code(), response.headers(), Unpooled.wrappedBuffer(body.toByteArray())));
+        if (doubtful) {
+            current.onFailure(true, "more than one response came on a connection that was used before");
+        } else {
+            current.onResponse(response);
+        }
     }
 
     private static boolean isFramed(HttpResponse response) {
@@ -295,6 +329,27 @@
         }
     }
 
+    private final class Expectation implements ResponseDecoder.Expectation {
+        @Override
+        public boolean awaitsResponse() {
+            return listener != null && wholeResponse == null;
+        }
+
+        @Override
+        public boolean awaitsHeadOnly() {
+            return awaitsHeadOnly;
+        }
+
+        @Override
+        public void onUnaskedBytes() {
+            surplus = true;
+            reusable = false;
+            if (listener == null) {
+                channel.close();
+            }
+        }
+    }
+
     private final class Handler extends ChannelInboundHandlerAdapter {
         OutboundConnection connection() {
             return OutboundConnection.this;
@@ -303,15 +358,12 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             try {
-                if (listener == null) {
-                    reusable = false;
-                    channel.close();
-                    return;
-                }
-                if (message instanceof HttpResponse response) {
+                // What was decoded behind a whole response belongs to no request.
+                boolean awaited = listener != null && wholeResponse == null;
+                if (awaited && message instanceof HttpResponse response) {
                     onHead(response);
                 }
-                if (message instanceof HttpContent content && listener != null) {
+                if (awaited && message instanceof HttpContent content && listener != null) {
                     onContent(content);
                 }
             } finally {
@@ -319,6 +371,13 @@
             }
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (wholeResponse != null) {
+                deliver();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             fail("the peer closed the connection before the response was complete");
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ResponseDecoder.java
@@ -0,0 +1,55 @@
+package org.lacewingthread.daemon.http;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
+
+/** Decodes responses, and only bytes that arrive while one is awaited. */
+final class ResponseDecoder extends HttpResponseDecoder {
+    private static final int MAX_STATUS_LINE_BYTES = 16_384;
+    private static final int MAX_HEADER_BYTES = 65_536;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+    private static final int FIRST_FINAL_STATUS = 200;
+
+    private final Expectation expectation;
+
+    /** What a connection awaits. */
+    interface Expectation {
+        /** Returns whether a response, or the rest of one, is awaited. */
+        boolean awaitsResponse();
+
+        /** Returns whether the awaited response has no body whatever its headers say. */
+        boolean awaitsHeadOnly();
+
+        /** Called with bytes that arrive while no response is awaited; they are not decoded. */
+        void onUnaskedBytes();
+    }
+
+    ResponseDecoder(Expectation expectation) {
+        super(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+        this.expectation = expectation;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
+        if (expectation.awaitsResponse()) {
+            super.channelRead(context, bytes);
+            return;
+        }
+        ReferenceCountUtil.release(bytes);
+        expectation.onUnaskedBytes();
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        boolean isFinal = message instanceof HttpResponse response && response.status().code() >= FIRST_FINAL_STATUS;
+        return (isFinal && expectation.awaitsHeadOnly()) || super.isContentAlwaysEmpty(message);
+    }
+
+    /** Returns whether bytes were read that belong to no message so far. */
+    boolean hasUndecodedBytes() {
+        return actualReadableBytes() > 0;
+    }
+}
