A connection that fails with a request under way is reset

A request that had ended could still reach its server: a failed connection was closed, and the kernel goes on delivering what was written to it, for a grant even seconds later, after a cut has healed. Only the time limit of a request reset its connection.

Now every end of a connection with a request under way, or one that is not wholly written, sets SO_LINGER to 0, which discards what is unsent.

FailedConnectionTest failed before in both cases: the server read the rest of the request up to an orderly end, after the caller was told that it had failed.

--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -185,19 +185,28 @@
         return idleLimitMillis;
     }
 
-    /** Closes the connection; a request in progress fails. */
+    /** Closes the connection; a request in progress fails, and what is unsent of it is discarded. */
     public void close() {
         memory.remove(memoryReader);
-        reusable = false;
-        channel.close();
+        end(listener != null);
     }
 
     /** Resets the connection, which discards unsent data; the listener of a request in progress is not called. */
     public void abort() {
         discardBody();
         listener = null;
+        end(true);
+    }
+
+    /**
+     * Ends the connection.
+     *
+     * @param discardUnsent whether to reset it; otherwise the kernel goes on delivering what was written, even seconds
+     *     later, after the request has ended
+     */
+    private void end(boolean discardUnsent) {
         reusable = false;
-        if (channel.isActive()) {
+        if (discardUnsent && channel.isActive()) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
         channel.close();
@@ -223,8 +232,7 @@
         discardBody();
         ResponseListener current = listener;
         listener = null;
-        reusable = false;
-        channel.close();
+        end(current != null);
         if (current != null) {
             current.onFailure(true, reason);
         }
@@ -305,7 +313,7 @@
         listener = null;
         reusable &= !surplus;
         if (!reusable) {
-            channel.close();
+            end(!requestWritten);
         }
         if (doubtful) {
             current.onFailure(true, "more than one response came on a connection that was used before");
@@ -345,7 +353,7 @@
             surplus = true;
             reusable = false;
             if (listener == null) {
-                channel.close();
+                end(false);
             }
         }
     }
