Responses that count for no request are told and counted

Now each has a line response.dropped with the server, both ids, the status and the reason, at most 20 a second, and the gauge response_dropped counts them, those to the leader's calls and the store's included.

--- a/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
@@ -35,6 +35,7 @@
     private final ResponseMemory responseMemory = new ResponseMemory(MAX_RESPONSE_BYTES);
     private final OpenListener<K> openListener;
     private final Map<K, Deque<IdleConnection>> idleByPeer = new HashMap<>();
+    private BiConsumer<K, DroppedResponse> dropListener = (peer, dropped) -> {};
     private long openedCount;
 
     /**
@@ -89,6 +90,11 @@
         this.maxIdleMillis = maxIdleMillis;
     }
 
+    /** Sets who is told of responses that counted for no request. */
+    public void setDropListener(BiConsumer<K, DroppedResponse> listener) {
+        dropListener = listener;
+    }
+
     /**
      * Acquires an idle connection, or opens one.
      *
@@ -130,6 +136,7 @@
                 responseMemory,
                 (connection, failure) -> {
                     if (connection != null) {
+                        connection.setDropListener(dropped -> dropListener.accept(peer, dropped));
                         openListener.onOpened(peer);
                     } else {
                         openListener.onOpenFailed(peer, startedMillis);
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -11,8 +11,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -25,7 +23,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.function.BiConsumer;
-import jdk.net.ExtendedSocketOptions;
+import java.util.function.Consumer;
 
 /**
  * An outgoing HTTP/1.1 connection with at most one request in progress. All methods must be called on the
@@ -43,18 +41,6 @@
     /** Maximum size of a response body; a larger one fails the request. */
     private static final int MAX_BODY_BYTES = 16 << 20;
 
-    /** Start of TCP keep-alive probes; with two probes one second apart, a dead peer is detected in about 3 s. */
-    private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
-
-    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
-    private static final int KEEP_ALIVE_PROBE_COUNT = 2;
-    /** Subtracted from the idle timeout announced by a peer, so that it doesn't close while a request is on its way. */
-    private static final long IDLE_MARGIN_MILLIS = 1_000;
-
-    private static final long MILLIS_PER_SECOND = 1_000;
-    private static final String KEEP_ALIVE_HEADER = "keep-alive";
-    private static final String TIMEOUT_PARAMETER = "timeout=";
-
     private final Channel channel;
     private final ResponseMemory memory;
     private final ResponseMemory.Reader memoryReader = this::onMemoryExhausted;
@@ -70,6 +56,10 @@
     private FullResponse wholeResponse;
 
     private boolean surplus;
+    /** First response that was decoded behind the whole one; null if none was. */
+    private HttpResponse surplusHead;
+
+    private Consumer<DroppedResponse> dropListener = dropped -> {};
     private boolean reusable = true;
     private boolean requestWritten;
     private long idleLimitMillis = Long.MAX_VALUE;
@@ -111,15 +101,7 @@
             int connectTimeoutMillis,
             ResponseMemory memory,
             BiConsumer<OutboundConnection, Throwable> result) {
-        Bootstrap bootstrap = new Bootstrap()
-                .group(eventLoop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBE_COUNT)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+        Bootstrap bootstrap = OutboundSockets.bootstrap(eventLoop, connectTimeoutMillis)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -167,6 +149,11 @@
         });
     }
 
+    /** Sets who is told of responses that counted for no request. */
+    void setDropListener(Consumer<DroppedResponse> newListener) {
+        dropListener = newListener;
+    }
+
     /** Returns whether a part of the response to the request in progress has arrived. */
     public boolean isReceiving() {
         return listener != null && head != null;
@@ -238,8 +225,13 @@
         }
     }
 
+    private void drop(DroppedResponse.Reason reason, HttpResponse response) {
+        dropListener.accept(DroppedResponse.of(echoedHeader, response, reason));
+    }
+
     private void onHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
+            drop(DroppedResponse.Reason.MALFORMED, response);
             fail("malformed response head: " + response.decoderResult().cause());
             return;
         }
@@ -248,6 +240,8 @@
         discardingResponse = interim || foreign;
         if (foreign) {
             reusable = false;
+            boolean hasId = response.headers().contains(echoedHeader.name());
+            drop(hasId ? DroppedResponse.Reason.OTHER_ID : DroppedResponse.Reason.NO_ID, response);
         }
         if (foreign && !isFramed(response)) {
             fail("a response that is not the request's has no end, so that none can follow it");
@@ -260,6 +254,7 @@
 
     private void onContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
+            drop(DroppedResponse.Reason.MALFORMED, head);
             fail("malformed response body: " + content.decoderResult().cause());
             return;
         }
@@ -294,11 +289,13 @@
             return;
         }
         if (echoedHeader == null && !requestWritten) {
+            drop(DroppedResponse.Reason.UNASKED, response);
             fail("a response arrived before the request was written");
             return;
         }
         reusable &= requestWritten && isFramed(response) && HttpUtil.isKeepAlive(response);
-        readIdleLimit(response.headers().get(KEEP_ALIVE_HEADER));
+        KeepAliveHeader.idleLimitMillis(response.headers().get(KeepAliveHeader.NAME))
+                .ifPresent(millis -> idleLimitMillis = millis);
         surplus = decoder.hasUndecodedBytes();
         wholeResponse = new FullResponse(
                 response.status().code(), response.headers(), Unpooled.wrappedBuffer(body.toByteArray()));
@@ -311,7 +308,11 @@
         ResponseListener current = listener;
         wholeResponse = null;
         listener = null;
-        reusable &= !surplus;
+        if (surplus) {
+            reusable = false;
+            drop(DroppedResponse.Reason.SURPLUS_BYTES, surplusHead);
+        }
+        echoedHeader = null;
         if (!reusable) {
             end(!requestWritten);
         }
@@ -326,17 +327,6 @@
         return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
     }
 
-    private void readIdleLimit(String keepAlive) {
-        int at = keepAlive == null ? -1 : keepAlive.indexOf(TIMEOUT_PARAMETER);
-        if (at < 0) {
-            return;
-        }
-        String digits = keepAlive.substring(at + TIMEOUT_PARAMETER.length()).split("[^0-9]", 2)[0];
-        if (!digits.isEmpty() && digits.length() < 8) {
-            idleLimitMillis = Math.max(0, Long.parseLong(digits) * MILLIS_PER_SECOND - IDLE_MARGIN_MILLIS);
-        }
-    }
-
     private final class Expectation implements ResponseDecoder.Expectation {
         @Override
         public boolean awaitsResponse() {
@@ -352,7 +342,9 @@
         public void onUnaskedBytes() {
             surplus = true;
             reusable = false;
-            if (listener == null) {
+            if (listener == null && channel.isActive()) {
+                echoedHeader = null;
+                drop(DroppedResponse.Reason.UNASKED, null);
                 end(false);
             }
         }
@@ -368,6 +360,9 @@
             try {
                 // What was decoded behind a whole response belongs to no request.
                 boolean awaited = listener != null && wholeResponse == null;
+                if (wholeResponse != null && surplusHead == null && message instanceof HttpResponse response) {
+                    surplusHead = response;
+                }
                 if (awaited && message instanceof HttpResponse response) {
                     onHead(response);
                 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/ResponseDecoder.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ResponseDecoder.java
@@ -44,7 +44,8 @@
 
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        boolean isFinal = message instanceof HttpResponse response && response.status().code() >= FIRST_FINAL_STATUS;
+        boolean isFinal =
+                message instanceof HttpResponse response && response.status().code() >= FIRST_FINAL_STATUS;
         return (isFinal && expectation.awaitsHeadOnly()) || super.isContentAlwaysEmpty(message);
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -133,4 +133,9 @@
 
     /** Leaves the group of entry VMs, so that another one is selected as leader. */
     void leave();
+
+    /** Returns the number of responses to this VM's calls that counted for none of them; may be called on any thread. */
+    default long droppedResponses() {
+        return 0;
+    }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -23,6 +23,7 @@
 import org.lacewingthread.core.traffic.RetryBudget;
 import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.http.ConnectionPool;
+import org.lacewingthread.daemon.http.DroppedResponseLog;
 import org.lacewingthread.daemon.http.FullResponse;
 import org.lacewingthread.daemon.intake.CallerRequest;
 import org.lacewingthread.daemon.intake.CallerRequestHandler;
@@ -44,6 +45,7 @@
     private final RequestDispatcher dispatcher;
     private final ServerLinkMonitor links;
     private final ConnectionPool<ServerStart> connections;
+    private final DroppedResponseLog droppedResponses;
     private final AttemptSender sender;
     private final ResponseSender responder;
     private final RetryBudget retryBudget;
@@ -94,6 +96,8 @@
         this.links = new ServerLinkMonitor(events, clockMillis, relayAccess.random(), this::onCutOffChanged);
         this.connections = new ConnectionPool<>(eventLoop, clockMillis, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS, links);
         links.setConnections(connections);
+        this.droppedResponses = new DroppedResponseLog(events, clockMillis);
+        connections.setDropListener(droppedResponses::onDropped);
         this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
         this.limits = new LimitObserver(headerNames.serverLimits(), dispatcher, events, limitLink::onLimitEnded);
@@ -190,6 +194,10 @@
         return connections.openedCount();
     }
 
+    long droppedResponses() {
+        return droppedResponses.count();
+    }
+
     Optional<Double> serviceMillis(ServerStart server) {
         return dispatcher.serviceMillis(server);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -152,12 +152,13 @@
                 self,
                 settings.reportAddress().getHostString(),
                 settings.reportAddress().getPort());
+        Platform followed = platform.create(controlEventLoop, self, controlClock);
         controlLoop = new ControlLoop(
                 leader,
                 settings.dataCentre(),
                 settings.leaseTimes(),
                 new ServerRegistry(EXPIRED_ENTRY_GRACE_MILLIS, settings.drainMillis()),
-                platform.create(controlEventLoop, self, controlClock),
+                followed,
                 controlClock,
                 controlEventLoop,
                 events,
@@ -167,7 +168,7 @@
                 new ReportListener(),
                 (number, permit) -> trafficEventLoop.execute(() -> engine.onPermit(number, permit)),
                 this::onServerCallEnded);
-        registerGauges();
+        registerGauges(followed);
         callerListener.open(
                 trafficGroup,
                 settings.callerAddress().getHostString(),
@@ -229,13 +230,17 @@
         return System.nanoTime() / NANOS_PER_MILLI;
     }
 
-    private void registerGauges() {
+    private void registerGauges(Platform followed) {
         metrics.gauge("unanswered", "requests without answer", engine::unansweredCount);
         metrics.gauge("waiting", "requests that wait for a server", engine::waitingCount);
         metrics.gauge("connections.opened", "connections opened to servers", engine::connectionsOpened);
         metrics.gauge("servers.answering", "servers that answered of late", () -> reach.answeringServers());
         metrics.gauge("leading", "1 while this VM leads the key ranges", () -> controlLoop.isLeading() ? 1 : 0);
         metrics.gauge("ready", "1 while this VM serves callers", () -> isReady() ? 1 : 0);
+        metrics.gauge(
+                "response.dropped",
+                "responses that counted for no request or call",
+                () -> engine.droppedResponses() + followed.droppedResponses());
         metrics.gauge("log.dropped", "log lines dropped and not yet reported", events::droppedCount);
     }
 
--- a/daemon/src/test/java/org/lacewingthread/daemon/http/HttpCaller.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/http/HttpCaller.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 /** Sends requests one after the other, the next one from within the call that brings the outcome of the one before. */
@@ -22,12 +23,14 @@
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop eventLoop = group.next();
     private final boolean withIds;
+    final List<DroppedResponse> dropped = new CopyOnWriteArrayList<>();
     private final ConnectionPool<String> pool;
 
     HttpCaller(boolean withIds) {
         this.withIds = withIds;
         this.pool = new ConnectionPool<>(
                 eventLoop, () -> System.nanoTime() / 1_000_000, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS);
+        pool.setDropListener((peer, response) -> dropped.add(response));
     }
 
     /**
