--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -11,19 +11,19 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.List;
 import java.util.function.BiConsumer;
-import jdk.net.ExtendedSocketOptions;
+import java.util.function.Consumer;
 
 /**
  * An outgoing HTTP/1.1 connection with at most one request in progress. All methods must be called on the
@@ -41,41 +41,43 @@
     /** Maximum size of a response body; a larger one fails the request. */
     private static final int MAX_BODY_BYTES = 16 << 20;
 
-    private static final int MAX_STATUS_LINE_BYTES = 16_384;
-    private static final int MAX_HEADER_BYTES = 65_536;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-    /** Start of TCP keep-alive probes; with two probes one second apart, a dead peer is detected in about 3 s. */
-    private static final int KEEP_ALIVE_IDLE_SECONDS = 1;
-
-    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
-    private static final int KEEP_ALIVE_PROBE_COUNT = 2;
-    /** Subtracted from the idle timeout announced by a peer, so that it doesn't close while a request is on its way. */
-    private static final long IDLE_MARGIN_MILLIS = 1_000;
-
-    private static final long MILLIS_PER_SECOND = 1_000;
-    private static final String KEEP_ALIVE_HEADER = "keep-alive";
-    private static final String TIMEOUT_PARAMETER = "timeout=";
-
     private final Channel channel;
     private final ResponseMemory memory;
     private final ResponseMemory.Reader memoryReader = this::onMemoryExhausted;
+    private final ResponseDecoder decoder = new ResponseDecoder(new Expectation());
     private ResponseListener listener;
+    private int sentRequests;
+    private boolean awaitsHeadOnly;
     private EchoedHeader echoedHeader;
     private HttpResponse head;
     private ByteArrayOutputStream body;
     private boolean discardingResponse;
+    /** The whole response while the read that brought it is not over; null otherwise. */
+    private FullResponse wholeResponse;
+
+    private boolean surplus;
+    /** First response that was decoded behind the whole one; null if none was. */
+    private HttpResponse surplusHead;
+
+    private Consumer<DroppedResponse> dropListener = dropped -> {};
     private boolean reusable = true;
     private boolean requestWritten;
     private long idleLimitMillis = Long.MAX_VALUE;
 
     /**
-     * A request header that the peer copies into its response. A response with a different value belongs to an
-     * earlier request and is discarded.
+     * A request header that the peer copies into its response. A response without it, or with another value, belongs to
+     * no request or to an earlier one; it is discarded.
      *
      * @param name header name
      * @param value value in the request
      */
-    public record EchoedHeader(String name, String value) {}
+    public record EchoedHeader(String name, String value) {
+        /** Returns whether a response carries this value and no other one. */
+        boolean isIn(HttpResponse response) {
+            List<String> values = response.headers().getAll(name);
+            return !values.isEmpty() && values.stream().allMatch(value::equals);
+        }
+    }
 
     private OutboundConnection(Channel channel, ResponseMemory memory) {
         this.channel = channel;
@@ -99,21 +101,14 @@
             int connectTimeoutMillis,
             ResponseMemory memory,
             BiConsumer<OutboundConnection, Throwable> result) {
-        Bootstrap bootstrap = new Bootstrap()
-                .group(eventLoop)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.SO_KEEPALIVE, true)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
-                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBE_COUNT)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+        Bootstrap bootstrap = OutboundSockets.bootstrap(eventLoop, connectTimeoutMillis)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         OutboundConnection connection = new OutboundConnection(channel, memory);
                         channel.pipeline()
-                                .addLast(new HttpClientCodec(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                                .addLast(connection.decoder)
+                                .addLast(new HttpRequestEncoder())
                                 .addLast(connection.new Handler());
                     }
                 });
@@ -127,7 +122,9 @@
     }
 
     /**
-     * Sends a request.
+     * Sends a request. A peer's response that is whole is delivered at the end of the read that brought it. If more bytes
+     * were read behind it, the connection ends. A response without an echoed header counts only if it can be no other
+     * request's: a request that finds two responses on a connection that was used before fails as one that was sent.
      *
      * @param request request to send; its reference is released
      * @param echoedHeader header that identifies the response; null if the peer doesn't echo one
@@ -142,6 +139,8 @@
         this.listener = listener;
         this.echoedHeader = echoedHeader;
         requestWritten = false;
+        sentRequests++;
+        awaitsHeadOnly = HttpMethod.HEAD.equals(request.method());
         channel.writeAndFlush(request).addListener(future -> {
             requestWritten = future.isSuccess();
             if (!future.isSuccess()) {
@@ -150,6 +149,11 @@
         });
     }
 
+    /** Sets who is told of responses that counted for no request. */
+    void setDropListener(Consumer<DroppedResponse> newListener) {
+        dropListener = newListener;
+    }
+
     /** Returns whether a part of the response to the request in progress has arrived. */
     public boolean isReceiving() {
         return listener != null && head != null;
@@ -168,25 +172,35 @@
         return idleLimitMillis;
     }
 
-    /** Closes the connection; a request in progress fails. */
+    /** Closes the connection; a request in progress fails, and what is unsent of it is discarded. */
     public void close() {
         memory.remove(memoryReader);
-        reusable = false;
-        channel.close();
+        end(listener != null);
     }
 
     /** Resets the connection, which discards unsent data; the listener of a request in progress is not called. */
     public void abort() {
         discardBody();
         listener = null;
+        end(true);
+    }
+
+    /**
+     * Ends the connection.
+     *
+     * @param discardUnsent whether to reset it; otherwise the kernel goes on delivering what was written, even seconds
+     *     later, after the request has ended
+     */
+    private void end(boolean discardUnsent) {
         reusable = false;
-        if (channel.isActive()) {
+        if (discardUnsent && channel.isActive()) {
             channel.config().setOption(ChannelOption.SO_LINGER, 0);
         }
         channel.close();
     }
 
     private void discardBody() {
+        wholeResponse = null;
         body = null;
         head = null;
         memory.remove(memoryReader);
@@ -197,28 +211,41 @@
     }
 
     private void fail(String reason) {
+        if (wholeResponse != null) {
+            reusable = false;
+            deliver();
+            return;
+        }
         discardBody();
         ResponseListener current = listener;
         listener = null;
-        reusable = false;
-        channel.close();
+        end(current != null);
         if (current != null) {
             current.onFailure(true, reason);
         }
     }
 
+    private void drop(DroppedResponse.Reason reason, HttpResponse response) {
+        dropListener.accept(DroppedResponse.of(echoedHeader, response, reason));
+    }
+
     private void onHead(HttpResponse response) {
         if (response.decoderResult().isFailure()) {
+            drop(DroppedResponse.Reason.MALFORMED, response);
             fail("malformed response head: " + response.decoderResult().cause());
             return;
         }
         boolean interim = response.status().code() < 200;
-        boolean otherRequest = echoedHeader != null
-                && response.headers().contains(echoedHeader.name())
-                && !echoedHeader.value().equals(response.headers().get(echoedHeader.name()));
-        discardingResponse = interim || otherRequest;
-        if (otherRequest) {
+        boolean foreign = !interim && echoedHeader != null && !echoedHeader.isIn(response);
+        discardingResponse = interim || foreign;
+        if (foreign) {
             reusable = false;
+            boolean hasId = response.headers().contains(echoedHeader.name());
+            drop(hasId ? DroppedResponse.Reason.OTHER_ID : DroppedResponse.Reason.NO_ID, response);
+        }
+        if (foreign && !isFramed(response)) {
+            fail("a response that is not the request's has no end, so that none can follow it");
+            return;
         }
         memory.remove(memoryReader);
         head = response;
@@ -227,6 +254,7 @@
 
     private void onContent(HttpContent content) {
         if (content.decoderResult().isFailure()) {
+            drop(DroppedResponse.Reason.MALFORMED, head);
             fail("malformed response body: " + content.decoderResult().cause());
             return;
         }
@@ -260,26 +288,65 @@
         if (discardingResponse) {
             return;
         }
-        boolean framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-        reusable &= requestWritten && framed && HttpUtil.isKeepAlive(response);
-        readIdleLimit(response.headers().get(KEEP_ALIVE_HEADER));
+        if (echoedHeader == null && !requestWritten) {
+            drop(DroppedResponse.Reason.UNASKED, response);
+            fail("a response arrived before the request was written");
+            return;
+        }
+        reusable &= requestWritten && isFramed(response) && HttpUtil.isKeepAlive(response);
+        KeepAliveHeader.idleLimitMillis(response.headers().get(KeepAliveHeader.NAME))
+                .ifPresent(millis -> idleLimitMillis = millis);
+        surplus = decoder.hasUndecodedBytes();
+        wholeResponse = new FullResponse(
+                response.status().code(), response.headers(), Unpooled.wrappedBuffer(body.toByteArray()));
+    }
+
+    /** Hands a whole response over, once nothing that was read with it is left that the next request could meet. */
+    private void deliver() {
+        FullResponse response = wholeResponse;
+        boolean doubtful = surplus && echoedHeader == null && sentRequests > 1;
         ResponseListener current = listener;
+        wholeResponse = null;
         listener = null;
+        if (surplus) {
+            reusable = false;
+            drop(DroppedResponse.Reason.SURPLUS_BYTES, surplusHead);
+        }
+        echoedHeader = null;
         if (!reusable) {
-            channel.close();
+            end(!requestWritten);
+        }
+        if (doubtful) {
+            current.onFailure(true, "more than one response came on a connection that was used before");
+        } else {
+            current.onResponse(response);
         }
-        current.onResponse(new FullResponse(
-                response.status().code(), response.headers(), Unpooled.wrappedBuffer(body.toByteArray())));
     }
 
-    private void readIdleLimit(String keepAlive) {
-        int at = keepAlive == null ? -1 : keepAlive.indexOf(TIMEOUT_PARAMETER);
-        if (at < 0) {
-            return;
+    private static boolean isFramed(HttpResponse response) {
+        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+    }
+
+    private final class Expectation implements ResponseDecoder.Expectation {
+        @Override
+        public boolean awaitsResponse() {
+            return listener != null && wholeResponse == null;
         }
-        String digits = keepAlive.substring(at + TIMEOUT_PARAMETER.length()).split("[^0-9]", 2)[0];
-        if (!digits.isEmpty() && digits.length() < 8) {
-            idleLimitMillis = Math.max(0, Long.parseLong(digits) * MILLIS_PER_SECOND - IDLE_MARGIN_MILLIS);
+
+        @Override
+        public boolean awaitsHeadOnly() {
+            return awaitsHeadOnly;
+        }
+
+        @Override
+        public void onUnaskedBytes() {
+            surplus = true;
+            reusable = false;
+            if (listener == null && channel.isActive()) {
+                echoedHeader = null;
+                drop(DroppedResponse.Reason.UNASKED, null);
+                end(false);
+            }
         }
     }
 
@@ -291,15 +358,15 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
             try {
-                if (listener == null) {
-                    reusable = false;
-                    channel.close();
-                    return;
+                // What was decoded behind a whole response belongs to no request.
+                boolean awaited = listener != null && wholeResponse == null;
+                if (wholeResponse != null && surplusHead == null && message instanceof HttpResponse response) {
+                    surplusHead = response;
                 }
-                if (message instanceof HttpResponse response) {
+                if (awaited && message instanceof HttpResponse response) {
                     onHead(response);
                 }
-                if (message instanceof HttpContent content && listener != null) {
+                if (awaited && message instanceof HttpContent content && listener != null) {
                     onContent(content);
                 }
             } finally {
@@ -307,6 +374,13 @@
             }
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (wholeResponse != null) {
+                deliver();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             fail("the peer closed the connection before the response was complete");
