--- a/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
@@ -116,6 +116,17 @@
         open(peer, address, result);
     }
 
+    /**
+     * Opens a connection, whatever is idle.
+     *
+     * @param peer key of the peer
+     * @param address address of the peer
+     * @param result receives the connection, or null and the cause of the failure
+     */
+    public void acquireNew(K peer, InetSocketAddress address, BiConsumer<OutboundConnection, Throwable> result) {
+        open(peer, address, result);
+    }
+
     /** Opens a connection to a peer and keeps it as an idle one, to find out whether the peer can be reached. */
     public void openIdle(K peer, InetSocketAddress address) {
         open(peer, address, (connection, failure) -> {
