--- a/daemon/src/main/java/org/lacewingthread/daemon/http/DroppedResponse.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/DroppedResponse.java
@@ -21,6 +21,8 @@
         OTHER_ID,
         /** It carries no id, although the request has one. */
         NO_ID,
+        /** It carries a header that only answers to requests of another kind have. */
+        OTHER_KIND,
         /** It followed a whole response. */
         SURPLUS_BYTES,
         /** No request was in progress, or the request was not yet written. */
