Count grants for the id of a server, which its next start also answers to

What callers saw: nothing yet. On deployments whose servers restart under their id, a key could have two holders, the second with the lower fence.

Cause: grants and releases name the id of a server, not its start. The ledger and ServerLiveness took a later start in the registry as proof that no grant of the earlier one counts. It proves only that the old process is gone: a call under way reaches the next start, which has seen no fence and accepts any; so does a renewal that is decided before the leader knows of the restart. Also, a grant settled an unanswered older one although a restart between the two let the older one take effect afterwards.

Evidence: SimulatedNetwork delivers a call to the start that runs when it arrives, and RandomFaults restarts servers under their ids.

Why the fix works: entries of the ledger count for the id. After a restart, the old start's grants block other servers until the new start released the keys or their time is over, and do not block the new start itself. A range of a restarted server with unsettled grants is granted once more with a higher fence, which the new start accepts; then the keys move as from any server. An answer 421 still ends only the grants of the start that it was sent to. The second rule holds only for servers with a start time, since others get a new id.

Two cases of GrantLedgerTest used a server with a start time for the former rule; they now use one without, and a new case holds the stricter rule.

--- a/core/src/main/java/org/lacewingthread/core/id/ServerStart.java
+++ b/core/src/main/java/org/lacewingthread/core/id/ServerStart.java
@@ -21,6 +21,11 @@
         }
     }
 
+    /** Returns whether the next start of the server may have the same id; without a start time it gets a new one. */
+    public boolean mayRestartWithSameId() {
+        return startedUnixMillis != 0;
+    }
+
     @Override
     public int compareTo(ServerStart other) {
         return ORDER.compare(this, other);
--- a/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 
@@ -15,14 +16,19 @@
  * that it was sent for. A range may be granted to a server only while no other server can hold any of its keys:
  *
  * <pre>{@code
- * if (!ledger.mayBeHeldByOthers(service, range, server, liveness::isEnded, nowMillis)) {
- *     ledger.onGrantSent(call, service, server, range, fence, holdMillis, latestArrivalMillis);
+ * if (!ledger.mayBeHeldByOthers(service, range, server, liveness::hasEnded, nowMillis)) {
+ *     ledger.onGrantSent(call, service, server, range, fence, holdMillis, nowMillis, latestArrivalMillis);
  * }
  * }</pre>
  *
  * <p>A grant is pending until its call is answered or aborted. It is settled once it can't newly take effect: because
  * the server answered it, or because the server accepted a higher fence for the keys. Only settled grants are cleared by
  * a release, since an unanswered one may be applied after the release.
+ *
+ * <p>Calls name the id of a server, so a grant for one start may take effect at a later start with the same id, which has
+ * seen no fence. Grants therefore count for the id. An accepted grant settles another one of a server that may restart
+ * under its id only if it was sent when the other one had arrived: then no start after the one that accepted it can get
+ * the other.
  */
 final class GrantLedger {
     /** Call number of grants that leaders of earlier terms may have sent. */
@@ -33,7 +39,7 @@
 
     private final RangeLeaseTimes times;
     private final LongSupplier clockLeadMillis;
-    private final Map<ServerStart, List<Entry>> entriesByServer = new HashMap<>();
+    private final Map<ServerId, List<Entry>> entriesByServer = new HashMap<>();
     private long settlements;
 
     private enum State {
@@ -48,16 +54,22 @@
     /**
      * A grant, or the part of one that covers some of its keys.
      *
+     * @param server start that the grant is meant for
+     * @param sentMillis when the call was sent
+     * @param latestArrivalMillis time by which the call has arrived, or never will
      * @param heldUntilMillis time after which the grant can't be in force; {@link #UNBOUNDED} while former leaders may
      *     renew it
      * @param settlement number of the settlement, which orders it against releases; 0 unless settled
      */
     private record Entry(
             ServiceId service,
+            ServerStart server,
             KeyRange range,
             long call,
             long fence,
             long holdMillis,
+            long sentMillis,
+            long latestArrivalMillis,
             State state,
             long heldUntilMillis,
             long settlement) {
@@ -70,15 +82,38 @@
         }
 
         Entry withRange(KeyRange part) {
-            return new Entry(service, part, call, fence, holdMillis, state, heldUntilMillis, settlement);
+            return with(part, latestArrivalMillis, state, heldUntilMillis, settlement);
         }
 
-        Entry unsettled(long untilMillis) {
-            return new Entry(service, range, call, fence, holdMillis, State.UNSETTLED, untilMillis, 0);
+        Entry unsettled(long arrivalMillis, long untilMillis) {
+            return with(range, arrivalMillis, State.UNSETTLED, untilMillis, 0);
         }
 
         Entry settled(long untilMillis, long number) {
-            return new Entry(service, range, call, fence, holdMillis, State.SETTLED, untilMillis, number);
+            return with(range, latestArrivalMillis, State.SETTLED, untilMillis, number);
+        }
+
+        private Entry with(KeyRange keys, long arrivalMillis, State newState, long untilMillis, long number) {
+            return new Entry(
+                    service,
+                    server,
+                    keys,
+                    call,
+                    fence,
+                    holdMillis,
+                    sentMillis,
+                    arrivalMillis,
+                    newState,
+                    untilMillis,
+                    number);
+        }
+
+        /** Returns whether this grant can't newly take effect once the other one, with a higher fence, was accepted. */
+        boolean isSettledBy(Entry accepted) {
+            boolean sentByFormerLeaders = call == NO_CALL;
+            return sentByFormerLeaders
+                    || !server.mayRestartWithSameId()
+                    || accepted.sentMillis() >= latestArrivalMillis;
         }
     }
 
@@ -100,9 +135,22 @@
             KeyRange range,
             long fence,
             long holdMillis,
+            long nowMillis,
             long latestArrivalMillis) {
-        long untilMillis = times.heldUntilMillis(toSteadyMillis(latestArrivalMillis), holdMillis);
-        entriesOf(server).add(new Entry(service, range, call, fence, holdMillis, State.PENDING, untilMillis, 0));
+        long arrivalMillis = toSteadyMillis(latestArrivalMillis);
+        entriesOf(server)
+                .add(new Entry(
+                        service,
+                        server,
+                        range,
+                        call,
+                        fence,
+                        holdMillis,
+                        toSteadyMillis(nowMillis),
+                        arrivalMillis,
+                        State.PENDING,
+                        times.heldUntilMillis(arrivalMillis, holdMillis),
+                        0));
     }
 
     /**
@@ -112,11 +160,12 @@
      */
     void addGrantOfFormerLeaders(
             ServiceId service, ServerStart owner, KeyRange range, Optional<Long> latestArrivalMillis) {
-        long untilMillis = latestArrivalMillis
-                .map(this::toSteadyMillis)
-                .map(times::heldUntilMillis)
-                .orElse(UNBOUNDED);
-        entriesOf(owner).add(formerLeadersEntry(service, range).unsettled(untilMillis));
+        Optional<Long> arrivalMillis = latestArrivalMillis.map(this::toSteadyMillis);
+        entriesOf(owner)
+                .add(formerLeadersEntry(service, owner, range)
+                        .unsettled(
+                                arrivalMillis.orElse(UNBOUNDED),
+                                arrivalMillis.map(times::heldUntilMillis).orElse(UNBOUNDED)));
     }
 
     /**
@@ -126,21 +175,23 @@
     void addGrantBeforeRecordedMove(
             ServiceId service, ServerStart formerOwner, KeyRange range, long latestArrivalMillis) {
         entriesOf(formerOwner)
-                .add(formerLeadersEntry(service, range)
+                .add(formerLeadersEntry(service, formerOwner, range)
                         .settled(times.heldUntilMillis(toSteadyMillis(latestArrivalMillis)), ++settlements));
     }
 
-    private Entry formerLeadersEntry(ServiceId service, KeyRange range) {
-        return new Entry(service, range, NO_CALL, 0, times.holdMillis(), State.UNSETTLED, UNBOUNDED, 0);
+    private Entry formerLeadersEntry(ServiceId service, ServerStart server, KeyRange range) {
+        return new Entry(
+                service, server, range, NO_CALL, 0, times.holdMillis(), 0, UNBOUNDED, State.UNSETTLED, UNBOUNDED, 0);
     }
 
     /** Records that former leaders have stopped, and that their last grants arrive by the given time. */
     void onFormerLeadersStopped(long latestArrivalMillis) {
-        long untilMillis = times.heldUntilMillis(toSteadyMillis(latestArrivalMillis));
+        long arrivalMillis = toSteadyMillis(latestArrivalMillis);
+        long untilMillis = times.heldUntilMillis(arrivalMillis);
         entriesByServer
                 .values()
-                .forEach(entries -> entries.replaceAll(
-                        entry -> entry.heldUntilMillis() == UNBOUNDED ? entry.unsettled(untilMillis) : entry));
+                .forEach(entries -> entries.replaceAll(entry ->
+                        entry.heldUntilMillis() == UNBOUNDED ? entry.unsettled(arrivalMillis, untilMillis) : entry));
     }
 
     /** Forgets all grants, since those of earlier terms are added anew from the table of the new one. */
@@ -162,6 +213,7 @@
             long abortedMillis = toSteadyMillis(nowMillis);
             entries.replaceAll(entry -> entry.call() == call && entry.state() == State.PENDING
                     ? entry.unsettled(
+                            Math.max(entry.latestArrivalMillis(), abortedMillis),
                             Math.max(entry.heldUntilMillis(), times.heldUntilMillis(abortedMillis, entry.holdMillis())))
                     : entry);
         }
@@ -182,7 +234,7 @@
         List<Entry> kept = new ArrayList<>();
         for (Entry entry : entries) {
             boolean superseded = entry.fence() < granted.fence() && entry.overlaps(granted.service(), granted.range());
-            if (superseded && entry.state() != State.SETTLED) {
+            if (superseded && entry.state() != State.SETTLED && entry.isSettledBy(granted)) {
                 entry.range().without(granted.range()).forEach(part -> kept.add(entry.withRange(part)));
                 long endMillis = Math.min(
                         entry.state() == State.PENDING ? UNBOUNDED : entry.heldUntilMillis(),
@@ -221,19 +273,24 @@
         }
     }
 
-    /** Records that a server has ended and holds nothing. */
+    /** Records that a start has ended and gets no calls; a later start with its id may hold what it was granted itself. */
     void removeServer(ServerStart server) {
-        entriesByServer.remove(server);
+        entriesOf(server).removeIf(entry -> entry.server().equals(server));
     }
 
-    /** Returns whether a server other than the given one may hold a key of the range, now or later. */
+    /** Returns whether a server with another id than the given one may hold a key of the range, now or later. */
     boolean mayBeHeldByOthers(
             ServiceId service, KeyRange range, ServerStart server, Predicate<ServerStart> hasEnded, long nowMillis) {
         long steadyMillis = toSteadyMillis(nowMillis);
-        for (Map.Entry<ServerStart, List<Entry>> other : entriesByServer.entrySet()) {
-            boolean mayHold = !other.getKey().equals(server) && mayHold(service, range, other.getValue(), steadyMillis);
-            if (mayHold && !hasEnded.test(other.getKey())) {
-                return true;
+        for (Map.Entry<ServerId, List<Entry>> other : entriesByServer.entrySet()) {
+            if (other.getKey().equals(server.server())) {
+                continue;
+            }
+            for (Entry entry : other.getValue()) {
+                boolean mayHold = entry.overlaps(service, range) && entry.isInForce(steadyMillis);
+                if (mayHold && !hasEnded.test(entry.server())) {
+                    return true;
+                }
             }
         }
         return false;
@@ -241,21 +298,14 @@
 
     /** Returns whether a server may hold a key of the range, now or later. */
     boolean mayHold(ServiceId service, ServerStart server, KeyRange range, long nowMillis) {
-        return mayHold(service, range, entriesByServer.getOrDefault(server, List.of()), toSteadyMillis(nowMillis));
-    }
-
-    private static boolean mayHold(ServiceId service, KeyRange range, List<Entry> entries, long steadyMillis) {
-        for (Entry entry : entries) {
-            if (entry.overlaps(service, range) && entry.isInForce(steadyMillis)) {
-                return true;
-            }
-        }
-        return false;
+        long steadyMillis = toSteadyMillis(nowMillis);
+        return recordedOf(server).stream()
+                .anyMatch(entry -> entry.overlaps(service, range) && entry.isInForce(steadyMillis));
     }
 
     /** Returns whether a grant of some of the keys to the server awaits its answer. */
     boolean hasPendingGrant(ServiceId service, ServerStart server, KeyRange range) {
-        return entriesByServer.getOrDefault(server, List.of()).stream()
+        return recordedOf(server).stream()
                 .anyMatch(entry -> entry.state() == State.PENDING && entry.overlaps(service, range));
     }
 
@@ -263,7 +313,7 @@
     boolean isConfirmed(ServiceId service, ServerStart server, KeyRange range, long nowMillis) {
         long steadyMillis = toSteadyMillis(nowMillis);
         boolean holds = false;
-        for (Entry entry : entriesByServer.getOrDefault(server, List.of())) {
+        for (Entry entry : recordedOf(server)) {
             if (entry.overlaps(service, range) && entry.isInForce(steadyMillis)) {
                 if (entry.state() != State.SETTLED) {
                     return false;
@@ -277,7 +327,7 @@
     /** Returns the time after which the server can't hold any key of the range, or the present time if it can't now. */
     long heldUntilMillis(ServiceId service, ServerStart server, KeyRange range, long nowMillis) {
         long untilMillis = toSteadyMillis(nowMillis);
-        for (Entry entry : entriesByServer.getOrDefault(server, List.of())) {
+        for (Entry entry : recordedOf(server)) {
             if (entry.overlaps(service, range)) {
                 untilMillis = Math.max(untilMillis, entry.heldUntilMillis());
             }
@@ -286,7 +336,11 @@
     }
 
     private List<Entry> entriesOf(ServerStart server) {
-        return entriesByServer.computeIfAbsent(server, start -> new ArrayList<>());
+        return entriesByServer.computeIfAbsent(server.server(), id -> new ArrayList<>());
+    }
+
+    private List<Entry> recordedOf(ServerStart server) {
+        return entriesByServer.getOrDefault(server.server(), List.of());
     }
 
     /** Drops the grants that can't be in force any more. */
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -165,7 +165,7 @@
         }
         if (hold.endCall(call)) {
             hold.onReleaseAnswer(outcome, handover, nowMillis);
-            startGrantingIfFree(hold, null, nowMillis);
+            startGrantingIfFree(hold, nowMillis);
         }
     }
 
@@ -186,7 +186,7 @@
         ledger.removeExpired(nowMillis);
         for (RangeHold hold : holds) {
             ServiceView view = services.get(hold.service);
-            startGrantingIfFree(hold, view, nowMillis);
+            startGrantingIfFree(hold, nowMillis);
             boolean stepAllowed = movesAllowed || hold.phase == RangeHold.Phase.HELD;
             if (hold.isCallPending() || nowMillis < hold.nextCallAtMillis || !stepAllowed) {
                 continue;
@@ -195,27 +195,22 @@
                 release(hold, actions, nowMillis);
             } else if (!shouldLetExpire(hold, view, nowMillis)
                     && !ownerMayBeReplaced.test(hold)
-                    && isFree(hold, view, nowMillis)) {
+                    && isFree(hold, nowMillis)) {
                 grant(hold, actions, nowMillis);
             }
         }
     }
 
-    /**
-     * Starts to grant a moving range to its new owner once no other server can hold the keys.
-     *
-     * @param view servers of the service, of which a later start shows that an earlier one has ended; null if not at hand
-     */
-    private void startGrantingIfFree(RangeHold hold, ServiceView view, long nowMillis) {
-        if (hold.phase == RangeHold.Phase.RELEASING && isFree(hold, view, nowMillis)) {
+    /** Starts to grant a moving range to its new owner once no other server can hold the keys. */
+    private void startGrantingIfFree(RangeHold hold, long nowMillis) {
+        if (hold.phase == RangeHold.Phase.RELEASING && isFree(hold, nowMillis)) {
             hold.startGranting(newFence(), listener, nowMillis);
         }
     }
 
-    /** Returns whether no server but the owner can hold keys of the range. */
-    private boolean isFree(RangeHold hold, ServiceView view, long nowMillis) {
-        return !ledger.mayBeHeldByOthers(
-                hold.service, hold.range, hold.owner, server -> liveness.hasEnded(server, view), nowMillis);
+    /** Returns whether no server but the owner, or another start of it, can hold keys of the range. */
+    private boolean isFree(RangeHold hold, long nowMillis) {
+        return !ledger.mayBeHeldByOthers(hold.service, hold.range, hold.owner, liveness::hasEnded, nowMillis);
     }
 
     /** Asks the former owner to release the range, unless a grant that is under way might arrive after the release. */
@@ -238,13 +233,25 @@
         hold.onCallSent(call);
         pendingCalls.put(call, new PendingCall(hold, hold.owner, 0, nowMillis));
         ledger.onGrantSent(
-                call, hold.service, hold.owner, hold.range, hold.fence, hold.lastGrantMillis, latestArrivalMillis);
+                call,
+                hold.service,
+                hold.owner,
+                hold.range,
+                hold.fence,
+                hold.lastGrantMillis,
+                nowMillis,
+                latestArrivalMillis);
         actions.add(new CoordinatorAction.Grant(
                 call, hold.service, hold.owner, hold.range, hold.fence, hold.lastGrantMillis, hold.handover));
     }
 
     /** Returns whether a hold is not renewed, since that would delay the takeover of a lost server's keys. */
     private boolean shouldLetExpire(RangeHold hold, ServiceView view, long nowMillis) {
+        if (ServerLiveness.hasRestarted(hold.owner, view)) {
+            // The next start accepts the grant, after which none that is under way takes effect there.
+            liveness.recordRestart(hold.owner);
+            return liveness.isUnresponsiveOrEnded(hold.owner);
+        }
         boolean unregistered = view != null && !view.registered().contains(hold.owner);
         return liveness.isUnresponsiveOrEnded(hold.owner)
                 || (unregistered && !ledger.isConfirmed(hold.service, hold.owner, hold.range, nowMillis));
--- a/core/src/main/java/org/lacewingthread/core/keyrange/ServerLiveness.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/ServerLiveness.java
@@ -9,8 +9,8 @@
 
 /**
  * Tracks which servers do not answer the leader's grants and which have ended. A {@link ServerStart}
- * is one run of a server process; after a restart it has ended, even if the server keeps its id. The silence of a
- * server counts only while this VM's links to other servers work.
+ * is one run of a server process; after a restart it has ended, even if the server keeps its id, but calls that were
+ * meant for it may reach the next one. The silence of a server counts only while this VM's links to other servers work.
  */
 final class ServerLiveness {
     /** Time since the first unanswered grant after which no more are sent, so that the hold expires. */
@@ -21,6 +21,7 @@
     private final Set<ServerStart> ended = new HashSet<>();
     private final Map<ServerStart, Long> unresponsiveUntilMillis = new HashMap<>();
     private final Set<ServerStart> suspected = new HashSet<>();
+    private final Set<ServerStart> restarted = new HashSet<>();
     private final ServerLinks serverLinks;
 
     ServerLiveness(ServerLinks serverLinks) {
@@ -76,15 +77,23 @@
         return unresponsiveUntilMillis.containsKey(server) || ended.contains(server);
     }
 
+    /** Returns whether a start has ended and gets no more calls, since another server answered at its address. */
+    boolean hasEnded(ServerStart server) {
+        return ended.contains(server);
+    }
+
     /**
-     * Returns whether a server has ended and holds no keys: another server answered at its address, or the
-     * registry has a later start of it.
+     * Records that the registry has a later start of a server with the same id. Its calls go to the later start, so an
+     * earlier silence tells nothing of it.
      */
-    boolean hasEnded(ServerStart server, ServiceView view) {
-        return ended.contains(server) || hasRestarted(server, view);
+    void recordRestart(ServerStart server) {
+        if (restarted.add(server)) {
+            unresponsiveUntilMillis.remove(server);
+        }
     }
 
-    private static boolean hasRestarted(ServerStart server, ServiceView view) {
+    /** Returns whether the registry has a later start of a server. */
+    static boolean hasRestarted(ServerStart server, ServiceView view) {
         return view != null
                 && view.registered().stream()
                         .anyMatch(start -> start.server().equals(server.server())
--- a/core/src/test/java/org/lacewingthread/core/keyrange/GrantLedgerTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/GrantLedgerTest.java
@@ -12,7 +12,13 @@
     private static final ServiceId ORDERS = new ServiceId("orders");
     private static final ServerStart A = new ServerStart(new ServerId("a"), 1);
     private static final ServerStart B = new ServerStart(new ServerId("b"), 1);
+    /** The next start of {@link #A}. */
+    private static final ServerStart A_RESTARTED = new ServerStart(new ServerId("a"), 2);
+    /** A server whose starts have different ids. */
+    private static final ServerStart C = new ServerStart(new ServerId("c"), 0);
+
     private static final KeyRange KEYS = new KeyRange(100, 199);
+    private static final long DELIVERY_MILLIS = 1_200;
     private static final long HOLD_MILLIS = 4_000;
     private static final long MARGIN_MILLIS = 120;
 
@@ -20,7 +26,11 @@
             new GrantLedger(new RangeLeaseTimes(HOLD_MILLIS, 1_000, 10_000, 3_000, 0.03), () -> 0);
 
     private void send(long call, ServerStart server, KeyRange range, long fence) {
-        ledger.onGrantSent(call, ORDERS, server, range, fence, HOLD_MILLIS, 1_200);
+        send(call, server, range, fence, 0);
+    }
+
+    private void send(long call, ServerStart server, KeyRange range, long fence, long nowMillis) {
+        ledger.onGrantSent(call, ORDERS, server, range, fence, HOLD_MILLIS, nowMillis, nowMillis + DELIVERY_MILLIS);
     }
 
     private boolean mayBeHeldByOthers(KeyRange range, ServerStart server, long nowMillis) {
@@ -84,24 +94,61 @@
 
     @Test
     void unansweredGrantIsSettledByAnAcceptedOneWithAHigherFence() {
-        send(1, A, KEYS, 1);
-        ledger.onGrantAnswer(1, A, GrantOutcome.UNKNOWN, 400);
-        assertThat(ledger.isConfirmed(ORDERS, A, KEYS, 400)).isFalse();
-        send(2, A, KEYS, 2);
-        ledger.onGrantAnswer(2, A, GrantOutcome.GRANTED, 600);
-        assertThat(ledger.isConfirmed(ORDERS, A, KEYS, 600)).isTrue();
-        ledger.onReleased(ORDERS, A, KEYS, ledger.settlementMark());
+        send(1, C, KEYS, 1);
+        ledger.onGrantAnswer(1, C, GrantOutcome.UNKNOWN, 400);
+        assertThat(ledger.isConfirmed(ORDERS, C, KEYS, 400)).isFalse();
+        send(2, C, KEYS, 2);
+        ledger.onGrantAnswer(2, C, GrantOutcome.GRANTED, 600);
+        assertThat(ledger.isConfirmed(ORDERS, C, KEYS, 600)).isTrue();
+        ledger.onReleased(ORDERS, C, KEYS, ledger.settlementMark());
         assertThat(mayBeHeldByOthers(KEYS, B, 700)).isFalse();
     }
 
     @Test
     void unansweredGrantOfMoreKeysStaysUnsettledOutsideTheAcceptedOnes() {
+        send(1, C, KEYS, 1);
+        ledger.onGrantAnswer(1, C, GrantOutcome.UNKNOWN, 400);
+        send(2, C, new KeyRange(100, 149), 2);
+        ledger.onGrantAnswer(2, C, GrantOutcome.GRANTED, 600);
+        assertThat(ledger.isConfirmed(ORDERS, C, new KeyRange(100, 149), 600)).isTrue();
+        assertThat(ledger.isConfirmed(ORDERS, C, new KeyRange(150, 199), 600)).isFalse();
+    }
+
+    /** Guards against a restart between an accepted grant and the arrival of an older one at the next start. */
+    @Test
+    void unansweredGrantThatMayArriveAtTheNextStartIsSettledOnlyByOneSentAfterItsArrival() {
         send(1, A, KEYS, 1);
         ledger.onGrantAnswer(1, A, GrantOutcome.UNKNOWN, 400);
-        send(2, A, new KeyRange(100, 149), 2);
-        ledger.onGrantAnswer(2, A, GrantOutcome.GRANTED, 600);
-        assertThat(ledger.isConfirmed(ORDERS, A, new KeyRange(100, 149), 600)).isTrue();
-        assertThat(ledger.isConfirmed(ORDERS, A, new KeyRange(150, 199), 600)).isFalse();
+        send(2, A, KEYS, 2, DELIVERY_MILLIS - 1);
+        ledger.onGrantAnswer(2, A, GrantOutcome.GRANTED, DELIVERY_MILLIS);
+        ledger.onReleased(ORDERS, A, KEYS, ledger.settlementMark());
+        assertThat(mayBeHeldByOthers(KEYS, B, DELIVERY_MILLIS)).isTrue();
+        send(3, A, KEYS, 3, DELIVERY_MILLIS);
+        ledger.onGrantAnswer(3, A, GrantOutcome.GRANTED, DELIVERY_MILLIS + 10);
+        assertThat(ledger.isConfirmed(ORDERS, A, KEYS, DELIVERY_MILLIS + 10)).isTrue();
+        ledger.onReleased(ORDERS, A, KEYS, ledger.settlementMark());
+        assertThat(mayBeHeldByOthers(KEYS, B, DELIVERY_MILLIS + 20)).isFalse();
+    }
+
+    /** Guards against a takeover while a grant for the former start may take effect at the next one. */
+    @Test
+    void grantForOneStartBlocksOtherServersAndNotTheNextStart() {
+        send(1, A, KEYS, 1);
+        assertThat(mayBeHeldByOthers(KEYS, B, 0)).isTrue();
+        assertThat(mayBeHeldByOthers(KEYS, A_RESTARTED, 0)).isFalse();
+        ledger.onGrantAnswer(1, A, GrantOutcome.GRANTED, 500);
+        ledger.onReleased(ORDERS, A_RESTARTED, KEYS, ledger.settlementMark());
+        assertThat(mayBeHeldByOthers(KEYS, B, 500)).isFalse();
+    }
+
+    /** Guards against an answer of another server at the old address that frees keys of the next start elsewhere. */
+    @Test
+    void endOfOneStartLeavesTheGrantsOfTheNextOne() {
+        send(1, A, KEYS, 1);
+        send(2, A_RESTARTED, new KeyRange(150, 160), 2);
+        ledger.onGrantAnswer(1, A, GrantOutcome.SERVER_REPLACED, 100);
+        assertThat(mayBeHeldByOthers(new KeyRange(100, 149), B, 100)).isFalse();
+        assertThat(mayBeHeldByOthers(KEYS, B, 100)).isTrue();
     }
 
     @Test
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RandomFaults.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RandomFaults.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
 import org.lacewingthread.core.id.ServerStart;
 
@@ -13,15 +14,21 @@
     static final int MAX_FAULT_MILLIS = 12_000;
 
     private static final int MIN_READY_SERVERS = 3;
+    /** Mean number of rounds between two restarts of servers. */
+    private static final int RESTART_INTERVAL_ROUNDS = 4;
 
     private final RangeSimulation simulation;
     private final boolean storeFails;
     private final RandomGenerator random;
+    private final SimulatedRestarts restarts;
+    private final RandomGenerator restartRandom;
 
     RandomFaults(RangeSimulation simulation, RandomGenerator random, boolean storeFails) {
         this.storeFails = storeFails;
         this.simulation = simulation;
         this.random = random;
+        this.restarts = new SimulatedRestarts(simulation);
+        this.restartRandom = new SplittableRandom(random.nextLong());
     }
 
     void inject(int round) {
@@ -47,6 +54,7 @@
             case 12 -> cutOffFromStore(vm);
             default -> cutOffLeader();
         }
+        restartServer();
         for (int i = 0; i < 50; i++) {
             simulation.load.add(random.nextInt(65) * 1_000 + random.nextInt(500), 100, simulation.nowMillis);
         }
@@ -55,15 +63,31 @@
         }
     }
 
+    /** Restarts a server under its id, some at once and some after seconds; the registry shows it at once or late. */
+    private void restartServer() {
+        List<ServerStart> running = simulation.servers.values().stream()
+                .filter(server -> server.alive)
+                .map(server -> server.start)
+                .toList();
+        if (running.isEmpty() || restartRandom.nextInt(RESTART_INTERVAL_ROUNDS) != 0) {
+            return;
+        }
+        ServerStart ended = running.get(restartRandom.nextInt(running.size()));
+        long downMillis = restartRandom.nextInt(restartRandom.nextBoolean() ? 300 : 5_000);
+        long hiddenMillis = restartRandom.nextInt(restartRandom.nextBoolean() ? 100 : 3_000);
+        restarts.restart(ended, downMillis, hiddenMillis, restartRandom.nextInt(4) != 0);
+        if (restartRandom.nextBoolean()) {
+            simulation.schedule(restartRandom.nextLong(downMillis + 1), () -> {
+                simulation.registered.remove(ended);
+                simulation.ready.remove(ended);
+            });
+        }
+    }
+
     private void drain(ServerStart server) {
         simulation.ready.remove(server);
         if (random.nextBoolean()) {
-            simulation.schedule(faultMillis(), () -> {
-                if (simulation.servers.get(server).alive) {
-                    simulation.ready.add(server);
-                    simulation.registered.add(server);
-                }
-            });
+            simulation.schedule(faultMillis(), () -> restarts.register(server, true));
         } else if (random.nextInt(3) == 0) {
             simulation.registered.remove(server);
         }
--- a/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedNetwork.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedNetwork.java
@@ -5,14 +5,37 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 
-/** Carries grants and releases to the simulated servers, and checks each grant when it is sent. */
+/**
+ * Carries grants and releases to the simulated servers, and checks each grant when it is sent. A call names the id of its
+ * server, so it reaches the start that runs under this id when it arrives. What has arrived ends with that start.
+ */
 final class SimulatedNetwork {
     private final RangeSimulation simulation;
     private final List<GrantUnderWay> grantsUnderWay = new ArrayList<>();
 
-    private record GrantUnderWay(CoordinatorAction.Grant grant, long arrivedMillis) {}
+    private static final class GrantUnderWay {
+        private final CoordinatorAction.Grant grant;
+        private final long arrivesMillis;
+        /** The start that the call reached; empty before its arrival. */
+        private Optional<SimulatedKeyServer> receiver = Optional.empty();
+
+        private GrantUnderWay(CoordinatorAction.Grant grant, long arrivesMillis) {
+            this.grant = grant;
+            this.arrivesMillis = arrivesMillis;
+        }
+
+        boolean mayTakeEffectAt(SimulatedKeyServer server, int key, long nowMillis) {
+            return server.alive
+                    && grant.server().server().equals(server.start.server())
+                    && receiver.filter(reached -> reached != server).isEmpty()
+                    && grant.range().contains(key)
+                    && grant.fence() >= server.highestFence(key)
+                    && SimulatedKeyServer.heldUntilMillis(arrivesMillis, grant.holdMillis()) > nowMillis;
+        }
+    }
 
     SimulatedNetwork(RangeSimulation simulation) {
         this.simulation = simulation;
@@ -21,53 +44,90 @@
     void send(String vm, CoordinatorAction.Grant grant, GrantFate planned, Consumer<GrantOutcome> onAnswer) {
         GrantFate fate = reaches(vm, grant.server()) ? planned : GrantFate.lost(GrantFate.TIMEOUT_MILLIS);
         checkNoOtherServerMayHold(vm, grant);
-        SimulatedKeyServer server = simulation.servers.get(grant.server());
         if (fate.arrivesAfterMillis().isPresent()) {
-            GrantUnderWay underWay = new GrantUnderWay(
-                    grant, simulation.nowMillis + fate.arrivesAfterMillis().get());
+            long delayMillis = fate.arrivesAfterMillis().get();
+            GrantUnderWay underWay = new GrantUnderWay(grant, simulation.nowMillis + delayMillis);
             grantsUnderWay.add(underWay);
-            simulation.schedule(fate.appliedAfterMillis(), () -> {
-                grantsUnderWay.remove(underWay);
-                boolean granted =
-                        server.grant(grant.range(), grant.fence(), grant.holdMillis(), underWay.arrivedMillis());
-                if (fate.answered()) {
-                    long answerMillis = fate.repliedAfterMillis() - fate.appliedAfterMillis();
-                    simulation.schedule(
-                            answerMillis, () -> onAnswer.accept(granted ? GrantOutcome.GRANTED : GrantOutcome.FENCED));
-                }
-            });
+            simulation.schedule(delayMillis, () -> arrive(underWay));
+            simulation.schedule(fate.appliedAfterMillis(), () -> apply(underWay, fate, onAnswer));
         }
         if (!fate.answered()) {
             simulation.schedule(fate.repliedAfterMillis(), () -> onAnswer.accept(GrantOutcome.UNKNOWN));
         }
     }
 
+    private void arrive(GrantUnderWay underWay) {
+        underWay.receiver = runningStart(underWay.grant.server().server());
+        if (underWay.receiver.isEmpty()) {
+            grantsUnderWay.remove(underWay);
+        }
+    }
+
+    private void apply(GrantUnderWay underWay, GrantFate fate, Consumer<GrantOutcome> onAnswer) {
+        grantsUnderWay.remove(underWay);
+        CoordinatorAction.Grant grant = underWay.grant;
+        Optional<SimulatedKeyServer> receiver = underWay.receiver.filter(server -> server.alive);
+        GrantOutcome outcome = receiver.map(
+                        server -> server.grant(grant.range(), grant.fence(), grant.holdMillis(), underWay.arrivesMillis)
+                                ? GrantOutcome.GRANTED
+                                : GrantOutcome.FENCED)
+                .orElse(GrantOutcome.UNKNOWN);
+        if (fate.answered()) {
+            long repliedAfterMillis =
+                    outcome == GrantOutcome.UNKNOWN ? GrantFate.TIMEOUT_MILLIS : fate.repliedAfterMillis();
+            simulation.schedule(repliedAfterMillis - fate.appliedAfterMillis(), () -> onAnswer.accept(outcome));
+        }
+    }
+
     void send(String vm, CoordinatorAction.Release release, ReleaseFate planned, Consumer<ReleaseOutcome> onAnswer) {
-        SimulatedKeyServer server = simulation.servers.get(release.server());
-        ReleaseFate fate = reaches(vm, release.server()) ? planned : ReleaseFate.lost();
-        if (simulation.replaced.contains(release.server()) && !server.alive) {
-            fate = new ReleaseFate(Optional.empty(), ReleaseOutcome.SERVER_REPLACED, 2);
+        ServerId id = release.server().server();
+        if (simulation.replaced.contains(release.server()) && runningStart(id).isEmpty()) {
+            simulation.schedule(2, () -> onAnswer.accept(ReleaseOutcome.SERVER_REPLACED));
+            return;
         }
+        ReleaseFate fate = reaches(vm, release.server()) ? planned : ReleaseFate.lost();
+        List<SimulatedKeyServer> receivers = new ArrayList<>();
         fate.carriedOutAfterMillis()
-                .ifPresent(delayMillis -> simulation.schedule(delayMillis, () -> server.release(release.range())));
-        ReleaseOutcome outcome = fate.outcome();
-        simulation.schedule(fate.repliedAfterMillis(), () -> onAnswer.accept(outcome));
+                .ifPresent(delayMillis ->
+                        simulation.schedule(delayMillis, () -> runningStart(id).ifPresent(server -> {
+                            receivers.add(server);
+                            server.release(release.range());
+                        })));
+        simulation.schedule(fate.repliedAfterMillis(), () -> {
+            // A server answers when its requests have ended; one that ends before sends no answer.
+            boolean answered = receivers.stream().anyMatch(server -> server.alive);
+            onAnswer.accept(answered ? fate.outcome() : ReleaseOutcome.UNKNOWN);
+        });
     }
 
+    private Optional<SimulatedKeyServer> runningStart(ServerId id) {
+        return simulation.servers.values().stream()
+                .filter(server -> server.alive && server.start.server().equals(id))
+                .findFirst();
+    }
+
+    /** Returns whether a call reaches a start of the server now. */
     boolean reaches(String vm, ServerStart server) {
-        return simulation.servers.get(server).alive
-                && !simulation.unreachable.contains(server)
-                && !simulation.unreachableFrom.getOrDefault(vm, Set.of()).contains(server);
+        return runningStart(server.server()).isPresent()
+                && !containsId(simulation.unreachable, server.server())
+                && !containsId(simulation.unreachableFrom.getOrDefault(vm, Set.of()), server.server());
+    }
+
+    private static boolean containsId(Set<ServerStart> starts, ServerId id) {
+        return starts.stream().anyMatch(start -> start.server().equals(id));
     }
 
     private void checkNoOtherServerMayHold(String vm, CoordinatorAction.Grant grant) {
+        ServerId id = grant.server().server();
         for (int key : RangeSimulation.CHECKED_KEYS) {
-            if (!grant.range().contains(key)
-                    || simulation.servers.get(grant.server()).highestFence(key) > grant.fence()) {
+            boolean refused = runningStart(id)
+                    .filter(server -> server.highestFence(key) > grant.fence())
+                    .isPresent();
+            if (!grant.range().contains(key) || refused) {
                 continue;
             }
             List<ServerStart> others = simulation.servers.keySet().stream()
-                    .filter(other -> !other.equals(grant.server()) && mayHold(other, key))
+                    .filter(other -> !other.server().equals(id) && mayHold(other, key))
                     .toList();
             if (!others.isEmpty()) {
                 simulation.prematureGrants.add("at " + simulation.nowMillis + " ms " + vm + " grants key " + key
@@ -81,13 +141,6 @@
         SimulatedKeyServer server = simulation.servers.get(start);
         return server.holds(key, simulation.nowMillis)
                 || grantsUnderWay.stream()
-                        .anyMatch(underWay -> server.alive
-                                && underWay.grant().server().equals(start)
-                                && underWay.grant().range().contains(key)
-                                && underWay.grant().fence() >= server.highestFence(key)
-                                && SimulatedKeyServer.heldUntilMillis(
-                                                underWay.arrivedMillis(),
-                                                underWay.grant().holdMillis())
-                                        > simulation.nowMillis);
+                        .anyMatch(underWay -> underWay.mayTakeEffectAt(server, key, simulation.nowMillis));
     }
 }
