--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
@@ -84,19 +84,24 @@
         fence = newFence;
         pendingCall = NO_CALL;
         nextCallAtMillis = nowMillis;
-        TakeoverReason withoutRelease =
-                nowMillis >= formerOwnerHeldUntilMillis ? TakeoverReason.EXPIRED : TakeoverReason.ENDED;
         listener.onTakeover(
                 service,
                 range,
                 owner,
                 movingFrom.orElseThrow(),
-                releaseResult.orElse(withoutRelease),
+                releaseResult.orElseGet(() -> reasonWithoutRelease(nowMillis)),
                 newFence,
                 formerOwnerHeldUntilMillis,
                 nowMillis);
     }
 
+    private TakeoverReason reasonWithoutRelease(long nowMillis) {
+        if (owner.server().equals(movingFrom.orElseThrow().server())) {
+            return TakeoverReason.RESTARTED;
+        }
+        return nowMillis >= formerOwnerHeldUntilMillis ? TakeoverReason.EXPIRED : TakeoverReason.ENDED;
+    }
+
     /**
      * Sets the hold of the grant that is sent next. The grant to a server that may be lost ends no later than the one
      * before it, so that the attempt does not delay the takeover of the keys.
--- a/core/src/main/java/org/lacewingthread/core/keyrange/TakeoverReason.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/TakeoverReason.java
@@ -4,8 +4,10 @@
 public enum TakeoverReason {
     /** The former owner answered that it has released the keys. */
     RELEASED,
-    /** The former owner has ended: another server answered at its address, or it has registered a later start. */
+    /** The former owner has ended: another server answered at its address. */
     ENDED,
+    /** The new owner is a later start of the former one, which has ended. */
+    RESTARTED,
     /** No grant to the former owner can be in force any more. */
     EXPIRED;
 
