Take a grant that was never handed to a connection as without effect

What callers saw: keys of a crashed server waited for grants that had never left the leader.

Cause: a refused connection, a connect that timed out and a call that was decided too long ago had the outcome UNKNOWN, which may take effect.

Evidence: GrantResult.sentAtMillis is empty for these, and TimedHttpClient sets it before a request is handed to a connection, so an empty one proves that no byte left. New outcome NOT_SENT; the ledger drops the grant, and the server counts as silent for as long as before. Tests: GrantLedgerTest.grantThatWasNeverSent..., RangeCommandSenderTest.unansweredGrantCountsAsNotSent... (both need the new outcome, so they were not seen to fail). In the model, a server that does not run refuses connections in half of the histories.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
@@ -204,7 +204,7 @@
         List<Entry> entries = entriesOf(server);
         if (outcome == GrantOutcome.GRANTED) {
             onGranted(call, entries, toSteadyMillis(nowMillis));
-        } else if (outcome == GrantOutcome.FENCED) {
+        } else if (outcome == GrantOutcome.FENCED || outcome == GrantOutcome.NOT_SENT) {
             entries.removeIf(entry -> entry.call() == call);
         } else if (outcome == GrantOutcome.SERVER_REPLACED) {
             removeServer(server);
--- a/core/src/main/java/org/lacewingthread/core/keyrange/GrantOutcome.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/GrantOutcome.java
@@ -9,5 +9,12 @@
     /** Another server answered at the address, so the intended one has ended and holds no keys. */
     SERVER_REPLACED,
     /** There was no usable answer; the grant may still take effect. */
-    UNKNOWN
+    UNKNOWN,
+    /** The call was never handed to a connection, so the grant can't take effect. */
+    NOT_SENT;
+
+    /** Returns whether a server answered. */
+    public boolean isAnswer() {
+        return this != UNKNOWN && this != NOT_SENT;
+    }
 }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -133,7 +133,7 @@
             return;
         }
         RangeHold hold = pending.hold();
-        if (outcome != GrantOutcome.UNKNOWN) {
+        if (outcome.isAnswer()) {
             serverLinks.recordAnswer(nowMillis);
         }
         ledger.onGrantAnswer(call, pending.server(), outcome, nowMillis);
@@ -146,8 +146,10 @@
         // Renewals by former leaders have no known end, which must not exclude the server for good.
         long latestEndMillis = times.heldUntilMillis(nowMillis + MAX_CALL_DELIVERY_MILLIS);
         long heldUntilMillis = ledger.heldUntilMillis(hold.service, hold.owner, hold.range, nowMillis);
-        liveness.recordGrantOutcome(
-                hold, outcome, pending.sentMillis(), Math.min(heldUntilMillis, latestEndMillis), nowMillis);
+        // A server that takes no connections is excluded for as long as one that leaves grants unanswered.
+        long excludedFromMillis =
+                outcome == GrantOutcome.NOT_SENT ? latestEndMillis : Math.min(heldUntilMillis, latestEndMillis);
+        liveness.recordGrantOutcome(hold, outcome, pending.sentMillis(), excludedFromMillis, nowMillis);
     }
 
     /** Records the result of a release. It counts even if the table has changed meanwhile. */
--- a/core/src/main/java/org/lacewingthread/core/keyrange/ServerLiveness.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/ServerLiveness.java
@@ -41,7 +41,7 @@
             suspected.remove(hold.owner);
         } else if (outcome == GrantOutcome.SERVER_REPLACED) {
             recordEnded(hold.owner);
-        } else if (outcome == GrantOutcome.UNKNOWN) {
+        } else if (!outcome.isAnswer()) {
             recordUnansweredGrant(hold, sentMillis, heldUntilMillis, nowMillis);
         }
     }
--- a/core/src/test/java/org/lacewingthread/core/keyrange/GrantLedgerTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/GrantLedgerTest.java
@@ -62,6 +62,14 @@
         assertThat(mayBeHeldByOthers(KEYS, B, 500)).isFalse();
     }
 
+    /** Guards against a wait for grants to a crashed server that never left this VM. */
+    @Test
+    void grantThatWasNeverSentBlocksNobody() {
+        send(1, A, KEYS, 1);
+        ledger.onGrantAnswer(1, A, GrantOutcome.NOT_SENT, 400);
+        assertThat(mayBeHeldByOthers(KEYS, B, 400)).isFalse();
+    }
+
     @Test
     void releaseOfSomeKeysFreesOnlyThese() {
         send(1, A, KEYS, 1);
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorHistoryTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorHistoryTest.java
@@ -32,6 +32,7 @@
         fates.applyTo(simulation);
         // Unanswered appends show so many faults that the others need histories without them.
         boolean storeFails = seed % 2 == 0;
+        simulation.refusesConnections = seed % 4 < 2;
         fates.unansweredAppends = storeFails;
         RandomFaults faults = new RandomFaults(simulation, random, storeFails);
         simulation.runFor(1_000);
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
@@ -74,6 +74,9 @@
     /** Whether VMs report to the leader, and the store picks the first VM whose links are not cut as candidate. */
     boolean vmsReport;
 
+    /** Whether a server that does not run refuses connections, so that grants are not sent; otherwise they are lost. */
+    boolean refusesConnections;
+
     double lateGrantRatio;
     /** Maximum random delay of a grant, which reorders calls; appends to the store are always delayed by it. */
     int maxJitterMillis;
--- a/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedNetwork.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedNetwork.java
@@ -13,6 +13,9 @@
  * server, so it reaches the start that runs under this id when it arrives. What has arrived ends with that start.
  */
 final class SimulatedNetwork {
+    /** Time until the address of a server that does not run refuses a connection. */
+    private static final long REFUSAL_MILLIS = 2;
+
     private final RangeSimulation simulation;
     private final List<GrantUnderWay> grantsUnderWay = new ArrayList<>();
 
@@ -44,6 +47,11 @@
     void send(String vm, CoordinatorAction.Grant grant, GrantFate planned, Consumer<GrantOutcome> onAnswer) {
         GrantFate fate = reaches(vm, grant.server()) ? planned : GrantFate.lost(GrantFate.TIMEOUT_MILLIS);
         checkNoOtherServerMayHold(vm, grant);
+        if (simulation.refusesConnections
+                && runningStart(grant.server().server()).isEmpty()) {
+            simulation.schedule(REFUSAL_MILLIS, () -> onAnswer.accept(GrantOutcome.NOT_SENT));
+            return;
+        }
         if (fate.arrivesAfterMillis().isPresent()) {
             long delayMillis = fate.arrivesAfterMillis().get();
             GrantUnderWay underWay = new GrantUnderWay(grant, simulation.nowMillis + delayMillis);
@@ -85,6 +93,10 @@
             simulation.schedule(2, () -> onAnswer.accept(ReleaseOutcome.SERVER_REPLACED));
             return;
         }
+        if (simulation.refusesConnections && runningStart(id).isEmpty()) {
+            simulation.schedule(REFUSAL_MILLIS, () -> onAnswer.accept(ReleaseOutcome.UNKNOWN));
+            return;
+        }
         ReleaseFate fate = reaches(vm, release.server()) ? planned : ReleaseFate.lost();
         List<SimulatedKeyServer> receivers = new ArrayList<>();
         fate.carriedOutAfterMillis()
--- a/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedRestarts.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedRestarts.java
@@ -16,7 +16,11 @@
         ServerStart next = new ServerStart(ended.server(), ended.startedUnixMillis() + 1);
         simulation.servers.get(ended).alive = false;
         simulation.schedule(downMillis, () -> simulation.servers.put(next, new SimulatedKeyServer(next)));
-        simulation.schedule(downMillis + hiddenMillis, () -> register(next, ready));
+        simulation.schedule(downMillis + hiddenMillis, () -> {
+            simulation.registered.remove(ended);
+            simulation.ready.remove(ended);
+            register(next, ready);
+        });
         return next;
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
@@ -89,7 +89,7 @@
         }
         platform.grant(server.get(), grant, result -> {
             onGrantEnded(grant, decidedMillis, result);
-            trackResponsiveness(grant.server(), result.outcome() != GrantOutcome.UNKNOWN, decidedMillis);
+            trackResponsiveness(grant.server(), result.outcome().isAnswer(), decidedMillis);
         });
     }
 
@@ -103,10 +103,13 @@
     private void onGrantEnded(CoordinatorAction.Grant grant, long decidedMillis, Platform.GrantResult result) {
         long endedMillis = clock.nowMillis();
         boolean awaited = coordinator.awaitsAnswer(grant.call());
-        coordinator.onGrantAnswer(grant.call(), result.outcome(), endedMillis);
+        boolean neverSent =
+                !result.outcome().isAnswer() && result.sentAtMillis().isEmpty();
+        GrantOutcome outcome = neverSent ? GrantOutcome.NOT_SENT : result.outcome();
+        coordinator.onGrantAnswer(grant.call(), outcome, endedMillis);
         commandLog.onGrantEnded(
                 grant,
-                result.outcome(),
+                outcome,
                 new RangeCommandLog.CallTimes(decidedMillis, result.sentAtMillis(), endedMillis),
                 awaited);
     }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
@@ -3,13 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
@@ -18,6 +22,7 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.AppendResult;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
+import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.KeyRange;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
@@ -33,7 +38,8 @@
     private long nowMillis;
     private final ControlClock clock = new ControlClock(() -> nowMillis * 1_000_000, () -> nowMillis);
     private final RecordingPlatform platform = new RecordingPlatform();
-    private final EventLog events = new EventLog("vm-1", new ByteArrayOutputStream(), () -> 0);
+    private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
+    private final EventLog events = new EventLog("vm-1", lines, () -> 0);
     private final RangeCommandSender sender = new RangeCommandSender(
             platform,
             new RangeCoordinator(
@@ -48,6 +54,7 @@
     /** Records the calls that are sent. */
     private static final class RecordingPlatform implements Platform {
         private final List<Object> sent = new ArrayList<>();
+        private Optional<GrantResult> grantResult = Optional.empty();
 
         @Override
         public void start(Listener listener) {}
@@ -76,6 +83,7 @@
         @Override
         public void grant(ServerEntry server, CoordinatorAction.Grant action, Consumer<GrantResult> result) {
             sent.add(action);
+            grantResult.ifPresent(result);
         }
 
         @Override
@@ -109,6 +117,17 @@
         assertThat(sentAfter(600)).hasSize(2);
     }
 
+    /** Guards against a takeover that waits for a grant which never left this VM. */
+    @ParameterizedTest
+    @CsvSource({"-1,NOT_SENT", "5,UNKNOWN"})
+    void unansweredGrantCountsAsNotSentUnlessItWasHandedToAConnection(long sentAtMillis, GrantOutcome expected) {
+        platform.grantResult = Optional.of(new Platform.GrantResult(
+                GrantOutcome.UNKNOWN, sentAtMillis < 0 ? OptionalLong.empty() : OptionalLong.of(sentAtMillis)));
+        sentAfter(10);
+        events.close();
+        assertThat(lines.toString(StandardCharsets.UTF_8)).contains("\"outcome\":\"" + expected + "\"");
+    }
+
     /** Guards against a grant of a former leader that arrives later than its successor allows for. */
     @Test
     void callsDecidedOver600MillisAgoAreNotSent() {
