--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorFaultTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorFaultTest.java
@@ -242,6 +242,22 @@
         assertOneHolderAndFullServiceAfterFaults();
     }
 
+    /**
+     * States what the transport has to prevent: the coordinator can't tell the answer of another call from that of its
+     * own, and takes a grant for settled that is applied after the release.
+     */
+    @Test
+    void renewalThatIsAnsweredByAnotherCallAndAppliedLateGivesKeysTwoHolders() {
+        AtomicInteger renewals = new AtomicInteger();
+        simulation.grantFate = (vm, grant) -> grant.server().equals(drained) && renewals.getAndIncrement() == 0
+                ? Optional.of(GrantFate.answeredByAnother(2_500, 4))
+                : Optional.empty();
+        simulation.runUntil(() -> renewals.get() > 0, 2_000);
+        simulation.ready.remove(drained);
+        simulation.runFor(10_000);
+        assertThat(simulation.violations).as("keys with two holders").isNotEmpty();
+    }
+
     /** Gives the next append of a VM a fate; later ones have the usual one. */
     private void setNextAppend(String vm, AppendFate fate) {
         AtomicInteger appends = new AtomicInteger();
--- a/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedNetwork.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedNetwork.java
@@ -60,7 +60,8 @@
             simulation.schedule(fate.appliedAfterMillis(), () -> apply(underWay, fate, onAnswer));
         }
         if (!fate.answered()) {
-            simulation.schedule(fate.repliedAfterMillis(), () -> onAnswer.accept(GrantOutcome.UNKNOWN));
+            GrantOutcome outcome = fate.answeredByAnother() ? GrantOutcome.GRANTED : GrantOutcome.UNKNOWN;
+            simulation.schedule(fate.repliedAfterMillis(), () -> onAnswer.accept(outcome));
         }
     }
 
