Keep one holder of a key when the store comes back from an older copy

Cause: no part read the store's era (Store-Era). Ends of the log of range tables that were given out again were compared with those of the lost history, terms and with them fences were given out twice, and a leader that could not know of lost moves granted the recorded owners.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -25,10 +25,12 @@
  *       the ranges that they were sent for.
  *   <li>While a table may have been recorded that gives keys to another owner, their present owner gets no
  *       grant. An append whose result is unknown may have been carried out, or may be later.
+ *   <li>Once the store may have lost its newest tables, only those owners are kept of which it is certain that no lost
+ *       leader gave their keys away; all other keys wait until no lost leader's grant can be in force.
  * </ul>
  *
  * <pre>{@code
- * coordinator.onTable(table, logEnd, nowMillis);
+ * coordinator.onTable(table, position, nowMillis);
  * coordinator.setLeaderCandidate(true);
  * for (CoordinatorAction action : coordinator.step(services, nowMillis)) { ... }
  * }</pre>
@@ -49,9 +51,15 @@
     private final TableAppends appends = new TableAppends();
     private final LeaderPresence leaderPresence = new LeaderPresence();
     private final ServerLinks serverLinks = new ServerLinks();
+    private final StoreEras eras = new StoreEras();
     private RangeTable table = RangeTable.EMPTY;
     private long logEnd = -1;
     private final Set<Leader> formerLeaders = new HashSet<>();
+    /** Whether leaders whose tables the store lost may still act in this term. */
+    private boolean lostLeadersMayAct;
+    /** Whether the newest record of the log is of an earlier era than {@link #table}, so that readers may not see that. */
+    private boolean tableIsHidden;
+
     private boolean leaderCandidate;
     private boolean leading;
     /** Start of the term, by the clock without its advances. */
@@ -59,7 +67,6 @@
     /** Newest term that this process has been told of. */
     private long newestTerm;
 
-    private long storeAnsweredMillis = Long.MIN_VALUE / 2;
     private long nextBalanceAtMillis;
 
     /** Creates a coordinator without a table, which therefore doesn't lead. */
@@ -86,9 +93,14 @@
         return table;
     }
 
-    /** Returns the end of the store's log after the newest table; negative if no table is known. */
-    public long logEnd() {
-        return logEnd;
+    /** Returns the position of the newest record that was read; its end is negative if none was in the newest era. */
+    public LogPosition position() {
+        return new LogPosition(eras.era(), logEnd);
+    }
+
+    /** Returns whether the newest known table is recorded in the newest known era, so that others may use it. */
+    public boolean isTableRecorded() {
+        return logEnd >= 0 && table.era() == eras.era();
     }
 
     /** Returns whether this process leads according to the newest table and term that it knows. */
@@ -141,7 +153,7 @@
     public void onFormerLeaderStopped(VmStart former, long beforeTerm, long nowMillis) {
         boolean removed = beforeTerm >= table.term()
                 && formerLeaders.removeIf(leader -> leader.process().equals(former));
-        if (removed && formerLeaders.isEmpty()) {
+        if (removed && formerLeaders.isEmpty() && !lostLeadersMayAct) {
             onFormerLeadersStopped(RangeEventListener.StopEvidence.ANSWER, nowMillis);
         }
     }
@@ -169,34 +181,55 @@
 
     /** Returns the time since the newest request that the store answered was sent. */
     public long storeSilenceMillis(long nowMillis) {
-        return nowMillis - storeAnsweredMillis;
+        return eras.silenceMillis(nowMillis);
     }
 
     /**
      * Records that the store answered.
      *
+     * @param era era that the answer stated; an earlier one than the newest known is ignored
      * @param askedAtMillis when the request was sent
      */
-    public void onStoreAnswer(long askedAtMillis) {
-        storeAnsweredMillis = Math.max(storeAnsweredMillis, askedAtMillis);
+    public void onStoreAnswer(long era, long askedAtMillis) {
+        eras.recordAnswer(era, askedAtMillis);
     }
 
     /**
      * Applies a recorded table unless a newer one is known.
      *
      * @param recorded the table
-     * @param end end of the log after the table
+     * @param position position after the table's record; one of an earlier era is ignored
      * @return whether the table was new
      */
-    public boolean onTable(RangeTable recorded, long end, long nowMillis) {
-        if (end < logEnd || (end == logEnd && recorded.equals(table))) {
+    public boolean onTable(RangeTable recorded, LogPosition position, long nowMillis) {
+        onEra(position.era(), nowMillis);
+        boolean isKnown = position.end() == logEnd && recorded.equals(table);
+        if (position.era() < eras.era() || position.end() < logEnd || isKnown) {
+            return false;
+        }
+        advanceLog(position.end());
+        if (isOlderThanTable(recorded)) {
+            tableIsHidden = table.era() == eras.era();
             return false;
         }
-        advanceLog(end);
         applyTable(recorded, nowMillis);
         return true;
     }
 
+    private void onEra(long era, long nowMillis) {
+        if (eras.advance(era, table.era(), steadyMillis(nowMillis))) {
+            logEnd = -1;
+            appends.onNewEra();
+        }
+    }
+
+    /** Returns whether the store lost the known table, or a record with an older table was delayed beyond the loss. */
+    private boolean isOlderThanTable(RangeTable recorded) {
+        boolean ofLostHistory = recorded.era() != eras.era();
+        return recorded.era() < table.era()
+                || (ofLostHistory && recorded.era() == table.era() && recorded.term() <= table.term());
+    }
+
     private void advanceLog(long end) {
         logEnd = end;
         appends.onLogEnd(end);
@@ -208,11 +241,12 @@
      * @param result result of the append; if it is unknown, the append is repeated until the log shows what happened
      */
     public void onRecorded(CoordinatorAction.RecordTable record, AppendResult result, long nowMillis) {
-        appends.onResult(result, nowMillis);
-        if (result.outcome() != AppendResult.Outcome.RECORDED) {
+        boolean ofThisEra = record.table().era() == eras.era();
+        appends.onResult(ofThisEra ? result : AppendResult.unknown(), nowMillis);
+        if (result.outcome() != AppendResult.Outcome.RECORDED || !ofThisEra) {
             return;
         }
-        onStoreAnswer(appends.askedMillis());
+        onStoreAnswer(eras.era(), appends.askedMillis());
         if (result.newEnd().getAsLong() > logEnd) {
             advanceLog(result.newEnd().getAsLong());
             applyTable(record.table(), nowMillis);
@@ -226,21 +260,24 @@
                 .isPresent();
         boolean newTerm = recorded.term() != table.term();
         table = recorded;
+        tableIsHidden = false;
         newestTerm = Math.max(newestTerm, recorded.term());
-        if (!recordedAsLeader || recorded.term() < newestTerm) {
+        if (!recordedAsLeader || recorded.term() < newestTerm || recorded.era() != eras.era()) {
             stopLeading();
             return;
         }
+        appends.forgetFormerEras();
         if (!leading || newTerm) {
             leading = true;
-            leadingSinceSteadyMillis = nowMillis - clockLeadMillis.getAsLong();
+            leadingSinceSteadyMillis = steadyMillis(nowMillis);
             formerLeaders.clear();
             formerLeaders.addAll(recorded.formerLeaders());
             formerLeaders.removeIf(
                     former -> former.process().vm().equals(self.process().vm()));
+            lostLeadersMayAct = recorded.lossPending();
             long formerLeadersStoppedByMillis = nowMillis + times.maxStoreSilenceMillis();
             listener.onTermStarted(table.term(), Set.copyOf(formerLeaders), formerLeadersStoppedByMillis, nowMillis);
-            holds.startTerm(recorded, !formerLeaders.isEmpty(), nowMillis);
+            holds.startTerm(recorded, lostLeadersMayAct || !formerLeaders.isEmpty(), nowMillis);
         } else {
             holds.applyTable(recorded, nowMillis);
         }
@@ -272,52 +309,92 @@
             claimLeadership(actions, nowMillis);
             return actions;
         }
-        if (nowMillis - storeAnsweredMillis > times.maxStoreSilenceMillis()) {
+        long silenceMillis = eras.silenceMillis(table.era(), nowMillis);
+        boolean inNewestEra = table.era() == eras.era();
+        if (silenceMillis > times.maxStoreSilenceMillis()) {
+            if (!inNewestEra) {
+                stopLeading();
+            }
             return actions;
         }
-        long leadingForMillis = nowMillis - clockLeadMillis.getAsLong() - leadingSinceSteadyMillis;
-        if (!formerLeaders.isEmpty() && leadingForMillis >= times.maxStoreSilenceMillis()) {
+        if ((lostLeadersMayAct || !formerLeaders.isEmpty())
+                && leadingForMillis(nowMillis) >= times.maxStoreSilenceMillis()) {
             formerLeaders.clear();
+            lostLeadersMayAct = false;
             onFormerLeadersStopped(RangeEventListener.StopEvidence.TIME, nowMillis);
         }
-        boolean movesAllowed = nowMillis - storeAnsweredMillis <= times.maxStoreSilenceForMovesMillis();
+        boolean movesAllowed = silenceMillis <= times.maxStoreSilenceForMovesMillis();
         holds.step(
                 services,
                 movesAllowed,
                 hold -> appends.mayReplaceOwner(hold.service, hold.range, hold.owner),
                 actions,
                 nowMillis);
-        recordTableChanges(services, actions, nowMillis);
+        if (inNewestEra) {
+            recordTableChanges(services, actions, movesAllowed, nowMillis);
+        } else {
+            recordInNewestEra(actions, silenceMillis, nowMillis);
+        }
         return actions;
     }
 
+    private long leadingForMillis(long nowMillis) {
+        return steadyMillis(nowMillis) - leadingSinceSteadyMillis;
+    }
+
+    /** Returns a time by the clock without its advances. */
+    private long steadyMillis(long nowMillis) {
+        return nowMillis - clockLeadMillis.getAsLong();
+    }
+
     private void claimLeadership(List<CoordinatorAction> actions, long nowMillis) {
         boolean mayLead = leaderCandidate && !serverLinks.isImpaired();
         boolean leaderStays = leaderPresence.preventsTakeover(serverLinks.hasRecentAnswer(nowMillis), nowMillis);
-        if (mayLead && !leaderStays && logEnd >= 0 && appends.mayCall(nowMillis)) {
-            RangeTable claim = appends.tableToRepeat().orElseGet(() -> table.withLeader(table.term() + 1, self));
-            actions.add(appends.start(claim, logEnd, nowMillis));
+        if (!mayLead || leaderStays || logEnd < 0 || !appends.mayCall(nowMillis)) {
+            return;
+        }
+        if (eras.leaderHasPrecedence(table, logEnd, steadyMillis(nowMillis))) {
+            return;
+        }
+        RangeTable claim = appends.tableToRepeat().orElseGet(() -> eras.claim(table, logEnd, self));
+        actions.add(appends.start(claim, logEnd, nowMillis));
+    }
+
+    private void recordInNewestEra(List<CoordinatorAction> actions, long silenceMillis, long nowMillis) {
+        if (logEnd < 0 || !appends.mayCall(nowMillis)) {
+            return;
         }
+        long remainingMillis = times.maxStoreSilenceMillis() - silenceMillis;
+        appends.tableToRepeat()
+                .or(() -> new OwnersOverLoss(eras, holds, times)
+                        .certainOwners(remainingMillis, steadyMillis(nowMillis), nowMillis)
+                        .map(owners -> eras.claim(table, logEnd, self).withAllRanges(owners)))
+                .ifPresent(proven -> actions.add(appends.start(proven, logEnd, nowMillis)));
     }
 
     private void recordTableChanges(
-            Map<ServiceId, ServiceView> services, List<CoordinatorAction> actions, long nowMillis) {
+            Map<ServiceId, ServiceView> services,
+            List<CoordinatorAction> actions,
+            boolean movesAllowed,
+            long nowMillis) {
         if (!appends.mayCall(nowMillis) || logEnd < 0) {
             return;
         }
-        RangeTable proposal = appends.tableToRepeat().orElseGet(() -> proposeTable(services, nowMillis));
-        if (!proposal.equals(table)) {
+        RangeTable proposal = appends.tableToRepeat().orElseGet(() -> proposeTable(services, movesAllowed, nowMillis));
+        if (tableIsHidden || !proposal.equals(table)) {
             actions.add(appends.start(proposal, logEnd, nowMillis));
         }
     }
 
-    private RangeTable proposeTable(Map<ServiceId, ServiceView> services, long nowMillis) {
-        boolean balancesLoad = nowMillis >= nextBalanceAtMillis
-                && nowMillis - storeAnsweredMillis <= times.maxStoreSilenceForMovesMillis();
+    private RangeTable proposeTable(Map<ServiceId, ServiceView> services, boolean movesAllowed, long nowMillis) {
+        boolean balancesLoad = nowMillis >= nextBalanceAtMillis && movesAllowed;
         if (balancesLoad) {
             nextBalanceAtMillis = nowMillis + BALANCE_INTERVAL_MILLIS;
         }
-        RangeTable base = formerLeaders.isEmpty() ? table.withoutFormerLeaders() : table;
-        return holds.propose(base, services, balancesLoad, nowMillis);
+        RangeTable base = formerLeaders.isEmpty() && !lostLeadersMayAct ? table.withoutFormerLeaders() : table;
+        if (table.lossPending() && leadingForMillis(nowMillis) < holds.endOfLostGrantsMillis()) {
+            return holds.propose(base, table.fullyOwned(services), balancesLoad, nowMillis);
+        }
+        return holds.propose(base.inEra(table.era(), false), services, balancesLoad, nowMillis);
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
@@ -44,6 +44,9 @@
     /** When the first of the consecutive unanswered grants failed; empty while the owner answers. */
     Optional<Long> unansweredSinceMillis = Optional.empty();
 
+    /** When the newest grant that the owner accepted was sent; far in the past before the first one. */
+    long acceptedSentMillis = Long.MIN_VALUE / 2;
+
     private long pendingCall = NO_CALL;
 
     RangeHold(ServiceId service, RangeOwnership ownership, long fence, long nowMillis) {
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -79,6 +79,11 @@
         ledger.onFormerLeadersStopped(nowMillis + MAX_CALL_DELIVERY_MILLIS);
     }
 
+    /** Returns the time into a term after which no grant of a leader whose tables were lost can be in force. */
+    long endOfLostGrantsMillis() {
+        return times.heldUntilMillis(times.maxStoreSilenceMillis() + MAX_CALL_DELIVERY_MILLIS);
+    }
+
     /** Applies a newer table of the same term. */
     void applyTable(RangeTable table, long nowMillis) {
         List<RangeHold> former = List.copyOf(holds);
@@ -140,6 +145,7 @@
         boolean newest = hold.endCall(call);
         if (newest && outcome == GrantOutcome.GRANTED) {
             hold.onGranted(times, nowMillis);
+            hold.acceptedSentMillis = pending.sentMillis();
         } else if (newest) {
             hold.onGrantFailed(newFence(), nowMillis);
         }
@@ -250,6 +256,24 @@
                 || (unregistered && !ledger.isConfirmed(hold.service, hold.owner, hold.range, nowMillis));
     }
 
+    /** Returns whether the owners of all ranges accepted a grant of this term that was sent at a time or later. */
+    boolean areAllAcceptedSince(long sentMillis) {
+        return holds.stream().allMatch(hold -> isAcceptedSince(hold, sentMillis));
+    }
+
+    /** Returns the ranges whose owners accepted a grant of this term that was sent at a time or later. */
+    Map<ServiceId, List<RangeOwnership>> acceptedSince(long sentMillis) {
+        Map<ServiceId, List<RangeOwnership>> accepted = new HashMap<>();
+        holds.stream().filter(hold -> isAcceptedSince(hold, sentMillis)).forEach(hold -> accepted.computeIfAbsent(
+                        hold.service, service -> new ArrayList<>())
+                .add(RangeOwnership.settled(hold.range, hold.owner)));
+        return accepted;
+    }
+
+    private static boolean isAcceptedSince(RangeHold hold, long sentMillis) {
+        return hold.phase == RangeHold.Phase.HELD && hold.acceptedSentMillis >= sentMillis;
+    }
+
     /** Returns the table to be recorded next, derived from the state of the ranges. */
     RangeTable propose(RangeTable base, Map<ServiceId, ServiceView> services, boolean balancesLoad, long nowMillis) {
         return new RangeTableProposer(holds, ledger, liveness, nowMillis).propose(base, services, balancesLoad);
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeTable.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeTable.java
@@ -16,14 +16,19 @@
  * @param formerLeaders leaders of earlier terms that may not know yet that they were replaced, and may
  *     still renew grants
  * @param rangesByService ranges of each service, in key order and without overlaps
+ * @param era era of the store in which the table is recorded; the store loses its newest records when its era rises
+ * @param lossPending whether leaders whose tables were lost may still act, and keys without an owner may be held by any
+ *     server
  */
 public record RangeTable(
         long term,
         Optional<Leader> leader,
         List<Leader> formerLeaders,
-        Map<ServiceId, List<RangeOwnership>> rangesByService) {
+        Map<ServiceId, List<RangeOwnership>> rangesByService,
+        long era,
+        boolean lossPending) {
     /** The table before the first one is recorded: no leader and no ranges. */
-    public static final RangeTable EMPTY = new RangeTable(0, Optional.empty(), List.of(), Map.of());
+    public static final RangeTable EMPTY = new RangeTable(0, Optional.empty(), List.of(), Map.of(), 0, false);
 
     /**
      * Copies the collections and checks the order of the ranges.
@@ -79,19 +84,44 @@
     public RangeTable withLeader(long newTerm, Leader newLeader) {
         List<Leader> former = new ArrayList<>(formerLeaders);
         leader.filter(old -> !former.contains(old)).ifPresent(former::add);
-        return new RangeTable(newTerm, Optional.of(newLeader), former, rangesByService);
+        return new RangeTable(newTerm, Optional.of(newLeader), former, rangesByService, era, lossPending);
+    }
+
+    /**
+     * Returns this table for another era of the store.
+     *
+     * @param pending whether leaders whose tables were lost may still act
+     */
+    public RangeTable inEra(long newEra, boolean pending) {
+        return new RangeTable(term, leader, formerLeaders, rangesByService, newEra, pending);
+    }
+
+    /** Returns a table with other ranges for all services. */
+    public RangeTable withAllRanges(Map<ServiceId, List<RangeOwnership>> ranges) {
+        return new RangeTable(term, leader, formerLeaders, ranges, era, lossPending);
+    }
+
+    /** Returns the entries of the services of which every key has an owner. */
+    <T> Map<ServiceId, T> fullyOwned(Map<ServiceId, T> services) {
+        Map<ServiceId, T> owned = new TreeMap<>(services);
+        owned.keySet()
+                .removeIf(service -> ranges(service).stream()
+                                .mapToInt(ownership -> ownership.range().size())
+                                .sum()
+                        < KeyRange.ALL.size());
+        return owned;
     }
 
     /** Returns a table without former leaders, for use once all of them have stopped sending grants. */
     public RangeTable withoutFormerLeaders() {
-        return new RangeTable(term, leader, List.of(), rangesByService);
+        return new RangeTable(term, leader, List.of(), rangesByService, era, lossPending);
     }
 
     /** Returns a table with other ranges for one service; adjacent settled ranges of an owner are merged. */
     public RangeTable withRanges(ServiceId service, List<RangeOwnership> ranges) {
         Map<ServiceId, List<RangeOwnership>> changed = new TreeMap<>(rangesByService);
         changed.put(service, mergeAdjacent(ranges));
-        return new RangeTable(term, leader, formerLeaders, changed);
+        return new RangeTable(term, leader, formerLeaders, changed, era, lossPending);
     }
 
     private static List<RangeOwnership> mergeAdjacent(List<RangeOwnership> ranges) {
--- a/core/src/main/java/org/lacewingthread/core/keyrange/TableAppends.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/TableAppends.java
@@ -1,6 +1,9 @@
 package org.lacewingthread.core.keyrange;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 
@@ -14,6 +17,9 @@
     private static final long RETRY_MILLIS = 200;
 
     private Optional<CoordinatorAction.RecordTable> unresolved = Optional.empty();
+    /** Tables whose appends were unresolved when the store's era changed. */
+    private final List<RangeTable> unresolvedOfFormerEras = new ArrayList<>();
+
     private boolean callPending;
     /** Whether an earlier call with the unresolved table got no answer. */
     private boolean mayHaveBeenAppended;
@@ -64,10 +70,22 @@
         }
     }
 
+    /** Records that the store's era changed, so that an unresolved append is not repeated; it may have taken effect. */
+    void onNewEra() {
+        tableToRepeat().ifPresent(unresolvedOfFormerEras::add);
+        unresolved = Optional.empty();
+        mayHaveBeenAppended = false;
+    }
+
+    /** Forgets the appends of former eras, since a table of the newest era is known. */
+    void forgetFormerEras() {
+        unresolvedOfFormerEras.clear();
+    }
+
     /** Returns whether an unresolved append gives a key of the range to another owner. */
     boolean mayReplaceOwner(ServiceId service, KeyRange range, ServerStart owner) {
-        return unresolved.stream()
-                .flatMap(append -> append.table().ranges(service).stream())
+        return Stream.concat(tableToRepeat().stream(), unresolvedOfFormerEras.stream())
+                .flatMap(planned -> planned.ranges(service).stream())
                 .anyMatch(planned ->
                         planned.range().overlaps(range) && !planned.owner().equals(owner));
     }
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeEventListenerTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeEventListenerTest.java
@@ -62,13 +62,13 @@
         RangeTable table = RangeTable.EMPTY
                 .withLeader(4, FORMER)
                 .withRanges(ORDERS, List.of(RangeOwnership.settled(KeyRange.ALL, FIRST)));
-        coordinator.onTable(table, logEnd, nowMillis);
+        coordinator.onTable(table, new LogPosition(0, logEnd), nowMillis);
         coordinator.setLeaderCandidate(true);
         recordProposal(step(Set.of(FIRST), Set.of(FIRST, SECOND)));
     }
 
     private List<CoordinatorAction> step(Set<ServerStart> ready, Set<ServerStart> registered) {
-        coordinator.onStoreAnswer(nowMillis);
+        coordinator.onStoreAnswer(0, nowMillis);
         Map<ServerStart, Double> capacity = Map.of(ready.iterator().next(), 2.0);
         ServiceView view = new ServiceView(capacity, registered, new KeyLoad(6_000, 2_000).profile(nowMillis));
         return coordinator.step(Map.of(ORDERS, view), nowMillis);
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
@@ -11,6 +11,7 @@
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -204,11 +205,11 @@
             return;
         }
         RangeTable table = store.newest();
-        long end = store.end();
+        LogPosition position = store.position();
         long askedAtMillis = nowMillis;
         if (vm.readDelayMillis == 0) {
-            coordinator.onTable(table, end, nowMillis);
-            coordinator.onStoreAnswer(askedAtMillis);
+            coordinator.onTable(table, position, nowMillis);
+            coordinator.onStoreAnswer(position.era(), askedAtMillis);
         } else if (!vm.readPending) {
             vm.readPending = true;
             schedule(vm.readDelayMillis, () -> {
@@ -216,8 +217,8 @@
                 if (!disconnectedFromStore.contains(vm.name)) {
                     vm.receive(
                             () -> {
-                                coordinator.onTable(table, end, nowMillis);
-                                coordinator.onStoreAnswer(askedAtMillis);
+                                coordinator.onTable(table, position, nowMillis);
+                                coordinator.onStoreAnswer(position.era(), askedAtMillis);
                             },
                             nowMillis);
                 }
@@ -238,7 +239,8 @@
                 .map(leader -> vms.get(leader.process().vm().value()))
                 .filter(leader -> exchangeMessages(vm, leader) && leader.coordinator.isLeading())
                 .map(leader -> leader.coordinator)
-                .ifPresent(leader -> vm.coordinator.onTable(leader.table(), leader.logEnd(), nowMillis));
+                .filter(RangeCoordinator::isTableRecorded)
+                .ifPresent(leader -> vm.coordinator.onTable(leader.table(), leader.position(), nowMillis));
     }
 
     private void announceTerm(SimulatedVm vm) {
@@ -312,8 +314,7 @@
         long replyMillis = sentMillis + fate.repliedAfterMillis();
         fate.carriedOutAfterMillis()
                 .ifPresent(delayMillis -> schedule(delayMillis, () -> {
-                    AppendResult answer =
-                            store.append(record).map(AppendResult::recorded).orElse(AppendResult.refused());
+                    AppendResult answer = resultOf(record);
                     if (reply == AppendFate.Reply.RESULT) {
                         schedule(
                                 Math.max(5, replyMillis - nowMillis),
@@ -326,6 +327,13 @@
         }
     }
 
+    /** Carries out an append; an answer of another era than the expected end's tells nothing. */
+    private AppendResult resultOf(CoordinatorAction.RecordTable record) {
+        long era = store.position().era();
+        AppendResult result = store.append(record).map(AppendResult::recorded).orElse(AppendResult.refused());
+        return era == record.table().era() ? result : AppendResult.unknown();
+    }
+
     /** Delivers the answer of the store, unless the VM was cut off from it meanwhile. */
     private void receiveAppendAnswer(
             SimulatedVm vm,
@@ -371,6 +379,13 @@
         return served;
     }
 
+    /** Returns how many of the checked keys are held by a server. */
+    long heldKeys() {
+        return IntStream.of(CHECKED_KEYS)
+                .filter(key -> servers.values().stream().anyMatch(server -> server.holds(key, nowMillis)))
+                .count();
+    }
+
     int checkedKeys() {
         return CHECKED_KEYS.length;
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -20,6 +20,7 @@
 import org.lacewingthread.core.keyrange.AppendResult;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
 import org.lacewingthread.core.keyrange.Leader;
+import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeLeaseTimes;
 import org.lacewingthread.core.keyrange.RangeTable;
@@ -54,6 +55,7 @@
     private final EventLoop eventLoop;
     private final EventLog events;
     private final ControlEventLogger eventLogger;
+    private final RouterMetrics metrics;
     private final Consumer<ServingConfiguration> onConfiguration;
     private final BiConsumer<List<KnownServer>, RangeTable> topologyListener;
     private final ServerRegistry registry;
@@ -105,6 +107,7 @@
         loadReports.start(reportChannel, this::publish);
         this.eventLoop = eventLoop;
         this.events = events;
+        this.metrics = metrics;
         this.onConfiguration = onConfiguration;
         this.topologyListener = topologyListener;
         this.rangeCommands = new RangeCommandSender(
@@ -318,18 +321,23 @@
     }
 
     @Override
-    public void onRangeTable(RangeTable table, long end, long askedAtMillis) {
+    public void onRangeTable(RangeTable table, LogPosition position, long askedAtMillis) {
         RangeTable previousTable = coordinator.table();
-        if (coordinator.onTable(table, end, clock.nowMillis())) {
-            eventLogger.logTableRead(previousTable, table, end, "store");
+        if (coordinator.onTable(table, position, clock.nowMillis())) {
+            eventLogger.logTableRead(previousTable, table, position.end(), "store");
         }
-        coordinator.onStoreAnswer(askedAtMillis);
+        coordinator.onStoreAnswer(position.era(), askedAtMillis);
         step();
     }
 
     @Override
-    public void onRangeTableUnchanged(long askedAtMillis) {
-        coordinator.onStoreAnswer(askedAtMillis);
+    public void onRangeTableUnchanged(long era, long askedAtMillis) {
+        coordinator.onStoreAnswer(era, askedAtMillis);
+    }
+
+    @Override
+    public void onNewStoreEra() {
+        metrics.onNewStoreEra();
     }
 
     @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LeaderStatusJson.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LeaderStatusJson.java
@@ -18,6 +18,7 @@
     private static final String ENTRY_VMS = "entryVms";
     private static final String LINKS_IMPAIRED = "linksImpaired";
     private static final String RELAY_PEERS = "relayPeers";
+    private static final String STORE_ERA = "storeEra";
     private static final String REGISTRY_POSITION = "registryPosition";
     private static final String CONFIGURATION_POSITION = "configurationPosition";
     private static final String TABLE_POSITION = "tablePosition";
@@ -52,6 +53,7 @@
                 message.path(LINKS_IMPAIRED).asBoolean(),
                 peers,
                 new Platform.Positions(
+                        message.path(STORE_ERA).asLong(),
                         message.path(REGISTRY_POSITION).asLong(),
                         message.path(CONFIGURATION_POSITION).asLong(),
                         message.path(TABLE_POSITION).asLong()));
@@ -65,6 +67,7 @@
                 .put(CONFIGURATION_AGE, status.configurationAgeMillis())
                 .put(ENTRY_VMS, status.entryVmCount())
                 .put(LINKS_IMPAIRED, status.linksImpaired())
+                .put(STORE_ERA, status.positions().era())
                 .put(REGISTRY_POSITION, status.positions().registry())
                 .put(CONFIGURATION_POSITION, status.positions().configuration())
                 .put(TABLE_POSITION, status.positions().table());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -12,6 +12,7 @@
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.keyrange.Leader;
+import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.reachability.RelayPeer;
@@ -47,6 +48,9 @@
     /** Servers that said that they leave; the newest ones are reported. */
     private final Set<ServerStart> leavingServers = new LinkedHashSet<>();
 
+    /** Era of the store in which the leader has read, as it stated last. */
+    private long leaderEra;
+
     private boolean stopped;
 
     /** Receives what the reports show. */
@@ -165,11 +169,17 @@
             return;
         }
         boolean storeSilent = coordinator.storeSilenceMillis(nowMillis) > MAX_STORE_SILENCE_MILLIS;
-        OptionalLong wantsTableAfter = storeSilent ? OptionalLong.of(coordinator.logEnd()) : OptionalLong.empty();
+        OptionalLong wantsTableAfter = storeSilent ? OptionalLong.of(endInEraOfLeader()) : OptionalLong.empty();
         channel.sendReport(reporter(), leader.get(), nowMillis, ownServiceMillis, wantsTableAfter);
         ownServiceMillis = Map.of();
     }
 
+    /** Returns the end of the log that is known here; -1 if the leader knows the log of another era. */
+    private long endInEraOfLeader() {
+        LogPosition known = coordinator.position();
+        return known.era() == leaderEra ? known.end() : -1;
+    }
+
     @Override
     public Optional<ReportChannel.LeaderStatus> leaderStatus(PendingReport.Reporter reporter) {
         if (!coordinator.isLeading() || stopped) {
@@ -194,6 +204,7 @@
         if (status.linksImpaired()) {
             resultListener.onLeaderLinksImpaired();
         }
+        leaderEra = status.positions().era();
         coordinator.onLeaderAnswer(status.storeSilenceMillis(), status.linksImpaired(), clock.nowMillis());
         if (status.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
             platform.onLeaderPositions(status.positions(), asOf);
@@ -202,15 +213,17 @@
 
     @Override
     public Optional<ReportChannel.RecordedTable> recordedTableAfter(long position) {
-        return coordinator.isLeading() && coordinator.logEnd() > position
-                ? Optional.of(new ReportChannel.RecordedTable(coordinator.table(), coordinator.logEnd()))
+        long end = coordinator.position().end();
+        return coordinator.isLeading() && coordinator.isTableRecorded() && end > position
+                ? Optional.of(new ReportChannel.RecordedTable(coordinator.table(), end))
                 : Optional.empty();
     }
 
     @Override
     public void onTableFromLeader(ReportChannel.RecordedTable recorded) {
         RangeTable previousTable = coordinator.table();
-        if (coordinator.onTable(recorded.table(), recorded.logEnd(), clock.nowMillis())) {
+        LogPosition position = new LogPosition(recorded.table().era(), recorded.logEnd());
+        if (coordinator.onTable(recorded.table(), position, clock.nowMillis())) {
             eventLogger.logTableRead(previousTable, recorded.table(), recorded.logEnd(), "leader");
             publisher.accept(clock.nowMillis());
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -8,6 +8,7 @@
 import org.lacewingthread.core.keyrange.AppendResult;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
 import org.lacewingthread.core.keyrange.GrantOutcome;
+import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.keyrange.ReleaseOutcome;
 import org.lacewingthread.core.registry.ServerEntry;
@@ -48,17 +49,21 @@
         /**
          * Called with the newest recorded range table.
          *
-         * @param end log position after the table's record
+         * @param position log position after the table's record
          * @param askedAtMillis when the read was sent, by the control clock
          */
-        void onRangeTable(RangeTable table, long end, long askedAtMillis);
+        void onRangeTable(RangeTable table, LogPosition position, long askedAtMillis);
 
         /**
          * Called when the recorded range table has not changed.
          *
+         * @param era era of the store that the answer stated
          * @param askedAtMillis when the read was sent, by the control clock
          */
-        void onRangeTableUnchanged(long askedAtMillis);
+        void onRangeTableUnchanged(long era, long askedAtMillis);
+
+        /** Called when the store came back from an older copy, before anything of its new era is passed on. */
+        void onNewStoreEra();
 
         /** Called with whether this entry VM is the one that should lead. */
         void onLeaderSelection(boolean selected);
@@ -73,13 +78,19 @@
     void setLeading(boolean leading);
 
     /**
-     * Log positions after the newest records that an entry VM has read.
+     * Log positions after the newest records that an entry VM has read. Positions of different eras are never compared.
      *
+     * @param era era of the store, which rises when it comes back from an older copy
      * @param registry position after the newest change of a server
      * @param configuration position after the newest configuration
      * @param table position after the newest range table
      */
-    record Positions(long registry, long configuration, long table) {}
+    record Positions(long era, long registry, long configuration, long table) {
+        /** Creates positions of a store that has never come back from an older copy. */
+        public Positions(long registry, long configuration, long table) {
+            this(0, registry, configuration, table);
+        }
+    }
 
     /**
      * Times up to which everything is known, by the control clock of the VM that receives them.
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableJson.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableJson.java
@@ -37,6 +37,9 @@
         ObjectNode root = MAPPER.createObjectNode();
         root.put("term", table.term());
         table.leader().ifPresent(leader -> root.set("leader", write(leader)));
+        if (table.era() > 0) {
+            root.put("era", table.era()).put("lossPending", table.lossPending());
+        }
         ArrayNode former = root.putArray("formerLeaders");
         table.formerLeaders().forEach(leader -> former.add(write(leader)));
         ObjectNode services = root.putObject("services");
@@ -99,7 +102,13 @@
             root.get("services")
                     .fields()
                     .forEachRemaining(field -> services.put(new ServiceId(field.getKey()), readRows(field.getValue())));
-            return new RangeTable(root.get("term").longValue(), leader, former, services);
+            return new RangeTable(
+                    root.get("term").longValue(),
+                    leader,
+                    former,
+                    services,
+                    root.path("era").asLong(),
+                    root.path("lossPending").asBoolean());
         } catch (IllegalArgumentException | NullPointerException e) {
             throw new IOException(
                     "the record is not a JSON range table: " + new String(bytes, StandardCharsets.UTF_8), e);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -51,6 +51,10 @@
                 .increment();
     }
 
+    void onNewStoreEra() {
+        registry.counter("lacewingthread.router.eras").increment();
+    }
+
     /** Registers a gauge whose value is read at each scrape. */
     void gauge(String name, String description, Supplier<Number> value) {
         Gauge.builder("lacewingthread.router." + name, value)
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeHoldClockTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeHoldClockTest.java
@@ -18,6 +18,7 @@
 import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.KeyLoad;
 import org.lacewingthread.core.keyrange.Leader;
+import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeEventListener;
 import org.lacewingthread.core.keyrange.RangeLeaseTimes;
@@ -48,7 +49,7 @@
     @ParameterizedTest
     @ValueSource(longs = {0, 2_400, 6_000})
     void stepOfTheTimeOfDayEndsNoHoldEarly(long stepMillis) {
-        coordinator.onTable(RangeTable.EMPTY, logEnd, clock.nowMillis());
+        coordinator.onTable(RangeTable.EMPTY, new LogPosition(0, logEnd), clock.nowMillis());
         coordinator.setLeaderCandidate(true);
         run(3_000, former);
         run(200, next);
@@ -62,7 +63,7 @@
             trueMillis += STEP_MILLIS;
             timeOfDayMillis += STEP_MILLIS;
             long nowMillis = clock.nowMillis();
-            coordinator.onStoreAnswer(nowMillis);
+            coordinator.onStoreAnswer(0, nowMillis);
             ServiceView view = new ServiceView(
                     Map.of(ready, 2.0), Set.of(former, next), new KeyLoad(6_000, 2_000).profile(nowMillis));
             coordinator.step(Map.of(SERVICE, view), nowMillis).forEach(this::execute);
