The stand-in of LateConnectionTest returns the request's id

It answered requests without their id, which servers never do, so that its answer counted for none since an answer needs the id. The checks are unchanged.

--- a/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
@@ -130,6 +130,8 @@
         HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         server.createContext("/", exchange -> {
             arrived.incrementAndGet();
+            exchange.getResponseHeaders()
+                    .add("Attempt", exchange.getRequestHeaders().getFirst("Attempt"));
             exchange.getResponseHeaders().add("Seal", "seal");
             exchange.sendResponseHeaders(200, -1);
             exchange.close();
