--- /dev/null
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/LeaderStatusJsonTest.java
@@ -0,0 +1,27 @@
+package org.lacewingthread.daemon.router;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class LeaderStatusJsonTest {
+    private static final Platform.Positions POSITIONS = new Platform.Positions(7, 4, 5, 12);
+    private static final ReportChannel.LeaderStatus STATUS =
+            new ReportChannel.LeaderStatus(1, 2, 6, 3, true, List.of(), POSITIONS);
+
+    /** Guards against positions of another era that are taken for those of the present one. */
+    @Test
+    void statusIsUnchangedAfterWriteAndRead() {
+        assertThat(LeaderStatusJson.read(LeaderStatusJson.write(STATUS))).isEqualTo(STATUS);
+    }
+
+    /** Guards against answers of earlier builds, which state no era. */
+    @Test
+    void statusWithoutEraIsOfEraZero() {
+        ObjectNode message = LeaderStatusJson.write(STATUS);
+        message.remove("storeEra");
+        assertThat(LeaderStatusJson.read(message).positions()).isEqualTo(new Platform.Positions(4, 5, 12));
+    }
+}
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeTableJsonTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeTableJsonTest.java
@@ -40,6 +40,22 @@
         assertThat(table.formerLeaders()).containsExactly(FIRST);
     }
 
+    /** Guards against a loss of the store's records that the next leader forgets. */
+    @Test
+    void eraAndPendingLossAreUnchangedAfterWriteAndRead() throws IOException {
+        RangeTable table = RangeTable.EMPTY.withLeader(3_000_008, FIRST).inEra(3, true);
+        assertThat(RangeTableJson.read(RangeTableJson.write(table))).isEqualTo(table);
+    }
+
+    /** Guards against tables of a store without eras that earlier builds write or read differently. */
+    @Test
+    void tableOfAStoreWithoutErasStatesNone() throws IOException {
+        RangeTable table = RangeTable.EMPTY.withLeader(1, FIRST);
+        assertThat(new String(RangeTableJson.write(table), StandardCharsets.UTF_8))
+                .doesNotContain("era", "lossPending");
+        assertThat(RangeTableJson.read(RangeTableJson.write(table)).era()).isZero();
+    }
+
     @Test
     void bytesThatAreNoTableAreRejected() {
         for (String text : List.of("", "7", "{}", "{\"term\":1}", "{\"services\":{\"x\":[[1]]}}", "\u0000")) {
