Settle grants of former leaders only once these have stopped, if ids come back

Cause: an accepted grant settled those that former leaders may have sent. A server that restarts under its id afterwards has not seen that grant's fence, and a former leader without word of the new term renews the former owner there for up to 10 s, beside the new owner.

Fix: the rule that a grant settles only what had arrived when it was sent holds for grants of former leaders too, where servers have a start time. Elsewhere nothing changes. Price there: after a change of leader, keys that are not moving yet stay until the former leaders have stopped and 1.2 s more.

RangeEventListenerTest relied on the former rule to begin a move in the same millisecond; its first server has no start time now.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
@@ -110,10 +110,7 @@
 
         /** Returns whether this grant can't newly take effect once the other one, with a higher fence, was accepted. */
         boolean isSettledBy(Entry accepted) {
-            boolean sentByFormerLeaders = call == NO_CALL;
-            return sentByFormerLeaders
-                    || !server.mayRestartWithSameId()
-                    || accepted.sentMillis() >= latestArrivalMillis;
+            return !server.mayRestartWithSameId() || accepted.sentMillis() >= latestArrivalMillis;
         }
     }
 
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeEventListenerTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeEventListenerTest.java
@@ -19,7 +19,9 @@
 class RangeEventListenerTest {
     private static final ServiceId ORDERS = new ServiceId("orders");
     private static final RangeLeaseTimes TIMES = new RangeLeaseTimes(4_000, 1_000, 10_000, 3_000, 0);
-    private static final ServerStart FIRST = new ServerStart(new ServerId("i-1"), 11);
+    /** Without a start time, so that its first accepted grant settles those of former leaders at once. */
+    private static final ServerStart FIRST = new ServerStart(new ServerId("i-1"), 0);
+
     private static final ServerStart SECOND = new ServerStart(new ServerId("i-2"), 22);
     private static final Leader SELF = new Leader(new VmStart(new VmId("a"), 1), "10.0.0.1", 7_000);
     private static final Leader FORMER = new Leader(new VmStart(new VmId("b"), 2), "10.0.0.2", 7_000);
@@ -131,8 +133,7 @@
         nowMillis = 1_600;
         coordinator.onReleaseAnswer(release.call(), ReleaseOutcome.RELEASED, Optional.empty(), nowMillis);
         assertThat(reported)
-                .containsExactly(
-                        "takeover orders 0-65535 i-1@11>i-2@22 RELEASED fence 5000003 held until 5000 at 1600");
+                .containsExactly("takeover orders 0-65535 i-1@0>i-2@22 RELEASED fence 5000003 held until 5000 at 1600");
     }
 
     @Test
@@ -162,7 +163,7 @@
         reported.clear();
         recordProposal(step(Set.of(next), Set.of(next)));
         step(Set.of(next), Set.of(next));
-        assertThat(reported).singleElement().asString().contains(" i-1@11>i-1@12 RESTARTED ");
+        assertThat(reported).singleElement().asString().contains(" i-1@0>i-1@12 RESTARTED ");
     }
 
     @Test
@@ -174,7 +175,7 @@
         nowMillis = 5_000;
         step(Set.of(SECOND), Set.of(FIRST, SECOND));
         assertThat(reported)
-                .containsExactly("takeover orders 0-65535 i-1@11>i-2@22 EXPIRED fence 5000003 held until 5000 at 5000");
+                .containsExactly("takeover orders 0-65535 i-1@0>i-2@22 EXPIRED fence 5000003 held until 5000 at 5000");
     }
 
     @Test
