Repeat a request on a connection that did not carry it before

Callers saw 503 (not run) for a request that the owner of its key was running. A keyed request that its owner rejected goes to the same owner again, with the same id and usually on the same kept connection. A second copy of the rejection carries that id, so it counted for the repeat. With more attempts left, the request would have run twice. RepeatedRequestTest failed before: 503 to the caller, one run; now 200, one run. The price: a connection is closed when it would carry a repeat.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -29,6 +29,9 @@
     final Optional<ResponseSink> relayedBy;
 
     final Set<ServerId> triedServers = new HashSet<>();
+    /** Connections that carried the request, which may bring another response to it. */
+    final Set<OutboundConnection> usedConnections = new HashSet<>();
+
     /** Server and result of each attempt, for the log. */
     final StringBuilder attemptSummary = new StringBuilder();
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -50,28 +50,46 @@
     void send(ActiveRequest request, Decision.Send decision) {
         ActiveRequest.Attempt attempt = new ActiveRequest.Attempt(decision, System.nanoTime());
         request.attempt = Optional.of(attempt);
-        connections.acquire(decision.server().start(), address(decision.server()), (connection, failure) -> {
-            if (attempt.ended) {
-                if (connection != null) {
-                    connections.release(decision.server().start(), connection);
-                }
-            } else if (connection == null) {
-                engine.onFailure(request, attempt, AttemptResult.NOT_SENT, "no connection: " + failure.getMessage());
-            } else if (!dispatcher.maySend(decision, clockMillis.getAsLong())) {
-                connections.release(decision.server().start(), connection);
-                engine.onFailure(request, attempt, AttemptResult.WITHHELD, "the server no longer takes the request");
+        acquire(request, attempt);
+    }
+
+    /** Acquires a connection that did not carry the request before, since a second response to it has the same id. */
+    private void acquire(ActiveRequest request, ActiveRequest.Attempt attempt) {
+        ServerEntry server = attempt.decision.server();
+        connections.acquire(server.start(), address(server), (connection, failure) -> {
+            if (connection != null && request.usedConnections.contains(connection)) {
+                connection.close();
+                acquire(request, attempt);
             } else {
-                send(request, attempt, connection);
+                onConnected(request, attempt, connection, failure);
             }
         });
     }
 
+    private void onConnected(
+            ActiveRequest request, ActiveRequest.Attempt attempt, OutboundConnection connection, Throwable failure) {
+        Decision.Send decision = attempt.decision;
+        if (attempt.ended) {
+            if (connection != null) {
+                connections.release(decision.server().start(), connection);
+            }
+        } else if (connection == null) {
+            engine.onFailure(request, attempt, AttemptResult.NOT_SENT, "no connection: " + failure.getMessage());
+        } else if (!dispatcher.maySend(decision, clockMillis.getAsLong())) {
+            connections.release(decision.server().start(), connection);
+            engine.onFailure(request, attempt, AttemptResult.WITHHELD, "the server no longer takes the request");
+        } else {
+            send(request, attempt, connection);
+        }
+    }
+
     private static InetSocketAddress address(ServerEntry server) {
         return new InetSocketAddress(server.host(), server.port());
     }
 
     private void send(ActiveRequest request, ActiveRequest.Attempt attempt, OutboundConnection connection) {
         attempt.connection = connection;
+        request.usedConnections.add(connection);
         logIfLeaving(request, attempt);
         engine.links().onSent();
         request.sentAttempts++;
