Give a term no number that a process was told of, and end an append at its own record

A process that was told of a newer term but had not read its table claimed one above the table that it knew, which is the same number again if its position was ahead of that table. The answer of an append could bring it there: its end was taken for the end of the own record, also when the log had grown further by then, so that the next append replaced a record that had not been read.

RangeTermNumberTest failed before in both cases: a claim of term 1 after term 3 was announced, and an append that expected end 2 after the own record at 1. A term is now above all that the process knows of, and a position is never ahead of what was read.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -247,8 +247,10 @@
             return;
         }
         onStoreAnswer(eras.era(), appends.askedMillis());
-        if (result.newEnd().getAsLong() > logEnd) {
-            advanceLog(result.newEnd().getAsLong());
+        // The log may have grown further by the time of the answer; those records are still to be read.
+        long endOfRecord = Math.min(result.newEnd().getAsLong(), record.expectedEnd() + 1);
+        if (endOfRecord > logEnd) {
+            advanceLog(endOfRecord);
             applyTable(record.table(), nowMillis);
         }
     }
@@ -356,7 +358,7 @@
         if (eras.leaderHasPrecedence(table, logEnd, steadyMillis(nowMillis))) {
             return;
         }
-        RangeTable claim = appends.tableToRepeat().orElseGet(() -> eras.claim(table, logEnd, self));
+        RangeTable claim = appends.tableToRepeat().orElseGet(() -> eras.claim(table, newestTerm, logEnd, self));
         actions.add(appends.start(claim, logEnd, nowMillis));
     }
 
@@ -368,7 +370,8 @@
         appends.tableToRepeat()
                 .or(() -> new OwnersOverLoss(eras, holds, times)
                         .certainOwners(remainingMillis, steadyMillis(nowMillis), nowMillis)
-                        .map(owners -> eras.claim(table, logEnd, self).withAllRanges(owners)))
+                        .map(owners ->
+                                eras.claim(table, newestTerm, logEnd, self).withAllRanges(owners)))
                 .ifPresent(proven -> actions.add(appends.start(proven, logEnd, nowMillis)));
     }
 
--- a/core/src/main/java/org/lacewingthread/core/keyrange/StoreEras.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/StoreEras.java
@@ -82,11 +82,14 @@
     /**
      * Returns the table with which a process claims leadership. If tables were lost, it has no owners, since the keys may
      * be held by any server.
+     *
+     * @param newestTerm newest term that this process knows of, whether or not it has read its table
      */
-    RangeTable claim(RangeTable table, long logEnd, Leader leader) {
+    RangeTable claim(RangeTable table, long newestTerm, long logEnd, Leader leader) {
         boolean lost = mayHaveLostTablesAfter(table, logEnd);
         RangeTable base = lost ? table.withAllRanges(Map.of()) : table;
-        return base.withLeader(nextTerm(table, logEnd), leader).inEra(era, lost || table.lossPending());
+        return base.withLeader(nextTerm(Math.max(table.term(), newestTerm), logEnd), leader)
+                .inEra(era, lost || table.lossPending());
     }
 
     private boolean mayHaveLostTablesAfter(RangeTable table, long logEnd) {
@@ -98,7 +101,7 @@
      * Returns the term of a table that is to be recorded at an end of the log. No other term has this number, whatever
      * was lost: within an era it follows from the end, and it is above all terms of earlier eras.
      */
-    private long nextTerm(RangeTable table, long logEnd) {
-        return era == 0 ? table.term() + 1 : Math.max(table.term() + 1, era * TERMS_PER_ERA + logEnd + 1);
+    private long nextTerm(long newestTerm, long logEnd) {
+        return era == 0 ? newestTerm + 1 : Math.max(newestTerm + 1, era * TERMS_PER_ERA + logEnd + 1);
     }
 }
