--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -351,15 +351,12 @@
 
     private void claimLeadership(List<CoordinatorAction> actions, long nowMillis) {
         boolean mayLead = leaderCandidate && !serverLinks.isImpaired();
-        boolean leaderStays = leaderPresence.preventsTakeover(serverLinks.hasRecentAnswer(nowMillis), nowMillis);
-        if (!mayLead || leaderStays || logEnd < 0 || !appends.mayCall(nowMillis)) {
-            return;
-        }
-        if (eras.leaderHasPrecedence(table, logEnd, steadyMillis(nowMillis))) {
-            return;
+        boolean anotherLeads = leaderPresence.preventsTakeover(serverLinks.hasRecentAnswer(nowMillis), nowMillis)
+                || eras.leaderHasPrecedence(table, logEnd, steadyMillis(nowMillis));
+        if (mayLead && !anotherLeads && logEnd >= 0 && appends.mayCall(nowMillis)) {
+            RangeTable claim = appends.tableToRepeat().orElseGet(() -> eras.claim(table, newestTerm, logEnd, self));
+            actions.add(appends.start(claim, logEnd, nowMillis));
         }
-        RangeTable claim = appends.tableToRepeat().orElseGet(() -> eras.claim(table, newestTerm, logEnd, self));
-        actions.add(appends.start(claim, logEnd, nowMillis));
     }
 
     private void recordInNewestEra(List<CoordinatorAction> actions, long silenceMillis, long nowMillis) {
