Count a permit only for the server that it was asked for

Found by reading, for where else an answer can count for another: the leader's answer to a request for a permit was matched by the number of the caller's request only. A request that had asked for one server, and after an overdue answer asked for another one or for the next start of the same one, took the late answer as its own: a request got through to a server beyond its limit, was refused for another server's limit, or ended a limit that is in force.

The answer now names the server and its start, and counts only if the request waits for a permit for that one. Answers of earlier builds name no server and are dropped; their requests wait until the answer is overdue, as after a lost one.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -115,9 +115,14 @@
         limits.setEntryVmCount(count);
     }
 
-    /** Applies the leader's answer to {@link Decision.AskPermit}. */
-    public List<Decision> onPermit(long number, PermitIssuer.Permit permit, long nowMillis) {
-        Optional<DispatchRequest> request = limits.onPermit(number, permit.outcome(), nowMillis);
+    /**
+     * Applies the leader's answer to {@link Decision.AskPermit}.
+     *
+     * @param number number of the request
+     * @param server server for which the permit was asked; the request may have asked for another one since
+     */
+    public List<Decision> onPermit(long number, ServerStart server, PermitIssuer.Permit permit, long nowMillis) {
+        Optional<DispatchRequest> request = limits.onPermit(number, server, permit.outcome(), nowMillis);
         if (request.isEmpty()) {
             return List.of();
         }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
@@ -157,15 +157,17 @@
     }
 
     /**
-     * Records the leader's answer and returns the request that waited for it; empty if it no longer waits. After a
-     * grant the request has a permit; after {@code NOT_LIMITED} the server counts as not limited.
+     * Records the leader's answer and returns the request that waited for it; empty if it no longer waits, or waits for a
+     * permit for another server by now. After a grant the request has a permit; after {@code NOT_LIMITED} the server
+     * counts as not limited.
      */
-    Optional<DispatchRequest> onPermit(long number, PermitIssuer.Outcome outcome, long nowMillis) {
-        Pending pending = pendingByNumber.remove(number);
+    Optional<DispatchRequest> onPermit(long number, ServerStart server, PermitIssuer.Outcome outcome, long nowMillis) {
+        Pending pending = pendingByNumber.get(number);
         overdueInARow = 0;
-        if (pending == null) {
+        if (pending == null || !pending.server().equals(server)) {
             return Optional.empty();
         }
+        pendingByNumber.remove(number);
         if (outcome == PermitIssuer.Outcome.GRANTED) {
             permit(pending, nowMillis);
         } else if (outcome == PermitIssuer.Outcome.NOT_LIMITED) {
--- a/core/src/test/java/org/lacewingthread/core/dispatch/RequestLimitTest.java
+++ b/core/src/test/java/org/lacewingthread/core/dispatch/RequestLimitTest.java
@@ -106,8 +106,8 @@
             } else if (decision instanceof Decision.AskPermit ask) {
                 exchange(() -> {
                     PermitIssuer.Permit permit = issuer.issue(ask.permitRequest(nowMillis), nowMillis);
-                    exchange(() ->
-                            apply(dispatcher, dispatcher.onPermit(ask.request().number(), permit, nowMillis)));
+                    exchange(() -> apply(
+                            dispatcher, dispatcher.onPermit(ask.request().number(), ask.server(), permit, nowMillis)));
                 });
             } else {
                 refused++;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LimitExchange.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LimitExchange.java
@@ -31,8 +31,8 @@
 
     /** Receives the leader's answers. */
     interface AnswerListener {
-        /** Called with the answer to the request of a number. */
-        void onPermit(long number, PermitIssuer.Permit permit);
+        /** Called with the answer to the request of a number for a server. */
+        void onPermit(long number, ServerStart server, PermitIssuer.Permit permit);
     }
 
     /**
@@ -65,7 +65,7 @@
     void ask(PermitRequest request) {
         eventLoop.execute(() -> {
             if (isLeading.getAsBoolean()) {
-                answerListener.onPermit(request.number(), issue(vm, request));
+                answerListener.onPermit(request.number(), request.server(), issue(vm, request));
             } else {
                 leaderSender.accept(PermitMessages.encodeRequest(vm, request));
             }
@@ -91,12 +91,15 @@
      */
     boolean onMessage(JsonNode message, Consumer<ObjectNode> reply) {
         if (PermitMessages.isAnswer(message)) {
-            answerListener.onPermit(PermitMessages.answeredNumber(message), PermitMessages.decodeAnswer(message));
+            answerListener.onPermit(
+                    PermitMessages.answeredNumber(message),
+                    PermitMessages.server(message),
+                    PermitMessages.decodeAnswer(message));
         } else if (PermitMessages.isRequest(message)) {
             if (isLeading.getAsBoolean()) {
                 PermitRequest request = PermitMessages.decodeRequest(message);
                 PermitIssuer.Permit permit = issue(message.path("vm").asText(), request);
-                reply.accept(PermitMessages.encodeAnswer(request.number(), permit));
+                reply.accept(PermitMessages.encodeAnswer(request, permit));
             }
         } else if (PermitMessages.isLimitEnded(message)) {
             currentIssuer().onLimitEnded(PermitMessages.server(message), clockMillis.getAsLong());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/PermitMessages.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/PermitMessages.java
@@ -63,9 +63,9 @@
                 message.path(PRIORITY).asInt());
     }
 
-    static ObjectNode encodeAnswer(long number, PermitIssuer.Permit permit) {
-        return MAPPER.createObjectNode()
-                .put(ANSWER, number)
+    static ObjectNode encodeAnswer(PermitRequest request, PermitIssuer.Permit permit) {
+        return withServer(MAPPER.createObjectNode(), request.server())
+                .put(ANSWER, request.number())
                 .put(OUTCOME, permit.outcome().name())
                 .put(RETRY_AFTER, permit.retryAfterMillis());
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -117,8 +117,8 @@
     }
 
     /** Applies the leader's answer to a request for a permit. */
-    void onPermit(long number, PermitIssuer.Permit permit) {
-        applyDecisions(dispatcher.onPermit(number, permit, clockMillis.getAsLong()));
+    void onPermit(long number, ServerStart server, PermitIssuer.Permit permit) {
+        applyDecisions(dispatcher.onPermit(number, server, permit, clockMillis.getAsLong()));
     }
 
     void onEntryVmCount(int count) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -166,7 +166,7 @@
                 this::applyConfiguration,
                 this::applyTopology,
                 new ReportListener(),
-                (number, permit) -> trafficEventLoop.execute(() -> engine.onPermit(number, permit)),
+                (number, server, permit) -> trafficEventLoop.execute(() -> engine.onPermit(number, server, permit)),
                 this::onServerCallEnded);
         registerGauges(followed);
         callerListener.open(
