--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -176,9 +176,7 @@
                 pending);
         body = null;
         pendingResponses.addLast(pending);
-        if (pendingResponses.size() >= MAX_PIPELINED_REQUESTS) {
-            channel.config().setAutoRead(false);
-        }
+        updateReading();
         requestHandler.onRequest(pending.request);
     }
 
@@ -210,12 +208,20 @@
         if (written) {
             channel.flush();
             lastActiveMillis = clockMillis.getAsLong();
-            if (!channel.config().isAutoRead() && pendingResponses.size() < MAX_PIPELINED_REQUESTS) {
-                channel.config().setAutoRead(true);
-            }
+            updateReading();
         }
     }
 
+    /** Reads no further requests while many are unanswered, or while the caller does not take its responses. */
+    private void updateReading() {
+        channel.config().setAutoRead(pendingResponses.size() < MAX_PIPELINED_REQUESTS && channel.isWritable());
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        updateReading();
+    }
+
     /**
      * Closes the sending side first and the connection after {@link #LINGER_MILLIS} ms: a full close with unread
      * input would reset the connection and could destroy the last response in transit.
--- a/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -20,6 +21,10 @@
 /** Tests caller connections over real sockets; the test decides when each request is answered. */
 class CallerListenerTest {
     private static final int READ_TIMEOUT_MILLIS = 5_000;
+    /** More than the buffers of a connection hold. */
+    private static final int LARGE_BODY_BYTES = 16 << 20;
+
+    private static final long SETTLE_MILLIS = 300;
 
     private final NioEventLoopGroup traffic = new NioEventLoopGroup(1);
     private final RecordingRequestHandler requestHandler = new RecordingRequestHandler();
@@ -97,6 +102,22 @@
         assertThat(readToEnd()).containsSubsequence("for /1", "close", "for /2");
     }
 
+    /** Guards against memory filled with large responses to a caller that sends requests and reads nothing. */
+    @Test
+    void noFurtherRequestsAreReadWhileTheCallerDoesNotTakeItsResponses() throws IOException {
+        send("/1");
+        await().until(() -> requestHandler.requests.size() == 1);
+        byte[] largeBody = new byte[LARGE_BODY_BYTES];
+        CallerRequest first = requestHandler.requests.get(0);
+        traffic.execute(
+                () -> first.responder().respond(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(largeBody)));
+        traffic.execute(() -> {});
+        send("/2", "/3");
+        await().during(SETTLE_MILLIS, TimeUnit.MILLISECONDS).until(() -> requestHandler.requests.size() == 1);
+        caller.getInputStream().readNBytes(LARGE_BODY_BYTES);
+        await().until(() -> requestHandler.requests.size() == 3);
+    }
+
     @Test
     void drainAnswersPendingRequestsAndIgnoresLaterOnes() throws IOException {
         send("/1", "/2");
