Spread moving hot sets within a second, and send the range table to the entry VMs

Cause: the planner saw a new hot set through a window of 6 s that still held the former one, looked once a second and moved eight ranges at most, whatever the number of servers.

The planner looks four times a second, moves at most as many parts as there are servers, and picks the narrowest part that is enough. Requests that wait for owners make a VM report at once. The leader sends each recorded table as a difference to the VMs that report to it; these read the store only when that fails. Saved-up retries are divided by the number of entry VMs (they were a dozenth each, which at 95 VMs is eight times the shared slack).

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -225,6 +225,14 @@
                 + waitingByService.values().stream().mapToInt(TreeSet::size).sum();
     }
 
+    /** Returns the number of waiting requests that only the owner of their key can run. */
+    public int keyedWaitingCount() {
+        return (int) waitingByService.values().stream()
+                .flatMap(TreeSet::stream)
+                .filter(request -> request.key().isPresent())
+                .count();
+    }
+
     /** Returns the service time of a server as measured by this VM, in milliseconds. */
     public Optional<Double> serviceMillis(ServerStart server) {
         return Optional.ofNullable(servers.get(server)).map(ServerLoadState::serviceMillis);
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -41,7 +41,7 @@
  */
 public final class RangeCoordinator {
     /** Interval at which ranges may move to balance load. */
-    private static final long BALANCE_INTERVAL_MILLIS = 1_000;
+    static final long BALANCE_INTERVAL_MILLIS = 250;
 
     private final Leader self;
     private final RangeLeaseTimes times;
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangePlanner.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangePlanner.java
@@ -2,24 +2,32 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.lacewingthread.core.id.ServerStart;
 
 /**
  * Splits the key space by measured load and assigns the ranges to servers by capacity. Ranges without a
- * usable owner are assigned first; then ranges move from the most to the least utilized server while
- * that reduces the imbalance. Splitting by load spreads adjacent busy keys over several servers, where
+ * usable owner are assigned first; then the narrowest parts with enough load move from overloaded servers to the
+ * least utilized ones. Splitting by load spreads adjacent busy keys over several servers, where
  * ranges of equal width would put them all on one.
  */
 public final class RangePlanner {
     /** Utilization relative to the mean above which a server loses keys; lower values let noise move keys. */
     private static final double OVERLOAD_FACTOR = 1.3;
-    /** Maximum moves for balance in one plan; limits how many keys wait for their new owner at a time. */
-    private static final int MAX_BALANCE_MOVES = 8;
+    /** Standard deviations of a server's sampled load that are added to the overload threshold. */
+    private static final double OVERLOAD_DEVIATIONS = 1;
+    /** Cost of a moved part relative to the one that makes source and target equal: the least, and the most. */
+    private static final double MIN_MOVE_FACTOR = 0.5;
+
+    private static final double MAX_MOVE_FACTOR = 1.3;
+    /** Cost relative to the same, or to a fair share, below which moving a part is not worth its handover. */
+    private static final double MIN_USEFUL_MOVE_FACTOR = 0.15;
     /** Least load to split off for a server, relative to its fair share; a remainder needs half as much. */
     private static final double MIN_SPLIT_LOAD_FACTOR = 0.6;
     /** Mean number of ranges per server from which ranges are not split, since each range needs renewals. */
@@ -126,30 +134,44 @@
         return ranges.size() < capacityByServer.size() * MAX_RANGES_PER_SERVER;
     }
 
+    /** Moves at most as many parts as there are servers, since each server may have to give up or take one. */
     private void balance(Predicate<RangeOwnership> movable) {
-        for (int i = 0; i < MAX_BALANCE_MOVES; i++) {
+        Set<ServerStart> unmovable = new HashSet<>();
+        for (int moves = 0; moves < capacityByServer.size(); ) {
             ServerStart target = leastUtilized();
-            Optional<ServerStart> source = mostUtilized(movable);
-            if (source.isEmpty() || !moveExcess(source.get(), target, movable)) {
+            Optional<ServerStart> source = mostOverloaded(target, unmovable);
+            if (source.isEmpty()) {
                 return;
             }
+            if (moveExcess(source.get(), target, movable)) {
+                moves++;
+            } else {
+                unmovable.add(source.get());
+            }
         }
     }
 
-    private Optional<ServerStart> mostUtilized(Predicate<RangeOwnership> movable) {
-        boolean targetIsNew = costByServer.get(leastUtilized()) <= 0;
-        double threshold = targetIsNew ? 0 : meanCostPerCapacity * OVERLOAD_FACTOR;
+    private Optional<ServerStart> mostOverloaded(ServerStart target, Set<ServerStart> unmovable) {
+        boolean targetIsNew = costByServer.get(target) <= 0;
         return costByServer.keySet().stream()
-                .filter(server -> utilization(server) > threshold)
-                .filter(server -> ranges.stream()
-                        .anyMatch(ownership -> ownership.owner().equals(server) && isMovable(ownership, movable)))
+                .filter(server -> !unmovable.contains(server) && !server.equals(target))
+                .filter(server -> targetIsNew || isOverloaded(server))
                 .max(Comparator.comparingDouble(this::utilization));
     }
 
+    private boolean isOverloaded(ServerStart server) {
+        double fairCost = meanCostPerCapacity * capacityByServer.get(server);
+        double deviation = Math.sqrt(fairCost * load.meanSampleCost());
+        return costByServer.get(server) > fairCost * OVERLOAD_FACTOR + deviation * OVERLOAD_DEVIATIONS;
+    }
+
     private static boolean isMovable(RangeOwnership ownership, Predicate<RangeOwnership> movable) {
         return !ownership.isMoving() && movable.test(ownership);
     }
 
+    /** A part of an owned range that may move. */
+    private record Part(RangeOwnership ownership, KeyRange keys, double cost) {}
+
     private boolean moveExcess(ServerStart source, ServerStart target, Predicate<RangeOwnership> movable) {
         double sourceCapacity = capacityByServer.get(source);
         double targetCapacity = capacityByServer.get(target);
@@ -157,36 +179,48 @@
                 * sourceCapacity
                 * targetCapacity
                 / (sourceCapacity + targetCapacity);
-        RangeOwnership ownership = ranges.stream()
+        List<Part> parts = ranges.stream()
                 .filter(candidate -> candidate.owner().equals(source) && isMovable(candidate, movable))
-                .max(Comparator.comparingDouble(candidate -> moveScore(candidate, excessCost)))
-                .orElseThrow();
-        double ownershipCost = load.cost(ownership.range());
-        if (ownershipCost <= excessCost * OVERLOAD_FACTOR) {
-            move(ownership, ownership.range(), target);
-            return true;
-        }
-        int splitKey = load.findSplitKey(ownership.range(), excessCost);
-        if (!maySplit() || splitKey > ownership.range().lastKey()) {
+                .flatMap(candidate -> movableParts(candidate, excessCost).stream())
+                .toList();
+        Optional<Part> chosen = parts.stream()
+                .filter(part -> part.cost() >= excessCost * MIN_MOVE_FACTOR)
+                .min(Comparator.comparingInt(part -> part.keys().size()))
+                .or(() -> parts.stream().max(Comparator.comparingDouble(Part::cost)));
+        double usefulCost = Math.min(excessCost, meanCostPerCapacity * sourceCapacity) * MIN_USEFUL_MOVE_FACTOR;
+        if (chosen.isEmpty() || chosen.get().cost() < usefulCost) {
             return false;
         }
-        KeyRange lower = ownership.range().below(splitKey);
-        KeyRange upper = ownership.range().from(splitKey);
-        KeyRange moved =
-                Math.abs(load.cost(lower) - excessCost) <= Math.abs(load.cost(upper) - excessCost) ? lower : upper;
-        if (load.cost(moved) > excessCost * 2) {
-            return false;
-        }
-        move(ownership, moved, target);
+        move(chosen.get().ownership(), chosen.get().keys(), target);
         return true;
     }
 
-    /** Ranks ranges that cost about the target or less first, the largest first, then the smallest others. */
-    private double moveScore(RangeOwnership ownership, double targetCost) {
+    /** Returns the whole range if it is not too much to move, otherwise a part that is enough. */
+    private List<Part> movableParts(RangeOwnership ownership, double excessCost) {
         double cost = load.cost(ownership.range());
-        return cost <= targetCost * OVERLOAD_FACTOR
-                ? targetCost * 2 + cost
-                : targetCost * 2 - Math.min(targetCost, cost / 100);
+        if (cost <= excessCost * MAX_MOVE_FACTOR) {
+            return List.of(new Part(ownership, ownership.range(), cost));
+        }
+        if (!maySplit()) {
+            return List.of();
+        }
+        List<Part> parts = new ArrayList<>();
+        load.findPart(ownership.range(), excessCost * MIN_MOVE_FACTOR, excessCost * MAX_MOVE_FACTOR)
+                .ifPresent(keys -> parts.add(new Part(ownership, keys, load.cost(keys))));
+        if (parts.isEmpty()) {
+            // Only single keys with too much load, and keys without samples.
+            int splitKey = load.findSplitKey(ownership.range(), excessCost);
+            if (splitKey <= ownership.range().lastKey()) {
+                for (KeyRange keys : List.of(
+                        ownership.range().below(splitKey), ownership.range().from(splitKey))) {
+                    double partCost = load.cost(keys);
+                    if (partCost <= excessCost * MAX_MOVE_FACTOR) {
+                        parts.add(new Part(ownership, keys, partCost));
+                    }
+                }
+            }
+        }
+        return parts;
     }
 
     private void move(RangeOwnership ownership, KeyRange moved, ServerStart target) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -44,6 +44,8 @@
     private static final long NEW_TERM_RESEND_MILLIS = 200;
     /** How often each entry VM reports its load to the leader. */
     private static final long REPORT_INTERVAL_MILLIS = 500;
+    /** The same while requests for keys wait, since their owners may have too much load. */
+    private static final long WAITING_REPORT_INTERVAL_MILLIS = 150;
 
     private final VmStart self;
     private final FormerLeaderMessages formerLeaders;
@@ -69,6 +71,7 @@
     private boolean wasLeading;
     private boolean stopped;
     private boolean leaderEligible = true;
+    private long reportedMillis;
 
     ControlLoop(
             Leader self,
@@ -138,7 +141,7 @@
                 NEW_TERM_RESEND_MILLIS,
                 TimeUnit.MILLISECONDS);
         eventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "report", loadReports::send),
+                new FailureLoggingTask(events, "report", this::report),
                 REPORT_INTERVAL_MILLIS,
                 REPORT_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -148,6 +151,20 @@
         });
     }
 
+    private void report() {
+        reportedMillis = clock.nowMillis();
+        loadReports.send();
+    }
+
+    /** Reports the load early, since requests for keys wait; may be called on any thread. */
+    void onKeyedRequestsWaiting() {
+        eventLoop.execute(() -> {
+            if (clock.nowMillis() - reportedMillis >= WAITING_REPORT_INTERVAL_MILLIS) {
+                report();
+            }
+        });
+    }
+
     /** Stops leading and lets the platform select another entry VM. */
     void leave() {
         eventLoop.execute(() -> {
@@ -231,6 +248,9 @@
             wasLeading = coordinator.isLeading();
             platform.setLeading(wasLeading);
             eventLogger.logLeadershipChange(wasLeading, coordinator.table());
+            if (!wasLeading) {
+                loadReports.announceNewLeader();
+            }
         }
     }
 
@@ -261,7 +281,12 @@
     private void onTableRecorded(ControlEventLogger.Append append, AppendResult result) {
         long nowMillis = clock.nowMillis();
         eventLogger.logAppendEnded(append, result, nowMillis);
+        RangeTable tableBefore = coordinator.table();
+        LogPosition positionBefore = coordinator.position();
         coordinator.onRecorded(append.record(), result, nowMillis);
+        if (!coordinator.table().equals(tableBefore)) {
+            loadReports.announceRecordedTable(tableBefore, positionBefore);
+        }
         step();
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/EntryVmDirectory.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/EntryVmDirectory.java
@@ -36,6 +36,9 @@
         }
     }
 
+    /** A report with its place among equal ones, which differs by requester. */
+    private record RankedReport(Report report, int rank) {}
+
     /** Records that a VM is alive. */
     void onSeen(String vm, long nowMillis) {
         seenMillis.put(vm, nowMillis);
@@ -63,6 +66,15 @@
         return seenMillis.size() + (seenMillis.containsKey(self) ? 0 : 1);
     }
 
+    /** Returns the addresses at which the live entry VMs receive messages. */
+    List<InetSocketAddress> addresses(long nowMillis) {
+        return reports.values().stream()
+                .filter(report -> nowMillis - report.reportedMillis() < REPORT_VALIDITY_MILLIS)
+                .map(report -> new InetSocketAddress(
+                        report.peer().host(), report.peer().port()))
+                .toList();
+    }
+
     /** Returns the largest number of servers that answered one of the reporting VMs of late. */
     int mostAnsweringServers(long nowMillis) {
         return reports.values().stream()
@@ -82,12 +94,15 @@
         return reports.values().stream()
                 .filter(report -> report.mayReachServers(nowMillis))
                 .filter(report -> !report.peer().vm().value().equals(requester))
-                .sorted(Comparator.comparing(Report::isSuspect)
-                        .thenComparing(report -> report.reporter().answeringServers() == 0)
-                        .thenComparing(report -> !report.peer().dataCentre().equals(dataCentre))
-                        .thenComparing(report -> (report.peer().vm().value() + requester).hashCode()))
+                .map(report -> new RankedReport(report, (report.peer().vm().value() + requester).hashCode()))
+                .sorted(Comparator.<RankedReport, Boolean>comparing(
+                                ranked -> ranked.report().isSuspect())
+                        .thenComparing(ranked -> ranked.report().reporter().answeringServers() == 0)
+                        .thenComparing(
+                                ranked -> !ranked.report().peer().dataCentre().equals(dataCentre))
+                        .thenComparingInt(RankedReport::rank))
                 .limit(MAX_PEERS)
-                .map(Report::peer)
+                .map(ranked -> ranked.report().peer())
                 .toList();
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
@@ -14,10 +14,6 @@
 
 /** Estimates load by key and the capacity of the servers, for the leader. All methods run on the control thread. */
 final class KeyspaceLoad {
-    /** Window over which the load of keys is measured; a hot key is visible within one or two seconds. */
-    private static final long LOAD_WINDOW_MILLIS = 6_000;
-    /** Load that is spread over keys without samples; about the cost of a few requests. */
-    private static final double BASELINE_LOAD = 2_000;
     /** Load that one request adds to its key; only the ratio to other loads matters. */
     private static final double REQUEST_COST = 100;
     /** Weight of the newest measurement in the exponential moving average of a server's service time. */
@@ -34,12 +30,22 @@
     /** Capacity of a server whose limit leaves it almost none; loads are divided by it. */
     private static final double MIN_CAPACITY = 0.01;
 
-    private static final double MILLIS_PER_SECOND = 1e3;
     private static final int MAX_MEASURED_SERVERS = 1_000;
+    /** Time for which a view is used again while the servers and their limits are the same. */
+    private static final long VIEW_VALIDITY_MILLIS = 100;
 
     private final Map<ServiceId, KeyLoad> keyLoadByService = new HashMap<>();
+    private final Map<ServiceId, CachedView> viewByService = new HashMap<>();
     private final Map<ServerStart, Double> serviceMillisByServer = new HashMap<>();
 
+    /** A view with what it was made from. */
+    private record CachedView(
+            List<KnownServer> servers, Map<ServerStart, Double> limits, long madeMillis, ServiceView view) {
+        boolean isValid(List<KnownServer> newServers, Map<ServerStart, Double> newLimits, long nowMillis) {
+            return servers == newServers && limits.equals(newLimits) && nowMillis - madeMillis < VIEW_VALIDITY_MILLIS;
+        }
+    }
+
     /** Records a request for a key. */
     void recordKey(ServiceId service, int key, long nowMillis) {
         keyLoadOf(service).add(key, REQUEST_COST, nowMillis);
@@ -55,8 +61,10 @@
 
     /**
      * Returns the capacity of a service's servers and the load of its keys. A server with a limit has no more capacity
-     * than its limit, so that its keys move to others.
+     * than its limit, so that its keys move to others. A view may be up to 100 ms old, since making one takes a pass over
+     * all servers and requests.
      *
+     * @param servers known servers; another list object counts as a change
      * @param limitPerSecondByServer limits that servers named
      */
     ServiceView view(
@@ -64,6 +72,20 @@
             List<KnownServer> servers,
             Map<ServerStart, Double> limitPerSecondByServer,
             long nowMillis) {
+        CachedView cached = viewByService.get(service);
+        if (cached == null || !cached.isValid(servers, limitPerSecondByServer, nowMillis)) {
+            ServiceView view = makeView(service, servers, limitPerSecondByServer, nowMillis);
+            cached = new CachedView(servers, Map.copyOf(limitPerSecondByServer), nowMillis, view);
+            viewByService.put(service, cached);
+        }
+        return cached.view();
+    }
+
+    private ServiceView makeView(
+            ServiceId service,
+            List<KnownServer> servers,
+            Map<ServerStart, Double> limitPerSecondByServer,
+            long nowMillis) {
         List<KnownServer> serviceServers = servers.stream()
                 .filter(server -> server.entry().service().equals(service))
                 .toList();
@@ -84,8 +106,7 @@
             }
         }
         KeyLoad.Profile load = keyLoadOf(service).profile(nowMillis);
-        double requestsPerSecond = load.sampleCount() * MILLIS_PER_SECOND / LOAD_WINDOW_MILLIS;
-        applyLimits(capacityByServer, limitPerSecondByServer, requestsPerSecond);
+        applyLimits(capacityByServer, limitPerSecondByServer, keyLoadOf(service).samplesPerSecond(nowMillis));
         return new ServiceView(capacityByServer, registered, load);
     }
 
@@ -117,6 +138,6 @@
     }
 
     private KeyLoad keyLoadOf(ServiceId service) {
-        return keyLoadByService.computeIfAbsent(service, id -> new KeyLoad(LOAD_WINDOW_MILLIS, BASELINE_LOAD));
+        return keyLoadByService.computeIfAbsent(service, id -> KeyLoad.ofRequests());
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -15,6 +15,7 @@
 import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.keyrange.RangeTableDelta;
 import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.core.registry.ServerRegistry;
 
@@ -219,12 +220,47 @@
                 : Optional.empty();
     }
 
+    /** Tells all reporting VMs of a table that this process has recorded as leader, so that they need not read it. */
+    void announceRecordedTable(RangeTable before, LogPosition beforePosition) {
+        LogPosition position = coordinator.position();
+        if (coordinator.isLeading() && coordinator.isTableRecorded() && position.era() == beforePosition.era()) {
+            ReportChannel.TableChange change = new ReportChannel.TableChange(
+                    RangeTableDelta.between(before, coordinator.table()), beforePosition, position.end());
+            channel.sendTableChange(change, directory.addresses(clock.nowMillis()));
+        }
+    }
+
+    /** Tells all VMs that reported to this process as the leader that another one leads now. */
+    void announceNewLeader() {
+        LogPosition position = coordinator.position();
+        boolean anotherLeads = coordinator
+                .table()
+                .leader()
+                .filter(leader -> !leader.equals(self))
+                .isPresent();
+        if (anotherLeads && coordinator.isTableRecorded()) {
+            channel.sendTable(
+                    new ReportChannel.RecordedTable(coordinator.table(), position.end()),
+                    directory.addresses(clock.nowMillis()));
+        }
+    }
+
+    @Override
+    public void onTableChange(ReportChannel.TableChange change) {
+        if (coordinator.position().equals(change.before())) {
+            change.delta()
+                    .applyTo(coordinator.table())
+                    .ifPresent(table -> onTableFromLeader(new ReportChannel.RecordedTable(table, change.logEnd())));
+        }
+    }
+
     @Override
     public void onTableFromLeader(ReportChannel.RecordedTable recorded) {
         RangeTable previousTable = coordinator.table();
         LogPosition position = new LogPosition(recorded.table().era(), recorded.logEnd());
         if (coordinator.onTable(recorded.table(), position, clock.nowMillis())) {
             eventLogger.logTableRead(previousTable, recorded.table(), recorded.logEnd(), "leader");
+            platform.onTableKnown(position);
             publisher.accept(clock.nowMillis());
         }
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -113,6 +113,9 @@
      */
     void onLeaderPositions(Positions positions, Optional<AsOf> asOf);
 
+    /** Records that this VM knows the range table at a log position, so that it need not be read up to there. */
+    void onTableKnown(LogPosition position);
+
     /** Appends a range table. */
     void appendTable(CoordinatorAction.RecordTable action, Consumer<AppendResult> result);
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -30,7 +30,9 @@
 import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.Leader;
+import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.keyrange.RangeTableDelta;
 import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.daemon.events.EventLog;
 
@@ -52,6 +54,10 @@
     private static final String REPORT_SENT_AT = "reportSentAtMillis";
     private static final String TABLE = "table";
     private static final String TABLE_END = "tableEnd";
+    private static final String TABLE_CHANGE = "tableChange";
+    private static final String TABLE_CHANGE_ERA = "tableChangeEra";
+    private static final String TABLE_CHANGE_FROM = "tableChangeFrom";
+    private static final String TABLE_CHANGE_CHECKSUM = "tableChangeChecksum";
     private static final String NEW_TERM = "newTerm";
     private static final String NOT_LEADING_VM = "notLeadingVm";
     private static final String NOT_LEADING_START = "notLeadingStart";
@@ -102,6 +108,15 @@
      */
     record RecordedTable(RangeTable table, long logEnd) {}
 
+    /**
+     * A newly recorded table, as its difference from the one before.
+     *
+     * @param delta the difference
+     * @param before log position after the record of the table before
+     * @param logEnd log position after the table's record, in the same era
+     */
+    record TableChange(RangeTableDelta delta, LogPosition before, long logEnd) {}
+
     /**
      * A recorded table in the form in which it is sent; kept because many VMs ask for the same table.
      *
@@ -121,6 +136,9 @@
         /** Called with the recorded range table, which the leader sends while the store does not answer this VM. */
         void onTableFromLeader(RecordedTable recorded);
 
+        /** Called with a table that the leader has just recorded, as its difference from the one before. */
+        void onTableChange(TableChange change);
+
         /**
          * Called with the leader's answer to a report.
          *
@@ -214,6 +232,29 @@
                 new InetSocketAddress(former.reportHost(), former.reportPort()));
     }
 
+    /** Sends a newly recorded table to other VMs. */
+    void sendTableChange(TableChange change, List<InetSocketAddress> recipients) {
+        byte[] datagram = encode(MAPPER.createObjectNode()
+                .put(TABLE_CHANGE, encodeTable(change.delta().changes()))
+                .put(TABLE_CHANGE_CHECKSUM, change.delta().checksum())
+                .put(TABLE_CHANGE_ERA, change.before().era())
+                .put(TABLE_CHANGE_FROM, change.before().end())
+                .put(TABLE_END, change.logEnd()));
+        recipients.forEach(recipient -> send(datagram, recipient));
+    }
+
+    /** Sends a whole recorded table to other VMs. */
+    void sendTable(RecordedTable recorded, List<InetSocketAddress> recipients) {
+        byte[] datagram = encode(MAPPER.createObjectNode()
+                .put(TABLE, encodeTable(recorded.table()))
+                .put(TABLE_END, recorded.logEnd()));
+        recipients.forEach(recipient -> send(datagram, recipient));
+    }
+
+    private static String encodeTable(RangeTable table) {
+        return Base64.getEncoder().encodeToString(RangeTableJson.writeCompressed(table));
+    }
+
     /** Sends a message of another kind than a report. */
     void sendTo(Leader recipient, ObjectNode message) {
         send(message, new InetSocketAddress(recipient.reportHost(), recipient.reportPort()));
@@ -248,6 +289,10 @@
                 if (limitMessages.onMessage(message, reply -> send(reply, packet.sender()))) {
                     return;
                 }
+                if (message.has(TABLE_CHANGE)) {
+                    listener.onTableChange(readTableChange(message));
+                    return;
+                }
                 if (message.has(TABLE)) {
                     listener.onTableFromLeader(new RecordedTable(
                             RangeTableJson.readCompressed(message.path(TABLE).binaryValue()),
@@ -258,6 +303,9 @@
                     listener.onLeaderStatus(status, asOf(message, status));
                     return;
                 }
+                if (message.has(TABLE)) {
+                    return;
+                }
                 if (message.has(NOT_LEADING_VM)) {
                     VmStart process = new VmStart(
                             new VmId(message.path(NOT_LEADING_VM).asText()),
@@ -291,6 +339,17 @@
             }
         }
 
+        private static TableChange readTableChange(JsonNode message) throws IOException {
+            RangeTable changes =
+                    RangeTableJson.readCompressed(message.path(TABLE_CHANGE).binaryValue());
+            LogPosition before = new LogPosition(
+                    message.path(TABLE_CHANGE_ERA).asLong(),
+                    message.path(TABLE_CHANGE_FROM).asLong());
+            RangeTableDelta delta = new RangeTableDelta(
+                    changes, message.path(TABLE_CHANGE_CHECKSUM).asLong());
+            return new TableChange(delta, before, message.path(TABLE_END).asLong());
+        }
+
         /** The leader answered after the report was sent, so what it knows is no older than by this difference. */
         private Optional<Platform.AsOf> asOf(JsonNode message, LeaderStatus status) {
             JsonNode reportSentAt = message.path(REPORT_SENT_AT);
@@ -327,7 +386,7 @@
         private EncodedTable encode(RecordedTable recorded) {
             if (newestEncodedTable.isEmpty()
                     || !newestEncodedTable.get().recorded().equals(recorded)) {
-                String base64 = Base64.getEncoder().encodeToString(RangeTableJson.writeCompressed(recorded.table()));
+                String base64 = encodeTable(recorded.table());
                 boolean fits = base64.length() <= MAX_TABLE_BYTES;
                 if (!fits) {
                     events.write(
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -121,7 +121,13 @@
         applyDecisions(dispatcher.onPermit(number, server, permit, clockMillis.getAsLong()));
     }
 
-    void onEntryVmCount(int count) {
+    /**
+     * Applies the number of live entry VMs.
+     *
+     * @param maxSavedRetries most extra attempts that this VM can save up
+     */
+    void onEntryVmCount(int count, double maxSavedRetries) {
+        retryBudget.setMaxTokens(maxSavedRetries);
         dispatcher.onEntryVmCount(count);
         routing.onEntryVmCount(count);
         dispatcher.onConnectionLimits(routing.connectionLimits());
@@ -190,6 +196,11 @@
         return dispatcher.waitingCount();
     }
 
+    /** Returns the number of requests that wait for the owners of their keys. */
+    int keyedWaitingCount() {
+        return dispatcher.keyedWaitingCount();
+    }
+
     long connectionsOpened() {
         return connections.openedCount();
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -64,6 +64,8 @@
     private static final long EXPIRED_ENTRY_GRACE_MILLIS = 2_000;
 
     private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
+    /** Number of entry VMs that share limits until the leader has told it. */
+    private static final int ASSUMED_ENTRY_VM_COUNT = 12;
 
     private final RouterSettings settings;
     private final EventLog events;
@@ -106,7 +108,7 @@
                 metrics,
                 new RequestDispatcher(settings.dataCentre(), random.split()),
                 trafficEventLoop,
-                new RetryBudget(settings.retryRatio(), settings.maxSavedRetries()),
+                new RetryBudget(settings.retryRatio(), savedRetriesOf(ASSUMED_ENTRY_VM_COUNT)),
                 RouterProcess::trafficNowMillis,
                 (service, key) -> controlLoop.onKeyRequested(service, key),
                 new LimitLink(),
@@ -212,7 +214,7 @@
     private final class ReportListener implements LoadReports.ResultListener {
         @Override
         public void onEntryVmCount(int count) {
-            trafficEventLoop.execute(() -> engine.onEntryVmCount(count));
+            trafficEventLoop.execute(() -> engine.onEntryVmCount(count, savedRetriesOf(count)));
         }
 
         @Override
@@ -226,6 +228,11 @@
         }
     }
 
+    /** Returns this VM's part of the extra attempts that can be saved up; with less than one, none could be made. */
+    private double savedRetriesOf(int entryVmCount) {
+        return Math.max(1, settings.maxSavedRetries() / entryVmCount);
+    }
+
     private static long trafficNowMillis() {
         return System.nanoTime() / NANOS_PER_MILLI;
     }
@@ -276,6 +283,9 @@
     private void reportReach() {
         reach = engine.links().reach();
         controlLoop.onReach(reach);
+        if (engine.keyedWaitingCount() > 0) {
+            controlLoop.onKeyedRequestsWaiting();
+        }
     }
 
     private void reportServiceTimes() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
@@ -17,7 +17,7 @@
  * @param drainMillis time from a server's drain after which no request may arrive there
  * @param stopMillis time from the stop signal until the process must have ended
  * @param retryRatio extra attempts as a share of first attempts, over all entry VMs
- * @param maxSavedRetries most extra attempts that this VM can save up
+ * @param maxSavedRetries most extra attempts that all entry VMs together can save up; each has an equal part
  * @param leaseTimes durations of the holds of key ranges and of their renewals
  */
 public record RouterSettings(
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
@@ -25,6 +25,7 @@
 import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.KeyRange;
 import org.lacewingthread.core.keyrange.Leader;
+import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeLeaseTimes;
 import org.lacewingthread.core.registry.ServerEntry;
@@ -70,6 +71,9 @@
         @Override
         public void onLeaderPositions(Positions positions, Optional<AsOf> asOf) {}
 
+        @Override
+        public void onTableKnown(LogPosition position) {}
+
         @Override
         public long configurationAsOfMillis() {
             return 0;
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RecordingReportListener.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RecordingReportListener.java
@@ -40,6 +40,11 @@
         received.add(table);
     }
 
+    @Override
+    public void onTableChange(ReportChannel.TableChange change) {
+        received.add(change);
+    }
+
     @Override
     public void onLeaderStatus(ReportChannel.LeaderStatus status, Optional<Platform.AsOf> asOf) {
         received.add(status);
