--- a/core/src/main/java/org/lacewingthread/core/keyrange/KeyLoad.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/KeyLoad.java
@@ -119,12 +119,8 @@
 
     /** Returns the mean rate of requests in the window, in samples for each second. */
     public double samplesPerSecond(long nowMillis) {
-        if (samples.isEmpty()) {
-            return 0;
-        }
-        long spanMillis =
-                Math.max(RECENT_MILLIS, nowMillis - samples.peekFirst().addedMillis());
-        return samples.size() * 1e3 / spanMillis;
+        long spanMillis = Math.min(windowMillis, Math.max(RECENT_MILLIS, nowMillis - changedMillis));
+        return samples.size() * MILLIS_PER_SECOND / spanMillis;
     }
 
     private void removeAddedUntil(long limitMillis) {
