--- a/core/src/main/java/org/lacewingthread/core/keyrange/KeyLoad.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/KeyLoad.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 
 /**
  * The distribution of load over the key space: a sliding window of sampled requests, plus a small
@@ -311,6 +312,18 @@
             return parts;
         }
 
+        /** Returns the sampled key of a range with the highest cost; empty if the range has no samples. */
+        OptionalInt hottestKey(KeyRange range) {
+            int end = indexFrom(range.lastKey() + 1);
+            int hottest = -1;
+            for (int i = indexFrom(range.firstKey()); i < end; i++) {
+                if (hottest < 0 || partCost(i, i) > partCost(hottest, hottest)) {
+                    hottest = i;
+                }
+            }
+            return hottest < 0 ? OptionalInt.empty() : OptionalInt.of(keys[hottest]);
+        }
+
         private double partCost(int first, int last) {
             return costBefore[last + 1] - costBefore[first] + uniformCostPerKey * (keys[last] - keys[first] + 1);
         }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangePlanner.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangePlanner.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
@@ -28,6 +29,8 @@
     private static final double MAX_MOVE_FACTOR = 1.3;
     /** Cost relative to the same, or to a fair share, below which moving a part is not worth its handover. */
     private static final double MIN_USEFUL_MOVE_FACTOR = 0.15;
+    /** Capacity of a server relative to a slower one from which it takes a key that is too much for both. */
+    private static final double FASTER_FACTOR = 1.25;
     /** Least load to split off for a server, relative to its fair share; a remainder needs half as much. */
     private static final double MIN_SPLIT_LOAD_FACTOR = 0.6;
     /** Mean number of ranges per server from which ranges are not split, since each range needs renewals. */
@@ -143,7 +146,7 @@
             if (source.isEmpty()) {
                 return;
             }
-            if (moveExcess(source.get(), target, movable)) {
+            if (moveExcess(source.get(), target, movable) || moveHottestKeyToFasterServer(source.get(), movable)) {
                 moves++;
             } else {
                 unmovable.add(source.get());
@@ -195,6 +198,41 @@
         return true;
     }
 
+    /** Moves a key that is too much for any server to the fastest one that has no such key, so that most of it is served. */
+    private boolean moveHottestKeyToFasterServer(ServerStart source, Predicate<RangeOwnership> movable) {
+        Optional<Part> hottest = ranges.stream()
+                .filter(candidate -> candidate.owner().equals(source) && isMovable(candidate, movable))
+                .flatMap(candidate -> hottestKey(candidate).stream())
+                .max(Comparator.comparingDouble(Part::cost));
+        Optional<ServerStart> fastest = capacityByServer.keySet().stream()
+                .filter(server -> ranges.stream()
+                        .filter(ownership -> ownership.owner().equals(server))
+                        .flatMap(ownership -> hottestKey(ownership).stream())
+                        .noneMatch(key -> isTooMuch(key, server)))
+                .max(Comparator.comparingDouble(capacityByServer::get));
+        boolean worthwhile = hottest.isPresent()
+                && fastest.isPresent()
+                && isTooMuch(hottest.get(), fastest.get())
+                && capacityByServer.get(fastest.get()) >= capacityByServer.get(source) * FASTER_FACTOR;
+        if (worthwhile) {
+            move(hottest.get().ownership(), hottest.get().keys(), fastest.get());
+        }
+        return worthwhile;
+    }
+
+    private Optional<Part> hottestKey(RangeOwnership ownership) {
+        OptionalInt key = load.hottestKey(ownership.range());
+        if (key.isEmpty()) {
+            return Optional.empty();
+        }
+        KeyRange range = new KeyRange(key.getAsInt(), key.getAsInt());
+        return Optional.of(new Part(ownership, range, load.cost(range)));
+    }
+
+    private boolean isTooMuch(Part key, ServerStart server) {
+        return key.cost() > meanCostPerCapacity * capacityByServer.get(server) * OVERLOAD_FACTOR;
+    }
+
     /** Returns the whole range if it is not too much to move, otherwise a part that is enough. */
     private List<Part> movableParts(RangeOwnership ownership, double excessCost) {
         double cost = load.cost(ownership.range());
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangePlannerTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangePlannerTest.java
@@ -89,6 +89,25 @@
         assertThat(keysOfOwner).isLessThan(1_000);
     }
 
+    /** Load pattern: one key takes 40 % of the requests, far more than any server can serve. */
+    @Test
+    void keyThatIsTooMuchForAnyServerMovesToTheFastest() {
+        Map<ServerStart, Double> servers = servers(SERVERS);
+        ServerStart fastest = new ServerStart(new ServerId("s7"), 1);
+        servers.put(fastest, 2.8);
+        List<RangeOwnership> planned = plan(List.of(), servers);
+        SplittableRandom random = new SplittableRandom(4);
+        for (int i = 0; i < 1_000; i++) {
+            load.add(random.nextInt(10) < 4 ? 20_000 : random.nextInt(65_536), 100, 0);
+        }
+        planned = planRepeatedly(planned, servers);
+        assertThat(planned)
+                .filteredOn(range -> range.range().contains(20_000))
+                .extracting(RangeOwnership::owner)
+                .containsExactly(fastest);
+        assertThat(plan(planned, servers)).isEqualTo(planned);
+    }
+
     @Test
     void onlyTheKeysOfARemovedServerMove() {
         Map<ServerStart, Double> servers = servers(SERVERS);
