Send registry changes to the entry VMs, and move at most eight ranges in one append

Cause 1: an append of many moves whose fate is unknown leaves all their owners without renewals.

Cause 2: each change of a server made every entry VM read the registry, and its view grew older than 0.8 s between two reports. Change: the leader sends the changes that it read, with their positions; a VM that misses some reads as before.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -40,9 +40,12 @@
  * therefore measured without such advances.
  */
 public final class RangeCoordinator {
-    /** Interval at which ranges may move to balance load. */
+    /** Interval at which ranges may move to balance load, unless the last plan moved some. */
     static final long BALANCE_INTERVAL_MILLIS = 250;
 
+    /** Silence of the store from which ranges don't move to balance load; more than a waiting read takes. */
+    private static final long MAX_STORE_SILENCE_FOR_BALANCE_MILLIS = 1_300;
+
     private final Leader self;
     private final RangeLeaseTimes times;
     private final RangeEventListener listener;
@@ -387,10 +390,17 @@
     }
 
     private RangeTable proposeTable(Map<ServiceId, ServiceView> services, boolean movesAllowed, long nowMillis) {
-        boolean balancesLoad = nowMillis >= nextBalanceAtMillis && movesAllowed;
-        if (balancesLoad) {
+        boolean storeAnswers = eras.silenceMillis(table.era(), nowMillis) <= MAX_STORE_SILENCE_FOR_BALANCE_MILLIS;
+        boolean balancesLoad = nowMillis >= nextBalanceAtMillis && movesAllowed && storeAnswers;
+        RangeTable proposal = proposeBalancedTable(services, balancesLoad, nowMillis);
+        if (balancesLoad && proposal.equals(table)) {
             nextBalanceAtMillis = nowMillis + BALANCE_INTERVAL_MILLIS;
         }
+        return proposal;
+    }
+
+    private RangeTable proposeBalancedTable(
+            Map<ServiceId, ServiceView> services, boolean balancesLoad, long nowMillis) {
         RangeTable base = formerLeaders.isEmpty() && !lostLeadersMayAct ? table.withoutFormerLeaders() : table;
         if (table.lossPending() && leadingForMillis(nowMillis) < holds.endOfLostGrantsMillis()) {
             return holds.propose(base, table.fullyOwned(services), balancesLoad, nowMillis);
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangePlanner.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangePlanner.java
@@ -21,6 +21,11 @@
 public final class RangePlanner {
     /** Utilization relative to the mean above which a server loses keys; lower values let noise move keys. */
     private static final double OVERLOAD_FACTOR = 1.3;
+    /**
+     * Maximum moves for balance in one plan. While it is unknown whether a plan was recorded, the owners that it
+     * replaces are not renewed; further moves follow in the next plan.
+     */
+    static final int MAX_BALANCE_MOVES = 8;
     /** Standard deviations of a server's sampled load that are added to the overload threshold. */
     private static final double OVERLOAD_DEVIATIONS = 1;
     /** Cost of a moved part relative to the one that makes source and target equal: the least, and the most. */
@@ -137,10 +142,9 @@
         return ranges.size() < capacityByServer.size() * MAX_RANGES_PER_SERVER;
     }
 
-    /** Moves at most as many parts as there are servers, since each server may have to give up or take one. */
     private void balance(Predicate<RangeOwnership> movable) {
         Set<ServerStart> unmovable = new HashSet<>();
-        for (int moves = 0; moves < capacityByServer.size(); ) {
+        for (int moves = 0; moves < MAX_BALANCE_MOVES; ) {
             ServerStart target = leastUtilized();
             Optional<ServerStart> source = mostOverloaded(target, unmovable);
             if (source.isEmpty()) {
--- a/core/src/test/java/org/lacewingthread/core/keyrange/MovingHotSetTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/MovingHotSetTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -44,6 +45,7 @@
     private final List<int[]> unreported = new ArrayList<>();
     private final List<int[]> observed = new ArrayList<>();
     private long movedKeys;
+    private long nextPlanMillis;
 
     private void addServers(int count) {
         double[] speeds = {0.6, 1.0, 1.4};
@@ -69,6 +71,15 @@
         return keys;
     }
 
+    /** Plans as the coordinator does: again at once after a plan that moved keys, otherwise at intervals. */
+    private void planWhenDue(int nowMillis) {
+        if (nowMillis >= nextPlanMillis) {
+            List<RangeOwnership> before = ranges;
+            plan(nowMillis);
+            nextPlanMillis = nowMillis + (ranges.equals(before) ? RangeCoordinator.BALANCE_INTERVAL_MILLIS : 0);
+        }
+    }
+
     private void plan(int nowMillis) {
         for (int[] sample : unreported) {
             if (sample[0] <= nowMillis - REPORT_DELAY_MILLIS) {
@@ -115,6 +126,20 @@
         return overloaded / Math.max(1, observed.size());
     }
 
+    /** Guards against a table without known fate that leaves the owners of many ranges without renewals. */
+    @Test
+    void planMovesFewRangesAtATime() {
+        addServers(113);
+        for (int nowMillis = 0; nowMillis < SHIFT_MILLIS + OBSERVED_MILLIS; nowMillis += STEP_MILLIS) {
+            for (int i = 0; i < requestsPerStep(); i++) {
+                unreported.add(new int[] {nowMillis, key(nowMillis, new int[] {30_000, 30_001, 30_002}, 0.5)});
+            }
+            movingUntilMillis.clear();
+            plan(nowMillis);
+            assertThat(movingUntilMillis).hasSizeLessThanOrEqualTo(RangePlanner.MAX_BALANCE_MOVES);
+        }
+    }
+
     private double requestsPerStep() {
         double capacity = capacityByServer.values().stream()
                 .mapToDouble(Double::doubleValue)
@@ -134,9 +159,7 @@
             for (int i = 0; i < count; i++) {
                 unreported.add(new int[] {nowMillis, key(0, new int[0], 0)});
             }
-            if (nowMillis % RangeCoordinator.BALANCE_INTERVAL_MILLIS == 0) {
-                plan(nowMillis);
-            }
+            planWhenDue(nowMillis);
             if (nowMillis == SHIFT_MILLIS) {
                 movedBefore = movedKeys;
             }
@@ -168,9 +191,7 @@
                 unreported.add(new int[] {nowMillis, key});
                 observed.add(new int[] {nowMillis, key});
             }
-            if (nowMillis % RangeCoordinator.BALANCE_INTERVAL_MILLIS == 0) {
-                plan(nowMillis);
-            }
+            planWhenDue(nowMillis);
             if (shareOfOverloaded(nowMillis) > LEVEL_SHARE) {
                 if (nowMillis >= SECOND_SHIFT_MILLIS) {
                     secondLevelMillis = nowMillis - SECOND_SHIFT_MILLIS;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -25,6 +25,7 @@
 import org.lacewingthread.core.keyrange.RangeLeaseTimes;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.keyrange.ServiceView;
+import org.lacewingthread.core.registry.RegistryChanges;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
@@ -300,6 +301,11 @@
         onConfiguration.accept(newest);
     }
 
+    @Override
+    public void onRegistryChanges(RegistryChanges changes) {
+        loadReports.announceRegistryChanges(changes);
+    }
+
     @Override
     public void onRegistryReached() {
         registry.onReachable(clock.nowMillis());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -17,6 +17,7 @@
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.keyrange.RangeTableDelta;
 import org.lacewingthread.core.reachability.RelayPeer;
+import org.lacewingthread.core.registry.RegistryChanges;
 import org.lacewingthread.core.registry.ServerRegistry;
 
 /**
@@ -230,6 +231,13 @@
         }
     }
 
+    /** Tells all reporting VMs of changes that this process has read as leader, so that they need not read them. */
+    void announceRegistryChanges(RegistryChanges changes) {
+        if (coordinator.isLeading()) {
+            channel.sendRegistryChanges(changes, directory.addresses(clock.nowMillis()));
+        }
+    }
+
     /** Tells all VMs that reported to this process as the leader that another one leads now. */
     void announceNewLeader() {
         LogPosition position = coordinator.position();
@@ -245,6 +253,11 @@
         }
     }
 
+    @Override
+    public void onRegistryChanges(RegistryChanges changes) {
+        platform.onRegistryChangesKnown(changes);
+    }
+
     @Override
     public void onTableChange(ReportChannel.TableChange change) {
         if (coordinator.position().equals(change.before())) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -11,6 +11,7 @@
 import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.keyrange.ReleaseOutcome;
+import org.lacewingthread.core.registry.RegistryChanges;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.serving.ServingConfiguration;
 
@@ -24,6 +25,9 @@
         /** Called with the newest configuration. */
         void onConfiguration(ServingConfiguration configuration);
 
+        /** Called with changes of servers that were passed on, with their positions in the registry's log. */
+        void onRegistryChanges(RegistryChanges changes);
+
         /** Called when the registry of servers answered. */
         void onRegistryReached();
 
@@ -113,6 +117,9 @@
      */
     void onLeaderPositions(Positions positions, Optional<AsOf> asOf);
 
+    /** Passes on changes that the leader has read from the registry, if all earlier ones are known here. */
+    void onRegistryChangesKnown(RegistryChanges changes);
+
     /** Records that this VM knows the range table at a log position, so that it need not be read up to there. */
     void onTableKnown(LogPosition position);
 
@@ -148,6 +155,11 @@
     /** Leaves the group of entry VMs, so that another one is selected as leader. */
     void leave();
 
+    /** Returns the number of calls to the store since the start; may be called on any thread. */
+    default long storeCalls() {
+        return 0;
+    }
+
     /** Returns the number of responses to this VM's calls that counted for none of them; may be called on any thread. */
     default long droppedResponses() {
         return 0;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -34,6 +34,7 @@
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.keyrange.RangeTableDelta;
 import org.lacewingthread.core.reachability.RelayPeer;
+import org.lacewingthread.core.registry.RegistryChanges;
 import org.lacewingthread.daemon.events.EventLog;
 
 /**
@@ -136,6 +137,9 @@
         /** Called with the recorded range table, which the leader sends while the store does not answer this VM. */
         void onTableFromLeader(RecordedTable recorded);
 
+        /** Called with changes of servers that the leader has read from the registry. */
+        void onRegistryChanges(RegistryChanges changes);
+
         /** Called with a table that the leader has just recorded, as its difference from the one before. */
         void onTableChange(TableChange change);
 
@@ -243,6 +247,14 @@
         recipients.forEach(recipient -> send(datagram, recipient));
     }
 
+    /** Sends changes of servers to other VMs; these read them from the registry if there are too many for a datagram. */
+    void sendRegistryChanges(RegistryChanges changes, List<InetSocketAddress> recipients) {
+        byte[] datagram = encode(RegistryChangesJson.write(changes));
+        if (datagram.length <= MAX_DATAGRAM_BYTES) {
+            recipients.forEach(recipient -> send(datagram, recipient));
+        }
+    }
+
     /** Sends a whole recorded table to other VMs. */
     void sendTable(RecordedTable recorded, List<InetSocketAddress> recipients) {
         byte[] datagram = encode(MAPPER.createObjectNode()
@@ -289,6 +301,10 @@
                 if (limitMessages.onMessage(message, reply -> send(reply, packet.sender()))) {
                     return;
                 }
+                if (RegistryChangesJson.isChanges(message)) {
+                    listener.onRegistryChanges(RegistryChangesJson.read(message));
+                    return;
+                }
                 if (message.has(TABLE_CHANGE)) {
                     listener.onTableChange(readTableChange(message));
                     return;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -248,6 +248,7 @@
                 "response.dropped",
                 "responses that counted for no request or call",
                 () -> engine.droppedResponses() + followed.droppedResponses());
+        metrics.gauge("store.calls", "calls to the store since the start", followed::storeCalls);
         metrics.gauge("log.dropped", "log lines dropped and not yet reported", events::droppedCount);
     }
 
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
@@ -28,6 +28,7 @@
 import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeLeaseTimes;
+import org.lacewingthread.core.registry.RegistryChanges;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.daemon.events.EventLog;
 
@@ -71,6 +72,9 @@
         @Override
         public void onLeaderPositions(Positions positions, Optional<AsOf> asOf) {}
 
+        @Override
+        public void onRegistryChangesKnown(RegistryChanges changes) {}
+
         @Override
         public void onTableKnown(LogPosition position) {}
 
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RecordingReportListener.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RecordingReportListener.java
@@ -8,6 +8,7 @@
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.registry.RegistryChanges;
 
 /** Records what it receives; acts as the leader if it has a recorded table. */
 final class RecordingReportListener implements ReportChannel.Listener, ReportChannel.TermListener {
@@ -40,6 +41,11 @@
         received.add(table);
     }
 
+    @Override
+    public void onRegistryChanges(RegistryChanges changes) {
+        received.add(changes);
+    }
+
     @Override
     public void onTableChange(ReportChannel.TableChange change) {
         received.add(change);
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
@@ -36,9 +36,13 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.KeyRange;
 import org.lacewingthread.core.keyrange.Leader;
+import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeOwnership;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.keyrange.RangeTableDelta;
 import org.lacewingthread.core.reachability.RelayPeer;
+import org.lacewingthread.core.registry.RegistryChanges;
+import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.daemon.events.EventLog;
 
 /** Sends reports from an entry VM to the leader, and the leader's answers back, over loopback datagrams. */
@@ -117,6 +121,39 @@
         assertThat(followerListener.received).first().isEqualTo(leaderListener.recordedTable.orElseThrow());
     }
 
+    private InetSocketAddress leaderAddress() {
+        return new InetSocketAddress(leader.reportHost(), leader.reportPort());
+    }
+
+    /** Guards against entry VMs that each read the store for every table that the leader records. */
+    @Test
+    void tableChangeArrivesAsItWasSent() {
+        RangeTable before = leaderListener.recordedTable.orElseThrow().table();
+        RangeTable after = before.withRanges(ORDERS, List.of(RangeOwnership.settled(KeyRange.ALL, server(2))));
+        ReportChannel.TableChange change =
+                new ReportChannel.TableChange(RangeTableDelta.between(before, after), new LogPosition(3, 12), 13);
+        loop.execute(() -> followerChannel.sendTableChange(change, List.of(leaderAddress())));
+        await().until(() -> leaderListener.received.contains(change));
+        assertThat(change.delta().applyTo(before)).contains(after);
+    }
+
+    @Test
+    void wholeTableArrivesAsItWasSent() {
+        ReportChannel.RecordedTable recorded = leaderListener.recordedTable.orElseThrow();
+        loop.execute(() -> followerChannel.sendTable(recorded, List.of(leaderAddress())));
+        await().until(() -> leaderListener.received.contains(recorded));
+    }
+
+    @Test
+    void registryChangesArriveAsTheyWereSent() {
+        ServerEntry entry =
+                new ServerEntry(server(3), ORDERS, "10.0.0.7", 8_080, new DataCentreId("maras"), 2, true, false);
+        RegistryChanges changes =
+                new RegistryChanges(2, 40, 47, List.of(entry), List.of(server(4).server()));
+        loop.execute(() -> followerChannel.sendRegistryChanges(changes, List.of(leaderAddress())));
+        await().until(() -> leaderListener.received.contains(changes));
+    }
+
     @Test
     void leaderSendsNoTableToVmWithNewestTable() {
         sendReportAndAwaitStatus(OptionalLong.of(12));
