Refuse requests on connections that wait to be accepted when a process stops

Operators told of requests that were cut off right after they were accepted, during a planned stop under load. Here a stop closed the port, which resets the connections in its accept queue; callers of requests that must not repeat can't know that theirs did not run. With the old drain, connectionsThatWaitToBeAcceptedWhenTheProcessStopsAreRefused gets a reset in place of an answer.

--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -49,6 +49,7 @@
     private long lastActiveMillis;
     private boolean closing;
     private boolean draining;
+    private boolean refusing;
 
     CallerConnection(CallerListener listener, CallerRequestHandler requestHandler, LongSupplier clockMillis) {
         this.listener = listener;
@@ -89,6 +90,7 @@
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
         lastActiveMillis = clockMillis.getAsLong();
+        refusing = listener.isDraining();
         listener.onOpened(this);
     }
 
@@ -177,7 +179,11 @@
         body = null;
         pendingResponses.addLast(pending);
         updateReading();
-        requestHandler.onRequest(pending.request);
+        if (refusing) {
+            requestHandler.onRequestWhileStopping(pending.request);
+        } else {
+            requestHandler.onRequest(pending.request);
+        }
     }
 
     private void reject(int status, String reason) {
@@ -194,7 +200,7 @@
         while (!pendingResponses.isEmpty() && pendingResponses.peekFirst().response != null) {
             PendingResponse pending = pendingResponses.removeFirst();
             written = true;
-            boolean closeWhenAnswered = closing || draining || listener.isClosingAfterNextResponse();
+            boolean closeWhenAnswered = closing || draining || refusing || listener.isClosingAfterNextResponse();
             boolean last = !pending.keepAlive || (closeWhenAnswered && pendingResponses.isEmpty());
             if (last) {
                 pending.response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -260,6 +266,9 @@
 
     /** Closes the connection once all received requests are answered; later requests are ignored. */
     void drain() {
+        if (refusing) {
+            return;
+        }
         if (isIdle()) {
             close();
         } else {
@@ -267,6 +276,11 @@
         }
     }
 
+    /** Returns whether all requests on this connection are refused, which also closes it. */
+    boolean isRefusing() {
+        return refusing;
+    }
+
     /** Returns whether no request is being received or waiting for a response. */
     boolean isIdle() {
         return pendingResponses.isEmpty() && head == null;
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
@@ -37,6 +37,7 @@
     private CallerLimits limits = CallerLimits.DEFAULT;
     private Channel serverChannel;
     private boolean closingAfterNextResponse;
+    private boolean draining;
 
     /**
      * Creates a listener; {@link #open} binds its port.
@@ -107,15 +108,18 @@
         closingAfterNextResponse = true;
     }
 
-    /** Closes the port and all idle connections; closes the others once their received requests are answered. */
+    /**
+     * Closes all idle connections, and the others once their received requests are answered. The port stays open, since
+     * closing it would reset connections that wait to be accepted; requests on these are refused.
+     */
     public void drain() {
-        serverChannel.close();
+        draining = true;
         List.copyOf(connections).forEach(CallerConnection::drain);
     }
 
-    /** Returns whether the port accepts connections. */
-    boolean isOpen() {
-        return serverChannel != null && serverChannel.isOpen();
+    /** Returns whether requests on new connections are refused. */
+    boolean isDraining() {
+        return draining;
     }
 
     /** Returns the number of connections with a request in progress. */
@@ -124,9 +128,11 @@
                 connections.stream().filter(connection -> !connection.isIdle()).count();
     }
 
-    /** Returns the number of open connections. */
+    /** Returns the number of open connections whose requests are not refused. */
     public int connectionCount() {
-        return connections.size();
+        return (int) connections.stream()
+                .filter(connection -> !connection.isRefusing())
+                .count();
     }
 
     CallerLimits limits() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerRequestHandler.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerRequestHandler.java
@@ -5,6 +5,9 @@
     /** Handles a complete request. */
     void onRequest(CallerRequest request);
 
+    /** Refuses a request on a connection that was accepted after the listener stopped taking requests. */
+    void onRequestWhileStopping(CallerRequest request);
+
     /**
      * Handles the end of a connection before a request on it was answered: the caller disconnected, or the
      * connection was closed after an earlier response.
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestAdmission.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestAdmission.java
@@ -71,6 +71,13 @@
                 Optional.empty()));
     }
 
+    /** Refuses a request that arrived too late for this process. */
+    void refuseWhileStopping(CallerRequest request) {
+        String requestId = Optional.ofNullable(request.headers().get(headerNames.requestId()))
+                .orElse("");
+        refuse(request, requestId, ResultCode.NOT_READY, "this VM is stopping");
+    }
+
     private long deadlineMillis(CallerRequest request, Route route) {
         long waitMillis = RequestHeaders.parseDeadlineMillis(request.headers(), headerNames.deadlineMillis())
                 .map(millis -> Math.max(1, millis - RESPONSE_MARGIN_MILLIS))
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -213,6 +213,11 @@
         return dispatcher.serviceMillis(server);
     }
 
+    @Override
+    public void onRequestWhileStopping(CallerRequest request) {
+        admission.refuseWhileStopping(request);
+    }
+
     @Override
     public void onInvalidRequest(int status, String reason) {
         metrics.onInvalid(status);
--- a/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
@@ -11,8 +11,10 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -45,6 +47,11 @@
             requests.add(request);
         }
 
+        @Override
+        public void onRequestWhileStopping(CallerRequest request) {
+            request.responder().respond(503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        }
+
         @Override
         public void onCallerDisconnected(CallerRequest request) {}
 
@@ -122,8 +129,7 @@
     void drainAnswersPendingRequestsAndIgnoresLaterOnes() throws IOException {
         send("/1", "/2");
         await().until(() -> requestHandler.requests.size() == 2);
-        traffic.execute(listener::drain);
-        await().until(() -> !listener.isOpen());
+        traffic.submit(listener::drain).syncUninterruptibly();
         send("/3");
         respond(0);
         respond(1);
@@ -131,6 +137,40 @@
         assertThat(requestHandler.requests).hasSize(2);
     }
 
+    /** Guards against connections that wait to be accepted when a busy process stops, and are reset without an answer. */
+    @Test
+    void connectionsThatWaitToBeAcceptedWhenTheProcessStopsAreRefused() throws Exception {
+        CountDownLatch connected = new CountDownLatch(1);
+        traffic.execute(() -> awaitUninterruptibly(connected));
+        List<Socket> late = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Socket socket = new Socket(InetAddress.getLoopbackAddress(), caller.getPort());
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            socket.getOutputStream().write("GET /late HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            late.add(socket);
+        }
+        traffic.execute(listener::drain);
+        connected.countDown();
+        for (Socket socket : late) {
+            assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .startsWith("HTTP/1.1 503");
+            socket.close();
+        }
+        assertThat(requestHandler.requests).isEmpty();
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        boolean counted = false;
+        while (!counted) {
+            try {
+                counted = latch.await(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
     @Test
     void drainClosesIdleConnections() throws IOException {
         await().until(() -> listener.connectionCount() == 1);
