--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -282,12 +282,8 @@
     private void onTableRecorded(ControlEventLogger.Append append, AppendResult result) {
         long nowMillis = clock.nowMillis();
         eventLogger.logAppendEnded(append, result, nowMillis);
-        RangeTable tableBefore = coordinator.table();
-        LogPosition positionBefore = coordinator.position();
         coordinator.onRecorded(append.record(), result, nowMillis);
-        if (!coordinator.table().equals(tableBefore)) {
-            loadReports.announceRecordedTable(tableBefore, positionBefore);
-        }
+        loadReports.announceTable();
         step();
     }
 
@@ -357,6 +353,7 @@
         if (coordinator.onTable(table, position, clock.nowMillis())) {
             eventLogger.logTableRead(previousTable, table, position.end(), "store");
         }
+        loadReports.announceTable();
         coordinator.onStoreAnswer(position.era(), askedAtMillis);
         step();
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -53,6 +53,10 @@
     /** Era of the store in which the leader has read, as it stated last. */
     private long leaderEra;
 
+    /** Table and position that {@link #announceTable} has seen last. */
+    private RangeTable announcedTable = RangeTable.EMPTY;
+
+    private LogPosition announcedPosition = new LogPosition(0, -1);
     private boolean stopped;
 
     /** Receives what the reports show. */
@@ -221,14 +225,24 @@
                 : Optional.empty();
     }
 
-    /** Tells all reporting VMs of a table that this process has recorded as leader, so that they need not read it. */
-    void announceRecordedTable(RangeTable before, LogPosition beforePosition) {
+    /**
+     * Tells all reporting VMs of the newest table, if this process leads, so that they need not read it. To be called
+     * whenever the table may have changed, whether an append or a read brought it.
+     */
+    void announceTable() {
         LogPosition position = coordinator.position();
-        if (coordinator.isLeading() && coordinator.isTableRecorded() && position.era() == beforePosition.era()) {
+        if (position.equals(announcedPosition)) {
+            return;
+        }
+        boolean follows =
+                coordinator.isLeading() && coordinator.isTableRecorded() && position.era() == announcedPosition.era();
+        if (follows) {
             ReportChannel.TableChange change = new ReportChannel.TableChange(
-                    RangeTableDelta.between(before, coordinator.table()), beforePosition, position.end());
+                    RangeTableDelta.between(announcedTable, coordinator.table()), announcedPosition, position.end());
             channel.sendTableChange(change, directory.addresses(clock.nowMillis()));
         }
+        announcedTable = coordinator.table();
+        announcedPosition = position;
     }
 
     /** Tells all reporting VMs of changes that this process has read as leader, so that they need not read them. */
