--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -49,6 +49,7 @@
     private long lastActiveMillis;
     private boolean closing;
     private boolean draining;
+    private boolean refusing;
 
     CallerConnection(CallerListener listener, CallerRequestHandler requestHandler, LongSupplier clockMillis) {
         this.listener = listener;
@@ -89,6 +90,7 @@
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
         lastActiveMillis = clockMillis.getAsLong();
+        refusing = listener.isDraining();
         listener.onOpened(this);
     }
 
@@ -176,10 +178,12 @@
                 pending);
         body = null;
         pendingResponses.addLast(pending);
-        if (pendingResponses.size() >= MAX_PIPELINED_REQUESTS) {
-            channel.config().setAutoRead(false);
+        updateReading();
+        if (refusing) {
+            requestHandler.onRequestWhileStopping(pending.request);
+        } else {
+            requestHandler.onRequest(pending.request);
         }
-        requestHandler.onRequest(pending.request);
     }
 
     private void reject(int status, String reason) {
@@ -196,7 +200,7 @@
         while (!pendingResponses.isEmpty() && pendingResponses.peekFirst().response != null) {
             PendingResponse pending = pendingResponses.removeFirst();
             written = true;
-            boolean closeWhenAnswered = closing || draining || listener.isClosingAfterNextResponse();
+            boolean closeWhenAnswered = closing || draining || refusing || listener.isClosingAfterNextResponse();
             boolean last = !pending.keepAlive || (closeWhenAnswered && pendingResponses.isEmpty());
             if (last) {
                 pending.response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -210,12 +214,20 @@
         if (written) {
             channel.flush();
             lastActiveMillis = clockMillis.getAsLong();
-            if (!channel.config().isAutoRead() && pendingResponses.size() < MAX_PIPELINED_REQUESTS) {
-                channel.config().setAutoRead(true);
-            }
+            updateReading();
         }
     }
 
+    /** Reads no further requests while many are unanswered, or while the caller does not take its responses. */
+    private void updateReading() {
+        channel.config().setAutoRead(pendingResponses.size() < MAX_PIPELINED_REQUESTS && channel.isWritable());
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        updateReading();
+    }
+
     /**
      * Closes the sending side first and the connection after {@link #LINGER_MILLIS} ms: a full close with unread
      * input would reset the connection and could destroy the last response in transit.
@@ -254,6 +266,9 @@
 
     /** Closes the connection once all received requests are answered; later requests are ignored. */
     void drain() {
+        if (refusing) {
+            return;
+        }
         if (isIdle()) {
             close();
         } else {
@@ -261,6 +276,11 @@
         }
     }
 
+    /** Returns whether all requests on this connection are refused, which also closes it. */
+    boolean isRefusing() {
+        return refusing;
+    }
+
     /** Returns whether no request is being received or waiting for a response. */
     boolean isIdle() {
         return pendingResponses.isEmpty() && head == null;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -25,6 +25,7 @@
 import org.lacewingthread.core.keyrange.RangeLeaseTimes;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.keyrange.ServiceView;
+import org.lacewingthread.core.registry.RegistryChanges;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
@@ -44,6 +45,8 @@
     private static final long NEW_TERM_RESEND_MILLIS = 200;
     /** How often each entry VM reports its load to the leader. */
     private static final long REPORT_INTERVAL_MILLIS = 500;
+    /** The same while requests for keys wait, since their owners may have too much load. */
+    private static final long WAITING_REPORT_INTERVAL_MILLIS = 150;
 
     private final VmStart self;
     private final FormerLeaderMessages formerLeaders;
@@ -69,6 +72,7 @@
     private boolean wasLeading;
     private boolean stopped;
     private boolean leaderEligible = true;
+    private long reportedMillis;
 
     ControlLoop(
             Leader self,
@@ -138,7 +142,7 @@
                 NEW_TERM_RESEND_MILLIS,
                 TimeUnit.MILLISECONDS);
         eventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "report", loadReports::send),
+                new FailureLoggingTask(events, "report", this::report),
                 REPORT_INTERVAL_MILLIS,
                 REPORT_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -148,6 +152,20 @@
         });
     }
 
+    private void report() {
+        reportedMillis = clock.nowMillis();
+        loadReports.send();
+    }
+
+    /** Reports the load early, since requests for keys wait; may be called on any thread. */
+    void onKeyedRequestsWaiting() {
+        eventLoop.execute(() -> {
+            if (clock.nowMillis() - reportedMillis >= WAITING_REPORT_INTERVAL_MILLIS) {
+                report();
+            }
+        });
+    }
+
     /** Stops leading and lets the platform select another entry VM. */
     void leave() {
         eventLoop.execute(() -> {
@@ -231,6 +249,9 @@
             wasLeading = coordinator.isLeading();
             platform.setLeading(wasLeading);
             eventLogger.logLeadershipChange(wasLeading, coordinator.table());
+            if (!wasLeading) {
+                loadReports.announceNewLeader();
+            }
         }
     }
 
@@ -262,6 +283,7 @@
         long nowMillis = clock.nowMillis();
         eventLogger.logAppendEnded(append, result, nowMillis);
         coordinator.onRecorded(append.record(), result, nowMillis);
+        loadReports.announceTable();
         step();
     }
 
@@ -275,6 +297,11 @@
         onConfiguration.accept(newest);
     }
 
+    @Override
+    public void onRegistryChanges(RegistryChanges changes) {
+        loadReports.announceRegistryChanges(changes);
+    }
+
     @Override
     public void onRegistryReached() {
         registry.onReachable(clock.nowMillis());
@@ -326,6 +353,7 @@
         if (coordinator.onTable(table, position, clock.nowMillis())) {
             eventLogger.logTableRead(previousTable, table, position.end(), "store");
         }
+        loadReports.announceTable();
         coordinator.onStoreAnswer(position.era(), askedAtMillis);
         step();
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -15,7 +15,9 @@
 import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.keyrange.RangeTableDelta;
 import org.lacewingthread.core.reachability.RelayPeer;
+import org.lacewingthread.core.registry.RegistryChanges;
 import org.lacewingthread.core.registry.ServerRegistry;
 
 /**
@@ -51,6 +53,10 @@
     /** Era of the store in which the leader has read, as it stated last. */
     private long leaderEra;
 
+    /** Table and position that {@link #announceTable} has seen last. */
+    private RangeTable announcedTable = RangeTable.EMPTY;
+
+    private LogPosition announcedPosition = new LogPosition(0, -1);
     private boolean stopped;
 
     /** Receives what the reports show. */
@@ -219,12 +225,69 @@
                 : Optional.empty();
     }
 
+    /**
+     * Tells all reporting VMs of the newest table, if this process leads, so that they need not read it. To be called
+     * whenever the table may have changed, whether an append or a read brought it.
+     */
+    void announceTable() {
+        LogPosition position = coordinator.position();
+        if (position.equals(announcedPosition)) {
+            return;
+        }
+        boolean follows =
+                coordinator.isLeading() && coordinator.isTableRecorded() && position.era() == announcedPosition.era();
+        if (follows) {
+            ReportChannel.TableChange change = new ReportChannel.TableChange(
+                    RangeTableDelta.between(announcedTable, coordinator.table()), announcedPosition, position.end());
+            channel.sendTableChange(change, directory.addresses(clock.nowMillis()));
+        }
+        announcedTable = coordinator.table();
+        announcedPosition = position;
+    }
+
+    /** Tells all reporting VMs of changes that this process has read as leader, so that they need not read them. */
+    void announceRegistryChanges(RegistryChanges changes) {
+        if (coordinator.isLeading()) {
+            channel.sendRegistryChanges(changes, directory.addresses(clock.nowMillis()));
+        }
+    }
+
+    /** Tells all VMs that reported to this process as the leader that another one leads now. */
+    void announceNewLeader() {
+        LogPosition position = coordinator.position();
+        boolean anotherLeads = coordinator
+                .table()
+                .leader()
+                .filter(leader -> !leader.equals(self))
+                .isPresent();
+        if (anotherLeads && coordinator.isTableRecorded()) {
+            channel.sendTable(
+                    new ReportChannel.RecordedTable(coordinator.table(), position.end()),
+                    directory.addresses(clock.nowMillis()));
+        }
+    }
+
+    @Override
+    public void onRegistryChanges(RegistryChanges changes) {
+        platform.onRegistryChangesKnown(changes);
+    }
+
+    @Override
+    public void onTableChange(ReportChannel.TableChange change) {
+        if (coordinator.position().equals(change.before())) {
+            change.delta()
+                    .applyTo(coordinator.table())
+                    .ifPresent(table -> onTableFromLeader(new ReportChannel.RecordedTable(table, change.logEnd())));
+        }
+    }
+
     @Override
     public void onTableFromLeader(ReportChannel.RecordedTable recorded) {
         RangeTable previousTable = coordinator.table();
         LogPosition position = new LogPosition(recorded.table().era(), recorded.logEnd());
         if (coordinator.onTable(recorded.table(), position, clock.nowMillis())) {
             eventLogger.logTableRead(previousTable, recorded.table(), recorded.logEnd(), "leader");
+            platform.onTableKnown(position);
             publisher.accept(clock.nowMillis());
         }
     }
--- a/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
@@ -11,8 +11,11 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -20,6 +23,10 @@
 /** Tests caller connections over real sockets; the test decides when each request is answered. */
 class CallerListenerTest {
     private static final int READ_TIMEOUT_MILLIS = 5_000;
+    /** More than the buffers of a connection hold. */
+    private static final int LARGE_BODY_BYTES = 16 << 20;
+
+    private static final long SETTLE_MILLIS = 300;
 
     private final NioEventLoopGroup traffic = new NioEventLoopGroup(1);
     private final RecordingRequestHandler requestHandler = new RecordingRequestHandler();
@@ -40,6 +47,11 @@
             requests.add(request);
         }
 
+        @Override
+        public void onRequestWhileStopping(CallerRequest request) {
+            request.responder().respond(503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        }
+
         @Override
         public void onCallerDisconnected(CallerRequest request) {}
 
@@ -97,12 +109,27 @@
         assertThat(readToEnd()).containsSubsequence("for /1", "close", "for /2");
     }
 
+    /** Guards against memory filled with large responses to a caller that sends requests and reads nothing. */
+    @Test
+    void noFurtherRequestsAreReadWhileTheCallerDoesNotTakeItsResponses() throws IOException {
+        send("/1");
+        await().until(() -> requestHandler.requests.size() == 1);
+        byte[] largeBody = new byte[LARGE_BODY_BYTES];
+        CallerRequest first = requestHandler.requests.get(0);
+        traffic.execute(
+                () -> first.responder().respond(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(largeBody)));
+        traffic.execute(() -> {});
+        send("/2", "/3");
+        await().during(SETTLE_MILLIS, TimeUnit.MILLISECONDS).until(() -> requestHandler.requests.size() == 1);
+        caller.getInputStream().readNBytes(LARGE_BODY_BYTES);
+        await().until(() -> requestHandler.requests.size() == 3);
+    }
+
     @Test
     void drainAnswersPendingRequestsAndIgnoresLaterOnes() throws IOException {
         send("/1", "/2");
         await().until(() -> requestHandler.requests.size() == 2);
-        traffic.execute(listener::drain);
-        await().until(() -> !listener.isOpen());
+        traffic.submit(listener::drain).syncUninterruptibly();
         send("/3");
         respond(0);
         respond(1);
@@ -110,6 +137,40 @@
         assertThat(requestHandler.requests).hasSize(2);
     }
 
+    /** Guards against connections that wait to be accepted when a busy process stops, and are reset without an answer. */
+    @Test
+    void connectionsThatWaitToBeAcceptedWhenTheProcessStopsAreRefused() throws Exception {
+        CountDownLatch connected = new CountDownLatch(1);
+        traffic.execute(() -> awaitUninterruptibly(connected));
+        List<Socket> late = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Socket socket = new Socket(InetAddress.getLoopbackAddress(), caller.getPort());
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            socket.getOutputStream().write("GET /late HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            late.add(socket);
+        }
+        traffic.execute(listener::drain);
+        connected.countDown();
+        for (Socket socket : late) {
+            assertThat(new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII))
+                    .startsWith("HTTP/1.1 503");
+            socket.close();
+        }
+        assertThat(requestHandler.requests).isEmpty();
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        boolean counted = false;
+        while (!counted) {
+            try {
+                counted = latch.await(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+        }
+    }
+
     @Test
     void drainClosesIdleConnections() throws IOException {
         await().until(() -> listener.connectionCount() == 1);
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
@@ -25,8 +25,10 @@
 import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.KeyRange;
 import org.lacewingthread.core.keyrange.Leader;
+import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.RangeLeaseTimes;
+import org.lacewingthread.core.registry.RegistryChanges;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.daemon.events.EventLog;
 
@@ -70,6 +72,12 @@
         @Override
         public void onLeaderPositions(Positions positions, Optional<AsOf> asOf) {}
 
+        @Override
+        public void onRegistryChangesKnown(RegistryChanges changes) {}
+
+        @Override
+        public void onTableKnown(LogPosition position) {}
+
         @Override
         public long configurationAsOfMillis() {
             return 0;
