--- a/core/src/main/java/org/lacewingthread/core/keyrange/KeyLoad.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/KeyLoad.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -103,7 +104,7 @@
         int[] keys = new int[samples.size()];
         double[] costs = new double[samples.size()];
         Sample[] byKey = samples.toArray(new Sample[0]);
-        Arrays.sort(byKey, (a, b) -> Integer.compare(a.key(), b.key()));
+        Arrays.sort(byKey, Comparator.comparingInt(Sample::key));
         int distinct = 0;
         for (Sample sample : byKey) {
             if (distinct == 0 || keys[distinct - 1] != sample.key()) {
@@ -142,33 +143,37 @@
             return false;
         }
         double scale = after.length / (double) before.length;
+        int partSize = Math.max(1, before.length / COMPARED_PARTS);
         double statistic = 0;
         int parts = 0;
         int beforeIndex = 0;
         int afterIndex = 0;
         while (beforeIndex < before.length) {
-            int lastIndex = Math.min(before.length, beforeIndex + Math.max(1, before.length / COMPARED_PARTS)) - 1;
-            boolean lastPart = before.length - lastIndex <= before.length / COMPARED_PARTS;
-            int lastKey = lastPart ? KeyRange.MAX_KEY : before[lastIndex];
-            int countBefore = 0;
-            while (beforeIndex < before.length && before[beforeIndex] <= lastKey) {
-                beforeIndex++;
-                countBefore++;
-            }
-            int countAfter = 0;
-            while (afterIndex < after.length && after[afterIndex] <= lastKey) {
-                afterIndex++;
-                countAfter++;
-            }
-            double expected = countBefore * scale;
-            statistic += (countAfter - expected) * (countAfter - expected) / expected;
+            boolean lastPart = beforeIndex + 2 * partSize > before.length;
+            int lastKey = lastPart ? KeyRange.MAX_KEY : before[beforeIndex + partSize - 1];
+            int nextBefore = indexAfter(before, beforeIndex, lastKey);
+            int nextAfter = indexAfter(after, afterIndex, lastKey);
+            double expected = (nextBefore - beforeIndex) * scale;
+            double difference = nextAfter - afterIndex - expected;
+            statistic += difference * difference / expected;
             parts++;
+            beforeIndex = nextBefore;
+            afterIndex = nextAfter;
         }
         // The older counts vary as well, by the ratio of the numbers of samples.
         double mean = (parts - 1) * (1 + scale);
         return statistic > mean + CHANGE_DEVIATIONS * Math.sqrt(2 * mean * (1 + scale));
     }
 
+    /** Returns the index of the first of sorted keys, from a start index on, that is above a key. */
+    private static int indexAfter(int[] sortedKeys, int start, int key) {
+        int index = start;
+        while (index < sortedKeys.length && sortedKeys[index] <= key) {
+            index++;
+        }
+        return index;
+    }
+
     private int[] keysOf(long splitMillis, boolean before) {
         return samples.stream()
                 .filter(sample -> sample.addedMillis() <= splitMillis == before)
@@ -259,7 +264,7 @@
         Optional<KeyRange> findPart(KeyRange range, double minCost, double maxCost) {
             int begin = indexFrom(range.firstKey());
             int end = indexFrom(range.lastKey() + 1);
-            KeyRange best = null;
+            List<KeyRange> parts = edgeParts(range, begin, end, minCost);
             int last = begin - 1;
             for (int first = begin; first < end; first++) {
                 last = Math.max(last, first);
@@ -269,17 +274,11 @@
                 if (partCost(first, last) < minCost) {
                     break;
                 }
-                KeyRange part = extendedToEdges(range, keys[first], keys[last]);
-                if (cost(part) <= maxCost && (best == null || expense(range, part) < expense(range, best))) {
-                    best = part;
-                }
-            }
-            for (KeyRange part : edgeParts(range, begin, end, minCost)) {
-                if (cost(part) <= maxCost && (best == null || expense(range, part) < expense(range, best))) {
-                    best = part;
-                }
+                parts.add(extendedToEdges(range, keys[first], keys[last]));
             }
-            return Optional.ofNullable(best);
+            return parts.stream()
+                    .filter(part -> cost(part) <= maxCost)
+                    .min(Comparator.comparingInt(part -> expense(range, part)));
         }
 
         private static KeyRange extendedToEdges(KeyRange range, int firstKey, int lastKey) {
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -392,15 +392,14 @@
     private RangeTable proposeTable(Map<ServiceId, ServiceView> services, boolean movesAllowed, long nowMillis) {
         boolean storeAnswers = eras.silenceMillis(table.era(), nowMillis) <= MAX_STORE_SILENCE_FOR_BALANCE_MILLIS;
         boolean balancesLoad = nowMillis >= nextBalanceAtMillis && movesAllowed && storeAnswers;
-        RangeTable proposal = proposeBalancedTable(services, balancesLoad, nowMillis);
+        RangeTable proposal = proposeRanges(services, balancesLoad, nowMillis);
         if (balancesLoad && proposal.equals(table)) {
             nextBalanceAtMillis = nowMillis + BALANCE_INTERVAL_MILLIS;
         }
         return proposal;
     }
 
-    private RangeTable proposeBalancedTable(
-            Map<ServiceId, ServiceView> services, boolean balancesLoad, long nowMillis) {
+    private RangeTable proposeRanges(Map<ServiceId, ServiceView> services, boolean balancesLoad, long nowMillis) {
         RangeTable base = formerLeaders.isEmpty() && !lostLeadersMayAct ? table.withoutFormerLeaders() : table;
         if (table.lossPending() && leadingForMillis(nowMillis) < holds.endOfLostGrantsMillis()) {
             return holds.propose(base, table.fullyOwned(services), balancesLoad, nowMillis);
