--- a/core/src/test/java/org/lacewingthread/core/dispatch/RequestDispatcherTest.java
+++ b/core/src/test/java/org/lacewingthread/core/dispatch/RequestDispatcherTest.java
@@ -84,6 +84,19 @@
         assertThat(sends(decisions)).hasSize(1);
     }
 
+    /** Load pattern: requests pile up for one owner, which the leader must learn of at once; other services don't count. */
+    @Test
+    void onlyRequestsThatWaitForOwnersCountAsKeyedWaiting() {
+        KnownServer owner = server("s1", ORDERS);
+        dispatcher.onTopologyChanged(List.of(owner, server("s2", DESK)), ownedBy(owner, Optional.empty()), 0);
+        for (int i = 0; i < 6; i++) {
+            dispatcher.submit(keyed(7, 900, 1_800), 0);
+            dispatcher.submit(request(DESK, 0, 1_800), 0);
+        }
+        assertThat(dispatcher.keyedWaitingCount()).isEqualTo(2);
+        assertThat(dispatcher.waitingCount()).isEqualTo(4);
+    }
+
     @Test
     void keyedRequestWithoutOwnerIsRefusedBeforeItsTarget() {
         dispatcher.onTopologyChanged(List.of(), RangeTable.EMPTY, 0);
