--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -40,12 +40,6 @@
  * therefore measured without such advances.
  */
 public final class RangeCoordinator {
-    /** Interval at which ranges may move to balance load, unless the last plan moved some. */
-    static final long BALANCE_INTERVAL_MILLIS = 250;
-
-    /** Silence of the store from which ranges don't move to balance load; more than a waiting read takes. */
-    private static final long MAX_STORE_SILENCE_FOR_BALANCE_MILLIS = 1_300;
-
     private final Leader self;
     private final RangeLeaseTimes times;
     private final RangeEventListener listener;
@@ -70,7 +64,7 @@
     /** Newest term that this process has been told of. */
     private long newestTerm;
 
-    private long nextBalanceAtMillis;
+    private final BalanceSchedule balanceSchedule = new BalanceSchedule();
 
     /** Creates a coordinator without a table, which therefore doesn't lead. */
     public RangeCoordinator(Leader self, RangeLeaseTimes times) {
@@ -390,12 +384,9 @@
     }
 
     private RangeTable proposeTable(Map<ServiceId, ServiceView> services, boolean movesAllowed, long nowMillis) {
-        boolean storeAnswers = eras.silenceMillis(table.era(), nowMillis) <= MAX_STORE_SILENCE_FOR_BALANCE_MILLIS;
-        boolean balancesLoad = nowMillis >= nextBalanceAtMillis && movesAllowed && storeAnswers;
+        boolean balancesLoad = movesAllowed && balanceSchedule.isDue(storeSilenceMillis(nowMillis), nowMillis);
         RangeTable proposal = proposeRanges(services, balancesLoad, nowMillis);
-        if (balancesLoad && proposal.equals(table)) {
-            nextBalanceAtMillis = nowMillis + BALANCE_INTERVAL_MILLIS;
-        }
+        balanceSchedule.onPlanned(balancesLoad, !proposal.equals(table), nowMillis);
         return proposal;
     }
 
--- a/core/src/test/java/org/lacewingthread/core/keyrange/MovingHotSetTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/MovingHotSetTest.java
@@ -76,7 +76,7 @@
         if (nowMillis >= nextPlanMillis) {
             List<RangeOwnership> before = ranges;
             plan(nowMillis);
-            nextPlanMillis = nowMillis + (ranges.equals(before) ? RangeCoordinator.BALANCE_INTERVAL_MILLIS : 0);
+            nextPlanMillis = nowMillis + (ranges.equals(before) ? BalanceSchedule.INTERVAL_MILLIS : 0);
         }
     }
 
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LimitLink.java
@@ -0,0 +1,16 @@
+package org.lacewingthread.daemon.router;
+
+import org.lacewingthread.core.dispatch.PermitRequest;
+import org.lacewingthread.core.id.ServerStart;
+
+/** The leader, which permits requests to servers that named a limit. */
+interface LimitLink {
+    /** Asks for a permit; {@link RequestEngine#onPermit} is called with the answer. */
+    void askPermit(PermitRequest request);
+
+    /** Called when a server no longer names a limit. */
+    void onLimitEnded(ServerStart server);
+
+    /** Called when a server's response said that it leaves. */
+    void onServerLeaving(ServerStart server);
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -24,7 +24,7 @@
  * Reports this VM's load and its links to the servers to the leader and applies the answers; answers the reports of
  * others while this process leads. Runs on the control thread.
  */
-final class LoadReports implements ReportChannel.Listener {
+final class LoadReports implements ReportListener {
     /** If the registry has not answered the leader for this long, the leader's read positions are ignored. */
     private static final long MAX_REGISTRY_SILENCE_MILLIS = 800;
     /** If the store has not answered for this long, the leader is asked for the range table that it recorded. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableJson.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeTableJson.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -65,6 +66,11 @@
         return bytes.toByteArray();
     }
 
+    /** Returns a range table as compressed JSON in base64, which a JSON message can hold. */
+    static String writeBase64(RangeTable table) {
+        return Base64.getEncoder().encodeToString(writeCompressed(table));
+    }
+
     /**
      * Reads a range table written by {@link #writeCompressed}.
      *
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -17,7 +17,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -55,10 +54,6 @@
     private static final String REPORT_SENT_AT = "reportSentAtMillis";
     private static final String TABLE = "table";
     private static final String TABLE_END = "tableEnd";
-    private static final String TABLE_CHANGE = "tableChange";
-    private static final String TABLE_CHANGE_ERA = "tableChangeEra";
-    private static final String TABLE_CHANGE_FROM = "tableChangeFrom";
-    private static final String TABLE_CHANGE_CHECKSUM = "tableChangeChecksum";
     private static final String NEW_TERM = "newTerm";
     private static final String NOT_LEADING_VM = "notLeadingVm";
     private static final String NOT_LEADING_START = "notLeadingStart";
@@ -69,7 +64,7 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final EventLog events;
-    private final Listener listener;
+    private final ReportListener listener;
     private final TermListener termListener;
     private final MessageHandler limitMessages;
     private final PendingReport pendingReport = new PendingReport();
@@ -126,44 +121,6 @@
      */
     private record EncodedTable(RecordedTable recorded, Optional<String> base64) {}
 
-    /** Handles the messages of other entry VMs. */
-    interface Listener {
-        /** Returns the answer to a VM's report; empty if this process does not lead. */
-        Optional<LeaderStatus> leaderStatus(PendingReport.Reporter reporter);
-
-        /** Returns the recorded range table if it is newer than a log position and this process leads. */
-        Optional<RecordedTable> recordedTableAfter(long position);
-
-        /** Called with the recorded range table, which the leader sends while the store does not answer this VM. */
-        void onTableFromLeader(RecordedTable recorded);
-
-        /** Called with changes of servers that the leader has read from the registry. */
-        void onRegistryChanges(RegistryChanges changes);
-
-        /** Called with a table that the leader has just recorded, as its difference from the one before. */
-        void onTableChange(TableChange change);
-
-        /**
-         * Called with the leader's answer to a report.
-         *
-         * @param asOf times up to which the leader knows everything, by this VM's control clock; empty if the leader runs
-         *     an earlier build
-         */
-        void onLeaderStatus(LeaderStatus status, Optional<Platform.AsOf> asOf);
-
-        /** Called for each datagram of an entry VM's report. */
-        void onReport(String vm);
-
-        /** Called once for each report, with the address that it came from. */
-        void onReporter(PendingReport.Reporter reporter, InetSocketAddress address);
-
-        /** Called for each requested key in a report. */
-        void onReportedKey(ServiceId service, int key);
-
-        /** Called with the service time of a server, as measured by one entry VM. */
-        void onReportedServiceTime(String vm, ServerStart server, double millis);
-    }
-
     /** Handles the messages between a new leader and former ones. */
     interface TermListener {
         /** Returns this process if it certainly leads in no term before the given one; empty if it may still lead. */
@@ -183,7 +140,7 @@
         boolean onMessage(JsonNode message, Consumer<ObjectNode> reply);
     }
 
-    ReportChannel(EventLog events, Listener listener, TermListener termListener, MessageHandler limitMessages) {
+    ReportChannel(EventLog events, ReportListener listener, TermListener termListener, MessageHandler limitMessages) {
         this.events = events;
         this.listener = listener;
         this.termListener = termListener;
@@ -238,12 +195,7 @@
 
     /** Sends a newly recorded table to other VMs. */
     void sendTableChange(TableChange change, List<InetSocketAddress> recipients) {
-        byte[] datagram = encode(MAPPER.createObjectNode()
-                .put(TABLE_CHANGE, encodeTable(change.delta().changes()))
-                .put(TABLE_CHANGE_CHECKSUM, change.delta().checksum())
-                .put(TABLE_CHANGE_ERA, change.before().era())
-                .put(TABLE_CHANGE_FROM, change.before().end())
-                .put(TABLE_END, change.logEnd()));
+        byte[] datagram = encode(TableChangeJson.write(change));
         recipients.forEach(recipient -> send(datagram, recipient));
     }
 
@@ -258,15 +210,11 @@
     /** Sends a whole recorded table to other VMs. */
     void sendTable(RecordedTable recorded, List<InetSocketAddress> recipients) {
         byte[] datagram = encode(MAPPER.createObjectNode()
-                .put(TABLE, encodeTable(recorded.table()))
+                .put(TABLE, RangeTableJson.writeBase64(recorded.table()))
                 .put(TABLE_END, recorded.logEnd()));
         recipients.forEach(recipient -> send(datagram, recipient));
     }
 
-    private static String encodeTable(RangeTable table) {
-        return Base64.getEncoder().encodeToString(RangeTableJson.writeCompressed(table));
-    }
-
     /** Sends a message of another kind than a report. */
     void sendTo(Leader recipient, ObjectNode message) {
         send(message, new InetSocketAddress(recipient.reportHost(), recipient.reportPort()));
@@ -305,8 +253,8 @@
                     listener.onRegistryChanges(RegistryChangesJson.read(message));
                     return;
                 }
-                if (message.has(TABLE_CHANGE)) {
-                    listener.onTableChange(readTableChange(message));
+                if (TableChangeJson.isChange(message)) {
+                    listener.onTableChange(TableChangeJson.read(message));
                     return;
                 }
                 if (message.has(TABLE)) {
@@ -355,17 +303,6 @@
             }
         }
 
-        private static TableChange readTableChange(JsonNode message) throws IOException {
-            RangeTable changes =
-                    RangeTableJson.readCompressed(message.path(TABLE_CHANGE).binaryValue());
-            LogPosition before = new LogPosition(
-                    message.path(TABLE_CHANGE_ERA).asLong(),
-                    message.path(TABLE_CHANGE_FROM).asLong());
-            RangeTableDelta delta = new RangeTableDelta(
-                    changes, message.path(TABLE_CHANGE_CHECKSUM).asLong());
-            return new TableChange(delta, before, message.path(TABLE_END).asLong());
-        }
-
         /** The leader answered after the report was sent, so what it knows is no older than by this difference. */
         private Optional<Platform.AsOf> asOf(JsonNode message, LeaderStatus status) {
             JsonNode reportSentAt = message.path(REPORT_SENT_AT);
@@ -402,7 +339,7 @@
         private EncodedTable encode(RecordedTable recorded) {
             if (newestEncodedTable.isEmpty()
                     || !newestEncodedTable.get().recorded().equals(recorded)) {
-                String base64 = encodeTable(recorded.table());
+                String base64 = RangeTableJson.writeBase64(recorded.table());
                 boolean fits = base64.length() <= MAX_TABLE_BYTES;
                 if (!fits) {
                     events.write(
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -11,10 +11,8 @@
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.dispatch.LoadReport;
 import org.lacewingthread.core.dispatch.PermitIssuer;
-import org.lacewingthread.core.dispatch.PermitRequest;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
-import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
@@ -60,24 +58,6 @@
     private final RestObserver rests;
     private final ActiveRequests activeRequests = new ActiveRequests();
 
-    /** Receives the keys of requests. */
-    interface KeyRequestListener {
-        /** Called once for each request with a key. */
-        void onKeyRequested(ServiceId service, int key);
-    }
-
-    /** The leader, which permits requests to servers that named a limit. */
-    interface LimitLink {
-        /** Asks for a permit; {@link #onPermit} is called with the answer. */
-        void askPermit(PermitRequest request);
-
-        /** Called when a server no longer names a limit. */
-        void onLimitEnded(ServerStart server);
-
-        /** Called when a server's response said that it leaves. */
-        void onServerLeaving(ServerStart server);
-    }
-
     RequestEngine(
             HeaderNames headerNames,
             EventLog events,
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -111,7 +111,7 @@
                 new RetryBudget(settings.retryRatio(), savedRetriesOf(ASSUMED_ENTRY_VM_COUNT)),
                 RouterProcess::trafficNowMillis,
                 (service, key) -> controlLoop.onKeyRequested(service, key),
-                new LimitLink(),
+                new ControlLimitLink(),
                 new RelaySender.Access(settings.dataCentre(), this::relay, random.split()));
         this.relay = new RouterRelay(
                 self,
@@ -126,7 +126,7 @@
         return relay.send(peer, request, sink);
     }
 
-    private final class LimitLink implements RequestEngine.LimitLink {
+    private final class ControlLimitLink implements LimitLink {
         @Override
         public void askPermit(PermitRequest request) {
             controlLoop.limitExchange().ask(request);
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/LateConnectionTest.java
@@ -86,7 +86,7 @@
                 new RetryBudget(0.2, 5),
                 nowMillis::get,
                 (service, key) -> {},
-                new RequestEngine.LimitLink() {
+                new LimitLink() {
                     @Override
                     public void askPermit(PermitRequest request) {}
 
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RecordingReportListener.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RecordingReportListener.java
@@ -11,7 +11,7 @@
 import org.lacewingthread.core.registry.RegistryChanges;
 
 /** Records what it receives; acts as the leader if it has a recorded table. */
-final class RecordingReportListener implements ReportChannel.Listener, ReportChannel.TermListener {
+final class RecordingReportListener implements ReportListener, ReportChannel.TermListener {
     final List<Object> received = new CopyOnWriteArrayList<>();
     volatile Optional<ReportChannel.RecordedTable> recordedTable = Optional.empty();
 
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RepeatedRequestTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RepeatedRequestTest.java
@@ -88,7 +88,7 @@
                 new RetryBudget(0.2, 5),
                 nowMillis::get,
                 (service, key) -> {},
-                new RequestEngine.LimitLink() {
+                new LimitLink() {
                     @Override
                     public void askPermit(PermitRequest request) {}
 
