--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -1,14 +1,14 @@
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
-import java.io.PushbackInputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import standin.Backend;
 import standin.Caller;
@@ -17,70 +17,36 @@
 import standin.Store;
 
 /**
- * Twelve of the twenty backends of one service send answers whose body never ends, in small chunks, for 5 s. Checks whether
- * the routers still answer reads of another service, whose backends are sound, within their timeout and half a second.
+ * A router gets SIGTERM while callers on bad networks take their answers. Checks whether each request that ran at a backend
+ * gets its whole answer; all answers could have been taken before the grace time is over.
  */
 public final class Case2 {
-    private static final int CATALOGUE_BACKENDS = 20;
-    private static final int BACKENDS_IN_TROUBLE = 12;
-    private static final long TROUBLE_MILLIS = 5_000;
-    /** Bytes a second that a backend in trouble sends to all its callers together; an eighth of a link. */
-    private static final long FLOOD_BYTES_PER_SECOND = 15_000_000;
-    private static final double CATALOGUE_REQUESTS_PER_SECOND = 125;
-    private static final int READERS_PER_ROUTER = 20;
-    private static final long READ_TIMEOUT_MILLIS = 2_000;
-    private static final long SLACK_MILLIS = 500;
-    private static final int MIN_LATE = 8;
+    private static final int CALLERS = 6;
+    private static final int ANSWER_BYTES = 6 << 20;
+    private static final int READ_BYTES = 64 << 10;
+    /** How long a caller's network is bad, so that it takes no bytes after the first ones. */
+    private static final long STALL_MILLIS = 3_000;
+    private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
+    private static final byte[] BODY = "filing".getBytes(StandardCharsets.US_ASCII);
+    private static final long GRACE_MILLIS = 6_000;
 
-    private final List<Router> routers = new ArrayList<>();
-    private final List<Backend> deskBackends = new ArrayList<>();
-    private final AtomicInteger reads = new AtomicInteger();
-    private final AtomicInteger readsAnswered = new AtomicInteger();
-    private final AtomicInteger readsOverTimeout = new AtomicInteger();
-    private final AtomicInteger readsLate = new AtomicInteger();
-    private final AtomicInteger readsLateThatRan = new AtomicInteger();
-    private final AtomicInteger catalogueRequests = new AtomicInteger();
-    private final AtomicInteger catalogueAnswers = new AtomicInteger();
-    private volatile boolean inTrouble;
-    private volatile boolean ended;
+    private final List<Backend> backends = new ArrayList<>();
+    private final AtomicInteger whole = new AtomicInteger();
+    private final AtomicInteger refused = new AtomicInteger();
+    private final AtomicInteger notPassedOn = new AtomicInteger();
+    private final AtomicInteger lost = new AtomicInteger();
+    private volatile long signalledMillis = Long.MAX_VALUE / 2;
 
-    /** A backend that, while in trouble, answers each request with a body without end. */
-    private final class CatalogueBackend extends Backend {
-        private long nextNanos;
-
-        CatalogueBackend(String id, Store store) throws IOException {
-            super(id, "catalogue", "maras", 2, true, store);
+    /** A backend with answers of {@link #ANSWER_BYTES}. */
+    private static final class ArchiveBackend extends Backend {
+        ArchiveBackend(String id, Store store) throws IOException {
+            super(id, "desk", "maras", 4, false, store);
         }
 
         @Override
-        protected void handle(Standins.Message request, Socket socket, PushbackInputStream in, OutputStream out)
+        public void answer(OutputStream out, Standins.Message request, int status, String headers, String body)
                 throws IOException {
-            boolean order = request.path().equals("/grant") || request.path().equals("/release");
-            if (!inTrouble || order) {
-                super.handle(request, socket, in, out);
-                return;
-            }
-            out.write(("HTTP/1.1 200 OK\r\nLacewingthread-Attempt-Id: " + request.header("Lacewingthread-Attempt-Id")
-                            + "\r\nTransfer-Encoding: chunked\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
-            ByteArrayOutputStream chunks = new ByteArrayOutputStream();
-            while (chunks.size() < 32_000) {
-                chunks.writeBytes("1\r\nx\r\n".getBytes(StandardCharsets.US_ASCII));
-            }
-            while (inTrouble) {
-                pace(chunks.size());
-                out.write(chunks.toByteArray());
-            }
-            socket.close();
-        }
-
-        private void pace(int bytes) {
-            long waitNanos;
-            synchronized (this) {
-                nextNanos = Math.max(nextNanos, System.nanoTime()) + bytes * 1_000_000_000L / FLOOD_BYTES_PER_SECOND;
-                waitNanos = nextNanos - System.nanoTime();
-            }
-            Standins.sleep(waitNanos / 1_000_000);
+            super.answer(out, request, status, headers, status == 200 ? "x".repeat(ANSWER_BYTES) : body);
         }
     }
 
@@ -98,21 +64,16 @@
         Runtime.getRuntime().halt(status);
     }
 
-    private int play(boolean trouble) throws IOException {
+    private int play(boolean trouble) throws IOException, InterruptedException {
         Path folder = Files.createTempDirectory("review2-");
         Store store = new Store();
         store.put("keyed.op", "config", CONFIGURATION);
         for (int i = 0; i < 4; i++) {
-            Backend backend = new Backend("i-desk" + i, "desk", "maras", 2, false, store);
-            backend.workMillis = 60;
-            deskBackends.add(backend);
-        }
-        for (int i = 0; i < CATALOGUE_BACKENDS; i++) {
-            Backend backend = i < BACKENDS_IN_TROUBLE
-                    ? new CatalogueBackend("i-cat" + i, store)
-                    : new Backend("i-cat" + i, "catalogue", "maras", 2, true, store);
-            backend.workMillis = 100;
+            Backend backend = new ArchiveBackend("i-desk" + i, store);
+            backend.workMillis = 200;
+            backends.add(backend);
         }
+        List<Router> routers = new ArrayList<>();
         for (int i = 1; i <= 2; i++) {
             Router router = new Router("front-maras-" + i, "maras", store.address(), folder);
             router.start();
@@ -121,126 +82,88 @@
         for (Router router : routers) {
             router.awaitReady();
         }
-        Standins.sleep(4_000);
-        Standins.run(this::sendToCatalogue);
-        for (Router router : routers) {
-            for (int i = 0; i < READERS_PER_ROUTER; i++) {
-                Standins.run(() -> readFrom(router));
-            }
-        }
-        Standins.sleep(6_000);
-        report("before");
+        Standins.sleep(5_000);
+        CountDownLatch done = new CountDownLatch(CALLERS);
         if (trouble) {
-            Standins.record(BACKENDS_IN_TROUBLE + " of " + CATALOGUE_BACKENDS + " backends of catalogue are in trouble");
-        }
-        inTrouble = trouble;
-        for (int i = 0; i < 5; i++) {
-            Standins.sleep(TROUBLE_MILLIS / 5);
-            report("trouble " + inTrouble);
-        }
-        inTrouble = false;
-        for (int i = 0; i < 4; i++) {
-            Standins.sleep(2_000);
-            report("afterwards");
-        }
-        ended = true;
-        Standins.sleep(READ_TIMEOUT_MILLIS + SLACK_MILLIS + 500);
-        for (Router router : routers) {
-            Standins.record("router " + router.name + ": running " + router.isRunning() + ", readiness "
-                    + router.readiness());
-        }
-        int over = readsOverTimeout.get();
-        int late = readsLate.get();
-        Standins.record("checked: " + over + " reads had no answer at their route's timeout of " + READ_TIMEOUT_MILLIS
-                + " ms, " + late + " of them none " + SLACK_MILLIS + " ms later; " + readsLateThatRan
-                + " of these had run at a backend");
-        boolean broken = late >= MIN_LATE && late * 4 > over;
-        Standins.record(broken ? "BROKEN: CONFIG" : "held");
+            signalledMillis = Standins.now();
+            routers.get(0).signal("TERM");
+        }
+        // The balancer has not yet taken the router out.
+        Standins.sleep(200);
+        for (int i = 0; i < CALLERS; i++) {
+            int number = i;
+            Standins.run(() -> call(routers.get(0), "caller " + number, done));
+            Standins.sleep(50);
+        }
+        done.await(20, TimeUnit.SECONDS);
+        Standins.record("router " + routers.get(0).name + " runs: " + routers.get(0).isRunning());
+        Standins.record("checked: whole answers " + whole + ", refusals " + refused + ", ended before a backend had them "
+                + notPassedOn + ", ran at a backend and ended without the whole answer " + lost);
+        boolean broken = lost.get() > 0;
+        Standins.record(broken ? "BROKEN: LOST" : "held");
         return broken ? 1 : 0;
     }
 
-    private void report(String when) {
-        Standins.record(when + ": reads of desk " + reads + ", answered " + readsAnswered + "; requests of catalogue "
-                + catalogueRequests + ", answered or refused " + catalogueAnswers);
-    }
-
-    private void sendToCatalogue() {
-        long nextNanos = System.nanoTime();
-        while (!ended) {
-            double gap = -Math.log(1 - ThreadLocalRandom.current().nextDouble()) / CATALOGUE_REQUESTS_PER_SECOND;
-            nextNanos += (long) (gap * 1e9);
-            Standins.sleep((nextNanos - System.nanoTime()) / 1_000_000);
-            Standins.run(() -> {
-                Router router = routers.get(ThreadLocalRandom.current().nextInt(routers.size()));
-                String key = "Lacewingthread-Shard-Key: "
-                        + ThreadLocalRandom.current().nextInt(65_536) + "\r\n";
-                catalogueRequests.incrementAndGet();
-                try (Caller caller = new Caller(router.front)) {
-                    caller.write(Caller.head("GET", "/cat/1", Caller.newId(), 4_000, key, 0));
-                    if (caller.read(6_000) != null) {
-                        catalogueAnswers.incrementAndGet();
-                    }
-                } catch (IOException e) {
-                    return;
-                }
-            });
-        }
-    }
-
-    /** Sends small reads on a kept connection. */
-    private void readFrom(Router router) {
-        Caller caller = null;
-        while (!ended) {
-            String id = Caller.newId();
-            try {
-                caller = caller == null ? new Caller(router.front) : caller;
-                reads.incrementAndGet();
-                long sentMillis = Standins.now();
-                caller.write(Caller.head("GET", "/get/1", id, 3_000, "", 0));
-                Standins.Message answer = caller.read(READ_TIMEOUT_MILLIS + SLACK_MILLIS);
-                if (answer == null) {
-                    throw new IOException("closed");
+    private void call(Router router, String name, CountDownLatch done) {
+        String id = Caller.newId();
+        long sentMillis = Standins.now();
+        long received = 0;
+        String end = "the connection was closed";
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+            socket.connect(router.front, 1_000);
+            socket.setSoTimeout(10_000);
+            socket.getOutputStream().write(Caller.head("POST", "/file/1", id, 8_000, "", BODY.length));
+            socket.getOutputStream().write(BODY);
+            InputStream in = socket.getInputStream();
+            byte[] buffer = new byte[READ_BYTES];
+            StringBuilder head = new StringBuilder();
+            long expected = -1;
+            while (expected < 0 || received < expected) {
+                int count = in.read(buffer);
+                if (count < 0) {
+                    break;
                 }
-                readsAnswered.incrementAndGet();
-                if (Standins.now() - sentMillis > READ_TIMEOUT_MILLIS) {
-                    readsOverTimeout.incrementAndGet();
-                }
-            } catch (java.net.SocketTimeoutException e) {
-                if (caller != null) {
-                    readsOverTimeout.incrementAndGet();
-                    readsLate.incrementAndGet();
-                    boolean ran = deskBackends.stream().anyMatch(backend -> backend.ran.containsKey(id));
-                    readsLateThatRan.addAndGet(ran ? 1 : 0);
-                    Standins.record(router.name + ": read " + id + " has no answer; ran at a backend: " + ran);
+                if (expected < 0) {
+                    head.append(new String(buffer, 0, count, StandardCharsets.ISO_8859_1));
+                    int headEnd = head.indexOf("\r\n\r\n");
+                    if (headEnd < 0) {
+                        continue;
+                    }
+                    int at = head.toString().toLowerCase().indexOf("content-length: ") + "content-length: ".length();
+                    expected = Long.parseLong(head.substring(at, head.indexOf("\r\n", at)));
+                    received = head.length() - headEnd - 4;
+                    Standins.sleep(expected > READ_BYTES ? STALL_MILLIS : 0);
+                    continue;
                 }
-                caller = closed(caller);
-            } catch (IOException e) {
-                caller = closed(caller);
+                received += count;
             }
-            Standins.sleep(150);
-        }
-    }
-
-    private static Caller closed(Caller caller) {
-        try {
-            if (caller != null) {
-                caller.close();
+            if (expected >= 0 && received >= expected) {
+                boolean success = head.toString().startsWith("HTTP/1.1 200");
+                (success ? whole : refused).incrementAndGet();
+                Standins.record(name + " " + id + " has its answer: " + head.substring(0, head.indexOf("\r\n")) + ", "
+                        + received + " bytes, " + (Standins.now() - sentMillis) + " ms after it was sent");
+                done.countDown();
+                return;
             }
         } catch (IOException e) {
-            return null;
-        }
-        return null;
+            end = e.toString();
+        }
+        boolean ran = backends.stream().anyMatch(backend -> backend.ran.containsKey(id));
+        long sinceSignal = Standins.now() - signalledMillis;
+        (ran && sinceSignal < GRACE_MILLIS + 1_000 ? lost : notPassedOn).incrementAndGet();
+        Standins.record(name + " " + id + " has " + received + " bytes of its answer; ran at a backend: " + ran + "; "
+                + end + " " + (Standins.now() - sentMillis) + " ms after it was sent, " + sinceSignal
+                + " ms after the signal");
+        done.countDown();
     }
 
     private static final String CONFIGURATION = "{\"version\":\"r2\",\"routes\":{\"columns\":[\"name\",\"host\","
             + "\"path_prefix\",\"kind\",\"timeout_ms\",\"target_latency_ms\",\"priority\",\"service\",\"max_attempts\","
             + "\"split\"],\"rows\":["
-            + "[\"r-cat\",\"desk.example\",\"/cat/\",\"safe\",4000,1200,1,\"catalogue\",2,null],"
-            + "[\"r-get\",\"desk.example\",\"/get/\",\"safe\"," + READ_TIMEOUT_MILLIS
-            + ",400,2,\"desk\",2,null]]},"
+            + "[\"r-file\",\"desk.example\",\"/file/\",\"unsafe\",4000,1200,2,\"desk\",2,null]]},"
             + "\"services\":{\"columns\":[\"name\",\"health_path\",\"max_conns\",\"protocol\",\"tls\",\"sharded\","
-            + "\"warm_s\",\"grants\"],\"rows\":[[\"desk\",\"/health\",130,\"h1\",false,null,null,null],"
-            + "[\"catalogue\",\"/health\",130,\"h1\",false,true,2.0,\"call\"]]},"
+            + "\"warm_s\",\"grants\"],\"rows\":[[\"desk\",\"/health\",130,\"h1\",false,null,null,null]]},"
             + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_ms\":3000,"
             + "\"idle_timeout_ms\":15000}}";
 }
--- a/review/standin/Backend.java
+++ b/review/standin/Backend.java
@@ -11,6 +11,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -52,6 +53,9 @@
     private final AtomicInteger waiting = new AtomicInteger();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final List<Hold> holds = new ArrayList<>();
+    /** Highest fence that was seen on each key, kept also after a release. */
+    private final long[] seenFences = new long[65_536];
+
     private volatile boolean stopped;
     private long storedMillis = Long.MIN_VALUE / 2;
     private String stored = "";
@@ -59,6 +63,12 @@
     /** A request that arrived. */
     public record Arrival(long atMillis, String id, String peer) {}
 
+    /** A grant that took effect. */
+    public record Take(long atMillis, String backend, int from, int to, long fence) {}
+
+    /** All grants that took effect at all backends, in their order. */
+    public static final List<Take> TAKES = new ArrayList<>();
+
     private record Hold(int from, int to, long fence, long untilNanos) {}
 
     public Backend(String id, String service, String zone, int slots, boolean sharded, Store store)
@@ -208,19 +218,36 @@
     }
 
     private void grant(Standins.Message request, OutputStream out) throws IOException {
+        boolean granted = applyGrant(request, System.nanoTime());
+        answer(out, request, granted ? 200 : 409, "", "");
+    }
+
+    /**
+     * Takes the keys of a grant unless a higher fence was seen on one of them.
+     *
+     * @param arrivedNanos when the call arrived, from which its time counts
+     */
+    protected boolean applyGrant(Standins.Message request, long arrivedNanos) {
         int from = (int) field(request, "from");
         int to = (int) field(request, "to");
         long fence = field(request, "fence");
-        boolean fenced;
+        if (System.nanoTime() - arrivedNanos >= field(request, "hold_ms") * 1_000_000) {
+            return false;
+        }
         synchronized (holds) {
-            fenced = holds.stream()
-                    .anyMatch(hold -> hold.from() <= to && hold.to() >= from && hold.fence() > fence);
-            if (!fenced) {
-                cut(from, to);
-                holds.add(new Hold(from, to, fence, System.nanoTime() + field(request, "hold_ms") * 1_000_000));
+            for (int key = from; key <= to; key++) {
+                if (seenFences[key] > fence) {
+                    return false;
+                }
             }
+            Arrays.fill(seenFences, from, to + 1, fence);
+            cut(from, to);
+            holds.add(new Hold(from, to, fence, arrivedNanos + field(request, "hold_ms") * 1_000_000));
+        }
+        synchronized (TAKES) {
+            TAKES.add(new Take(Standins.now(), id, from, to, fence));
         }
-        answer(out, request, fenced ? 409 : 200, "", "");
+        return true;
     }
 
     /** Takes keys out of all holds. */
@@ -239,8 +266,14 @@
     }
 
     private void release(Standins.Message request, OutputStream out) throws IOException {
+        int from = (int) field(request, "from");
+        int to = (int) field(request, "to");
         synchronized (holds) {
-            cut((int) field(request, "from"), (int) field(request, "to"));
+            long fence = field(request, "fence");
+            for (int key = from; key <= to; key++) {
+                seenFences[key] = Math.max(seenFences[key], fence);
+            }
+            cut(from, to);
         }
         answer(out, request, 200, "Lacewingthread-Handover: 5c0e7a21d94b36f8\r\n", "");
     }
--- a/review/standin/Router.java
+++ b/review/standin/Router.java
@@ -33,12 +33,15 @@
         Runtime.getRuntime().addShutdownHook(new Thread(Router::killAll));
     }
 
-    /** Ends all router processes of this run. */
+    /** Ends all router processes of this run, and deletes their settings and logs. */
     public static void killAll() {
         synchronized (ALL) {
             for (Router router : ALL) {
                 if (router.process != null) {
-                    router.process.destroyForcibly();
+                    router.process.destroyForcibly().onExit().join();
+                }
+                for (Path file : List.of(router.log, router.settings, router.settings.getParent())) {
+                    file.toFile().delete();
                 }
             }
         }
