Review case 2: a drill and a restarted leader give keys to two backends

Some seconds after the first configuration, the store comes back from a copy that is older than the first table of owners, and the leader's process is killed and starts again.

Cause as far as known: StoreEras counts an empty log as the first use if the process has seen no change of the era.

--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -1,14 +1,11 @@
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import standin.Backend;
 import standin.Caller;
@@ -17,44 +14,32 @@
 import standin.Store;
 
 /**
- * A router gets SIGTERM while callers on bad networks take their answers. Checks whether each request that ran at a backend
- * gets its whole answer; all answers could have been taken before the grace time is over.
+ * Some seconds after the first configuration, the store comes back from a copy that is 5 s old, and the leader's process is
+ * killed and starts again. Checks whether two backends hold the same keys for over half a second.
  */
 public final class Case2 {
-    private static final int CALLERS = 6;
-    private static final int ANSWER_BYTES = 6 << 20;
-    private static final int READ_BYTES = 64 << 10;
-    /** How long a caller's network is bad, so that it takes no bytes after the first ones. */
-    private static final long STALL_MILLIS = 3_000;
-    private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
-    private static final byte[] BODY = "filing".getBytes(StandardCharsets.US_ASCII);
-    private static final long GRACE_MILLIS = 6_000;
+    private static final long COPY_AGE_MILLIS = 5_000;
+    private static final long AWAY_MILLIS = 300;
+    private static final long RESTART_MILLIS = 200;
+    private static final long MAX_OVERLAP_MILLIS = 500;
+    private static final int CALLERS = 24;
 
     private final List<Backend> backends = new ArrayList<>();
-    private final AtomicInteger whole = new AtomicInteger();
-    private final AtomicInteger refused = new AtomicInteger();
-    private final AtomicInteger notPassedOn = new AtomicInteger();
-    private final AtomicInteger lost = new AtomicInteger();
-    private volatile long signalledMillis = Long.MAX_VALUE / 2;
+    private final List<Router> routers = new ArrayList<>();
+    private final AtomicInteger requests = new AtomicInteger();
+    private final AtomicInteger answers = new AtomicInteger();
+    /** Since when two backends hold a key, by key and backends. */
+    private final Map<String, Long> sinceMillis = new HashMap<>();
 
-    /** A backend with answers of {@link #ANSWER_BYTES}. */
-    private static final class ArchiveBackend extends Backend {
-        ArchiveBackend(String id, Store store) throws IOException {
-            super(id, "desk", "maras", 4, false, store);
-        }
-
-        @Override
-        public void answer(OutputStream out, Standins.Message request, int status, String headers, String body)
-                throws IOException {
-            super.answer(out, request, status, headers, status == 200 ? "x".repeat(ANSWER_BYTES) : body);
-        }
-    }
+    private long longestMillis;
+    private String longest = "none";
+    private volatile boolean ended;
 
     public static void main(String[] arguments) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        String trouble = System.getenv().getOrDefault("TROUBLE", "1");
         int status;
         try {
-            status = new Case2().play(trouble);
+            status = new Case2().play(!trouble.equals("0") && !trouble.equals("kill"), !trouble.equals("0") && !trouble.equals("drill"));
         } catch (IOException e) {
             Standins.record("the case could not run: " + e);
             status = 2;
@@ -64,106 +49,131 @@
         Runtime.getRuntime().halt(status);
     }
 
-    private int play(boolean trouble) throws IOException, InterruptedException {
+    private int play(boolean drill, boolean kill) throws IOException {
         Path folder = Files.createTempDirectory("review2-");
         Store store = new Store();
-        store.put("keyed.op", "config", CONFIGURATION);
         for (int i = 0; i < 4; i++) {
-            Backend backend = new ArchiveBackend("i-desk" + i, store);
-            backend.workMillis = 200;
+            Backend backend = new Backend("i-cat" + i, "catalogue", "maras", 2, true, store);
+            backend.workMillis = 60;
             backends.add(backend);
         }
-        List<Router> routers = new ArrayList<>();
-        for (int i = 1; i <= 2; i++) {
+        for (int i = 1; i <= 3; i++) {
             Router router = new Router("front-maras-" + i, "maras", store.address(), folder);
             router.start();
             routers.add(router);
         }
+        Standins.sleep(3_000);
+        Map<String, Integer> copy = store.copy();
+        long copiedMillis = Standins.now();
+        Standins.record("the store's copy is made");
+        Standins.sleep(500);
+        store.put("keyed.op", "config", CONFIGURATION);
+        Standins.record("the first configuration is written");
         for (Router router : routers) {
             router.awaitReady();
         }
-        Standins.sleep(5_000);
-        CountDownLatch done = new CountDownLatch(CALLERS);
-        if (trouble) {
-            signalledMillis = Standins.now();
-            routers.get(0).signal("TERM");
-        }
-        // The balancer has not yet taken the router out.
-        Standins.sleep(200);
         for (int i = 0; i < CALLERS; i++) {
-            int number = i;
-            Standins.run(() -> call(routers.get(0), "caller " + number, done));
-            Standins.sleep(50);
+            Standins.run(this::send);
+        }
+        Standins.run(this::watch);
+        Standins.sleep(copiedMillis + COPY_AGE_MILLIS - Standins.now());
+        Router leader = leader();
+        Standins.record("the leader is " + leader.name);
+        if (kill) {
+            leader.signal("KILL");
+        }
+        if (drill) {
+            store.goAway();
+            Standins.sleep(AWAY_MILLIS);
+            store.comeBack(copy);
+            store.put("keyed.op", "config", CONFIGURATION);
+            backends.forEach(Backend::registerAgain);
+            Standins.record("the store is back from the copy, and the configuration and the entries are written again");
+        }
+        if (kill) {
+            Standins.sleep(RESTART_MILLIS);
+            leader.start();
+        }
+        Standins.sleep(10_000);
+        ended = true;
+        for (Backend.Take take : List.copyOf(Backend.TAKES)) {
+            Standins.record("grant in effect: " + take);
         }
-        done.await(20, TimeUnit.SECONDS);
-        Standins.record("router " + routers.get(0).name + " runs: " + routers.get(0).isRunning());
-        Standins.record("checked: whole answers " + whole + ", refusals " + refused + ", ended before a backend had them "
-                + notPassedOn + ", ran at a backend and ended without the whole answer " + lost);
-        boolean broken = lost.get() > 0;
-        Standins.record(broken ? "BROKEN: LOST" : "held");
+        int ran = backends.stream().mapToInt(backend -> backend.ran.size()).sum();
+        Standins.record("requests sent " + requests + ", answered or refused " + answers + ", run " + ran);
+        Standins.record("checked: the longest time for which two backends held the same key was " + longestMillis + " ms: "
+                + longest);
+        boolean broken = longestMillis > MAX_OVERLAP_MILLIS;
+        Standins.record(broken ? "BROKEN: OWNER" : "held");
         return broken ? 1 : 0;
     }
 
-    private void call(Router router, String name, CountDownLatch done) {
-        String id = Caller.newId();
-        long sentMillis = Standins.now();
-        long received = 0;
-        String end = "the connection was closed";
-        try (Socket socket = new Socket()) {
-            socket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-            socket.connect(router.front, 1_000);
-            socket.setSoTimeout(10_000);
-            socket.getOutputStream().write(Caller.head("POST", "/file/1", id, 8_000, "", BODY.length));
-            socket.getOutputStream().write(BODY);
-            InputStream in = socket.getInputStream();
-            byte[] buffer = new byte[READ_BYTES];
-            StringBuilder head = new StringBuilder();
-            long expected = -1;
-            while (expected < 0 || received < expected) {
-                int count = in.read(buffer);
-                if (count < 0) {
-                    break;
+    /** Returns the router whose log tells last that it leads. */
+    private Router leader() throws IOException {
+        Router leader = routers.get(0);
+        for (Router router : routers) {
+            String last = "";
+            for (String line : Files.readAllLines(router.log)) {
+                last = line.contains("\"leadership.") ? line : last;
+            }
+            leader = last.contains("leadership.gained") ? router : leader;
+        }
+        return leader;
+    }
+
+    private void send() {
+        while (!ended) {
+            ThreadLocalRandom random = ThreadLocalRandom.current();
+            // Most requests are for a few neighbouring keys, so that some of these move.
+            int key = random.nextInt(10) < 7 ? random.nextInt(2_000) : random.nextInt(65_536);
+            try (Caller caller = new Caller(routers.get(random.nextInt(routers.size())).front)) {
+                requests.incrementAndGet();
+                caller.write(Caller.head(
+                        "GET", "/cat/1", Caller.newId(), 2_000, "Lacewingthread-Shard-Key: " + key + "\r\n", 0));
+                if (caller.read(3_000) != null) {
+                    answers.incrementAndGet();
                 }
-                if (expected < 0) {
-                    head.append(new String(buffer, 0, count, StandardCharsets.ISO_8859_1));
-                    int headEnd = head.indexOf("\r\n\r\n");
-                    if (headEnd < 0) {
-                        continue;
+            } catch (IOException e) {
+                Standins.sleep(100);
+            }
+            Standins.sleep(50);
+        }
+    }
+
+    private void watch() {
+        while (!ended) {
+            long nowMillis = Standins.now();
+            Map<String, Long> overlaps = new HashMap<>();
+            for (int i = 0; i < backends.size(); i++) {
+                for (int j = 0; j < i; j++) {
+                    for (int[] a : backends.get(i).held()) {
+                        for (int[] b : backends.get(j).held()) {
+                            if (a[0] <= b[1] && b[0] <= a[1]) {
+                                String what = "key " + Math.max(a[0], b[0]) + " at " + backends.get(j).id + " and "
+                                        + backends.get(i).id;
+                                long since = sinceMillis.getOrDefault(what, nowMillis);
+                                overlaps.put(what, since);
+                                if (nowMillis - since > longestMillis) {
+                                    longestMillis = nowMillis - since;
+                                    longest = what + ", to key " + Math.min(a[1], b[1]) + ", until " + nowMillis + " ms";
+                                }
+                            }
+                        }
                     }
-                    int at = head.toString().toLowerCase().indexOf("content-length: ") + "content-length: ".length();
-                    expected = Long.parseLong(head.substring(at, head.indexOf("\r\n", at)));
-                    received = head.length() - headEnd - 4;
-                    Standins.sleep(expected > READ_BYTES ? STALL_MILLIS : 0);
-                    continue;
                 }
-                received += count;
-            }
-            if (expected >= 0 && received >= expected) {
-                boolean success = head.toString().startsWith("HTTP/1.1 200");
-                (success ? whole : refused).incrementAndGet();
-                Standins.record(name + " " + id + " has its answer: " + head.substring(0, head.indexOf("\r\n")) + ", "
-                        + received + " bytes, " + (Standins.now() - sentMillis) + " ms after it was sent");
-                done.countDown();
-                return;
             }
-        } catch (IOException e) {
-            end = e.toString();
+            sinceMillis.clear();
+            sinceMillis.putAll(overlaps);
+            Standins.sleep(20);
         }
-        boolean ran = backends.stream().anyMatch(backend -> backend.ran.containsKey(id));
-        long sinceSignal = Standins.now() - signalledMillis;
-        (ran && sinceSignal < GRACE_MILLIS + 1_000 ? lost : notPassedOn).incrementAndGet();
-        Standins.record(name + " " + id + " has " + received + " bytes of its answer; ran at a backend: " + ran + "; "
-                + end + " " + (Standins.now() - sentMillis) + " ms after it was sent, " + sinceSignal
-                + " ms after the signal");
-        done.countDown();
     }
 
     private static final String CONFIGURATION = "{\"version\":\"r2\",\"routes\":{\"columns\":[\"name\",\"host\","
             + "\"path_prefix\",\"kind\",\"timeout_ms\",\"target_latency_ms\",\"priority\",\"service\",\"max_attempts\","
             + "\"split\"],\"rows\":["
-            + "[\"r-file\",\"desk.example\",\"/file/\",\"unsafe\",4000,1200,2,\"desk\",2,null]]},"
+            + "[\"r-cat\",\"desk.example\",\"/cat/\",\"safe\",1200,400,2,\"catalogue\",2,null]]},"
             + "\"services\":{\"columns\":[\"name\",\"health_path\",\"max_conns\",\"protocol\",\"tls\",\"sharded\","
-            + "\"warm_s\",\"grants\"],\"rows\":[[\"desk\",\"/health\",130,\"h1\",false,null,null,null]]},"
+            + "\"warm_s\",\"grants\"],\"rows\":[[\"catalogue\",\"/health\",46,\"h1\",false,true,2.0,\"call\"]]},"
             + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,\"header_timeout_ms\":3000,"
             + "\"idle_timeout_ms\":15000}}";
 }
--- a/review/standin/Backend.java
+++ b/review/standin/Backend.java
@@ -278,6 +278,21 @@
         answer(out, request, 200, "Lacewingthread-Handover: 5c0e7a21d94b36f8\r\n", "");
     }
 
+    /** Returns the ranges of keys that the backend holds now. */
+    public List<int[]> held() {
+        synchronized (holds) {
+            return holds.stream()
+                    .filter(hold -> System.nanoTime() < hold.untilNanos())
+                    .map(hold -> new int[] {hold.from(), hold.to()})
+                    .toList();
+        }
+    }
+
+    /** Writes the entry again, as after the store lost it. */
+    public void registerAgain() {
+        store.put("keyed.servers", id, entry());
+    }
+
     private boolean holds(Standins.Message request) {
         String text = request.header("Lacewingthread-Shard-Key");
         int key = text == null ? -1 : Integer.parseInt(text);
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -38,6 +38,8 @@
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<Integer, String> holders = new TreeMap<>();
     private long generation = 1;
+    private long era = 1;
+    private boolean away;
 
     public Store() throws IOException {
         System.setProperty("sun.net.httpserver.nodelay", "true");
@@ -56,6 +58,27 @@
         put(topic, key, value.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Returns a copy of the store: how long each topic is. */
+    public synchronized Map<String, Integer> copy() {
+        Map<String, Integer> sizes = new HashMap<>();
+        topics.forEach((name, log) -> sizes.put(name, log.size()));
+        return sizes;
+    }
+
+    /** Turns all calls away with 503 from now on. */
+    public synchronized void goAway() {
+        away = true;
+    }
+
+    /** Comes back from a copy; what was written since is gone, offsets are given out again, and the era rises by one. */
+    public synchronized void comeBack(Map<String, Integer> copy) {
+        topics.forEach((name, log) ->
+                log.subList(copy.getOrDefault(name, 0), log.size()).clear());
+        era++;
+        away = false;
+        notifyAll();
+    }
+
     private synchronized void put(String topic, String key, byte[] value) {
         byte[] keyBytes = key.getBytes(StandardCharsets.UTF_8);
         ByteArrayOutputStream content = new ByteArrayOutputStream();
@@ -79,6 +102,13 @@
                 String[] pair = part.split("=", 2);
                 query.put(pair[0], URLDecoder.decode(pair[1], StandardCharsets.UTF_8));
             }
+            synchronized (this) {
+                exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
+            }
+            if (isAway()) {
+                respond(exchange, 503, new byte[0]);
+                return;
+            }
             switch (exchange.getRequestURI().getPath()) {
                 case "/log-append" -> append(exchange, query, body);
                 case "/log-read" -> read(exchange, query);
@@ -92,6 +122,10 @@
         }
     }
 
+    private synchronized boolean isAway() {
+        return away;
+    }
+
     private void append(HttpExchange exchange, Map<String, String> query, byte[] body) throws IOException {
         int status = 200;
         String answer;
@@ -130,9 +164,15 @@
             int from = Integer.parseInt(query.get("from"));
             long untilNanos =
                     System.nanoTime() + Long.parseLong(query.getOrDefault("wait_ms", "0")) * 1_000_000;
-            while (from >= log.size() && System.nanoTime() < untilNanos) {
+            long asked = era;
+            while (asked == era && from >= log.size() && System.nanoTime() < untilNanos) {
                 wait(Math.max(1, (untilNanos - System.nanoTime()) / 1_000_000));
             }
+            exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
+            if (from > log.size()) {
+                respond(exchange, 410, "{\"first\":0}".getBytes(StandardCharsets.UTF_8));
+                return;
+            }
             DataOutputStream out = new DataOutputStream(bytes);
             out.writeLong(log.size());
             out.writeLong(0);
