--- a/review/standin/Router.java
+++ b/review/standin/Router.java
@@ -140,7 +140,7 @@
     public void signal(String signal) throws IOException {
         Standins.record("signal " + signal + " to router " + name);
         try {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("sh", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
         } catch (InterruptedException e) {
             throw new IOException(e);
         }
