--- a/review/standin/Backend.java
+++ b/review/Backend.java
@@ -53,6 +53,9 @@
     private final AtomicInteger waiting = new AtomicInteger();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final List<Hold> holds = new ArrayList<>();
+    /** Keys of the requests that run now. */
+    private final List<Integer> keysAtWork = new ArrayList<>();
+
     /** Highest fence that was seen on each key, kept also after a release. */
     private final long[] seenFences = new long[65_536];
 
@@ -184,27 +187,35 @@
             return;
         }
         boolean runs = false;
+        boolean keyedWork = false;
+        long heldUntilNanos = 0;
         try {
             runs = running.tryAcquire(leftMillis, TimeUnit.MILLISECONDS);
             if (!runs) {
                 answer(out, request, 503, "Lacewingthread-Not-Executed: 1\r\n", "");
                 return;
             }
-            if (sharded && !holds(request)) {
+            if (sharded && !beginKeyedWork(request)) {
                 answer(out, request, 421, "Lacewingthread-Not-Executed: 1\r\n", "");
                 return;
             }
+            keyedWork = sharded;
+            heldUntilNanos = heldUntilNanos(request);
             if (ran.putIfAbsent(requestId, Standins.now()) != null) {
                 ranTwice.add(requestId);
             }
             if (!work(socket, in)) {
                 return;
             }
-            answer(out, request, 200, seal(), "done " + requestId);
+            boolean outlasted = sharded && System.nanoTime() > Math.max(heldUntilNanos, heldUntilNanos(request));
+            answer(out, request, outlasted ? 500 : 200, seal(), outlasted ? "" : "done " + requestId);
         } catch (InterruptedException e) {
             throw new IOException(e);
         } finally {
             waiting.decrementAndGet();
+            if (keyedWork) {
+                endKeyedWork(request);
+            }
             if (runs) {
                 running.release();
             }
@@ -274,6 +285,14 @@
                 seenFences[key] = Math.max(seenFences[key], fence);
             }
             cut(from, to);
+            // The answer comes when the work that was running on these keys has ended.
+            while (keysAtWork.stream().anyMatch(key -> from <= key && key <= to)) {
+                try {
+                    holds.wait();
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+            }
         }
         answer(out, request, 200, "Lacewingthread-Handover: 5c0e7a21d94b36f8\r\n", "");
     }
@@ -293,6 +312,36 @@
         store.put("keyed.servers", id, entry());
     }
 
+    private static int keyOf(Standins.Message request) {
+        String text = request.header("Lacewingthread-Shard-Key");
+        return text == null ? -1 : Integer.parseInt(text);
+    }
+
+    private boolean beginKeyedWork(Standins.Message request) {
+        synchronized (holds) {
+            return holds(request) && keysAtWork.add(keyOf(request));
+        }
+    }
+
+    private void endKeyedWork(Standins.Message request) {
+        synchronized (holds) {
+            keysAtWork.remove((Integer) keyOf(request));
+            holds.notifyAll();
+        }
+    }
+
+    /** Returns when the hold of the request's key ends; far in the past if there is none. */
+    private long heldUntilNanos(Standins.Message request) {
+        int key = keyOf(request);
+        synchronized (holds) {
+            return holds.stream()
+                    .filter(hold -> hold.from() <= key && key <= hold.to())
+                    .mapToLong(Hold::untilNanos)
+                    .max()
+                    .orElse(Long.MIN_VALUE);
+        }
+    }
+
     private boolean holds(Standins.Message request) {
         String text = request.header("Lacewingthread-Shard-Key");
         int key = text == null ? -1 : Integer.parseInt(text);
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-javac --release 17 -d target/review review/standin/*.java $(ls review/[0-9]/*.java 2>/dev/null)
+javac --release 17 -d target/review review/*.java $(ls review/[0-9]/*.java 2>/dev/null)
