--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -48,7 +48,7 @@
     private final TableAppends appends = new TableAppends();
     private final LeaderPresence leaderPresence = new LeaderPresence();
     private final ServerLinks serverLinks = new ServerLinks();
-    private final StoreEras eras = new StoreEras();
+    private final StoreEras eras;
     private RangeTable table = RangeTable.EMPTY;
     private long logEnd = -1;
     private final Set<Leader> formerLeaders = new HashSet<>();
@@ -68,20 +68,27 @@
 
     /** Creates a coordinator without a table, which therefore doesn't lead. */
     public RangeCoordinator(Leader self, RangeLeaseTimes times) {
-        this(self, times, RangeEventListener.NONE, () -> 0);
+        this(self, times, RangeEventListener.NONE, () -> 0, false);
     }
 
     /**
      * Creates a coordinator without a table that reports its decisions to a listener.
      *
      * @param clockLeadMillis returns by how much the clock may have run ahead so far, in milliseconds; never decreases
+     * @param firstStart whether the deployment starts for the first time; only then, or in a store that has never gone
+     *     back to an older copy, an empty log shows that no server holds keys
      */
     public RangeCoordinator(
-            Leader self, RangeLeaseTimes times, RangeEventListener listener, LongSupplier clockLeadMillis) {
+            Leader self,
+            RangeLeaseTimes times,
+            RangeEventListener listener,
+            LongSupplier clockLeadMillis,
+            boolean firstStart) {
         this.self = self;
         this.times = times;
         this.listener = listener;
         this.clockLeadMillis = clockLeadMillis;
+        this.eras = new StoreEras(firstStart);
         this.holds = new RangeHolds(times, listener, serverLinks, clockLeadMillis);
     }
 
--- a/core/src/main/java/org/lacewingthread/core/keyrange/StoreEras.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/StoreEras.java
@@ -14,6 +14,7 @@
     /** Time of answers that there have not been; far from overflow. */
     private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
+    private final boolean firstStart;
     private long era;
     private boolean known;
     private boolean changed;
@@ -23,6 +24,15 @@
     /** Newest contact in the era of the term, while that is not the newest era. */
     private long answeredInTermEraMillis = NEVER_MILLIS;
 
+    /**
+     * Creates a history without a known era.
+     *
+     * @param firstStart whether the deployment starts for the first time, so that no earlier process can have led
+     */
+    StoreEras(boolean firstStart) {
+        this.firstStart = firstStart;
+    }
+
     long era() {
         return era;
     }
@@ -93,8 +103,15 @@
     }
 
     private boolean mayHaveLostTablesAfter(RangeTable table, long logEnd) {
-        boolean firstUse = !changed && logEnd == 0 && table.term() == 0;
-        return table.era() != era && !firstUse;
+        return table.era() != era && !isFirstUse(table, logEnd);
+    }
+
+    /**
+     * Returns whether no table has ever been recorded. An empty log alone does not show that: the store may have lost the
+     * tables before this process started.
+     */
+    private boolean isFirstUse(RangeTable table, long logEnd) {
+        return firstStart && !changed && logEnd == 0 && table.term() == 0;
     }
 
     /**
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RandomFaults.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RandomFaults.java
@@ -48,7 +48,7 @@
             }
             case 11 -> {
                 if (random.nextInt(3) == 0) {
-                    vm.start(random.nextLong(1L << 40));
+                    vm.restart(random.nextLong(1L << 40));
                 }
             }
             case 12 -> cutOffFromStore(vm);
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeEventListenerTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeEventListenerTest.java
@@ -27,7 +27,8 @@
     private static final Leader FORMER = new Leader(new VmStart(new VmId("b"), 2), "10.0.0.2", 7_000);
 
     private final List<String> reported = new ArrayList<>();
-    private final RangeCoordinator coordinator = new RangeCoordinator(SELF, TIMES, new RecordingListener(), () -> 0);
+    private final RangeCoordinator coordinator =
+            new RangeCoordinator(SELF, TIMES, new RecordingListener(), () -> 0, false);
     private long nowMillis = 1_000;
     private long logEnd = 3;
 
--- a/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedVm.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedVm.java
@@ -26,13 +26,17 @@
 
     SimulatedVm(String name, long startedMillis) {
         this.name = name;
-        start(startedMillis);
+        start(startedMillis, true);
     }
 
-    /** Starts a process in place of the present one, if there is one. */
-    void start(long startedMillis) {
+    /** Starts a process in place of the present one. */
+    void restart(long startedMillis) {
+        start(startedMillis, false);
+    }
+
+    private void start(long startedMillis, boolean firstStart) {
         Leader leader = new Leader(new VmStart(new VmId(name), startedMillis), "10.0.0.1", 7_000);
-        coordinator = new RangeCoordinator(leader, RangeSimulation.TIMES);
+        coordinator = new RangeCoordinator(leader, RangeSimulation.TIMES, RangeEventListener.NONE, () -> 0, firstStart);
         waitingAnswers.clear();
         readPending = false;
     }
--- a/core/src/test/java/org/lacewingthread/core/keyrange/StoreEraHistoryTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/StoreEraHistoryTest.java
@@ -63,7 +63,6 @@
             simulation.runFor(random.nextInt(random.nextBoolean() ? 2_000 : 12_000));
             simulation.disconnectedFromStore.clear();
         }
-        // A process that starts takes an empty log for a new deployment.
-        simulation.store.loseNewest((int) Math.min(lost, simulation.store.end() - 1));
+        simulation.store.loseNewest((int) Math.min(lost, simulation.store.end()));
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -81,6 +81,7 @@
             Leader self,
             DataCentreId dataCentre,
             RangeLeaseTimes leaseTimes,
+            boolean firstStart,
             ServerRegistry registry,
             Platform platform,
             ControlClock clock,
@@ -97,7 +98,7 @@
         this.registry = registry;
         this.platform = platform;
         this.eventLogger = new ControlEventLogger(events, this::storeSilenceMillis);
-        this.coordinator = new RangeCoordinator(self, leaseTimes, eventLogger, clock::leadMillis);
+        this.coordinator = new RangeCoordinator(self, leaseTimes, eventLogger, clock::leadMillis, firstStart);
         this.clock = clock;
         this.formerLeaders = new FormerLeaderMessages(this.self, coordinator, clock);
         this.loadReports = new LoadReports(
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -195,6 +195,7 @@
                 leader,
                 settings.dataCentre(),
                 settings.leaseTimes(),
+                settings.firstStart(),
                 new ServerRegistry(EXPIRED_ENTRY_GRACE_MILLIS, settings.drainMillis()),
                 followed,
                 controlClock,
@@ -235,7 +236,14 @@
                 settings.reportAddress().getHostString(),
                 settings.reportAddress().getPort());
         controlLoop.start();
-        events.write("process.started", "start", self, "callers", settings.callerAddress());
+        events.write(
+                "process.started",
+                "start",
+                self,
+                "callers",
+                settings.callerAddress(),
+                "first_start",
+                settings.firstStart());
     }
 
     private void onServerCallEnded(ServerStart server, boolean answered, long elapsedMillis) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
@@ -19,6 +19,8 @@
  * @param retryRatio extra attempts as a share of first attempts, over all entry VMs
  * @param maxSavedRetries most extra attempts that all entry VMs together can save up; each has an equal part
  * @param leaseTimes durations of the holds of key ranges and of their renewals
+ * @param firstStart whether the deployment as a whole starts for the first time, so that no server can hold keys yet;
+ *     false for a process that is started again
  */
 public record RouterSettings(
         VmId vm,
@@ -31,4 +33,5 @@
         long stopMillis,
         double retryRatio,
         double maxSavedRetries,
-        RangeLeaseTimes leaseTimes) {}
+        RangeLeaseTimes leaseTimes,
+        boolean firstStart) {}
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeHoldClockTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeHoldClockTest.java
@@ -37,7 +37,8 @@
             new Leader(new VmStart(new VmId("a"), 1), "10.0.0.1", 7_000),
             new RangeLeaseTimes(HOLD_MILLIS, 1_000, 10_000, 3_000, 0.03),
             RangeEventListener.NONE,
-            () -> this.clock.leadMillis());
+            () -> this.clock.leadMillis(),
+            false);
     private final List<String> violations = new ArrayList<>();
     private long trueMillis = 1_000;
     private long timeOfDayMillis = 1_000_000;
