Key ranges: a leader has at most 24 grants under way, so that one with little processor time sends them in time

Callers saw: over a tenth of the keyed requests unserved for seconds after the lead had moved, and requests sent to leaving servers (DRAIN, 2,703 ms), since the new leader, with 0.3 of a processor, had time for nothing else.

Change: grants are decided as earlier ones end, ranges without a holder first, then those that waited longest. Servers that left a grant unanswered have a window of their own, so that their silence does not hold up the others.

--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -1,6 +1,7 @@
 package org.lacewingthread.core.keyrange;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,15 @@
 final class RangeHolds {
     /** A grant arrives within this time after it is sent, or never; calls are aborted earlier. */
     private static final long MAX_CALL_DELIVERY_MILLIS = 1_200;
+    /**
+     * Most grants under way to servers that answer, and as many to those that left one unanswered. With more, a VM with
+     * little processor time opens connections until the time of all of them is over.
+     */
+    private static final int MAX_GRANTS_UNDER_WAY = 24;
+    /** Ranges that nobody holds come first, then those that have waited longest. */
+    private static final Comparator<RangeHold> MOST_URGENT_FIRST = Comparator.comparing(
+                    (RangeHold hold) -> hold.phase == RangeHold.Phase.HELD)
+            .thenComparingLong(hold -> hold.nextCallAtMillis);
     /** Fences reserved for each term; more than a term can use. */
     private static final long FENCES_PER_TERM = 1_000_000;
 
@@ -35,7 +45,11 @@
      * @param settlementMark for a release, the newest settlement when it was sent
      * @param sentMillis when it was sent
      */
-    private record PendingCall(RangeHold hold, ServerStart server, long settlementMark, long sentMillis) {}
+    private record PendingCall(RangeHold hold, ServerStart server, long settlementMark, long sentMillis) {
+        boolean isGrant() {
+            return server.equals(hold.owner);
+        }
+    }
 
     RangeHolds(
             RangeLeaseTimes times, RangeEventListener listener, ServerLinks serverLinks, LongSupplier clockLeadMillis) {
@@ -192,19 +206,44 @@
             long nowMillis) {
         liveness.removeExpired(nowMillis);
         ledger.removeExpired(nowMillis);
-        for (RangeHold hold : holds) {
-            ServiceView view = services.get(hold.service);
-            startGrantingIfFree(hold, nowMillis);
-            boolean stepAllowed = movesAllowed || hold.phase == RangeHold.Phase.HELD;
-            if (hold.isCallPending() || nowMillis < hold.nextCallAtMillis || !stepAllowed) {
-                continue;
-            }
+        holds.forEach(hold -> startGrantingIfFree(hold, nowMillis));
+        List<RangeHold> due = holds.stream()
+                .filter(hold -> !hold.isCallPending() && nowMillis >= hold.nextCallAtMillis)
+                .filter(hold -> movesAllowed || hold.phase == RangeHold.Phase.HELD)
+                .sorted(MOST_URGENT_FIRST)
+                .toList();
+        GrantWindow window = new GrantWindow();
+        for (RangeHold hold : due) {
             if (hold.phase == RangeHold.Phase.RELEASING) {
                 release(hold, actions, nowMillis);
-            } else if (!shouldLetExpire(hold, view, nowMillis)
+            } else if (window.hasRoomFor(hold.owner)
+                    && !shouldLetExpire(hold, services.get(hold.service), nowMillis)
                     && !ownerMayBeReplaced.test(hold)
                     && isFree(hold, nowMillis)) {
                 grant(hold, actions, nowMillis);
+                window.add(hold.owner);
+            }
+        }
+    }
+
+    /** Counts the grants under way, apart for servers whose silence must not hold up the others. */
+    private final class GrantWindow {
+        private int toAnswering;
+        private int toSuspected;
+
+        GrantWindow() {
+            pendingCalls.values().stream().filter(PendingCall::isGrant).forEach(call -> add(call.server()));
+        }
+
+        boolean hasRoomFor(ServerStart owner) {
+            return (liveness.isSuspected(owner) ? toSuspected : toAnswering) < MAX_GRANTS_UNDER_WAY;
+        }
+
+        void add(ServerStart owner) {
+            if (liveness.isSuspected(owner)) {
+                toSuspected++;
+            } else {
+                toAnswering++;
             }
         }
     }
