Registry: no request is sent by a view so old that the server's drain may be over

Callers saw: requests sent to leaving servers by a VM that had no time to apply the registry's changes (DRAIN, 2,703 ms: a small VM that had just taken the lead sent a request 2,551 ms after the drain).

Cause: no check at the send asked how old the view is.

Change: RegistryFreshness carries the age of the view to the traffic thread. From the drain time less 250 ms on, requests to servers that are not known to leave wait for the next view, and are refused 100 ms before their target (3005, REGISTRY_OUTDATED).

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
@@ -18,6 +18,8 @@
     LIMITED,
     /** Each server that can run the request wants no requests of this entry VM for a while. */
     RESTING,
+    /** The view of the registry is too old to tell which servers still take requests. */
+    REGISTRY_OUTDATED,
     /** The deadline passed while the request waited. */
     DEADLINE_PASSED;
 
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
@@ -32,8 +33,8 @@
 public final class RequestDispatcher {
     /** Maximum number of waiting requests of one service. */
     private static final int MAX_WAITING_REQUESTS = 400;
-    /** A request whose key has no owner is refused this long before its target time. */
-    private static final long NO_OWNER_REFUSAL_MARGIN_MILLIS = 100;
+    /** A request that waits for an owner or for the registry is refused this long before its target time. */
+    private static final long REFUSAL_MARGIN_MILLIS = 100;
     /** Share of the remaining time that may be spent waiting; the rest is left to a refused caller for a retry. */
     private static final double MAX_WAIT_RATIO = 0.85;
 
@@ -49,6 +50,7 @@
     private final Map<ServiceId, TreeSet<DispatchRequest>> waitingByService = new HashMap<>();
     private final ServerLimits limits;
     private final RestPeriods rests = new RestPeriods();
+    private final BooleanSupplier registryIsCurrent;
     private RangeTable rangeTable = RangeTable.EMPTY;
     private Map<ServiceId, Integer> connectionLimits = Map.of();
     private boolean cutOff;
@@ -61,6 +63,16 @@
      * @param random seeded source of the jitter in the expected times of servers
      */
     public RequestDispatcher(DataCentreId dataCentre, RandomGenerator random) {
+        this(dataCentre, random, () -> true);
+    }
+
+    /**
+     * Creates a dispatcher that sends requests to servers only while the registry is known well enough.
+     *
+     * @param registryIsCurrent tells whether servers that are not known to leave may get requests
+     */
+    public RequestDispatcher(DataCentreId dataCentre, RandomGenerator random, BooleanSupplier registryIsCurrent) {
+        this.registryIsCurrent = registryIsCurrent;
         this.refusals = new Refusals(random);
         this.serverChooser = new ServerChooser(dataCentre, random);
         this.limits = new ServerLimits(random);
@@ -240,7 +252,7 @@
 
     /**
      * Returns whether a decided request may still be sent, which the sender asks once it has a connection: the server
-     * is known and takes the request, and still owns the key.
+     * is known and takes the request, as far as a current view of the registry tells, and still owns the key.
      */
     public boolean maySend(Decision.Send send, long nowMillis) {
         DispatchRequest request = send.request();
@@ -248,6 +260,9 @@
         if (state == null || state.isReplaced() || rests.isResting(send.server().start(), nowMillis)) {
             return false;
         }
+        if (mayHaveBegunToLeave(state)) {
+            return false;
+        }
         if (request.key().isEmpty()) {
             return state.knownServer().isReady();
         }
@@ -259,6 +274,11 @@
         return owns && state.knownServer().acceptsOwnedKeys(nowMillis);
     }
 
+    /** Returns whether a server that was last known to stay may have left unseen, since the view of the registry is old. */
+    private boolean mayHaveBegunToLeave(ServerLoadState state) {
+        return state.knownServer().isReady() && !registryIsCurrent.getAsBoolean();
+    }
+
     /** Returns until when a leaving server gets requests for its keys; empty if it is not leaving, or is not known. */
     public Optional<Long> acceptsUntilMillis(ServerStart server) {
         return Optional.ofNullable(servers.get(server))
@@ -302,13 +322,15 @@
         Optional<RangeOwnership> ownership =
                 rangeTable.find(request.service(), request.key().getAsInt());
         if (ownership.isEmpty() || ownership.get().isMoving()) {
-            boolean mayWait = nowMillis < request.targetAtMillis() - NO_OWNER_REFUSAL_MARGIN_MILLIS;
-            return mayWait ? Optional.empty() : refuse(request, RefusalCause.NO_OWNER);
+            return waitOrRefuse(request, RefusalCause.NO_OWNER, nowMillis);
         }
         ServerLoadState owner = servers.get(ownership.get().owner());
         if (owner == null || owner.isReplaced() || !owner.knownServer().acceptsOwnedKeys(nowMillis)) {
             return refuse(request, RefusalCause.OWNER_GONE);
         }
+        if (mayHaveBegunToLeave(owner)) {
+            return waitOrRefuse(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
+        }
         long restMillis = restMillis(ownership.get().owner(), nowMillis);
         if (restMillis > 0) {
             return Optional.of(refusals.resting(request, restMillis));
@@ -330,6 +352,9 @@
         if (ready.isEmpty()) {
             return refuse(request, RefusalCause.NO_SERVER);
         }
+        if (!registryIsCurrent.getAsBoolean()) {
+            return waitOrRefuse(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
+        }
         List<ServerLoadState> awake = ready.stream()
                 .filter(state -> !rests.isResting(state.knownServer().start(), nowMillis))
                 .toList();
@@ -386,6 +411,11 @@
         return Optional.empty();
     }
 
+    private static Optional<Decision> waitOrRefuse(DispatchRequest request, RefusalCause cause, long nowMillis) {
+        boolean mayWait = nowMillis < request.targetAtMillis() - REFUSAL_MARGIN_MILLIS;
+        return mayWait ? Optional.empty() : refuse(request, cause);
+    }
+
     private static Optional<Decision> refuse(DispatchRequest request, RefusalCause cause) {
         return Optional.of(Refusals.refuse(request, cause));
     }
--- a/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
@@ -30,7 +30,7 @@
     /** How long a server without entry is listed. */
     private static final long REMOVED_RETENTION_MILLIS = 1_000;
     /** Longest time assumed from the sending of a request until it arrives, also from a busy entry VM. */
-    private static final long MAX_DELIVERY_MILLIS = 250;
+    static final long MAX_DELIVERY_MILLIS = 250;
 
     private final long outageGraceMillis;
     private final long drainMillis;
--- a/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
@@ -48,6 +48,11 @@
             "",
             Set.of("leadership.", "table.", "range.", "server.orders", "store."),
             end -> "its key had no owner, or its key range was moving for longer than the request could wait"),
+    REGISTRY_OUTDATED(
+            Set.of(3005),
+            "REGISTRY_OUTDATED",
+            Set.of("registry.", "store.", "leadership."),
+            end -> "this VM had not read the registry for so long that any server might have left"),
     OWNER_UNREACHABLE(
             Set.of(3005),
             "",
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -20,6 +20,7 @@
 import org.lacewingthread.core.quarantine.CrashRecord;
 import org.lacewingthread.core.quarantine.RequestFingerprint;
 import org.lacewingthread.core.reachability.RelayPeer;
+import org.lacewingthread.core.registry.RegistryFreshness;
 import org.lacewingthread.core.registry.ServerRegistry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
@@ -77,6 +78,7 @@
     private final EventLoop trafficEventLoop = trafficGroup.next();
     private final EventLoop controlEventLoop = controlGroup.next();
     private final ControlClock controlClock = new ControlClock();
+    private final RegistryFreshness freshness;
     private final RequestEngine engine;
     private final RouterRelay relay;
     private final CallerListener callerListener;
@@ -84,6 +86,7 @@
     private final VmStart self;
     private List<KnownServer> knownServers = List.of();
     private ControlLoop controlLoop;
+    private boolean registryWasCurrent = true;
     private volatile boolean stopping;
     private volatile Reach reach = Reach.UNKNOWN;
 
@@ -104,12 +107,13 @@
         this.settings = settings;
         this.events = events;
         SplittableRandom random = new SplittableRandom();
+        this.freshness = new RegistryFreshness(settings.drainMillis(), RouterProcess::trafficNowMillis);
         this.self = new VmStart(settings.vm(), random.nextLong(Long.MAX_VALUE));
         this.engine = new RequestEngine(
                 headerNames,
                 events,
                 metrics,
-                new RequestDispatcher(settings.dataCentre(), random.split()),
+                new RequestDispatcher(settings.dataCentre(), random.split(), freshness::allowsRequests),
                 trafficEventLoop,
                 new RetryBudget(settings.retryRatio(), savedRetriesOf(ASSUMED_ENTRY_VM_COUNT)),
                 RouterProcess::trafficNowMillis,
@@ -197,6 +201,7 @@
                 settings.leaseTimes(),
                 settings.firstStart(),
                 new ServerRegistry(EXPIRED_ENTRY_GRACE_MILLIS, settings.drainMillis()),
+                freshness,
                 followed,
                 controlClock,
                 controlEventLoop,
@@ -217,7 +222,7 @@
         new StatusListener(events, (method, target) -> quarantinePage.page(method, target, other -> metricsPage()))
                 .open(controlGroup, settings.metricsAddress());
         trafficEventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "deadlines", engine::tick),
+                new FailureLoggingTask(events, "deadlines", this::tick),
                 TRAFFIC_TICK_MILLIS,
                 TRAFFIC_TICK_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -246,6 +251,15 @@
                 settings.firstStart());
     }
 
+    private void tick() {
+        engine.tick();
+        boolean current = freshness.allowsRequests();
+        if (current != registryWasCurrent) {
+            registryWasCurrent = current;
+            events.write(current ? "registry.current-again" : "registry.outdated", "age_ms", freshness.ageMillis());
+        }
+    }
+
     private void onServerCallEnded(ServerStart server, boolean answered, long elapsedMillis) {
         trafficEventLoop.execute(() -> {
             if (answered) {
