--- a/core/src/main/java/org/lacewingthread/core/dispatch/Refusals.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/Refusals.java
@@ -1,9 +1,12 @@
 package org.lacewingthread.core.dispatch;
 
+import java.util.Optional;
 import java.util.random.RandomGenerator;
 
 /** Refusals with the delays after which callers come back. */
 final class Refusals {
+    /** A request that waits for an owner or for the registry is refused this long before its target time. */
+    private static final long WAITING_MARGIN_MILLIS = 100;
     /** Bounds of the retry delay given to a refused caller. */
     private static final long MIN_RETRY_AFTER_MILLIS = 50;
 
@@ -26,6 +29,12 @@
         this.random = random;
     }
 
+    /** Refuses a request that nobody can take at the moment, unless it may still wait for a change; empty if it may. */
+    static Optional<Decision> unlessMayWait(DispatchRequest request, RefusalCause cause, long nowMillis) {
+        boolean mayWait = nowMillis < request.targetAtMillis() - WAITING_MARGIN_MILLIS;
+        return mayWait ? Optional.empty() : Optional.of(refuse(request, cause));
+    }
+
     /** Refuses a request because no server can take it at the moment. */
     static Decision.Refuse refuse(DispatchRequest request, RefusalCause cause) {
         return refuse(request, cause, NO_OWNER_RETRY_AFTER_MILLIS);
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -1,12 +1,10 @@
 package org.lacewingthread.core.dispatch;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeSet;
 import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.lacewingthread.core.id.DataCentreId;
@@ -31,23 +29,14 @@
  * <p>Times are milliseconds of a monotonic clock. Not safe for use by several threads.
  */
 public final class RequestDispatcher {
-    /** Maximum number of waiting requests of one service. */
-    private static final int MAX_WAITING_REQUESTS = 400;
-    /** A request that waits for an owner or for the registry is refused this long before its target time. */
-    private static final long REFUSAL_MARGIN_MILLIS = 100;
     /** Share of the remaining time that may be spent waiting; the rest is left to a refused caller for a retry. */
     private static final double MAX_WAIT_RATIO = 0.85;
 
-    private static final Comparator<DispatchRequest> MOST_URGENT_FIRST = Comparator.comparingInt(
-                    DispatchRequest::priority)
-            .thenComparingLong(DispatchRequest::deadlineMillis)
-            .thenComparingLong(DispatchRequest::number);
-
     private final Refusals refusals;
     private final ServerChooser serverChooser;
     private final Map<ServerStart, ServerLoadState> servers = new HashMap<>();
     private final Map<ServiceId, List<ServerLoadState>> serversByService = new HashMap<>();
-    private final Map<ServiceId, TreeSet<DispatchRequest>> waitingByService = new HashMap<>();
+    private final WaitingRequests waiting = new WaitingRequests();
     private final ServerLimits limits;
     private final RestPeriods rests = new RestPeriods();
     private final BooleanSupplier registryIsCurrent;
@@ -177,24 +166,18 @@
 
     /** Adds a request and returns the decisions that are due, also about other waiting requests. */
     public List<Decision> submit(DispatchRequest request, long nowMillis) {
-        TreeSet<DispatchRequest> queue =
-                waitingByService.computeIfAbsent(request.service(), s -> new TreeSet<>(MOST_URGENT_FIRST));
-        queue.add(request);
+        waiting.add(request);
         List<Decision> decisions = new ArrayList<>();
         decide(request.service(), decisions, nowMillis);
-        if (queue.size() > MAX_WAITING_REQUESTS) {
-            DispatchRequest last = queue.pollLast();
-            decisions.add(Refusals.refuse(last, RefusalCause.OVERLOADED, Refusals.MAX_RETRY_AFTER_MILLIS));
-        }
+        waiting.removeExcess(request.service())
+                .ifPresent(last ->
+                        decisions.add(Refusals.refuse(last, RefusalCause.OVERLOADED, Refusals.MAX_RETRY_AFTER_MILLIS)));
         return decisions;
     }
 
     /** Removes a waiting request whose caller has disconnected. */
     public void cancel(DispatchRequest request) {
-        TreeSet<DispatchRequest> queue = waitingByService.get(request.service());
-        if (queue != null) {
-            queue.remove(request);
-        }
+        waiting.remove(request);
         limits.cancel(request.number());
     }
 
@@ -225,7 +208,7 @@
                 decisions.add(refusals.withoutPermit(unanswered.request()));
             }
         }
-        for (ServiceId service : List.copyOf(waitingByService.keySet())) {
+        for (ServiceId service : waiting.services()) {
             decide(service, decisions, nowMillis);
         }
         return decisions;
@@ -233,16 +216,12 @@
 
     /** Returns the number of waiting requests of all services. */
     public int waitingCount() {
-        return limits.pendingCount()
-                + waitingByService.values().stream().mapToInt(TreeSet::size).sum();
+        return limits.pendingCount() + waiting.count();
     }
 
     /** Returns the number of waiting requests that only the owner of their key can run. */
     public int keyedWaitingCount() {
-        return (int) waitingByService.values().stream()
-                .flatMap(TreeSet::stream)
-                .filter(request -> request.key().isPresent())
-                .count();
+        return waiting.keyedCount();
     }
 
     /** Returns the service time of a server as measured by this VM, in milliseconds. */
@@ -286,15 +265,11 @@
     }
 
     private void decide(ServiceId service, List<Decision> decisions, long nowMillis) {
-        TreeSet<DispatchRequest> queue = waitingByService.get(service);
-        if (queue == null || queue.isEmpty()) {
-            return;
-        }
         Map<ServerId, Integer> aheadByServer = new HashMap<>();
-        for (DispatchRequest request : DispatchOrder.of(queue, this::owner, nowMillis)) {
+        for (DispatchRequest request : DispatchOrder.of(waiting.of(service), this::owner, nowMillis)) {
             Optional<Decision> decision = decide(request, aheadByServer, nowMillis);
             if (decision.isPresent()) {
-                queue.remove(request);
+                waiting.remove(request);
                 decisions.add(decision.get());
             }
         }
@@ -322,14 +297,14 @@
         Optional<RangeOwnership> ownership =
                 rangeTable.find(request.service(), request.key().getAsInt());
         if (ownership.isEmpty() || ownership.get().isMoving()) {
-            return waitOrRefuse(request, RefusalCause.NO_OWNER, nowMillis);
+            return Refusals.unlessMayWait(request, RefusalCause.NO_OWNER, nowMillis);
         }
         ServerLoadState owner = servers.get(ownership.get().owner());
         if (owner == null || owner.isReplaced() || !owner.knownServer().acceptsOwnedKeys(nowMillis)) {
             return refuse(request, RefusalCause.OWNER_GONE);
         }
         if (mayHaveBegunToLeave(owner)) {
-            return waitOrRefuse(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
+            return Refusals.unlessMayWait(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
         }
         long restMillis = restMillis(ownership.get().owner(), nowMillis);
         if (restMillis > 0) {
@@ -353,7 +328,7 @@
             return refuse(request, RefusalCause.NO_SERVER);
         }
         if (!registryIsCurrent.getAsBoolean()) {
-            return waitOrRefuse(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
+            return Refusals.unlessMayWait(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
         }
         List<ServerLoadState> awake = ready.stream()
                 .filter(state -> !rests.isResting(state.knownServer().start(), nowMillis))
@@ -411,11 +386,6 @@
         return Optional.empty();
     }
 
-    private static Optional<Decision> waitOrRefuse(DispatchRequest request, RefusalCause cause, long nowMillis) {
-        boolean mayWait = nowMillis < request.targetAtMillis() - REFUSAL_MARGIN_MILLIS;
-        return mayWait ? Optional.empty() : refuse(request, cause);
-    }
-
     private static Optional<Decision> refuse(DispatchRequest request, RefusalCause cause) {
         return Optional.of(Refusals.refuse(request, cause));
     }
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -49,6 +49,7 @@
     private final LeaderPresence leaderPresence = new LeaderPresence();
     private final ServerLinks serverLinks = new ServerLinks();
     private final StoreEras eras;
+    private final BalanceSchedule balanceSchedule = new BalanceSchedule();
     private RangeTable table = RangeTable.EMPTY;
     private long logEnd = -1;
     private final Set<Leader> formerLeaders = new HashSet<>();
@@ -64,19 +65,11 @@
     /** Newest term that this process has been told of. */
     private long newestTerm;
 
-    private final BalanceSchedule balanceSchedule = new BalanceSchedule();
-
-    /** Creates a coordinator without a table, which therefore doesn't lead. */
-    public RangeCoordinator(Leader self, RangeLeaseTimes times) {
-        this(self, times, RangeEventListener.NONE, () -> 0, false);
-    }
-
     /**
-     * Creates a coordinator without a table that reports its decisions to a listener.
+     * Creates a coordinator without a table, which therefore doesn't lead, that reports its decisions to a listener.
      *
      * @param clockLeadMillis returns by how much the clock may have run ahead so far, in milliseconds; never decreases
-     * @param firstStart whether the deployment starts for the first time; only then, or in a store that has never gone
-     *     back to an older copy, an empty log shows that no server holds keys
+     * @param firstStart whether the deployment starts for the first time, so that an empty log shows that no key is held
      */
     public RangeCoordinator(
             Leader self,
--- a/core/src/main/java/org/lacewingthread/core/registry/RegistryFreshness.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/RegistryFreshness.java
@@ -10,7 +10,8 @@
  * knows, since its callers may have no other VM.
  *
  * <pre>{@code
- * freshness.onCurrent(ageMillis);              // control thread: all changes up to that age are known
+ * ServerRegistry registry = new ServerRegistry(outageGraceMillis, drainMillis, freshness);
+ * registry.onCurrent(asOfMillis);              // control thread: all changes up to a time are known
  * if (freshness.allowsRequests()) { ... }      // traffic thread, at each send
  * }</pre>
  *
@@ -22,6 +23,7 @@
 
     private final long maxAgeMillis;
     private final LongSupplier clockMillis;
+    private final LongSupplier registryClockMillis;
     private volatile long currentAsOfMillis = Long.MIN_VALUE / 2;
     private volatile boolean storeSilent;
 
@@ -29,21 +31,24 @@
      * Creates the state of a process that knows no server.
      *
      * @param drainMillis time from a server's drain after which no request may arrive there
-     * @param clockMillis monotonic clock
+     * @param clockMillis monotonic clock that does not count suspensions of the machine, after which requests are excused
+     * @param registryClockMillis clock of the registry's times
      */
-    public RegistryFreshness(long drainMillis, LongSupplier clockMillis) {
+    public RegistryFreshness(long drainMillis, LongSupplier clockMillis, LongSupplier registryClockMillis) {
         this.maxAgeMillis = drainMillis - ServerRegistry.MAX_DELIVERY_MILLIS;
         this.clockMillis = clockMillis;
+        this.registryClockMillis = registryClockMillis;
     }
 
-    /** Records that every change is known that the registry accepted until a time ago; an older one has no effect. */
-    public synchronized void onCurrent(long ageMillis) {
+    /** Records that every change is known that the registry accepted up to a time; an earlier one has no effect. */
+    synchronized void onCurrent(long asOfMillis) {
+        long ageMillis = registryClockMillis.getAsLong() - asOfMillis;
         currentAsOfMillis = Math.max(currentAsOfMillis, clockMillis.getAsLong() - ageMillis);
         storeSilent = false;
     }
 
     /** Records that the store left a read unanswered, or refused it. */
-    public void onStoreSilent() {
+    void onStoreSilent() {
         storeSilent = true;
     }
 
--- a/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
@@ -32,6 +32,7 @@
     /** Longest time assumed from the sending of a request until it arrives, also from a busy entry VM. */
     static final long MAX_DELIVERY_MILLIS = 250;
 
+    private final RegistryFreshness freshness;
     private final long outageGraceMillis;
     private final long drainMillis;
     /** How long the announcement of a server that has no entry is kept, since it may register again. */
@@ -84,6 +85,12 @@
      * @param drainMillis time from a server's drain, or the removal of its entry, after which no request may arrive
      */
     public ServerRegistry(long outageGraceMillis, long drainMillis) {
+        this(outageGraceMillis, drainMillis, new RegistryFreshness(drainMillis, () -> 0, () -> 0));
+    }
+
+    /** Creates the same view, whose age a freshness tells to other threads. */
+    public ServerRegistry(long outageGraceMillis, long drainMillis, RegistryFreshness freshness) {
+        this.freshness = freshness;
         this.outageGraceMillis = outageGraceMillis;
         this.drainMillis = drainMillis;
     }
@@ -101,6 +108,7 @@
     /** Records that the registry did not answer. */
     public void onUnreachable(long nowMillis) {
         unreachableSinceMillis = Optional.of(unreachableSinceMillis.orElse(nowMillis));
+        freshness.onStoreSilent();
     }
 
     /**
@@ -109,6 +117,7 @@
      */
     public void onCurrent(long asOfMillis) {
         currentAsOfMillis = Math.max(currentAsOfMillis, asOfMillis);
+        freshness.onCurrent(asOfMillis);
     }
 
     /** Returns the newest time up to which all changes are known; far in the past before the first listing. */
--- a/core/src/test/java/org/lacewingthread/core/keyrange/GrantWindowTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/GrantWindowTest.java
@@ -29,8 +29,12 @@
     private static final long GRANT_TIMEOUT_MILLIS = 400;
     private static final long TICK_MILLIS = 20;
 
-    private final RangeCoordinator coordinator =
-            new RangeCoordinator(new Leader(new VmStart(new VmId("a"), 1), "10.0.0.1", 7_000), TIMES);
+    private final RangeCoordinator coordinator = new RangeCoordinator(
+            new Leader(new VmStart(new VmId("a"), 1), "10.0.0.1", 7_000),
+            TIMES,
+            RangeEventListener.NONE,
+            () -> 0,
+            false);
     private final List<ServerStart> servers = new ArrayList<>();
     private final Set<ServerStart> silent = new HashSet<>();
     /** When a range was last granted, by its first key. */
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeTermNumberTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeTermNumberTest.java
@@ -19,8 +19,12 @@
     private static final RangeLeaseTimes TIMES = new RangeLeaseTimes(4_000, 1_000, 10_000, 3_000, 0.03);
     private static final long NOW_MILLIS = 1_000;
 
-    private final RangeCoordinator coordinator =
-            new RangeCoordinator(new Leader(new VmStart(new VmId("a"), 1), "10.0.0.1", 7_000), TIMES);
+    private final RangeCoordinator coordinator = new RangeCoordinator(
+            new Leader(new VmStart(new VmId("a"), 1), "10.0.0.1", 7_000),
+            TIMES,
+            RangeEventListener.NONE,
+            () -> 0,
+            false);
 
     private CoordinatorAction.RecordTable stepToRecord() {
         ServiceView view =
--- a/core/src/test/java/org/lacewingthread/core/registry/RegistryFreshnessTest.java
+++ b/core/src/test/java/org/lacewingthread/core/registry/RegistryFreshnessTest.java
@@ -11,32 +11,32 @@
     private static final long DELIVERY_MILLIS = 250;
 
     private final AtomicLong nowMillis = new AtomicLong(50_000);
-    private final RegistryFreshness freshness = new RegistryFreshness(DRAIN_MILLIS, nowMillis::get);
+    private final RegistryFreshness freshness = new RegistryFreshness(DRAIN_MILLIS, nowMillis::get, nowMillis::get);
 
     /** Guards against requests that arrive at a server when its unseen drain is over. */
     @Test
     void viewIsGoodUntilAnUnseenDrainMayBeOver() {
-        freshness.onCurrent(100);
+        freshness.onCurrent(nowMillis.get() - 100);
         nowMillis.addAndGet(DRAIN_MILLIS - DELIVERY_MILLIS - 101);
         assertThat(freshness.allowsRequests()).isTrue();
         nowMillis.addAndGet(1);
         assertThat(freshness.allowsRequests()).isFalse();
-        freshness.onCurrent(0);
+        freshness.onCurrent(nowMillis.get());
         assertThat(freshness.allowsRequests()).isTrue();
     }
 
     /** Guards against a late confirmation that makes the view look older. */
     @Test
     void olderConfirmationHasNoEffect() {
-        freshness.onCurrent(0);
-        freshness.onCurrent(1_900);
+        freshness.onCurrent(nowMillis.get());
+        freshness.onCurrent(nowMillis.get() - 1_900);
         assertThat(freshness.ageMillis()).isZero();
     }
 
     /** Guards against a VM that stops serving because the store is down or cut off. */
     @Test
     void vmWithoutStoreGoesOn() {
-        freshness.onCurrent(0);
+        freshness.onCurrent(nowMillis.get());
         freshness.onStoreSilent();
         nowMillis.addAndGet(60_000);
         assertThat(freshness.allowsRequests()).isTrue();
@@ -45,7 +45,7 @@
     /** Guards against a VM that never serves again, since it is too late itself to notice that the store is away. */
     @Test
     void oldViewStopsRequestsForALimitedTime() {
-        freshness.onCurrent(0);
+        freshness.onCurrent(nowMillis.get());
         nowMillis.addAndGet(4_999);
         assertThat(freshness.allowsRequests()).isFalse();
         nowMillis.addAndGet(1);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -27,7 +27,6 @@
 import org.lacewingthread.core.quarantine.CrashRecord;
 import org.lacewingthread.core.quarantine.RequestFingerprint;
 import org.lacewingthread.core.registry.RegistryChanges;
-import org.lacewingthread.core.registry.RegistryFreshness;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
@@ -66,7 +65,6 @@
     private final Consumer<ServingConfiguration> onConfiguration;
     private final BiConsumer<List<KnownServer>, RangeTable> topologyListener;
     private final ServerRegistry registry;
-    private final RegistryFreshness freshness;
     private final KeyspaceLoad keyspaceLoad = new KeyspaceLoad();
     private final LoadReports loadReports;
     private final RangeCommandSender rangeCommands;
@@ -85,7 +83,6 @@
             RangeLeaseTimes leaseTimes,
             boolean firstStart,
             ServerRegistry registry,
-            RegistryFreshness freshness,
             Platform platform,
             ControlClock clock,
             EventLoop eventLoop,
@@ -99,7 +96,6 @@
             CrashRecordExchange.Receiver crashRecordReceiver) {
         this.self = self.process();
         this.registry = registry;
-        this.freshness = freshness;
         this.platform = platform;
         this.eventLogger = new ControlEventLogger(events, this::storeSilenceMillis);
         this.coordinator = new RangeCoordinator(self, leaseTimes, eventLogger, clock::leadMillis, firstStart);
@@ -327,13 +323,11 @@
     @Override
     public void onRegistryCurrent(long asOfMillis) {
         registry.onCurrent(asOfMillis);
-        freshness.onCurrent(clock.nowMillis() - asOfMillis);
     }
 
     @Override
     public void onRegistryUnreachable() {
         registry.onUnreachable(clock.nowMillis());
-        freshness.onStoreSilent();
     }
 
     @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -86,7 +86,6 @@
     private final VmStart self;
     private List<KnownServer> knownServers = List.of();
     private ControlLoop controlLoop;
-    private boolean registryWasCurrent = true;
     private volatile boolean stopping;
     private volatile Reach reach = Reach.UNKNOWN;
 
@@ -107,13 +106,14 @@
         this.settings = settings;
         this.events = events;
         SplittableRandom random = new SplittableRandom();
-        this.freshness = new RegistryFreshness(settings.drainMillis(), RouterProcess::trafficNowMillis);
+        this.freshness =
+                new RegistryFreshness(settings.drainMillis(), RouterProcess::trafficNowMillis, controlClock::nowMillis);
         this.self = new VmStart(settings.vm(), random.nextLong(Long.MAX_VALUE));
         this.engine = new RequestEngine(
                 headerNames,
                 events,
                 metrics,
-                new RequestDispatcher(settings.dataCentre(), random.split(), freshness::allowsRequests),
+                new RequestDispatcher(settings.dataCentre(), random.split(), new RegistryGate(freshness, events)),
                 trafficEventLoop,
                 new RetryBudget(settings.retryRatio(), savedRetriesOf(ASSUMED_ENTRY_VM_COUNT)),
                 RouterProcess::trafficNowMillis,
@@ -200,8 +200,7 @@
                 settings.dataCentre(),
                 settings.leaseTimes(),
                 settings.firstStart(),
-                new ServerRegistry(EXPIRED_ENTRY_GRACE_MILLIS, settings.drainMillis()),
-                freshness,
+                new ServerRegistry(EXPIRED_ENTRY_GRACE_MILLIS, settings.drainMillis(), freshness),
                 followed,
                 controlClock,
                 controlEventLoop,
@@ -222,7 +221,7 @@
         new StatusListener(events, (method, target) -> quarantinePage.page(method, target, other -> metricsPage()))
                 .open(controlGroup, settings.metricsAddress());
         trafficEventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "deadlines", this::tick),
+                new FailureLoggingTask(events, "deadlines", engine::tick),
                 TRAFFIC_TICK_MILLIS,
                 TRAFFIC_TICK_MILLIS,
                 TimeUnit.MILLISECONDS);
@@ -251,15 +250,6 @@
                 settings.firstStart());
     }
 
-    private void tick() {
-        engine.tick();
-        boolean current = freshness.allowsRequests();
-        if (current != registryWasCurrent) {
-            registryWasCurrent = current;
-            events.write(current ? "registry.current-again" : "registry.outdated", "age_ms", freshness.ageMillis());
-        }
-    }
-
     private void onServerCallEnded(ServerStart server, boolean answered, long elapsedMillis) {
         trafficEventLoop.execute(() -> {
             if (answered) {
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
@@ -27,6 +27,7 @@
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
+import org.lacewingthread.core.keyrange.RangeEventListener;
 import org.lacewingthread.core.keyrange.RangeLeaseTimes;
 import org.lacewingthread.core.registry.RegistryChanges;
 import org.lacewingthread.core.registry.ServerEntry;
@@ -46,7 +47,10 @@
             platform,
             new RangeCoordinator(
                     new Leader(new VmStart(new VmId("vm-1"), 1), "10.0.0.1", 7_000),
-                    new RangeLeaseTimes(4_000, 1_000, 10_000, 3_000, 0.03)),
+                    new RangeLeaseTimes(4_000, 1_000, 10_000, 3_000, 0.03),
+                    RangeEventListener.NONE,
+                    () -> 0,
+                    false),
             clock,
             events,
             new RangeCommandLog(events, new RouterMetrics(), 8),
