--- a/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
@@ -140,8 +140,13 @@
     /** Guards against connections that wait to be accepted when a busy process stops, and are reset without an answer. */
     @Test
     void connectionsThatWaitToBeAcceptedWhenTheProcessStopsAreRefused() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
         CountDownLatch connected = new CountDownLatch(1);
-        traffic.execute(() -> awaitUninterruptibly(connected));
+        traffic.execute(() -> {
+            held.countDown();
+            awaitUninterruptibly(connected);
+        });
+        held.await();
         List<Socket> late = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
             Socket socket = new Socket(InetAddress.getLoopbackAddress(), caller.getPort());
