Evacuation: deadlines of evacuated servers, their keys and the age of the view

Callers of a data centre that is to be evacuated were sent to its servers for as long as these had entries.

SendGate checks the ages of both views at the decision and at the send; requests are refused at once when all servers are evacuated.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
@@ -18,7 +18,9 @@
     LIMITED,
     /** Each server that can run the request wants no requests of this entry VM for a while. */
     RESTING,
-    /** The view of the registry is too old to tell which servers still take requests. */
+    /** The servers that could run the request are in evacuated data centres. */
+    EVACUATED,
+    /** The view of the registry, or of the evacuated data centres, is too old to tell which servers take requests. */
     REGISTRY_OUTDATED,
     /** The deadline passed while the request waited. */
     DEADLINE_PASSED;
@@ -27,4 +29,9 @@
     public boolean mayBeSentByOthers() {
         return this == OWNER_UNREACHABLE || this == CUT_OFF;
     }
+
+    /** Returns whether servers exist that could run the request and get none, for an evacuation or for lack of news. */
+    public boolean isWithheld() {
+        return this == EVACUATED || this == REGISTRY_OUTDATED;
+    }
 }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import java.util.random.RandomGenerator;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
@@ -39,7 +38,7 @@
     private final WaitingRequests waiting = new WaitingRequests();
     private final ServerLimits limits;
     private final RestPeriods rests = new RestPeriods();
-    private final BooleanSupplier registryIsCurrent;
+    private final SendGate gate;
     private RangeTable rangeTable = RangeTable.EMPTY;
     private Map<ServiceId, Integer> connectionLimits = Map.of();
     private boolean cutOff;
@@ -52,16 +51,12 @@
      * @param random seeded source of the jitter in the expected times of servers
      */
     public RequestDispatcher(DataCentreId dataCentre, RandomGenerator random) {
-        this(dataCentre, random, () -> true);
+        this(dataCentre, random, new SendGate(() -> true, () -> true));
     }
 
-    /**
-     * Creates a dispatcher that sends requests to servers only while the registry is known well enough.
-     *
-     * @param registryIsCurrent tells whether servers that are not known to leave may get requests
-     */
-    public RequestDispatcher(DataCentreId dataCentre, RandomGenerator random, BooleanSupplier registryIsCurrent) {
-        this.registryIsCurrent = registryIsCurrent;
+    /** Creates a dispatcher that sends requests to a server only while enough is known of it. */
+    public RequestDispatcher(DataCentreId dataCentre, RandomGenerator random, SendGate gate) {
+        this.gate = gate;
         this.refusals = new Refusals(random);
         this.serverChooser = new ServerChooser(dataCentre, random);
         this.limits = new ServerLimits(random);
@@ -239,7 +234,7 @@
         if (state == null || state.isReplaced() || rests.isResting(send.server().start(), nowMillis)) {
             return false;
         }
-        if (mayHaveBegunToLeave(state)) {
+        if (!gate.allows(state.knownServer())) {
             return false;
         }
         if (request.key().isEmpty()) {
@@ -253,11 +248,6 @@
         return owns && state.knownServer().acceptsOwnedKeys(nowMillis);
     }
 
-    /** Returns whether a server that was last known to stay may have left unseen, since the view of the registry is old. */
-    private boolean mayHaveBegunToLeave(ServerLoadState state) {
-        return state.knownServer().isReady() && !registryIsCurrent.getAsBoolean();
-    }
-
     /** Returns until when a leaving server gets requests for its keys; empty if it is not leaving, or is not known. */
     public Optional<Long> acceptsUntilMillis(ServerStart server) {
         return Optional.ofNullable(servers.get(server))
@@ -297,13 +287,15 @@
         Optional<RangeOwnership> ownership =
                 rangeTable.find(request.service(), request.key().getAsInt());
         if (ownership.isEmpty() || ownership.get().isMoving()) {
-            return Refusals.unlessMayWait(request, RefusalCause.NO_OWNER, nowMillis);
+            return SendGate.refuseIfEvacuated(request, serversOf(request))
+                    .or(() -> Refusals.unlessMayWait(request, RefusalCause.NO_OWNER, nowMillis));
         }
         ServerLoadState owner = servers.get(ownership.get().owner());
         if (owner == null || owner.isReplaced() || !owner.knownServer().acceptsOwnedKeys(nowMillis)) {
-            return refuse(request, RefusalCause.OWNER_GONE);
+            boolean evacuated = owner != null && owner.knownServer().evacuated();
+            return refuse(request, evacuated ? RefusalCause.EVACUATED : RefusalCause.OWNER_GONE);
         }
-        if (mayHaveBegunToLeave(owner)) {
+        if (!gate.allows(owner.knownServer())) {
             return Refusals.unlessMayWait(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
         }
         long restMillis = restMillis(ownership.get().owner(), nowMillis);
@@ -319,15 +311,20 @@
         return decideForServer(request, owner, ahead, aheadByServer, nowMillis);
     }
 
+    private List<ServerLoadState> serversOf(DispatchRequest request) {
+        return serversByService.getOrDefault(request.service(), List.of());
+    }
+
     private Optional<Decision> decideUnkeyed(
             DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
-        List<ServerLoadState> ready = serversByService.getOrDefault(request.service(), List.of()).stream()
+        List<ServerLoadState> ready = serversOf(request).stream()
                 .filter(state -> state.knownServer().isReady() && !state.isReplaced())
                 .toList();
         if (ready.isEmpty()) {
-            return refuse(request, RefusalCause.NO_SERVER);
+            return SendGate.refuseIfEvacuated(request, serversOf(request))
+                    .or(() -> refuse(request, RefusalCause.NO_SERVER));
         }
-        if (!registryIsCurrent.getAsBoolean()) {
+        if (!gate.allows(ready.get(0).knownServer())) {
             return Refusals.unlessMayWait(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
         }
         List<ServerLoadState> awake = ready.stream()
--- /dev/null
+++ b/core/src/main/java/org/lacewingthread/core/evacuation/package-info.java
@@ -0,0 +1,2 @@
+/** Evacuated data centres, whose servers get no more requests. */
+package org.lacewingthread.core.evacuation;
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -210,6 +210,7 @@
         List<RangeHold> due = holds.stream()
                 .filter(hold -> !hold.isCallPending() && nowMillis >= hold.nextCallAtMillis)
                 .filter(hold -> movesAllowed || hold.phase == RangeHold.Phase.HELD)
+                .filter(hold -> !isRecipientClosed(hold, services.get(hold.service)))
                 .sorted(MOST_URGENT_FIRST)
                 .toList();
         GrantWindow window = new GrantWindow();
@@ -226,6 +227,13 @@
         }
     }
 
+    /** Returns whether the server that would get the next call for a range is in an evacuated data centre. */
+    private static boolean isRecipientClosed(RangeHold hold, ServiceView view) {
+        ServerStart recipient =
+                hold.phase == RangeHold.Phase.RELEASING ? hold.movingFrom.orElse(hold.owner) : hold.owner;
+        return view != null && view.closed().contains(recipient);
+    }
+
     /** Counts the grants under way, apart for servers whose silence must not hold up the others. */
     private final class GrantWindow {
         private int toAnswering;
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeTableProposer.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeTableProposer.java
@@ -46,8 +46,9 @@
         usable.keySet().removeIf(liveness::isUnresponsiveOrEnded);
         List<RangeHold> serviceHolds =
                 holds.stream().filter(hold -> hold.service.equals(service)).toList();
-        List<RangeOwnership> current =
-                serviceHolds.stream().map(hold -> toPlannerInput(hold, usable)).toList();
+        List<RangeOwnership> current = serviceHolds.stream()
+                .map(hold -> toPlannerInput(hold, usable, view))
+                .toList();
         Set<ServerStart> unconfirmed = new TreeSet<>();
         serviceHolds.stream().filter(hold -> !isConfirmed(hold)).forEach(hold -> unconfirmed.add(hold.owner));
         List<RangeOwnership> planned = isFullyOwned(current, usable) && !balances
@@ -74,7 +75,7 @@
      * settled, so that the planner may replace its owner. A held range whose owner can't change is shown
      * as moving from its owner to the same owner.
      */
-    private RangeOwnership toPlannerInput(RangeHold hold, Map<ServerStart, Double> usable) {
+    private RangeOwnership toPlannerInput(RangeHold hold, Map<ServerStart, Double> usable, ServiceView view) {
         boolean ownerUsable = usable.containsKey(hold.owner);
         boolean ownerMayHold = ledger.mayHold(hold.service, hold.owner, hold.range, nowMillis);
         if (hold.phase != RangeHold.Phase.HELD) {
@@ -84,7 +85,8 @@
                     ? new RangeOwnership(hold.range, hold.owner, hold.movingFrom)
                     : RangeOwnership.settled(hold.range, hold.owner);
         }
-        boolean mayMove = ownerUsable || isConfirmed(hold) || !ownerMayHold || liveness.hasEnded(hold.owner);
+        boolean leavesNow = isConfirmed(hold) && !view.leavingLater().contains(hold.owner);
+        boolean mayMove = ownerUsable || leavesNow || !ownerMayHold || liveness.hasEnded(hold.owner);
         return mayMove
                 ? RangeOwnership.settled(hold.range, hold.owner)
                 : new RangeOwnership(hold.range, hold.owner, Optional.of(hold.owner));
--- a/core/src/main/java/org/lacewingthread/core/registry/RegistryFreshness.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/RegistryFreshness.java
@@ -3,8 +3,9 @@
 import java.util.function.LongSupplier;
 
 /**
- * Tells whether the view of the registry is young enough to send requests to servers that were last known to stay. A
- * server may have begun to leave right after the view, and no request may arrive there once its drain time is over.
+ * Tells whether the view of the registry, or of the evacuated data centres, is young enough to send requests to servers
+ * that were last known to stay. A server may have begun to leave right after the view, and no request may arrive there
+ * once its drain time, or the time of the evacuation, is over.
  *
  * <p>An old view stops requests only while the store would answer: a VM that has lost the store goes on with what it
  * knows, since its callers may have no other VM.
@@ -22,6 +23,7 @@
     private static final long MAX_WITHHOLDING_AGE_MILLIS = 5_000;
 
     private final long maxAgeMillis;
+    private final long maxWithholdingAgeMillis;
     private final LongSupplier clockMillis;
     private final LongSupplier registryClockMillis;
     private volatile long currentAsOfMillis = Long.MIN_VALUE / 2;
@@ -35,20 +37,35 @@
      * @param registryClockMillis clock of the registry's times
      */
     public RegistryFreshness(long drainMillis, LongSupplier clockMillis, LongSupplier registryClockMillis) {
-        this.maxAgeMillis = drainMillis - ServerRegistry.MAX_DELIVERY_MILLIS;
+        this(drainMillis, MAX_WITHHOLDING_AGE_MILLIS, clockMillis, registryClockMillis);
+    }
+
+    /**
+     * Creates the same state of another view.
+     *
+     * @param leaveMillis time from the beginning of a leave after which no request may arrive
+     * @param maxWithholdingAgeMillis age from which the view no longer stops requests
+     */
+    public RegistryFreshness(
+            long leaveMillis,
+            long maxWithholdingAgeMillis,
+            LongSupplier clockMillis,
+            LongSupplier registryClockMillis) {
+        this.maxAgeMillis = leaveMillis - ServerRegistry.MAX_DELIVERY_MILLIS;
+        this.maxWithholdingAgeMillis = maxWithholdingAgeMillis;
         this.clockMillis = clockMillis;
         this.registryClockMillis = registryClockMillis;
     }
 
-    /** Records that every change is known that the registry accepted up to a time; an earlier one has no effect. */
-    synchronized void onCurrent(long asOfMillis) {
+    /** Records that every change is known that the store accepted up to a time; an earlier one has no effect. */
+    public synchronized void onCurrent(long asOfMillis) {
         long ageMillis = registryClockMillis.getAsLong() - asOfMillis;
         currentAsOfMillis = Math.max(currentAsOfMillis, clockMillis.getAsLong() - ageMillis);
         storeSilent = false;
     }
 
     /** Records that the store left a read unanswered, or refused it. */
-    void onStoreSilent() {
+    public void onStoreSilent() {
         storeSilent = true;
     }
 
@@ -60,6 +77,6 @@
     /** Returns whether requests may be sent to servers that are not known to leave. */
     public boolean allowsRequests() {
         long ageMillis = ageMillis();
-        return ageMillis < maxAgeMillis || storeSilent || ageMillis >= MAX_WITHHOLDING_AGE_MILLIS;
+        return ageMillis < maxAgeMillis || storeSilent || ageMillis >= maxWithholdingAgeMillis;
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 
@@ -29,8 +30,8 @@
 
     /** How long a server without entry is listed. */
     private static final long REMOVED_RETENTION_MILLIS = 1_000;
-    /** Longest time assumed from the sending of a request until it arrives, also from a busy entry VM. */
-    static final long MAX_DELIVERY_MILLIS = 250;
+    /** Longest time assumed from the sending of a request until it arrives, also from a busy entry VM, in milliseconds. */
+    public static final long MAX_DELIVERY_MILLIS = 250;
 
     private final RegistryFreshness freshness;
     private final long outageGraceMillis;
@@ -45,6 +46,8 @@
     private Optional<Long> unreachableSinceMillis = Optional.of(Long.MIN_VALUE / 2);
     private long graceUntilMillis = Long.MIN_VALUE / 2;
     private long currentAsOfMillis = Long.MIN_VALUE / 2;
+    /** Data centres whose servers count as cold, with the times up to which the registry must be known before that ends. */
+    private final Map<DataCentreId, Long> suspectedColdUntilAsOfMillis = new HashMap<>();
 
     /**
      * A server with the times at which it started to leave and is to be dropped.
@@ -52,8 +55,15 @@
      * @param entry newest entry
      * @param acceptsUntilMillis until when requests for its keys may be sent to it; empty if it is not leaving
      * @param removeAtMillis when it is dropped unless it registers again; empty while it has an entry
+     * @param evacuated whether it leaves because its data centre is evacuated, while its entry still exists
      */
-    public record KnownServer(ServerEntry entry, Optional<Long> acceptsUntilMillis, Optional<Long> removeAtMillis) {
+    public record KnownServer(
+            ServerEntry entry, Optional<Long> acceptsUntilMillis, Optional<Long> removeAtMillis, boolean evacuated) {
+        /** Creates a server whose data centre is not evacuated. */
+        public KnownServer(ServerEntry entry, Optional<Long> acceptsUntilMillis, Optional<Long> removeAtMillis) {
+            this(entry, acceptsUntilMillis, removeAtMillis, false);
+        }
+
         /** Returns the server's current start: its id and the start time of its process. */
         public ServerStart start() {
             return entry.start();
@@ -64,7 +74,19 @@
             return new KnownServer(
                     entry,
                     acceptsUntilMillis.map(at -> at + offsetMillis),
-                    removeAtMillis.map(at -> at + offsetMillis));
+                    removeAtMillis.map(at -> at + offsetMillis),
+                    evacuated);
+        }
+
+        /**
+         * Returns the same server in an evacuated data centre.
+         *
+         * @param deadlineMillis until when it gets requests for its keys, unless it leaves earlier itself
+         */
+        public KnownServer evacuatedUntil(long deadlineMillis) {
+            boolean hasEntry = isReady() || entry.draining();
+            long earlierMillis = Math.min(deadlineMillis, acceptsUntilMillis.orElse(deadlineMillis));
+            return new KnownServer(entry, Optional.of(earlierMillis), removeAtMillis, hasEntry);
         }
 
         /** Returns whether the server takes new requests. */
@@ -162,6 +184,23 @@
         return new KnownServer(known.entry(), Optional.of(earlier), known.removeAtMillis());
     }
 
+    /**
+     * Lets the servers of a data centre count as cold until the registry is known up to a time, whatever their entries
+     * say before: entries that were written before an evacuation ended don't tell that a server became cold.
+     *
+     * @param untilAsOfMillis time from which on the servers' entries count again
+     */
+    public void suspectCold(DataCentreId dataCentre, long untilAsOfMillis) {
+        suspectedColdUntilAsOfMillis.merge(dataCentre, untilAsOfMillis, Math::max);
+    }
+
+    private KnownServer withSuspectedCold(KnownServer known) {
+        ServerEntry entry = known.entry();
+        return suspectedColdUntilAsOfMillis.containsKey(entry.dataCentre())
+                ? new KnownServer(entry.asCold(), known.acceptsUntilMillis(), known.removeAtMillis())
+                : known;
+    }
+
     /** Records that a server has no entry any more; it is dropped unless it registers again in time. */
     public void remove(ServerId server, long nowMillis) {
         KnownServer known = servers.get(server);
@@ -194,6 +233,10 @@
                 .removeIf(known ->
                         known.removeAtMillis().filter(at -> at <= nowMillis).isPresent());
         announcedEndMillis.values().removeIf(end -> nowMillis - end > ANNOUNCEMENT_RETENTION_MILLIS);
-        return servers.values().stream().map(this::withAnnouncedEnd).toList();
+        suspectedColdUntilAsOfMillis.values().removeIf(until -> currentAsOfMillis >= until);
+        return servers.values().stream()
+                .map(this::withAnnouncedEnd)
+                .map(this::withSuspectedCold)
+                .toList();
     }
 }
--- a/core/src/test/java/org/lacewingthread/core/dispatch/OutdatedRegistryTest.java
+++ b/core/src/test/java/org/lacewingthread/core/dispatch/OutdatedRegistryTest.java
@@ -26,7 +26,7 @@
 
     private boolean registryIsCurrent = true;
     private final RequestDispatcher dispatcher =
-            new RequestDispatcher(HERE, new SplittableRandom(1), () -> registryIsCurrent);
+            new RequestDispatcher(HERE, new SplittableRandom(1), new SendGate(() -> registryIsCurrent, () -> true));
 
     private static DispatchRequest request(OptionalInt key) {
         return new DispatchRequest(1, ORDERS, key, 1, 300, 800, Set.of());
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 import org.lacewingthread.core.id.ServerId;
@@ -58,6 +59,9 @@
     /** Ended servers at whose address another one answers. */
     final Set<ServerStart> replaced = new HashSet<>();
 
+    /** Adds evacuations to the view of the servers. */
+    UnaryOperator<ServiceView> evacuation = view -> view;
+
     final KeyLoad load = new KeyLoad(6_000, 2_000);
     /** Keys that two servers held at the same time. */
     final List<String> violations = new ArrayList<>();
@@ -168,7 +172,7 @@
         ready.forEach(server -> capacity.put(server, capacities.getOrDefault(server, 2.0)));
         ServiceView view = new ServiceView(capacity, Set.copyOf(registered), load.profile(nowMillis));
         announceTerm(vm);
-        for (CoordinatorAction action : coordinator.step(Map.of(SERVICE, view), nowMillis)) {
+        for (CoordinatorAction action : coordinator.step(Map.of(SERVICE, evacuation.apply(view)), nowMillis)) {
             execute(vm, coordinator, action);
         }
         vm.handleWaitingAnswers();
