--- a/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
@@ -51,8 +51,14 @@
     REGISTRY_OUTDATED(
             Set.of(3005),
             "REGISTRY_OUTDATED",
-            Set.of("registry.", "store.", "leadership."),
-            end -> "this VM had not read the registry for so long that any server might have left"),
+            Set.of("registry.", "evacuations.", "store.", "leadership."),
+            end ->
+                    "this VM had not read the registry, or the evacuations, for so long that any server might have left"),
+    EVACUATED(
+            Set.of(3005),
+            "EVACUATED",
+            Set.of("evacuation", "table."),
+            end -> "the servers that could run it were in evacuated data centres"),
     OWNER_UNREACHABLE(
             Set.of(3005),
             "",
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -2,15 +2,14 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
@@ -30,7 +29,6 @@
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
-import org.lacewingthread.core.serving.ServiceSpec;
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.events.FailureLoggingTask;
@@ -64,6 +62,7 @@
     private final RouterMetrics metrics;
     private final Consumer<ServingConfiguration> onConfiguration;
     private final BiConsumer<List<KnownServer>, RangeTable> topologyListener;
+    private final ServerViews serverViews;
     private final ServerRegistry registry;
     private final KeyspaceLoad keyspaceLoad = new KeyspaceLoad();
     private final LoadReports loadReports;
@@ -82,7 +81,7 @@
             DataCentreId dataCentre,
             RangeLeaseTimes leaseTimes,
             boolean firstStart,
-            ServerRegistry registry,
+            ServerViews serverViews,
             Platform platform,
             ControlClock clock,
             EventLoop eventLoop,
@@ -95,7 +94,8 @@
             RangeCommandSender.CallListener callListener,
             CrashRecordExchange.Receiver crashRecordReceiver) {
         this.self = self.process();
-        this.registry = registry;
+        this.serverViews = serverViews;
+        this.registry = serverViews.registry();
         this.platform = platform;
         this.eventLogger = new ControlEventLogger(events, this::storeSilenceMillis);
         this.coordinator = new RangeCoordinator(self, leaseTimes, eventLogger, clock::leadMillis, firstStart);
@@ -121,6 +121,7 @@
                 formerLeaders,
                 (message, reply) -> limitExchange.onMessage(message, reply) || crashRecords.onMessage(message));
         loadReports.start(reportChannel, this::publish);
+        serverViews.setPublisher(this::publish);
         this.eventLoop = eventLoop;
         this.events = events;
         this.metrics = metrics;
@@ -269,7 +270,7 @@
     }
 
     private void publish(long nowMillis) {
-        List<KnownServer> servers = registry.servers(nowMillis);
+        List<KnownServer> servers = serverViews.servers(nowMillis);
         RangeTable table = coordinator.table();
         if (!servers.equals(publishedServers) || !table.equals(publishedTable)) {
             publishedServers = servers;
@@ -279,17 +280,12 @@
     }
 
     private Map<ServiceId, ServiceView> serviceViews(long nowMillis) {
-        Map<ServiceId, ServiceView> views = new TreeMap<>();
         if (!coordinator.isLeading()) {
-            return views;
+            return Map.of();
         }
         Map<ServerStart, Double> limits = limitExchange.settledLimitsPerSecond();
-        for (ServiceSpec service : configuration.orElseThrow().services().values()) {
-            if (service.keyed()) {
-                views.put(service.id(), keyspaceLoad.view(service.id(), publishedServers, limits, nowMillis));
-            }
-        }
-        return views;
+        return serverViews.ofKeyedServices(
+                configuration.orElseThrow(), keyspaceLoad, publishedServers, limits, nowMillis);
     }
 
     private void onTableRecorded(ControlEventLogger.Append append, AppendResult result) {
@@ -310,6 +306,11 @@
         onConfiguration.accept(newest);
     }
 
+    @Override
+    public Platform.EvacuationListener evacuations() {
+        return serverViews.evacuationListener();
+    }
+
     @Override
     public void onRegistryChanges(RegistryChanges changes) {
         loadReports.announceRegistryChanges(changes);
@@ -339,8 +340,8 @@
     }
 
     private void rememberAddress(ServerEntry entry) {
-        Set<ServerStart> registered = new HashSet<>();
-        publishedServers.forEach(server -> registered.add(server.start()));
+        Set<ServerStart> registered =
+                publishedServers.stream().map(KnownServer::start).collect(Collectors.toSet());
         rangeCommands.rememberAddress(entry, registered);
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
@@ -97,7 +97,7 @@
         Map<ServerStart, Double> capacityByServer = new TreeMap<>();
         Set<ServerStart> registered = new HashSet<>();
         for (KnownServer server : serviceServers) {
-            boolean departed = !server.isReady() && !server.entry().draining();
+            boolean departed = !server.isReady() && !server.entry().draining() && !server.evacuated();
             if (!departed) {
                 registered.add(server.start());
             }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.Consumer;
+import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.keyrange.AppendResult;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
@@ -22,6 +24,34 @@
  * table, leader selection and commands to servers. All methods and callbacks run on the control thread.
  */
 public interface Platform {
+    /** Receives the evacuations of data centres; ignores them where a method is not overridden. */
+    interface EvacuationListener {
+        /** Called when a data centre is evacuated; may be called again for the same evacuation. */
+        default void onEvacuation(DataCentreId dataCentre) {}
+
+        /** Called when a data centre is not evacuated any more, or never was. */
+        default void onEvacuationEnded(DataCentreId dataCentre) {}
+
+        /** Called with all evacuated data centres. */
+        default void onEvacuationsListed(Set<DataCentreId> dataCentres) {}
+
+        /**
+         * Called when every evacuation that the platform accepted up to a time has been passed on.
+         *
+         * @param asOfMillis the time, by the control clock
+         */
+        default void onEvacuationsCurrent(long asOfMillis) {}
+
+        /** Called when the platform did not tell the evacuations although it was asked. */
+        default void onEvacuationsUnreachable() {}
+
+        /** Called with the beginning of the key of an evacuation that names no data centre. */
+        default void onUnreadableEvacuation(String key) {}
+    }
+
+    /** Ignores all evacuations. */
+    EvacuationListener IGNORED_EVACUATIONS = new EvacuationListener() {};
+
     /** Receives changes from the platform. */
     interface Listener {
         /** Called with the newest configuration. */
@@ -74,6 +104,11 @@
         /** Called with whether this entry VM is the one that should lead. */
         void onLeaderSelection(boolean selected);
 
+        /** Returns what is told of the evacuations of data centres. */
+        default EvacuationListener evacuations() {
+            return IGNORED_EVACUATIONS;
+        }
+
         /** Called with a stored record of a request that crashes servers. */
         void onStoredCrashRecord(CrashRecord known);
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RegistryGate.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RegistryGate.java
@@ -4,15 +4,19 @@
 import org.lacewingthread.core.registry.RegistryFreshness;
 import org.lacewingthread.daemon.events.EventLog;
 
-/** Tells the dispatcher whether the view of the registry allows requests, and logs each change. Runs on the traffic thread. */
+/** Tells the dispatcher whether the age of a view allows requests, and logs each change. Runs on the traffic thread. */
 final class RegistryGate implements BooleanSupplier {
     private final RegistryFreshness freshness;
     private final EventLog events;
+    private final String closedEvent;
+    private final String openedEvent;
     private boolean open = true;
 
-    RegistryGate(RegistryFreshness freshness, EventLog events) {
+    RegistryGate(RegistryFreshness freshness, EventLog events, String closedEvent, String openedEvent) {
         this.freshness = freshness;
         this.events = events;
+        this.closedEvent = closedEvent;
+        this.openedEvent = openedEvent;
     }
 
     @Override
@@ -20,7 +24,7 @@
         boolean allowed = freshness.allowsRequests();
         if (allowed != open) {
             open = allowed;
-            events.write(allowed ? "registry.current-again" : "registry.outdated", "age_ms", freshness.ageMillis());
+            events.write(allowed ? openedEvent : closedEvent, "age_ms", freshness.ageMillis());
         }
         return allowed;
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -261,6 +261,9 @@
                 request.triedServers.add(send.server().start().server());
                 sender.send(request, send);
             } else if (decision instanceof Decision.Refuse refuse && !relay(request, refuse)) {
+                if (refuse.cause().isWithheld()) {
+                    metrics.onWithheld(refuse.cause());
+                }
                 retries.refuse(request, refuse.cause(), refuse.retryAfterMillis());
             }
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -37,7 +37,7 @@
                 switch (cause) {
                     case OVERLOADED, LIMITED, RESTING, DEADLINE_PASSED -> ResultCode.OVERLOADED;
                     case NO_OWNER, OWNER_GONE -> ResultCode.NO_OWNER;
-                    case OWNER_UNREACHABLE, NO_SERVER, REGISTRY_OUTDATED -> ResultCode.OWNER_UNREACHABLE;
+                    case OWNER_UNREACHABLE, NO_SERVER, REGISTRY_OUTDATED, EVACUATED -> ResultCode.OWNER_UNREACHABLE;
                     case CUT_OFF -> ResultCode.SERVERS_UNREACHABLE;
                 };
         engine.finish(request);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 import org.lacewingthread.core.dispatch.AttemptResult;
 import org.lacewingthread.core.dispatch.PermitIssuer;
+import org.lacewingthread.core.dispatch.RefusalCause;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.ReleaseOutcome;
@@ -51,6 +52,17 @@
                 .increment();
     }
 
+    /** Counts a request that was refused because of an evacuation, or because the views of the servers were too old. */
+    void onWithheld(RefusalCause cause) {
+        registry.counter("lacewingthread.router.withheld", "cause", cause.name())
+                .increment();
+    }
+
+    void onUnknownDataCentre() {
+        registry.counter("lacewingthread.router.unknown", "evacuated", "data-centre")
+                .increment();
+    }
+
     void onNewStoreEra() {
         registry.counter("lacewingthread.router.eras").increment();
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -20,8 +20,6 @@
 import org.lacewingthread.core.quarantine.CrashRecord;
 import org.lacewingthread.core.quarantine.RequestFingerprint;
 import org.lacewingthread.core.reachability.RelayPeer;
-import org.lacewingthread.core.registry.RegistryFreshness;
-import org.lacewingthread.core.registry.ServerRegistry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.core.traffic.RetryBudget;
@@ -60,12 +58,6 @@
     /** Reserve between the end of the wait for requests and the time at which the process must have ended. */
     private static final long STOP_MARGIN_MILLIS = 250;
 
-    /**
-     * How long removed entries are kept after an outage of the registry. Servers whose entries expired during the
-     * outage register again within about two seconds.
-     */
-    private static final long EXPIRED_ENTRY_GRACE_MILLIS = 2_000;
-
     private static final long STOP_CHECK_INTERVAL_MILLIS = 50;
     /** Number of entry VMs that share limits until the leader has told it. */
     private static final int ASSUMED_ENTRY_VM_COUNT = 12;
@@ -78,7 +70,7 @@
     private final EventLoop trafficEventLoop = trafficGroup.next();
     private final EventLoop controlEventLoop = controlGroup.next();
     private final ControlClock controlClock = new ControlClock();
-    private final RegistryFreshness freshness;
+    private final ServerViews serverViews;
     private final RequestEngine engine;
     private final RouterRelay relay;
     private final CallerListener callerListener;
@@ -106,14 +98,13 @@
         this.settings = settings;
         this.events = events;
         SplittableRandom random = new SplittableRandom();
-        this.freshness =
-                new RegistryFreshness(settings.drainMillis(), RouterProcess::trafficNowMillis, controlClock::nowMillis);
+        this.serverViews = new ServerViews(settings, RouterProcess::trafficNowMillis, controlClock, events, metrics);
         this.self = new VmStart(settings.vm(), random.nextLong(Long.MAX_VALUE));
         this.engine = new RequestEngine(
                 headerNames,
                 events,
                 metrics,
-                new RequestDispatcher(settings.dataCentre(), random.split(), new RegistryGate(freshness, events)),
+                new RequestDispatcher(settings.dataCentre(), random.split(), serverViews.gate()),
                 trafficEventLoop,
                 new RetryBudget(settings.retryRatio(), savedRetriesOf(ASSUMED_ENTRY_VM_COUNT)),
                 RouterProcess::trafficNowMillis,
@@ -200,7 +191,7 @@
                 settings.dataCentre(),
                 settings.leaseTimes(),
                 settings.firstStart(),
-                new ServerRegistry(EXPIRED_ENTRY_GRACE_MILLIS, settings.drainMillis(), freshness),
+                serverViews,
                 followed,
                 controlClock,
                 controlEventLoop,
@@ -309,6 +300,7 @@
                 () -> engine.crashGuard().records().stream()
                         .filter(CrashRecord::isRejected)
                         .count());
+        metrics.gauge("evacuated", "evacuated data centres", serverViews::evacuatedCount);
         metrics.gauge("store.calls", "calls to the store since the start", followed::storeCalls);
         metrics.gauge("log.dropped", "log lines dropped and not yet reported", events::droppedCount);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
@@ -1,6 +1,7 @@
 package org.lacewingthread.daemon.router;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.keyrange.RangeLeaseTimes;
@@ -21,6 +22,7 @@
  * @param leaseTimes durations of the holds of key ranges and of their renewals
  * @param firstStart whether the deployment as a whole starts for the first time, so that no server can hold keys yet;
  *     false for a process that is started again
+ * @param evacuation times of the evacuations of data centres; empty if the deployment has none
  */
 public record RouterSettings(
         VmId vm,
@@ -34,4 +36,61 @@
         double retryRatio,
         double maxSavedRetries,
         RangeLeaseTimes leaseTimes,
-        boolean firstStart) {}
+        boolean firstStart,
+        Optional<EvacuationTimes> evacuation) {
+    /**
+     * Times of the evacuations of data centres.
+     *
+     * @param evacuateMillis time from an evacuation after which no request may arrive there
+     * @param entryIntervalMillis how often a server refreshes its entry in the registry
+     */
+    public record EvacuationTimes(long evacuateMillis, long entryIntervalMillis) {}
+
+    /** Creates the settings of a deployment without evacuations. */
+    public RouterSettings(
+            VmId vm,
+            DataCentreId dataCentre,
+            InetSocketAddress callerAddress,
+            InetSocketAddress readinessAddress,
+            InetSocketAddress metricsAddress,
+            InetSocketAddress reportAddress,
+            long drainMillis,
+            long stopMillis,
+            double retryRatio,
+            double maxSavedRetries,
+            RangeLeaseTimes leaseTimes,
+            boolean firstStart) {
+        this(
+                vm,
+                dataCentre,
+                callerAddress,
+                readinessAddress,
+                metricsAddress,
+                reportAddress,
+                drainMillis,
+                stopMillis,
+                retryRatio,
+                maxSavedRetries,
+                leaseTimes,
+                firstStart,
+                Optional.empty());
+    }
+
+    /** Returns the same settings with evacuations. */
+    public RouterSettings withEvacuation(Optional<EvacuationTimes> times) {
+        return new RouterSettings(
+                vm,
+                dataCentre,
+                callerAddress,
+                readinessAddress,
+                metricsAddress,
+                reportAddress,
+                drainMillis,
+                stopMillis,
+                retryRatio,
+                maxSavedRetries,
+                leaseTimes,
+                firstStart,
+                times);
+    }
+}
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/KeyspaceLoadTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/KeyspaceLoadTest.java
@@ -12,6 +12,7 @@
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.keyrange.ServiceView;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 
@@ -71,4 +72,13 @@
     void serverThatTakesNothingKeepsALittleCapacity() {
         assertThat(capacities(Map.of(FIRST, 0.0)).get(FIRST)).isPositive().isLessThan(0.1);
     }
+
+    /** Guards against owners in an evacuated data centre that count as gone and hand nothing over. */
+    @Test
+    void evacuatedServerStaysRegisteredAndGetsNoMoreKeys() {
+        List<KnownServer> servers = List.of(SERVERS.get(0).evacuatedUntil(9_000), SERVERS.get(1));
+        ServiceView view = load.view(ORDERS, servers, Map.of(), 2_000);
+        assertThat(view.registered()).contains(FIRST);
+        assertThat(view.capacityByServer()).containsOnlyKeys(SECOND);
+    }
 }
