--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -56,6 +56,8 @@
 
     /** Era of the store in which the leader has read, as it stated last. */
     private long leaderEra;
+    /** End of the log of range tables as the leader stated it last, in its era. */
+    private long leaderTableEnd;
 
     /** Table and position that {@link #announceTable} has seen last. */
     private RangeTable announcedTable = RangeTable.EMPTY;
@@ -181,11 +183,18 @@
             return;
         }
         boolean storeSilent = coordinator.storeSilenceMillis(nowMillis) > MAX_STORE_SILENCE_MILLIS;
-        OptionalLong wantsTableAfter = storeSilent ? OptionalLong.of(endInEraOfLeader()) : OptionalLong.empty();
+        OptionalLong wantsTableAfter =
+                storeSilent || isBehindLeader() ? OptionalLong.of(endInEraOfLeader()) : OptionalLong.empty();
         channel.sendReport(reporter(), leader.get(), nowMillis, ownServiceMillis, wantsTableAfter);
         ownServiceMillis = Map.of();
     }
 
+    /** Returns whether the leader knows a newer table, of which no datagram arrived here. */
+    private boolean isBehindLeader() {
+        LogPosition known = coordinator.position();
+        return known.era() == leaderEra && known.end() < leaderTableEnd;
+    }
+
     /** Returns the end of the log that is known here; -1 if the leader knows the log of another era. */
     private long endInEraOfLeader() {
         LogPosition known = coordinator.position();
@@ -219,6 +228,7 @@
             resultListener.onLeaderLinksImpaired();
         }
         leaderEra = status.positions().era();
+        leaderTableEnd = status.positions().table();
         coordinator.onLeaderAnswer(status.storeSilenceMillis(), status.linksImpaired(), clock.nowMillis());
         if (status.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
             platform.onLeaderPositions(status.positions(), asOf);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -171,6 +171,11 @@
         return 0;
     }
 
+    /** Returns how often a call to the store was held back since the start; may be called on any thread. */
+    default long storeCallsHeldBack() {
+        return 0;
+    }
+
     /** Returns the number of responses to this VM's calls that counted for none of them; may be called on any thread. */
     default long droppedResponses() {
         return 0;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -310,6 +310,7 @@
                         .filter(CrashRecord::isRejected)
                         .count());
         metrics.gauge("store.calls", "calls to the store since the start", followed::storeCalls);
+        metrics.gauge("store.calls.held.back", "calls held back from the store", followed::storeCallsHeldBack);
         metrics.gauge("log.dropped", "log lines dropped and not yet reported", events::droppedCount);
     }
 
