--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -302,6 +302,7 @@
                         .count());
         metrics.gauge("evacuated", "evacuated data centres", serverViews::evacuatedCount);
         metrics.gauge("store.calls", "calls to the store since the start", followed::storeCalls);
+        metrics.gauge("store.calls.held.back", "calls held back from the store", followed::storeCallsHeldBack);
         metrics.gauge("log.dropped", "log lines dropped and not yet reported", events::droppedCount);
     }
 
