Dispatch: the load of other entry VMs no longer fades to zero, and full servers are shared fairly

With 70 entry VMs each sees a server once in seconds. A reported load decayed to zero within five service times, so all of them took a busy server for idle and filled its queue.

Fewer VMs behave as before.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -76,7 +76,7 @@
         for (KnownServer server : known) {
             ServerLoadState state = former.getOrDefault(server.start(), new ServerLoadState(server));
             state.update(server);
-            applyConnectionLimit(state);
+            applyLimits(state);
             servers.put(server.start(), state);
             serversByService
                     .computeIfAbsent(server.entry().service(), service -> new ArrayList<>())
@@ -114,6 +114,7 @@
     public void onEntryVmCount(int count) {
         entryVmCount = count;
         limits.setEntryVmCount(count);
+        servers.values().forEach(this::applyLimits);
     }
 
     /**
@@ -140,10 +141,11 @@
      */
     public void onConnectionLimits(Map<ServiceId, Integer> limitByService) {
         connectionLimits = Map.copyOf(limitByService);
-        servers.values().forEach(this::applyConnectionLimit);
+        servers.values().forEach(this::applyLimits);
     }
 
-    private void applyConnectionLimit(ServerLoadState state) {
+    private void applyLimits(ServerLoadState state) {
+        state.setEntryVmCount(entryVmCount);
         state.setConnectionLimit(connectionLimits.getOrDefault(state.entry().service(), Integer.MAX_VALUE));
     }
 
@@ -365,8 +367,7 @@
         double expected = state.expectedMillis(ahead, nowMillis);
         double leftMillis = request.deadlineMillis() - nowMillis;
         double waitMillis = Math.max(expected - state.serviceMillis(), ahead * state.sendIntervalMillis());
-        boolean tooLate =
-                !state.mayAnswerWithin(leftMillis, entryVmCount, nowMillis) || waitMillis > leftMillis * MAX_WAIT_RATIO;
+        boolean tooLate = !state.mayAnswerWithin(leftMillis, nowMillis) || waitMillis > leftMillis * MAX_WAIT_RATIO;
         if (tooLate) {
             long retryAfter = Math.round(Math.max(0, waitMillis));
             return Optional.of(Refusals.refuse(request, RefusalCause.OVERLOADED, retryAfter));
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -36,13 +36,15 @@
     /** Factor of the backoff when a request is answered. */
     private static final double BACKOFF_DECAY = 0.5;
 
-    /** Time constant, in service times, of the exponential decay of a reported load. */
-    private static final double LOAD_DECAY_SERVICE_TIMES = 5;
-
     /** Requests queued at a server beyond its slots; further ones wait here, where priorities apply. */
     private static final int MAX_QUEUED_AT_SERVER = 2;
     /** Other entry VMs' requests that may be queued at a server when this VM sends its only one there. */
     private static final int MAX_QUEUED_BY_OTHER_VMS = 3;
+    /**
+     * Entry VMs from which on a server is seen so seldom that all of them would take a busy one for idle; with 12, waiting for
+     * the fair share cost the most urgent class 10 of 100 requests on time.
+     */
+    static final int MANY_ENTRY_VMS = 24;
     /** Share of the service time that must remain before the deadline for a request to be sent. */
     private static final double MIN_REMAINING_SERVICE_RATIO = 0.5;
     /** Longest time after a request to a server until the next one may test its service time. */
@@ -50,8 +52,8 @@
 
     private KnownServer knownServer;
     private int inFlight;
-    private double otherVmsLoad;
-    private long otherVmsLoadAtMillis;
+    private final OtherVmsLoad otherVmsLoad = new OtherVmsLoad();
+    private int entryVmCount = 1;
     private double serviceMillis = INITIAL_SERVICE_MILLIS;
     private double backoffMillis;
     private boolean replaced;
@@ -92,7 +94,7 @@
      * Returns whether a request may be answered in time. One that is not expected to be is sent all the same if none was for a
      * while, since the estimate changes with answers only; all entry VMs together send about one in each service time.
      */
-    boolean mayAnswerWithin(double leftMillis, int entryVmCount, long nowMillis) {
+    boolean mayAnswerWithin(double leftMillis, long nowMillis) {
         double testIntervalMillis = Math.min(serviceMillis * entryVmCount, MAX_TEST_INTERVAL_MILLIS);
         return !isTooSlowFor(leftMillis) || (inFlight == 0 && nowMillis - lastSentMillis >= testIntervalMillis);
     }
@@ -121,10 +123,7 @@
 
     void onEnded(AttemptResult result, double elapsedMillis, Optional<LoadReport> report, long nowMillis) {
         inFlight = Math.max(0, inFlight - 1);
-        report.ifPresent(reported -> {
-            otherVmsLoad = Math.max(0, reported.total() - inFlight);
-            otherVmsLoadAtMillis = nowMillis;
-        });
+        report.ifPresent(reported -> otherVmsLoad.onReported(Math.max(0, reported.total() - inFlight), nowMillis));
         if (result.hasServiceTime()) {
             double load = report.map(LoadReport::total).orElse(0) + 1.0;
             double share = Math.min(1, Math.max(1, knownServer.entry().slots()) / load);
@@ -185,6 +184,10 @@
         unreachableUntilMillis = Long.MIN_VALUE / 2;
     }
 
+    void setEntryVmCount(int count) {
+        entryVmCount = Math.max(1, count);
+    }
+
     void setConnectionLimit(int limit) {
         connectionLimit = limit;
     }
@@ -201,8 +204,7 @@
 
     /** Returns the estimated number of other entry VMs' requests at the server. */
     double otherVmsLoad(long nowMillis) {
-        double age = nowMillis - otherVmsLoadAtMillis;
-        return otherVmsLoad * Math.exp(-age / Math.max(1, serviceMillis * LOAD_DECAY_SERVICE_TIMES));
+        return otherVmsLoad.estimate(serviceMillis, hasManyEntryVms(), nowMillis);
     }
 
     /** Returns whether the server has a free slot, or space in its queue. */
@@ -210,14 +212,30 @@
         if (nowMillis < backoffUntilMillis || inFlight >= connectionLimit) {
             return false;
         }
-        if (isThrottled()) {
-            return inFlight == 0;
+        boolean isFull = isThrottled() || isFullByOthers(nowMillis);
+        if (isFull && hasManyEntryVms()) {
+            return inFlight == 0 && nowMillis - lastSentMillis >= fairIntervalMillis();
+        }
+        if (isFull) {
+            return inFlight == 0 && isThrottled();
         }
-        double others = otherVmsLoad(nowMillis);
-        int slots = knownServer.entry().slots();
         return inFlight == 0
-                ? others < slots + MAX_QUEUED_BY_OTHER_VMS
-                : inFlight + others < slots + MAX_QUEUED_AT_SERVER;
+                || inFlight + otherVmsLoad(nowMillis) < knownServer.entry().slots() + MAX_QUEUED_AT_SERVER;
+    }
+
+    /** Returns whether so many entry VMs share the servers that each one's reports are seldom new. */
+    private boolean hasManyEntryVms() {
+        return entryVmCount >= MANY_ENTRY_VMS;
+    }
+
+    /** Returns whether other entry VMs are believed to have so many requests here that this VM adds none to them. */
+    private boolean isFullByOthers(long nowMillis) {
+        return otherVmsLoad(nowMillis) >= knownServer.entry().slots() + MAX_QUEUED_BY_OTHER_VMS;
+    }
+
+    /** Returns the interval at which each entry VM may send to a full server, such that all of them don't exceed its rate. */
+    private double fairIntervalMillis() {
+        return serviceMillis * entryVmCount / Math.max(1, knownServer.entry().slots());
     }
 
     /** Returns the expected response time of a request if {@code ahead} other requests are sent before it. */
