Decide when an overdue repeatable request gets a second attempt

Callers of unkeyed repeatable requests wait for a server that stalls while others are idle. RequestDispatcher.hedge offers only servers with an idle slot, and none while requests of the service wait. Not used by the router yet.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -39,6 +39,7 @@
     private final WaitingRequests waiting = new WaitingRequests();
     private final ServerLimits limits;
     private final RestPeriods rests = new RestPeriods();
+    private final HedgeTargets hedgeTargets;
     private final BooleanSupplier registryIsCurrent;
     private RangeTable rangeTable = RangeTable.EMPTY;
     private Map<ServiceId, Integer> connectionLimits = Map.of();
@@ -65,6 +66,7 @@
         this.refusals = new Refusals(random);
         this.serverChooser = new ServerChooser(dataCentre, random);
         this.limits = new ServerLimits(random);
+        this.hedgeTargets = new HedgeTargets(limits, rests);
     }
 
     /** Updates the known servers and the owners of key ranges, and decides about all waiting requests. */
@@ -175,6 +177,24 @@
         return decisions;
     }
 
+    /**
+     * Chooses a second server for a request whose first attempt is overdue; empty if it has a key, or its service has no idle
+     * slot to spare.
+     */
+    public Optional<Decision.Send> hedge(DispatchRequest request, long nowMillis) {
+        List<ServerLoadState> idle =
+                hedgeTargets.of(serversByService.getOrDefault(request.service(), List.of()), request, nowMillis);
+        boolean scarce = !waiting.of(request.service()).isEmpty() || idle.isEmpty();
+        if (scarce || cutOff || request.key().isPresent() || !registryIsCurrent.getAsBoolean()) {
+            return Optional.empty();
+        }
+        ServerLoadState target = serverChooser.choose(idle, request.targetAtMillis(), Map.of(), nowMillis);
+        long expectedMillis = Math.round(target.expectedMillis(0, nowMillis));
+        double leftMillis = (double) request.deadlineMillis() - nowMillis;
+        target.onSent(leftMillis, nowMillis);
+        return Optional.of(new Decision.Send(request, target.entry(), expectedMillis));
+    }
+
     /** Removes a waiting request whose caller has disconnected. */
     public void cancel(DispatchRequest request) {
         waiting.remove(request);
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -220,6 +220,13 @@
                 : inFlight + others < slots + MAX_QUEUED_AT_SERVER;
     }
 
+    /** Returns whether a request would run at once, as far as is known. */
+    boolean hasIdleSlot(long nowMillis) {
+        return hasCapacity(nowMillis)
+                && !isThrottled()
+                && inFlight + otherVmsLoad(nowMillis) + 1 <= knownServer.entry().slots();
+    }
+
     /** Returns the expected response time of a request if {@code ahead} other requests are sent before it. */
     double expectedMillis(int ahead, long nowMillis) {
         int slots = knownServer.entry().slots();
