Hedge overdue repeatable requests where the settings ask for it

Callers waited for a server that stalls while another one of its service is idle. The router now asks a second server once the first is overdue, delivers the first whole response and resets the other attempt's connection. On only with the setting "hedging"; limited by max_attempts, the shared retry budget and the set share of extra work. A deadline that passes with only the second attempt sent still counts as sent.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -5,6 +5,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.dispatch.DispatchRequest;
 import org.lacewingthread.core.id.ServerId;
@@ -41,6 +42,9 @@
     /** The current or last attempt; empty until a server is chosen. */
     Optional<Attempt> attempt = Optional.empty();
 
+    /** Second attempt at another server while {@link #attempt} is overdue; empty if there is none. */
+    Optional<Attempt> hedge = Optional.empty();
+
     /** The newest attempt that another entry VM makes for this one; empty if there was none. */
     Optional<RelayAttempt> relayAttempt = Optional.empty();
 
@@ -76,6 +80,9 @@
         final Decision.Send decision;
         final long startedNanos;
         OutboundConnection connection;
+        /** When it was sent; empty before that. */
+        OptionalLong sentMillis = OptionalLong.empty();
+
         boolean ended;
         /** Crashes in a row under the request that were known when it was sent. */
         int knownCrashRounds;
@@ -113,6 +120,11 @@
         this.relayedBy = relayedBy;
     }
 
+    /** Returns whether an attempt was sent and awaits its response. */
+    boolean isSent() {
+        return Stream.concat(attempt.stream(), hedge.stream()).anyMatch(sent -> sent.connection != null);
+    }
+
     /** Returns whether another entry VM is at work on the request. */
     boolean isRelayPending() {
         return relayAttempt.filter(relay -> !relay.isEnded()).isPresent();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -53,6 +53,13 @@
         acquire(request, attempt);
     }
 
+    /** Starts a second attempt at another server beside the one under way. */
+    void sendHedge(ActiveRequest request, Decision.Send decision) {
+        ActiveRequest.Attempt attempt = new ActiveRequest.Attempt(decision, System.nanoTime());
+        request.hedge = Optional.of(attempt);
+        acquire(request, attempt);
+    }
+
     /** Acquires a connection that did not carry the request before, since a second response to it has the same id. */
     private void acquire(ActiveRequest request, ActiveRequest.Attempt attempt) {
         ServerEntry server = attempt.decision.server();
@@ -97,7 +104,8 @@
         engine.links().onSent();
         engine.crashGuard().onSent(request, attempt);
         request.sentAttempts++;
-        request.lastSentMillis = OptionalLong.of(clockMillis.getAsLong());
+        attempt.sentMillis = OptionalLong.of(clockMillis.getAsLong());
+        request.lastSentMillis = attempt.sentMillis;
         OutboundConnection.EchoedHeader echoedHeader =
                 new OutboundConnection.EchoedHeader(headerNames.requestId(), request.requestId);
         connection.send(buildRequest(request, attempt), echoedHeader, new ResponseListener() {
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/HedgedAttempts.java
@@ -0,0 +1,171 @@
+package org.lacewingthread.daemon.router;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.dispatch.AttemptResult;
+import org.lacewingthread.core.dispatch.Decision;
+import org.lacewingthread.core.dispatch.RequestDispatcher;
+import org.lacewingthread.core.hedging.HedgePolicy;
+import org.lacewingthread.core.traffic.RetryBudget;
+import org.lacewingthread.daemon.events.EventLog;
+
+/**
+ * Makes a second attempt at another server when the first one of a repeatable request without key is overdue. The first
+ * whole response wins; the other attempt is cancelled by closing its connection. Does nothing until it is enabled. Runs on
+ * the traffic thread.
+ */
+final class HedgedAttempts {
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private final RequestEngine engine;
+    private final RequestDispatcher dispatcher;
+    private final AttemptSender sender;
+    private final RetryBudget retryBudget;
+    private final ActiveRequests activeRequests;
+    private final EventLog events;
+    private final RouterMetrics metrics;
+    private final LongSupplier clockMillis;
+    private Optional<HedgePolicy> policy = Optional.empty();
+
+    HedgedAttempts(
+            RequestEngine engine,
+            RequestDispatcher dispatcher,
+            AttemptSender sender,
+            RetryBudget retryBudget,
+            ActiveRequests activeRequests,
+            EventLog events,
+            RouterMetrics metrics,
+            LongSupplier clockMillis) {
+        this.engine = engine;
+        this.dispatcher = dispatcher;
+        this.sender = sender;
+        this.retryBudget = retryBudget;
+        this.activeRequests = activeRequests;
+        this.events = events;
+        this.metrics = metrics;
+        this.clockMillis = clockMillis;
+    }
+
+    void enable(HedgePolicy newPolicy) {
+        policy = Optional.of(newPolicy);
+    }
+
+    /** Counts a caller's request. */
+    void onFirstAttempt() {
+        policy.ifPresent(HedgePolicy::onFirstAttempt);
+    }
+
+    /** Makes second attempts of the requests whose first one is overdue. */
+    void tick(long nowMillis) {
+        if (policy.isEmpty()) {
+            return;
+        }
+        for (ActiveRequest request : activeRequests.all()) {
+            if (mayHedge(request) && isOverdue(request, nowMillis)) {
+                tryHedge(request, nowMillis);
+            }
+        }
+    }
+
+    private boolean mayHedge(ActiveRequest request) {
+        return request.key.isEmpty()
+                && request.route.repeatability().maySendAgain(true)
+                && request.hedge.isEmpty()
+                && request.sentAttempts < request.route.maxAttempts()
+                && !request.onTrial
+                && !request.callerDisconnected
+                && request.attempt
+                        .filter(first -> !first.ended && first.sentMillis.isPresent())
+                        .isPresent()
+                && engine.crashGuard().maySend(request);
+    }
+
+    private boolean isOverdue(ActiveRequest request, long nowMillis) {
+        ActiveRequest.Attempt first = request.attempt.orElseThrow();
+        OptionalLong afterMillis =
+                policy.orElseThrow().hedgeAfterMillis(request.service, first.decision.expectedMillis(), nowMillis);
+        return afterMillis.isPresent() && nowMillis - first.sentMillis.orElseThrow() > afterMillis.getAsLong();
+    }
+
+    private void tryHedge(ActiveRequest request, long nowMillis) {
+        Optional<Decision.Send> second = dispatcher.hedge(request.toDispatchRequest(), nowMillis);
+        if (second.isEmpty()) {
+            return;
+        }
+        if (!policy.orElseThrow().tryTake() || !retryBudget.tryTake()) {
+            dispatcher.onAttemptEnded(second.get(), AttemptResult.WITHHELD, 0, Optional.empty(), nowMillis);
+            return;
+        }
+        ActiveRequest.Attempt first = request.attempt.orElseThrow();
+        request.triedServers.add(second.get().server().start().server());
+        metrics.onHedge("SENT");
+        events.write(
+                "request.hedged",
+                "request",
+                request.requestId,
+                "first",
+                first.decision.server().start(),
+                "second",
+                second.get().server().start(),
+                "waited_ms",
+                nowMillis - first.sentMillis.orElseThrow(),
+                "expected_ms",
+                first.decision.expectedMillis());
+        sender.sendHedge(request, second.get());
+    }
+
+    /** Records the attempt whose response is delivered, and cancels the other one. */
+    void onAnswered(ActiveRequest request, ActiveRequest.Attempt winner) {
+        policy.ifPresent(known -> known.onAnswered(
+                request.service,
+                winner.decision.expectedMillis(),
+                (System.nanoTime() - winner.startedNanos) / NANOS_PER_MILLI,
+                clockMillis.getAsLong()));
+        if (request.hedge.isEmpty()) {
+            return;
+        }
+        boolean secondWon = request.hedge.get() == winner;
+        if (secondWon) {
+            metrics.onHedge("WON");
+        }
+        Optional<ActiveRequest.Attempt> loser = secondWon ? request.attempt : request.hedge;
+        request.attempt = Optional.of(winner);
+        request.hedge = Optional.empty();
+        loser.ifPresent(attempt -> abandon(request, attempt));
+    }
+
+    /**
+     * Returns whether a request whose attempt failed still awaits another one, which then is its only attempt.
+     *
+     * @param mayHaveRun whether the server may have run the failed attempt
+     */
+    boolean otherAttemptContinues(ActiveRequest request, ActiveRequest.Attempt failed, boolean mayHaveRun) {
+        if (request.hedge.isEmpty()) {
+            return false;
+        }
+        Optional<ActiveRequest.Attempt> other = request.hedge.get() == failed ? request.attempt : request.hedge;
+        request.attempt = other;
+        request.hedge = Optional.empty();
+        request.mayHaveRun |= mayHaveRun;
+        return other.filter(attempt -> !attempt.ended).isPresent();
+    }
+
+    /** Cancels the second attempt, if there is one. */
+    void abandon(ActiveRequest request) {
+        Optional<ActiveRequest.Attempt> second = request.hedge;
+        request.hedge = Optional.empty();
+        second.ifPresent(attempt -> abandon(request, attempt));
+    }
+
+    private void abandon(ActiveRequest request, ActiveRequest.Attempt attempt) {
+        if (attempt.ended) {
+            return;
+        }
+        if (attempt.connection != null) {
+            attempt.connection.abort();
+        }
+        attempt.addToSummary(request.attemptSummary, "cancelled");
+        engine.endAttempt(attempt, AttemptResult.ABANDONED, Optional.empty());
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
@@ -37,10 +37,7 @@
 
     private void end(ActiveRequest request) {
         request.queuedRequest.ifPresent(dispatcher::cancel);
-        boolean sent =
-                request.attempt.map(attempt -> attempt.connection != null).orElse(false)
-                        || request.isRelayPending()
-                        || request.mayHaveRun;
+        boolean sent = request.isSent() || request.isRelayPending() || request.mayHaveRun;
         engine.finish(request);
         if (sent) {
             request.attempt.ifPresent(
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -12,6 +12,7 @@
 import org.lacewingthread.core.dispatch.LoadReport;
 import org.lacewingthread.core.dispatch.PermitIssuer;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
+import org.lacewingthread.core.hedging.HedgePolicy;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.registry.ServerEntry;
@@ -59,6 +60,7 @@
     private final CutOffRequests cutOffRequests;
     private final RequestDeadlines deadlines;
     private final CrashGuard crashGuard;
+    private final HedgedAttempts hedges;
 
     RequestEngine(
             HeaderNames headerNames,
@@ -100,6 +102,8 @@
                 events,
                 clockMillis,
                 System::currentTimeMillis);
+        this.hedges =
+                new HedgedAttempts(this, dispatcher, sender, retryBudget, activeRequests, events, metrics, clockMillis);
         this.clockMillis = clockMillis;
         this.keyRequestListener = keyRequestListener;
         this.limitLink = limitLink;
@@ -134,11 +138,15 @@
         applyDecisions(dispatcher.onTopologyChanged(servers, table, clockMillis.getAsLong()));
     }
 
-    /** Returns what is known of this VM's links to the servers. */
     ServerLinkMonitor links() {
         return links;
     }
 
+    /** Allows second attempts of overdue repeatable requests. */
+    void enableHedging(HedgePolicy policy) {
+        hedges.enable(policy);
+    }
+
     /** Returns the way to servers over other entry VMs. */
     RelaySender relays() {
         return relays;
@@ -159,6 +167,7 @@
         crashGuard.tick();
         long nowMillis = clockMillis.getAsLong();
         deadlines.endExpired(nowMillis);
+        hedges.tick(nowMillis);
         applyDecisions(dispatcher.reevaluate(nowMillis));
     }
 
@@ -212,6 +221,7 @@
         ActiveRequest request = admitted.get();
         activeRequests.add(request);
         retryBudget.onFirstAttempt();
+        hedges.onFirstAttempt();
         request.key.ifPresent(value -> keyRequestListener.onKeyRequested(request.service, value));
         submit(request);
     }
@@ -296,6 +306,7 @@
     /** Ends the attempt that is under way, if there is one. */
     void abandonAttempt(ActiveRequest request) {
         relays.cancel(request);
+        hedges.abandon(request);
         request.attempt.filter(attempt -> !attempt.ended).ifPresent(attempt -> {
             // A server that began to answer and did not end within the time may be sending without end.
             boolean endless =
@@ -309,7 +320,7 @@
     }
 
     /** Records the end of an attempt; returns false if it had ended before. */
-    private boolean endAttempt(ActiveRequest.Attempt attempt, AttemptResult result, Optional<LoadReport> report) {
+    boolean endAttempt(ActiveRequest.Attempt attempt, AttemptResult result, Optional<LoadReport> report) {
         if (attempt.ended) {
             return false;
         }
@@ -331,8 +342,7 @@
                 ServerResponses.classify(response, headerNames, server.start().server());
         rests.onResponse(server.start(), response, clockMillis.getAsLong());
         crashGuard.onResponse(request, server.start(), result);
-        limits.onResponse(
-                server.start(), response, result, request.lastSentMillis.orElseThrow(), clockMillis.getAsLong());
+        limits.onResponse(server.start(), response, result, attempt.sentMillis.orElseThrow(), clockMillis.getAsLong());
         if (!endAttempt(attempt, result, report)) {
             return;
         }
@@ -341,8 +351,11 @@
             return;
         }
         if (result == AttemptResult.ANSWERED) {
+            hedges.onAnswered(request, attempt);
             finish(request);
             responder.forwardResponse(request, response);
+        } else if (hedges.otherAttemptContinues(request, attempt, !result.isRefusedByServer())) {
+            return;
         } else if (result.isRefusedByServer()) {
             retries.retryOrRefuse(request, result, dispatcher.restMillis(server.start(), clockMillis.getAsLong()));
         } else {
@@ -372,6 +385,9 @@
         if (request.finished) {
             return;
         }
+        if (hedges.otherAttemptContinues(request, attempt, result == AttemptResult.BROKEN)) {
+            return;
+        }
         if (result == AttemptResult.BROKEN) {
             request.mayHaveRun = true;
             retries.retryOrFail(request, Optional.empty(), reason);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -51,6 +51,11 @@
                 .increment();
     }
 
+    /** Counts a second attempt: {@code SENT} and later {@code WON} if its response came first. */
+    void onHedge(String outcome) {
+        registry.counter("lacewingthread.router.hedges", "outcome", outcome).increment();
+    }
+
     void onNewStoreEra() {
         registry.counter("lacewingthread.router.eras").increment();
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.lacewingthread.core.dispatch.PermitRequest;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
+import org.lacewingthread.core.hedging.HedgePolicy;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.Leader;
@@ -121,6 +122,7 @@
                 new ControlLimitLink(),
                 new LateCrashRecordLink(() -> controlLoop.crashRecords()),
                 new RelaySender.Access(settings.dataCentre(), this::relay, random.split()));
+        settings.hedging().ifPresent(hedging -> engine.enableHedging(new HedgePolicy(hedging)));
         this.relay = new RouterRelay(
                 self,
                 settings.dataCentre(),
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
@@ -1,6 +1,8 @@
 package org.lacewingthread.daemon.router;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
+import org.lacewingthread.core.hedging.HedgeSettings;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.keyrange.RangeLeaseTimes;
@@ -21,6 +23,7 @@
  * @param leaseTimes durations of the holds of key ranges and of their renewals
  * @param firstStart whether the deployment as a whole starts for the first time, so that no server can hold keys yet;
  *     false for a process that is started again
+ * @param hedging settings of second attempts of overdue requests; empty if there are none
  */
 public record RouterSettings(
         VmId vm,
@@ -34,4 +37,35 @@
         double retryRatio,
         double maxSavedRetries,
         RangeLeaseTimes leaseTimes,
-        boolean firstStart) {}
+        boolean firstStart,
+        Optional<HedgeSettings> hedging) {
+    /** Creates settings without second attempts of overdue requests. */
+    public RouterSettings(
+            VmId vm,
+            DataCentreId dataCentre,
+            InetSocketAddress callerAddress,
+            InetSocketAddress readinessAddress,
+            InetSocketAddress metricsAddress,
+            InetSocketAddress reportAddress,
+            long drainMillis,
+            long stopMillis,
+            double retryRatio,
+            double maxSavedRetries,
+            RangeLeaseTimes leaseTimes,
+            boolean firstStart) {
+        this(
+                vm,
+                dataCentre,
+                callerAddress,
+                readinessAddress,
+                metricsAddress,
+                reportAddress,
+                drainMillis,
+                stopMillis,
+                retryRatio,
+                maxSavedRetries,
+                leaseTimes,
+                firstStart,
+                Optional.empty());
+    }
+}
