--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -39,6 +39,7 @@
     private final ServerLimits limits;
     private final RestPeriods rests = new RestPeriods();
     private final SendGate gate;
+    private final HedgeTargets hedgeTargets;
     private RangeTable rangeTable = RangeTable.EMPTY;
     private Map<ServiceId, Integer> connectionLimits = Map.of();
     private boolean cutOff;
@@ -60,6 +61,7 @@
         this.refusals = new Refusals(random);
         this.serverChooser = new ServerChooser(dataCentre, random);
         this.limits = new ServerLimits(random);
+        this.hedgeTargets = new HedgeTargets(serverChooser, gate, limits, rests);
     }
 
     /** Updates the known servers and the owners of key ranges, and decides about all waiting requests. */
@@ -172,6 +174,14 @@
         return decisions;
     }
 
+    /** Chooses a second server for an overdue request; empty if it has a key, or its service has no idle slot to spare. */
+    public Optional<Decision.Send> hedge(DispatchRequest request, long nowMillis) {
+        boolean mayHedge = !cutOff
+                && request.key().isEmpty()
+                && waiting.of(request.service()).isEmpty();
+        return mayHedge ? hedgeTargets.choose(serversOf(request), request, nowMillis) : Optional.empty();
+    }
+
     /** Removes a waiting request whose caller has disconnected. */
     public void cancel(DispatchRequest request) {
         waiting.remove(request);
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -238,6 +238,13 @@
         return serviceMillis * entryVmCount / Math.max(1, knownServer.entry().slots());
     }
 
+    /** Returns whether a request would run at once, as far as is known. */
+    boolean hasIdleSlot(long nowMillis) {
+        return hasCapacity(nowMillis)
+                && !isThrottled()
+                && inFlight + otherVmsLoad(nowMillis) + 1 <= knownServer.entry().slots();
+    }
+
     /** Returns the expected response time of a request if {@code ahead} other requests are sent before it. */
     double expectedMillis(int ahead, long nowMillis) {
         int slots = knownServer.entry().slots();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import org.lacewingthread.core.hedging.HedgeSettings;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.keyrange.RangeLeaseTimes;
@@ -23,6 +24,7 @@
  * @param firstStart whether the deployment as a whole starts for the first time, so that no server can hold keys yet;
  *     false for a process that is started again
  * @param evacuation times of the evacuations of data centres; empty if the deployment has none
+ * @param hedging settings of second attempts of overdue requests; empty if there are none
  */
 public record RouterSettings(
         VmId vm,
@@ -37,7 +39,8 @@
         double maxSavedRetries,
         RangeLeaseTimes leaseTimes,
         boolean firstStart,
-        Optional<EvacuationTimes> evacuation) {
+        Optional<EvacuationTimes> evacuation,
+        Optional<HedgeSettings> hedging) {
     /**
      * Times of the evacuations of data centres.
      *
@@ -46,7 +49,7 @@
      */
     public record EvacuationTimes(long evacuateMillis, long entryIntervalMillis) {}
 
-    /** Creates the settings of a deployment without evacuations. */
+    /** Creates the settings of a deployment without evacuations and second attempts. */
     public RouterSettings(
             VmId vm,
             DataCentreId dataCentre,
@@ -73,6 +76,7 @@
                 maxSavedRetries,
                 leaseTimes,
                 firstStart,
+                Optional.empty(),
                 Optional.empty());
     }
 
@@ -91,6 +95,7 @@
                 maxSavedRetries,
                 leaseTimes,
                 firstStart,
-                times);
+                times,
+                hedging);
     }
 }
