Registry: a start can count as cold until a view of a later time

A server that restarts under its id was sent requests at full rate until its new entry was read. suspectCold marks one start; the entry decides again once all changes up to a stated time are known. Without effect until it is called.

--- a/core/src/main/java/org/lacewingthread/core/registry/ServerEntry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerEntry.java
@@ -38,4 +38,9 @@
             throw new IllegalArgumentException("server \"" + start + "\" has " + slots + " slots; it needs at least 1");
         }
     }
+
+    /** Returns the same entry of a server that is cold. */
+    public ServerEntry asCold() {
+        return new ServerEntry(start, service, host, port, dataCentre, slots, draining, true);
+    }
 }
--- a/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
@@ -42,6 +42,9 @@
     /** Ends of the requests to servers that said themselves that they leave; an entry does not take that back. */
     private final Map<ServerStart, Long> announcedEndMillis = new HashMap<>();
 
+    /** Starts that count as cold whatever their entries say, and the time of the view whose entry decides again. */
+    private final Map<ServerStart, Long> coldUntilAsOfMillis = new HashMap<>();
+
     private Optional<Long> unreachableSinceMillis = Optional.of(Long.MIN_VALUE / 2);
     private long graceUntilMillis = Long.MIN_VALUE / 2;
     private long currentAsOfMillis = Long.MIN_VALUE / 2;
@@ -153,6 +156,25 @@
         return announcedEndMillis.putIfAbsent(server, announcedMillis + drainMillis - MAX_DELIVERY_MILLIS) == null;
     }
 
+    /**
+     * Counts a start of a server as cold, since it may have restarted without an entry that says so. This ends when all
+     * changes up to a time are known; from then on the server's entry decides. The later of several times holds.
+     *
+     * @param untilAsOfMillis time up to which all changes must be known
+     * @return whether the start was not suspected before
+     */
+    public boolean suspectCold(ServerStart server, long untilAsOfMillis) {
+        Long former = coldUntilAsOfMillis.get(server);
+        coldUntilAsOfMillis.merge(server, untilAsOfMillis, Math::max);
+        return former == null;
+    }
+
+    private KnownServer withSuspicion(KnownServer known) {
+        return coldUntilAsOfMillis.containsKey(known.start())
+                ? new KnownServer(known.entry().asCold(), known.acceptsUntilMillis(), known.removeAtMillis())
+                : known;
+    }
+
     private KnownServer withAnnouncedEnd(KnownServer known) {
         Long announced = announcedEndMillis.get(known.start());
         if (announced == null) {
@@ -194,6 +216,10 @@
                 .removeIf(known ->
                         known.removeAtMillis().filter(at -> at <= nowMillis).isPresent());
         announcedEndMillis.values().removeIf(end -> nowMillis - end > ANNOUNCEMENT_RETENTION_MILLIS);
-        return servers.values().stream().map(this::withAnnouncedEnd).toList();
+        coldUntilAsOfMillis.values().removeIf(until -> currentAsOfMillis >= until);
+        return servers.values().stream()
+                .map(this::withAnnouncedEnd)
+                .map(this::withSuspicion)
+                .toList();
     }
 }
--- a/core/src/test/java/org/lacewingthread/core/registry/ServerRegistryTest.java
+++ b/core/src/test/java/org/lacewingthread/core/registry/ServerRegistryTest.java
@@ -82,4 +82,18 @@
         assertThat(registry.servers(12_000).get(0).start().startedUnixMillis()).isEqualTo(2);
         assertThat(registry.servers(12_000).get(0).isReady()).isTrue();
     }
+
+    /** Guards against full load on a server that restarted under its id and whose known entry is older than that. */
+    @Test
+    void suspectedServerCountsAsColdUntilAViewOfALaterTime() {
+        ServerStart suspected = new ServerStart(new ServerId("a"), 1);
+        assertThat(registry.suspectCold(suspected, 14_000)).isTrue();
+        assertThat(registry.suspectCold(suspected, 13_000)).isFalse();
+        registry.put(entry("a", 1, false));
+        registry.onCurrent(13_999);
+        assertThat(registry.servers(20_000).get(0).entry().cold()).isTrue();
+        assertThat(registry.servers(20_000).get(1).entry().cold()).isFalse();
+        registry.onCurrent(14_000);
+        assertThat(registry.servers(20_000).get(0).entry().cold()).isFalse();
+    }
 }
