Load reports: read an optional slowdown, count unreadable ones

A load header with four figures was dropped as a whole, so that the router knew neither load nor slowdown of such servers. Three and four figures are read now; the slowdown enters the expected time at once, decays with 400 ms, and is related to the average slowdown of the service time's samples, so that it does not count twice. Other headers are counted (loads.unreadable) and logged once a server (server.load-unreadable).

--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -364,7 +364,8 @@
             long nowMillis) {
         double expected = state.expectedMillis(ahead, nowMillis);
         double leftMillis = request.deadlineMillis() - nowMillis;
-        double waitMillis = Math.max(expected - state.serviceMillis(), ahead * state.sendIntervalMillis());
+        double waitMillis =
+                Math.max(expected - state.currentServiceMillis(nowMillis), ahead * state.sendIntervalMillis());
         boolean tooLate =
                 !state.mayAnswerWithin(leftMillis, entryVmCount, nowMillis) || waitMillis > leftMillis * MAX_WAIT_RATIO;
         if (tooLate) {
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -54,6 +54,7 @@
     private long otherVmsLoadAtMillis;
     private double serviceMillis = INITIAL_SERVICE_MILLIS;
     private double backoffMillis;
+    private final Slowdown slowdown = new Slowdown();
     private boolean replaced;
     private int consecutiveFailures;
     private long ejectedUntilMillis = Long.MIN_VALUE / 2;
@@ -88,6 +89,11 @@
         return serviceMillis;
     }
 
+    /** Returns the service time of a request that starts now. */
+    double currentServiceMillis(long nowMillis) {
+        return serviceMillis * slowdown.factor(nowMillis);
+    }
+
     /**
      * Returns whether a request may be answered in time. One that is not expected to be is sent all the same if none was for a
      * while, since the estimate changes with answers only; all entry VMs together send about one in each service time.
@@ -124,6 +130,7 @@
         report.ifPresent(reported -> {
             otherVmsLoad = Math.max(0, reported.total() - inFlight);
             otherVmsLoadAtMillis = nowMillis;
+            reported.slowdown().ifPresent(factor -> slowdown.onReported(factor, nowMillis));
         });
         if (result.hasServiceTime()) {
             double load = report.map(LoadReport::total).orElse(0) + 1.0;
@@ -132,6 +139,9 @@
             serviceMillis = testing
                     ? Math.min(serviceMillis, sampleMillis)
                     : serviceMillis + SMOOTHING_FACTOR * (sampleMillis - serviceMillis);
+            if (report.isPresent() && report.get().slowdown().isPresent()) {
+                slowdown.onSample(SMOOTHING_FACTOR);
+            }
         }
         boolean rejected = result == AttemptResult.REJECTED || result == AttemptResult.BROKEN;
         int longQueuePerSlot = isThrottled() ? THROTTLED_LONG_QUEUE_PER_SLOT : LONG_QUEUE_PER_SLOT;
@@ -224,6 +234,6 @@
     double expectedMillis(int ahead, long nowMillis) {
         int slots = knownServer.entry().slots();
         double waiting = Math.max(0, inFlight + otherVmsLoad(nowMillis) + ahead + 1 - slots);
-        return serviceMillis * (1 + waiting / slots);
+        return currentServiceMillis(nowMillis) * (1 + waiting / slots);
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -54,6 +54,7 @@
     private final ActiveRoutes routing = new ActiveRoutes();
     private final RequestAdmission admission;
     private final LimitObserver limits;
+    private final LoadObserver loads;
     private final RestObserver rests;
     private final ActiveRequests activeRequests = new ActiveRequests();
     private final CutOffRequests cutOffRequests;
@@ -84,6 +85,7 @@
         this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
         this.limits = new LimitObserver(headerNames.serverLimits(), dispatcher, events, limitLink::onLimitEnded);
+        this.loads = new LoadObserver(headerNames.serverLoad(), events, metrics);
         this.rests = new RestObserver(headerNames, dispatcher, events, limitLink::onServerLeaving);
         this.admission = new RequestAdmission(headerNames, routing, responder);
         this.retryBudget = retryBudget;
@@ -326,7 +328,7 @@
         ServerEntry server = attempt.decision.server();
         links.onAnswer(server.start());
         connections.release(server.start(), attempt.connection);
-        Optional<LoadReport> report = RequestHeaders.parseLoad(response.headers(), headerNames.serverLoad());
+        Optional<LoadReport> report = loads.read(server.start(), response);
         AttemptResult result =
                 ServerResponses.classify(response, headerNames, server.start().server());
         rests.onResponse(server.start(), response, clockMillis.getAsLong());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestHeaders.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestHeaders.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.regex.Pattern;
@@ -33,6 +34,11 @@
             "expect");
 
     private static final int MAX_DIGITS = 9;
+    /** Figures of a load without the optional slowdown. */
+    private static final int LOAD_FIGURES = 3;
+    /** Slowdown of a server that takes the usual time. */
+    private static final double USUAL_SLOWDOWN_PERCENT = 100;
+
     private static final Pattern LIMIT_PATTERN = Pattern.compile("\\s*[0-9]{1,9}(\\.[0-9]{1,9})?\\s*");
 
     private RequestHeaders() {}
@@ -66,25 +72,29 @@
         return parseNumber(fraction < 0 ? text : text.substring(0, fraction));
     }
 
-    /** Parses a server's load: running requests, queued requests and slots, separated by commas; empty if not valid. */
-    static Optional<LoadReport> parseLoad(HttpHeaders headers, String name) {
-        String text = headers.get(name);
-        if (text == null) {
+    /**
+     * Parses a server's load: running requests, queued requests and slots, separated by commas, and optionally how long
+     * work takes there, in percent of the usual time; empty if the text is not valid.
+     */
+    static Optional<LoadReport> parseLoad(String text) {
+        String[] parts = text.split(",", -1);
+        if (parts.length < LOAD_FIGURES || parts.length > LOAD_FIGURES + 1) {
             return Optional.empty();
         }
-        String[] parts = text.split(",", -1);
-        if (parts.length != 3) {
+        List<Integer> figures = Stream.of(parts)
+                .flatMap(part -> parseNumber(part.trim()).stream())
+                .map(Long::intValue)
+                .toList();
+        boolean valid = figures.size() == parts.length
+                && figures.get(2) > 0
+                && (figures.size() == LOAD_FIGURES || figures.get(LOAD_FIGURES) > 0);
+        if (!valid) {
             return Optional.empty();
         }
-        Optional<Long> running = parseNumber(parts[0].trim());
-        Optional<Long> waiting = parseNumber(parts[1].trim());
-        Optional<Long> slots = parseNumber(parts[2].trim()).filter(count -> count > 0);
-        return running.isEmpty() || waiting.isEmpty() || slots.isEmpty()
-                ? Optional.empty()
-                : Optional.of(new LoadReport(
-                        running.get().intValue(),
-                        waiting.get().intValue(),
-                        slots.get().intValue()));
+        OptionalDouble slowdown = figures.size() == LOAD_FIGURES
+                ? OptionalDouble.empty()
+                : OptionalDouble.of(figures.get(LOAD_FIGURES) / USUAL_SLOWDOWN_PERCENT);
+        return Optional.of(new LoadReport(figures.get(0), figures.get(1), figures.get(2), slowdown));
     }
 
     /**
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -51,6 +51,10 @@
                 .increment();
     }
 
+    void onUnreadableLoad() {
+        registry.counter("lacewingthread.router.loads.unreadable").increment();
+    }
+
     void onNewStoreEra() {
         registry.counter("lacewingthread.router.eras").increment();
     }
