Limit the requests to cold servers over all entry VMs

Callers saw cold servers crash: nothing bounded what all VMs together sent to a server after its start. Where a service states cold_per_s and the settings have cold_overage and cold_slack, requests for keys of a cold server need permits of the leader at that rate, other requests and all of them while the leader is silent use slots of half the rate, both with an age that is checked again at the send. The leader gives such a server fewer keys. A server that refused a connection counts as cold until a view two entry intervals later; the VM tells the others.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/Decision.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/Decision.java
@@ -17,19 +17,20 @@
     record Send(DispatchRequest request, ServerEntry server, long expectedMillis) implements Decision {}
 
     /**
-     * Asks the leader whether the request may be sent to a server that named a limit. The request waits for {@link
+     * Asks the leader whether the request may be sent to a limited server. The request waits for {@link
      * RequestDispatcher#onPermit}, or until the answer is overdue.
      *
      * @param server the server
-     * @param limit the limit that the server named
-     * @param namedAtMillis when it did
+     * @param limit the limit
+     * @param namedAtMillis when the server named it; the time of the decision if it is cold
+     * @param kind where the limit comes from
      */
-    record AskPermit(DispatchRequest request, ServerStart server, NamedLimit limit, long namedAtMillis)
+    record AskPermit(DispatchRequest request, ServerStart server, NamedLimit limit, long namedAtMillis, LimitKind kind)
             implements Decision {
         /** Returns the message to the leader. */
         public PermitRequest permitRequest(long nowMillis) {
             return new PermitRequest(
-                    request.number(), server, limit, Math.max(0, nowMillis - namedAtMillis), request.priority());
+                    request.number(), server, limit, Math.max(0, nowMillis - namedAtMillis), request.priority(), kind);
         }
     }
 
--- a/core/src/main/java/org/lacewingthread/core/dispatch/PermitIssuer.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/PermitIssuer.java
@@ -5,8 +5,9 @@
 import org.lacewingthread.core.id.ServerStart;
 
 /**
- * Divides the limits that servers name among the requests of all entry VMs: the leader permits each request to such a
- * server, so that the limit holds for all VMs together and follows demand.
+ * Divides the limits of servers among the requests of all entry VMs: the leader permits each request to a server that
+ * named a limit or is cold, so that the limit holds for all VMs together and follows demand. Where a server has both
+ * limits, the lower one applies.
  *
  * <pre>{@code
  * PermitIssuer.Permit permit = issuer.issue(permitRequest, nowMillis);
@@ -20,6 +21,13 @@
 public final class PermitIssuer {
     /** Most permits that are saved up while nobody asks. */
     private static final double MAX_SAVED_PERMITS = 3;
+    /**
+     * The same for a cold server, and what less urgent requests leave. With 2, the permits of a leader and of a former one
+     * that some VMs still hear took up the whole bound of one second.
+     */
+    static final double MAX_SAVED_COLD_PERMITS = 1.3;
+    /** How long a server counts as cold after an entry VM said so; VMs that know it ask at each request. */
+    private static final long COLD_VALIDITY_MILLIS = 2_000;
     /** A new bucket has one permit, so that a change of leader lets few extra requests through. */
     private static final double INITIAL_PERMITS = 1;
     /** How long a more urgent request has precedence after it asked. */
@@ -43,7 +51,11 @@
 
     /** Permits of one server. */
     private static final class Bucket {
+        /** Limit that the server named; null if it named none of late. */
         private NamedLimit limit;
+
+        private double coldPerSecond;
+        private long coldAtMillis = Long.MIN_VALUE / 2;
         private long namedAtMillis = Long.MIN_VALUE / 2;
         private long endedAtMillis = Long.MIN_VALUE / 2;
         private double permits = INITIAL_PERMITS;
@@ -57,6 +69,27 @@
         private boolean isEnded() {
             return endedAtMillis > namedAtMillis;
         }
+
+        private boolean isCold(long nowMillis) {
+            return nowMillis - coldAtMillis <= COLD_VALIDITY_MILLIS;
+        }
+
+        /** Returns the rate at which permits are filled up; 0 if no limit is known. */
+        private double perSecond(long nowMillis) {
+            double named = limit == null ? Double.POSITIVE_INFINITY : limit.perSecond();
+            double perSecond = isCold(nowMillis) ? Math.min(named, coldPerSecond) : named;
+            return Double.isFinite(perSecond) ? perSecond : 0;
+        }
+
+        private void onCold(double perSecond, long nowMillis) {
+            if (!isCold(nowMillis)) {
+                // Permits saved up under a higher limit, or none, don't count.
+                permits = Math.min(permits, INITIAL_PERMITS);
+                filledAtMillis = nowMillis;
+            }
+            coldPerSecond = perSecond;
+            coldAtMillis = nowMillis;
+        }
     }
 
     /**
@@ -80,22 +113,20 @@
     /** Decides about one request. */
     public Permit issue(PermitRequest request, long nowMillis) {
         Bucket bucket = buckets.computeIfAbsent(request.server(), server -> new Bucket());
-        long namedAtMillis = nowMillis - request.namedAgoMillis();
-        fill(bucket, nowMillis);
-        if (bucket.limit == null || (bucket.isEnded() && namedAtMillis > bucket.endedAtMillis)) {
-            newestLimitMillis = nowMillis;
-        }
-        if (bucket.limit == null || namedAtMillis > bucket.namedAtMillis) {
-            bucket.limit = request.limit();
-            bucket.namedAtMillis = namedAtMillis;
-        }
         bucket.askedAtMillis = nowMillis;
-        if (bucket.isEnded()) {
-            return new Permit(Outcome.NOT_LIMITED, 0);
+        fill(bucket, nowMillis);
+        if (request.kind() == LimitKind.COLD) {
+            bucket.onCold(request.limit().perSecond(), nowMillis);
+        } else {
+            onNamed(bucket, request, nowMillis);
+            if (bucket.isEnded() && !bucket.isCold(nowMillis)) {
+                return new Permit(Outcome.NOT_LIMITED, 0);
+            }
         }
         boolean precedes = takesPrecedence(bucket, request.priority(), nowMillis);
         boolean leavesPermit = !precedes && bucket.refusalsToLessUrgent < MAX_REFUSALS_TO_LESS_URGENT;
-        boolean granted = bucket.permits >= (leavesPermit ? 2 : 1);
+        double left = bucket.isCold(nowMillis) ? MAX_SAVED_COLD_PERMITS : 2;
+        boolean granted = bucket.permits >= (leavesPermit ? left : 1);
         if (!precedes) {
             bucket.refusalsToLessUrgent = granted ? 0 : bucket.refusalsToLessUrgent + 1;
         }
@@ -105,14 +136,24 @@
             return new Permit(Outcome.GRANTED, 0);
         }
         bucket.refusalsInARow++;
-        return new Permit(Outcome.REFUSED, retryAfterMillis(bucket));
+        return new Permit(Outcome.REFUSED, retryAfterMillis(bucket, nowMillis));
     }
 
-    private static void fill(Bucket bucket, long nowMillis) {
-        if (bucket.limit != null) {
-            double filled = (nowMillis - bucket.filledAtMillis) * bucket.limit.perSecond() / MILLIS_PER_SECOND;
-            bucket.permits = Math.min(MAX_SAVED_PERMITS, bucket.permits + filled);
+    private void onNamed(Bucket bucket, PermitRequest request, long nowMillis) {
+        long namedAtMillis = nowMillis - request.namedAgoMillis();
+        if (bucket.limit == null || (bucket.isEnded() && namedAtMillis > bucket.endedAtMillis)) {
+            newestLimitMillis = nowMillis;
         }
+        if (bucket.limit == null || namedAtMillis > bucket.namedAtMillis) {
+            bucket.limit = request.limit();
+            bucket.namedAtMillis = namedAtMillis;
+        }
+    }
+
+    private static void fill(Bucket bucket, long nowMillis) {
+        double filled = (nowMillis - bucket.filledAtMillis) * bucket.perSecond(nowMillis) / MILLIS_PER_SECOND;
+        double maxSaved = bucket.isCold(nowMillis) ? MAX_SAVED_COLD_PERMITS : MAX_SAVED_PERMITS;
+        bucket.permits = Math.min(maxSaved, bucket.permits + filled);
         bucket.filledAtMillis = nowMillis;
     }
 
@@ -127,9 +168,9 @@
     }
 
     /** The time until as many permits have been saved up as requests were refused since the last grant. */
-    private static long retryAfterMillis(Bucket bucket) {
+    private static long retryAfterMillis(Bucket bucket, long nowMillis) {
         double missing = bucket.refusalsInARow - Math.min(bucket.permits, 1);
-        return Math.round(missing * MILLIS_PER_SECOND / Math.max(bucket.limit.perSecond(), 1 / MILLIS_PER_SECOND));
+        return Math.round(missing * MILLIS_PER_SECOND / Math.max(bucket.perSecond(nowMillis), 1 / MILLIS_PER_SECOND));
     }
 
     /**
@@ -145,7 +186,7 @@
     }
 
     /**
-     * Returns the limits in force that were asked about of late, in requests a second. New ones are left out until no
+     * Returns the limits in force that servers named and that were asked about of late, in requests a second. New ones are left out until no
      * further one is named for a moment, so that keys don't move to servers that are about to name one too.
      */
     public Map<ServerStart, Double> settledLimitsPerSecond(long nowMillis) {
@@ -154,7 +195,11 @@
         if (settled || nowMillis - settledAtMillis >= MAX_SETTLING_MILLIS) {
             settledAtMillis = nowMillis;
             settledLimits = new HashMap<>();
-            buckets.forEach((server, bucket) -> settledLimits.put(server, bucket.limit.perSecond()));
+            buckets.forEach((server, bucket) -> {
+                if (bucket.limit != null) {
+                    settledLimits.put(server, bucket.limit.perSecond());
+                }
+            });
         }
         Map<ServerStart, Double> inForce = new HashMap<>(settledLimits);
         inForce.keySet()
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -82,7 +82,7 @@
                     .computeIfAbsent(server.entry().service(), service -> new ArrayList<>())
                     .add(state);
         }
-        limits.retain(servers.keySet());
+        limits.onServers(known, nowMillis);
         return reevaluate(nowMillis);
     }
 
@@ -100,6 +100,11 @@
         return limits.onNotNamed(server, sentAtMillis);
     }
 
+    /** Returns the servers whose rate is limited while they are cold. */
+    public ColdServers coldServers() {
+        return limits.coldServers();
+    }
+
     /** Records that a server wants no requests of this VM until a time; returns whether that prolongs its rest. */
     public boolean onRestAsked(ServerStart server, long endMillis) {
         return rests.onAsked(server, endMillis);
@@ -239,7 +244,7 @@
         if (state == null || state.isReplaced() || rests.isResting(send.server().start(), nowMillis)) {
             return false;
         }
-        if (mayHaveBegunToLeave(state)) {
+        if (mayHaveBegunToLeave(state) || !limits.maySend(send, nowMillis)) {
             return false;
         }
         if (request.key().isEmpty()) {
@@ -376,7 +381,7 @@
             ServerStart server = state.knownServer().start();
             boolean permitted = request.key().isPresent()
                     ? limits.tryUsePermit(request.number(), server, nowMillis)
-                    : limits.tryUseSlot(server, nowMillis);
+                    : limits.tryUseSlot(request.number(), server, nowMillis);
             if (!permitted) {
                 return Optional.of(limits.ask(request, server, nowMillis));
             }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
@@ -5,14 +5,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
-import java.util.Set;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 
 /**
  * The limits that servers name in their responses, as one entry VM knows them, and this VM's permits. A limit is in
- * force from the response that names it until a response to a later request doesn't.
+ * force from the response that names it until a response to a later request doesn't. Cold servers are limited too; where
+ * a server has both limits, the lower one applies.
  *
  * <p>A request for a key needs a permit of the leader. Requests without key, and all requests while the leader is
  * silent, use this VM's slots: times that recur so often that the slots of all VMs make up the limit. A slot is lost if it
@@ -37,6 +41,7 @@
     private static final double MILLIS_PER_SECOND = 1e3;
 
     private final RandomGenerator random;
+    private final ColdServers coldServers;
     private final Map<ServerStart, Limit> limits = new HashMap<>();
     private final Map<Long, Pending> pendingByNumber = new HashMap<>();
     private final Map<Long, Permitted> permittedByNumber = new HashMap<>();
@@ -52,21 +57,34 @@
     }
 
     /** A request that waits for the leader's answer. */
-    private record Pending(DispatchRequest request, ServerStart server, long timeoutAtMillis) {}
+    private record Pending(DispatchRequest request, ServerStart server, long askedAtMillis) {
+        boolean isOverdue(long nowMillis) {
+            return nowMillis - askedAtMillis >= PERMIT_TIMEOUT_MILLIS;
+        }
+    }
 
-    private record Permitted(ServerStart server, long validUntilMillis) {}
+    /** A permit; at a cold server it may be used for a shorter time, until the request is sent. */
+    private record Permitted(ServerStart server, long validUntilMillis, long coldValidUntilMillis) {}
 
     ServerLimits(RandomGenerator random) {
         this.random = random;
+        this.coldServers = new ColdServers(random);
+    }
+
+    /** Returns the servers that are limited since they are cold. */
+    ColdServers coldServers() {
+        return coldServers;
     }
 
     void setEntryVmCount(int count) {
         entryVmCount = OptionalInt.of(count);
+        coldServers.setEntryVmCount(count);
     }
 
-    /** Drops the limits of servers that are no longer known; a restarted server starts without one. */
-    void retain(Set<ServerStart> known) {
-        limits.keySet().retainAll(known);
+    /** Drops the limits of servers that are no longer known; a restarted server starts without a named one. */
+    void onServers(List<KnownServer> known, long nowMillis) {
+        limits.keySet().retainAll(known.stream().map(KnownServer::start).collect(Collectors.toSet()));
+        coldServers.onServers(known, nowMillis);
     }
 
     /** Records that a server named a limit in a response; returns whether the limit is a new one. */
@@ -95,7 +113,7 @@
     }
 
     boolean isLimited(ServerStart server) {
-        return limits.containsKey(server);
+        return limits.containsKey(server) || coldServers.isLimited(server);
     }
 
     /** Returns whether a request for a key may be sent now, and uses up its permit if it needs one. */
@@ -104,11 +122,28 @@
             return true;
         }
         Permitted permitted = permittedByNumber.remove(number);
-        return permitted != null && permitted.server().equals(server) && nowMillis < permitted.validUntilMillis();
+        if (permitted == null || !permitted.server().equals(server)) {
+            return false;
+        }
+        boolean cold = coldServers.isLimited(server);
+        long validUntilMillis = cold ? permitted.coldValidUntilMillis() : permitted.validUntilMillis();
+        if (nowMillis < validUntilMillis) {
+            coldServers.allow(number, server, validUntilMillis);
+        }
+        return nowMillis < validUntilMillis;
+    }
+
+    /** Returns whether a decided request may still be sent, as far as limits of cold servers tell. */
+    boolean maySend(Decision.Send send, long nowMillis) {
+        return coldServers.maySend(send.request().number(), send.server().start(), nowMillis);
     }
 
     /** Returns whether this VM has a slot for a request to a limited server now. */
     boolean hasSlot(ServerStart server, long nowMillis) {
+        return hasSlotOfNamedLimit(server, nowMillis) && coldServers.hasSlot(server, nowMillis);
+    }
+
+    private boolean hasSlotOfNamedLimit(ServerStart server, long nowMillis) {
         Limit limit = limits.get(server);
         if (limit == null) {
             return true;
@@ -124,14 +159,23 @@
         return nowMillis >= limit.nextSlotMillis;
     }
 
-    /** Uses the slot of a limited server, if this VM has one now. */
-    boolean tryUseSlot(ServerStart server, long nowMillis) {
-        boolean available = hasSlot(server, nowMillis);
+    /** Uses the slot of a limited server for a request, if this VM has one now. */
+    boolean tryUseSlot(long number, ServerStart server, long nowMillis) {
+        OptionalLong coldValidUntilMillis = takeSlot(server, nowMillis);
+        coldValidUntilMillis.ifPresent(until -> coldServers.allow(number, server, until));
+        return coldValidUntilMillis.isPresent();
+    }
+
+    /** Uses up the slot of a limited server; returns until when the request must have been sent if it is cold. */
+    private OptionalLong takeSlot(ServerStart server, long nowMillis) {
+        if (!hasSlot(server, nowMillis)) {
+            return OptionalLong.empty();
+        }
         Limit limit = limits.get(server);
-        if (available && limit != null) {
+        if (limit != null) {
             limit.nextSlotMillis += slotIntervalMillis(limit);
         }
-        return available;
+        return OptionalLong.of(coldServers.useSlot(server));
     }
 
     private long slotIntervalMillis(Limit limit) {
@@ -141,9 +185,15 @@
 
     /** Lets a request wait for a permit, and returns the request to send to the leader. */
     Decision.AskPermit ask(DispatchRequest request, ServerStart server, long nowMillis) {
-        pendingByNumber.put(request.number(), new Pending(request, server, nowMillis + PERMIT_TIMEOUT_MILLIS));
+        pendingByNumber.put(request.number(), new Pending(request, server, nowMillis));
         Limit limit = limits.get(server);
-        return new Decision.AskPermit(request, server, limit.named, limit.namedAtMillis);
+        OptionalDouble coldPerSecond = coldServers.perSecond(server);
+        boolean coldIsLower =
+                coldPerSecond.isPresent() && (limit == null || coldPerSecond.getAsDouble() < limit.named.perSecond());
+        return coldIsLower
+                ? new Decision.AskPermit(
+                        request, server, new NamedLimit(coldPerSecond.getAsDouble()), nowMillis, LimitKind.COLD)
+                : new Decision.AskPermit(request, server, limit.named, limit.namedAtMillis, LimitKind.NAMED);
     }
 
     int pendingCount() {
@@ -169,16 +219,19 @@
         }
         pendingByNumber.remove(number);
         if (outcome == PermitIssuer.Outcome.GRANTED) {
-            permit(pending, nowMillis);
+            permit(pending, nowMillis, pending.askedAtMillis() + ColdServers.PERMIT_USE_MILLIS);
         } else if (outcome == PermitIssuer.Outcome.NOT_LIMITED) {
             limits.remove(pending.server());
+        } else {
+            coldServers.onHeld(pending.server());
         }
         return Optional.of(pending.request());
     }
 
-    private void permit(Pending pending, long nowMillis) {
+    private void permit(Pending pending, long nowMillis, long coldValidUntilMillis) {
         permittedByNumber.put(
-                pending.request().number(), new Permitted(pending.server(), nowMillis + PERMIT_VALIDITY_MILLIS));
+                pending.request().number(),
+                new Permitted(pending.server(), nowMillis + PERMIT_VALIDITY_MILLIS, coldValidUntilMillis));
     }
 
     /** A request that got no answer, and whether a slot of this VM permits it. */
@@ -186,21 +239,25 @@
 
     /** Removes and returns the requests whose answer is overdue; those for which this VM has a slot get a permit. */
     List<Unanswered> takeOverdue(long nowMillis) {
+        coldServers.tick(nowMillis);
         permittedByNumber.values().removeIf(permitted -> nowMillis >= permitted.validUntilMillis());
         if (pendingByNumber.isEmpty()) {
             return List.of();
         }
         List<Unanswered> overdue = new ArrayList<>();
         for (Pending pending : List.copyOf(pendingByNumber.values())) {
-            if (nowMillis < pending.timeoutAtMillis()) {
+            if (!pending.isOverdue(nowMillis)) {
                 continue;
             }
             pendingByNumber.remove(pending.request().number());
-            boolean permitted = isLeaderSilent(nowMillis) && tryUseSlot(pending.server(), nowMillis);
-            if (permitted) {
-                permit(pending, nowMillis);
+            OptionalLong slot =
+                    isLeaderSilent(nowMillis) ? takeSlot(pending.server(), nowMillis) : OptionalLong.empty();
+            if (slot.isPresent()) {
+                permit(pending, nowMillis, slot.getAsLong());
+            } else {
+                coldServers.onHeld(pending.server());
             }
-            overdue.add(new Unanswered(pending.request(), permitted));
+            overdue.add(new Unanswered(pending.request(), slot.isPresent()));
         }
         return overdue;
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
@@ -1,6 +1,8 @@
 package org.lacewingthread.daemon.http;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -53,6 +55,9 @@
          * @param startedMillis when it was started, by the pool's clock
          */
         void onOpenFailed(K peer, long startedMillis);
+
+        /** Called before {@link #onOpenFailed} if nothing listens at the peer's address. */
+        default void onRefused(K peer) {}
     }
 
     private record IdleConnection(OutboundConnection connection, long usableUntilMillis) {}
@@ -150,6 +155,9 @@
                         connection.setDropListener(dropped -> dropListener.accept(peer, dropped));
                         openListener.onOpened(peer);
                     } else {
+                        if (failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException)) {
+                            openListener.onRefused(peer);
+                        }
                         openListener.onOpenFailed(peer, startedMillis);
                     }
                     result.accept(connection, failure);
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ColdServerControl.java
@@ -0,0 +1,142 @@
+package org.lacewingthread.daemon.router;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.dispatch.ColdRates;
+import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.registry.ServerRegistry;
+import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
+import org.lacewingthread.core.serving.ServiceSpec;
+import org.lacewingthread.core.serving.ServingConfiguration;
+import org.lacewingthread.daemon.events.EventLog;
+
+/**
+ * What the control thread knows of cold servers: their rates, for the balance of keys, and servers that refused a
+ * connection and may come back cold before their entry says so. An entry VM that was refused tells the others by way of
+ * the leader, or itself while no leader answers. Runs on the control thread unless stated otherwise.
+ */
+final class ColdServerControl {
+    private static final String SUSPECTED = "coldSuspected";
+    /** Set in messages that the leader has to pass on to the other entry VMs. */
+    private static final String PASS_ON = "passOn";
+
+    private static final String STARTED = "serverStart";
+    /** Entry intervals after which a server that came back has written an entry that can be read. */
+    private static final int SUSPECTED_ENTRY_INTERVALS = 2;
+    /** Interval of messages about one server; many requests are refused while it is down. */
+    private static final long TELL_INTERVAL_MILLIS = 500;
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final ColdServerSettings settings;
+    private final EventLoop eventLoop;
+    private final ServerRegistry registry;
+    private final LongSupplier clockMillis;
+    private final EventLog events;
+    private final RouterMetrics metrics;
+    private final CrashRecordExchange.Broadcaster broadcaster;
+    private final Map<ServerStart, Long> toldMillis = new HashMap<>();
+    private ColdRates rates = ColdRates.NONE;
+
+    ColdServerControl(
+            ColdServerSettings settings,
+            EventLoop eventLoop,
+            ServerRegistry registry,
+            LongSupplier clockMillis,
+            EventLog events,
+            RouterMetrics metrics,
+            CrashRecordExchange.Broadcaster broadcaster) {
+        this.settings = settings;
+        this.eventLoop = eventLoop;
+        this.registry = registry;
+        this.clockMillis = clockMillis;
+        this.events = events;
+        this.metrics = metrics;
+        this.broadcaster = broadcaster;
+    }
+
+    void onConfiguration(ServingConfiguration newest) {
+        rates = settings.rates(newest);
+        for (ServiceSpec service : ColdRates.unusable(newest.services().values())) {
+            metrics.onUnusableColdRate();
+            events.write(
+                    "cold.rate-unusable",
+                    "service",
+                    service.id(),
+                    "cold_per_s",
+                    Double.toString(service.coldPerSecond().getAsDouble()),
+                    "version",
+                    newest.version());
+        }
+    }
+
+    /** Returns limits for the balance of keys with those of the cold servers added. */
+    Map<ServerStart, Double> addTo(Map<ServerStart, Double> limitPerSecondByServer, List<KnownServer> servers) {
+        return rates.addTo(limitPerSecondByServer, servers);
+    }
+
+    /** Records that a server refused a connection, and tells the other entry VMs; may be called on any thread. */
+    void onConnectionRefused(ServerStart server) {
+        eventLoop.execute(() -> {
+            long nowMillis = clockMillis.getAsLong();
+            toldMillis.values().removeIf(told -> nowMillis - told >= TELL_INTERVAL_MILLIS);
+            if (!suspect(server) || toldMillis.putIfAbsent(server, nowMillis) != null) {
+                return;
+            }
+            if (broadcaster.isLeading() || !broadcaster.isLeaderAnswering()) {
+                broadcaster.sendToAll(message(server, false));
+            } else {
+                broadcaster.sendToLeader(message(server, true));
+            }
+        });
+    }
+
+    /**
+     * Handles a datagram if it is about a server that refused connections; returns whether it is.
+     *
+     * @throws IllegalArgumentException if the server's id is not valid
+     */
+    boolean onMessage(JsonNode message) {
+        if (!message.has(SUSPECTED)) {
+            return false;
+        }
+        ServerStart server = new ServerStart(
+                new ServerId(message.path(SUSPECTED).asText()),
+                message.path(STARTED).asLong());
+        if (suspect(server) && message.path(PASS_ON).asBoolean() && broadcaster.isLeading()) {
+            broadcaster.sendToAll(message(server, false));
+        }
+        return true;
+    }
+
+    private ObjectNode message(ServerStart server, boolean passOn) {
+        return MAPPER.createObjectNode()
+                .put(SUSPECTED, server.server().value())
+                .put(STARTED, server.startedUnixMillis())
+                .put(PASS_ON, passOn);
+    }
+
+    /** Counts a server as cold until an entry could have been read that was written later; returns whether it matters. */
+    private boolean suspect(ServerStart server) {
+        long nowMillis = clockMillis.getAsLong();
+        boolean limited = registry.servers(nowMillis).stream()
+                .anyMatch(known -> known.start().equals(server)
+                        && rates.limits(known.entry().service()));
+        if (!limited) {
+            return false;
+        }
+        long untilMillis = nowMillis + SUSPECTED_ENTRY_INTERVALS * settings.entryIntervalMillis();
+        if (registry.suspectCold(server, untilMillis)) {
+            metrics.onColdSuspected();
+            events.write("server.cold-suspected", "server", server, "until_view_in_ms", untilMillis - nowMillis);
+        }
+        return true;
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -2,15 +2,14 @@
 
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
@@ -30,7 +29,6 @@
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
-import org.lacewingthread.core.serving.ServiceSpec;
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.events.FailureLoggingTask;
@@ -52,6 +50,7 @@
     private final VmStart self;
     private final FormerLeaderMessages formerLeaders;
     private final LimitExchange limitExchange;
+    private final ColdServerControl coldServers;
     private final CrashRecordExchange crashRecords;
     private final CrashRecordExchange.Receiver crashRecordReceiver;
     private final ReportChannel reportChannel;
@@ -83,6 +82,7 @@
             RangeLeaseTimes leaseTimes,
             boolean firstStart,
             ServerRegistry registry,
+            ColdServerSettings coldServerSettings,
             Platform platform,
             ControlClock clock,
             EventLoop eventLoop,
@@ -112,6 +112,8 @@
                 coordinator::isLeading,
                 loadReports::sendToLeader,
                 permitListener);
+        this.coldServers = new ColdServerControl(
+                coldServerSettings, eventLoop, registry, clock::nowMillis, events, metrics, loadReports);
         this.crashRecordReceiver = crashRecordReceiver;
         this.crashRecords =
                 new CrashRecordExchange(eventLoop, platform.crashRecordStore(), loadReports, crashRecordReceiver);
@@ -119,7 +121,9 @@
                 events,
                 loadReports,
                 formerLeaders,
-                (message, reply) -> limitExchange.onMessage(message, reply) || crashRecords.onMessage(message));
+                (message, reply) -> limitExchange.onMessage(message, reply)
+                        || crashRecords.onMessage(message)
+                        || coldServers.onMessage(message));
         loadReports.start(reportChannel, this::publish);
         this.eventLoop = eventLoop;
         this.events = events;
@@ -135,6 +139,11 @@
         return limitExchange;
     }
 
+    /** Returns what the control thread knows of cold servers. */
+    ColdServerControl coldServers() {
+        return coldServers;
+    }
+
     /** Returns the exchange of records of requests that crash servers. */
     CrashRecordLink crashRecords() {
         return crashRecords;
@@ -149,22 +158,19 @@
     }
 
     void start() {
-        eventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "tell-former-leaders", () -> formerLeaders.announceTerm(reportChannel)),
-                NEW_TERM_RESEND_MILLIS,
-                NEW_TERM_RESEND_MILLIS,
-                TimeUnit.MILLISECONDS);
-        eventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "report", this::report),
-                REPORT_INTERVAL_MILLIS,
-                REPORT_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
+        every(NEW_TERM_RESEND_MILLIS, "tell-former-leaders", () -> formerLeaders.announceTerm(reportChannel));
+        every(REPORT_INTERVAL_MILLIS, "report", this::report);
         eventLoop.execute(() -> {
             platform.start(this);
             tick();
         });
     }
 
+    private void every(long intervalMillis, String name, Runnable task) {
+        FailureLoggingTask logging = new FailureLoggingTask(events, name, task);
+        eventLoop.scheduleAtFixedRate(logging, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+
     private void report() {
         reportedMillis = clock.nowMillis();
         loadReports.send();
@@ -279,17 +285,11 @@
     }
 
     private Map<ServiceId, ServiceView> serviceViews(long nowMillis) {
-        Map<ServiceId, ServiceView> views = new TreeMap<>();
         if (!coordinator.isLeading()) {
-            return views;
-        }
-        Map<ServerStart, Double> limits = limitExchange.settledLimitsPerSecond();
-        for (ServiceSpec service : configuration.orElseThrow().services().values()) {
-            if (service.keyed()) {
-                views.put(service.id(), keyspaceLoad.view(service.id(), publishedServers, limits, nowMillis));
-            }
+            return Map.of();
         }
-        return views;
+        Map<ServerStart, Double> limits = coldServers.addTo(limitExchange.settledLimitsPerSecond(), publishedServers);
+        return keyspaceLoad.views(configuration.orElseThrow().services().values(), publishedServers, limits, nowMillis);
     }
 
     private void onTableRecorded(ControlEventLogger.Append append, AppendResult result) {
@@ -307,6 +307,7 @@
         }
         configuration = Optional.of(newest);
         eventLogger.logConfigurationApplied(newest);
+        coldServers.onConfiguration(newest);
         onConfiguration.accept(newest);
     }
 
@@ -339,8 +340,8 @@
     }
 
     private void rememberAddress(ServerEntry entry) {
-        Set<ServerStart> registered = new HashSet<>();
-        publishedServers.forEach(server -> registered.add(server.start()));
+        Set<ServerStart> registered =
+                publishedServers.stream().map(KnownServer::start).collect(Collectors.toSet());
         rangeCommands.rememberAddress(entry, registered);
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
@@ -1,5 +1,6 @@
 package org.lacewingthread.daemon.router;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,6 +12,7 @@
 import org.lacewingthread.core.keyrange.KeyLoad;
 import org.lacewingthread.core.keyrange.ServiceView;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
+import org.lacewingthread.core.serving.ServiceSpec;
 
 /** Estimates load by key and the capacity of the servers, for the leader. All methods run on the control thread. */
 final class KeyspaceLoad {
@@ -59,13 +61,27 @@
         }
     }
 
+    /** Returns the views of those services that have keys; see {@link #view}. */
+    Map<ServiceId, ServiceView> views(
+            Collection<ServiceSpec> services,
+            List<KnownServer> servers,
+            Map<ServerStart, Double> limitPerSecondByServer,
+            long nowMillis) {
+        Map<ServiceId, ServiceView> views = new TreeMap<>();
+        services.stream()
+                .filter(ServiceSpec::keyed)
+                .forEach(service ->
+                        views.put(service.id(), view(service.id(), servers, limitPerSecondByServer, nowMillis)));
+        return views;
+    }
+
     /**
      * Returns the capacity of a service's servers and the load of its keys. A server with a limit has no more capacity
      * than its limit, so that its keys move to others. A view may be up to 100 ms old, since making one takes a pass over
      * all servers and requests.
      *
      * @param servers known servers; another list object counts as a change
-     * @param limitPerSecondByServer limits that servers named
+     * @param limitPerSecondByServer limits that servers named, or that they have while they are cold
      */
     ServiceView view(
             ServiceId service,
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LimitExchange.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LimitExchange.java
@@ -13,7 +13,7 @@
 import org.lacewingthread.daemon.events.EventLog;
 
 /**
- * Asks the leader for permits for requests to servers that named a limit, and issues them while this process leads. An
+ * Asks the leader for permits for requests to limited servers, and issues them while this process leads. An
  * answer that is lost isn't asked for again; the dispatcher notices that it is overdue. Runs on the control thread unless
  * stated otherwise.
  */
@@ -122,6 +122,8 @@
                 request.server(),
                 "per_second",
                 request.limit().perSecond(),
+                "kind",
+                request.kind(),
                 "named_ago_ms",
                 request.namedAgoMillis(),
                 "priority",
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LimitLink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LimitLink.java
@@ -3,7 +3,7 @@
 import org.lacewingthread.core.dispatch.PermitRequest;
 import org.lacewingthread.core.id.ServerStart;
 
-/** The leader, which permits requests to servers that named a limit. */
+/** The control thread, which passes on what servers show, and asks the leader for permits for limited servers. */
 interface LimitLink {
     /** Asks for a permit; {@link RequestEngine#onPermit} is called with the answer. */
     void askPermit(PermitRequest request);
@@ -13,4 +13,7 @@
 
     /** Called when a server's response said that it leaves. */
     void onServerLeaving(ServerStart server);
+
+    /** Called when a server refused a connection, so that it may come back cold. */
+    default void onConnectionRefused(ServerStart server) {}
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/PermitMessages.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/PermitMessages.java
@@ -3,13 +3,14 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.lacewingthread.core.dispatch.LimitKind;
 import org.lacewingthread.core.dispatch.NamedLimit;
 import org.lacewingthread.core.dispatch.PermitIssuer;
 import org.lacewingthread.core.dispatch.PermitRequest;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 
-/** Encodes and decodes the datagrams about requests to servers that named a limit. */
+/** Encodes and decodes the datagrams about requests to limited servers. */
 final class PermitMessages {
     private static final String REQUEST = "permitRequest";
     private static final String ANSWER = "permitAnswer";
@@ -22,6 +23,9 @@
     private static final String LIMIT = "limitPerSecond";
     private static final String NAMED_AGO = "namedAgoMillis";
     private static final String PRIORITY = "priority";
+    /** Missing in messages of earlier builds, which know limits that servers name only. */
+    private static final String KIND = "limitKind";
+
     private static final String OUTCOME = "outcome";
     private static final String RETRY_AFTER = "retryAfterMillis";
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -46,13 +50,14 @@
                 .put(VM, vm)
                 .put(LIMIT, request.limit().perSecond())
                 .put(NAMED_AGO, request.namedAgoMillis())
-                .put(PRIORITY, request.priority());
+                .put(PRIORITY, request.priority())
+                .put(KIND, request.kind().name());
     }
 
     /**
      * Decodes a request.
      *
-     * @throws IllegalArgumentException if the server or the limit is not valid
+     * @throws IllegalArgumentException if the server, the limit or its kind is not valid
      */
     static PermitRequest decodeRequest(JsonNode message) {
         return new PermitRequest(
@@ -60,7 +65,8 @@
                 server(message),
                 new NamedLimit(message.path(LIMIT).asDouble(Double.NaN)),
                 message.path(NAMED_AGO).asLong(),
-                message.path(PRIORITY).asInt());
+                message.path(PRIORITY).asInt(),
+                LimitKind.valueOf(message.path(KIND).asText(LimitKind.NAMED.name())));
     }
 
     static ObjectNode encodeAnswer(PermitRequest request, PermitIssuer.Permit permit) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -55,6 +55,7 @@
     private final RequestAdmission admission;
     private final LimitObserver limits;
     private final LoadObserver loads;
+    private final ColdServerLog coldServers;
     private final RestObserver rests;
     private final ActiveRequests activeRequests = new ActiveRequests();
     private final CutOffRequests cutOffRequests;
@@ -78,13 +79,19 @@
         this.metrics = metrics;
         this.dispatcher = dispatcher;
         this.links = new ServerLinkMonitor(events, clockMillis, relayAccess.random(), this::onCutOffChanged);
-        this.connections = new ConnectionPool<>(eventLoop, clockMillis, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS, links);
+        this.connections = new ConnectionPool<>(
+                eventLoop,
+                clockMillis,
+                CONNECT_TIMEOUT_MILLIS,
+                MAX_IDLE_MILLIS,
+                new RefusedConnections(links, limitLink));
         links.setConnections(connections);
         this.droppedResponses = new DroppedResponseLog(events, clockMillis);
         connections.setDropListener(droppedResponses::onDropped);
         this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
         this.limits = new LimitObserver(headerNames.serverLimits(), dispatcher, events, limitLink::onLimitEnded);
+        this.coldServers = new ColdServerLog(dispatcher.coldServers(), events);
         this.loads = new LoadObserver(headerNames.serverLoad(), events, metrics);
         this.rests = new RestObserver(headerNames, dispatcher, events, limitLink::onServerLeaving);
         this.admission = new RequestAdmission(headerNames, routing, responder);
@@ -134,6 +141,7 @@
         connections.evictStale(known::contains);
         links.onServers(servers);
         applyDecisions(dispatcher.onTopologyChanged(servers, table, clockMillis.getAsLong()));
+        coldServers.logChanges();
     }
 
     /** Returns what is known of this VM's links to the servers. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -55,6 +55,14 @@
         registry.counter("lacewingthread.router.loads.unreadable").increment();
     }
 
+    void onUnusableColdRate() {
+        registry.counter("lacewingthread.router.cold.rates.unusable").increment();
+    }
+
+    void onColdSuspected() {
+        registry.counter("lacewingthread.router.cold.suspected").increment();
+    }
+
     void onNewStoreEra() {
         registry.counter("lacewingthread.router.eras").increment();
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -11,7 +11,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.lacewingthread.core.dispatch.PermitRequest;
+import org.lacewingthread.core.dispatch.ColdServers;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.VmStart;
@@ -80,6 +80,7 @@
     private final ControlClock controlClock = new ControlClock();
     private final RegistryFreshness freshness;
     private final RequestEngine engine;
+    private final ColdServers coldServers;
     private final RouterRelay relay;
     private final CallerListener callerListener;
     private final QuarantinePage quarantinePage;
@@ -109,16 +110,19 @@
         this.freshness =
                 new RegistryFreshness(settings.drainMillis(), RouterProcess::trafficNowMillis, controlClock::nowMillis);
         this.self = new VmStart(settings.vm(), random.nextLong(Long.MAX_VALUE));
+        RequestDispatcher dispatcher =
+                new RequestDispatcher(settings.dataCentre(), random.split(), new RegistryGate(freshness, events));
+        this.coldServers = dispatcher.coldServers();
         this.engine = new RequestEngine(
                 headerNames,
                 events,
                 metrics,
-                new RequestDispatcher(settings.dataCentre(), random.split(), new RegistryGate(freshness, events)),
+                dispatcher,
                 trafficEventLoop,
                 new RetryBudget(settings.retryRatio(), savedRetriesOf(ASSUMED_ENTRY_VM_COUNT)),
                 RouterProcess::trafficNowMillis,
                 (service, key) -> controlLoop.onKeyRequested(service, key),
-                new ControlLimitLink(),
+                new ControlLimitLink(() -> controlLoop),
                 new LateCrashRecordLink(() -> controlLoop.crashRecords()),
                 new RelaySender.Access(settings.dataCentre(), this::relay, random.split()));
         this.relay = new RouterRelay(
@@ -139,23 +143,6 @@
         return relay.send(peer, request, sink);
     }
 
-    private final class ControlLimitLink implements LimitLink {
-        @Override
-        public void askPermit(PermitRequest request) {
-            controlLoop.limitExchange().ask(request);
-        }
-
-        @Override
-        public void onLimitEnded(ServerStart server) {
-            controlLoop.limitExchange().onLimitEnded(server);
-        }
-
-        @Override
-        public void onServerLeaving(ServerStart server) {
-            controlLoop.onServerLeaving(server);
-        }
-    }
-
     private final class CrashRecordReceiver implements CrashRecordExchange.Receiver {
         @Override
         public void onRecord(CrashRecord known) {
@@ -201,6 +188,7 @@
                 settings.leaseTimes(),
                 settings.firstStart(),
                 new ServerRegistry(EXPIRED_ENTRY_GRACE_MILLIS, settings.drainMillis(), freshness),
+                settings.coldServers(),
                 followed,
                 controlClock,
                 controlEventLoop,
@@ -309,6 +297,9 @@
                 () -> engine.crashGuard().records().stream()
                         .filter(CrashRecord::isRejected)
                         .count());
+        metrics.gauge("servers.cold", "servers whose rate is limited while they are cold", coldServers::count);
+        metrics.gauge("cold.sent", "requests sent to servers limited since they are cold", coldServers::sentCount);
+        metrics.gauge("cold.held", "requests kept from servers limited since they are cold", coldServers::heldCount);
         metrics.gauge("store.calls", "calls to the store since the start", followed::storeCalls);
         metrics.gauge("log.dropped", "log lines dropped and not yet reported", events::droppedCount);
     }
@@ -331,6 +322,7 @@
         trafficEventLoop.execute(() -> {
             callerListener.setLimits(configuration.limits());
             engine.onConfiguration(configuration);
+            coldServers.setRates(settings.coldServers().rates(configuration), trafficNowMillis());
         });
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
@@ -21,6 +21,7 @@
  * @param leaseTimes durations of the holds of key ranges and of their renewals
  * @param firstStart whether the deployment as a whole starts for the first time, so that no server can hold keys yet;
  *     false for a process that is started again
+ * @param coldServers rate limit for cold servers
  */
 public record RouterSettings(
         VmId vm,
@@ -34,4 +35,35 @@
         double retryRatio,
         double maxSavedRetries,
         RangeLeaseTimes leaseTimes,
-        boolean firstStart) {}
+        boolean firstStart,
+        ColdServerSettings coldServers) {
+    /** Creates the settings of a process that limits no cold servers. */
+    public RouterSettings(
+            VmId vm,
+            DataCentreId dataCentre,
+            InetSocketAddress callerAddress,
+            InetSocketAddress readinessAddress,
+            InetSocketAddress metricsAddress,
+            InetSocketAddress reportAddress,
+            long drainMillis,
+            long stopMillis,
+            double retryRatio,
+            double maxSavedRetries,
+            RangeLeaseTimes leaseTimes,
+            boolean firstStart) {
+        this(
+                vm,
+                dataCentre,
+                callerAddress,
+                readinessAddress,
+                metricsAddress,
+                reportAddress,
+                drainMillis,
+                stopMillis,
+                retryRatio,
+                maxSavedRetries,
+                leaseTimes,
+                firstStart,
+                ColdServerSettings.OFF);
+    }
+}
