--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -45,12 +45,7 @@
     private boolean cutOff;
     private int entryVmCount = 1;
 
-    /**
-     * Creates a dispatcher that knows no servers.
-     *
-     * @param dataCentre data centre of this entry VM
-     * @param random seeded source of the jitter in the expected times of servers
-     */
+    /** Creates a dispatcher for an entry VM in a data centre; the seeded random numbers spread requests over servers. */
     public RequestDispatcher(DataCentreId dataCentre, RandomGenerator random) {
         this(dataCentre, random, new SendGate(() -> true, () -> true));
     }
@@ -79,7 +74,7 @@
                     .computeIfAbsent(server.entry().service(), service -> new ArrayList<>())
                     .add(state);
         }
-        limits.retain(servers.keySet());
+        limits.onServers(known, nowMillis);
         return reevaluate(nowMillis);
     }
 
@@ -88,15 +83,16 @@
         return servers.containsKey(server) && limits.onNamed(server, limit, nowMillis);
     }
 
-    /**
-     * Records that a server answered a request without naming a limit; returns whether that ends one.
-     *
-     * @param sentAtMillis when the request was sent
-     */
+    /** Records that a server answered a request, sent at a time, without naming a limit; returns whether that ends one. */
     public boolean onNoLimitNamed(ServerStart server, long sentAtMillis) {
         return limits.onNotNamed(server, sentAtMillis);
     }
 
+    /** Returns the servers whose rate is limited while they are cold. */
+    public ColdServers coldServers() {
+        return limits.coldServers();
+    }
+
     /** Records that a server wants no requests of this VM until a time; returns whether that prolongs its rest. */
     public boolean onRestAsked(ServerStart server, long endMillis) {
         return rests.onAsked(server, endMillis);
@@ -246,7 +242,7 @@
         if (state == null || state.isReplaced() || rests.isResting(send.server().start(), nowMillis)) {
             return false;
         }
-        if (!gate.allows(state.knownServer())) {
+        if (!gate.allows(state.knownServer()) || !limits.maySend(send, nowMillis)) {
             return false;
         }
         if (request.key().isEmpty()) {
@@ -373,7 +369,8 @@
             long nowMillis) {
         double expected = state.expectedMillis(ahead, nowMillis);
         double leftMillis = request.deadlineMillis() - nowMillis;
-        double waitMillis = Math.max(expected - state.serviceMillis(), ahead * state.sendIntervalMillis());
+        double waitMillis =
+                Math.max(expected - state.currentServiceMillis(nowMillis), ahead * state.sendIntervalMillis());
         boolean tooLate = !state.mayAnswerWithin(leftMillis, nowMillis) || waitMillis > leftMillis * MAX_WAIT_RATIO;
         if (tooLate) {
             long retryAfter = Math.round(Math.max(0, waitMillis));
@@ -383,7 +380,7 @@
             ServerStart server = state.knownServer().start();
             boolean permitted = request.key().isPresent()
                     ? limits.tryUsePermit(request.number(), server, nowMillis)
-                    : limits.tryUseSlot(server, nowMillis);
+                    : limits.tryUseSlot(request.number(), server, nowMillis);
             if (!permitted) {
                 return Optional.of(limits.ask(request, server, nowMillis));
             }
--- a/core/src/main/java/org/lacewingthread/core/registry/ServerEntry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerEntry.java
@@ -39,7 +39,7 @@
         }
     }
 
-    /** Returns the same entry of a server that runs slower than usual. */
+    /** Returns the same entry of a server that is cold. */
     public ServerEntry asCold() {
         return new ServerEntry(start, service, host, port, dataCentre, slots, draining, true);
     }
--- a/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
@@ -43,11 +43,14 @@
     /** Ends of the requests to servers that said themselves that they leave; an entry does not take that back. */
     private final Map<ServerStart, Long> announcedEndMillis = new HashMap<>();
 
+    /** Starts that count as cold whatever their entries say, and the time of the view whose entry decides again. */
+    private final Map<ServerStart, Long> coldUntilAsOfMillis = new HashMap<>();
+
     private Optional<Long> unreachableSinceMillis = Optional.of(Long.MIN_VALUE / 2);
     private long graceUntilMillis = Long.MIN_VALUE / 2;
     private long currentAsOfMillis = Long.MIN_VALUE / 2;
     /** Data centres whose servers count as cold, with the times up to which the registry must be known before that ends. */
-    private final Map<DataCentreId, Long> suspectedColdUntilAsOfMillis = new HashMap<>();
+    private final Map<DataCentreId, Long> coldDataCentreUntilAsOfMillis = new HashMap<>();
 
     /**
      * A server with the times at which it started to leave and is to be dropped.
@@ -175,6 +178,27 @@
         return announcedEndMillis.putIfAbsent(server, announcedMillis + drainMillis - MAX_DELIVERY_MILLIS) == null;
     }
 
+    /**
+     * Counts a start of a server as cold, since it may have restarted without an entry that says so. This ends when all
+     * changes up to a time are known; from then on the server's entry decides. The later of several times holds.
+     *
+     * @param untilAsOfMillis time up to which all changes must be known
+     * @return whether the start was not suspected before
+     */
+    public boolean suspectCold(ServerStart server, long untilAsOfMillis) {
+        Long former = coldUntilAsOfMillis.get(server);
+        coldUntilAsOfMillis.merge(server, untilAsOfMillis, Math::max);
+        return former == null;
+    }
+
+    private KnownServer withSuspicion(KnownServer known) {
+        boolean suspected = coldUntilAsOfMillis.containsKey(known.start())
+                || coldDataCentreUntilAsOfMillis.containsKey(known.entry().dataCentre());
+        return suspected
+                ? new KnownServer(known.entry().asCold(), known.acceptsUntilMillis(), known.removeAtMillis())
+                : known;
+    }
+
     private KnownServer withAnnouncedEnd(KnownServer known) {
         Long announced = announcedEndMillis.get(known.start());
         if (announced == null) {
@@ -191,14 +215,7 @@
      * @param untilAsOfMillis time from which on the servers' entries count again
      */
     public void suspectCold(DataCentreId dataCentre, long untilAsOfMillis) {
-        suspectedColdUntilAsOfMillis.merge(dataCentre, untilAsOfMillis, Math::max);
-    }
-
-    private KnownServer withSuspectedCold(KnownServer known) {
-        ServerEntry entry = known.entry();
-        return suspectedColdUntilAsOfMillis.containsKey(entry.dataCentre())
-                ? new KnownServer(entry.asCold(), known.acceptsUntilMillis(), known.removeAtMillis())
-                : known;
+        coldDataCentreUntilAsOfMillis.merge(dataCentre, untilAsOfMillis, Math::max);
     }
 
     /** Records that a server has no entry any more; it is dropped unless it registers again in time. */
@@ -233,10 +250,11 @@
                 .removeIf(known ->
                         known.removeAtMillis().filter(at -> at <= nowMillis).isPresent());
         announcedEndMillis.values().removeIf(end -> nowMillis - end > ANNOUNCEMENT_RETENTION_MILLIS);
-        suspectedColdUntilAsOfMillis.values().removeIf(until -> currentAsOfMillis >= until);
+        coldUntilAsOfMillis.values().removeIf(until -> currentAsOfMillis >= until);
+        coldDataCentreUntilAsOfMillis.values().removeIf(until -> currentAsOfMillis >= until);
         return servers.values().stream()
                 .map(this::withAnnouncedEnd)
-                .map(this::withSuspectedCold)
+                .map(this::withSuspicion)
                 .toList();
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/events/FailureLoggingTask.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/events/FailureLoggingTask.java
@@ -1,5 +1,8 @@
 package org.lacewingthread.daemon.events;
 
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
 /**
  * Runs a task and logs its exceptions, so that a scheduler doesn't cancel later runs.
  *
@@ -20,4 +23,9 @@
             events.writeFailure("task.failed", e, "task", name);
         }
     }
+
+    /** Runs the task at a fixed rate, for the first time after one interval. */
+    public void scheduleEvery(long intervalMillis, ScheduledExecutorService executor) {
+        executor.scheduleAtFixedRate(this, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+    }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -50,6 +50,7 @@
     private final VmStart self;
     private final FormerLeaderMessages formerLeaders;
     private final LimitExchange limitExchange;
+    private final ColdServerControl coldServers;
     private final CrashRecordExchange crashRecords;
     private final CrashRecordExchange.Receiver crashRecordReceiver;
     private final ReportChannel reportChannel;
@@ -82,6 +83,7 @@
             RangeLeaseTimes leaseTimes,
             boolean firstStart,
             ServerViews serverViews,
+            ColdServerSettings coldServerSettings,
             Platform platform,
             ControlClock clock,
             EventLoop eventLoop,
@@ -112,6 +114,8 @@
                 coordinator::isLeading,
                 loadReports::sendToLeader,
                 permitListener);
+        this.coldServers = new ColdServerControl(
+                coldServerSettings, eventLoop, registry, clock::nowMillis, events, metrics, loadReports);
         this.crashRecordReceiver = crashRecordReceiver;
         this.crashRecords =
                 new CrashRecordExchange(eventLoop, platform.crashRecordStore(), loadReports, crashRecordReceiver);
@@ -119,7 +123,9 @@
                 events,
                 loadReports,
                 formerLeaders,
-                (message, reply) -> limitExchange.onMessage(message, reply) || crashRecords.onMessage(message));
+                (message, reply) -> limitExchange.onMessage(message, reply)
+                        || crashRecords.onMessage(message)
+                        || coldServers.onMessage(message));
         loadReports.start(reportChannel, this::publish);
         serverViews.setPublisher(this::publish);
         this.eventLoop = eventLoop;
@@ -131,12 +137,14 @@
                 platform, coordinator, clock, events, new RangeCommandLog(events, metrics), this::step, callListener);
     }
 
-    /** Returns the exchange of permits for limited servers. */
     LimitExchange limitExchange() {
         return limitExchange;
     }
 
-    /** Returns the exchange of records of requests that crash servers. */
+    ColdServerControl coldServers() {
+        return coldServers;
+    }
+
     CrashRecordLink crashRecords() {
         return crashRecords;
     }
@@ -150,16 +158,9 @@
     }
 
     void start() {
-        eventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "tell-former-leaders", () -> formerLeaders.announceTerm(reportChannel)),
-                NEW_TERM_RESEND_MILLIS,
-                NEW_TERM_RESEND_MILLIS,
-                TimeUnit.MILLISECONDS);
-        eventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "report", this::report),
-                REPORT_INTERVAL_MILLIS,
-                REPORT_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
+        new FailureLoggingTask(events, "tell-former-leaders", () -> formerLeaders.announceTerm(reportChannel))
+                .scheduleEvery(NEW_TERM_RESEND_MILLIS, eventLoop);
+        new FailureLoggingTask(events, "report", this::report).scheduleEvery(REPORT_INTERVAL_MILLIS, eventLoop);
         eventLoop.execute(() -> {
             platform.start(this);
             tick();
@@ -283,7 +284,7 @@
         if (!coordinator.isLeading()) {
             return Map.of();
         }
-        Map<ServerStart, Double> limits = limitExchange.settledLimitsPerSecond();
+        Map<ServerStart, Double> limits = coldServers.addTo(limitExchange.settledLimitsPerSecond(), publishedServers);
         return serverViews.ofKeyedServices(
                 configuration.orElseThrow(), keyspaceLoad, publishedServers, limits, nowMillis);
     }
@@ -303,6 +304,7 @@
         }
         configuration = Optional.of(newest);
         eventLogger.logConfigurationApplied(newest);
+        coldServers.onConfiguration(newest);
         onConfiguration.accept(newest);
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/KeyspaceLoad.java
@@ -65,7 +65,7 @@
      * all servers and requests.
      *
      * @param servers known servers; another list object counts as a change
-     * @param limitPerSecondByServer limits that servers named
+     * @param limitPerSecondByServer limits that servers named, or that they have while they are cold
      */
     ServiceView view(
             ServiceId service,
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -54,6 +54,8 @@
     private final ActiveRoutes routing = new ActiveRoutes();
     private final RequestAdmission admission;
     private final LimitObserver limits;
+    private final LoadObserver loads;
+    private final ColdServerLog coldServers;
     private final RestObserver rests;
     private final ActiveRequests activeRequests = new ActiveRequests();
     private final CutOffRequests cutOffRequests;
@@ -78,13 +80,20 @@
         this.metrics = metrics;
         this.dispatcher = dispatcher;
         this.links = new ServerLinkMonitor(events, clockMillis, relayAccess.random(), this::onCutOffChanged);
-        this.connections = new ConnectionPool<>(eventLoop, clockMillis, CONNECT_TIMEOUT_MILLIS, MAX_IDLE_MILLIS, links);
+        this.connections = new ConnectionPool<>(
+                eventLoop,
+                clockMillis,
+                CONNECT_TIMEOUT_MILLIS,
+                MAX_IDLE_MILLIS,
+                new RefusedConnections(links, limitLink));
         links.setConnections(connections);
         this.droppedResponses = new DroppedResponseLog(events, clockMillis);
         connections.setDropListener(droppedResponses::onDropped);
         this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
         this.limits = new LimitObserver(headerNames.serverLimits(), dispatcher, events, limitLink::onLimitEnded);
+        this.coldServers = new ColdServerLog(dispatcher.coldServers(), events);
+        this.loads = new LoadObserver(headerNames.serverLoad(), events, metrics);
         this.rests = new RestObserver(headerNames, dispatcher, events, limitLink::onServerLeaving);
         this.admission = new RequestAdmission(headerNames, routing, responder);
         this.retryBudget = retryBudget;
@@ -135,6 +144,7 @@
         connections.evictStale(known::contains);
         links.onServers(servers);
         applyDecisions(dispatcher.onTopologyChanged(servers, table, clockMillis.getAsLong()));
+        coldServers.logChanges();
     }
 
     ServerLinkMonitor links() {
@@ -337,7 +347,7 @@
         ServerEntry server = attempt.decision.server();
         links.onAnswer(server.start());
         connections.release(server.start(), attempt.connection);
-        Optional<LoadReport> report = RequestHeaders.parseLoad(response.headers(), headerNames.serverLoad());
+        Optional<LoadReport> report = loads.read(server.start(), response);
         AttemptResult result =
                 ServerResponses.classify(response, headerNames, server.start().server());
         rests.onResponse(server.start(), response, clockMillis.getAsLong());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
@@ -25,6 +25,7 @@
  *     false for a process that is started again
  * @param evacuation times of the evacuations of data centres; empty if the deployment has none
  * @param hedging settings of second attempts of overdue requests; empty if there are none
+ * @param coldServers rate limit for cold servers
  */
 public record RouterSettings(
         VmId vm,
@@ -40,7 +41,8 @@
         RangeLeaseTimes leaseTimes,
         boolean firstStart,
         Optional<EvacuationTimes> evacuation,
-        Optional<HedgeSettings> hedging) {
+        Optional<HedgeSettings> hedging,
+        ColdServerSettings coldServers) {
     /**
      * Times of the evacuations of data centres.
      *
@@ -49,7 +51,7 @@
      */
     public record EvacuationTimes(long evacuateMillis, long entryIntervalMillis) {}
 
-    /** Creates the settings of a deployment without evacuations and second attempts. */
+    /** Creates the settings of a deployment without evacuations, second attempts and limits for cold servers. */
     public RouterSettings(
             VmId vm,
             DataCentreId dataCentre,
@@ -77,7 +79,8 @@
                 leaseTimes,
                 firstStart,
                 Optional.empty(),
-                Optional.empty());
+                Optional.empty(),
+                ColdServerSettings.OFF);
     }
 
     /** Returns the same settings with evacuations. */
@@ -96,6 +99,7 @@
                 leaseTimes,
                 firstStart,
                 times,
-                hedging);
+                hedging,
+                coldServers);
     }
 }
