--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ColdServerControl.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ColdServerControl.java
@@ -18,9 +18,9 @@
 import org.lacewingthread.daemon.events.EventLog;
 
 /**
- * What the control thread knows of cold servers: their rates, for the balance of keys, and servers that refused a
- * connection and may come back cold before their entry says so. An entry VM that was refused tells the others by way of
- * the leader, or itself while no leader answers. Runs on the control thread unless stated otherwise.
+ * What the control thread knows of cold servers: their rates, for the balance of keys, and servers that may be
+ * cold before their entry says so, since they refused a connection or said so in a response. The entry VM that notices it
+ * tells the others by way of the leader, or itself while no leader answers. Runs on the control thread unless stated otherwise.
  */
 final class ColdServerControl {
     private static final String SUSPECTED = "coldSuspected";
@@ -82,12 +82,16 @@
         return rates.addTo(limitPerSecondByServer, servers);
     }
 
-    /** Records that a server refused a connection, and tells the other entry VMs; may be called on any thread. */
-    void onConnectionRefused(ServerStart server) {
+    /**
+     * Records that a server may be cold, and tells the other entry VMs; may be called on any thread.
+     *
+     * @param reason what shows that
+     */
+    void onSuspected(ServerStart server, String reason) {
         eventLoop.execute(() -> {
             long nowMillis = clockMillis.getAsLong();
             toldMillis.values().removeIf(told -> nowMillis - told >= TELL_INTERVAL_MILLIS);
-            if (!suspect(server) || toldMillis.putIfAbsent(server, nowMillis) != null) {
+            if (!suspect(server, reason) || toldMillis.putIfAbsent(server, nowMillis) != null) {
                 return;
             }
             if (broadcaster.isLeading() || !broadcaster.isLeaderAnswering()) {
@@ -99,7 +103,7 @@
     }
 
     /**
-     * Handles a datagram if it is about a server that refused connections; returns whether it is.
+     * Handles a datagram if it is about a server that may be cold; returns whether it is.
      *
      * @throws IllegalArgumentException if the server's id is not valid
      */
@@ -110,7 +114,7 @@
         ServerStart server = new ServerStart(
                 new ServerId(message.path(SUSPECTED).asText()),
                 message.path(STARTED).asLong());
-        if (suspect(server) && message.path(PASS_ON).asBoolean() && broadcaster.isLeading()) {
+        if (suspect(server, "told by another VM") && message.path(PASS_ON).asBoolean() && broadcaster.isLeading()) {
             broadcaster.sendToAll(message(server, false));
         }
         return true;
@@ -124,7 +128,7 @@
     }
 
     /** Counts a server as cold until an entry could have been read that was written later; returns whether it matters. */
-    private boolean suspect(ServerStart server) {
+    private boolean suspect(ServerStart server, String reason) {
         long nowMillis = clockMillis.getAsLong();
         boolean limited = registry.servers(nowMillis).stream()
                 .anyMatch(known -> known.start().equals(server)
@@ -135,7 +139,14 @@
         long untilMillis = nowMillis + SUSPECTED_ENTRY_INTERVALS * settings.entryIntervalMillis();
         if (registry.suspectCold(server, untilMillis)) {
             metrics.onColdSuspected();
-            events.write("server.cold-suspected", "server", server, "until_view_in_ms", untilMillis - nowMillis);
+            events.write(
+                    "server.cold-suspected",
+                    "server",
+                    server,
+                    "reason",
+                    reason,
+                    "until_view_in_ms",
+                    untilMillis - nowMillis);
         }
         return true;
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLimitLink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLimitLink.java
@@ -28,7 +28,7 @@
     }
 
     @Override
-    public void onConnectionRefused(ServerStart server) {
-        controlLoop.get().coldServers().onConnectionRefused(server);
+    public void onSuspectedCold(ServerStart server, String reason) {
+        controlLoop.get().coldServers().onSuspected(server, reason);
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/HeaderNames.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/HeaderNames.java
@@ -16,6 +16,7 @@
  * @param notExecuted present in a response if the server did not run the request
  * @param rest seconds for which a server that turned a request away wants none of this entry VM
  * @param leaving {@value #LEAVING} in the responses of a server that leaves
+ * @param coldMillis milliseconds for which the server stays cold
  * @param key numeric key of the request
  */
 public record HeaderNames(
@@ -29,6 +30,7 @@
         String notExecuted,
         String rest,
         String leaving,
+        String coldMillis,
         String key) {
     /** Value that tells that a server leaves. */
     public static final String LEAVING = "1";
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LimitLink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LimitLink.java
@@ -14,6 +14,10 @@
     /** Called when a server's response said that it leaves. */
     void onServerLeaving(ServerStart server);
 
-    /** Called when a server refused a connection, so that it may come back cold. */
-    default void onConnectionRefused(ServerStart server) {}
+    /**
+     * Called when a server may be cold although its entry doesn't say so.
+     *
+     * @param reason what shows that, for the log
+     */
+    default void onSuspectedCold(ServerStart server, String reason) {}
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RefusedConnections.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RefusedConnections.java
@@ -29,7 +29,7 @@
     @Override
     public void onRefused(ServerStart server) {
         if (!links.isCutOff()) {
-            limitLink.onConnectionRefused(server);
+            limitLink.onSuspectedCold(server, "connection refused");
         }
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -55,7 +55,7 @@
     private final RequestAdmission admission;
     private final LimitObserver limits;
     private final LoadObserver loads;
-    private final ColdServerLog coldServers;
+    private final ColdServerObserver coldServers;
     private final RestObserver rests;
     private final ActiveRequests activeRequests = new ActiveRequests();
     private final CutOffRequests cutOffRequests;
@@ -91,7 +91,8 @@
         this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
         this.limits = new LimitObserver(headerNames.serverLimits(), dispatcher, events, limitLink::onLimitEnded);
-        this.coldServers = new ColdServerLog(dispatcher.coldServers(), events);
+        this.coldServers =
+                new ColdServerObserver(headerNames.coldMillis(), dispatcher.coldServers(), limitLink, events);
         this.loads = new LoadObserver(headerNames.serverLoad(), events, metrics);
         this.rests = new RestObserver(headerNames, dispatcher, events, limitLink::onServerLeaving);
         this.admission = new RequestAdmission(headerNames, routing, responder);
@@ -141,7 +142,6 @@
         connections.evictStale(known::contains);
         links.onServers(servers);
         applyDecisions(dispatcher.onTopologyChanged(servers, table, clockMillis.getAsLong()));
-        coldServers.logChanges();
     }
 
     /** Returns what is known of this VM's links to the servers. */
@@ -167,6 +167,7 @@
     void tick() {
         links.tick();
         crashGuard.tick();
+        coldServers.logChanges();
         long nowMillis = clockMillis.getAsLong();
         deadlines.endExpired(nowMillis);
         applyDecisions(dispatcher.reevaluate(nowMillis));
@@ -340,6 +341,7 @@
         AttemptResult result =
                 ServerResponses.classify(response, headerNames, server.start().server());
         rests.onResponse(server.start(), response, clockMillis.getAsLong());
+        coldServers.onResponse(server.start(), response);
         crashGuard.onResponse(request, server.start(), result);
         limits.onResponse(
                 server.start(), response, result, request.lastSentMillis.orElseThrow(), clockMillis.getAsLong());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -297,9 +297,11 @@
                 () -> engine.crashGuard().records().stream()
                         .filter(CrashRecord::isRejected)
                         .count());
-        metrics.gauge("servers.cold", "servers whose rate is limited while they are cold", coldServers::count);
-        metrics.gauge("cold.sent", "requests sent to servers limited since they are cold", coldServers::sentCount);
-        metrics.gauge("cold.held", "requests kept from servers limited since they are cold", coldServers::heldCount);
+        metrics.gauge("servers.cold.limited", "servers whose rate is limited while they are cold", coldServers::count);
+        metrics.gauge(
+                "servers.cold.sent", "requests sent to servers limited since they are cold", coldServers::sentCount);
+        metrics.gauge(
+                "servers.cold.held", "requests kept from servers limited since they are cold", coldServers::heldCount);
         metrics.gauge("store.calls", "calls to the store since the start", followed::storeCalls);
         metrics.gauge("log.dropped", "log lines dropped and not yet reported", events::droppedCount);
     }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
@@ -58,6 +58,7 @@
             "Not-Executed",
             "Retry-After",
             "Leaving",
+            "Cold",
             "Key");
 
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
