--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -208,21 +208,9 @@
         new StatusListener(events, (method, target) -> readiness()).open(controlGroup, settings.readinessAddress());
         new StatusListener(events, (method, target) -> quarantinePage.page(method, target, other -> metricsPage()))
                 .open(controlGroup, settings.metricsAddress());
-        trafficEventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "deadlines", engine::tick),
-                TRAFFIC_TICK_MILLIS,
-                TRAFFIC_TICK_MILLIS,
-                TimeUnit.MILLISECONDS);
-        trafficEventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "reach", this::reportReach),
-                REACH_INTERVAL_MILLIS,
-                REACH_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
-        trafficEventLoop.scheduleAtFixedRate(
-                new FailureLoggingTask(events, "service-times", this::reportServiceTimes),
-                SERVICE_TIMES_INTERVAL_MILLIS,
-                SERVICE_TIMES_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
+        every(TRAFFIC_TICK_MILLIS, "deadlines", engine::tick);
+        every(REACH_INTERVAL_MILLIS, "reach", this::reportReach);
+        every(SERVICE_TIMES_INTERVAL_MILLIS, "service-times", this::reportServiceTimes);
         controlLoop.openReportChannel(settings.reportAddress());
         relay.listen(
                 settings.reportAddress().getHostString(),
@@ -238,6 +226,11 @@
                 settings.firstStart());
     }
 
+    private void every(long intervalMillis, String name, Runnable task) {
+        FailureLoggingTask logging = new FailureLoggingTask(events, name, task);
+        trafficEventLoop.scheduleAtFixedRate(logging, intervalMillis, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+
     private void onServerCallEnded(ServerStart server, boolean answered, long elapsedMillis) {
         trafficEventLoop.execute(() -> {
             if (answered) {
