Cold servers: tell other VMs of a suspected server once, and of few servers in a second

Each refused connection or response of a cold server led to a message that the leader passed on to all VMs; with a data centre lost these would have been thousands a second. Only news is told now, and 20 a second at most.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ColdServerControl.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ColdServerControl.java
@@ -4,9 +4,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.dispatch.ColdRates;
 import org.lacewingthread.core.id.ServerId;
@@ -30,8 +30,10 @@
     private static final String STARTED = "serverStart";
     /** Entry intervals after which a server that came back has written an entry that can be read. */
     private static final int SUSPECTED_ENTRY_INTERVALS = 2;
-    /** Interval of messages about one server; many requests are refused while it is down. */
-    private static final long TELL_INTERVAL_MILLIS = 500;
+    /** Most servers told of in a second; when a data centre is lost, its servers are refused to each VM anyway. */
+    private static final int MAX_TOLD_PER_SECOND = 20;
+
+    private static final long MILLIS_PER_SECOND = 1_000;
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -42,7 +44,8 @@
     private final EventLog events;
     private final RouterMetrics metrics;
     private final CrashRecordExchange.Broadcaster broadcaster;
-    private final Map<ServerStart, Long> toldMillis = new HashMap<>();
+    private long toldSinceMillis = Long.MIN_VALUE / 2;
+    private int told;
     private ColdRates rates = ColdRates.NONE;
 
     ColdServerControl(
@@ -89,9 +92,7 @@
      */
     void onSuspected(ServerStart server, String reason) {
         eventLoop.execute(() -> {
-            long nowMillis = clockMillis.getAsLong();
-            toldMillis.values().removeIf(told -> nowMillis - told >= TELL_INTERVAL_MILLIS);
-            if (!suspect(server, reason) || toldMillis.putIfAbsent(server, nowMillis) != null) {
+            if (!suspect(server, reason) || !mayTell()) {
                 return;
             }
             if (broadcaster.isLeading() || !broadcaster.isLeaderAnswering()) {
@@ -102,6 +103,15 @@
         });
     }
 
+    private boolean mayTell() {
+        long nowMillis = clockMillis.getAsLong();
+        if (nowMillis - toldSinceMillis >= MILLIS_PER_SECOND) {
+            toldSinceMillis = nowMillis;
+            told = 0;
+        }
+        return ++told <= MAX_TOLD_PER_SECOND;
+    }
+
     /**
      * Handles a datagram if it is about a server that may be cold; returns whether it is.
      *
@@ -114,7 +124,10 @@
         ServerStart server = new ServerStart(
                 new ServerId(message.path(SUSPECTED).asText()),
                 message.path(STARTED).asLong());
-        if (suspect(server, "told by another VM") && message.path(PASS_ON).asBoolean() && broadcaster.isLeading()) {
+        if (suspect(server, "told by another VM")
+                && message.path(PASS_ON).asBoolean()
+                && broadcaster.isLeading()
+                && mayTell()) {
             broadcaster.sendToAll(message(server, false));
         }
         return true;
@@ -127,27 +140,30 @@
                 .put(PASS_ON, passOn);
     }
 
-    /** Counts a server as cold until an entry could have been read that was written later; returns whether it matters. */
+    /** Counts a server as cold until an entry could have been read that was written later; returns whether that is new. */
     private boolean suspect(ServerStart server, String reason) {
         long nowMillis = clockMillis.getAsLong();
-        boolean limited = registry.servers(nowMillis).stream()
-                .anyMatch(known -> known.start().equals(server)
-                        && rates.limits(known.entry().service()));
-        if (!limited) {
+        Optional<KnownServer> limited = registry.servers(nowMillis).stream()
+                .filter(known -> known.start().equals(server)
+                        && rates.limits(known.entry().service()))
+                .findFirst();
+        if (limited.isEmpty()) {
             return false;
         }
         long untilMillis = nowMillis + SUSPECTED_ENTRY_INTERVALS * settings.entryIntervalMillis();
-        if (registry.suspectCold(server, untilMillis)) {
-            metrics.onColdSuspected();
-            events.write(
-                    "server.cold-suspected",
-                    "server",
-                    server,
-                    "reason",
-                    reason,
-                    "until_view_in_ms",
-                    untilMillis - nowMillis);
+        registry.suspectCold(server, untilMillis);
+        if (limited.get().entry().cold()) {
+            return false;
         }
+        metrics.onColdSuspected();
+        events.write(
+                "server.cold-suspected",
+                "server",
+                server,
+                "reason",
+                reason,
+                "until_view_in_ms",
+                untilMillis - nowMillis);
         return true;
     }
 }
