Dispatch: overdue answers of repeatable requests no longer take their whole deadline

Servers of some services never answer a request that they can't queue. Callers waited until their deadline and got a 504, the server was not backed off, and the next requests went there too.

An answer is overdue after three times the expected time or the time of a full queue. The server counts as full, the connection is reset, and the request is sent again within attempts, budget and time. Requests that must not repeat are awaited. The rule is off for services whose servers say that they are full.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
@@ -18,6 +18,8 @@
     WITHHELD(false, false),
     /** The connection failed during the attempt, or the response was unusable. */
     BROKEN(false, true),
+    /** The answer was overdue, so that the server most likely was full and dropped the request without an answer. */
+    OVERDUE(false, false),
     /** The attempt timed out, or its caller no longer waits for it. */
     ABANDONED(false, false);
 
--- a/core/src/main/java/org/lacewingthread/core/dispatch/Refusals.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/Refusals.java
@@ -36,7 +36,11 @@
     }
 
     /** Refuses a request because no server can take it at the moment. */
-    static Decision.Refuse refuse(DispatchRequest request, RefusalCause cause) {
+    static Optional<Decision> atOnce(DispatchRequest request, RefusalCause cause) {
+        return Optional.of(refuse(request, cause));
+    }
+
+    private static Decision.Refuse refuse(DispatchRequest request, RefusalCause cause) {
         return refuse(request, cause, NO_OWNER_RETRY_AFTER_MILLIS);
     }
 
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -36,6 +36,7 @@
     private final ServerChooser serverChooser;
     private final Map<ServerStart, ServerLoadState> servers = new HashMap<>();
     private final Map<ServiceId, List<ServerLoadState>> serversByService = new HashMap<>();
+    private final OverdueAttempts overdueAttempts = new OverdueAttempts(servers);
     private final WaitingRequests waiting = new WaitingRequests();
     private final ServerLimits limits;
     private final RestPeriods rests = new RestPeriods();
@@ -194,11 +195,19 @@
         if (state != null) {
             state.onEnded(result, elapsedMillis, report, nowMillis);
         }
+        if (result == AttemptResult.REJECTED && report.isPresent()) {
+            overdueAttempts.onRejected(send.request().service());
+        }
         List<Decision> decisions = new ArrayList<>();
         decide(send.request().service(), decisions, nowMillis);
         return decisions;
     }
 
+    /** Returns the rule by which answers are overdue. */
+    public OverdueAttempts overdueAttempts() {
+        return overdueAttempts;
+    }
+
     /** Decides again about all waiting requests; to be called periodically. */
     public List<Decision> reevaluate(long nowMillis) {
         rests.removeEnded(nowMillis);
@@ -303,7 +312,7 @@
         }
         ServerLoadState owner = servers.get(ownership.get().owner());
         if (owner == null || owner.isReplaced() || !owner.knownServer().acceptsOwnedKeys(nowMillis)) {
-            return refuse(request, RefusalCause.OWNER_GONE);
+            return Refusals.atOnce(request, RefusalCause.OWNER_GONE);
         }
         if (mayHaveBegunToLeave(owner)) {
             return Refusals.unlessMayWait(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
@@ -315,7 +324,7 @@
         // An ejected owner is still used: it may reset connections because it is full, and no other server
         // can run the request.
         if (cutOff || owner.isUnreachable(nowMillis)) {
-            return refuse(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
+            return Refusals.atOnce(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
         }
         int ahead = aheadByServer.getOrDefault(owner.entry().start().server(), 0);
         return decideForServer(request, owner, ahead, aheadByServer, nowMillis);
@@ -327,7 +336,7 @@
                 .filter(state -> state.knownServer().isReady() && !state.isReplaced())
                 .toList();
         if (ready.isEmpty()) {
-            return refuse(request, RefusalCause.NO_SERVER);
+            return Refusals.atOnce(request, RefusalCause.NO_SERVER);
         }
         if (!registryIsCurrent.getAsBoolean()) {
             return Refusals.unlessMayWait(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
@@ -345,7 +354,7 @@
             return Optional.of(refusals.withoutPermit(request));
         }
         if (cutOff || unlimited.stream().allMatch(state -> state.isUnreachable(nowMillis))) {
-            return refuse(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
+            return Refusals.atOnce(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
         }
         List<ServerLoadState> healthy = unlimited.stream()
                 .filter(state -> !state.isEjected(nowMillis))
@@ -386,8 +395,4 @@
         aheadByServer.merge(state.entry().start().server(), 1, Integer::sum);
         return Optional.empty();
     }
-
-    private static Optional<Decision> refuse(DispatchRequest request, RefusalCause cause) {
-        return Optional.of(Refusals.refuse(request, cause));
-    }
 }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -56,6 +56,8 @@
     private int entryVmCount = 1;
     private double serviceMillis = INITIAL_SERVICE_MILLIS;
     private double backoffMillis;
+    private int answers;
+    private int silentSinceAnswer;
     private boolean replaced;
     private int consecutiveFailures;
     private long ejectedUntilMillis = Long.MIN_VALUE / 2;
@@ -132,17 +134,19 @@
                     ? Math.min(serviceMillis, sampleMillis)
                     : serviceMillis + SMOOTHING_FACTOR * (sampleMillis - serviceMillis);
         }
+        if (result == AttemptResult.ANSWERED) {
+            answers++;
+            silentSinceAnswer = 0;
+        } else if (result == AttemptResult.OVERDUE) {
+            onSilent(nowMillis);
+        }
         boolean rejected = result == AttemptResult.REJECTED || result == AttemptResult.BROKEN;
         int longQueuePerSlot = isThrottled() ? THROTTLED_LONG_QUEUE_PER_SLOT : LONG_QUEUE_PER_SLOT;
         boolean queueIsLong = report.map(load -> load.waiting() > longQueuePerSlot * load.slots())
                 .orElse(false);
         if (rejected || queueIsLong) {
-            int ahead = report.map(LoadReport::total)
-                    .orElse(ASSUMED_FULL_LOAD_PER_SLOT * knownServer.entry().slots());
-            double drainMillis =
-                    ahead * serviceMillis / Math.max(1, knownServer.entry().slots());
-            backoffMillis = Math.min(MAX_BACKOFF_MILLIS, Math.max(drainMillis, backoffMillis * BACKOFF_GROWTH));
-            backoffUntilMillis = nowMillis + Math.round(backoffMillis);
+            int assumed = ASSUMED_FULL_LOAD_PER_SLOT * knownServer.entry().slots();
+            backOff(report.map(LoadReport::total).orElse(assumed), nowMillis);
         } else if (result == AttemptResult.ANSWERED) {
             backoffMillis *= BACKOFF_DECAY;
         } else if (result == AttemptResult.MISDIRECTED) {
@@ -152,6 +156,31 @@
         updateHealth(result, nowMillis);
     }
 
+    /** Records that a request got no answer in the time of a full queue; the server counts as full. */
+    void onSilent(long nowMillis) {
+        silentSinceAnswer++;
+        int assumed = ASSUMED_FULL_LOAD_PER_SLOT * knownServer.entry().slots();
+        otherVmsLoad.onReported(assumed, nowMillis);
+        backOff(assumed, nowMillis);
+    }
+
+    private void backOff(int ahead, long nowMillis) {
+        double drainMillis =
+                ahead * serviceMillis / Math.max(1, knownServer.entry().slots());
+        backoffMillis = Math.min(MAX_BACKOFF_MILLIS, Math.max(drainMillis, backoffMillis * BACKOFF_GROWTH));
+        backoffUntilMillis = nowMillis + Math.round(backoffMillis);
+    }
+
+    /** Returns the number of answers from which the service time is known. */
+    int answers() {
+        return answers;
+    }
+
+    /** Returns the number of overdue attempts since the last answer. */
+    int silentSinceAnswer() {
+        return silentSinceAnswer;
+    }
+
     /** Returns whether another server now has this server's address, which means that this one has ended. */
     boolean isReplaced() {
         return replaced;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -77,6 +77,8 @@
         final long startedNanos;
         OutboundConnection connection;
         boolean ended;
+        /** Whether the server counts as full since the answer was overdue. */
+        boolean overdue;
         /** Crashes in a row under the request that were known when it was sent. */
         int knownCrashRounds;
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
@@ -5,32 +5,37 @@
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.http.ConnectionPool;
 
-/** Ends requests whose deadline has passed. Runs on the traffic thread. */
+/** Ends requests whose deadline has passed, and attempts whose answer is overdue. Runs on the traffic thread. */
 final class RequestDeadlines {
     private final RequestEngine engine;
     private final RequestDispatcher dispatcher;
     private final ConnectionPool<ServerStart> connections;
     private final ResponseSender responder;
     private final ActiveRequests activeRequests;
+    private final OverdueRequests overdue;
 
     RequestDeadlines(
             RequestEngine engine,
             RequestDispatcher dispatcher,
             ConnectionPool<ServerStart> connections,
             ResponseSender responder,
-            ActiveRequests activeRequests) {
+            ActiveRequests activeRequests,
+            OverdueRequests overdue) {
         this.engine = engine;
         this.dispatcher = dispatcher;
         this.connections = connections;
         this.responder = responder;
         this.activeRequests = activeRequests;
+        this.overdue = overdue;
     }
 
-    /** Answers all requests whose deadline has passed. */
+    /** Answers all requests whose deadline has passed, and sends overdue ones again. */
     void endExpired(long nowMillis) {
         for (ActiveRequest request : activeRequests.all()) {
             if (nowMillis >= request.deadlineMillis) {
                 end(request);
+            } else {
+                overdue.check(request, nowMillis);
             }
         }
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -91,7 +91,13 @@
         this.relays = new RelaySender(relayAccess, dispatcher, this, retries, responder, events, clockMillis);
         this.cutOffRequests =
                 new CutOffRequests(this, dispatcher, connections, relays, retries, activeRequests, clockMillis);
-        this.deadlines = new RequestDeadlines(this, dispatcher, connections, responder, activeRequests);
+        this.deadlines = new RequestDeadlines(
+                this,
+                dispatcher,
+                connections,
+                responder,
+                activeRequests,
+                new OverdueRequests(this, dispatcher, retries));
         this.crashGuard = new CrashGuard(
                 this,
                 retries,
@@ -321,6 +327,12 @@
         return true;
     }
 
+    /** Sends a request again whose answer is overdue; the server may have run it, or may still do so. */
+    void repeatOverdue(ActiveRequest request, ActiveRequest.Attempt attempt) {
+        attempt.connection.abort();
+        onFailure(request, attempt, AttemptResult.OVERDUE, "overdue");
+    }
+
     /** Called when a server sent a complete response. */
     void onResponse(ActiveRequest request, ActiveRequest.Attempt attempt, FullResponse response) {
         ServerEntry server = attempt.decision.server();
@@ -360,19 +372,22 @@
         rests.onForwarded(server, response);
     }
 
-    /** Called when an attempt ended without a response; {@link AttemptResult#BROKEN} if it was sent. */
+    /** Called when an attempt ended without a response; {@link AttemptResult#BROKEN} or OVERDUE if it was sent. */
     void onFailure(ActiveRequest request, ActiveRequest.Attempt attempt, AttemptResult result, String reason) {
         if (!endAttempt(attempt, result, Optional.empty())) {
             return;
         }
         attempt.addToSummary(request.attemptSummary, reason);
-        if (result == AttemptResult.BROKEN) {
+        if (result == AttemptResult.BROKEN || result == AttemptResult.OVERDUE) {
             crashGuard.onBroken(request, attempt);
         }
         if (request.finished) {
             return;
         }
-        if (result == AttemptResult.BROKEN) {
+        if (result == AttemptResult.OVERDUE) {
+            request.mayHaveRun = true;
+            retries.repeat(request);
+        } else if (result == AttemptResult.BROKEN) {
             request.mayHaveRun = true;
             retries.retryOrFail(request, Optional.empty(), reason);
         } else if (++request.unsentAttempts < MAX_UNSENT_ATTEMPTS) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -100,9 +100,7 @@
      */
     void retryOrFail(ActiveRequest request, Optional<FullResponse> failure, String reason) {
         if (tryRepeat(request)) {
-            if (!engine.crashGuard().awaitsTest(request)) {
-                engine.submit(request);
-            }
+            repeat(request);
             return;
         }
         engine.finish(request);
@@ -113,6 +111,13 @@
         }
     }
 
+    /** Sends a request again, once the test of its last server has ended. */
+    void repeat(ActiveRequest request) {
+        if (!engine.crashGuard().awaitsTest(request)) {
+            engine.submit(request);
+        }
+    }
+
     /** Refuses a finished request that another entry VM refused; fails it if an earlier attempt may have run. */
     void refuseRelayed(ActiveRequest request, Failure failure) {
         if (request.mayHaveRun) {
