--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -34,16 +34,15 @@
     private final Refusals refusals;
     private final ServerChooser serverChooser;
     private final Map<ServerStart, ServerLoadState> servers = new HashMap<>();
-    private final Map<ServiceId, List<ServerLoadState>> serversByService = new HashMap<>();
+    private final ServiceServers serviceServers = new ServiceServers(servers);
+    private final OverdueAttempts overdueAttempts = new OverdueAttempts(servers);
     private final WaitingRequests waiting = new WaitingRequests();
     private final ServerLimits limits;
     private final RestPeriods rests = new RestPeriods();
     private final SendGate gate;
     private final HedgeTargets hedgeTargets;
     private RangeTable rangeTable = RangeTable.EMPTY;
-    private Map<ServiceId, Integer> connectionLimits = Map.of();
     private boolean cutOff;
-    private int entryVmCount = 1;
 
     /** Creates a dispatcher for an entry VM in a data centre; the seeded random numbers spread requests over servers. */
     public RequestDispatcher(DataCentreId dataCentre, RandomGenerator random) {
@@ -62,18 +61,8 @@
     /** Updates the known servers and the owners of key ranges, and decides about all waiting requests. */
     public List<Decision> onTopologyChanged(List<KnownServer> known, RangeTable ranges, long nowMillis) {
         rangeTable = ranges;
-        serversByService.clear();
-        Map<ServerStart, ServerLoadState> former = new HashMap<>(servers);
-        servers.clear();
-        for (KnownServer server : known) {
-            ServerLoadState state = former.getOrDefault(server.start(), new ServerLoadState(server));
-            state.update(server);
-            applyLimits(state);
-            servers.put(server.start(), state);
-            serversByService
-                    .computeIfAbsent(server.entry().service(), service -> new ArrayList<>())
-                    .add(state);
-        }
+        serviceServers.update(known);
+        serverChooser.retain(servers.keySet());
         limits.onServers(known, nowMillis);
         return reevaluate(nowMillis);
     }
@@ -105,9 +94,9 @@
 
     /** Sets the number of entry VMs, which share the limits of servers and the tests of slow ones. */
     public void onEntryVmCount(int count) {
-        entryVmCount = count;
+        serviceServers.setEntryVmCount(count);
+        serverChooser.setEntryVmCount(count);
         limits.setEntryVmCount(count);
-        servers.values().forEach(this::applyLimits);
     }
 
     /**
@@ -133,13 +122,7 @@
      * @param limitByService limits by service; a service without an entry has no limit
      */
     public void onConnectionLimits(Map<ServiceId, Integer> limitByService) {
-        connectionLimits = Map.copyOf(limitByService);
-        servers.values().forEach(this::applyLimits);
-    }
-
-    private void applyLimits(ServerLoadState state) {
-        state.setEntryVmCount(entryVmCount);
-        state.setConnectionLimit(connectionLimits.getOrDefault(state.entry().service(), Integer.MAX_VALUE));
+        serviceServers.setConnectionLimits(limitByService);
     }
 
     /**
@@ -175,7 +158,9 @@
         boolean mayHedge = !cutOff
                 && request.key().isEmpty()
                 && waiting.of(request.service()).isEmpty();
-        return mayHedge ? hedgeTargets.choose(serversOf(request), request, nowMillis) : Optional.empty();
+        return mayHedge
+                ? hedgeTargets.choose(serviceServers.of(request.service()), request, nowMillis)
+                : Optional.empty();
     }
 
     /** Removes a waiting request whose caller has disconnected. */
@@ -194,12 +179,21 @@
         ServerLoadState state = servers.get(send.server().start());
         if (state != null) {
             state.onEnded(result, elapsedMillis, report, nowMillis);
+            serviceServers.assumeServiceTimes(send.request().service());
+        }
+        if (result == AttemptResult.REJECTED && report.isPresent()) {
+            overdueAttempts.onRejected(send.request().service());
         }
         List<Decision> decisions = new ArrayList<>();
         decide(send.request().service(), decisions, nowMillis);
         return decisions;
     }
 
+    /** Returns the rule by which answers are overdue. */
+    public OverdueAttempts overdueAttempts() {
+        return overdueAttempts;
+    }
+
     /** Decides again about all waiting requests; to be called periodically. */
     public List<Decision> reevaluate(long nowMillis) {
         rests.removeEnded(nowMillis);
@@ -295,13 +289,13 @@
         Optional<RangeOwnership> ownership =
                 rangeTable.find(request.service(), request.key().getAsInt());
         if (ownership.isEmpty() || ownership.get().isMoving()) {
-            return SendGate.refuseIfEvacuated(request, serversOf(request))
+            return SendGate.refuseIfEvacuated(request, serviceServers.of(request.service()))
                     .or(() -> Refusals.unlessMayWait(request, RefusalCause.NO_OWNER, nowMillis));
         }
         ServerLoadState owner = servers.get(ownership.get().owner());
         if (owner == null || owner.isReplaced() || !owner.knownServer().acceptsOwnedKeys(nowMillis)) {
             boolean evacuated = owner != null && owner.knownServer().evacuated();
-            return refuse(request, evacuated ? RefusalCause.EVACUATED : RefusalCause.OWNER_GONE);
+            return Refusals.atOnce(request, evacuated ? RefusalCause.EVACUATED : RefusalCause.OWNER_GONE);
         }
         if (!gate.allows(owner.knownServer())) {
             return Refusals.unlessMayWait(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
@@ -313,24 +307,21 @@
         // An ejected owner is still used: it may reset connections because it is full, and no other server
         // can run the request.
         if (cutOff || owner.isUnreachable(nowMillis)) {
-            return refuse(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
+            return Refusals.atOnce(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
         }
         int ahead = aheadByServer.getOrDefault(owner.entry().start().server(), 0);
         return decideForServer(request, owner, ahead, aheadByServer, nowMillis);
     }
 
-    private List<ServerLoadState> serversOf(DispatchRequest request) {
-        return serversByService.getOrDefault(request.service(), List.of());
-    }
-
     private Optional<Decision> decideUnkeyed(
             DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
-        List<ServerLoadState> ready = serversOf(request).stream()
+        List<ServerLoadState> known = serviceServers.of(request.service());
+        List<ServerLoadState> ready = known.stream()
                 .filter(state -> state.knownServer().isReady() && !state.isReplaced())
                 .toList();
         if (ready.isEmpty()) {
-            return SendGate.refuseIfEvacuated(request, serversOf(request))
-                    .or(() -> refuse(request, RefusalCause.NO_SERVER));
+            return SendGate.refuseIfEvacuated(request, known)
+                    .or(() -> Refusals.atOnce(request, RefusalCause.NO_SERVER));
         }
         if (!gate.allows(ready.get(0).knownServer())) {
             return Refusals.unlessMayWait(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
@@ -348,7 +339,7 @@
             return Optional.of(refusals.withoutPermit(request));
         }
         if (cutOff || unlimited.stream().allMatch(state -> state.isUnreachable(nowMillis))) {
-            return refuse(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
+            return Refusals.atOnce(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
         }
         List<ServerLoadState> healthy = unlimited.stream()
                 .filter(state -> !state.isEjected(nowMillis))
@@ -390,8 +381,4 @@
         aheadByServer.merge(state.entry().start().server(), 1, Integer::sum);
         return Optional.empty();
     }
-
-    private static Optional<Decision> refuse(DispatchRequest request, RefusalCause cause) {
-        return Optional.of(Refusals.refuse(request, cause));
-    }
 }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/SendGate.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/SendGate.java
@@ -31,8 +31,6 @@
                 servers.stream().anyMatch(state -> state.knownServer().isReady());
         boolean someEvacuated =
                 servers.stream().anyMatch(state -> state.knownServer().evacuated());
-        return !someReady && someEvacuated
-                ? Optional.of(Refusals.refuse(request, RefusalCause.EVACUATED))
-                : Optional.empty();
+        return !someReady && someEvacuated ? Refusals.atOnce(request, RefusalCause.EVACUATED) : Optional.empty();
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -84,6 +84,8 @@
         OptionalLong sentMillis = OptionalLong.empty();
 
         boolean ended;
+        /** Whether the server counts as full since the answer was overdue. */
+        boolean overdue;
         /** Crashes in a row under the request that were known when it was sent. */
         int knownCrashRounds;
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -181,7 +181,6 @@
         });
     }
 
-    /** Stops leading and lets the platform select another entry VM. */
     void leave() {
         eventLoop.execute(() -> {
             stopped = true;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -53,10 +53,7 @@
     private final LimitLink limitLink;
     private final ActiveRoutes routing = new ActiveRoutes();
     private final RequestAdmission admission;
-    private final LimitObserver limits;
-    private final LoadObserver loads;
-    private final ColdServerObserver coldServers;
-    private final RestObserver rests;
+    private final ResponseObservers responseObservers;
     private final ActiveRequests activeRequests = new ActiveRequests();
     private final CutOffRequests cutOffRequests;
     private final RequestDeadlines deadlines;
@@ -91,18 +88,14 @@
         connections.setDropListener(droppedResponses::onDropped);
         this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
-        this.limits = new LimitObserver(headerNames.serverLimits(), dispatcher, events, limitLink::onLimitEnded);
-        this.coldServers =
-                new ColdServerObserver(headerNames.coldMillis(), dispatcher.coldServers(), limitLink, events);
-        this.loads = new LoadObserver(headerNames.serverLoad(), events, metrics);
-        this.rests = new RestObserver(headerNames, dispatcher, events, limitLink::onServerLeaving);
+        this.responseObservers = new ResponseObservers(headerNames, dispatcher, limitLink, events, metrics);
         this.admission = new RequestAdmission(headerNames, routing, responder);
         this.retryBudget = retryBudget;
         this.retries = new RequestRetries(this, responder, retryBudget, clockMillis);
         this.relays = new RelaySender(relayAccess, dispatcher, this, retries, responder, events, clockMillis);
         this.cutOffRequests =
                 new CutOffRequests(this, dispatcher, connections, relays, retries, activeRequests, clockMillis);
-        this.deadlines = new RequestDeadlines(this, dispatcher, connections, responder, activeRequests);
+        this.deadlines = new RequestDeadlines(this, dispatcher, connections, responder, activeRequests, retries);
         this.crashGuard = new CrashGuard(
                 this,
                 retries,
@@ -163,7 +156,6 @@
         cutOffRequests.onCutOffChanged(cutOff);
     }
 
-    /** Returns what keeps requests that crash servers from further servers. */
     CrashGuard crashGuard() {
         return crashGuard;
     }
@@ -172,7 +164,7 @@
     void tick() {
         links.tick();
         crashGuard.tick();
-        coldServers.logChanges();
+        responseObservers.logChanges();
         long nowMillis = clockMillis.getAsLong();
         deadlines.endExpired(nowMillis);
         hedges.tick(nowMillis);
@@ -261,7 +253,6 @@
         applyDecisions(dispatcher.submit(request.queuedRequest.get(), clockMillis.getAsLong()));
     }
 
-    /** Carries out the dispatcher's decisions. */
     void applyDecisions(List<Decision> decisions) {
         for (Decision decision : decisions) {
             ActiveRequest request =
@@ -348,13 +339,10 @@
         ServerEntry server = attempt.decision.server();
         links.onAnswer(server.start());
         connections.release(server.start(), attempt.connection);
-        Optional<LoadReport> report = loads.read(server.start(), response);
         AttemptResult result =
                 ServerResponses.classify(response, headerNames, server.start().server());
-        rests.onResponse(server.start(), response, clockMillis.getAsLong());
-        coldServers.onResponse(server.start(), response);
+        Optional<LoadReport> report = responseObservers.onResponse(attempt, response, result, clockMillis.getAsLong());
         crashGuard.onResponse(request, server.start(), result);
-        limits.onResponse(server.start(), response, result, attempt.sentMillis.orElseThrow(), clockMillis.getAsLong());
         if (!endAttempt(attempt, result, report)) {
             return;
         }
@@ -382,26 +370,26 @@
 
     /** Called when another entry VM forwarded a server's response. */
     void onRelayedResponse(ServerStart server, FullResponse response) {
-        rests.onForwarded(server, response);
+        responseObservers.onForwarded(server, response);
     }
 
-    /** Called when an attempt ended without a response; {@link AttemptResult#BROKEN} if it was sent. */
+    /** Called when an attempt ended without a response; {@link AttemptResult#BROKEN} or OVERDUE if it was sent. */
     void onFailure(ActiveRequest request, ActiveRequest.Attempt attempt, AttemptResult result, String reason) {
         if (!endAttempt(attempt, result, Optional.empty())) {
             return;
         }
         attempt.addToSummary(request.attemptSummary, reason);
-        if (result == AttemptResult.BROKEN) {
+        boolean mayHaveRun = result == AttemptResult.BROKEN || result == AttemptResult.OVERDUE;
+        if (mayHaveRun) {
             crashGuard.onBroken(request, attempt);
         }
-        if (request.finished) {
-            return;
-        }
-        if (hedges.otherAttemptContinues(request, attempt, result == AttemptResult.BROKEN)) {
+        if (request.finished || hedges.otherAttemptContinues(request, attempt, mayHaveRun)) {
             return;
         }
-        if (result == AttemptResult.BROKEN) {
-            request.mayHaveRun = true;
+        request.mayHaveRun |= mayHaveRun;
+        if (result == AttemptResult.OVERDUE) {
+            retries.repeat(request);
+        } else if (result == AttemptResult.BROKEN) {
             retries.retryOrFail(request, Optional.empty(), reason);
         } else if (++request.unsentAttempts < MAX_UNSENT_ATTEMPTS) {
             submit(request);
