Bound the memory of callers' requests, servers' responses and what slow callers leave

Cause: callers that send heads of thousands of lines, or many bodies that stop short, end the process for lack of memory; a single body of 64 MiB does so with a heap of 160 MiB, since it is held in a growing array, copied, and copied again into one direct buffer when it is sent. One connection can keep the traffic thread for 16 reads of 64 KiB, and a stop cuts answers that slow callers have not taken.

Change: heads (bytes and lines), bodies, responses and their direct buffers are counted in one MemoryAccount of half the heap. Bodies are held once, in segments, and written in slices when the channel takes them. Requests wait, and are refused with 408, 413 or 503 before they are passed on. Connections are bounded by descriptors and heap. Each connection reads at most 16 KiB a turn. A connection counts as idle only when its responses are taken, also at a stop, and a slow caller gets the idle timeout for what the network holds.

--- a/core/src/main/java/org/lacewingthread/core/memory/MemoryAccount.java
+++ b/core/src/main/java/org/lacewingthread/core/memory/MemoryAccount.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Counts the bytes that a process holds for all its callers and servers, and decides who is paused or given up when they
@@ -48,6 +49,7 @@
     private final Set<MemoryHolding> holdings = new LinkedHashSet<>();
     private final Set<MemoryHolding> paused = new LinkedHashSet<>();
     private final Map<String, Long> bytesByOwner = new HashMap<>();
+    private final Map<EvictionReason, Long> evictionCounts = new ConcurrentHashMap<>();
     private long heldBytes;
     private long committedBytes;
     private long pauseCount;
@@ -201,7 +203,7 @@
         List<MemoryHolding> inOrder = new ArrayList<>(paused);
         inOrder.sort(Comparator.comparingLong(holding -> bytesByOwner.getOrDefault(holding.owner, 0L)));
         for (MemoryHolding holding : inOrder) {
-            if (!holding.paused || committedBytes + holding.expectedBytes > maxBytes) {
+            if (holding.released || !holding.paused || committedBytes + holding.expectedBytes > maxBytes) {
                 continue;
             }
             paused.remove(holding);
@@ -223,7 +225,7 @@
             return;
         }
         for (MemoryHolding holding : List.copyOf(holdings)) {
-            if (holding.use.isPausable() && !holding.paused && holding.slow) {
+            if (!holding.released && holding.use.isPausable() && !holding.paused && holding.slow) {
                 evict(holding, EvictionReason.TOO_SLOW);
             }
         }
@@ -246,7 +248,7 @@
     }
 
     private void evictAboveBound(long nowMillis) {
-        if (evicting) {
+        if (evicting || heldBytes <= maxBytes) {
             return;
         }
         while (heldBytes > maxBytes) {
@@ -256,6 +258,7 @@
             }
             evict(victim.get(), EvictionReason.EXHAUSTED);
         }
+        resume(nowMillis);
     }
 
     private Optional<MemoryHolding> victim(long nowMillis) {
@@ -269,6 +272,7 @@
 
     private void evict(MemoryHolding holding, EvictionReason reason) {
         remove(holding);
+        evictionCounts.merge(reason, 1L, Long::sum);
         evicting = true;
         try {
             holding.holder.onEvicted(reason);
@@ -292,6 +296,11 @@
         return paused.size();
     }
 
+    /** Returns how many requests and responses were given up for a reason. */
+    public long evictionCount(EvictionReason reason) {
+        return evictionCounts.getOrDefault(reason, 0L);
+    }
+
     /** Returns how often a sender was paused. */
     public long pauseCount() {
         return pauseCount;
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ConnectionPool.java
@@ -11,6 +11,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import org.lacewingthread.core.memory.MemoryAccount;
 
 /**
  * Pool of idle connections for each peer; the most recently used connection is reused first. All methods must be
@@ -90,6 +91,11 @@
         this.maxIdleMillis = maxIdleMillis;
     }
 
+    /** Counts the bodies of unfinished responses in the account of the process as well. */
+    public void countIn(MemoryAccount account) {
+        responseMemory.countIn(account, clockMillis);
+    }
+
     /** Sets who is told of responses that counted for no request. */
     public void setDropListener(BiConsumer<K, DroppedResponse> listener) {
         dropListener = listener;
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,16 +10,17 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.stream.ChunkedWriteHandler;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -41,6 +41,9 @@
     /** Maximum size of a response body; a larger one fails the request. */
     private static final int MAX_BODY_BYTES = 16 << 20;
 
+    /** Heap that a header line takes beside its text. */
+    private static final long HEADER_LINE_BYTES = 160;
+
     private final Channel channel;
     private final ResponseMemory memory;
     private final ResponseMemory.Reader memoryReader = this::onMemoryExhausted;
@@ -50,7 +53,7 @@
     private boolean awaitsHeadOnly;
     private EchoedHeader echoedHeader;
     private HttpResponse head;
-    private ByteArrayOutputStream body;
+    private SegmentedBody body;
     private boolean discardingResponse;
     /** The whole response while the read that brought it is not over; null otherwise. */
     private FullResponse wholeResponse;
@@ -109,6 +112,7 @@
                         channel.pipeline()
                                 .addLast(connection.decoder)
                                 .addLast(new HttpRequestEncoder())
+                                .addLast(new ChunkedWriteHandler())
                                 .addLast(connection.new Handler());
                     }
                 });
@@ -141,12 +145,16 @@
         requestWritten = false;
         sentRequests++;
         awaitsHeadOnly = HttpMethod.HEAD.equals(request.method());
-        channel.writeAndFlush(request).addListener(future -> {
+        HttpRequest headOnly =
+                new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers());
+        ChannelFuture written = BodySlices.write(channel, request, headOnly, bytes -> {});
+        written.addListener(future -> {
             requestWritten = future.isSuccess();
             if (!future.isSuccess()) {
                 fail("writing the request failed: " + future.cause());
             }
         });
+        channel.flush();
     }
 
     /** Sets who is told of responses that counted for no request. */
@@ -249,7 +257,8 @@
         }
         memory.remove(memoryReader);
         head = response;
-        body = new ByteArrayOutputStream();
+        body = new SegmentedBody();
+        memory.add(memoryReader, response.headers().size() * HEADER_LINE_BYTES);
     }
 
     private void onContent(HttpContent content) {
@@ -262,7 +271,7 @@
             return;
         }
         ByteBuf bytes = content.content();
-        if (body.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
+        if (body.sizeBytes() + bytes.readableBytes() > MAX_BODY_BYTES) {
             fail("the response body exceeds the limit of " + MAX_BODY_BYTES + " bytes");
             return;
         }
@@ -270,12 +279,7 @@
         if (body == null) {
             return;
         }
-        try {
-            bytes.readBytes(body, bytes.readableBytes());
-        } catch (IOException e) {
-            fail("buffering the response body failed: " + e);
-            return;
-        }
+        body.append(bytes, 0);
         if (content instanceof LastHttpContent) {
             onResponseComplete();
         }
@@ -297,8 +301,7 @@
         KeepAliveHeader.idleLimitMillis(response.headers().get(KeepAliveHeader.NAME))
                 .ifPresent(millis -> idleLimitMillis = millis);
         surplus = decoder.hasUndecodedBytes();
-        wholeResponse = new FullResponse(
-                response.status().code(), response.headers(), Unpooled.wrappedBuffer(body.toByteArray()));
+        wholeResponse = new FullResponse(response.status().code(), response.headers(), body.toByteBuf());
     }
 
     /** Hands a whole response over, once nothing that was read with it is left that the next request could meet. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/ResponseMemory.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ResponseMemory.java
@@ -3,10 +3,17 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongSupplier;
+import org.lacewingthread.core.memory.EvictionReason;
+import org.lacewingthread.core.memory.MemoryAccount;
+import org.lacewingthread.core.memory.MemoryHolder;
+import org.lacewingthread.core.memory.MemoryHolding;
+import org.lacewingthread.core.memory.MemoryUse;
 
 /**
  * Bounds the memory of all response bodies that are being read on one event loop. When it is used up, the connection with
- * the largest unfinished body fails, since a body without end is the likeliest cause.
+ * the largest unfinished body fails, since a body without end is the likeliest cause. The bytes are also counted in the
+ * account of the process, which may give up a body earlier.
  *
  * <pre>{@code
  * ResponseMemory memory = new ResponseMemory(32 << 20);
@@ -18,8 +25,14 @@
  * <p>Not safe for use by several threads.
  */
 public final class ResponseMemory {
+    /** Owner of all responses in the account; servers have no shares of their own. */
+    private static final String OWNER = "servers";
+
     private final long maxBytes;
     private final Map<Reader, Long> bytesByReader = new HashMap<>();
+    private final Map<Reader, MemoryHolding> holdingsByReader = new HashMap<>();
+    private MemoryAccount account = new MemoryAccount(Long.MAX_VALUE);
+    private LongSupplier clockMillis = () -> 0;
     private long totalBytes;
 
     /** A connection that reads a body. */
@@ -40,10 +53,18 @@
         this.maxBytes = maxBytes;
     }
 
+    /** Counts responses that begin from now on in the account of the process. */
+    void countIn(MemoryAccount processAccount, LongSupplier newClockMillis) {
+        account = processAccount;
+        clockMillis = newClockMillis;
+    }
+
     /** Counts bytes of a body; while there are too many, the readers with the most fail, which may include this one. */
-    void add(Reader reader, int bytes) {
-        bytesByReader.merge(reader, (long) bytes, Long::sum);
+    void add(Reader reader, long bytes) {
+        bytesByReader.merge(reader, bytes, Long::sum);
         totalBytes += bytes;
+        MemoryHolding holding = holdingsByReader.computeIfAbsent(reader, this::open);
+        account.add(holding, bytes, clockMillis.getAsLong());
         while (totalBytes > maxBytes) {
             Reader largest = bytesByReader.entrySet().stream()
                     .max(Comparator.comparingLong(Map.Entry::getValue))
@@ -54,10 +75,34 @@
         }
     }
 
+    private MemoryHolding open(Reader reader) {
+        MemoryHolder holder = new MemoryHolder() {
+            @Override
+            public void onPaused() {
+                throw new IllegalStateException("the response of a server was paused, but only requests can be");
+            }
+
+            @Override
+            public void onResumed() {
+                throw new IllegalStateException("the response of a server was resumed, but only requests can be");
+            }
+
+            @Override
+            public void onEvicted(EvictionReason reason) {
+                reader.onMemoryExhausted();
+            }
+        };
+        return account.open(OWNER, MemoryUse.INCOMPLETE_RESPONSE, holder, clockMillis.getAsLong());
+    }
+
     /** Forgets the bytes of a body that is complete or was given up. */
     void remove(Reader reader) {
         Long bytes = bytesByReader.remove(reader);
         totalBytes -= bytes == null ? 0 : bytes;
+        MemoryHolding holding = holdingsByReader.remove(reader);
+        if (holding != null) {
+            account.release(holding, clockMillis.getAsLong());
+        }
     }
 
     /** Returns the bytes of all unfinished bodies. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -3,17 +3,18 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -21,11 +22,15 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import org.lacewingthread.core.memory.EvictionReason;
+import org.lacewingthread.core.memory.MemoryAccount;
+import org.lacewingthread.core.memory.MemoryHolder;
+import org.lacewingthread.daemon.http.BodySlices;
 
 /**
  * Handles one caller's HTTP/1.1 connection. Pipelined requests are processed concurrently; responses are
@@ -38,57 +43,82 @@
     /** Time that a caller has to close its side of the connection after the last response. */
     private static final long LINGER_MILLIS = 1_000;
 
+    /** A caller that takes longer for a response than this gets the idle timeout to take the rest of it. */
+    private static final long SLOW_MILLIS = 100;
+
     private final CallerListener listener;
     private final CallerRequestHandler requestHandler;
     private final LongSupplier clockMillis;
     private final Deque<PendingResponse> pendingResponses = new ArrayDeque<>();
     private Channel channel;
-    private HttpRequest head;
-    private ByteArrayOutputStream body;
+    private final MemoryAccount account;
+    private RequestDecoder decoder;
+    private String callerAddress = "";
+    /** The request that is being received; null between requests. */
+    private IncomingRequest incoming;
+
     private long headReadMillis;
+    /** Whether the account lets the caller wait. */
+    private boolean paused;
+    /** Responses of which a part was not written. */
+    private int unwrittenResponses;
+
     private long lastActiveMillis;
+    /** Whether the caller took a response slowly, so that the network may still hold a part of it. */
+    private boolean slowCaller;
+
     private boolean closing;
     private boolean draining;
     private boolean refusing;
 
-    CallerConnection(CallerListener listener, CallerRequestHandler requestHandler, LongSupplier clockMillis) {
+    CallerConnection(
+            CallerListener listener,
+            CallerRequestHandler requestHandler,
+            MemoryAccount account,
+            LongSupplier clockMillis) {
         this.listener = listener;
         this.requestHandler = requestHandler;
+        this.account = account;
         this.clockMillis = clockMillis;
     }
 
-    /** Response to one request, held until all earlier responses have been written. */
-    private final class PendingResponse implements CallerResponder {
-        private final boolean headRequest;
-        private final boolean keepAlive;
-        private CallerRequest request;
-        private FullHttpResponse response;
+    /** Creates the decoder of this connection, which must precede it in the pipeline. */
+    RequestDecoder newDecoder(int maxHeaderBytes) {
+        decoder = new RequestDecoder(maxHeaderBytes, this::onHeadPart);
+        return decoder;
+    }
 
-        private PendingResponse(boolean headRequest, boolean keepAlive) {
-            this.headRequest = headRequest;
-            this.keepAlive = keepAlive;
+    /** Pauses and refuses the request that is being received. */
+    private final class IncomingMemory implements MemoryHolder {
+        @Override
+        public void onPaused() {
+            paused = true;
+            updateReading();
         }
 
         @Override
-        public void respond(int status, HttpHeaders headers, ByteBuf body) {
-            if (response != null) {
-                return;
-            }
-            response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status),
-                    headRequest ? Unpooled.EMPTY_BUFFER : body.retainedDuplicate());
-            response.headers().set(headers);
-            if (status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code()) {
-                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-            }
-            writeReadyResponses();
+        public void onResumed() {
+            paused = false;
+            updateReading();
+        }
+
+        @Override
+        public void onEvicted(EvictionReason reason) {
+            boolean slow = reason == EvictionReason.TOO_SLOW;
+            reject(
+                    slow ? 408 : 503,
+                    slow
+                            ? "the request makes too little progress while others wait for memory"
+                            : "the memory for requests is used up, and this one deserves it least");
         }
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
+        callerAddress = context.channel().remoteAddress() instanceof InetSocketAddress address
+                ? address.getAddress().getHostAddress()
+                : "";
         lastActiveMillis = clockMillis.getAsLong();
         refusing = listener.isDraining();
         listener.onOpened(this);
@@ -98,23 +128,52 @@
     public void channelInactive(ChannelHandlerContext context) {
         listener.onClosed(this);
         closing = true;
-        pendingResponses.stream()
-                .filter(pending -> pending.response == null && pending.request != null)
-                .forEach(pending -> requestHandler.onCallerDisconnected(pending.request));
-        pendingResponses.clear();
+        dropIncoming();
+        cancelPendingRequests();
+    }
+
+    private void dropIncoming() {
+        paused = false;
+        if (incoming != null) {
+            incoming.release();
+            incoming = null;
+        }
+    }
+
+    private void onHeadPart(int bytes, int lines) {
+        if (closing || draining) {
+            return;
+        }
+        receiving().onHeadPart(bytes, lines);
+    }
+
+    private IncomingRequest receiving() {
+        if (incoming == null) {
+            incoming = new IncomingRequest(account, clockMillis, callerAddress, new IncomingMemory());
+        }
+        return incoming;
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        int undecodedBytes = decoder.undecodedBytes();
+        if (!closing && !draining && (incoming != null || undecodedBytes > 0)) {
+            receiving().onUndecoded(undecodedBytes);
+        }
+        context.fireChannelReadComplete();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
-            lastActiveMillis = clockMillis.getAsLong();
             if (closing) {
                 return;
             }
+            lastActiveMillis = clockMillis.getAsLong();
             if (message instanceof HttpRequest request && !draining) {
                 onHead(request);
             }
-            if (message instanceof HttpContent content && head != null) {
+            if (message instanceof HttpContent content && hasHead()) {
                 onContent(content);
             }
         } finally {
@@ -136,9 +195,13 @@
                     "the request body exceeds the limit of " + listener.limits().maxBodyBytes() + " bytes");
             return;
         }
-        head = request;
         headReadMillis = lastActiveMillis;
-        body = new ByteArrayOutputStream();
+        IncomingRequest received = receiving();
+        received.onHead(request);
+        if (received.exceedsMemory()) {
+            reject(413, "the request is larger than the " + account.maxBytes() + " bytes of memory for all requests");
+            return;
+        }
         if (HttpUtil.is100ContinueExpected(request) && pendingResponses.isEmpty()) {
             channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
@@ -149,34 +212,32 @@
             reject(400, "malformed request body: " + content.decoderResult().cause());
             return;
         }
-        if (body.size() + (long) content.content().readableBytes()
+        if (incoming.bodyBytes() + (long) content.content().readableBytes()
                 > listener.limits().maxBodyBytes()) {
             reject(
                     413,
                     "the request body exceeds the limit of " + listener.limits().maxBodyBytes() + " bytes");
             return;
         }
-        byte[] bytes = new byte[content.content().readableBytes()];
-        content.content().readBytes(bytes);
-        body.writeBytes(bytes);
+        incoming.append(content.content());
+        if (!hasHead()) {
+            return;
+        }
         if (content instanceof LastHttpContent) {
             onRequestComplete();
         }
     }
 
     private void onRequestComplete() {
-        HttpRequest request = head;
-        head = null;
-        PendingResponse pending =
-                new PendingResponse(request.method().equals(HttpMethod.HEAD), HttpUtil.isKeepAlive(request));
+        IncomingRequest received = incoming;
+        HttpRequest request = received.head();
+        ByteBuf body = received.complete();
+        incoming = null;
+        paused = false;
+        PendingResponse pending = newResponse(request.method().equals(HttpMethod.HEAD), HttpUtil.isKeepAlive(request));
         pending.request = new CallerRequest(
-                request.method().name(),
-                request.uri(),
-                request.headers(),
-                Unpooled.wrappedBuffer(body.toByteArray()),
-                headReadMillis,
-                pending);
-        body = null;
+                request.method().name(), request.uri(), request.headers(), body, headReadMillis, pending);
+        pending.received = received;
         pendingResponses.addLast(pending);
         updateReading();
         if (refusing) {
@@ -186,10 +247,19 @@
         }
     }
 
+    private PendingResponse newResponse(boolean headRequest, boolean keepAlive) {
+        UntakenResponse untaken = new UntakenResponse(account, clockMillis, callerAddress, (bytes, reason) -> {
+            requestHandler.onResponseGivenUp(bytes, reason.label());
+            close();
+        });
+        return new PendingResponse(headRequest, keepAlive, untaken, this::writeReadyResponses);
+    }
+
     private void reject(int status, String reason) {
-        head = null;
+        dropIncoming();
         closing = true;
-        PendingResponse pending = new PendingResponse(false, false);
+        updateReading();
+        PendingResponse pending = newResponse(false, false);
         pendingResponses.addLast(pending);
         requestHandler.onInvalidRequest(status, reason);
         pending.respond(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
@@ -205,11 +275,12 @@
             if (last) {
                 pending.response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
                 closing = true;
-                channel.writeAndFlush(pending.response).addListener(future -> closeAfterLinger());
+                write(pending, this::closeAfterLinger);
+                channel.flush();
                 cancelPendingRequests();
                 return;
             }
-            channel.write(pending.response);
+            write(pending, this::closeIfDrained);
         }
         if (written) {
             channel.flush();
@@ -218,9 +289,38 @@
         }
     }
 
-    /** Reads no further requests while many are unanswered, or while the caller does not take its responses. */
+    private void write(PendingResponse pending, Runnable whenWritten) {
+        FullHttpResponse whole = pending.response;
+        DefaultHttpResponse head = new DefaultHttpResponse(whole.protocolVersion(), whole.status(), whole.headers());
+        unwrittenResponses++;
+        long startedMillis = clockMillis.getAsLong();
+        ChannelFuture written = BodySlices.write(channel, whole, head, bytes -> {
+            lastActiveMillis = clockMillis.getAsLong();
+            pending.onTaken(bytes);
+        });
+        written.addListener(future -> {
+            unwrittenResponses--;
+            slowCaller |= clockMillis.getAsLong() - startedMillis >= SLOW_MILLIS;
+            pending.release();
+            whenWritten.run();
+        });
+    }
+
+    /** Closes a draining connection once the caller has taken the last response. */
+    private void closeIfDrained() {
+        if (draining && !closing && isIdle()) {
+            closing = true;
+            closeAfterLinger();
+        }
+    }
+
+    /**
+     * Reads no further requests while many are unanswered, while the caller does not take its responses, or while there is
+     * no memory for its request. What follows the last request is read and ignored.
+     */
     private void updateReading() {
-        channel.config().setAutoRead(pendingResponses.size() < MAX_PIPELINED_REQUESTS && channel.isWritable());
+        boolean takes = pendingResponses.size() < MAX_PIPELINED_REQUESTS && channel.isWritable() && !paused;
+        channel.config().setAutoRead(closing || takes);
     }
 
     @Override
@@ -229,13 +329,14 @@
     }
 
     /**
-     * Closes the sending side first and the connection after {@link #LINGER_MILLIS} ms: a full close with unread
-     * input would reset the connection and could destroy the last response in transit.
+     * Closes the sending side first and the connection after {@link #LINGER_MILLIS} ms, or the idle timeout if the caller
+     * is slow: a full close with unread input would reset the connection and could destroy the last response in transit.
      */
     private void closeAfterLinger() {
         if (channel instanceof DuplexChannel duplex && channel.isActive()) {
             duplex.shutdownOutput();
-            channel.eventLoop().schedule(() -> channel.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+            long lingerMillis = slowCaller ? listener.limits().idleTimeoutMillis() : LINGER_MILLIS;
+            channel.eventLoop().schedule(() -> channel.close(), lingerMillis, TimeUnit.MILLISECONDS);
         } else {
             channel.close();
         }
@@ -244,20 +345,29 @@
     /** Cancels the unanswered requests that follow the last response on this connection. */
     private void cancelPendingRequests() {
         pendingResponses.stream()
-                .filter(pending -> pending.response == null && pending.request != null)
+                .filter(PendingResponse::isUnanswered)
                 .forEach(pending -> requestHandler.onCallerDisconnected(pending.request));
+        pendingResponses.forEach(PendingResponse::release);
         pendingResponses.clear();
     }
 
+    private boolean hasHead() {
+        return incoming != null && incoming.head() != null;
+    }
+
+    long lastActiveMillis() {
+        return lastActiveMillis;
+    }
+
     /** Closes an idle connection, and rejects an incomplete request, after the idle timeout. */
     void checkTimeouts(long nowMillis) {
         long idleMillis = nowMillis - lastActiveMillis;
-        if (head != null && nowMillis - headReadMillis > listener.limits().idleTimeoutMillis()) {
+        if (hasHead() && nowMillis - headReadMillis > listener.limits().idleTimeoutMillis()) {
             reject(
                     408,
                     "the request body was not complete " + listener.limits().idleTimeoutMillis()
                             + " ms after the request head");
-        } else if (head == null
+        } else if (!hasHead()
                 && pendingResponses.isEmpty()
                 && idleMillis > listener.limits().idleTimeoutMillis()) {
             close();
@@ -281,9 +391,9 @@
         return refusing;
     }
 
-    /** Returns whether no request is being received or waiting for a response. */
+    /** Returns whether no request is being received or waiting for a response, and no response for its caller. */
     boolean isIdle() {
-        return pendingResponses.isEmpty() && head == null;
+        return pendingResponses.isEmpty() && !hasHead() && unwrittenResponses == 0;
     }
 
     void close() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
@@ -7,47 +7,63 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.stream.ChunkedWriteHandler;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
+import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.serving.CallerLimits;
+import org.lacewingthread.daemon.http.OutboundSockets;
 
 /**
  * Accepts connections from callers. All methods except {@link #open} must be called on the traffic event loop.
  *
  * <pre>{@code
- * CallerListener listener = new CallerListener(requestHandler, clockMillis);
+ * CallerListener listener = new CallerListener(requestHandler, clockMillis, account, 3_000);
  * listener.open(eventLoopGroup, "10.1.0.35", 8144);
  * }</pre>
  */
 public final class CallerListener {
-    private static final int MAX_REQUEST_LINE_BYTES = 16_384;
-    private static final int MAX_CHUNK_BYTES = 65_536;
     private static final int ACCEPT_BACKLOG = 1_024;
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 1_000;
+    /** How often waiting requests are looked at; short beside the time over which progress is measured. */
+    private static final long ACCOUNT_INTERVAL_MILLIS = 100;
 
     private final CallerRequestHandler requestHandler;
     private final LongSupplier clockMillis;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
+    private final MemoryAccount account;
+    private final int maxConnections;
     private CallerLimits limits = CallerLimits.DEFAULT;
     private Channel serverChannel;
+    private final AtomicLong closedForRoom = new AtomicLong();
     private boolean closingAfterNextResponse;
     private boolean draining;
 
+    /** Creates a listener without bounds on memory and connections, for tests. */
+    CallerListener(CallerRequestHandler requestHandler, LongSupplier clockMillis) {
+        this(requestHandler, clockMillis, new MemoryAccount(Long.MAX_VALUE), Integer.MAX_VALUE);
+    }
+
     /**
      * Creates a listener; {@link #open} binds its port.
      *
      * @param requestHandler receives requests and connection failures
      * @param clockMillis monotonic clock in milliseconds, for timeouts
+     * @param account counts the memory of requests and responses
+     * @param maxConnections connections at which another one ends the longest idle one, or itself if none is idle
      */
-    public CallerListener(CallerRequestHandler requestHandler, LongSupplier clockMillis) {
+    public CallerListener(
+            CallerRequestHandler requestHandler, LongSupplier clockMillis, MemoryAccount account, int maxConnections) {
         this.requestHandler = requestHandler;
         this.clockMillis = clockMillis;
+        this.account = account;
+        this.maxConnections = maxConnections;
     }
 
     /**
@@ -66,13 +82,17 @@
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, OutboundSockets.boundedReads())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        CallerConnection connection =
+                                new CallerConnection(CallerListener.this, requestHandler, account, clockMillis);
                         channel.pipeline()
-                                .addLast(new StrictDecoder(limits.maxHeaderBytes()))
+                                .addLast(connection.newDecoder(limits.maxHeaderBytes()))
                                 .addLast(new HttpResponseEncoder())
-                                .addLast(new CallerConnection(CallerListener.this, requestHandler, clockMillis));
+                                .addLast(new ChunkedWriteHandler())
+                                .addLast(connection);
                     }
                 });
         serverChannel = bootstrap.bind(host, port).sync().channel();
@@ -81,23 +101,14 @@
                 TIMEOUT_CHECK_INTERVAL_MILLIS,
                 TIMEOUT_CHECK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
+        traffic.scheduleAtFixedRate(
+                () -> account.tick(clockMillis.getAsLong()),
+                ACCOUNT_INTERVAL_MILLIS,
+                ACCOUNT_INTERVAL_MILLIS,
+                TimeUnit.MILLISECONDS);
         return serverChannel;
     }
 
-    /**
-     * Rejects requests that have both Content-Length and Transfer-Encoding, which would allow request smuggling.
-     */
-    private static final class StrictDecoder extends HttpRequestDecoder {
-        StrictDecoder(int maxHeaderBytes) {
-            super(MAX_REQUEST_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES);
-        }
-
-        @Override
-        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-            throw new IllegalArgumentException("both Content-Length and Transfer-Encoding are set");
-        }
-    }
-
     /** Sets the limits of a new configuration; the header size limit applies to new connections only. */
     public void setLimits(CallerLimits newLimits) {
         limits = newLimits;
@@ -145,6 +156,20 @@
 
     void onOpened(CallerConnection connection) {
         connections.add(connection);
+        if (connections.size() > maxConnections) {
+            CallerConnection closed = connections.stream()
+                    .filter(other -> other != connection && other.isIdle())
+                    .min(Comparator.comparingLong(CallerConnection::lastActiveMillis))
+                    .orElse(connection);
+            closedForRoom.incrementAndGet();
+            requestHandler.onConnectionLimit(maxConnections, closed == connection);
+            closed.close();
+        }
+    }
+
+    /** Returns how many connections were closed because there were too many; may be read by any thread. */
+    public long closedForRoom() {
+        return closedForRoom.get();
     }
 
     void onClosed(CallerConnection connection) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerRequestHandler.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerRequestHandler.java
@@ -29,4 +29,20 @@
      * @param unanswered number of requests on the connection without a written response
      */
     void onConnectionFailed(Throwable cause, int unanswered);
+
+    /**
+     * Records that a connection was closed because there were too many.
+     *
+     * @param limit number of connections that may be open
+     * @param newest whether it was the newest one, because no other was idle
+     */
+    default void onConnectionLimit(int limit, boolean newest) {}
+
+    /**
+     * Records that a response was given up whose caller did not take it.
+     *
+     * @param bytes bytes of the response
+     * @param reason why, by its label
+     */
+    default void onResponseGivenUp(long bytes, String reason) {}
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerResponder.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerResponder.java
@@ -13,4 +13,7 @@
      * @param body complete body
      */
     void respond(int status, HttpHeaders headers, ByteBuf body);
+
+    /** Called when the request is finished, whether it was answered or not; its memory may be counted as free. */
+    default void onFinished() {}
 }
--- /dev/null
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/PendingResponse.java
@@ -0,0 +1,80 @@
+package org.lacewingthread.daemon.intake;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+
+/** Response to one request, held until all earlier responses have been written and its caller has taken it. */
+final class PendingResponse implements CallerResponder {
+    private final boolean headRequest;
+    private final UntakenResponse untaken;
+    private final Runnable whenReady;
+    final boolean keepAlive;
+    /** The request; null if an invalid one is answered. */
+    CallerRequest request;
+    /** What is counted for the request; null if an invalid one is answered. */
+    IncomingRequest received;
+    /** The response; null until the request is answered. */
+    FullHttpResponse response;
+
+    /**
+     * Creates a response that is not there yet.
+     *
+     * @param headRequest whether the body is left out
+     * @param keepAlive whether the connection stays open afterwards
+     * @param untaken counts the response
+     * @param whenReady called when the response may be written
+     */
+    PendingResponse(boolean headRequest, boolean keepAlive, UntakenResponse untaken, Runnable whenReady) {
+        this.headRequest = headRequest;
+        this.keepAlive = keepAlive;
+        this.untaken = untaken;
+        this.whenReady = whenReady;
+    }
+
+    @Override
+    public void respond(int status, HttpHeaders headers, ByteBuf body) {
+        if (response != null) {
+            return;
+        }
+        onFinished();
+        response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                headRequest ? Unpooled.EMPTY_BUFFER : body.retainedDuplicate());
+        response.headers().set(headers);
+        if (status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code()) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        }
+        if (untaken.hold(response)) {
+            whenReady.run();
+        }
+    }
+
+    @Override
+    public void onFinished() {
+        if (received != null) {
+            received.release();
+        }
+    }
+
+    /** Returns whether the request was passed on and is not answered yet. */
+    boolean isUnanswered() {
+        return response == null && request != null;
+    }
+
+    /** Records that the caller took a part of the response. */
+    void onTaken(int bytes) {
+        untaken.onTaken(bytes);
+    }
+
+    /** Frees what is counted for the response. */
+    void release() {
+        untaken.release();
+    }
+}
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
@@ -8,7 +8,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.memory.EvictionReason;
+import org.lacewingthread.core.memory.MemoryAccount;
+import org.lacewingthread.core.memory.MemoryHolder;
+import org.lacewingthread.core.memory.MemoryHolding;
+import org.lacewingthread.core.memory.MemoryUse;
 import org.lacewingthread.core.serving.Route;
 import org.lacewingthread.core.serving.WeightedService;
 import org.lacewingthread.core.traffic.ResultCode;
@@ -33,16 +39,23 @@
     private static final int MAX_CHUNK_BYTES = 1 << 20;
 
     private final RequestEngine engine;
+    private final MemoryAccount account;
+    private final LongSupplier clockMillis;
     private final BooleanSupplier takesRequests;
     private int relayedCount;
 
     /**
      * Creates a receiver.
      *
+     * @param account counts the bodies of relayed requests
+     * @param clockMillis monotonic clock in milliseconds
      * @param takesRequests whether this VM reaches servers and is not about to stop
      */
-    RelayReceiver(RequestEngine engine, BooleanSupplier takesRequests) {
+    RelayReceiver(
+            RequestEngine engine, MemoryAccount account, LongSupplier clockMillis, BooleanSupplier takesRequests) {
         this.engine = engine;
+        this.account = account;
+        this.clockMillis = clockMillis;
         this.takesRequests = takesRequests;
     }
 
@@ -57,12 +70,43 @@
                     ResultCode.OVERLOADED, BUSY_RETRY_AFTER_MILLIS, relayedCount + " relayed requests are at work"));
             return () -> {};
         }
+        if (!account.hasRoomFor(relayed.body().length)) {
+            sink.onFailure(
+                    new Failure(ResultCode.OVERLOADED, BUSY_RETRY_AFTER_MILLIS, "the memory for requests is used up"));
+            return () -> {};
+        }
         relayedCount++;
         CallerRequest request = toCallerRequest(relayed);
-        engine.onRelayedRequest(number -> toActiveRequest(number, relayed, request, sink), () -> relayedCount--);
+        MemoryHolding memory = hold(relayed.body().length);
+        engine.onRelayedRequest(number -> toActiveRequest(number, relayed, request, sink), () -> {
+            relayedCount--;
+            account.release(memory, clockMillis.getAsLong());
+        });
         return () -> engine.onCallerDisconnected(request);
     }
 
+    private MemoryHolding hold(long bytes) {
+        MemoryHolder neverAsked = new MemoryHolder() {
+            @Override
+            public void onPaused() {
+                throw new IllegalStateException("a relayed request was paused, but it is complete");
+            }
+
+            @Override
+            public void onResumed() {
+                throw new IllegalStateException("a relayed request was resumed, but it is complete");
+            }
+
+            @Override
+            public void onEvicted(EvictionReason reason) {
+                throw new IllegalStateException("a relayed request was given up, but it is complete");
+            }
+        };
+        MemoryHolding memory = account.open("relayed", MemoryUse.COMPLETE_REQUEST, neverAsked, clockMillis.getAsLong());
+        account.add(memory, bytes, clockMillis.getAsLong());
+        return memory;
+    }
+
     /** Each request needs a responder of its own, since the engine finds requests by it. */
     private static final class RelayResponder implements CallerResponder {
         @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -14,6 +14,7 @@
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
@@ -105,6 +106,11 @@
         this.limitLink = limitLink;
     }
 
+    /** Counts the bodies of servers' responses in the account of the process. */
+    void countIn(MemoryAccount account) {
+        connections.countIn(account);
+    }
+
     void onConfiguration(ServingConfiguration newest) {
         routing.apply(newest);
         dispatcher.onConnectionLimits(routing.connectionLimits());
@@ -203,6 +209,16 @@
         events.writeFailure("caller.connection-failed", cause, "unanswered", unanswered);
     }
 
+    @Override
+    public void onConnectionLimit(int limit, boolean newest) {
+        events.write("caller.connection-limit", "limit", limit, "closed", newest ? "newest" : "longest idle");
+    }
+
+    @Override
+    public void onResponseGivenUp(long bytes, String reason) {
+        events.write("caller.response-given-up", "bytes", bytes, "reason", reason);
+    }
+
     @Override
     public void onRequest(CallerRequest callerRequest) {
         Optional<ActiveRequest> admitted = admission.admit(callerRequest, activeRequests.nextNumber());
@@ -274,6 +290,7 @@
     void finish(ActiveRequest request) {
         request.finished = true;
         request.onFinished.run();
+        request.callerRequest.responder().onFinished();
         activeRequests.remove(request);
         crashGuard.onFinished(request);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -17,6 +17,7 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.quarantine.CrashRecord;
 import org.lacewingthread.core.quarantine.RequestFingerprint;
 import org.lacewingthread.core.reachability.RelayPeer;
@@ -83,6 +84,7 @@
     private final RouterRelay relay;
     private final CallerListener callerListener;
     private final QuarantinePage quarantinePage;
+    private final MemoryAccount memory = ProcessLimits.memoryAccount();
     private final VmStart self;
     private List<KnownServer> knownServers = List.of();
     private ControlLoop controlLoop;
@@ -121,18 +123,24 @@
                 new ControlLimitLink(),
                 new LateCrashRecordLink(() -> controlLoop.crashRecords()),
                 new RelaySender.Access(settings.dataCentre(), this::relay, random.split()));
+        engine.countIn(memory);
         this.relay = new RouterRelay(
                 self,
                 settings.dataCentre(),
                 trafficEventLoop,
-                new RelayReceiver(engine, () -> !stopping && !engine.links().isCutOff()),
+                new RelayReceiver(
+                        engine,
+                        memory,
+                        RouterProcess::trafficNowMillis,
+                        () -> !stopping && !engine.links().isCutOff()),
                 RouterProcess::trafficNowMillis);
         this.quarantinePage = new QuarantinePage(
                 engine.crashGuard()::records,
                 fingerprint ->
                         trafficEventLoop.execute(() -> engine.crashGuard().lift(fingerprint)),
                 System::currentTimeMillis);
-        this.callerListener = new CallerListener(engine, RouterProcess::trafficNowMillis);
+        this.callerListener = new CallerListener(
+                engine, RouterProcess::trafficNowMillis, memory, ProcessLimits.maxCallerConnections());
     }
 
     private RequestHandler.Cancellation relay(RelayPeer peer, RelayedRequest request, ResponseSink sink) {
@@ -287,6 +295,7 @@
     }
 
     private void registerGauges(Platform followed) {
+        MemoryGauges.register(metrics, memory, callerListener);
         metrics.gauge("unanswered", "requests without answer", engine::unansweredCount);
         metrics.gauge("waiting", "requests that wait for a server", engine::waitingCount);
         metrics.gauge("connections.opened", "connections opened to servers", engine::connectionsOpened);
