--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -50,8 +50,8 @@
     private final CallerRequestHandler requestHandler;
     private final LongSupplier clockMillis;
     private final Deque<PendingResponse> pendingResponses = new ArrayDeque<>();
-    private Channel channel;
     private final MemoryAccount account;
+    private Channel channel;
     private RequestDecoder decoder;
     private String callerAddress = "";
     /** The request that is being received; null between requests. */
@@ -104,21 +104,16 @@
 
         @Override
         public void onEvicted(EvictionReason reason) {
-            boolean slow = reason == EvictionReason.TOO_SLOW;
-            reject(
-                    slow ? 408 : 503,
-                    slow
-                            ? "the request makes too little progress while others wait for memory"
-                            : "the memory for requests is used up, and this one deserves it least");
+            reject(reason == EvictionReason.TOO_SLOW ? 408 : 503, reason.description());
         }
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
-        callerAddress = context.channel().remoteAddress() instanceof InetSocketAddress address
-                ? address.getAddress().getHostAddress()
-                : "";
+        if (channel.remoteAddress() instanceof InetSocketAddress address) {
+            callerAddress = address.getAddress().getHostAddress();
+        }
         lastActiveMillis = clockMillis.getAsLong();
         refusing = listener.isDraining();
         listener.onOpened(this);
@@ -141,10 +136,9 @@
     }
 
     private void onHeadPart(int bytes, int lines) {
-        if (closing || draining) {
-            return;
+        if (!closing && !draining) {
+            receiving().onHeadPart(bytes, lines);
         }
-        receiving().onHeadPart(bytes, lines);
     }
 
     private IncomingRequest receiving() {
@@ -355,10 +349,6 @@
         return incoming != null && incoming.head() != null;
     }
 
-    long lastActiveMillis() {
-        return lastActiveMillis;
-    }
-
     /** Closes an idle connection, and rejects an incomplete request, after the idle timeout. */
     void checkTimeouts(long nowMillis) {
         long idleMillis = nowMillis - lastActiveMillis;
@@ -386,6 +376,10 @@
         }
     }
 
+    long lastActiveMillis() {
+        return lastActiveMillis;
+    }
+
     /** Returns whether all requests on this connection are refused, which also closes it. */
     boolean isRefusing() {
         return refusing;
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
@@ -34,6 +34,9 @@
     /** How often waiting requests are looked at; short beside the time over which progress is measured. */
     private static final long ACCOUNT_INTERVAL_MILLIS = 100;
 
+    /** Bounds the log lines about closed connections. */
+    private static final long LIMIT_REPORT_INTERVAL_MILLIS = 1_000;
+
     private final CallerRequestHandler requestHandler;
     private final LongSupplier clockMillis;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
@@ -42,6 +45,7 @@
     private CallerLimits limits = CallerLimits.DEFAULT;
     private Channel serverChannel;
     private final AtomicLong closedForRoom = new AtomicLong();
+    private long nextLimitReportMillis = Long.MIN_VALUE;
     private boolean closingAfterNextResponse;
     private boolean draining;
 
@@ -162,11 +166,19 @@
                     .min(Comparator.comparingLong(CallerConnection::lastActiveMillis))
                     .orElse(connection);
             closedForRoom.incrementAndGet();
-            requestHandler.onConnectionLimit(maxConnections, closed == connection);
+            reportConnectionLimit(closed == connection);
             closed.close();
         }
     }
 
+    private void reportConnectionLimit(boolean newest) {
+        long nowMillis = clockMillis.getAsLong();
+        if (nowMillis >= nextLimitReportMillis) {
+            nextLimitReportMillis = nowMillis + LIMIT_REPORT_INTERVAL_MILLIS;
+            requestHandler.onConnectionLimit(maxConnections, newest);
+        }
+    }
+
     /** Returns how many connections were closed because there were too many; may be read by any thread. */
     public long closedForRoom() {
         return closedForRoom.get();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ProcessLimits.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ProcessLimits.java
@@ -2,7 +2,9 @@
 
 import com.sun.management.UnixOperatingSystemMXBean;
 import java.lang.management.ManagementFactory;
+import java.util.function.LongSupplier;
 import org.lacewingthread.core.memory.MemoryAccount;
+import org.lacewingthread.daemon.intake.CallerListener;
 
 /** Limits that follow from the heap and the descriptors that the process was given. */
 final class ProcessLimits {
@@ -25,8 +27,14 @@
         return new MemoryAccount((long) (Runtime.getRuntime().maxMemory() * ACCOUNT_SHARE));
     }
 
+    /** Returns the listener of a process, whose requests and responses are counted in the account. */
+    static CallerListener callerListener(RequestEngine engine, LongSupplier clockMillis, MemoryAccount account) {
+        engine.countIn(account);
+        return new CallerListener(engine, clockMillis, account, maxCallerConnections());
+    }
+
     /** Returns the number of callers' connections that may be open. */
-    static int maxCallerConnections() {
+    private static int maxCallerConnections() {
         long byHeap = (long) (Runtime.getRuntime().maxMemory() * CONNECTION_SHARE / CONNECTION_BYTES);
         long byDescriptors = ManagementFactory.getOperatingSystemMXBean() instanceof UnixOperatingSystemMXBean system
                 ? (long) (system.getMaxFileDescriptorCount() * CALLER_DESCRIPTOR_SHARE)
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -106,7 +106,6 @@
         this.limitLink = limitLink;
     }
 
-    /** Counts the bodies of servers' responses in the account of the process. */
     void countIn(MemoryAccount account) {
         connections.countIn(account);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -123,7 +123,6 @@
                 new ControlLimitLink(),
                 new LateCrashRecordLink(() -> controlLoop.crashRecords()),
                 new RelaySender.Access(settings.dataCentre(), this::relay, random.split()));
-        engine.countIn(memory);
         this.relay = new RouterRelay(
                 self,
                 settings.dataCentre(),
@@ -139,8 +138,7 @@
                 fingerprint ->
                         trafficEventLoop.execute(() -> engine.crashGuard().lift(fingerprint)),
                 System::currentTimeMillis);
-        this.callerListener = new CallerListener(
-                engine, RouterProcess::trafficNowMillis, memory, ProcessLimits.maxCallerConnections());
+        this.callerListener = ProcessLimits.callerListener(engine, RouterProcess::trafficNowMillis, memory);
     }
 
     private RequestHandler.Cancellation relay(RelayPeer peer, RelayedRequest request, ResponseSink sink) {
