--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -14,6 +14,7 @@
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
@@ -23,10 +24,9 @@
 import org.lacewingthread.daemon.http.DroppedResponseLog;
 import org.lacewingthread.daemon.http.FullResponse;
 import org.lacewingthread.daemon.intake.CallerRequest;
-import org.lacewingthread.daemon.intake.CallerRequestHandler;
 
 /** Routes, dispatches, sends, retries and answers requests. All methods run on the traffic thread. */
-final class RequestEngine implements CallerRequestHandler {
+final class RequestEngine extends CallerEventLogger {
     /** Attempts that may fail before the request is sent; more of them would only delay the refusal. */
     private static final int MAX_UNSENT_ATTEMPTS = 3;
 
@@ -72,6 +72,7 @@
             LimitLink limitLink,
             CrashRecordLink crashRecordLink,
             RelaySender.Access relayAccess) {
+        super(events, metrics);
         this.headerNames = headerNames;
         this.events = events;
         this.metrics = metrics;
@@ -111,6 +112,10 @@
         this.limitLink = limitLink;
     }
 
+    void countIn(MemoryAccount account) {
+        connections.countIn(account);
+    }
+
     void onConfiguration(ServingConfiguration newest) {
         routing.apply(newest);
         dispatcher.onConnectionLimits(routing.connectionLimits());
@@ -201,17 +206,6 @@
         admission.refuseWhileStopping(request);
     }
 
-    @Override
-    public void onInvalidRequest(int status, String reason) {
-        metrics.onInvalid(status);
-        events.write("request.invalid", "status", status, "reason", reason);
-    }
-
-    @Override
-    public void onConnectionFailed(Throwable cause, int unanswered) {
-        events.writeFailure("caller.connection-failed", cause, "unanswered", unanswered);
-    }
-
     @Override
     public void onRequest(CallerRequest callerRequest) {
         Optional<ActiveRequest> admitted = admission.admit(callerRequest, activeRequests.nextNumber());
@@ -286,6 +280,7 @@
     void finish(ActiveRequest request) {
         request.finished = true;
         request.onFinished.run();
+        request.callerRequest.responder().onFinished();
         activeRequests.remove(request);
         crashGuard.onFinished(request);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -18,6 +18,7 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.quarantine.CrashRecord;
 import org.lacewingthread.core.quarantine.RequestFingerprint;
 import org.lacewingthread.core.reachability.RelayPeer;
@@ -77,6 +78,7 @@
     private final RouterRelay relay;
     private final CallerListener callerListener;
     private final QuarantinePage quarantinePage;
+    private final MemoryAccount memory = ProcessLimits.memoryAccount();
     private final VmStart self;
     private List<KnownServer> knownServers = List.of();
     private ControlLoop controlLoop;
@@ -121,14 +123,18 @@
                 self,
                 settings.dataCentre(),
                 trafficEventLoop,
-                new RelayReceiver(engine, () -> !stopping && !engine.links().isCutOff()),
+                new RelayReceiver(
+                        engine,
+                        memory,
+                        RouterProcess::trafficNowMillis,
+                        () -> !stopping && !engine.links().isCutOff()),
                 RouterProcess::trafficNowMillis);
         this.quarantinePage = new QuarantinePage(
                 engine.crashGuard()::records,
                 fingerprint ->
                         trafficEventLoop.execute(() -> engine.crashGuard().lift(fingerprint)),
                 System::currentTimeMillis);
-        this.callerListener = new CallerListener(engine, RouterProcess::trafficNowMillis);
+        this.callerListener = ProcessLimits.callerListener(engine, RouterProcess::trafficNowMillis, memory);
     }
 
     private RequestHandler.Cancellation relay(RelayPeer peer, RelayedRequest request, ResponseSink sink) {
@@ -260,6 +266,7 @@
     }
 
     private void registerGauges(Platform followed) {
+        MemoryGauges.register(metrics, memory, callerListener);
         metrics.gauge("unanswered", "requests without answer", engine::unansweredCount);
         metrics.gauge("waiting", "requests that wait for a server", engine::waitingCount);
         metrics.gauge("connections.opened", "connections opened to servers", engine::connectionsOpened);
