Dispatch: order of late requests, a floor for each class and a bound of waiting work

With more requests than the servers can run, the least urgent class was served best: late requests had no order, 400 could wait whatever they needed, and refused callers came back at the same time.

Dispatch tests: 75 pass. With the check for overdue requests taken out, the repeatable case of OverdueRequestTest fails, as it must.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/Refusals.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/Refusals.java
@@ -20,6 +20,9 @@
     /** Largest random addition to the retry delay of a limited request, as a share of it. */
     private static final double LIMITED_RETRY_SPREAD = 0.5;
 
+    /** Largest random addition to the retry delay of an overloaded server, as a share of it, so that callers don't return at once. */
+    private static final double OVERLOADED_RETRY_SPREAD = 1;
+
     /** The same for a rest, which may be long. */
     private static final double RESTING_RETRY_SPREAD = 0.2;
 
@@ -49,6 +52,18 @@
         return new Decision.Refuse(request, cause, boundedMillis);
     }
 
+    /**
+     * Refuses a request that would wait too long; callers come back spread over as much time again as the work ahead takes.
+     *
+     * @param waitMillis time until there is room
+     */
+    Decision.Refuse overloaded(DispatchRequest request, double waitMillis) {
+        double boundedMillis =
+                Math.min(MAX_RETRY_AFTER_MILLIS / (1 + OVERLOADED_RETRY_SPREAD), Math.max(0, waitMillis));
+        double factor = 1 + OVERLOADED_RETRY_SPREAD * random.nextDouble();
+        return refuse(request, RefusalCause.OVERLOADED, Math.round(boundedMillis * factor));
+    }
+
     /** Refuses a request to a limited server with a delay that spreads the callers who come back. */
     Decision.Refuse limited(DispatchRequest request, long retryAfterMillis) {
         return spread(request, Math.min(MAX_LIMITED_RETRY_AFTER_MILLIS, retryAfterMillis));
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -38,6 +38,7 @@
     private final ServiceServers serviceServers = new ServiceServers(servers);
     private final OverdueAttempts overdueAttempts = new OverdueAttempts(servers);
     private final WaitingRequests waiting = new WaitingRequests();
+    private final ClassShares shares = new ClassShares();
     private final ServerLimits limits;
     private final RestPeriods rests = new RestPeriods();
     private final BooleanSupplier registryIsCurrent;
@@ -154,9 +155,12 @@
         waiting.add(request);
         List<Decision> decisions = new ArrayList<>();
         decide(request.service(), decisions, nowMillis);
-        waiting.removeExcess(request.service())
-                .ifPresent(last ->
-                        decisions.add(Refusals.refuse(last, RefusalCause.OVERLOADED, Refusals.MAX_RETRY_AFTER_MILLIS)));
+        double sendsPerSecond = serviceServers.sharePerSecond(request.service());
+        waiting.removeExcess(request, sendsPerSecond, nowMillis).ifPresent(last -> {
+            Decision.Refuse refusal = refusals.overloaded(last, Refusals.MAX_RETRY_AFTER_MILLIS);
+            decisions.add(refusal);
+            shares.onDecided(refusal);
+        });
         return decisions;
     }
 
@@ -260,11 +264,13 @@
 
     private void decide(ServiceId service, List<Decision> decisions, long nowMillis) {
         Map<ServerId, Integer> aheadByServer = new HashMap<>();
-        for (DispatchRequest request : DispatchOrder.of(waiting.of(service), this::owner, nowMillis)) {
+        for (DispatchRequest request :
+                DispatchOrder.of(waiting.of(service), shares.starvedPriority(service), this::owner, nowMillis)) {
             Optional<Decision> decision = decide(request, aheadByServer, nowMillis);
             if (decision.isPresent()) {
                 waiting.remove(request);
                 decisions.add(decision.get());
+                shares.onDecided(decision.get());
             }
         }
     }
@@ -361,8 +367,7 @@
         double waitMillis = Math.max(expected - state.serviceMillis(), ahead * state.sendIntervalMillis());
         boolean tooLate = !state.mayAnswerWithin(leftMillis, nowMillis) || waitMillis > leftMillis * MAX_WAIT_RATIO;
         if (tooLate) {
-            long retryAfter = Math.round(Math.max(0, waitMillis));
-            return Optional.of(Refusals.refuse(request, RefusalCause.OVERLOADED, retryAfter));
+            return Optional.of(refusals.overloaded(request, waitMillis));
         }
         if (ahead == 0 && state.hasCapacity(nowMillis)) {
             ServerStart server = state.knownServer().start();
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServiceServers.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServiceServers.java
@@ -10,6 +10,8 @@
 
 /** The states of the known servers by service, with what they share: limits of this VM, and the service time of new ones. */
 final class ServiceServers {
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final Map<ServerStart, ServerLoadState> states;
     private final Map<ServiceId, List<ServerLoadState>> statesByService = new HashMap<>();
     private Map<ServiceId, Integer> connectionLimits = Map.of();
@@ -56,6 +58,14 @@
                 .ifPresent(mean -> servers.forEach(state -> state.assumeServiceTime(mean)));
     }
 
+    /** Returns this VM's part of the requests that the servers of a service run each second. */
+    double sharePerSecond(ServiceId service) {
+        double perMilli = of(service).stream()
+                .mapToDouble(state -> state.entry().slots() / state.serviceMillis())
+                .sum();
+        return perMilli * MILLIS_PER_SECOND / Math.max(1, entryVmCount);
+    }
+
     void setEntryVmCount(int count) {
         entryVmCount = count;
         states.values().forEach(this::applyLimits);
--- a/core/src/main/java/org/lacewingthread/core/dispatch/WaitingRequests.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/WaitingRequests.java
@@ -11,8 +11,17 @@
 
 /** The requests that wait for a server, by service and in order of urgency. */
 final class WaitingRequests {
-    /** Maximum number of waiting requests of one service. */
+    /** Maximum number of waiting requests of one service, which bounds the time of a decision about all. */
     private static final int MAX_WAITING_REQUESTS = 400;
+    /** Number of requests that may wait whatever they need; the rate of the servers is an estimate. */
+    private static final int MIN_WAITING_REQUESTS = 40;
+    /**
+     * Time for which requests may wait, as a multiple of the time left to the newest. More than that many can't be sent in time,
+     * even at a VM with several times the requests of the others.
+     */
+    private static final double MAX_WORK_RATIO = 4;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final Comparator<DispatchRequest> MOST_URGENT_FIRST = Comparator.comparingInt(
                     DispatchRequest::priority)
@@ -29,10 +38,20 @@
         of(request.service()).remove(request);
     }
 
-    /** Removes the least urgent request of a service if there are too many, and returns it. */
-    Optional<DispatchRequest> removeExcess(ServiceId service) {
-        NavigableSet<DispatchRequest> queue = of(service);
-        return queue.size() > MAX_WAITING_REQUESTS ? Optional.ofNullable(queue.pollLast()) : Optional.empty();
+    /**
+     * Removes the least urgent request of a service if more wait than can be sent in time, and returns it.
+     *
+     * @param added the newest request
+     * @param sendsPerSecond rate at which requests of the service can be sent; 0 if no server is known
+     */
+    Optional<DispatchRequest> removeExcess(DispatchRequest added, double sendsPerSecond, long nowMillis) {
+        NavigableSet<DispatchRequest> queue = of(added.service());
+        double leftMillis = Math.max(0, added.deadlineMillis() - nowMillis);
+        double sendable = sendsPerSecond * leftMillis / MILLIS_PER_SECOND * MAX_WORK_RATIO;
+        double bound = sendsPerSecond > 0
+                ? Math.min(MAX_WAITING_REQUESTS, Math.max(MIN_WAITING_REQUESTS, sendable))
+                : MAX_WAITING_REQUESTS;
+        return queue.size() > bound ? Optional.ofNullable(queue.pollLast()) : Optional.empty();
     }
 
     /** Returns the waiting requests of a service; the set changes with the queue. */
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/OverdueRequestTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/OverdueRequestTest.java
@@ -63,8 +63,7 @@
         for (int i = 1; i <= ANSWERS_BEFORE; i++) {
             int answers = i;
             eventLoop.execute(() -> request("reads", null));
-            await().pollInterval(10, TimeUnit.MILLISECONDS)
-                    .until(() -> answeredStatuses.size() == answers);
+            await().pollInterval(10, TimeUnit.MILLISECONDS).until(() -> answeredStatuses.size() == answers);
         }
         silent.set(true);
     }
