--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -37,7 +37,6 @@
     private static final long MAX_IDLE_MILLIS = 4_000;
 
     private final HeaderNames headerNames;
-    private final EventLog events;
     private final RouterMetrics metrics;
     private final RequestDispatcher dispatcher;
     private final ServerLinkMonitor links;
@@ -74,7 +73,6 @@
             RelaySender.Access relayAccess) {
         super(events, metrics);
         this.headerNames = headerNames;
-        this.events = events;
         this.metrics = metrics;
         this.dispatcher = dispatcher;
         this.links = new ServerLinkMonitor(events, clockMillis, relayAccess.random(), this::onCutOffChanged);
