Leader group: only the leader and its standbys join; a leader that can't carry the lead leaves it to others

Change: the leader's answer states whether the reporter stands by, and whether the leader leaves the lead to others; reports state whether the VM could lead and its processors (all optional fields, so that earlier builds work).

Measured: the core, daemon and platform tests of ages, reports, cut-off routers and the router on the platform pass (LeaderStatusJsonTest, ReportChannelTest, EntryVmDirectoryTest, RefusedVmTest, RegistryAgeTest, ConfigurationAgeTest, ChangesFromLeaderTest, CutOffRouterTest, RouterOnPlatformTest). Not measured: calls and take-over times on a whole deployment.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/EntryVmDirectory.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/EntryVmDirectory.java
@@ -5,8 +5,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Stream;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.VmId;
+import org.lacewingthread.core.membership.StandbySelection;
 import org.lacewingthread.core.reachability.RelayPeer;
 
 /**
@@ -21,8 +24,13 @@
     /** Most VMs named to one VM, so that the answer to a report stays a small datagram. */
     private static final int MAX_PEERS = 12;
 
+    /** How long a selection of standbys is used, since each VM's report asks for it. */
+    private static final long STANDBYS_VALIDITY_MILLIS = 250;
+
     private final Map<String, Long> seenMillis = new HashMap<>();
     private final Map<String, Report> reports = new HashMap<>();
+    private Set<VmId> standbys = Set.of();
+    private long standbysSelectedMillis = Long.MIN_VALUE / 2;
 
     /** What a VM reported, and when. */
     private record Report(long reportedMillis, PendingReport.Reporter reporter, RelayPeer peer) {
@@ -66,6 +74,35 @@
         return seenMillis.size() + (seenMillis.containsKey(self) ? 0 : 1);
     }
 
+    /**
+     * Returns whether a VM stands by to lead.
+     *
+     * @param leader VM that leads now, and is no standby
+     */
+    boolean isStandby(String vm, String leader, long nowMillis) {
+        if (nowMillis - standbysSelectedMillis >= STANDBYS_VALIDITY_MILLIS) {
+            standbysSelectedMillis = nowMillis;
+            standbys = StandbySelection.select(candidates(leader, nowMillis).toList());
+        }
+        return standbys.contains(new VmId(vm));
+    }
+
+    /** Returns whether another VM than the leader could carry the lead. */
+    boolean knowsAbleVm(String leader, long nowMillis) {
+        return candidates(leader, nowMillis)
+                .anyMatch(candidate -> candidate.ability().couldLead());
+    }
+
+    private Stream<StandbySelection.Candidate> candidates(String leader, long nowMillis) {
+        return reports.values().stream()
+                .filter(report -> report.mayReachServers(nowMillis))
+                .filter(report -> !report.reporter().vm().equals(leader))
+                .map(report -> new StandbySelection.Candidate(
+                        report.peer().vm(),
+                        report.peer().dataCentre(),
+                        report.reporter().ability()));
+    }
+
     /** Returns the addresses at which the live entry VMs receive messages. */
     List<InetSocketAddress> addresses(long nowMillis) {
         return reports.values().stream()
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LeaderStatusJson.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LeaderStatusJson.java
@@ -22,6 +22,8 @@
     private static final String REGISTRY_POSITION = "registryPosition";
     private static final String CONFIGURATION_POSITION = "configurationPosition";
     private static final String TABLE_POSITION = "tablePosition";
+    private static final String STANDBY = "standby";
+    private static final String YIELDS_LEAD = "yieldsLead";
     /** Age that confirms nothing; earlier builds do not state one. */
     private static final long UNKNOWN_AGE_MILLIS = Long.MAX_VALUE / 2;
 
@@ -56,7 +58,10 @@
                         message.path(STORE_ERA).asLong(),
                         message.path(REGISTRY_POSITION).asLong(),
                         message.path(CONFIGURATION_POSITION).asLong(),
-                        message.path(TABLE_POSITION).asLong()));
+                        message.path(TABLE_POSITION).asLong()),
+                // All VMs of a leader with an earlier build stand by.
+                message.path(STANDBY).asBoolean(true),
+                message.path(YIELDS_LEAD).asBoolean());
     }
 
     static ObjectNode write(ReportChannel.LeaderStatus status) {
@@ -70,7 +75,9 @@
                 .put(STORE_ERA, status.positions().era())
                 .put(REGISTRY_POSITION, status.positions().registry())
                 .put(CONFIGURATION_POSITION, status.positions().configuration())
-                .put(TABLE_POSITION, status.positions().table());
+                .put(TABLE_POSITION, status.positions().table())
+                .put(STANDBY, status.standby())
+                .put(YIELDS_LEAD, status.yieldsLead());
         ArrayNode peers = message.putArray(RELAY_PEERS);
         status.relayPeers().forEach(peer -> peers.addArray()
                 .add(peer.vm().value())
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -47,6 +47,7 @@
     private final KeyspaceLoad keyspaceLoad;
     private final ResultListener resultListener;
     private final EntryVmDirectory directory = new EntryVmDirectory();
+    private final LeadKeeper leadKeeper;
     private ReportChannel channel;
     private LongConsumer publisher;
     private Map<ServerStart, Double> ownServiceMillis = Map.of();
@@ -98,6 +99,12 @@
         this.eventLogger = eventLogger;
         this.keyspaceLoad = keyspaceLoad;
         this.resultListener = resultListener;
+        this.leadKeeper = new LeadKeeper(coordinator, registry, platform, directory, eventLogger.events(), vm());
+    }
+
+    /** Records a turn of the control loop, whose lateness shows whether this VM can carry the lead. */
+    void onTurn() {
+        leadKeeper.onTurn(clock.nowMillis());
     }
 
     /**
@@ -159,7 +166,8 @@
                 reach.cutOff(),
                 reach.answeringServers(),
                 reach.silentServers(),
-                newestLeavingServers());
+                newestLeavingServers(),
+                leadKeeper.ability());
     }
 
     private List<ServerStart> newestLeavingServers() {
@@ -215,7 +223,9 @@
                 directory.count(vm(), nowMillis),
                 isImpaired(),
                 directory.peersFor(reporter.vm(), reporter.dataCentre(), nowMillis),
-                platform.positions()));
+                platform.positions(),
+                directory.isStandby(reporter.vm(), vm(), nowMillis),
+                leadKeeper.yields()));
     }
 
     @Override
@@ -229,7 +239,8 @@
         }
         leaderEra = status.positions().era();
         leaderTableEnd = status.positions().table();
-        coordinator.onLeaderAnswer(status.storeSilenceMillis(), status.linksImpaired(), clock.nowMillis());
+        coordinator.onLeaderAnswer(status.storeSilenceMillis(), !status.leaderMayStay(), clock.nowMillis());
+        platform.onLeaderAnswer(status.standby(), status.leaderMayStay(), status.storeSilenceMillis());
         if (status.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
             platform.onLeaderPositions(status.positions(), asOf);
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
@@ -15,6 +15,7 @@
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.membership.LeadAbility;
 
 /**
  * Collects the load that an entry VM reports to the leader, and encodes it as JSON datagrams of limited size. The first
@@ -33,6 +34,8 @@
     static final String SILENT_SERVERS = "silentServers";
     static final String CUT_OFF = "cutOff";
     static final String LEAVING_SERVERS = "leavingServers";
+    static final String COULD_LEAD = "couldLead";
+    static final String PROCESSORS = "processors";
     static final String KEYS = "keys";
     static final String WANTS_TABLE_AFTER = "wantsTableAfter";
     /** Name of the field with the time at which the report was sent, by the reporter's clock. */
@@ -71,6 +74,7 @@
      * @param answeringServers number of servers that answered it of late; 0 also if it made no calls
      * @param silentServers number of servers that did not answer it of late, or refused its connections
      * @param leavingServers servers whose answers said that they leave
+     * @param ability whether it could carry the lead
      */
     record Reporter(
             String vm,
@@ -78,11 +82,23 @@
             boolean cutOff,
             int answeringServers,
             int silentServers,
-            List<ServerStart> leavingServers) {
+            List<ServerStart> leavingServers,
+            LeadAbility ability) {
         /** Copies the list. */
         Reporter {
             leavingServers = List.copyOf(leavingServers);
         }
+
+        /** Creates a VM of which it is not known whether it could carry the lead. */
+        Reporter(
+                String vm,
+                DataCentreId dataCentre,
+                boolean cutOff,
+                int answeringServers,
+                int silentServers,
+                List<ServerStart> leavingServers) {
+            this(vm, dataCentre, cutOff, answeringServers, silentServers, leavingServers, LeadAbility.UNKNOWN);
+        }
     }
 
     /** Adds a requested key, unless the report is full. */
@@ -126,6 +142,8 @@
             datagram.json.writeNumberField(ANSWERING_SERVERS, reporter.answeringServers());
             datagram.json.writeNumberField(SILENT_SERVERS, reporter.silentServers());
             datagram.json.writeBooleanField(CUT_OFF, reporter.cutOff());
+            datagram.json.writeBooleanField(COULD_LEAD, reporter.ability().couldLead());
+            datagram.json.writeNumberField(PROCESSORS, reporter.ability().processors());
             writeServers(datagram, reporter.leavingServers());
             datagram.json.writeNumberField(SENT_AT, sentAtMillis);
             if (wantsTableAfter.isPresent()) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -160,6 +160,28 @@
     /** Returns where records of requests that crash servers are kept. */
     CrashRecordStore crashRecordStore();
 
+    /**
+     * Records the leader's answer to a report, which tells whether this VM has to stand by to lead.
+     *
+     * @param standby whether it has to; also true if the leader does not state it
+     * @param leaderMayStay whether nothing that the leader stated lets another VM take over
+     * @param storeSilenceMillis time since the store last answered the leader
+     */
+    default void onLeaderAnswer(boolean standby, boolean leaderMayStay, long storeSilenceMillis) {}
+
+    /** Leaves the lead to others, since this VM can't carry it: it is not selected for a while. */
+    default void giveUpLead() {}
+
+    /** Returns whether this VM joins the group of which one is selected as leader; may be called on any thread. */
+    default boolean isLeaderGroupMember() {
+        return true;
+    }
+
+    /** Returns how often this VM left the lead to others since the start; may be called on any thread. */
+    default int leadsGivenUp() {
+        return 0;
+    }
+
     /** Sets whether this VM may be selected as leader; one that reaches no server may not. */
     void setLeaderEligible(boolean eligible);
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -16,13 +16,11 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
-import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -58,8 +56,6 @@
     private static final String NOT_LEADING_VM = "notLeadingVm";
     private static final String NOT_LEADING_START = "notLeadingStart";
     private static final String NOT_LEADING_BEFORE_TERM = "notLeadingBeforeTerm";
-    /** Data centre of VMs with earlier builds, which do not state one. */
-    private static final String UNKNOWN_DATA_CENTRE = "unknown";
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -81,6 +77,8 @@
      * @param linksImpaired whether the leader reaches no server, or far fewer than another entry VM
      * @param relayPeers entry VMs that can send requests for the one that is answered
      * @param positions log positions up to which the leader has read
+     * @param standby whether the VM that reported stands by to lead
+     * @param yieldsLead whether the leader leaves the lead to others, since it can't carry it
      */
     record LeaderStatus(
             long storeSilenceMillis,
@@ -89,11 +87,18 @@
             int entryVmCount,
             boolean linksImpaired,
             List<RelayPeer> relayPeers,
-            Platform.Positions positions) {
+            Platform.Positions positions,
+            boolean standby,
+            boolean yieldsLead) {
         /** Copies the list. */
         LeaderStatus {
             relayPeers = List.copyOf(relayPeers);
         }
+
+        /** Returns whether nothing that the leader stated of itself lets another VM take over. */
+        boolean leaderMayStay() {
+            return !linksImpaired && !yieldsLead;
+        }
     }
 
     /**
@@ -299,7 +304,7 @@
                 processLoad(message);
                 boolean firstOfReport = message.has(PendingReport.TIMES);
                 if (firstOfReport) {
-                    PendingReport.Reporter reporter = reporter(message);
+                    PendingReport.Reporter reporter = ReporterJson.read(message);
                     listener.onReporter(reporter, packet.sender());
                     listener.leaderStatus(reporter).ifPresent(status -> sendStatus(message, status, packet.sender()));
                 }
@@ -362,21 +367,6 @@
             return newestEncodedTable.get();
         }
 
-        private static PendingReport.Reporter reporter(JsonNode report) {
-            List<ServerStart> leaving = new ArrayList<>();
-            report.path(PendingReport.LEAVING_SERVERS)
-                    .forEach(server -> leaving.add(new ServerStart(
-                            new ServerId(server.path(0).asText()),
-                            server.path(1).asLong())));
-            return new PendingReport.Reporter(
-                    report.path(PendingReport.VM).asText(),
-                    new DataCentreId(report.path(PendingReport.DATA_CENTRE).asText(UNKNOWN_DATA_CENTRE)),
-                    report.path(PendingReport.CUT_OFF).asBoolean(),
-                    report.path(PendingReport.ANSWERING_SERVERS).asInt(),
-                    report.path(PendingReport.SILENT_SERVERS).asInt(),
-                    leaving);
-        }
-
         private void processLoad(JsonNode report) {
             report.path(PendingReport.KEYS).fields().forEachRemaining(service -> {
                 ServiceId id = new ServiceId(service.getKey());
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -311,6 +311,9 @@
                         .count());
         metrics.gauge("store.calls", "calls to the store since the start", followed::storeCalls);
         metrics.gauge("store.calls.held.back", "calls held back from the store", followed::storeCallsHeldBack);
+        metrics.gauge(
+                "leader.group.member", "1 while in the leader group", () -> followed.isLeaderGroupMember() ? 1 : 0);
+        metrics.gauge("leads.given.up", "how often this VM left the lead to others", followed::leadsGivenUp);
         metrics.gauge("log.dropped", "log lines dropped and not yet reported", events::droppedCount);
     }
 
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/LeaderStatusJsonTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/LeaderStatusJsonTest.java
@@ -9,7 +9,7 @@
 class LeaderStatusJsonTest {
     private static final Platform.Positions POSITIONS = new Platform.Positions(7, 4, 5, 12);
     private static final ReportChannel.LeaderStatus STATUS =
-            new ReportChannel.LeaderStatus(1, 2, 6, 3, true, List.of(), POSITIONS);
+            new ReportChannel.LeaderStatus(1, 2, 6, 3, true, List.of(), POSITIONS, false, true);
 
     /** Guards against positions of another era that are taken for those of the present one. */
     @Test
@@ -17,6 +17,16 @@
         assertThat(LeaderStatusJson.read(LeaderStatusJson.write(STATUS))).isEqualTo(STATUS);
     }
 
+    /** Guards against VMs that leave the leader group, since the leader of an earlier build names no standbys. */
+    @Test
+    void allVmsOfALeaderThatNamesNoStandbysStandBy() {
+        ObjectNode message = LeaderStatusJson.write(STATUS);
+        message.remove("standby");
+        message.remove("yieldsLead");
+        assertThat(LeaderStatusJson.read(message).standby()).isTrue();
+        assertThat(LeaderStatusJson.read(message).yieldsLead()).isFalse();
+    }
+
     /** Guards against answers of earlier builds, which state no era. */
     @Test
     void statusWithoutEraIsOfEraZero() {
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RecordingReportListener.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RecordingReportListener.java
@@ -28,7 +28,9 @@
                 entryVmCount,
                 true,
                 List.of(ReportChannelTest.PEER),
-                new Platform.Positions(4, 5, table.logEnd())));
+                new Platform.Positions(4, 5, table.logEnd()),
+                false,
+                true));
     }
 
     @Override
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
@@ -40,6 +40,7 @@
 import org.lacewingthread.core.keyrange.RangeOwnership;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.keyrange.RangeTableDelta;
+import org.lacewingthread.core.membership.LeadAbility;
 import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.core.registry.RegistryChanges;
 import org.lacewingthread.core.registry.ServerEntry;
@@ -55,8 +56,8 @@
 
     private static final int MANY_SERVERS = 150;
     private static final int KEYS_PER_SERVICE = 180;
-    private static final PendingReport.Reporter REPORTER =
-            new PendingReport.Reporter("vm-2", new DataCentreId("maras"), false, 4, 1, List.of(SERVER));
+    private static final PendingReport.Reporter REPORTER = new PendingReport.Reporter(
+            "vm-2", new DataCentreId("maras"), false, 4, 1, List.of(SERVER), new LeadAbility(false, 2));
     static final RelayPeer PEER = new RelayPeer(new VmId("vm-3"), new DataCentreId("calca"), "10.0.0.3", 7_000);
     private static final long SENT_AT_MILLIS = 77_000;
     private static final int RECEIVE_TIMEOUT_MILLIS = 5_000;
@@ -110,7 +111,7 @@
         assertThat(leaderListener.received).contains("vm-2", ORDERS + "/7", SERVER + "=120.0");
         assertThat(followerListener.received)
                 .containsExactly(new ReportChannel.LeaderStatus(
-                        1, 2, 6, 3, true, List.of(PEER), new Platform.Positions(4, 5, 12)));
+                        1, 2, 6, 3, true, List.of(PEER), new Platform.Positions(4, 5, 12), false, true));
         assertThat(followerListener.leaderTimes)
                 .containsExactly(new Platform.AsOf(SENT_AT_MILLIS - 2, SENT_AT_MILLIS - 6));
     }
