--- a/core/src/main/java/org/lacewingthread/core/dispatch/PermitIssuer.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/PermitIssuer.java
@@ -26,6 +26,10 @@
      * that some VMs still hear took up the whole bound of one second.
      */
     static final double MAX_SAVED_COLD_PERMITS = 1.3;
+    /** Time in which a former leader may go on unknowingly: the longest outage of the store that it outlasts. */
+    private static final long TAKEOVER_MILLIS = 10_000;
+    /** Share of the rate of cold servers that is permitted in that time, since a former leader permits it too. */
+    private static final double TAKEOVER_RATE_SHARE = 0.5;
     /** How long a server counts as cold after an entry VM said so; VMs that know it ask at each request. */
     private static final long COLD_VALIDITY_MILLIS = 2_000;
     /** A new bucket has one permit, so that a change of leader lets few extra requests through. */
@@ -47,6 +51,7 @@
     private final Map<ServerStart, Bucket> buckets = new HashMap<>();
     private Map<ServerStart, Double> settledLimits = Map.of();
     private long newestLimitMillis = Long.MIN_VALUE / 2;
+    private long firstAskedMillis = Long.MAX_VALUE / 2;
     private long settledAtMillis = Long.MIN_VALUE / 2;
 
     /** Permits of one server. */
@@ -114,9 +119,11 @@
     public Permit issue(PermitRequest request, long nowMillis) {
         Bucket bucket = buckets.computeIfAbsent(request.server(), server -> new Bucket());
         bucket.askedAtMillis = nowMillis;
+        firstAskedMillis = Math.min(firstAskedMillis, nowMillis);
         fill(bucket, nowMillis);
         if (request.kind() == LimitKind.COLD) {
-            bucket.onCold(request.limit().perSecond(), nowMillis);
+            double share = nowMillis - firstAskedMillis < TAKEOVER_MILLIS ? TAKEOVER_RATE_SHARE : 1;
+            bucket.onCold(request.limit().perSecond() * share, nowMillis);
         } else {
             onNamed(bucket, request, nowMillis);
             if (bucket.isEnded() && !bucket.isCold(nowMillis)) {
