--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -71,14 +71,10 @@
     private boolean draining;
     private boolean refusing;
 
-    CallerConnection(
-            CallerListener listener,
-            CallerRequestHandler requestHandler,
-            MemoryAccount account,
-            LongSupplier clockMillis) {
+    CallerConnection(CallerListener listener, CallerRequestHandler requestHandler, LongSupplier clockMillis) {
         this.listener = listener;
         this.requestHandler = requestHandler;
-        this.account = account;
+        this.account = listener.account();
         this.clockMillis = clockMillis;
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
@@ -91,7 +91,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         CallerConnection connection =
-                                new CallerConnection(CallerListener.this, requestHandler, account, clockMillis);
+                                new CallerConnection(CallerListener.this, requestHandler, clockMillis);
                         channel.pipeline()
                                 .addLast(connection.newDecoder(limits.maxHeaderBytes()))
                                 .addLast(new HttpResponseEncoder())
@@ -179,6 +179,11 @@
         }
     }
 
+    /** Returns what counts the memory of requests and responses. */
+    public MemoryAccount account() {
+        return account;
+    }
+
     /** Returns how many connections were closed because there were too many; may be read by any thread. */
     public long closedForRoom() {
         return closedForRoom.get();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ProcessLimits.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ProcessLimits.java
@@ -22,13 +22,9 @@
 
     private ProcessLimits() {}
 
-    /** Returns the account of a process with this heap. */
-    static MemoryAccount memoryAccount() {
-        return new MemoryAccount((long) (Runtime.getRuntime().maxMemory() * ACCOUNT_SHARE));
-    }
-
-    /** Returns the listener of a process, whose requests and responses are counted in the account. */
-    static CallerListener callerListener(RequestEngine engine, LongSupplier clockMillis, MemoryAccount account) {
+    /** Returns the listener of a process with an account of its memory, which also counts servers' responses. */
+    static CallerListener callerListener(RequestEngine engine, LongSupplier clockMillis) {
+        MemoryAccount account = new MemoryAccount((long) (Runtime.getRuntime().maxMemory() * ACCOUNT_SHARE));
         engine.countIn(account);
         return new CallerListener(engine, clockMillis, account, maxCallerConnections());
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -17,7 +17,6 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeTable;
-import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.quarantine.CrashRecord;
 import org.lacewingthread.core.quarantine.RequestFingerprint;
 import org.lacewingthread.core.reachability.RelayPeer;
@@ -84,7 +83,6 @@
     private final RouterRelay relay;
     private final CallerListener callerListener;
     private final QuarantinePage quarantinePage;
-    private final MemoryAccount memory = ProcessLimits.memoryAccount();
     private final VmStart self;
     private List<KnownServer> knownServers = List.of();
     private ControlLoop controlLoop;
@@ -123,13 +121,14 @@
                 new ControlLimitLink(),
                 new LateCrashRecordLink(() -> controlLoop.crashRecords()),
                 new RelaySender.Access(settings.dataCentre(), this::relay, random.split()));
+        this.callerListener = ProcessLimits.callerListener(engine, RouterProcess::trafficNowMillis);
         this.relay = new RouterRelay(
                 self,
                 settings.dataCentre(),
                 trafficEventLoop,
                 new RelayReceiver(
                         engine,
-                        memory,
+                        callerListener.account(),
                         RouterProcess::trafficNowMillis,
                         () -> !stopping && !engine.links().isCutOff()),
                 RouterProcess::trafficNowMillis);
@@ -138,7 +137,6 @@
                 fingerprint ->
                         trafficEventLoop.execute(() -> engine.crashGuard().lift(fingerprint)),
                 System::currentTimeMillis);
-        this.callerListener = ProcessLimits.callerListener(engine, RouterProcess::trafficNowMillis, memory);
     }
 
     private RequestHandler.Cancellation relay(RelayPeer peer, RelayedRequest request, ResponseSink sink) {
@@ -293,7 +291,7 @@
     }
 
     private void registerGauges(Platform followed) {
-        MemoryGauges.register(metrics, memory, callerListener);
+        MemoryGauges.register(metrics, callerListener.account(), callerListener);
         metrics.gauge("unanswered", "requests without answer", engine::unansweredCount);
         metrics.gauge("waiting", "requests that wait for a server", engine::waitingCount);
         metrics.gauge("connections.opened", "connections opened to servers", engine::connectionsOpened);
--- a/daemon/src/test/java/org/lacewingthread/daemon/intake/RequestReaderFuzzTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/intake/RequestReaderFuzzTest.java
@@ -56,7 +56,7 @@
 
     private EmbeddedChannel open() {
         CallerListener listener = new CallerListener(handler, () -> 0, account, 10);
-        CallerConnection connection = new CallerConnection(listener, handler, account, () -> 0);
+        CallerConnection connection = new CallerConnection(listener, handler, () -> 0);
         return new EmbeddedChannel(
                 connection.newDecoder(16_384), new HttpResponseEncoder(), new ChunkedWriteHandler(), connection);
     }
