--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -172,7 +172,7 @@
         loadReports.send();
     }
 
-    /** Reports the load early, since requests for keys wait; may be called on any thread. */
+    /** Reports the load early; may be called on any thread. */
     void onKeyedRequestsWaiting() {
         eventLoop.execute(() -> {
             if (clock.nowMillis() - reportedMillis >= WAITING_REPORT_INTERVAL_MILLIS) {
@@ -190,7 +190,6 @@
         });
     }
 
-    /** Returns whether the configuration and the servers have been read. */
     boolean isReady() {
         return configuration.isPresent() && serversKnown;
     }
