--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -252,7 +251,7 @@
         PendingResponse pending = newResponse(false, false);
         pendingResponses.addLast(pending);
         requestHandler.onInvalidRequest(status, reason);
-        pending.respond(status, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+        pending.respond(status, IncomingRequest.rejectionHeaders(status), Unpooled.EMPTY_BUFFER);
     }
 
     private void writeReadyResponses() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/IncomingRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/IncomingRequest.java
@@ -1,7 +1,11 @@
 package org.lacewingthread.daemon.intake;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.memory.MemoryAccount;
@@ -12,6 +16,9 @@
 
 /** A request that is being received, with the memory that is counted for it. */
 final class IncomingRequest {
+    /** Memory is free again once the slow requests before this one are answered or given up, within about a second. */
+    private static final int MEMORY_RETRY_AFTER_SECONDS = 1;
+
     /** Heap that a request takes beside head and body: objects of the connection, the dispatcher and the log. */
     private static final long REQUEST_BYTES = 2_048;
     /** Heap of a header line beside its text: an entry of a linked table, two strings and their arrays. */
@@ -110,4 +117,12 @@
     long startedMillis() {
         return startedMillis;
     }
+
+    /** Returns the headers of a response that ends a request before it is whole; a 503 says when memory may be free again. */
+    static HttpHeaders rejectionHeaders(int status) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        return status == HttpResponseStatus.SERVICE_UNAVAILABLE.code()
+                ? headers.set(HttpHeaderNames.RETRY_AFTER, MEMORY_RETRY_AFTER_SECONDS)
+                : headers;
+    }
 }
