--- a/core/src/main/java/org/lacewingthread/core/dispatch/SendGate.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/SendGate.java
@@ -20,7 +20,9 @@
 public record SendGate(BooleanSupplier registryIsCurrent, BooleanSupplier evacuationsAreCurrent) {
     /** Returns whether a server may get requests as far as the ages of the views are concerned. */
     public boolean allows(KnownServer server) {
-        boolean mayHaveBegunToLeave = server.isReady() && !registryIsCurrent.getAsBoolean();
+        boolean mayBeginToDrain =
+                server.isReady() || (server.evacuated() && !server.entry().draining());
+        boolean mayHaveBegunToLeave = mayBeginToDrain && !registryIsCurrent.getAsBoolean();
         boolean mayBeEvacuated = !server.evacuated() && !evacuationsAreCurrent.getAsBoolean();
         return !mayHaveBegunToLeave && !mayBeEvacuated;
     }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
@@ -253,7 +253,8 @@
             OptionalLong slot =
                     isLeaderSilent(nowMillis) ? takeSlot(pending.server(), nowMillis) : OptionalLong.empty();
             if (slot.isPresent()) {
-                permit(pending, nowMillis, slot.getAsLong());
+                // The slot of a server that is not cold does not end, and the server may turn cold meanwhile.
+                permit(pending, nowMillis, Math.min(slot.getAsLong(), nowMillis + ColdServers.PERMIT_USE_MILLIS));
             } else {
                 coldServers.onHeld(pending.server());
             }
--- a/core/src/main/java/org/lacewingthread/core/hedging/HedgePolicy.java
+++ b/core/src/main/java/org/lacewingthread/core/hedging/HedgePolicy.java
@@ -73,6 +73,11 @@
                 Math.max(MIN_DELAY_MILLIS, Math.round(Math.max(1, expectedMillis) * Math.max(1, ratio))));
     }
 
+    /** Returns whether the budget allows a hedge now. */
+    public boolean mayTake() {
+        return budget.mayTake();
+    }
+
     /** Takes one hedge from the budget; returns false if the set share of extra work is used up. */
     public boolean tryTake() {
         return budget.tryTake();
--- a/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/ServerRegistry.java
@@ -87,7 +87,7 @@
          * @param deadlineMillis until when it gets requests for its keys, unless it leaves earlier itself
          */
         public KnownServer evacuatedUntil(long deadlineMillis) {
-            boolean hasEntry = isReady() || entry.draining();
+            boolean hasEntry = removeAtMillis.isEmpty() || isReady();
             long earlierMillis = Math.min(deadlineMillis, acceptsUntilMillis.orElse(deadlineMillis));
             return new KnownServer(entry, Optional.of(earlierMillis), removeAtMillis, hasEntry);
         }
--- a/core/src/main/java/org/lacewingthread/core/traffic/RetryBudget.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/RetryBudget.java
@@ -43,6 +43,11 @@
         tokens = Math.min(maxTokens, tokens + tokensPerFirstAttempt);
     }
 
+    /** Returns whether a token is available. */
+    public boolean mayTake() {
+        return tokens >= 1;
+    }
+
     /** Takes a token for one extra attempt; returns false if none is available. */
     public boolean tryTake() {
         if (tokens < 1) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -234,7 +234,7 @@
     private void tick() {
         long tickMillis = coordinator.isLeading() ? LEADER_TICK_MILLIS : FOLLOWER_TICK_MILLIS;
         eventLoop.schedule(this::tick, tickMillis, TimeUnit.MILLISECONDS);
-        loadReports.onTurn();
+        new FailureLoggingTask(events, "lead", loadReports::onTurn).run();
         new FailureLoggingTask(events, "control", this::step).run();
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/HedgedAttempts.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/HedgedAttempts.java
@@ -89,12 +89,12 @@
     }
 
     private void tryHedge(ActiveRequest request, long nowMillis) {
-        Optional<Decision.Send> second = dispatcher.hedge(request.toDispatchRequest(), nowMillis);
-        if (second.isEmpty()) {
+        if (!policy.orElseThrow().mayTake() || !retryBudget.mayTake()) {
             return;
         }
-        if (!policy.orElseThrow().tryTake() || !retryBudget.tryTake()) {
-            dispatcher.onAttemptEnded(second.get(), AttemptResult.WITHHELD, 0, Optional.empty(), nowMillis);
+        Optional<Decision.Send> second = dispatcher.hedge(request.toDispatchRequest(), nowMillis);
+        boolean takesTokens = second.isPresent() && policy.orElseThrow().tryTake() && retryBudget.tryTake();
+        if (!takesTokens) {
             return;
         }
         ActiveRequest.Attempt first = request.attempt.orElseThrow();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LeadKeeper.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LeadKeeper.java
@@ -16,8 +16,12 @@
     private final EntryVmDirectory directory;
     private final EventLog events;
     private final String vm;
+    /** Time after which a VM that got the lead back, since no other one took it, leaves it again. */
+    private static final long GIVE_UP_INTERVAL_MILLIS = 20_000;
+
     private final LeadMonitor monitor = new LeadMonitor();
     private boolean couldLead = true;
+    private long nextGiveUpMillis = Long.MIN_VALUE / 2;
     private boolean yields;
 
     LeadKeeper(
@@ -65,7 +69,8 @@
                     monitor.oldRegistryShare());
         }
         boolean yieldsNow = leading && !couldLead && directory.knowsAbleVm(vm, nowMillis);
-        if (yieldsNow && !yields) {
+        if (yieldsNow && nowMillis >= nextGiveUpMillis) {
+            nextGiveUpMillis = nowMillis + GIVE_UP_INTERVAL_MILLIS;
             events.write(
                     "lead.given-up",
                     "reason",
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/OverdueRequests.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/OverdueRequests.java
@@ -38,8 +38,10 @@
 
     private void onOverdue(ActiveRequest request, ActiveRequest.Attempt attempt, long nowMillis) {
         Decision.Send decision = attempt.decision;
-        // A suspected request must not run twice, since its server may be about to end.
-        if (!request.onTrial && retries.tryRepeat(request)) {
+        // A key has one owner, whose answer may still come. A suspected request must not run twice, since its server
+        // may be about
+        // to end.
+        if (request.key.isEmpty() && !request.onTrial && retries.tryRepeat(request)) {
             attempt.connection.abort();
             engine.onFailure(request, attempt, AttemptResult.OVERDUE, "overdue");
         } else if (!attempt.overdue) {
