Retry budget: count extra attempts by service in a sliding window

Cause: one token bucket for all services held only the VM's part of the slack, 1.5 to 5 tokens. Change: each VM allows extra attempts at a service up to its share of the first attempts of the last window, plus its part of the slack; the sum over all VMs keeps the limit in each window. Requests for one service no longer pay for retries at another. Shown: ServiceRetryBudgetTest (bursts, services, windows, sums over 19 VMs in each window).

--- a/core/src/main/java/org/lacewingthread/core/traffic/RetryBudget.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/RetryBudget.java
@@ -6,7 +6,7 @@
  */
 public final class RetryBudget {
     private final double tokensPerFirstAttempt;
-    private double maxTokens;
+    private final double maxTokens;
     private double tokens;
 
     /**
@@ -25,19 +25,6 @@
         this.tokens = maxTokens;
     }
 
-    /**
-     * Changes the capacity; tokens beyond it are lost.
-     *
-     * @param newMaxTokens capacity of the bucket in tokens
-     */
-    public void setMaxTokens(double newMaxTokens) {
-        if (newMaxTokens < 0) {
-            throw new IllegalArgumentException("retry budget of size " + newMaxTokens + " is negative");
-        }
-        maxTokens = newMaxTokens;
-        tokens = Math.min(tokens, maxTokens);
-    }
-
     /** Adds the tokens of a first attempt. */
     public void onFirstAttempt() {
         tokens = Math.min(maxTokens, tokens + tokensPerFirstAttempt);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/HedgedAttempts.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/HedgedAttempts.java
@@ -7,7 +7,7 @@
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.hedging.HedgePolicy;
-import org.lacewingthread.core.traffic.RetryBudget;
+import org.lacewingthread.core.traffic.ServiceRetryBudget;
 import org.lacewingthread.daemon.events.EventLog;
 
 /**
@@ -21,7 +21,7 @@
     private final RequestEngine engine;
     private final RequestDispatcher dispatcher;
     private final AttemptSender sender;
-    private final RetryBudget retryBudget;
+    private final ServiceRetryBudget retryBudget;
     private final ActiveRequests activeRequests;
     private final EventLog events;
     private final RouterMetrics metrics;
@@ -32,7 +32,7 @@
             RequestEngine engine,
             RequestDispatcher dispatcher,
             AttemptSender sender,
-            RetryBudget retryBudget,
+            ServiceRetryBudget retryBudget,
             ActiveRequests activeRequests,
             EventLog events,
             RouterMetrics metrics,
@@ -89,11 +89,12 @@
     }
 
     private void tryHedge(ActiveRequest request, long nowMillis) {
-        if (!policy.orElseThrow().mayTake() || !retryBudget.mayTake()) {
+        if (!policy.orElseThrow().mayTake() || !retryBudget.mayTake(request.service, nowMillis)) {
             return;
         }
         Optional<Decision.Send> second = dispatcher.hedge(request.toDispatchRequest(), nowMillis);
-        boolean takesTokens = second.isPresent() && policy.orElseThrow().tryTake() && retryBudget.tryTake();
+        boolean takesTokens =
+                second.isPresent() && policy.orElseThrow().tryTake() && retryBudget.tryTake(request.service, nowMillis);
         if (!takesTokens) {
             return;
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -18,7 +18,7 @@
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
-import org.lacewingthread.core.traffic.RetryBudget;
+import org.lacewingthread.core.traffic.ServiceRetryBudget;
 import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.http.ConnectionPool;
 import org.lacewingthread.daemon.http.DroppedResponseLog;
@@ -44,7 +44,7 @@
     private final DroppedResponseLog droppedResponses;
     private final AttemptSender sender;
     private final ResponseSender responder;
-    private final RetryBudget retryBudget;
+    private final ServiceRetryBudget retryBudget;
     private final RequestRetries retries;
     private final RelaySender relays;
     private final LongSupplier clockMillis;
@@ -65,7 +65,7 @@
             RouterMetrics metrics,
             RequestDispatcher dispatcher,
             EventLoop eventLoop,
-            RetryBudget retryBudget,
+            ServiceRetryBudget retryBudget,
             LongSupplier clockMillis,
             KeyRequestListener keyRequestListener,
             LimitLink limitLink,
@@ -127,10 +127,10 @@
     /**
      * Applies the number of live entry VMs.
      *
-     * @param maxSavedRetries most extra attempts that this VM can save up
+     * @param retrySlack extra attempts of this VM in a window beyond the share of its first ones
      */
-    void onEntryVmCount(int count, double maxSavedRetries) {
-        retryBudget.setMaxTokens(maxSavedRetries);
+    void onEntryVmCount(int count, double retrySlack) {
+        retryBudget.setSlack(retrySlack);
         dispatcher.onEntryVmCount(count);
         routing.onEntryVmCount(count);
         dispatcher.onConnectionLimits(routing.connectionLimits());
@@ -191,6 +191,10 @@
         return connections.openedCount();
     }
 
+    long deniedRetries() {
+        return retryBudget.denied();
+    }
+
     long droppedResponses() {
         return droppedResponses.count();
     }
@@ -212,7 +216,7 @@
         }
         ActiveRequest request = admitted.get();
         activeRequests.add(request);
-        retryBudget.onFirstAttempt();
+        retryBudget.onFirstAttempt(request.service, clockMillis.getAsLong());
         hedges.onFirstAttempt();
         request.key.ifPresent(value -> keyRequestListener.onKeyRequested(request.service, value));
         submit(request);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -5,7 +5,7 @@
 import org.lacewingthread.core.dispatch.AttemptResult;
 import org.lacewingthread.core.dispatch.RefusalCause;
 import org.lacewingthread.core.traffic.ResultCode;
-import org.lacewingthread.core.traffic.RetryBudget;
+import org.lacewingthread.core.traffic.ServiceRetryBudget;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.http.FullResponse;
 
@@ -16,10 +16,11 @@
 
     private final RequestEngine engine;
     private final ResponseSender responder;
-    private final RetryBudget retryBudget;
+    private final ServiceRetryBudget retryBudget;
     private final LongSupplier clockMillis;
 
-    RequestRetries(RequestEngine engine, ResponseSender responder, RetryBudget retryBudget, LongSupplier clockMillis) {
+    RequestRetries(
+            RequestEngine engine, ResponseSender responder, ServiceRetryBudget retryBudget, LongSupplier clockMillis) {
         this.engine = engine;
         this.responder = responder;
         this.retryBudget = retryBudget;
@@ -77,7 +78,7 @@
         if (!hopeless
                 && request.sentAttempts < request.route.maxAttempts()
                 && hasTimeToRetry(request)
-                && retryBudget.tryTake()) {
+                && retryBudget.tryTake(request.service, clockMillis.getAsLong())) {
             engine.submit(request);
             return;
         }
@@ -99,15 +100,18 @@
      * @param failure response of the server that reports its failure, which is forwarded if the request is not sent again
      */
     void retryOrFail(ActiveRequest request, Optional<FullResponse> failure, String reason) {
+        long deniedBefore = retryBudget.denied();
         if (tryRepeat(request)) {
             repeat(request);
             return;
         }
         engine.finish(request);
+        boolean overBudget = retryBudget.denied() > deniedBefore;
         if (failure.isPresent()) {
             responder.forwardResponse(request, failure.get());
         } else {
-            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, reason);
+            responder.failWithUnknownOutcome(
+                    request, ResultCode.ANSWER_LOST, overBudget ? reason + "; the retry budget is used up" : reason);
         }
     }
 
@@ -132,7 +136,7 @@
         return request.route.repeatability().maySendAgain(true)
                 && request.sentAttempts < request.route.maxAttempts()
                 && hasTimeToRetry(request)
-                && retryBudget.tryTake();
+                && retryBudget.tryTake(request.service, clockMillis.getAsLong());
     }
 
     private boolean hasTimeToRetry(ActiveRequest request) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -23,7 +23,7 @@
 import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
-import org.lacewingthread.core.traffic.RetryBudget;
+import org.lacewingthread.core.traffic.ServiceRetryBudget;
 import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.events.FailureLoggingTask;
 import org.lacewingthread.daemon.exchange.RelayedRequest;
@@ -110,7 +110,8 @@
                 metrics,
                 dispatcher,
                 trafficEventLoop,
-                new RetryBudget(settings.retryRatio(), savedRetriesOf(ASSUMED_ENTRY_VM_COUNT)),
+                new ServiceRetryBudget(
+                        settings.retryRatio(), retrySlackOf(ASSUMED_ENTRY_VM_COUNT), settings.retryWindowMillis()),
                 RouterProcess::trafficNowMillis,
                 (service, key) -> controlLoop.onKeyRequested(service, key),
                 new ControlLimitLink(() -> controlLoop),
@@ -240,7 +241,7 @@
     private final class ReportListener implements LoadReports.ResultListener {
         @Override
         public void onEntryVmCount(int count) {
-            trafficEventLoop.execute(() -> engine.onEntryVmCount(count, savedRetriesOf(count)));
+            trafficEventLoop.execute(() -> engine.onEntryVmCount(count, retrySlackOf(count)));
         }
 
         @Override
@@ -254,9 +255,9 @@
         }
     }
 
-    /** Returns this VM's part of the extra attempts that can be saved up; with less than one, none could be made. */
-    private double savedRetriesOf(int entryVmCount) {
-        return Math.max(1, settings.maxSavedRetries() / entryVmCount);
+    /** Returns this VM's part of the extra attempts beyond the share of its first ones; at least one, so that it can retry without load. */
+    private double retrySlackOf(int entryVmCount) {
+        return Math.max(1, settings.retrySlack() / entryVmCount);
     }
 
     private static long trafficNowMillis() {
@@ -267,6 +268,7 @@
         MemoryGauges.register(metrics, callerListener.account(), callerListener);
         metrics.gauge("unanswered", "requests without answer", engine::unansweredCount);
         metrics.gauge("waiting", "requests that wait for a server", engine::waitingCount);
+        metrics.gauge("retries.denied", "extra attempts that the retry budget did not allow", engine::deniedRetries);
         metrics.gauge("connections.opened", "connections opened to servers", engine::connectionsOpened);
         metrics.gauge("servers.answering", "servers that answered of late", () -> reach.answeringServers());
         metrics.gauge("leading", "1 while this VM leads the key ranges", () -> controlLoop.isLeading() ? 1 : 0);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterSettings.java
@@ -19,7 +19,8 @@
  * @param drainMillis time from a server's drain after which no request may arrive there
  * @param stopMillis time from the stop signal until the process must have ended
  * @param retryRatio extra attempts as a share of first attempts, over all entry VMs
- * @param maxSavedRetries most extra attempts that all entry VMs together can save up; each has an equal part
+ * @param retrySlack extra attempts at a service in a window beyond that share, over all entry VMs; each has an equal part
+ * @param retryWindowMillis window in which the extra attempts are counted
  * @param leaseTimes durations of the holds of key ranges and of their renewals
  * @param firstStart whether the deployment as a whole starts for the first time, so that no server can hold keys yet;
  *     false for a process that is started again
@@ -37,12 +38,16 @@
         long drainMillis,
         long stopMillis,
         double retryRatio,
-        double maxSavedRetries,
+        double retrySlack,
+        long retryWindowMillis,
         RangeLeaseTimes leaseTimes,
         boolean firstStart,
         Optional<EvacuationTimes> evacuation,
         Optional<HedgeSettings> hedging,
         ColdServerSettings coldServers) {
+    /** Window in which extra attempts are counted unless the settings name another one. */
+    public static final long DEFAULT_RETRY_WINDOW_MILLIS = 10_000;
+
     /**
      * Times of the evacuations of data centres.
      *
@@ -62,7 +67,7 @@
             long drainMillis,
             long stopMillis,
             double retryRatio,
-            double maxSavedRetries,
+            double retrySlack,
             RangeLeaseTimes leaseTimes,
             boolean firstStart) {
         this(
@@ -75,7 +80,8 @@
                 drainMillis,
                 stopMillis,
                 retryRatio,
-                maxSavedRetries,
+                retrySlack,
+                DEFAULT_RETRY_WINDOW_MILLIS,
                 leaseTimes,
                 firstStart,
                 Optional.empty(),
@@ -95,7 +101,8 @@
                 drainMillis,
                 stopMillis,
                 retryRatio,
-                maxSavedRetries,
+                retrySlack,
+                retryWindowMillis,
                 leaseTimes,
                 firstStart,
                 times,
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
@@ -35,7 +35,7 @@
 import org.lacewingthread.core.serving.ServiceSpec;
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.core.serving.WeightedService;
-import org.lacewingthread.core.traffic.RetryBudget;
+import org.lacewingthread.core.traffic.ServiceRetryBudget;
 import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.intake.CallerRequest;
 
@@ -77,7 +77,7 @@
                 new RouterMetrics(),
                 new RequestDispatcher(HERE, new SplittableRandom(1)),
                 eventLoop,
-                new RetryBudget(0.2, 5),
+                new ServiceRetryBudget(0.2, 5, 10_000),
                 nowMillis::get,
                 (service, key) -> {},
                 new LimitLink() {
