Pace keyed requests to owners that are silent when full

Callers of a busy key waited until their deadline (4.2 s at a target of 0.84 s) for an answer that couldn't come: entry VMs sent requests beyond the slots and queue of an owner that never answers what it can't queue, and such a request kept its VM from the owner until its deadline.

Once an attempt of a service with keys was overdue, and while none of its servers said that it is full, SilentOwners spaces the requests of this VM to each owner by the loads that the owner reports. Requests wait at the VM, and are refused as overloaded as soon as their turn comes too late.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/OverdueAttempts.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/OverdueAttempts.java
@@ -1,10 +1,7 @@
 package org.lacewingthread.core.dispatch;
 
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 import org.lacewingthread.core.id.ServerStart;
-import org.lacewingthread.core.id.ServiceId;
 
 /**
  * Tells when the answer to an attempt is overdue. Servers of some services never answer a request that they can't queue,
@@ -32,15 +29,11 @@
     private static final int MAX_GROWTH_STEPS = 6;
 
     private final Map<ServerStart, ServerLoadState> servers;
-    private final Set<ServiceId> servicesThatReject = new HashSet<>();
+    private final SilentOwners silentOwners;
 
-    OverdueAttempts(Map<ServerStart, ServerLoadState> servers) {
+    OverdueAttempts(Map<ServerStart, ServerLoadState> servers, SilentOwners silentOwners) {
         this.servers = servers;
-    }
-
-    /** Records that a server answered that it is full. */
-    void onRejected(ServiceId service) {
-        servicesThatReject.add(service);
+        this.silentOwners = silentOwners;
     }
 
     /**
@@ -51,7 +44,7 @@
     public boolean isOverdue(Decision.Send send, double elapsedMillis) {
         ServerLoadState state = servers.get(send.server().start());
         return state != null
-                && !servicesThatReject.contains(send.request().service())
+                && !silentOwners.rejects(send.request().service())
                 && state.answers() >= MIN_ANSWERS
                 && elapsedMillis >= overdueAfterMillis(state, send.expectedMillis());
     }
@@ -59,12 +52,16 @@
     /**
      * Backs off from the server of an overdue attempt that is still awaited, since the request must not be repeated or
      * can't be.
+     *
+     * @return whether requests for keys of the service are paced from now on, since its owners drop requests silently
      */
-    public void onAwaited(Decision.Send send, long nowMillis) {
+    public boolean onAwaited(Decision.Send send, long nowMillis) {
         ServerLoadState state = servers.get(send.server().start());
-        if (state != null) {
-            state.onSilent(nowMillis);
+        if (state == null) {
+            return false;
         }
+        state.onSilent(nowMillis);
+        return silentOwners.onAwaited(send, state);
     }
 
     private static double overdueAfterMillis(ServerLoadState state, long expectedMillis) {
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -35,7 +35,8 @@
     private final ServerChooser serverChooser;
     private final Map<ServerStart, ServerLoadState> servers = new HashMap<>();
     private final ServiceServers serviceServers = new ServiceServers(servers);
-    private final OverdueAttempts overdueAttempts = new OverdueAttempts(servers);
+    private final SilentOwners silentOwners = new SilentOwners();
+    private final OverdueAttempts overdueAttempts = new OverdueAttempts(servers, silentOwners);
     private final WaitingRequests waiting = new WaitingRequests();
     private final ClassShares shares = new ClassShares();
     private final ServerLimits limits;
@@ -181,12 +182,16 @@
             Optional<LoadReport> report,
             long nowMillis) {
         ServerLoadState state = servers.get(send.server().start());
+        boolean wasLost = silentOwners.onEnded(send);
         if (state != null) {
+            if (wasLost) {
+                state.onLostEnded();
+            }
             state.onEnded(result, elapsedMillis, report, nowMillis);
             serviceServers.assumeServiceTimes(send.request().service());
         }
         if (result == AttemptResult.REJECTED && report.isPresent()) {
-            overdueAttempts.onRejected(send.request().service());
+            silentOwners.onRejected(send.request().service());
         }
         List<Decision> decisions = new ArrayList<>();
         decide(send.request().service(), decisions, nowMillis);
@@ -366,13 +371,14 @@
             long nowMillis) {
         double expected = state.expectedMillis(ahead, nowMillis);
         double leftMillis = request.deadlineMillis() - nowMillis;
-        double waitMillis =
-                Math.max(expected - state.currentServiceMillis(nowMillis), ahead * state.sendIntervalMillis());
+        double waitMillis = Math.max(
+                expected - state.currentServiceMillis(nowMillis),
+                silentOwners.waitMillis(request, state, ahead, nowMillis));
         boolean tooLate = !state.mayAnswerWithin(leftMillis, nowMillis) || waitMillis > leftMillis * MAX_WAIT_RATIO;
         if (tooLate) {
             return Optional.of(refusals.overloaded(request, waitMillis));
         }
-        if (ahead == 0 && state.hasCapacity(nowMillis)) {
+        if (ahead == 0 && silentOwners.hasRoom(request, state, nowMillis)) {
             ServerStart server = state.knownServer().start();
             boolean permitted = request.key().isPresent()
                     ? limits.tryUsePermit(request.number(), server, nowMillis)
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -52,6 +52,10 @@
 
     private KnownServer knownServer;
     private int inFlight;
+    /** Requests sent that were most likely dropped, and whose connections are still open. */
+    private int lost;
+
+    private final OwnerPace pace = new OwnerPace();
     private final OtherVmsLoad otherVmsLoad = new OtherVmsLoad();
     private int entryVmCount = 1;
     private double serviceMillis = INITIAL_SERVICE_MILLIS;
@@ -133,6 +137,8 @@
         inFlight = Math.max(0, inFlight - 1);
         report.ifPresent(reported -> {
             otherVmsLoad.onReported(Math.max(0, reported.total() - inFlight), nowMillis);
+            pace.onReported(
+                    reported.total(), Math.max(1, knownServer.entry().slots()), fairIntervalMillis(), serviceMillis);
             reported.slowdown().ifPresent(factor -> slowdown.onReported(factor, nowMillis));
         });
         if (result.hasServiceTime()) {
@@ -168,6 +174,28 @@
         updateHealth(result, nowMillis);
     }
 
+    /** Records that a request in flight was most likely dropped, so that it takes no slot. */
+    void onLost() {
+        inFlight = Math.max(0, inFlight - 1);
+        lost++;
+        pace.onLost(fairIntervalMillis());
+    }
+
+    /** Records that a request counted as lost ends; it is in flight again until then. */
+    void onLostEnded() {
+        lost = Math.max(0, lost - 1);
+        inFlight++;
+    }
+
+    /** Returns the time until the owner's pace allows another request. */
+    double paceWaitMillis(long nowMillis) {
+        return Math.max(0, lastSentMillis + pace.intervalMillis() - nowMillis);
+    }
+
+    OwnerPace pace() {
+        return pace;
+    }
+
     /** Records that a request got no answer in the time of a full queue; the server counts as full. */
     void onSilent(long nowMillis) {
         silentSinceAnswer++;
@@ -253,9 +281,14 @@
         return otherVmsLoad.estimate(serviceMillis, hasManyEntryVms(), nowMillis);
     }
 
+    /** Returns whether no backoff and no limit of connections keeps this VM from sending a request. */
+    boolean mayConnect(long nowMillis) {
+        return nowMillis >= backoffUntilMillis && inFlight + lost < connectionLimit;
+    }
+
     /** Returns whether the server has a free slot, or space in its queue. */
     boolean hasCapacity(long nowMillis) {
-        if (nowMillis < backoffUntilMillis || inFlight >= connectionLimit) {
+        if (!mayConnect(nowMillis)) {
             return false;
         }
         boolean isFull = isThrottled() || isFullByOthers(nowMillis);
--- a/core/src/test/java/org/lacewingthread/core/dispatch/FleetModel.java
+++ b/core/src/test/java/org/lacewingthread/core/dispatch/FleetModel.java
@@ -15,22 +15,31 @@
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
+import org.lacewingthread.core.keyrange.KeyRange;
+import org.lacewingthread.core.keyrange.RangeOwnership;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 
-/** Entry VMs with a dispatcher each, and servers of one unkeyed service with slots, a queue and a speed, in virtual time. */
+/**
+ * Entry VMs with a dispatcher each, and servers of one service with slots, a queue and a speed, in virtual time. If the service
+ * is keyed, the first class of requests has one key, whose owner never answers what it can't queue.
+ */
 final class FleetModel {
     private static final ServiceId SERVICE = new ServiceId("pool");
     private static final int SLOTS = 4;
     private static final int QUEUE = 16;
     private static final double SERVICE_MILLIS = 550;
+    private static final double KEYED_SERVICE_MILLIS = 181;
     private static final double[] SPEEDS = {0.5, 1.0, 1.0, 1.5};
     private static final int DATA_CENTRES = 4;
+    /** Key of a server with the mean speed. */
+    private static final int HOT_KEY = DATA_CENTRES;
+
     private static final long TICK_MILLIS = 20;
     private static final int MAX_ATTEMPTS = 3;
 
-    /** A class of requests with its share of the demand. */
+    /** A class of requests with its share of the demand; its priority is its index. */
     record TrafficClass(int priority, double share, long targetMillis, long deadlineMillis) {}
 
     private record Event(double atMillis, long number, Runnable action) implements Comparable<Event> {
@@ -59,6 +68,11 @@
     private final List<TrafficClass> classes;
     private final int[] arrivedByClass;
     private final int[] onTimeByClass;
+    private final int[] lateByClass;
+    private final int[] unansweredByClass;
+    private final boolean keyed;
+    private final double serviceMillis;
+    private final Set<Long> awaited = new HashSet<>();
     private final double meanGapMillis;
     private double nowMillis;
     private long lastNumber;
@@ -66,7 +80,15 @@
     private int fullTotal;
 
     FleetModel(int vmCount, int serverCount, double utilization, List<TrafficClass> classes) {
+        this(vmCount, serverCount, utilization, classes, false);
+    }
+
+    FleetModel(int vmCount, int serverCount, double utilization, List<TrafficClass> classes, boolean keyed) {
         this.classes = classes;
+        this.keyed = keyed;
+        serviceMillis = keyed ? KEYED_SERVICE_MILLIS : SERVICE_MILLIS;
+        lateByClass = new int[classes.size()];
+        unansweredByClass = new int[classes.size()];
         arrivedByClass = new int[classes.size()];
         onTimeByClass = new int[classes.size()];
         double capacityPerMilli = 0;
@@ -76,15 +98,22 @@
             DataCentreId dataCentre = new DataCentreId("d" + i % DATA_CENTRES);
             ServerEntry entry = new ServerEntry(start, SERVICE, "10.0.0.1", 8080, dataCentre, SLOTS, false, false);
             servers.put(start, new Server(SPEEDS[i / DATA_CENTRES % SPEEDS.length]));
-            capacityPerMilli += SPEEDS[i / DATA_CENTRES % SPEEDS.length] * SLOTS / SERVICE_MILLIS;
+            capacityPerMilli += SPEEDS[i / DATA_CENTRES % SPEEDS.length] * SLOTS / serviceMillis;
             known.add(new KnownServer(entry, Optional.empty(), Optional.empty()));
         }
         meanGapMillis = 1 / (capacityPerMilli * utilization);
+        List<RangeOwnership> owners = new ArrayList<>();
+        for (int i = 0; keyed && i < serverCount; i++) {
+            int last = i == serverCount - 1 ? KeyRange.MAX_KEY : i;
+            owners.add(
+                    RangeOwnership.settled(new KeyRange(i, last), known.get(i).start()));
+        }
+        RangeTable ranges = keyed ? RangeTable.EMPTY.withRanges(SERVICE, owners) : RangeTable.EMPTY;
         for (int i = 0; i < vmCount; i++) {
             RequestDispatcher vm =
                     new RequestDispatcher(new DataCentreId("d" + i % DATA_CENTRES), new SplittableRandom(i));
             vm.onEntryVmCount(vmCount);
-            vm.onTopologyChanged(known, RangeTable.EMPTY, 0);
+            vm.onTopologyChanged(known, ranges, 0);
             vms.add(vm);
             at(random.nextDouble() * TICK_MILLIS, () -> tick(vm));
         }
@@ -112,6 +141,16 @@
         return (double) onTimeByClass[index] / arrivedByClass[index];
     }
 
+    /** Returns the share of a class that was answered after its target and before its deadline. */
+    double lateShare(int index) {
+        return (double) lateByClass[index] / arrivedByClass[index];
+    }
+
+    /** Returns the share of a class that was sent and not answered by its deadline. */
+    double unansweredShare(int index) {
+        return (double) unansweredByClass[index] / arrivedByClass[index];
+    }
+
     /** Returns the requests of the busiest server, relative to its speed, over the mean of all servers. */
     double busiestToMean() {
         return servers.values().stream()
@@ -147,7 +186,7 @@
         DispatchRequest request = new DispatchRequest(
                 ++lastNumber,
                 SERVICE,
-                OptionalInt.empty(),
+                keyed ? OptionalInt.of(index == 0 ? HOT_KEY : random.nextInt(servers.size())) : OptionalInt.empty(),
                 type.priority(),
                 now + type.targetMillis(),
                 now + type.deadlineMillis(),
@@ -166,19 +205,41 @@
         server.received++;
         receivedTotal++;
         double sentMillis = nowMillis;
+        if (keyed) {
+            awaited.add(send.request().number());
+            at(nowMillis + TICK_MILLIS, () -> awaitAnswer(vm, send, sentMillis, false));
+        }
         if (server.running < SLOTS) {
             start(vm, send, server, sentMillis);
         } else if (server.queue.size() < QUEUE) {
             server.queue.add(() -> start(vm, send, server, sentMillis));
         } else {
             fullTotal++;
-            end(vm, send, AttemptResult.REJECTED, sentMillis, Optional.of(new LoadReport(SLOTS, QUEUE, SLOTS)));
+            if (!keyed) {
+                end(vm, send, AttemptResult.REJECTED, sentMillis, Optional.of(new LoadReport(SLOTS, QUEUE, SLOTS)));
+            }
+        }
+    }
+
+    private void awaitAnswer(RequestDispatcher vm, Decision.Send send, double sentMillis, boolean overdue) {
+        if (!awaited.contains(send.request().number())) {
+            return;
         }
+        if (nowMillis >= send.request().deadlineMillis()) {
+            unansweredByClass[send.request().priority()]++;
+            end(vm, send, AttemptResult.ABANDONED, sentMillis, Optional.empty());
+            return;
+        }
+        boolean isOverdue = overdue || vm.overdueAttempts().isOverdue(send, nowMillis - sentMillis);
+        if (isOverdue && !overdue) {
+            vm.overdueAttempts().onAwaited(send, (long) nowMillis);
+        }
+        at(nowMillis + TICK_MILLIS, () -> awaitAnswer(vm, send, sentMillis, isOverdue));
     }
 
     private void start(RequestDispatcher vm, Decision.Send send, Server server, double sentMillis) {
         server.running++;
-        double workMillis = SERVICE_MILLIS / server.speed * (0.6 + 0.8 * random.nextDouble());
+        double workMillis = serviceMillis / server.speed * (0.6 + 0.8 * random.nextDouble());
         at(nowMillis + workMillis, () -> {
             server.running--;
             Optional.ofNullable(server.queue.poll()).ifPresent(Runnable::run);
@@ -199,13 +260,15 @@
             Optional<LoadReport> load) {
         long now = (long) nowMillis;
         DispatchRequest request = send.request();
-        if (result == AttemptResult.ANSWERED && now <= request.targetAtMillis()) {
-            for (int i = 0; i < classes.size(); i++) {
-                onTimeByClass[i] += classes.get(i).priority() == request.priority() ? 1 : 0;
-            }
+        if (keyed && !awaited.remove(request.number())) {
+            return;
+        }
+        if (result == AttemptResult.ANSWERED) {
+            int[] byClass = now <= request.targetAtMillis() ? onTimeByClass : lateByClass;
+            byClass[request.priority()]++;
         }
         apply(vm, vm.onAttemptEnded(send, result, nowMillis - sentMillis, load, now));
-        if (result != AttemptResult.ANSWERED && request.triedServers().size() < MAX_ATTEMPTS - 1) {
+        if (!keyed && result != AttemptResult.ANSWERED && request.triedServers().size() < MAX_ATTEMPTS - 1) {
             Set<ServerId> tried = new HashSet<>(request.triedServers());
             tried.add(send.server().start().server());
             apply(
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/OverdueRequests.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/OverdueRequests.java
@@ -4,6 +4,7 @@
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.dispatch.OverdueAttempts;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
+import org.lacewingthread.daemon.events.EventLog;
 
 /**
  * Finds attempts whose answer is overdue, since the server most likely was full and dropped the request without an answer.
@@ -13,11 +14,13 @@
     private final RequestEngine engine;
     private final RequestDispatcher dispatcher;
     private final RequestRetries retries;
+    private final EventLog events;
 
-    OverdueRequests(RequestEngine engine, RequestDispatcher dispatcher, RequestRetries retries) {
+    OverdueRequests(RequestEngine engine, RequestDispatcher dispatcher, RequestRetries retries, EventLog events) {
         this.engine = engine;
         this.dispatcher = dispatcher;
         this.retries = retries;
+        this.events = events;
     }
 
     /** Ends the attempt of a request, if it is overdue and the request is to be sent again. */
@@ -45,7 +48,16 @@
             attempt.connection.abort();
             engine.onFailure(request, attempt, AttemptResult.OVERDUE, "overdue");
         } else if (!attempt.overdue) {
-            dispatcher.overdueAttempts().onAwaited(decision, nowMillis);
+            if (dispatcher.overdueAttempts().onAwaited(decision, nowMillis)) {
+                events.write(
+                        "service.owners-paced",
+                        "service",
+                        request.service,
+                        "request",
+                        request.requestId,
+                        "server",
+                        decision.server().start());
+            }
             attempt.addToSummary(request.attemptSummary, "overdue-awaited");
         }
         attempt.overdue = true;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
@@ -3,6 +3,7 @@
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.traffic.ResultCode;
+import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.http.ConnectionPool;
 
 /** Ends requests whose deadline has passed, and attempts whose answer is overdue. Runs on the traffic thread. */
@@ -20,13 +21,14 @@
             ConnectionPool<ServerStart> connections,
             ResponseSender responder,
             ActiveRequests activeRequests,
-            RequestRetries retries) {
+            RequestRetries retries,
+            EventLog events) {
         this.engine = engine;
         this.dispatcher = dispatcher;
         this.connections = connections;
         this.responder = responder;
         this.activeRequests = activeRequests;
-        this.overdue = new OverdueRequests(engine, dispatcher, retries);
+        this.overdue = new OverdueRequests(engine, dispatcher, retries, events);
     }
 
     /** Answers all requests whose deadline has passed, and sends overdue ones again. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -94,7 +94,8 @@
         this.relays = new RelaySender(relayAccess, dispatcher, this, retries, responder, events, clockMillis);
         this.cutOffRequests =
                 new CutOffRequests(this, dispatcher, connections, relays, retries, activeRequests, clockMillis);
-        this.deadlines = new RequestDeadlines(this, dispatcher, connections, responder, activeRequests, retries);
+        this.deadlines =
+                new RequestDeadlines(this, dispatcher, connections, responder, activeRequests, retries, events);
         this.crashGuard = new CrashGuard(
                 this,
                 retries,
