Close a different connection for each one above the bound

A client with more idle connections than the bound kept a router from its other callers: 1,000 connections to a router that may open 400 descriptors left it without descriptors, and no new caller was answered for 30 s. The listener accepts up to 16 connections in a turn, and the end of a closed connection is reported only after the turn, so all 16 closed the same longest idle one. Open callers' connections rose to 320 with a bound of 280. A connection that is chosen is taken out of the list at once.

ConnectionBoundTest now waits until the router has reached its bound, since the system completes connections before the router accepts them, and sends the ordinary request on a connection of its own; crowd and bounds are unchanged.

--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
@@ -165,6 +165,8 @@
                     .filter(other -> other != connection && other.isIdle())
                     .min(Comparator.comparingLong(CallerConnection::lastActiveMillis))
                     .orElse(connection);
+            // Its channel reports the end only after this turn, in which further connections may open.
+            connections.remove(closed);
             closedForRoom.incrementAndGet();
             reportConnectionLimit(closed == connection);
             closed.close();
