Count bytes toward slow servers and relayed responses in the memory account

Requests on their way to servers that read slowly, and responses that another VM relays, were held in memory that no bound counted. The account now counts the direct buffers of a request that its server has not taken, the unfinished response that another VM passes on, and the complete response that waits for the connection to another VM. Each server has a share: above the bound, the one that holds most loses an attempt, whose outcome is unknown. A complete response for another VM is never given up. Everything is free when the attempt ends.

Requests that a server takes at once are not counted, which is the usual case.

--- a/daemon/src/main/java/org/lacewingthread/daemon/exchange/ResponseSink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/exchange/ResponseSink.java
@@ -28,6 +28,16 @@
     /** Ends a complete response. */
     void onEnd();
 
+    /**
+     * Ends a complete response.
+     *
+     * @param passedOn run once nothing of the response waits here any more, also if the connection failed meanwhile
+     */
+    default void onEnd(Runnable passedOn) {
+        onEnd();
+        passedOn.run();
+    }
+
     /** Ends a response that is missing or incomplete. */
     void onFailure(Failure failure);
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/BodySlices.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/BodySlices.java
@@ -21,6 +21,9 @@
 
     private static final int SLICE_BYTES = 32_768;
 
+    /** Copies of a body that wait in direct buffers: one slice above the mark at which the channel takes no more. */
+    public static final long MAX_DIRECT_BYTES = 98_304;
+
     private final ByteBuf body;
     private final long lengthBytes;
     private final IntConsumer progress;
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -41,12 +41,8 @@
     /** Maximum size of a response body; a larger one fails the request. */
     private static final int MAX_BODY_BYTES = 16 << 20;
 
-    /** Heap that a header line takes beside its text. */
-    private static final long HEADER_LINE_BYTES = 160;
-
     private final Channel channel;
-    private final ResponseMemory memory;
-    private final ResponseMemory.Reader memoryReader = this::onMemoryExhausted;
+    private final ConnectionMemory memory;
     private final ResponseDecoder decoder = new ResponseDecoder(new Expectation());
     private ResponseListener listener;
     private int sentRequests;
@@ -82,9 +78,9 @@
         }
     }
 
-    private OutboundConnection(Channel channel, ResponseMemory memory) {
+    private OutboundConnection(Channel channel, ResponseMemory memory, String server) {
         this.channel = channel;
-        this.memory = memory;
+        this.memory = new ConnectionMemory(memory, server, this::fail);
     }
 
     /**
@@ -108,7 +104,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        OutboundConnection connection = new OutboundConnection(channel, memory);
+                        OutboundConnection connection = new OutboundConnection(channel, memory, host + ":" + port);
                         channel.pipeline()
                                 .addLast(connection.decoder)
                                 .addLast(new HttpRequestEncoder())
@@ -147,14 +143,19 @@
         awaitsHeadOnly = HttpMethod.HEAD.equals(request.method());
         HttpRequest headOnly =
                 new DefaultHttpRequest(request.protocolVersion(), request.method(), request.uri(), request.headers());
-        ChannelFuture written = BodySlices.write(channel, request, headOnly, bytes -> {});
+        int bodyBytes = request.content().readableBytes();
+        ChannelFuture written = BodySlices.write(channel, request, headOnly, memory::onTaken);
         written.addListener(future -> {
+            memory.removeUnsent();
             requestWritten = future.isSuccess();
             if (!future.isSuccess()) {
                 fail("writing the request failed: " + future.cause());
             }
         });
         channel.flush();
+        if (!written.isDone()) {
+            memory.addUnsent(request.headers(), bodyBytes);
+        }
     }
 
     /** Sets who is told of responses that counted for no request. */
@@ -182,7 +183,7 @@
 
     /** Closes the connection; a request in progress fails, and what is unsent of it is discarded. */
     public void close() {
-        memory.remove(memoryReader);
+        memory.release();
         end(listener != null);
     }
 
@@ -211,11 +212,7 @@
         wholeResponse = null;
         body = null;
         head = null;
-        memory.remove(memoryReader);
-    }
-
-    private void onMemoryExhausted() {
-        fail("the unfinished responses of all servers need too much memory, and this one has the most bytes");
+        memory.release();
     }
 
     private void fail(String reason) {
@@ -255,10 +252,10 @@
             fail("a response that is not the request's has no end, so that none can follow it");
             return;
         }
-        memory.remove(memoryReader);
+        memory.removeResponse();
         head = response;
         body = new SegmentedBody();
-        memory.add(memoryReader, response.headers().size() * HEADER_LINE_BYTES);
+        memory.addHead(response.headers());
     }
 
     private void onContent(HttpContent content) {
@@ -275,7 +272,7 @@
             fail("the response body exceeds the limit of " + MAX_BODY_BYTES + " bytes");
             return;
         }
-        memory.add(memoryReader, bytes.readableBytes());
+        memory.addBody(bytes.readableBytes());
         if (body == null) {
             return;
         }
@@ -286,7 +283,7 @@
     }
 
     private void onResponseComplete() {
-        memory.remove(memoryReader);
+        memory.removeResponse();
         HttpResponse response = head;
         head = null;
         if (discardingResponse) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/ResponseMemory.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ResponseMemory.java
@@ -13,7 +13,7 @@
 /**
  * Bounds the memory of all response bodies that are being read on one event loop. When it is used up, the connection with
  * the largest unfinished body fails, since a body without end is the likeliest cause. The bytes are also counted in the
- * account of the process, which may give up a body earlier.
+ * account of the process, which may give up a body earlier. So are the parts of requests that servers have not taken.
  *
  * <pre>{@code
  * ResponseMemory memory = new ResponseMemory(32 << 20);
@@ -25,12 +25,10 @@
  * <p>Not safe for use by several threads.
  */
 public final class ResponseMemory {
-    /** Owner of all responses in the account; servers have no shares of their own. */
-    private static final String OWNER = "servers";
-
     private final long maxBytes;
     private final Map<Reader, Long> bytesByReader = new HashMap<>();
     private final Map<Reader, MemoryHolding> holdingsByReader = new HashMap<>();
+    private final Map<Reader, MemoryHolding> unsentByReader = new HashMap<>();
     private MemoryAccount account = new MemoryAccount(Long.MAX_VALUE);
     private LongSupplier clockMillis = () -> 0;
     private long totalBytes;
@@ -39,6 +37,16 @@
     interface Reader {
         /** Called when the body has to be given up; the reader removes itself. */
         void onMemoryExhausted();
+
+        /** Called when the request has to be given up, of which the server has not taken a part. */
+        default void onUnsentExhausted() {
+            onMemoryExhausted();
+        }
+
+        /** Returns the server, which has a share of the memory of the process. */
+        default String server() {
+            return "servers";
+        }
     }
 
     /**
@@ -63,7 +71,8 @@
     void add(Reader reader, long bytes) {
         bytesByReader.merge(reader, bytes, Long::sum);
         totalBytes += bytes;
-        MemoryHolding holding = holdingsByReader.computeIfAbsent(reader, this::open);
+        MemoryHolding holding = holdingsByReader.computeIfAbsent(
+                reader, opened -> open(opened, MemoryUse.INCOMPLETE_RESPONSE, opened::onMemoryExhausted));
         account.add(holding, bytes, clockMillis.getAsLong());
         while (totalBytes > maxBytes) {
             Reader largest = bytesByReader.entrySet().stream()
@@ -75,24 +84,50 @@
         }
     }
 
-    private MemoryHolding open(Reader reader) {
+    /** Counts the part of a request that the server has not taken; it may be given up at once. */
+    void addUnsent(Reader reader, long bytes) {
+        MemoryHolding holding = open(reader, MemoryUse.UNSENT_REQUEST, () -> {
+            unsentByReader.remove(reader);
+            reader.onUnsentExhausted();
+        });
+        unsentByReader.put(reader, holding);
+        account.add(holding, bytes, clockMillis.getAsLong());
+    }
+
+    /** Records that the server took bytes of a request that is counted; others wait in their place. */
+    void onUnsentProgress(Reader reader, int bytes) {
+        MemoryHolding holding = unsentByReader.get(reader);
+        if (holding != null) {
+            account.onProgress(holding, bytes, clockMillis.getAsLong());
+        }
+    }
+
+    /** Forgets a request that the server has taken or that was given up. */
+    void removeUnsent(Reader reader) {
+        MemoryHolding holding = unsentByReader.remove(reader);
+        if (holding != null) {
+            account.release(holding, clockMillis.getAsLong());
+        }
+    }
+
+    private MemoryHolding open(Reader reader, MemoryUse use, Runnable onEvicted) {
         MemoryHolder holder = new MemoryHolder() {
             @Override
             public void onPaused() {
-                throw new IllegalStateException("the response of a server was paused, but only requests can be");
+                throw new IllegalStateException("what a server sends or takes was paused, but only callers can be");
             }
 
             @Override
             public void onResumed() {
-                throw new IllegalStateException("the response of a server was resumed, but only requests can be");
+                throw new IllegalStateException("what a server sends or takes was resumed, but only callers can be");
             }
 
             @Override
             public void onEvicted(EvictionReason reason) {
-                reader.onMemoryExhausted();
+                onEvicted.run();
             }
         };
-        return account.open(OWNER, MemoryUse.INCOMPLETE_RESPONSE, holder, clockMillis.getAsLong());
+        return account.open(reader.server(), use, holder, clockMillis.getAsLong());
     }
 
     /** Forgets the bytes of a body that is complete or was given up. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/UntakenResponse.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/UntakenResponse.java
@@ -8,6 +8,7 @@
 import org.lacewingthread.core.memory.MemoryHolder;
 import org.lacewingthread.core.memory.MemoryHolding;
 import org.lacewingthread.core.memory.MemoryUse;
+import org.lacewingthread.daemon.http.BodySlices;
 
 /** The memory that is counted for a response until its caller has taken it. */
 final class UntakenResponse implements MemoryHolder {
@@ -16,9 +17,6 @@
     /** Heap of a header line, with its text. */
     private static final long HEADER_LINE_BYTES = 256;
 
-    /** Copies of a body that wait in direct buffers: one slice above the mark at which the channel takes no more. */
-    private static final long MAX_DIRECT_BYTES = 98_304;
-
     private final MemoryAccount account;
     private final LongSupplier clockMillis;
     private final String caller;
@@ -44,7 +42,7 @@
         heldBytes = RESPONSE_BYTES
                 + response.headers().size() * HEADER_LINE_BYTES
                 + bodyBytes
-                + Math.min(MAX_DIRECT_BYTES, bodyBytes);
+                + Math.min(BodySlices.MAX_DIRECT_BYTES, bodyBytes);
         memory = account.open(caller, MemoryUse.UNTAKEN_RESPONSE, this, clockMillis.getAsLong());
         account.add(memory, heldBytes, clockMillis.getAsLong());
         return !givenUp;
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayServer.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayServer.java
@@ -118,9 +118,18 @@
 
         @Override
         public void onEnd() {
-            endExchange(PeerWire.Frame.newBuilder()
+            onEnd(() -> {});
+        }
+
+        @Override
+        public void onEnd(Runnable passedOn) {
+            PeerWire.Frame end = PeerWire.Frame.newBuilder()
                     .setResponseEnd(PeerWire.ResponseEnd.newBuilder().setStream(stream))
-                    .build());
+                    .build();
+            channel.eventLoop().execute(() -> {
+                exchanges.remove(stream);
+                channel.writeAndFlush(end).addListener(written -> passedOn.run());
+            });
         }
 
         @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
@@ -1,14 +1,15 @@
 package org.lacewingthread.daemon.router;
 
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.reachability.RelayPeer;
+import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
 import org.lacewingthread.daemon.exchange.RequestHandler;
@@ -25,7 +26,7 @@
     private final RelayPeer peer;
     private final long sentMillis;
     private final Listener listener;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final RelayedBody body;
     private HttpHeaders headers = new DefaultHttpHeaders();
     private RequestHandler.Cancellation cancellation = () -> {};
     private Optional<ServerStart> server = Optional.empty();
@@ -41,10 +42,17 @@
         void onFailure(RelayAttempt attempt, Failure failure);
     }
 
-    RelayAttempt(RelayPeer peer, long sentMillis, Listener listener) {
+    /**
+     * Creates an attempt.
+     *
+     * @param account counts the response
+     * @param clockMillis monotonic clock in milliseconds
+     */
+    RelayAttempt(RelayPeer peer, long sentMillis, MemoryAccount account, LongSupplier clockMillis, Listener listener) {
         this.peer = peer;
         this.sentMillis = sentMillis;
         this.listener = listener;
+        this.body = new RelayedBody(account, clockMillis, this::giveUp);
     }
 
     /** Returns the field that tells which server answered. */
@@ -58,6 +66,14 @@
                 new ServerId(text.substring(0, separator)), Long.parseLong(text.substring(separator + 1)));
     }
 
+    /** Returns the server that answered, by the fields of a response between entry VMs; empty if none is named. */
+    static Optional<ServerStart> serverIn(List<HeaderField> fields) {
+        return fields.stream()
+                .filter(field -> field.name().equals(ANSWERED_BY))
+                .findFirst()
+                .map(field -> parseServer(field.value()));
+    }
+
     /** Returns the server that answered; empty while none has. */
     Optional<ServerStart> server() {
         return server;
@@ -83,6 +99,7 @@
     void cancel() {
         if (!ended) {
             ended = true;
+            body.release();
             cancellation.cancel();
         }
     }
@@ -101,13 +118,24 @@
 
     @Override
     public void onBody(byte[] chunk, Runnable consumed) {
-        body.writeBytes(chunk);
+        if (!ended) {
+            body.add(
+                    chunk,
+                    server.map(start -> start.server().value()).orElse(peer.vm().value()));
+        }
+    }
+
+    private void giveUp() {
+        if (!ended) {
+            cancellation.cancel();
+            onFailure(new Failure(
+                    ResultCode.ANSWER_LOST, 0, "the memory for responses is used up, and this one has the most bytes"));
+        }
     }
 
     @Override
     public void onEnd() {
-        end(() -> listener.onResponse(
-                this, new FullResponse(status, headers, Unpooled.wrappedBuffer(body.toByteArray()))));
+        end(() -> listener.onResponse(this, new FullResponse(status, headers, body.whole())));
     }
 
     @Override
@@ -118,6 +146,7 @@
     private void end(Runnable result) {
         if (!ended) {
             ended = true;
+            body.release();
             result.run();
         }
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
@@ -47,7 +47,7 @@
     /**
      * Creates a receiver.
      *
-     * @param account counts the bodies of relayed requests
+     * @param account counts the bodies of relayed requests and their responses
      * @param clockMillis monotonic clock in milliseconds
      * @param takesRequests whether this VM reaches servers and is not about to stop
      */
@@ -78,7 +78,8 @@
         relayedCount++;
         CallerRequest request = toCallerRequest(relayed);
         MemoryHolding memory = hold(relayed.body().length);
-        engine.onRelayedRequest(number -> toActiveRequest(number, relayed, request, sink), () -> {
+        ResponseSink counted = new CountedSink(sink, account, clockMillis);
+        engine.onRelayedRequest(number -> toActiveRequest(number, relayed, request, counted), () -> {
             relayedCount--;
             account.release(memory, clockMillis.getAsLong());
         });
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
@@ -17,6 +17,7 @@
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.events.EventLog;
@@ -59,6 +60,7 @@
     private final Map<ServerStart, Long> unreachableUntilMillis = new HashMap<>();
     private final Map<RelayAttempt, ActiveRequest> requests = new HashMap<>();
     private List<RelayPeer> peers = List.of();
+    private MemoryAccount account = new MemoryAccount(Long.MAX_VALUE);
 
     /** Carries requests to other entry VMs. */
     interface Transport {
@@ -92,6 +94,11 @@
         this.clockMillis = clockMillis;
     }
 
+    /** Counts the responses to later requests in the account of the process. */
+    void countIn(MemoryAccount processAccount) {
+        account = processAccount;
+    }
+
     /** Sets the entry VMs that reach servers. */
     void setPeers(List<RelayPeer> reachingServers) {
         peers = List.copyOf(reachingServers);
@@ -149,7 +156,7 @@
 
     private void send(ActiveRequest request, RelayPeer peer, long nowMillis) {
         engine.crashGuard().endTrial(request);
-        RelayAttempt attempt = new RelayAttempt(peer, nowMillis, this);
+        RelayAttempt attempt = new RelayAttempt(peer, nowMillis, account, clockMillis, this);
         requests.put(attempt, request);
         request.relayAttempt = Optional.of(attempt);
         request.relayedTo.add(peer);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -112,6 +112,7 @@
 
     void countIn(MemoryAccount account) {
         connections.countIn(account);
+        relays.countIn(account);
     }
 
     void onConfiguration(ServingConfiguration newest) {
