--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -113,6 +113,7 @@
 
     void countIn(MemoryAccount account) {
         connections.countIn(account);
+        relays.countIn(account);
     }
 
     void onConfiguration(ServingConfiguration newest) {
