Refuse request heads that are not complete within header_timeout_ms

A caller that never completed a head kept its connection until the idle timeout, which each byte extended, so that slow heads held connections for as long as their callers liked. Where the operator's configuration sets header_timeout_ms, such a request is refused with 408 and its connection closes. Time in which the process did not run (a gap of more than 500 ms between ticks, as in the memory account) or did not read the caller does not count.

New gauge request_heads_late.

--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -24,7 +23,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.memory.EvictionReason;
 import org.lacewingthread.core.memory.MemoryAccount;
@@ -138,7 +136,8 @@
 
     private IncomingRequest receiving() {
         if (incoming == null) {
-            incoming = new IncomingRequest(account, clockMillis, callerAddress, new IncomingMemory());
+            incoming = new IncomingRequest(
+                    account, clockMillis, listener.headTimer(), callerAddress, new IncomingMemory());
         }
         return incoming;
     }
@@ -317,18 +316,9 @@
         updateReading();
     }
 
-    /**
-     * Closes the sending side first and the connection after {@link #LINGER_MILLIS} ms, or the idle timeout if the caller
-     * is slow: a full close with unread input would reset the connection and could destroy the last response in transit.
-     */
+    /** Closes after {@link #LINGER_MILLIS} ms, or the idle timeout if the caller is slow. */
     private void closeAfterLinger() {
-        if (channel instanceof DuplexChannel duplex && channel.isActive()) {
-            duplex.shutdownOutput();
-            long lingerMillis = slowCaller ? listener.limits().idleTimeoutMillis() : LINGER_MILLIS;
-            channel.eventLoop().schedule(() -> channel.close(), lingerMillis, TimeUnit.MILLISECONDS);
-        } else {
-            channel.close();
-        }
+        LingeringClose.close(channel, slowCaller ? listener.limits().idleTimeoutMillis() : LINGER_MILLIS);
     }
 
     /** Cancels the unanswered requests that follow the last response on this connection. */
@@ -359,6 +349,17 @@
         }
     }
 
+    /** Refuses the request that is being received if its head takes too long; returns whether it was refused. */
+    boolean refuseLateHead(long limitMillis, long nowMillis) {
+        boolean late = incoming != null
+                && incoming.isHeadLate(
+                        listener.headTimer(), limitMillis, channel.config().isAutoRead(), nowMillis);
+        if (late) {
+            reject(408, "the request head was not complete after " + limitMillis + " ms");
+        }
+        return late;
+    }
+
     /** Closes the connection once all received requests are answered; later requests are ignored. */
     void drain() {
         if (refusing) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
@@ -18,6 +18,7 @@
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.serving.CallerLimits;
+import org.lacewingthread.core.serving.HeadTimer;
 import org.lacewingthread.daemon.http.OutboundSockets;
 
 /**
@@ -45,6 +46,8 @@
     private CallerLimits limits = CallerLimits.DEFAULT;
     private Channel serverChannel;
     private final AtomicLong closedForRoom = new AtomicLong();
+    private final AtomicLong lateHeads = new AtomicLong();
+    private final HeadTimer headTimer = new HeadTimer();
     private long nextLimitReportMillis = Long.MIN_VALUE;
     private boolean closingAfterNextResponse;
     private boolean draining;
@@ -106,10 +109,7 @@
                 TIMEOUT_CHECK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
         traffic.scheduleAtFixedRate(
-                () -> account.tick(clockMillis.getAsLong()),
-                ACCOUNT_INTERVAL_MILLIS,
-                ACCOUNT_INTERVAL_MILLIS,
-                TimeUnit.MILLISECONDS);
+                this::tick, ACCOUNT_INTERVAL_MILLIS, ACCOUNT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         return serverChannel;
     }
 
@@ -181,6 +181,15 @@
         }
     }
 
+    HeadTimer headTimer() {
+        return headTimer;
+    }
+
+    /** Returns how many requests were refused because of late heads; may be read by any thread. */
+    public long lateHeads() {
+        return lateHeads.get();
+    }
+
     /** Returns what counts the memory of requests and responses. */
     public MemoryAccount account() {
         return account;
@@ -195,6 +204,17 @@
         connections.remove(connection);
     }
 
+    /** Gives up requests that take too much time or memory; called every {@link #ACCOUNT_INTERVAL_MILLIS} ms. */
+    void tick() {
+        long nowMillis = clockMillis.getAsLong();
+        headTimer.tick(nowMillis);
+        account.tick(nowMillis);
+        limits.headerTimeoutMillis()
+                .ifPresent(limitMillis -> lateHeads.addAndGet(List.copyOf(connections).stream()
+                        .filter(connection -> connection.refuseLateHead(limitMillis, nowMillis))
+                        .count()));
+    }
+
     private void checkTimeouts() {
         long nowMillis = clockMillis.getAsLong();
         List.copyOf(connections).forEach(connection -> connection.checkTimeouts(nowMillis));
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/IncomingRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/IncomingRequest.java
@@ -12,6 +12,7 @@
 import org.lacewingthread.core.memory.MemoryHolder;
 import org.lacewingthread.core.memory.MemoryHolding;
 import org.lacewingthread.core.memory.MemoryUse;
+import org.lacewingthread.core.serving.HeadTimer;
 import org.lacewingthread.daemon.http.SegmentedBody;
 
 /** A request that is being received, with the memory that is counted for it. */
@@ -28,7 +29,9 @@
 
     private final MemoryAccount account;
     private final LongSupplier clockMillis;
-    private final long startedMillis;
+    /** Time in which the process had run at the first byte, or when it was read again. */
+    private long startedMillis;
+
     private final MemoryHolding memory;
     private final SegmentedBody body = new SegmentedBody();
     private HttpRequest head;
@@ -36,12 +39,20 @@
     private long expectedBytes;
     private long undecodedBytes;
 
-    IncomingRequest(MemoryAccount account, LongSupplier clockMillis, String caller, MemoryHolder holder) {
+    IncomingRequest(
+            MemoryAccount account, LongSupplier clockMillis, HeadTimer timer, String caller, MemoryHolder holder) {
         this.account = account;
         this.clockMillis = clockMillis;
-        startedMillis = clockMillis.getAsLong();
-        memory = account.open(caller, MemoryUse.INCOMPLETE_REQUEST, holder, startedMillis);
-        account.add(memory, REQUEST_BYTES, startedMillis);
+        long nowMillis = clockMillis.getAsLong();
+        startedMillis = timer.runningMillis(nowMillis);
+        memory = account.open(caller, MemoryUse.INCOMPLETE_REQUEST, holder, nowMillis);
+        account.add(memory, REQUEST_BYTES, nowMillis);
+    }
+
+    /** Returns whether the head takes too long; time in which the caller is not read doesn't count. */
+    boolean isHeadLate(HeadTimer timer, long limitMillis, boolean reading, long nowMillis) {
+        startedMillis = reading ? startedMillis : timer.runningMillis(nowMillis);
+        return head == null && timer.isLate(startedMillis, limitMillis, nowMillis);
     }
 
     /** Counts a part of the head or trailer. */
@@ -113,11 +124,6 @@
         return body.sizeBytes();
     }
 
-    /** Returns when the first byte was read. */
-    long startedMillis() {
-        return startedMillis;
-    }
-
     /** Returns the headers of a response that ends a request before it is whole; a 503 says when memory may be free again. */
     static HttpHeaders rejectionHeaders(int status) {
         HttpHeaders headers = new DefaultHttpHeaders();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/MemoryGauges.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/MemoryGauges.java
@@ -21,6 +21,7 @@
                 "memory.slow",
                 "requests given up that were slow while others waited for memory",
                 () -> memory.evictionCount(EvictionReason.TOO_SLOW));
+        metrics.gauge("request.heads.late", "requests refused because their heads took too long", listener::lateHeads);
         metrics.gauge(
                 "connections.closed", "callers' connections closed because of their number", listener::closedForRoom);
     }
