Fuzz heads that arrive in pieces across the header timeout

RequestReaderFuzzTest had a clock that stood still. Heads now arrive in random pieces with random gaps and pauses of the process; a head must be refused with 408 exactly when it took longer than the limit in running time, and leave no memory counted.

Passes (20 tries of 20 requests); fails when pauses count or when the limit is doubled (both tried on the product code and undone).

--- a/daemon/src/test/java/org/lacewingthread/daemon/intake/RequestReaderFuzzTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/intake/RequestReaderFuzzTest.java
@@ -13,10 +13,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
+import java.util.function.LongSupplier;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.lacewingthread.core.memory.MemoryAccount;
+import org.lacewingthread.core.serving.CallerLimits;
 
 /**
  * Reads valid, cut and damaged requests in random pieces. Guards against bodies that change with the pieces they come in,
@@ -27,10 +30,15 @@
     private static final int ROUNDS = Integer.getInteger("request.fuzz.rounds", 20);
     private static final long MAX_MEMORY_BYTES = 400_000;
     private static final int MAX_BODY_BYTES = 200_000;
+    private static final long HEADER_TIMEOUT_MILLIS = 1_000;
+    /** A process that is not scheduled for longer than this did not run. */
+    private static final int MAX_RUNNING_GAP_MILLIS = 500;
 
     private final MemoryAccount account = new MemoryAccount(MAX_MEMORY_BYTES);
     private final List<byte[]> bodies = new ArrayList<>();
     private final List<Throwable> failures = new ArrayList<>();
+    private final List<Integer> refusals = new ArrayList<>();
+    private long nowMillis = 1_000_000;
 
     private final CallerRequestHandler handler = new CallerRequestHandler() {
         @Override
@@ -46,7 +54,9 @@
         public void onCallerDisconnected(CallerRequest request) {}
 
         @Override
-        public void onInvalidRequest(int status, String reason) {}
+        public void onInvalidRequest(int status, String reason) {
+            refusals.add(status);
+        }
 
         @Override
         public void onConnectionFailed(Throwable cause, int unanswered) {
@@ -55,8 +65,11 @@
     };
 
     private EmbeddedChannel open() {
-        CallerListener listener = new CallerListener(handler, () -> 0, account, 10);
-        CallerConnection connection = new CallerConnection(listener, handler, () -> 0);
+        return open(new CallerListener(handler, () -> 0, account, 10), () -> 0);
+    }
+
+    private EmbeddedChannel open(CallerListener listener, LongSupplier clockMillis) {
+        CallerConnection connection = new CallerConnection(listener, handler, clockMillis);
         return new EmbeddedChannel(
                 connection.newDecoder(16_384), new HttpResponseEncoder(), new ChunkedWriteHandler(), connection);
     }
@@ -121,4 +134,45 @@
             assertThat(failures).isEmpty();
         }
     }
+
+    /** Guards against heads in time that are refused, for instance after a pause of the process, and late ones that are not. */
+    @Property(tries = 20)
+    void headsInPiecesAreRefusedExactlyWhenTheyTakeTooLong(@ForAll long seed) {
+        Random random = new Random(seed);
+        CallerListener listener = new CallerListener(handler, () -> nowMillis, account, 10);
+        listener.setLimits(new CallerLimits(16_384, MAX_BODY_BYTES, OptionalLong.of(HEADER_TIMEOUT_MILLIS), 1_000_000));
+        for (int round = 0; round < ROUNDS; round++) {
+            byte[] body = new byte[random.nextInt(500)];
+            random.nextBytes(body);
+            byte[] bytes = request(random, body);
+            int headBytes = new String(bytes, StandardCharsets.ISO_8859_1).indexOf("\r\n\r\n") + 4;
+            bodies.clear();
+            refusals.clear();
+            listener.tick();
+            EmbeddedChannel channel = open(listener, () -> nowMillis);
+            int mostMillis = 1 + random.nextInt(2 * (int) HEADER_TIMEOUT_MILLIS / 5);
+            long runningMillis = 0;
+            boolean late = false;
+            for (int at = 0; at < bytes.length; ) {
+                int count = Math.min(bytes.length - at, 1 + random.nextInt(Math.max(1, headBytes / 4)));
+                channel.writeInbound(Unpooled.copiedBuffer(bytes, at, count));
+                at += count;
+                boolean pause = random.nextInt(10) == 0;
+                int gapMillis = pause ? MAX_RUNNING_GAP_MILLIS + 1 + random.nextInt(9_000) : random.nextInt(mostMillis);
+                nowMillis += gapMillis;
+                runningMillis += pause ? 0 : gapMillis;
+                listener.tick();
+                late |= at < headBytes && runningMillis > HEADER_TIMEOUT_MILLIS;
+                if (late) {
+                    break;
+                }
+            }
+            assertThat(refusals).isEqualTo(late ? List.of(408) : List.of());
+            assertThat(channel.isActive()).isEqualTo(!late);
+            assertThat(bodies).hasSize(late ? 0 : 1);
+            channel.finishAndReleaseAll();
+            assertThat(account.heldBytes()).as("bytes counted after the end").isZero();
+            assertThat(failures).isEmpty();
+        }
+    }
 }
