Store calls: one probe of all kinds also while no leader is heard

Without fresh news of the leader nothing was held back: a VM that the store turned away repeated the read of each of four topics every 200 to 300 ms (about 30 reads of each topic in 10 s), although one refusal tells all.

StoreBackoff now gives turns to the kinds of calls: one probe each 200 ms without the leader's confirmation, 250 ms after one that is unanswered, the longest waiting kind first. An answered probe releases all waiting reads at once. The leader and joins without a leader are not held back. The end of a time limit that this process noticed late is no failure, nor is one of a call sent before an answered one.

StoreBackoffTest.nothingIsHeldBackWhileNobodyConfirmsTheView and RefusedVmTest.vmAsksTheStoreAtThePresentIntervalsWhileTheLeaderIsSilent required a call of each kind at each interval, which the new rule forbids. They are replaced by tests of the probe's interval, the turns, and the release of all topics within 500 ms of the store's return.

RefusedVmTest.vmProbesTheStoreWithOneCallAtATimeWhileTheLeaderIsSilent failed before (more than 34 reads in 5.6 s) and passes now.

--- a/core/src/main/java/org/lacewingthread/core/membership/StoreBackoff.java
+++ b/core/src/main/java/org/lacewingthread/core/membership/StoreBackoff.java
@@ -1,37 +1,78 @@
 package org.lacewingthread.core.membership;
 
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
 import java.util.function.DoubleSupplier;
 
 /**
- * Decides when a VM that the store turns away calls it again. While the leader confirms what a call would bring, one call
- * of all kinds probes the store, after delays that double up to {@link #MAX_DELAY_MILLIS}. A call whose result nobody
- * confirms is never held back, since drains and configurations must be known in time.
+ * Decides when a VM that the store turns away calls it again. While calls fail, one call of all kinds probes the store:
+ * without confirmation by the leader each {@link #PROBE_INTERVAL_MILLIS}, since drains and configurations must be known in
+ * time; while the leader confirms what the calls would bring, after delays that double up to {@link #MAX_DELAY_MILLIS}.
+ * The kinds take turns, since the store may answer some of them only. An answered probe lets all calls through.
  *
  * <pre>{@code
- * if (backoff.mayCall(leaderConfirmsView, nowMillis)) {
- *     call(answered -> backoff.onEnded(answered, sentAtMillis, clock.nowMillis()));
+ * if (backoff.next(waiting, nowMillis).isPresent()) {
+ *     backoff.onCall(kind, urgency, nowMillis);
+ *     call(answered -> backoff.onEnded(kind, answered, sentAtMillis, deadlineMillis, clock.nowMillis()));
  * }
  * }</pre>
  *
  * <p>Times are in milliseconds of a monotonic clock. Not safe for use by several threads.
  */
 public final class StoreBackoff {
-    /** Longest delay; a store that answers again is noticed within it. */
+    /** Longest delay while the leader confirms the views; a store that answers again is noticed within it. */
     public static final long MAX_DELAY_MILLIS = 1_000;
 
-    /** Delay after the first failure, the usual pause before a failed read is repeated. */
+    /** Pause between probes that nobody confirms, the usual pause before a failed read is repeated. */
+    public static final long PROBE_INTERVAL_MILLIS = 200;
+    /** Time after which an unanswered probe no longer prevents the next one, since the store may hang. */
+    static final long USUAL_ANSWER_MILLIS = 250;
+    /** Delay after the first failure while the leader confirms the views. */
     static final long FIRST_DELAY_MILLIS = 200;
+    /** Delay of this process from which the end of a time limit shows nothing of the store. */
+    static final long MAX_LATENESS_MILLIS = 200;
     /** Shortest part of a delay that is waited; the rest is random, so that VMs that failed together don't call together. */
     private static final double MIN_DELAY_SHARE = 0.6;
 
     private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
     private final DoubleSupplier random;
+    private final Map<Kind, Long> lastTurns = new EnumMap<>(Kind.class);
+    private long turns;
     private boolean failing;
     private long delayMillis;
     private long lastFailureMillis = NEVER_MILLIS;
-    private long nextProbeMillis = NEVER_MILLIS;
-    private long heldBackCalls;
+    private long newestFailedSentMillis = NEVER_MILLIS;
+    private long newestAnsweredSentMillis = NEVER_MILLIS;
+    private long confirmedProbeDueMillis = NEVER_MILLIS;
+    private long probeSentMillis = NEVER_MILLIS;
+    private Optional<Kind> probeUnderWay = Optional.empty();
+
+    /** The kinds of calls that take turns. */
+    public enum Kind {
+        /** Read of the registry of servers. */
+        SERVERS,
+        /** Read of the configuration and the evacuations. */
+        CONFIGURATION,
+        /** Read of the table of key ranges. */
+        RANGES,
+        /** Read of the records of requests that crash servers. */
+        CRASH_RECORDS,
+        /** Join of the leader group. */
+        JOIN
+    }
+
+    /** How soon a call is needed, the most urgent first. */
+    public enum Urgency {
+        /** Never held back. */
+        IMMEDIATE,
+        /** The leader does not confirm that what is known here is current. */
+        UNCONFIRMED,
+        /** The leader confirms that what is known here is current. */
+        CONFIRMED
+    }
 
     /**
      * Creates the state of a VM whose calls are answered.
@@ -43,41 +84,74 @@
     }
 
     /**
-     * Returns whether a call may be made now; one that may while the store fails counts as the probe, so that no other one
-     * follows before its delay is over.
+     * Returns which of the waiting calls may be made now: of the most urgent ones the one whose last turn is longest ago.
      *
-     * @param confirmed whether the leader confirms that what is known here is current
+     * @param waiting the urgency of each kind of which a call waits
      */
-    public boolean mayCall(boolean confirmed, long nowMillis) {
-        if (!failing || !confirmed) {
-            return true;
-        }
-        if (nowMillis < nextProbeMillis) {
-            heldBackCalls++;
-            return false;
+    public Optional<Kind> next(Map<Kind, Urgency> waiting, long nowMillis) {
+        return waiting.entrySet().stream()
+                .min(Comparator.<Map.Entry<Kind, Urgency>, Urgency>comparing(Map.Entry::getValue)
+                        .thenComparing(entry -> lastTurns.getOrDefault(entry.getKey(), 0L)))
+                .filter(first -> !failing || nowMillis >= dueMillis(first.getValue()))
+                .map(Map.Entry::getKey);
+    }
+
+    private long dueMillis(Urgency urgency) {
+        return switch (urgency) {
+            case IMMEDIATE -> NEVER_MILLIS;
+            case UNCONFIRMED -> probeSentMillis
+                    + (probeUnderWay.isPresent() ? USUAL_ANSWER_MILLIS : PROBE_INTERVAL_MILLIS);
+            case CONFIRMED -> confirmedProbeDueMillis;
+        };
+    }
+
+    /** Records that a call is made. One that is made while the store fails counts as the probe. */
+    public void onCall(Kind kind, Urgency urgency, long nowMillis) {
+        lastTurns.put(kind, ++turns);
+        if (failing && urgency != Urgency.IMMEDIATE) {
+            probeSentMillis = nowMillis;
+            probeUnderWay = Optional.of(kind);
+            confirmedProbeDueMillis = nowMillis + randomDelayMillis();
         }
-        nextProbeMillis = nowMillis + randomDelayMillis();
-        return true;
     }
 
     /**
-     * Records how a call ended. One that was sent before the newest failure shows nothing new.
+     * Records how a call ended. One that was sent before the newest failed or answered one shows nothing new, nor does the
+     * end of a time limit that this process noticed late.
      *
      * @param answered whether the store answered it
      * @param sentAtMillis when it was sent
+     * @param deadlineMillis end of its time limit
      */
-    public void onEnded(boolean answered, long sentAtMillis, long nowMillis) {
-        if (failing && sentAtMillis < lastFailureMillis) {
+    public void onEnded(Kind kind, boolean answered, long sentAtMillis, long deadlineMillis, long nowMillis) {
+        probeUnderWay = probeUnderWay.filter(probe -> probe != kind || sentAtMillis < probeSentMillis);
+        if (answered) {
+            onAnswered(sentAtMillis);
+        } else if (nowMillis - deadlineMillis < MAX_LATENESS_MILLIS) {
+            onFailed(sentAtMillis, nowMillis);
+        }
+    }
+
+    private void onAnswered(long sentAtMillis) {
+        newestAnsweredSentMillis = Math.max(newestAnsweredSentMillis, sentAtMillis);
+        failing = failing && sentAtMillis < newestFailedSentMillis;
+    }
+
+    private void onFailed(long sentAtMillis, long nowMillis) {
+        boolean answeredSince = sentAtMillis < newestAnsweredSentMillis;
+        boolean failedTogether = failing && sentAtMillis < lastFailureMillis;
+        if (answeredSince) {
             return;
         }
-        if (answered) {
-            failing = false;
+        newestFailedSentMillis = Math.max(newestFailedSentMillis, sentAtMillis);
+        if (failedTogether) {
             return;
         }
+        probeSentMillis = failing ? probeSentMillis : nowMillis;
         delayMillis = failing ? Math.min(MAX_DELAY_MILLIS, 2 * delayMillis) : FIRST_DELAY_MILLIS;
         failing = true;
         lastFailureMillis = nowMillis;
-        nextProbeMillis = nowMillis + randomDelayMillis();
+        confirmedProbeDueMillis = nowMillis + randomDelayMillis();
     }
 
     private long randomDelayMillis() {
@@ -88,9 +162,4 @@
     public boolean isFailing() {
         return failing;
     }
-
-    /** Returns how often a call was held back so far. */
-    public long heldBackCalls() {
-        return heldBackCalls;
-    }
 }
