Evacuation: test that the next leader moves the rest and that the deadline holds

Cause: no test covered an evacuation during a change of the leader.

Change: a test without a network: the leader is lost 800 ms after it knew of the record, the next one leads 2.0 s later. No grant or release reaches an evacuated server after its deadline, no key has two holders, and all ranges move. No product code changes.

--- a/core/src/test/java/org/lacewingthread/core/keyrange/EvacuatedRangesTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/EvacuatedRangesTest.java
@@ -33,6 +33,9 @@
     /** Time from the acceptance after which nothing is sent, since a delivery takes up to 250 ms. */
     private static final long CLOSED_AFTER_MILLIS = 4_750;
 
+    /** Longest time from the decision of a call to its arrival, as the next leader assumes it. */
+    private static final long MAX_CALL_DELIVERY_MILLIS = 1_200;
+
     private static final DataCentreId EVACUATED = new DataCentreId("maras");
 
     private final SplittableRandom random = new SplittableRandom(5);
@@ -140,6 +143,50 @@
         assertThat(simulation.prematureGrants).isEmpty();
     }
 
+    /**
+     * Guards against an evacuation that ends with the leader that began it, and against orders to evacuated servers after their
+     * deadline from the next leader, which is recorded two seconds later.
+     */
+    @Test
+    void nextLeaderMovesTheRestAndTheDeadlineHolds() {
+        simulation.addVm("b");
+        run(1_000);
+        learnOfEvacuation();
+        long closedMillis = simulation.nowMillis + CLOSED_AFTER_MILLIS - KNOWN_AFTER_MILLIS;
+        List<Long> orderedMillis = new ArrayList<>();
+        simulation.grantFate = (vm, grant) -> {
+            if (evacuatedServers.contains(grant.server())) {
+                orderedMillis.add(simulation.nowMillis);
+            }
+            return Optional.empty();
+        };
+        simulation.releaseFate = (vm, release) -> {
+            orderedMillis.add(simulation.nowMillis);
+            return Optional.empty();
+        };
+        run(800);
+        simulation.stoppedVms.add("a");
+        long leftBefore = ranges().stream().filter(range -> !isGone(range)).count();
+        assertThat(leftBefore).isBetween(1L, (long) RANGES / 3 - 1);
+        run(2_000);
+        simulation.leaderCandidate = "b";
+        // No release is sent after the deadline, so the next leader waits until no grant of the former one can be in
+        // force.
+        long latestMillis = simulation.nowMillis
+                + RangeSimulation.TIMES.heldUntilMillis(
+                        RangeSimulation.TIMES.maxStoreSilenceMillis() + MAX_CALL_DELIVERY_MILLIS)
+                + 1_000;
+        while (!ranges().stream().allMatch(this::isGone) && simulation.nowMillis < latestMillis) {
+            run(STEP_MILLIS);
+        }
+        assertThat(ranges()).allMatch(this::isGone);
+        assertThat(orderedMillis).isNotEmpty().allMatch(ordered -> ordered <= closedMillis);
+        run(1_000);
+        assertThat(simulation.servedKeys()).isEqualTo(simulation.checkedKeys());
+        assertThat(simulation.violations).isEmpty();
+        assertThat(simulation.prematureGrants).isEmpty();
+    }
+
     /** Returns the load of the busiest server relative to the mean; requests are spread evenly over the keys. */
     private double loadRatio() {
         Map<ServerStart, Integer> keysByServer = new TreeMap<>();
