--- a/daemon/src/main/java/org/lacewingthread/daemon/router/EvacuationControl.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/EvacuationControl.java
@@ -127,5 +127,6 @@
     @Override
     public void onUnreadableEvacuation(String key) {
         events.write("evacuation.key-unreadable", "key", key);
+        metrics.onUnreadableEvacuation();
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -63,6 +63,10 @@
                 .increment();
     }
 
+    void onUnreadableEvacuation() {
+        registry.counter("lacewingthread.router.evacuations.unreadable").increment();
+    }
+
     /** Counts a second attempt: {@code SENT} and later {@code WON} if its response came first. */
     void onHedge(String outcome) {
         registry.counter("lacewingthread.router.hedges", "outcome", outcome).increment();
