Leaders: silence of the store by all answered calls; standbys can join; only they join while a leader yields

Cause: the silence of the store was measured from the sending of the last answered read of the table, which waits up to 1 s, so it was rarely under 800 ms and the verdict on a leader with an old view of the registry rarely took effect. VMs that had given up the lead, were out of the group or got no answers to their joins were named standbys. All VMs joined while a leader yielded.

LeadKeeper uses it; all other uses of the silence stay. Reports have the optional field canJoin; StandbySelection takes only VMs that can join, and a leader yields only if one of those could lead. Answers of a leader that yields keep VMs that are no standbys out of the group. The 800 ms bound and LeadMonitorTest are unchanged.

--- a/core/src/main/java/org/lacewingthread/core/membership/GroupMembership.java
+++ b/core/src/main/java/org/lacewingthread/core/membership/GroupMembership.java
@@ -24,11 +24,21 @@
      */
     static final long MAX_LEADER_STORE_SILENCE_MILLIS = 2_000;
 
+    /** Time without an answered join, beside unanswered ones, from which the VM does not stand by; a membership's length. */
+    static final long MAX_JOIN_SILENCE_MILLIS = 1_500;
+
+    /** Time after an unanswered join for which it shows that the store does not answer; then the VM may stand by again. */
+    static final long UNANSWERED_JOIN_VALIDITY_MILLIS = 5_000;
+
     private static final long AT_ONCE_MILLIS = Long.MIN_VALUE / 2;
 
     private final long joinIntervalMillis;
     private final DoubleSupplier random;
     private boolean leading;
+    private boolean eligible = true;
+    private long outUntilMillis = AT_ONCE_MILLIS;
+    private long firstUnansweredJoinMillis = AT_ONCE_MILLIS;
+    private long lastUnansweredJoinMillis = AT_ONCE_MILLIS;
     private long memberFromMillis = AT_ONCE_MILLIS;
 
     /**
@@ -48,17 +58,50 @@
         memberFromMillis = AT_ONCE_MILLIS;
     }
 
+    /** Sets whether this VM may be selected at all. */
+    public void setEligible(boolean newEligible) {
+        eligible = newEligible;
+    }
+
+    /** Keeps this VM out of the group until a time, since it left the lead to others; a time in the past ends that. */
+    public void stayOutUntil(long untilMillis) {
+        outUntilMillis = untilMillis;
+    }
+
+    /** Records how a join ended. */
+    public void onJoinEnded(boolean answered, long nowMillis) {
+        if (answered) {
+            lastUnansweredJoinMillis = AT_ONCE_MILLIS;
+            return;
+        }
+        boolean isFirst = nowMillis - lastUnansweredJoinMillis >= UNANSWERED_JOIN_VALIDITY_MILLIS;
+        firstUnansweredJoinMillis = isFirst ? nowMillis : firstUnansweredJoinMillis;
+        lastUnansweredJoinMillis = nowMillis;
+    }
+
+    /** Returns whether this VM may join the group now if it is a member. */
+    public boolean mayJoin(long nowMillis) {
+        return eligible && nowMillis >= outUntilMillis;
+    }
+
+    /** Returns whether a join of this VM would be answered, as far as is known, so that it can stand by. */
+    public boolean canJoin(long nowMillis) {
+        boolean unanswered = nowMillis - lastUnansweredJoinMillis < UNANSWERED_JOIN_VALIDITY_MILLIS
+                && lastUnansweredJoinMillis - firstUnansweredJoinMillis >= MAX_JOIN_SILENCE_MILLIS;
+        return mayJoin(nowMillis) && !unanswered;
+    }
+
     /**
-     * Records an answer of the leader.
+     * Records an answer of the leader. While it leaves the lead to others, its standbys alone take over.
      *
      * @param standby whether this VM is a standby; also true if the leader does not state it
-     * @param leaderMayStay whether nothing that the leader stated lets another VM take over
+     * @param leaderReachesServers whether the leader states that it reaches servers; otherwise any VM may have to take over
      * @param storeSilenceMillis time since the store last answered the leader
      */
-    public void onLeaderAnswer(boolean standby, boolean leaderMayStay, long storeSilenceMillis, long nowMillis) {
+    public void onLeaderAnswer(boolean standby, boolean leaderReachesServers, long storeSilenceMillis, long nowMillis) {
         if (standby) {
             memberFromMillis = AT_ONCE_MILLIS;
-        } else if (leaderMayStay && storeSilenceMillis < MAX_LEADER_STORE_SILENCE_MILLIS) {
+        } else if (leaderReachesServers && storeSilenceMillis < MAX_LEADER_STORE_SILENCE_MILLIS) {
             memberFromMillis =
                     nowMillis + MAX_LEADER_SILENCE_MILLIS + Math.round(joinIntervalMillis * random.getAsDouble());
         }
--- a/core/src/main/java/org/lacewingthread/core/membership/StandbySelection.java
+++ b/core/src/main/java/org/lacewingthread/core/membership/StandbySelection.java
@@ -42,12 +42,18 @@
      */
     public record Candidate(VmId vm, DataCentreId dataCentre, LeadAbility ability) {}
 
-    /** Returns the standbys: of each data centre the best two, without VMs that can't lead if enough others can. */
+    /**
+     * Returns the standbys: of each data centre the best two that can join the group, without VMs that can't lead if enough
+     * others can.
+     */
     public static Set<VmId> select(Collection<Candidate> candidates) {
-        List<Candidate> able = candidates.stream()
+        List<Candidate> joining = candidates.stream()
+                .filter(candidate -> candidate.ability().canJoin())
+                .toList();
+        List<Candidate> able = joining.stream()
                 .filter(candidate -> candidate.ability().couldLead())
                 .toList();
-        List<Candidate> ordered = new ArrayList<>(able.size() >= MIN_ABLE_VMS ? able : candidates);
+        List<Candidate> ordered = new ArrayList<>(able.size() >= MIN_ABLE_VMS ? able : joining);
         ordered.sort(PREFERRED_FIRST);
         Map<DataCentreId, Integer> selectedByDataCentre = new HashMap<>();
         Set<VmId> standbys = new TreeSet<>(Comparator.comparing(VmId::value));
--- a/core/src/test/java/org/lacewingthread/core/membership/GroupMembershipTest.java
+++ b/core/src/test/java/org/lacewingthread/core/membership/GroupMembershipTest.java
@@ -126,6 +126,28 @@
         assertThat(some).isLessThan(VM_COUNT * 2 + (1 + STANDBY_COUNT) * 10);
     }
 
+    /** Guards against standbys that never join: those that gave up the lead, are out of the group or get no answer. */
+    @Test
+    void vmThatCannotJoinSaysSo() {
+        GroupMembership membership = new GroupMembership(JOIN_INTERVAL_MILLIS, random::nextDouble);
+        assertThat(membership.canJoin(0)).isTrue();
+        membership.stayOutUntil(5_000);
+        assertThat(membership.canJoin(4_999)).isFalse();
+        assertThat(membership.canJoin(5_000)).isTrue();
+        membership.setEligible(false);
+        assertThat(membership.canJoin(5_000)).isFalse();
+        membership.setEligible(true);
+        for (long now = 6_000; now <= 7_500; now += JOIN_INTERVAL_MILLIS) {
+            assertThat(membership.canJoin(now)).isTrue();
+            membership.onJoinEnded(false, now);
+        }
+        assertThat(membership.canJoin(7_500)).isFalse();
+        assertThat(membership.canJoin(7_500 + GroupMembership.UNANSWERED_JOIN_VALIDITY_MILLIS))
+                .isTrue();
+        membership.onJoinEnded(true, 7_600);
+        assertThat(membership.canJoin(7_600)).isTrue();
+    }
+
     /** Guards against a leader whose store is lost, and that keeps all VMs that could take over out of the group. */
     @Test
     void leaderWithoutStoreKeepsNoVmOut() {
--- a/core/src/test/java/org/lacewingthread/core/membership/StandbySelectionTest.java
+++ b/core/src/test/java/org/lacewingthread/core/membership/StandbySelectionTest.java
@@ -11,7 +11,7 @@
 
 class StandbySelectionTest {
     private static Candidate candidate(String vm, String dataCentre, boolean couldLead, int processors) {
-        return new Candidate(new VmId(vm), new DataCentreId(dataCentre), new LeadAbility(couldLead, processors));
+        return new Candidate(new VmId(vm), new DataCentreId(dataCentre), new LeadAbility(couldLead, processors, true));
     }
 
     /** Guards against joins that grow with the VMs: 70 VMs of 3 data centres, each of which joined twice a second. */
@@ -37,6 +37,16 @@
         assertThat(StandbySelection.select(candidates)).extracting(VmId::value).containsExactly("vm-2", "vm-4");
     }
 
+    /** Guards against standbys that never join: a VM that just gave the lead up, or that the store does not answer. */
+    @Test
+    void vmsThatCannotJoinDoNotStandBy() {
+        Candidate gaveUp = new Candidate(new VmId("vm-1"), new DataCentreId("dc-1"), new LeadAbility(true, 8, false));
+        List<Candidate> candidates =
+                List.of(gaveUp, candidate("vm-2", "dc-1", true, 1), candidate("vm-3", "dc-1", true, 1));
+        assertThat(StandbySelection.select(candidates)).extracting(VmId::value).containsExactly("vm-2", "vm-3");
+        assertThat(StandbySelection.select(List.of(gaveUp))).isEmpty();
+    }
+
     /** Guards against a deployment of small VMs that has no standby. */
     @Test
     void vmsThatCannotLeadStandByWhereNoOthersCan() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/EntryVmDirectory.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/EntryVmDirectory.java
@@ -87,10 +87,10 @@
         return standbys.contains(new VmId(vm));
     }
 
-    /** Returns whether another VM than the leader could carry the lead. */
+    /** Returns whether another VM than the leader could carry the lead and can take it over. */
     boolean knowsAbleVm(String leader, long nowMillis) {
         return candidates(leader, nowMillis)
-                .anyMatch(candidate -> candidate.ability().couldLead());
+                .anyMatch(candidate -> candidate.ability().couldTakeOver());
     }
 
     private Stream<StandbySelection.Candidate> candidates(String leader, long nowMillis) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LeadKeeper.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LeadKeeper.java
@@ -41,7 +41,7 @@
 
     /** Returns whether this VM could carry the lead. */
     LeadAbility ability() {
-        return new LeadAbility(monitor.couldLead(), PROCESSORS);
+        return new LeadAbility(monitor.couldLead(), PROCESSORS, platform.canJoinLeaderGroup());
     }
 
     /** Returns whether this VM leads and leaves the lead to others, so that any of them may take over. */
@@ -55,7 +55,7 @@
         monitor.onTurn(
                 leading,
                 nowMillis - registry.currentAsOfMillis(),
-                coordinator.storeSilenceMillis(nowMillis),
+                nowMillis - platform.storeAnsweredMillis(),
                 nowMillis);
         if (monitor.couldLead() != couldLead) {
             couldLead = monitor.couldLead();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/LoadReports.java
@@ -240,7 +240,7 @@
         leaderEra = status.positions().era();
         leaderTableEnd = status.positions().table();
         coordinator.onLeaderAnswer(status.storeSilenceMillis(), !status.leaderMayStay(), clock.nowMillis());
-        platform.onLeaderAnswer(status.standby(), status.leaderMayStay(), status.storeSilenceMillis());
+        platform.onLeaderAnswer(status.standby(), status.standbysSuffice(), status.storeSilenceMillis());
         if (status.registrySilenceMillis() < MAX_REGISTRY_SILENCE_MILLIS) {
             platform.onLeaderPositions(status.positions(), asOf);
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/PendingReport.java
@@ -36,6 +36,7 @@
     static final String LEAVING_SERVERS = "leavingServers";
     static final String COULD_LEAD = "couldLead";
     static final String PROCESSORS = "processors";
+    static final String CAN_JOIN = "canJoin";
     static final String KEYS = "keys";
     static final String WANTS_TABLE_AFTER = "wantsTableAfter";
     /** Name of the field with the time at which the report was sent, by the reporter's clock. */
@@ -144,6 +145,7 @@
             datagram.json.writeBooleanField(CUT_OFF, reporter.cutOff());
             datagram.json.writeBooleanField(COULD_LEAD, reporter.ability().couldLead());
             datagram.json.writeNumberField(PROCESSORS, reporter.ability().processors());
+            datagram.json.writeBooleanField(CAN_JOIN, reporter.ability().canJoin());
             writeServers(datagram, reporter.leavingServers());
             datagram.json.writeNumberField(SENT_AT, sentAtMillis);
             if (wantsTableAfter.isPresent()) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -13,6 +13,7 @@
 import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.keyrange.ReleaseOutcome;
+import org.lacewingthread.core.membership.StoreAnswers;
 import org.lacewingthread.core.quarantine.CrashRecord;
 import org.lacewingthread.core.quarantine.RequestFingerprint;
 import org.lacewingthread.core.registry.RegistryChanges;
@@ -199,10 +200,15 @@
      * Records the leader's answer to a report, which tells whether this VM has to stand by to lead.
      *
      * @param standby whether it has to; also true if the leader does not state it
-     * @param leaderMayStay whether nothing that the leader stated lets another VM take over
+     * @param leaderReachesServers whether the leader states that it reaches servers
      * @param storeSilenceMillis time since the store last answered the leader
      */
-    default void onLeaderAnswer(boolean standby, boolean leaderMayStay, long storeSilenceMillis) {}
+    default void onLeaderAnswer(boolean standby, boolean leaderReachesServers, long storeSilenceMillis) {}
+
+    /** Returns whether this VM can join the group of which one is selected as leader. */
+    default boolean canJoinLeaderGroup() {
+        return true;
+    }
 
     /** Leaves the lead to others, since this VM can't carry it: it is not selected for a while. */
     default void giveUpLead() {}
@@ -228,6 +234,14 @@
         return 0;
     }
 
+    /**
+     * Returns when the store last answered a call of any kind, by the control clock; far in the past if it never did, or if that
+     * is not measured.
+     */
+    default long storeAnsweredMillis() {
+        return StoreAnswers.NEVER_MILLIS;
+    }
+
     /** Returns how often a call to the store was held back since the start; may be called on any thread. */
     default long storeCallsHeldBack() {
         return 0;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReportChannel.java
@@ -99,6 +99,11 @@
         boolean leaderMayStay() {
             return !linksImpaired && !yieldsLead;
         }
+
+        /** Returns whether no VM but the standbys has to join the leader group; they take over from a leader that yields. */
+        boolean standbysSuffice() {
+            return !linksImpaired;
+        }
     }
 
     /**
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ReporterJson.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ReporterJson.java
@@ -34,6 +34,7 @@
                 leaving,
                 new LeadAbility(
                         report.path(PendingReport.COULD_LEAD).asBoolean(LeadAbility.UNKNOWN.couldLead()),
-                        report.path(PendingReport.PROCESSORS).asInt(LeadAbility.UNKNOWN.processors())));
+                        report.path(PendingReport.PROCESSORS).asInt(LeadAbility.UNKNOWN.processors()),
+                        report.path(PendingReport.CAN_JOIN).asBoolean(LeadAbility.UNKNOWN.canJoin())));
     }
 }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/LeaderStatusJsonTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/LeaderStatusJsonTest.java
@@ -34,4 +34,14 @@
         message.remove("storeEra");
         assertThat(LeaderStatusJson.read(message).positions()).isEqualTo(new Platform.Positions(4, 5, 12));
     }
+
+    /** Guards against joins of all VMs while a leader yields, which its standbys alone answer. */
+    @Test
+    void onlyStandbysJoinWhileALeaderYieldsAndAllVmsWhileItReachesNoServer() {
+        ReportChannel.LeaderStatus yields =
+                new ReportChannel.LeaderStatus(1, 2, 6, 3, false, List.of(), POSITIONS, false, true);
+        assertThat(yields.leaderMayStay()).isFalse();
+        assertThat(yields.standbysSuffice()).isTrue();
+        assertThat(STATUS.standbysSuffice()).isFalse();
+    }
 }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/ReportChannelTest.java
@@ -57,7 +57,7 @@
     private static final int MANY_SERVERS = 150;
     private static final int KEYS_PER_SERVICE = 180;
     private static final PendingReport.Reporter REPORTER = new PendingReport.Reporter(
-            "vm-2", new DataCentreId("maras"), false, 4, 1, List.of(SERVER), new LeadAbility(false, 2));
+            "vm-2", new DataCentreId("maras"), false, 4, 1, List.of(SERVER), new LeadAbility(false, 2, false));
     static final RelayPeer PEER = new RelayPeer(new VmId("vm-3"), new DataCentreId("calca"), "10.0.0.3", 7_000);
     private static final long SENT_AT_MILLIS = 77_000;
     private static final int RECEIVE_TIMEOUT_MILLIS = 5_000;
