--- a/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
@@ -14,6 +14,8 @@
     REPLACED(false, false),
     /** The request was not sent, because no connection could be opened. */
     NOT_SENT(false, true),
+    /** The request was not sent, because its connection was reset while it was idle; the server may still take others. */
+    UNWRITTEN(false, false),
     /** The request was not sent, because the decision no longer held when its connection was open. */
     WITHHELD(false, false),
     /** The connection failed during the attempt, or the response was unusable. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -44,7 +43,7 @@
     /** Heap that a header line takes beside its text. */
     private static final long HEADER_LINE_BYTES = 160;
 
-    private final Channel channel;
+    private final TrackedChannel channel;
     private final ResponseMemory memory;
     private final ResponseMemory.Reader memoryReader = this::onMemoryExhausted;
     private final ResponseDecoder decoder = new ResponseDecoder(new Expectation());
@@ -82,7 +81,7 @@
         }
     }
 
-    private OutboundConnection(Channel channel, ResponseMemory memory) {
+    private OutboundConnection(TrackedChannel channel, ResponseMemory memory) {
         this.channel = channel;
         this.memory = memory;
     }
@@ -108,7 +107,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        OutboundConnection connection = new OutboundConnection(channel, memory);
+                        OutboundConnection connection = new OutboundConnection((TrackedChannel) channel, memory);
                         channel.pipeline()
                                 .addLast(connection.decoder)
                                 .addLast(new HttpRequestEncoder())
@@ -143,6 +142,7 @@
         this.listener = listener;
         this.echoedHeader = echoedHeader;
         requestWritten = false;
+        channel.onNewRequest();
         sentRequests++;
         awaitsHeadOnly = HttpMethod.HEAD.equals(request.method());
         HttpRequest headOnly =
@@ -167,6 +167,11 @@
         return listener != null && head != null;
     }
 
+    /** Returns whether the peer may have received a part of the newest request. */
+    public boolean mayHaveSent() {
+        return channel.tookBytes();
+    }
+
     /** Returns whether a request can be sent now. */
     public boolean isUsable() {
         return channel.isActive() && reusable && listener == null;
@@ -229,7 +234,7 @@
         listener = null;
         end(current != null);
         if (current != null) {
-            current.onFailure(true, reason);
+            current.onFailure(channel.tookBytes(), reason);
         }
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundSockets.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundSockets.java
@@ -6,7 +6,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import jdk.net.ExtendedSocketOptions;
 
 /** Options of the sockets of outgoing connections, and the bound of reads that all connections have. */
@@ -28,7 +27,7 @@
     static Bootstrap bootstrap(EventLoop eventLoop, int connectTimeoutMillis) {
         return new Bootstrap()
                 .group(eventLoop)
-                .channel(NioSocketChannel.class)
+                .channelFactory(TrackedChannel::new)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, boundedReads())
                 .option(ChannelOption.SO_KEEPALIVE, true)
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -122,9 +122,13 @@
         this.relayedBy = relayedBy;
     }
 
-    /** Returns whether an attempt was sent and awaits its response. */
+    /**
+     * Returns whether a server may have received an attempt. The connection of one that ended may have other requests, so it
+     * doesn't tell.
+     */
     boolean isSent() {
-        return Stream.concat(attempt.stream(), hedge.stream()).anyMatch(sent -> sent.connection != null);
+        return Stream.concat(attempt.stream(), hedge.stream())
+                .anyMatch(sent -> sent.connection != null && (sent.ended || sent.connection.mayHaveSent()));
     }
 
     /** Returns whether another entry VM is at work on the request. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -119,8 +119,10 @@
                 if (!sent) {
                     request.sentAttempts--;
                     attempt.connection = null;
+                    // The other idle connections most likely were reset as well.
+                    connections.closeIdle(attempt.decision.server().start());
                 }
-                engine.onFailure(request, attempt, sent ? AttemptResult.BROKEN : AttemptResult.NOT_SENT, reason);
+                engine.onFailure(request, attempt, sent ? AttemptResult.BROKEN : AttemptResult.UNWRITTEN, reason);
             }
         });
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -123,7 +123,9 @@
         if (request.mayHaveRun) {
             responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "no second attempt: " + failure.detail());
         } else {
-            responder.refuse(request, failure.code(), failure.detail(), failure.retryAfterMillis());
+            // The deadline passed before a byte was relayed, so that no server has run the request.
+            ResultCode code = failure.code() == ResultCode.DEADLINE_PASSED ? ResultCode.OVERLOADED : failure.code();
+            responder.refuse(request, code, failure.detail(), failure.retryAfterMillis());
         }
     }
 
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
@@ -65,6 +65,7 @@
     final EventLoop eventLoop = group.next();
     final AtomicLong nowMillis = new AtomicLong(10_000);
     final List<Integer> answeredStatuses = new CopyOnWriteArrayList<>();
+    final List<Optional<String>> answeredRetryAfters = new CopyOnWriteArrayList<>();
     final RecordingCrashRecordLink crashRecordLink = new RecordingCrashRecordLink();
     private final List<HttpServer> servers = new ArrayList<>();
     RequestEngine engine;
@@ -169,6 +170,9 @@
                 headers,
                 Unpooled.EMPTY_BUFFER,
                 nowMillis.get(),
-                (status, responseHeaders, body) -> answeredStatuses.add(status)));
+                (status, responseHeaders, body) -> {
+                    answeredRetryAfters.add(Optional.ofNullable(responseHeaders.get("Retry-After")));
+                    answeredStatuses.add(status);
+                }));
     }
 }
