Bind both VMs of a relayed request by max_attempts

The attempts that another entry VM could make were sent with a relayed request, but the relaying VM counted them as one. With two attempts, a repeatable request whose relays were lost twice could run on three servers.

The attempts handed over count as used unless the other VM answers that it made none. Of three or more, the relaying VM keeps one of a repeatable request, since it can't know how many a lost VM made. The message between the VMs is unchanged.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -64,6 +64,8 @@
     boolean onTrial;
 
     int sentAttempts;
+    /** Attempts beyond {@link #sentAttempts} that another entry VM was handed and may have made. */
+    int handedOverAttempts;
     /** Attempts that failed before the request was sent. */
     int unsentAttempts;
     /** Whether a server may have run the request. */
@@ -131,6 +133,11 @@
                 .anyMatch(sent -> sent.connection != null && (sent.ended || sent.connection.mayHaveSent()));
     }
 
+    /** Returns how many more servers the request may be sent to, by this VM and those that it is relayed to. */
+    int attemptsLeft() {
+        return route.maxAttempts() - sentAttempts - handedOverAttempts;
+    }
+
     /** Returns whether another entry VM is at work on the request. */
     boolean isRelayPending() {
         return relayAttempt.filter(relay -> !relay.isEnded()).isPresent();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/HedgedAttempts.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/HedgedAttempts.java
@@ -72,7 +72,7 @@
         return request.key.isEmpty()
                 && request.route.repeatability().maySendAgain(true)
                 && request.hedge.isEmpty()
-                && request.sentAttempts < request.route.maxAttempts()
+                && request.attemptsLeft() > 0
                 && !request.onTrial
                 && !request.callerDisconnected
                 && request.attempt
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
@@ -29,6 +29,7 @@
     private HttpHeaders headers = new DefaultHttpHeaders();
     private RequestHandler.Cancellation cancellation = () -> {};
     private Optional<ServerStart> server = Optional.empty();
+    private int handedOverAttempts = 1;
     private int status;
     private boolean ended;
 
@@ -71,6 +72,15 @@
         return sentMillis;
     }
 
+    /** Returns how many servers the other entry VM may send the request to. */
+    int handedOverAttempts() {
+        return handedOverAttempts;
+    }
+
+    void setHandedOverAttempts(int attempts) {
+        handedOverAttempts = attempts;
+    }
+
     boolean isEnded() {
         return ended;
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
@@ -40,6 +40,8 @@
     private static final long SERVER_EXCLUSION_MILLIS = 1_000;
     /** The other VM's answer must be back before this VM's own deadline. */
     private static final long RESPONSE_MARGIN_MILLIS = 5;
+    /** Attempts left from which on this VM keeps one; the other VM then still has two. */
+    private static final int MIN_ATTEMPTS_TO_KEEP_ONE = 3;
     /** Largest body that is relayed; half of what may wait in a link's socket. */
     private static final int MAX_BODY_BYTES = 2 << 20;
     /** Peers to choose from; enough to spread requests, and few enough to leave out those that reach servers badly. */
@@ -113,7 +115,7 @@
         long nowMillis = clockMillis.getAsLong();
         boolean mayRelay = request.relayedBy.isEmpty()
                 && request.relayedTo.size() < MAX_PEERS_PER_REQUEST
-                && request.sentAttempts < request.route.maxAttempts()
+                && request.attemptsLeft() > 0
                 && request.deadlineMillis - nowMillis > 2 * RESPONSE_MARGIN_MILLIS
                 && request.callerRequest.body().readableBytes() <= MAX_BODY_BYTES;
         if (!mayRelay || isUnreachableForPeers(request, nowMillis)) {
@@ -164,8 +166,18 @@
                 peers.size(),
                 "left_ms",
                 request.deadlineMillis - nowMillis);
-        attempt.setCancellation(access.transport().send(peer, toRelayedRequest(request), attempt));
+        RelayedRequest relayed = toRelayedRequest(request);
         request.sentAttempts++;
+        request.handedOverAttempts += relayed.maxAttempts() - 1;
+        attempt.setHandedOverAttempts(relayed.maxAttempts());
+        attempt.setCancellation(access.transport().send(peer, relayed, attempt));
+    }
+
+    /** Keeps one attempt for the case that the other VM is lost, unless it then could send the request to one server only. */
+    private static int attemptsToHandOver(ActiveRequest request) {
+        boolean keepsOne = request.attemptsLeft() >= MIN_ATTEMPTS_TO_KEEP_ONE
+                && request.route.repeatability().maySendAgain(true);
+        return request.attemptsLeft() - (keepsOne ? 1 : 0);
     }
 
     private RelayedRequest toRelayedRequest(ActiveRequest request) {
@@ -181,7 +193,7 @@
                 request.route.name(),
                 request.route.repeatability(),
                 request.route.priority(),
-                request.route.maxAttempts() - request.sentAttempts,
+                attemptsToHandOver(request),
                 request.deadlineMillis - RESPONSE_MARGIN_MILLIS,
                 request.toDispatchRequest().targetAtMillis(),
                 request.route.targetLatencyMillis(),
@@ -249,6 +261,7 @@
                         "relayed to " + attempt.peer().vm() + ": " + failure.detail());
             } else if (peerFailed || mayAskAnother) {
                 request.sentAttempts--;
+                request.handedOverAttempts -= attempt.handedOverAttempts() - 1;
                 engine.submit(request);
             } else {
                 engine.finish(request);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -74,10 +74,7 @@
      */
     void retryOrRefuse(ActiveRequest request, AttemptResult result, long restMillis) {
         boolean hopeless = restMillis > 0 && request.key.isPresent();
-        if (!hopeless
-                && request.sentAttempts < request.route.maxAttempts()
-                && hasTimeToRetry(request)
-                && retryBudget.tryTake()) {
+        if (!hopeless && request.attemptsLeft() > 0 && hasTimeToRetry(request) && retryBudget.tryTake()) {
             engine.submit(request);
             return;
         }
@@ -132,7 +129,7 @@
     /** Returns whether a request that was sent may be sent once more, and takes that from the budget if so. */
     boolean tryRepeat(ActiveRequest request) {
         return request.route.repeatability().maySendAgain(true)
-                && request.sentAttempts < request.route.maxAttempts()
+                && request.attemptsLeft() > 0
                 && hasTimeToRetry(request)
                 && retryBudget.tryTake();
     }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
@@ -68,6 +68,11 @@
     final List<Optional<String>> answeredRetryAfters = new CopyOnWriteArrayList<>();
     final RecordingCrashRecordLink crashRecordLink = new RecordingCrashRecordLink();
     private final List<HttpServer> servers = new ArrayList<>();
+    /** Carries relayed requests; tests that relay replace it. */
+    RelaySender.Transport relayTransport = (peer, request, sink) -> {
+        throw new AssertionError("no request is relayed here");
+    };
+
     RequestEngine engine;
 
     @BeforeEach
@@ -94,9 +99,7 @@
                 crashRecordLink,
                 new RelaySender.Access(
                         HERE,
-                        (peer, request, sink) -> {
-                            throw new AssertionError("no request is relayed here");
-                        },
+                        (peer, request, sink) -> relayTransport.send(peer, request, sink),
                         new SplittableRandom(2)));
         engine.onConfiguration(new ServingConfiguration(
                 1,
