--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -41,7 +40,7 @@
     /** Maximum size of a response body; a larger one fails the request. */
     private static final int MAX_BODY_BYTES = 16 << 20;
 
-    private final Channel channel;
+    private final TrackedChannel channel;
     private final ConnectionMemory memory;
     private final ResponseDecoder decoder = new ResponseDecoder(new Expectation());
     private ResponseListener listener;
@@ -78,7 +77,7 @@
         }
     }
 
-    private OutboundConnection(Channel channel, ResponseMemory memory, String server) {
+    private OutboundConnection(TrackedChannel channel, ResponseMemory memory, String server) {
         this.channel = channel;
         this.memory = new ConnectionMemory(memory, server, this::fail);
     }
@@ -104,7 +103,8 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        OutboundConnection connection = new OutboundConnection(channel, memory, host + ":" + port);
+                        OutboundConnection connection =
+                                new OutboundConnection((TrackedChannel) channel, memory, host + ":" + port);
                         channel.pipeline()
                                 .addLast(connection.decoder)
                                 .addLast(new HttpRequestEncoder())
@@ -139,6 +139,7 @@
         this.listener = listener;
         this.echoedHeader = echoedHeader;
         requestWritten = false;
+        channel.onNewRequest();
         sentRequests++;
         awaitsHeadOnly = HttpMethod.HEAD.equals(request.method());
         HttpRequest headOnly =
@@ -168,6 +169,11 @@
         return listener != null && head != null;
     }
 
+    /** Returns whether the peer may have received a part of the newest request. */
+    public boolean mayHaveSent() {
+        return channel.tookBytes();
+    }
+
     /** Returns whether a request can be sent now. */
     public boolean isUsable() {
         return channel.isActive() && reusable && listener == null;
@@ -226,7 +232,7 @@
         listener = null;
         end(current != null);
         if (current != null) {
-            current.onFailure(true, reason);
+            current.onFailure(channel.tookBytes(), reason);
         }
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -76,7 +76,7 @@
     void retryOrRefuse(ActiveRequest request, AttemptResult result, long restMillis) {
         boolean hopeless = restMillis > 0 && request.key.isPresent();
         if (!hopeless
-                && request.sentAttempts < request.route.maxAttempts()
+                && request.attemptsLeft() > 0
                 && hasTimeToRetry(request)
                 && retryBudget.tryTake(request.service, clockMillis.getAsLong())) {
             engine.submit(request);
@@ -127,14 +127,16 @@
         if (request.mayHaveRun) {
             responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "no second attempt: " + failure.detail());
         } else {
-            responder.refuse(request, failure.code(), failure.detail(), failure.retryAfterMillis());
+            // The deadline passed before a byte was relayed, so that no server has run the request.
+            ResultCode code = failure.code() == ResultCode.DEADLINE_PASSED ? ResultCode.OVERLOADED : failure.code();
+            responder.refuse(request, code, failure.detail(), failure.retryAfterMillis());
         }
     }
 
     /** Returns whether a request that was sent may be sent once more, and takes that from the budget if so. */
     boolean tryRepeat(ActiveRequest request) {
         return request.route.repeatability().maySendAgain(true)
-                && request.sentAttempts < request.route.maxAttempts()
+                && request.attemptsLeft() > 0
                 && hasTimeToRetry(request)
                 && retryBudget.tryTake(request.service, clockMillis.getAsLong());
     }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
@@ -65,8 +65,14 @@
     final EventLoop eventLoop = group.next();
     final AtomicLong nowMillis = new AtomicLong(10_000);
     final List<Integer> answeredStatuses = new CopyOnWriteArrayList<>();
+    final List<Optional<String>> answeredRetryAfters = new CopyOnWriteArrayList<>();
     final RecordingCrashRecordLink crashRecordLink = new RecordingCrashRecordLink();
     private final List<HttpServer> servers = new ArrayList<>();
+    /** Carries relayed requests; tests that relay replace it. */
+    RelaySender.Transport relayTransport = (peer, request, sink) -> {
+        throw new AssertionError("no request is relayed here");
+    };
+
     RequestEngine engine;
 
     @BeforeEach
@@ -93,9 +99,7 @@
                 crashRecordLink,
                 new RelaySender.Access(
                         HERE,
-                        (peer, request, sink) -> {
-                            throw new AssertionError("no request is relayed here");
-                        },
+                        (peer, request, sink) -> relayTransport.send(peer, request, sink),
                         new SplittableRandom(2)));
         engine.onConfiguration(new ServingConfiguration(
                 1,
@@ -169,6 +173,9 @@
                 headers,
                 Unpooled.EMPTY_BUFFER,
                 nowMillis.get(),
-                (status, responseHeaders, body) -> answeredStatuses.add(status)));
+                (status, responseHeaders, body) -> {
+                    answeredRetryAfters.add(Optional.ofNullable(responseHeaders.get("Retry-After")));
+                    answeredStatuses.add(status);
+                }));
     }
 }
