Dispatch: describe a decision without making it

Operators could not ask where a request would go, because choosing a server and using up its permits, slots and random numbers were one step. DispatchRules now choose and RequestDispatcher carries the choice out; DecisionPreview runs the same rules over the same state, behind the waiting requests, with random numbers of its own. Looking for a slot of a limited server no longer moves the slot.

DispatchDescriptionTest compares the decisions about 400 requests with and without descriptions between them: equal.

--- a/core/src/main/java/org/lacewingthread/core/dispatch/ColdServers.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ColdServers.java
@@ -206,23 +206,27 @@
         if (nowMillis - countedSinceMillis < COUNT_SETTLING_MILLIS) {
             return false;
         }
+        return nowMillis >= usableSlotMillis(cold, nowMillis);
+    }
+
+    /** Returns the time of the earliest slot that is not lost yet. */
+    private long usableSlotMillis(Cold cold, long nowMillis) {
         long overdueMillis = nowMillis - cold.nextSlotMillis - SLOT_VALIDITY_MILLIS;
-        if (overdueMillis >= 0) {
-            long intervalMillis = slotIntervalMillis(cold);
-            cold.nextSlotMillis += (overdueMillis / intervalMillis + 1) * intervalMillis;
-        }
-        return nowMillis >= cold.nextSlotMillis;
+        long intervalMillis = slotIntervalMillis(cold);
+        return overdueMillis < 0
+                ? cold.nextSlotMillis
+                : cold.nextSlotMillis + (overdueMillis / intervalMillis + 1) * intervalMillis;
     }
 
     /** Uses up the slot that {@link #hasSlot} showed, and returns until when the request must have been sent. */
-    long useSlot(ServerStart server) {
+    long useSlot(ServerStart server, long nowMillis) {
         Cold cold = coldByServer.get(server);
         if (cold == null) {
             return Long.MAX_VALUE;
         }
-        long usableUntilMillis = cold.nextSlotMillis + SLOT_USE_MILLIS;
-        cold.nextSlotMillis += slotIntervalMillis(cold);
-        return usableUntilMillis;
+        long slotMillis = usableSlotMillis(cold, nowMillis);
+        cold.nextSlotMillis = slotMillis + slotIntervalMillis(cold);
+        return slotMillis + SLOT_USE_MILLIS;
     }
 
     private long slotIntervalMillis(Cold cold) {
--- a/core/src/main/java/org/lacewingthread/core/dispatch/OtherVmsLoad.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/OtherVmsLoad.java
@@ -1,5 +1,7 @@
 package org.lacewingthread.core.dispatch;
 
+import java.util.OptionalLong;
+
 /**
  * Estimate of the requests that other entry VMs have at a server, from the loads that the server reported to this VM. A
  * report loses its weight within a few service times, since the requests it counted are answered by then. Others
@@ -25,6 +27,11 @@
         known = true;
     }
 
+    /** Returns the age of the newest report; empty without one. */
+    OptionalLong ageMillis(long nowMillis) {
+        return known ? OptionalLong.of(nowMillis - reportedAtMillis) : OptionalLong.empty();
+    }
+
     /**
      * Returns the estimated number of requests.
      *
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RefusalCause.java
@@ -1,5 +1,7 @@
 package org.lacewingthread.core.dispatch;
 
+import org.lacewingthread.core.traffic.ResultCode;
+
 /** Reason for which a request is refused instead of being sent. */
 public enum RefusalCause {
     /** No server can answer the request before its deadline. */
@@ -25,6 +27,16 @@
     /** The deadline passed while the request waited. */
     DEADLINE_PASSED;
 
+    /** Returns the code that a caller gets. */
+    public ResultCode resultCode() {
+        return switch (this) {
+            case OVERLOADED, LIMITED, RESTING, DEADLINE_PASSED -> ResultCode.OVERLOADED;
+            case NO_OWNER, OWNER_GONE -> ResultCode.NO_OWNER;
+            case OWNER_UNREACHABLE, NO_SERVER, REGISTRY_OUTDATED, EVACUATED -> ResultCode.OWNER_UNREACHABLE;
+            case CUT_OFF -> ResultCode.SERVERS_UNREACHABLE;
+        };
+    }
+
     /** Returns whether another entry VM may be able to send the request, since only links of this one are the cause. */
     public boolean mayBeSentByOthers() {
         return this == OWNER_UNREACHABLE || this == CUT_OFF;
--- a/core/src/main/java/org/lacewingthread/core/dispatch/Refusals.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/Refusals.java
@@ -32,15 +32,15 @@
         this.random = random;
     }
 
-    /** Refuses a request that nobody can take at the moment, unless it may still wait for a change; empty if it may. */
-    static Optional<Decision> unlessMayWait(DispatchRequest request, RefusalCause cause, long nowMillis) {
+    /** Refuses a request that nobody can take at the moment, unless it may still wait for a change. */
+    static Choice unlessMayWait(DispatchRequest request, RefusalCause cause, long nowMillis) {
         boolean mayWait = nowMillis < request.targetAtMillis() - WAITING_MARGIN_MILLIS;
-        return mayWait ? Optional.empty() : Optional.of(refuse(request, cause));
+        return mayWait ? new Choice.Wait(Optional.empty(), cause) : atOnce(request, cause);
     }
 
     /** Refuses a request because no server can take it at the moment. */
-    static Optional<Decision> atOnce(DispatchRequest request, RefusalCause cause) {
-        return Optional.of(refuse(request, cause));
+    static Choice atOnce(DispatchRequest request, RefusalCause cause) {
+        return new Choice.Refuse(refuse(request, cause));
     }
 
     private static Decision.Refuse refuse(DispatchRequest request, RefusalCause cause) {
--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -10,7 +10,6 @@
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
-import org.lacewingthread.core.keyrange.RangeOwnership;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 
@@ -28,9 +27,6 @@
  * <p>Times are milliseconds of a monotonic clock. Not safe for use by several threads.
  */
 public final class RequestDispatcher {
-    /** Share of the remaining time that may be spent waiting; the rest is left to a refused caller for a retry. */
-    private static final double MAX_WAIT_RATIO = 0.85;
-
     private final Refusals refusals;
     private final ServerChooser serverChooser;
     private final Map<ServerStart, ServerLoadState> servers = new HashMap<>();
@@ -42,8 +38,7 @@
     private final RestPeriods rests = new RestPeriods();
     private final SendGate gate;
     private final HedgeTargets hedgeTargets;
-    private RangeTable rangeTable = RangeTable.EMPTY;
-    private boolean cutOff;
+    private final DispatchRules rules;
 
     /** Creates a dispatcher for an entry VM in a data centre; the seeded random numbers spread requests over servers. */
     public RequestDispatcher(DataCentreId dataCentre, RandomGenerator random) {
@@ -57,11 +52,12 @@
         this.serverChooser = new ServerChooser(dataCentre, random);
         this.limits = new ServerLimits(random);
         this.hedgeTargets = new HedgeTargets(serverChooser, gate, limits, rests);
+        this.rules = new DispatchRules(servers, serviceServers, limits, rests, gate, serverChooser, refusals);
     }
 
     /** Updates the known servers and the owners of key ranges, and decides about all waiting requests. */
     public List<Decision> onTopologyChanged(List<KnownServer> known, RangeTable ranges, long nowMillis) {
-        rangeTable = ranges;
+        rules.setRangeTable(ranges);
         serviceServers.update(known);
         serverChooser.retain(servers.keySet());
         limits.onServers(known, nowMillis);
@@ -131,8 +127,8 @@
      * its own links caused them.
      */
     public List<Decision> onCutOffChanged(boolean isCutOff, long nowMillis) {
-        cutOff = isCutOff;
-        if (!cutOff) {
+        rules.setCutOff(isCutOff);
+        if (!isCutOff) {
             servers.values().forEach(ServerLoadState::forgetFailures);
         }
         return reevaluate(nowMillis);
@@ -140,7 +136,7 @@
 
     /** Returns the owner of a request's key; empty if the request has no key, or the key no owner that is known. */
     public Optional<ServerStart> ownerOf(DispatchRequest request) {
-        return owner(request).map(state -> state.knownServer().start());
+        return rules.owner(request).map(state -> state.knownServer().start());
     }
 
     /** Adds a request and returns the decisions that are due, also about other waiting requests. */
@@ -157,9 +153,20 @@
         return decisions;
     }
 
+    /**
+     * Describes what would be decided about a request now. Nothing is sent, used up, counted or drawn.
+     *
+     * @param request request that is not waiting here
+     * @param silentGate gate with the same answers as this dispatcher's, which neither logs nor counts
+     */
+    public DispatchDescription describe(DispatchRequest request, SendGate silentGate, long nowMillis) {
+        return new DecisionPreview(rules, silentGate, serviceServers, limits, rests)
+                .describe(request, waiting, shares, nowMillis);
+    }
+
     /** Chooses a second server for an overdue request; empty if it has a key, or its service has no idle slot to spare. */
     public Optional<Decision.Send> hedge(DispatchRequest request, long nowMillis) {
-        boolean mayHedge = !cutOff
+        boolean mayHedge = !rules.isCutOff()
                 && request.key().isEmpty()
                 && waiting.of(request.service()).isEmpty();
         return mayHedge
@@ -246,8 +253,7 @@
         if (request.key().isEmpty()) {
             return state.knownServer().isReady();
         }
-        boolean owns = rangeTable
-                .find(request.service(), request.key().getAsInt())
+        boolean owns = rules.ownership(request)
                 .filter(ownership -> !ownership.isMoving()
                         && ownership.owner().equals(send.server().start()))
                 .isPresent();
@@ -263,7 +269,7 @@
     private void decide(ServiceId service, List<Decision> decisions, long nowMillis) {
         Map<ServerId, Integer> aheadByServer = new HashMap<>();
         for (DispatchRequest request :
-                DispatchOrder.of(waiting.of(service), shares.starvedPriority(service), this::owner, nowMillis)) {
+                DispatchOrder.of(waiting.of(service), shares.starvedPriority(service), rules::owner, nowMillis)) {
             Optional<Decision> decision = decide(request, aheadByServer, nowMillis);
             if (decision.isPresent()) {
                 waiting.remove(request);
@@ -273,117 +279,23 @@
         }
     }
 
-    private Optional<ServerLoadState> owner(DispatchRequest request) {
-        return request.key().isEmpty()
-                ? Optional.empty()
-                : rangeTable
-                        .find(request.service(), request.key().getAsInt())
-                        .map(ownership -> servers.get(ownership.owner()));
-    }
-
     private Optional<Decision> decide(DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
-        if (nowMillis >= request.deadlineMillis()) {
-            return Optional.of(Refusals.refuse(request, RefusalCause.DEADLINE_PASSED, 0));
+        Choice choice = rules.choose(request, aheadByServer, nowMillis);
+        if (choice instanceof Choice.Ready ready) {
+            return Optional.of(send(request, ready, nowMillis));
         }
-        return request.key().isPresent()
-                ? decideKeyed(request, aheadByServer, nowMillis)
-                : decideUnkeyed(request, aheadByServer, nowMillis);
+        return choice instanceof Choice.Refuse refuse ? Optional.of(refuse.refusal()) : Optional.empty();
     }
 
-    private Optional<Decision> decideKeyed(
-            DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
-        Optional<RangeOwnership> ownership =
-                rangeTable.find(request.service(), request.key().getAsInt());
-        if (ownership.isEmpty() || ownership.get().isMoving()) {
-            return SendGate.refuseIfEvacuated(request, serviceServers.of(request.service()))
-                    .or(() -> Refusals.unlessMayWait(request, RefusalCause.NO_OWNER, nowMillis));
-        }
-        ServerLoadState owner = servers.get(ownership.get().owner());
-        if (owner == null || owner.isReplaced() || !owner.knownServer().acceptsOwnedKeys(nowMillis)) {
-            boolean evacuated = owner != null && owner.knownServer().evacuated();
-            return Refusals.atOnce(request, evacuated ? RefusalCause.EVACUATED : RefusalCause.OWNER_GONE);
-        }
-        if (!gate.allows(owner.knownServer())) {
-            return Refusals.unlessMayWait(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
-        }
-        long restMillis = restMillis(ownership.get().owner(), nowMillis);
-        if (restMillis > 0) {
-            return Optional.of(refusals.resting(request, restMillis));
-        }
-        // An ejected owner is still used: it may reset connections because it is full, and no other server
-        // can run the request.
-        if (cutOff || owner.isUnreachable(nowMillis)) {
-            return Refusals.atOnce(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
-        }
-        int ahead = aheadByServer.getOrDefault(owner.entry().start().server(), 0);
-        return decideForServer(request, owner, ahead, aheadByServer, nowMillis);
-    }
-
-    private Optional<Decision> decideUnkeyed(
-            DispatchRequest request, Map<ServerId, Integer> aheadByServer, long nowMillis) {
-        List<ServerLoadState> known = serviceServers.of(request.service());
-        List<ServerLoadState> ready = known.stream()
-                .filter(state -> state.knownServer().isReady() && !state.isReplaced())
-                .toList();
-        if (ready.isEmpty()) {
-            return SendGate.refuseIfEvacuated(request, known)
-                    .or(() -> Refusals.atOnce(request, RefusalCause.NO_SERVER));
-        }
-        if (!gate.allows(ready.get(0).knownServer())) {
-            return Refusals.unlessMayWait(request, RefusalCause.REGISTRY_OUTDATED, nowMillis);
-        }
-        List<ServerLoadState> awake = ready.stream()
-                .filter(state -> !rests.isResting(state.knownServer().start(), nowMillis))
-                .toList();
-        if (awake.isEmpty()) {
-            return Optional.of(refusals.resting(request, rests.shortestMillis(ready, nowMillis)));
-        }
-        List<ServerLoadState> unlimited = awake.stream()
-                .filter(state -> limits.hasSlot(state.knownServer().start(), nowMillis))
-                .toList();
-        if (unlimited.isEmpty()) {
-            return Optional.of(refusals.withoutPermit(request));
-        }
-        if (cutOff || unlimited.stream().allMatch(state -> state.isUnreachable(nowMillis))) {
-            return Refusals.atOnce(request, cutOff ? RefusalCause.CUT_OFF : RefusalCause.OWNER_UNREACHABLE);
-        }
-        List<ServerLoadState> healthy = unlimited.stream()
-                .filter(state -> !state.isEjected(nowMillis))
-                .filter(state ->
-                        !request.triedServers().contains(state.entry().start().server()))
-                .toList();
-        List<ServerLoadState> candidates = healthy.isEmpty() ? unlimited : healthy;
-        ServerLoadState best = serverChooser.choose(candidates, request.targetAtMillis(), aheadByServer, nowMillis);
-        int ahead = aheadByServer.getOrDefault(best.entry().start().server(), 0);
-        return decideForServer(request, best, ahead, aheadByServer, nowMillis);
-    }
-
-    private Optional<Decision> decideForServer(
-            DispatchRequest request,
-            ServerLoadState state,
-            int ahead,
-            Map<ServerId, Integer> aheadByServer,
-            long nowMillis) {
-        double expected = state.expectedMillis(ahead, nowMillis);
-        double leftMillis = request.deadlineMillis() - nowMillis;
-        double waitMillis =
-                Math.max(expected - state.currentServiceMillis(nowMillis), ahead * state.sendIntervalMillis());
-        boolean tooLate = !state.mayAnswerWithin(leftMillis, nowMillis) || waitMillis > leftMillis * MAX_WAIT_RATIO;
-        if (tooLate) {
-            return Optional.of(refusals.overloaded(request, waitMillis));
-        }
-        if (ahead == 0 && state.hasCapacity(nowMillis)) {
-            ServerStart server = state.knownServer().start();
-            boolean permitted = request.key().isPresent()
-                    ? limits.tryUsePermit(request.number(), server, nowMillis)
-                    : limits.tryUseSlot(request.number(), server, nowMillis);
-            if (!permitted) {
-                return Optional.of(limits.ask(request, server, nowMillis));
-            }
-            state.onSent(leftMillis, nowMillis);
-            return Optional.of(new Decision.Send(request, state.entry(), Math.round(expected)));
+    private Decision send(DispatchRequest request, Choice.Ready ready, long nowMillis) {
+        ServerStart server = ready.server().knownServer().start();
+        boolean permitted = request.key().isPresent()
+                ? limits.tryUsePermit(request.number(), server, nowMillis)
+                : limits.tryUseSlot(request.number(), server, nowMillis);
+        if (!permitted) {
+            return limits.ask(request, server, nowMillis);
         }
-        aheadByServer.merge(state.entry().start().server(), 1, Integer::sum);
-        return Optional.empty();
+        ready.server().onSent((double) request.deadlineMillis() - nowMillis, nowMillis);
+        return new Decision.Send(request, ready.server().entry(), Math.round(ready.expectedMillis()));
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/SendGate.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/SendGate.java
@@ -28,11 +28,13 @@
     }
 
     /** Refuses a request at once if no server of its service is ready and some are in evacuated data centres. */
-    static Optional<Decision> refuseIfEvacuated(DispatchRequest request, List<ServerLoadState> servers) {
+    static Optional<Choice> refuseIfEvacuated(DispatchRequest request, List<ServerLoadState> servers) {
         boolean someReady =
                 servers.stream().anyMatch(state -> state.knownServer().isReady());
         boolean someEvacuated =
                 servers.stream().anyMatch(state -> state.knownServer().evacuated());
-        return !someReady && someEvacuated ? Refusals.atOnce(request, RefusalCause.EVACUATED) : Optional.empty();
+        return !someReady && someEvacuated
+                ? Optional.of(Refusals.atOnce(request, RefusalCause.EVACUATED))
+                : Optional.empty();
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerChooser.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerChooser.java
@@ -32,9 +32,21 @@
     private double nextOutsideMillis = Long.MIN_VALUE / 2.0;
 
     ServerChooser(DataCentreId dataCentre, RandomGenerator random) {
+        this(dataCentre, random, new ServerSubset(dataCentre, random.nextLong()));
+    }
+
+    private ServerChooser(DataCentreId dataCentre, RandomGenerator random, ServerSubset subset) {
         this.dataCentre = dataCentre;
         this.random = random;
-        this.subset = new ServerSubset(dataCentre, random.nextLong());
+        this.subset = subset;
+    }
+
+    /** Returns a chooser with the present state and other random numbers, whose choices have no effect on this one. */
+    ServerChooser copy(RandomGenerator otherRandom) {
+        ServerChooser copy = new ServerChooser(dataCentre, otherRandom, subset);
+        copy.entryVmCount = entryVmCount;
+        copy.nextOutsideMillis = nextOutsideMillis;
+        return copy;
     }
 
     void setEntryVmCount(int count) {
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLimits.java
@@ -138,6 +138,12 @@
         return coldServers.maySend(send.request().number(), send.server().start(), nowMillis);
     }
 
+    /** Returns the limit that a server named, in requests a second; empty if none is in force. */
+    OptionalDouble namedPerSecond(ServerStart server) {
+        Limit limit = limits.get(server);
+        return limit == null ? OptionalDouble.empty() : OptionalDouble.of(limit.named.perSecond());
+    }
+
     /** Returns whether this VM has a slot for a request to a limited server now. */
     boolean hasSlot(ServerStart server, long nowMillis) {
         return hasSlotOfNamedLimit(server, nowMillis) && coldServers.hasSlot(server, nowMillis);
@@ -148,15 +154,16 @@
         if (limit == null) {
             return true;
         }
-        if (entryVmCount.isEmpty()) {
-            return false;
-        }
+        return entryVmCount.isPresent() && nowMillis >= usableSlotMillis(limit, nowMillis);
+    }
+
+    /** Returns the time of the earliest slot that is not lost yet. */
+    private long usableSlotMillis(Limit limit, long nowMillis) {
         long overdueMillis = nowMillis - limit.nextSlotMillis - SLOT_VALIDITY_MILLIS;
-        if (overdueMillis >= 0) {
-            long intervalMillis = slotIntervalMillis(limit);
-            limit.nextSlotMillis += (overdueMillis / intervalMillis + 1) * intervalMillis;
-        }
-        return nowMillis >= limit.nextSlotMillis;
+        long intervalMillis = slotIntervalMillis(limit);
+        return overdueMillis < 0
+                ? limit.nextSlotMillis
+                : limit.nextSlotMillis + (overdueMillis / intervalMillis + 1) * intervalMillis;
     }
 
     /** Uses the slot of a limited server for a request, if this VM has one now. */
@@ -173,9 +180,9 @@
         }
         Limit limit = limits.get(server);
         if (limit != null) {
-            limit.nextSlotMillis += slotIntervalMillis(limit);
+            limit.nextSlotMillis = usableSlotMillis(limit, nowMillis) + slotIntervalMillis(limit);
         }
-        return OptionalLong.of(coldServers.useSlot(server));
+        return OptionalLong.of(coldServers.useSlot(server, nowMillis));
     }
 
     private long slotIntervalMillis(Limit limit) {
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -1,6 +1,7 @@
 package org.lacewingthread.core.dispatch;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 
@@ -253,6 +254,11 @@
         return otherVmsLoad.estimate(serviceMillis, hasManyEntryVms(), nowMillis);
     }
 
+    /** Returns the age of the newest report of the load; empty without one. */
+    OptionalLong loadAgeMillis(long nowMillis) {
+        return otherVmsLoad.ageMillis(nowMillis);
+    }
+
     /** Returns whether the server has a free slot, or space in its queue. */
     boolean hasCapacity(long nowMillis) {
         if (nowMillis < backoffUntilMillis || inFlight >= connectionLimit) {
--- a/core/src/main/java/org/lacewingthread/core/dispatch/WaitingRequests.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/WaitingRequests.java
@@ -46,12 +46,32 @@
      */
     Optional<DispatchRequest> removeExcess(DispatchRequest added, double sendsPerSecond, long nowMillis) {
         NavigableSet<DispatchRequest> queue = of(added.service());
+        return queue.size() > maxSize(added, sendsPerSecond, nowMillis)
+                ? Optional.ofNullable(queue.pollLast())
+                : Optional.empty();
+    }
+
+    /** Returns whether {@link #removeExcess} would remove a request right after it was added. */
+    boolean wouldRemove(DispatchRequest request, double sendsPerSecond, long nowMillis) {
+        NavigableSet<DispatchRequest> queue = with(request);
+        return queue.size() > maxSize(request, sendsPerSecond, nowMillis)
+                && queue.last().equals(request);
+    }
+
+    /** Returns a copy of the waiting requests of a request's service with the request. */
+    NavigableSet<DispatchRequest> with(DispatchRequest request) {
+        TreeSet<DispatchRequest> copy = new TreeSet<>(MOST_URGENT_FIRST);
+        Optional.ofNullable(queues.get(request.service())).ifPresent(copy::addAll);
+        copy.add(request);
+        return copy;
+    }
+
+    private static double maxSize(DispatchRequest added, double sendsPerSecond, long nowMillis) {
         double leftMillis = Math.max(0, added.deadlineMillis() - nowMillis);
         double sendable = sendsPerSecond * leftMillis / MILLIS_PER_SECOND * MAX_WORK_RATIO;
-        double bound = sendsPerSecond > 0
+        return sendsPerSecond > 0
                 ? Math.min(MAX_WAITING_REQUESTS, Math.max(MIN_WAITING_REQUESTS, sendable))
                 : MAX_WAITING_REQUESTS;
-        return queue.size() > bound ? Optional.ofNullable(queue.pollLast()) : Optional.empty();
     }
 
     /** Returns the waiting requests of a service; the set changes with the queue. */
--- a/core/src/main/java/org/lacewingthread/core/registry/RegistryFreshness.java
+++ b/core/src/main/java/org/lacewingthread/core/registry/RegistryFreshness.java
@@ -1,5 +1,6 @@
 package org.lacewingthread.core.registry;
 
+import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 
 /**
@@ -22,11 +23,14 @@
     /** Age from which the view no longer stops requests, since this VM doesn't get the store's answers. */
     private static final long MAX_WITHHOLDING_AGE_MILLIS = 5_000;
 
+    /** Time of a view that nothing has been read for. */
+    private static final long NEVER = Long.MIN_VALUE / 2;
+
     private final long maxAgeMillis;
     private final long maxWithholdingAgeMillis;
     private final LongSupplier clockMillis;
     private final LongSupplier registryClockMillis;
-    private volatile long currentAsOfMillis = Long.MIN_VALUE / 2;
+    private volatile long currentAsOfMillis = NEVER;
     private volatile boolean storeSilent;
 
     /**
@@ -74,6 +78,11 @@
         return clockMillis.getAsLong() - currentAsOfMillis;
     }
 
+    /** Returns the age of the view; empty if nothing has been read yet. */
+    public OptionalLong knownAgeMillis() {
+        return currentAsOfMillis == NEVER ? OptionalLong.empty() : OptionalLong.of(ageMillis());
+    }
+
     /** Returns whether requests may be sent to servers that are not known to leave. */
     public boolean allowsRequests() {
         long ageMillis = ageMillis();
--- a/core/src/main/java/org/lacewingthread/core/serving/Route.java
+++ b/core/src/main/java/org/lacewingthread/core/serving/Route.java
@@ -44,4 +44,9 @@
         }
         parts = List.copyOf(parts);
     }
+
+    /** Returns the time up to which the response to a request is prompt. */
+    public long targetAtMillis(long arrivedMillis, long deadlineMillis) {
+        return Math.min(deadlineMillis, arrivedMillis + targetLatencyMillis);
+    }
 }
--- a/core/src/main/java/org/lacewingthread/core/serving/WeightedRoundRobin.java
+++ b/core/src/main/java/org/lacewingthread/core/serving/WeightedRoundRobin.java
@@ -28,14 +28,24 @@
         if (parts.size() == 1) {
             return parts.get(0).service();
         }
-        State state = statesByRoute.get(route.name());
-        if (state == null || !state.parts.equals(parts)) {
-            state = new State(parts);
-            statesByRoute.put(route.name(), state);
-        }
+        State state = state(route);
+        statesByRoute.put(route.name(), state);
         return next(state);
     }
 
+    /** Returns the service for the next request of a route without counting a request. */
+    public ServiceId peek(Route route) {
+        State copy = new State(route.parts());
+        double[] weights = state(route).currentWeights;
+        System.arraycopy(weights, 0, copy.currentWeights, 0, weights.length);
+        return next(copy);
+    }
+
+    private State state(Route route) {
+        State state = statesByRoute.get(route.name());
+        return state == null || !state.parts.equals(route.parts()) ? new State(route.parts()) : state;
+    }
+
     private static ServiceId next(State state) {
         double total = 0;
         int chosen = 0;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -33,18 +33,11 @@
             responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "no second attempt: " + cause);
             return;
         }
-        ResultCode code =
-                switch (cause) {
-                    case OVERLOADED, LIMITED, RESTING, DEADLINE_PASSED -> ResultCode.OVERLOADED;
-                    case NO_OWNER, OWNER_GONE -> ResultCode.NO_OWNER;
-                    case OWNER_UNREACHABLE, NO_SERVER, REGISTRY_OUTDATED, EVACUATED -> ResultCode.OWNER_UNREACHABLE;
-                    case CUT_OFF -> ResultCode.SERVERS_UNREACHABLE;
-                };
         engine.finish(request);
         String limitedBy = cause == RefusalCause.LIMITED
                 ? request.limitedServer.map(server -> " by " + server).orElse("")
                 : "";
-        responder.refuse(request, code, cause + limitedBy, retryAfterMillis);
+        responder.refuse(request, cause.resultCode(), cause + limitedBy, retryAfterMillis);
     }
 
     /** Refuses a request that could not be sent to several servers; fails it if an earlier attempt may have run. */
