explain route: tell where a request would go now, and why

The reason for a route, an owner or a refusal could only be read from the log, after the request. `lacewingthread explain route` asks a running router at its metrics address, and prints route, split, service, key and owner, the candidates with their state, and the status and Retry-After of a refusal; `--json` prints the same as JSON.

RouteExplanationPageTest (7 tests), RouteExplanationTest, ExplainRouteTest (a whole router, and one without configuration) pass.

--- a/core/src/main/java/org/lacewingthread/core/explain/RouteQuestion.java
+++ b/core/src/main/java/org/lacewingthread/core/explain/RouteQuestion.java
@@ -17,22 +17,23 @@
  * @param deadlineMillis how long the caller waits; empty if it doesn't say
  */
 public record RouteQuestion(String method, String host, String path, OptionalInt key, OptionalLong deadlineMillis) {
-    /** Names of the parameters, which the command line writes as options. */
+    /** Name of the parameter with the method. */
     public static final String METHOD = "method";
 
-    /** Host name. */
+    /** Name of the parameter with the host. */
     public static final String HOST = "host";
 
-    /** Path, with its query. */
+    /** Name of the parameter with the path, to which a query may belong. */
     public static final String PATH = "path";
 
-    /** Key. */
+    /** Name of the parameter with the key. */
     public static final String KEY = "key";
 
-    /** Deadline in milliseconds. */
+    /** Name of the parameter with the deadline in milliseconds. */
     public static final String DEADLINE_MILLIS = "deadline_ms";
 
-    private static final int MAX_CHARS = 2_048;
+    private static final int MAX_HOST_CHARS = 255;
+    private static final int MAX_PATH_CHARS = 2_048;
     private static final int MAX_DIGITS = 9;
 
     /**
@@ -59,7 +60,7 @@
             throw new IllegalArgumentException("host \"\" is empty or missing in " + given(parameters)
                     + "; give the host name that the caller uses");
         }
-        if (host.length() > MAX_CHARS || host.chars().anyMatch(c -> c <= ' ' || c == '/')) {
+        if (host.length() > MAX_HOST_CHARS || host.chars().anyMatch(c -> c <= ' ' || c == '/')) {
             throw new IllegalArgumentException(
                     "host \"" + shortened(host) + "\" is not a host name; give only the name, without scheme and path");
         }
@@ -76,9 +77,9 @@
             throw new IllegalArgumentException(
                     "path \"" + shortened(path) + "\" does not begin with a slash; give a path like /orders/17");
         }
-        if (path.length() > MAX_CHARS) {
-            throw new IllegalArgumentException(
-                    "path \"" + shortened(path) + "\" has " + path.length() + " characters; give at most " + MAX_CHARS);
+        if (path.length() > MAX_PATH_CHARS) {
+            throw new IllegalArgumentException("path \"" + shortened(path) + "\" has " + path.length()
+                    + " characters; give at most " + MAX_PATH_CHARS);
         }
         return path;
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/cli/OperatorClient.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/cli/OperatorClient.java
@@ -22,18 +22,34 @@
      * @throws CommandException if the address is not valid or the page can't be read
      */
     static String get(String address, String path) throws CommandException {
+        Answer answer = ask("operator", address, path);
+        if (answer.status() != STATUS_OK) {
+            throw new CommandException(
+                    ExitCode.UNREACHABLE,
+                    "operator port \"" + address + "\" can't be read: HTTP status " + answer.status());
+        }
+        return answer.body();
+    }
+
+    /** Answer to a question, whatever its status. */
+    record Answer(int status, String body) {}
+
+    /**
+     * Returns the answer of a port.
+     *
+     * @param kind kind of the port, for errors
+     * @throws CommandException if the address is not valid or nobody answers there
+     */
+    static Answer ask(String kind, String address, String path) throws CommandException {
         if (!address.matches("[^:/]+:[0-9]+")) {
-            throw new CommandException(ExitCode.USAGE, "operator address \"" + address + "\" is not host:port");
+            throw new CommandException(ExitCode.USAGE, kind + " address \"" + address + "\" is not host:port");
         }
         try (PlatformClient client = PlatformClient.open(TIMEOUTS)) {
             BufferedHttpResponse answer = client.call(URI.create("http://" + address), Methods.GET, path, new byte[0]);
-            if (answer.status() != STATUS_OK) {
-                throw new IOException("HTTP status " + answer.status());
-            }
-            return new String(answer.body(), StandardCharsets.UTF_8);
+            return new Answer(answer.status(), new String(answer.body(), StandardCharsets.UTF_8));
         } catch (IOException e) {
             throw new CommandException(
-                    ExitCode.UNREACHABLE, "operator port \"" + address + "\" can't be read: " + e.getMessage(), e);
+                    ExitCode.UNREACHABLE, kind + " port \"" + address + "\" can't be read: " + e.getMessage(), e);
         }
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -134,7 +134,7 @@
 
     /** Returns the request in the form that the dispatcher takes. */
     DispatchRequest toDispatchRequest() {
-        long targetAtMillis = Math.min(deadlineMillis, callerRequest.arrivedMillis() + route.targetLatencyMillis());
+        long targetAtMillis = route.targetAtMillis(callerRequest.arrivedMillis(), deadlineMillis);
         return new DispatchRequest(
                 number, service, key, route.priority(), targetAtMillis, deadlineMillis, triedServers);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRoutes.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRoutes.java
@@ -7,9 +7,8 @@
 import java.util.OptionalLong;
 import org.lacewingthread.core.dispatch.ConnectionShares;
 import org.lacewingthread.core.id.ServiceId;
-import org.lacewingthread.core.serving.Route;
+import org.lacewingthread.core.serving.RouteResolution;
 import org.lacewingthread.core.serving.RouteTable;
-import org.lacewingthread.core.serving.ServiceSpec;
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.core.serving.WeightedRoundRobin;
 
@@ -34,21 +33,18 @@
         return configuration.map(known -> OptionalLong.of(known.version())).orElse(OptionalLong.empty());
     }
 
-    Optional<Route> findRoute(String host, String target) {
-        return routes.find(host, target);
-    }
-
-    /** Returns the service that takes the next request of a route, by the weights of the route's services. */
-    ServiceId nextService(Route route) {
-        return splitChooser.next(route);
+    /**
+     * Returns route and service of a request, which counts as the next one of the route's split.
+     *
+     * @param key key of the request; empty if it has no valid one
+     */
+    RouteResolution resolve(String host, String target, OptionalInt key) {
+        return RouteResolution.resolve(configuration, routes, host, target, key, splitChooser::next);
     }
 
-    /** Returns whether each key of a service is owned by exactly one server. */
-    boolean isKeyed(ServiceId service) {
-        return configuration
-                .map(known -> known.services().get(service))
-                .map(ServiceSpec::keyed)
-                .orElse(false);
+    /** Returns route and service as {@link #resolve} would, without counting a request. */
+    RouteResolution preview(String host, String target, OptionalInt key) {
+        return RouteResolution.resolve(configuration, routes, host, target, key, splitChooser::peek);
     }
 
     /**
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/CrashGuard.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/CrashGuard.java
@@ -98,6 +98,11 @@
         };
     }
 
+    /** Returns whether requests with a target may be held or refused, since servers ended under some with it. */
+    boolean mayWithhold(String target) {
+        return quarantine.mayKnow(target);
+    }
+
     private void beginTrial(ActiveRequest request) {
         request.onTrial = true;
         long endsUnixMillis = clockUnixMillis.getAsLong() + request.deadlineMillis - clockMillis.getAsLong();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
@@ -104,6 +105,22 @@
         return choosePeer(Set.of(), clockMillis.getAsLong()).isPresent();
     }
 
+    /**
+     * Returns whether a new request would be handed to another entry VM.
+     *
+     * @param owner owner of the request's key
+     * @param leftMillis time until its deadline
+     */
+    boolean wouldSend(Optional<ServerStart> owner, long leftMillis) {
+        long nowMillis = clockMillis.getAsLong();
+        boolean ownerUnreachable = owner.map(unreachableUntilMillis::get)
+                .filter(until -> until > nowMillis)
+                .isPresent();
+        return !ownerUnreachable
+                && leftMillis > 2 * RESPONSE_MARGIN_MILLIS
+                && choices(Set.of(), nowMillis).findAny().isPresent();
+    }
+
     /**
      * Hands a request to another entry VM.
      *
@@ -134,11 +151,14 @@
 
     /** Chooses among the first peers, which the leader names in the order of how well they reach servers. */
     private Optional<RelayPeer> choosePeer(Set<RelayPeer> tried, long nowMillis) {
+        return choices(tried, nowMillis).min(Comparator.comparingDouble(this::cost));
+    }
+
+    private Stream<RelayPeer> choices(Set<RelayPeer> tried, long nowMillis) {
         return peers.stream()
                 .filter(peer -> !tried.contains(peer))
                 .filter(peer -> excludedUntilMillis.getOrDefault(peer, Long.MIN_VALUE) <= nowMillis)
-                .limit(MAX_CHOICES)
-                .min(Comparator.comparingDouble(this::cost));
+                .limit(MAX_CHOICES);
     }
 
     /** Requests under way, plus what makes a VM of another data centre the second choice; random among equals. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestAdmission.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestAdmission.java
@@ -2,9 +2,8 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.Optional;
-import java.util.OptionalInt;
-import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.serving.Route;
+import org.lacewingthread.core.serving.RouteResolution;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.intake.CallerRequest;
 
@@ -34,40 +33,24 @@
             return refuse(
                     request, "", ResultCode.MALFORMED_REQUEST, "header " + headerNames.requestId() + " is missing");
         }
-        if (routing.version().isEmpty()) {
-            return refuse(request, requestId, ResultCode.NOT_READY, "no configuration has been read yet");
-        }
         String host =
                 Optional.ofNullable(request.headers().get(HttpHeaderNames.HOST)).orElse("");
-        Optional<Route> route = routing.findRoute(host, request.target());
-        if (route.isEmpty()) {
-            return refuse(
-                    request,
-                    requestId,
-                    ResultCode.NO_SELECTOR,
-                    "no route for host \"" + host + "\" and target \"" + request.target()
-                            + "\" in configuration version " + routing.version().getAsLong());
-        }
-        ServiceId service = routing.nextService(route.get());
-        OptionalInt key = routing.isKeyed(service)
-                ? RequestHeaders.parseKey(request.headers(), headerNames.key())
-                : OptionalInt.empty();
-        if (routing.isKeyed(service) && key.isEmpty()) {
-            return refuse(
-                    request,
-                    requestId,
-                    ResultCode.KEY_MISSING,
-                    "header " + headerNames.key() + " is missing or not a valid key, which service \"" + service
-                            + "\" requires");
+        RouteResolution resolved =
+                routing.resolve(host, request.target(), RequestHeaders.parseKey(request.headers(), headerNames.key()));
+        if (resolved.failure().isPresent()) {
+            ResultCode code = resolved.failure().get();
+            return refuse(request, requestId, code, reason(code, host, request.target(), resolved));
         }
+        Route route = resolved.route().orElseThrow();
+        Optional<Long> waitMillis = RequestHeaders.parseDeadlineMillis(request.headers(), headerNames.deadlineMillis());
         return Optional.of(new ActiveRequest(
                 number,
                 request,
                 requestId,
-                route.get(),
-                service,
-                key,
-                deadlineMillis(request, route.get()),
+                route,
+                resolved.service().orElseThrow(),
+                resolved.key(),
+                deadlineMillis(request.arrivedMillis(), waitMillis, route),
                 Optional.empty()));
     }
 
@@ -78,11 +61,26 @@
         refuse(request, requestId, ResultCode.NOT_READY, "this VM is stopping");
     }
 
-    private long deadlineMillis(CallerRequest request, Route route) {
-        long waitMillis = RequestHeaders.parseDeadlineMillis(request.headers(), headerNames.deadlineMillis())
+    private String reason(ResultCode code, String host, String target, RouteResolution resolved) {
+        return switch (code) {
+            case NOT_READY -> "no configuration has been read yet";
+            case NO_SELECTOR -> "no route for host \"" + host + "\" and target \"" + target
+                    + "\" in configuration version " + routing.version().getAsLong();
+            default -> "header " + headerNames.key() + " is missing or not a valid key, which service \""
+                    + resolved.service().orElseThrow() + "\" requires";
+        };
+    }
+
+    /**
+     * Returns the end of a caller's wait or of the route's timeout, whichever is earlier.
+     *
+     * @param callerWaitMillis how long the caller waits; empty if it doesn't say
+     */
+    static long deadlineMillis(long arrivedMillis, Optional<Long> callerWaitMillis, Route route) {
+        long waitMillis = callerWaitMillis
                 .map(millis -> Math.max(1, millis - RESPONSE_MARGIN_MILLIS))
                 .orElse(route.timeoutMillis());
-        return request.arrivedMillis() + Math.min(waitMillis, route.timeoutMillis());
+        return arrivedMillis + Math.min(waitMillis, route.timeoutMillis());
     }
 
     private Optional<ActiveRequest> refuse(CallerRequest request, String requestId, ResultCode code, String reason) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -143,6 +143,10 @@
         applyDecisions(dispatcher.onTopologyChanged(servers, table, clockMillis.getAsLong()));
     }
 
+    ActiveRoutes routing() {
+        return routing;
+    }
+
     ServerLinkMonitor links() {
         return links;
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
@@ -9,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.lacewingthread.core.dispatch.ColdServers;
@@ -77,6 +80,7 @@
     private final RouterRelay relay;
     private final CallerListener callerListener;
     private final QuarantinePage quarantinePage;
+    private final RouteExplanationPage explanationPage;
     private final VmStart self;
     private List<KnownServer> knownServers = List.of();
     private ControlLoop controlLoop;
@@ -133,6 +137,16 @@
                 fingerprint ->
                         trafficEventLoop.execute(() -> engine.crashGuard().lift(fingerprint)),
                 System::currentTimeMillis);
+        this.explanationPage = new RouteExplanationPage(
+                new RouteExplainer(
+                        engine,
+                        dispatcher,
+                        serverViews.silentGate(),
+                        serverViews::ages,
+                        RouterProcess::trafficNowMillis,
+                        () -> stopping),
+                trafficEventLoop,
+                events);
     }
 
     private RequestHandler.Cancellation relay(RelayPeer peer, RelayedRequest request, ResponseSink sink) {
@@ -201,9 +215,9 @@
                 trafficGroup,
                 settings.callerAddress().getHostString(),
                 settings.callerAddress().getPort());
-        new StatusListener(events, (method, target) -> readiness()).open(controlGroup, settings.readinessAddress());
-        new StatusListener(events, (method, target) -> quarantinePage.page(method, target, other -> metricsPage()))
-                .open(controlGroup, settings.metricsAddress());
+        new StatusListener(events, (method, target) -> CompletableFuture.completedStage(readiness()))
+                .open(controlGroup, settings.readinessAddress());
+        new StatusListener(events, this::operatorPage).open(controlGroup, settings.metricsAddress());
         every(TRAFFIC_TICK_MILLIS, "deadlines", engine::tick);
         every(REACH_INTERVAL_MILLIS, "reach", this::reportReach);
         every(SERVICE_TIMES_INTERVAL_MILLIS, "service-times", this::reportServiceTimes);
@@ -305,6 +319,13 @@
         return controlLoop.isReady() && !stopping;
     }
 
+    private CompletionStage<StatusListener.Page> operatorPage(HttpMethod method, String target) {
+        return explanationPage
+                .page(method, target)
+                .orElseGet(() ->
+                        CompletableFuture.completedStage(quarantinePage.page(method, target, other -> metricsPage())));
+    }
+
     private StatusListener.Page metricsPage() {
         return new StatusListener.Page(HttpResponseStatus.OK, metrics.scrape());
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ServerViews.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ServerViews.java
@@ -3,11 +3,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.dispatch.SendGate;
+import org.lacewingthread.core.explain.ViewAges;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.keyrange.ServiceView;
@@ -32,6 +34,8 @@
     private final ServerRegistry registry;
     private final Optional<EvacuationControl> evacuations;
     private final SendGate gate;
+    private final RegistryFreshness freshness;
+    private final Optional<RegistryFreshness> evacuationFreshness;
 
     ServerViews(
             RouterSettings settings,
@@ -39,26 +43,27 @@
             ControlClock clock,
             EventLog events,
             RouterMetrics metrics) {
-        RegistryFreshness freshness =
-                new RegistryFreshness(settings.drainMillis(), trafficClockMillis, clock::nowMillis);
+        freshness = new RegistryFreshness(settings.drainMillis(), trafficClockMillis, clock::nowMillis);
         registry = new ServerRegistry(EXPIRED_ENTRY_GRACE_MILLIS, settings.drainMillis(), freshness);
         BooleanSupplier registryIsCurrent =
                 new RegistryGate(freshness, events, "registry.outdated", "registry.current-again");
         if (settings.evacuation().isEmpty()) {
             evacuations = Optional.empty();
+            evacuationFreshness = Optional.empty();
             gate = new SendGate(registryIsCurrent, () -> true);
             return;
         }
         RouterSettings.EvacuationTimes times = settings.evacuation().get();
-        RegistryFreshness evacuationFreshness = new RegistryFreshness(
+        RegistryFreshness ofEvacuations = new RegistryFreshness(
                 times.evacuateMillis(),
                 times.evacuateMillis() * EvacuationControl.MAX_WITHHOLDING_FACTOR,
                 trafficClockMillis,
                 clock::nowMillis);
-        evacuations = Optional.of(new EvacuationControl(times, evacuationFreshness, registry, clock, events, metrics));
+        evacuationFreshness = Optional.of(ofEvacuations);
+        evacuations = Optional.of(new EvacuationControl(times, ofEvacuations, registry, clock, events, metrics));
         gate = new SendGate(
                 registryIsCurrent,
-                new RegistryGate(evacuationFreshness, events, "evacuations.outdated", "evacuations.current-again"));
+                new RegistryGate(ofEvacuations, events, "evacuations.outdated", "evacuations.current-again"));
     }
 
     /** Returns the registry, without evacuations. */
@@ -81,6 +86,20 @@
         return gate;
     }
 
+    /** Returns a gate with the same answers that logs nothing; may be called on any thread. */
+    SendGate silentGate() {
+        return new SendGate(
+                freshness::allowsRequests,
+                () -> evacuationFreshness.map(RegistryFreshness::allowsRequests).orElse(true));
+    }
+
+    /** Returns the ages of the views; may be called on any thread. */
+    ViewAges ages() {
+        return new ViewAges(
+                freshness.knownAgeMillis(),
+                evacuationFreshness.map(RegistryFreshness::knownAgeMillis).orElse(OptionalLong.empty()));
+    }
+
     /** Returns the number of evacuated data centres; may be called on any thread. */
     int evacuatedCount() {
         return evacuations.map(EvacuationControl::evacuatedCount).orElse(0);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/StatusListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/StatusListener.java
@@ -22,31 +22,41 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.function.BiFunction;
 import org.lacewingthread.daemon.events.EventLog;
 
 /** HTTP listener for small plain-text pages about this process, such as readiness and metrics. */
 final class StatusListener {
     private static final int MAX_REQUEST_BYTES = 8_192;
+    /** Holds a question about the longest host and path, if nine bytes encode each character. */
+    private static final int MAX_LINE_BYTES = 24_576;
 
     private final EventLog events;
-    private final BiFunction<HttpMethod, String, Page> pages;
+    private final BiFunction<HttpMethod, String, CompletionStage<Page>> pages;
 
     /**
      * Response to a request.
      *
      * @param status HTTP status
-     * @param text body in plain text
+     * @param text body
+     * @param contentType type of the body
      */
-    record Page(HttpResponseStatus status, String text) {}
+    record Page(HttpResponseStatus status, String text, String contentType) {
+        /** Creates a page of plain text. */
+        Page(HttpResponseStatus status, String text) {
+            this(status, text, "text/plain; charset=utf-8");
+        }
+    }
 
     /**
      * Creates a listener without opening its port.
      *
      * @param events log that failures are written to
-     * @param pages returns the page for a request's method and target
+     * @param pages returns the page for a request's method and target, at once or later
      */
-    StatusListener(EventLog events, BiFunction<HttpMethod, String, Page> pages) {
+    StatusListener(EventLog events, BiFunction<HttpMethod, String, CompletionStage<Page>> pages) {
         this.events = events;
         this.pages = pages;
     }
@@ -61,7 +71,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpServerCodec(MAX_LINE_BYTES, MAX_REQUEST_BYTES, MAX_REQUEST_BYTES))
                                 .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
                                 .addLast(new Handler());
                     }
@@ -72,17 +82,29 @@
     }
 
     private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        /** Completed when the last request of the connection is answered, so that responses keep the order of requests. */
+        private CompletionStage<Void> lastAnswered = CompletableFuture.completedStage(null);
+
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-            Page page = pages.apply(request.method(), request.uri());
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            CompletionStage<Page> page = pages.apply(request.method(), request.uri());
+            lastAnswered = lastAnswered.thenAcceptBoth(page, (ignored, made) -> answer(context, made, keepAlive));
+            lastAnswered.exceptionally(cause -> {
+                exceptionCaught(context, cause);
+                return null;
+            });
+        }
+
+        private static void answer(ChannelHandlerContext context, Page page, boolean keepAlive) {
             FullHttpResponse response = new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, page.status(), Unpooled.copiedBuffer(page.text(), StandardCharsets.UTF_8));
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType());
             response.headers()
                     .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
-            HttpUtil.setKeepAlive(response, HttpUtil.isKeepAlive(request));
+            HttpUtil.setKeepAlive(response, keepAlive);
             context.writeAndFlush(response);
-            if (!HttpUtil.isKeepAlive(request)) {
+            if (!keepAlive) {
                 context.close();
             }
         }
--- a/daemon/src/test/java/org/lacewingthread/daemon/cli/HelpTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/cli/HelpTest.java
@@ -22,7 +22,7 @@
                           drain      Drain a backend server or an entry VM.
                           handover   Hand the shards of a lost data centre to another.
                           status     Show the state of an entry VM.
-                          explain    Tell from the logs of VMs why a request ended as it did.
+                          explain    Tell why a request ended as it did, or where one would go now.
                           audit      Print who changed what and when.
                           demo       Run a small system in one process, break parts of it and check what was promised.
                           standin    Run a stand-in of the platform or of a backend server, for trials.
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
@@ -67,6 +67,7 @@
     final List<Integer> answeredStatuses = new CopyOnWriteArrayList<>();
     final RecordingCrashRecordLink crashRecordLink = new RecordingCrashRecordLink();
     private final List<HttpServer> servers = new ArrayList<>();
+    final RequestDispatcher dispatcher = new RequestDispatcher(HERE, new SplittableRandom(1));
     RequestEngine engine;
 
     @BeforeEach
@@ -75,7 +76,7 @@
                 NAMES,
                 new EventLog("vm-1", new ByteArrayOutputStream(), () -> 0),
                 new RouterMetrics(),
-                new RequestDispatcher(HERE, new SplittableRandom(1)),
+                dispatcher,
                 eventLoop,
                 new RetryBudget(0.2, 5),
                 nowMillis::get,
