--- a/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
@@ -73,6 +73,7 @@
         throw new AssertionError("no request is relayed here");
     };
 
+    final RequestDispatcher dispatcher = new RequestDispatcher(HERE, new SplittableRandom(1));
     RequestEngine engine;
 
     @BeforeEach
@@ -81,7 +82,7 @@
                 NAMES,
                 new EventLog("vm-1", new ByteArrayOutputStream(), () -> 0),
                 new RouterMetrics(),
-                new RequestDispatcher(HERE, new SplittableRandom(1)),
+                dispatcher,
                 eventLoop,
                 new ServiceRetryBudget(0.2, 5, 10_000),
                 nowMillis::get,
