--- a/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/RequestDispatcher.java
@@ -53,8 +53,8 @@
         this.serverChooser = new ServerChooser(dataCentre, random);
         this.limits = new ServerLimits(random);
         this.hedgeTargets = new HedgeTargets(serverChooser, gate, limits, rests);
-        this.rules = new DispatchRules(
-                servers, serviceServers, limits, rests, gate, serverChooser, silentOwners, refusals);
+        this.rules =
+                new DispatchRules(servers, serviceServers, limits, rests, gate, serverChooser, silentOwners, refusals);
     }
 
     /** Updates the known servers and the owners of key ranges, and decides about all waiting requests. */
