--- a/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
@@ -13,12 +13,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.lacewingthread.core.serving.CallerLimits;
 
 /** Tests caller connections over real sockets; the test decides when each request is answered. */
 class CallerListenerTest {
@@ -192,4 +194,57 @@
         assertThat(readToEnd()).isEmpty();
         assertThat(requestHandler.failures).containsExactly(2);
     }
+
+    private void setHeaderTimeout() {
+        CallerLimits limits = new CallerLimits(16_384, 1 << 20, OptionalLong.of(SETTLE_MILLIS), 60_000);
+        traffic.submit(() -> listener.setLimits(limits)).syncUninterruptibly();
+    }
+
+    private void write(String text) throws IOException {
+        caller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Guards against callers that keep connections by heads that they never complete. */
+    @Test
+    void headThatIsNotCompletedInTimeIsRefusedAndItsConnectionCloses() throws IOException {
+        setHeaderTimeout();
+        write("GET /1 HTTP/1.1\r\nHost: a\r\n");
+        assertThat(readToEnd()).startsWith("HTTP/1.1 408").containsIgnoringCase("connection: close");
+        assertThat(requestHandler.requests).isEmpty();
+    }
+
+    /** Guards against a limit that each byte extends, or that holds for the first request alone. */
+    @Test
+    void headThatDripsAfterAnAnsweredRequestIsRefused() throws Exception {
+        setHeaderTimeout();
+        write("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\n");
+        await().until(() -> requestHandler.requests.size() == 1);
+        respond(0);
+        for (int i = 0; i < 12; i++) {
+            write("a: " + i + "\r\n");
+            TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS / 6);
+        }
+        assertThat(readToEnd()).startsWith("HTTP/1.1 200").contains("HTTP/1.1 408");
+        assertThat(requestHandler.requests).hasSize(1);
+    }
+
+    /** Guards against a limit for what isn't a head: a connection without a byte, and a body. */
+    @Test
+    void headerTimeoutHoldsForHeadsAlone() throws Exception {
+        setHeaderTimeout();
+        TimeUnit.MILLISECONDS.sleep(3 * SETTLE_MILLIS);
+        write("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nx");
+        TimeUnit.MILLISECONDS.sleep(3 * SETTLE_MILLIS);
+        write("y");
+        await().until(() -> requestHandler.requests.size() == 1);
+    }
+
+    /** Guards against a limit for deployments whose configuration has none; 3,000 ms is that of others. */
+    @Test
+    void headMayTakeLongerWithoutTheLimitInTheConfiguration() throws Exception {
+        write("GET /1 HTTP/1.1\r\n");
+        TimeUnit.MILLISECONDS.sleep(3_500);
+        write("Host: a\r\n\r\n");
+        await().until(() -> requestHandler.requests.size() == 1);
+    }
 }
