--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
@@ -11,7 +10,6 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.lacewingthread.core.dispatch.ColdServers;
@@ -79,8 +77,7 @@
     private final ColdServers coldServers;
     private final RouterRelay relay;
     private final CallerListener callerListener;
-    private final QuarantinePage quarantinePage;
-    private final RouteExplanationPage explanationPage;
+    private final OperatorPages operatorPages;
     private final VmStart self;
     private List<KnownServer> knownServers = List.of();
     private ControlLoop controlLoop;
@@ -132,21 +129,14 @@
                         RouterProcess::trafficNowMillis,
                         () -> !stopping && !engine.links().isCutOff()),
                 RouterProcess::trafficNowMillis);
-        this.quarantinePage = new QuarantinePage(
-                engine.crashGuard()::records,
-                fingerprint ->
-                        trafficEventLoop.execute(() -> engine.crashGuard().lift(fingerprint)),
-                System::currentTimeMillis);
-        this.explanationPage = new RouteExplanationPage(
-                new RouteExplainer(
-                        engine,
-                        dispatcher,
-                        serverViews.silentGate(),
-                        serverViews::ages,
-                        RouterProcess::trafficNowMillis,
-                        () -> stopping),
-                trafficEventLoop,
-                events);
+        RouteExplainer explainer = new RouteExplainer(
+                engine,
+                dispatcher,
+                serverViews.silentGate(),
+                serverViews::ages,
+                RouterProcess::trafficNowMillis,
+                () -> stopping);
+        this.operatorPages = new OperatorPages(engine, explainer, trafficEventLoop, metrics, events);
     }
 
     private RequestHandler.Cancellation relay(RelayPeer peer, RelayedRequest request, ResponseSink sink) {
@@ -217,7 +207,7 @@
                 settings.callerAddress().getPort());
         new StatusListener(events, (method, target) -> CompletableFuture.completedStage(readiness()))
                 .open(controlGroup, settings.readinessAddress());
-        new StatusListener(events, this::operatorPage).open(controlGroup, settings.metricsAddress());
+        new StatusListener(events, operatorPages).open(controlGroup, settings.metricsAddress());
         every(TRAFFIC_TICK_MILLIS, "deadlines", engine::tick);
         every(REACH_INTERVAL_MILLIS, "reach", this::reportReach);
         every(SERVICE_TIMES_INTERVAL_MILLIS, "service-times", this::reportServiceTimes);
@@ -319,17 +309,6 @@
         return controlLoop.isReady() && !stopping;
     }
 
-    private CompletionStage<StatusListener.Page> operatorPage(HttpMethod method, String target) {
-        return explanationPage
-                .page(method, target)
-                .orElseGet(() ->
-                        CompletableFuture.completedStage(quarantinePage.page(method, target, other -> metricsPage())));
-    }
-
-    private StatusListener.Page metricsPage() {
-        return new StatusListener.Page(HttpResponseStatus.OK, metrics.scrape());
-    }
-
     private StatusListener.Page readiness() {
         return isReady()
                 ? new StatusListener.Page(HttpResponseStatus.OK, "ready\n")
