--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RouteExplanationPageTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RouteExplanationPageTest.java
@@ -29,9 +29,11 @@
 import org.junit.jupiter.api.Test;
 import org.lacewingthread.core.dispatch.SendGate;
 import org.lacewingthread.core.explain.ViewAges;
+import org.lacewingthread.core.id.VmId;
 import org.lacewingthread.core.keyrange.KeyRange;
 import org.lacewingthread.core.keyrange.RangeOwnership;
 import org.lacewingthread.core.keyrange.RangeTable;
+import org.lacewingthread.core.reachability.RelayPeer;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.daemon.cli.ExitCode;
 import org.lacewingthread.daemon.cli.Lacewingthread;
@@ -162,6 +164,21 @@
                         "view too old");
     }
 
+    /** Guards against "refused" for a request that another VM takes over, and the reverse without such a VM. */
+    @Test
+    void requestOfACutOffVmIsRelayedIfAnotherVmReachesServers() throws Exception {
+        registerOwner();
+        eventLoop
+                .submit(() -> dispatcher.onCutOffChanged(true, nowMillis.get()))
+                .sync();
+        run("--host", "here", "--path", "/orders/17", "--key", "7");
+        assertThat(out()).contains("decision: refused with 503, code 3011 (CUT_OFF), Retry-After about 0.300 s");
+        RelayPeer peer = new RelayPeer(new VmId("vm-2"), HERE, "127.0.0.1", 1);
+        eventLoop.submit(() -> engine.relays().setPeers(List.of(peer))).sync();
+        run("--host", "here", "--path", "/orders/17", "--key", "7", "--json");
+        assertThat(new ObjectMapper().readTree(out()).at("/outcome").asText()).isEqualTo("RELAY");
+    }
+
     /** Guards against a success code, or an unexplained one, for a request that can't be routed. */
     @Test
     void missingRouteAndMissingKeyAreAnswersWithTheirStatus() {
