--- a/core/src/main/java/org/lacewingthread/core/dispatch/DecisionPreview.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/DecisionPreview.java
@@ -85,7 +85,7 @@
                 ? rules.owner(request).stream().toList()
                 : serviceServers.of(request.service());
         List<CandidateDescription> candidates = known.stream()
-                .map(state -> describe(state, request.key().isPresent(), nowMillis))
+                .map(state -> describe(request, state, nowMillis))
                 .sorted(Comparator.comparing((CandidateDescription candidate) ->
                                 !Optional.of(candidate.server()).equals(first))
                         .thenComparing(CandidateDescription::state)
@@ -105,12 +105,12 @@
                 known.size() - candidates.size());
     }
 
-    private CandidateDescription describe(ServerLoadState state, boolean ownsKey, long nowMillis) {
+    private CandidateDescription describe(DispatchRequest request, ServerLoadState state, long nowMillis) {
         ServerStart server = state.knownServer().start();
         return new CandidateDescription(
                 server,
                 state.entry().dataCentre(),
-                rules.stateOf(state, ownsKey, nowMillis),
+                rules.stateOf(request, state, nowMillis),
                 state.entry().slots(),
                 state.inFlight(),
                 state.otherVmsLoad(nowMillis),
--- a/core/src/main/java/org/lacewingthread/core/dispatch/DispatchRules.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/DispatchRules.java
@@ -191,8 +191,9 @@
         return new Choice.Wait(Optional.of(state), RefusalCause.OVERLOADED);
     }
 
-    /** Returns the first reason that keeps requests of a service from a server, in the order in which they are checked. */
-    CandidateState stateOf(ServerLoadState state, boolean ownsKey, long nowMillis) {
+    /** Returns the first reason that keeps a request from a server that owns its key, or may run it without one, in the order in which they are checked. */
+    CandidateState stateOf(DispatchRequest request, ServerLoadState state, long nowMillis) {
+        boolean ownsKey = request.key().isPresent();
         boolean accepts = ownsKey
                 ? state.knownServer().acceptsOwnedKeys(nowMillis) && !state.isReplaced()
                 : takesNewRequests(state);
@@ -212,6 +213,6 @@
         } else if (!ownsKey && state.isEjected(nowMillis)) {
             return CandidateState.FAILING;
         }
-        return state.hasCapacity(nowMillis) ? CandidateState.FREE : CandidateState.FULL;
+        return silentOwners.hasRoom(request, state, nowMillis) ? CandidateState.FREE : CandidateState.FULL;
     }
 }
--- a/core/src/main/java/org/lacewingthread/core/explain/RouteExplanation.java
+++ b/core/src/main/java/org/lacewingthread/core/explain/RouteExplanation.java
@@ -46,7 +46,10 @@
     /** Returns the mean delay in the Retry-After of the refusal; empty if it has none. */
     public OptionalLong retryAfterMillis() {
         long millis = dispatch.map(DispatchDescription::retryAfterMillis).orElse(0L);
-        return refusal().isPresent() && millis > 0 ? OptionalLong.of(millis) : OptionalLong.empty();
+        long statedMillis = refusal()
+                .map(code -> millis > 0 ? millis : code.defaultRetryAfterMillis())
+                .orElse(0L);
+        return statedMillis > 0 ? OptionalLong.of(statedMillis) : OptionalLong.empty();
     }
 
     /** Returns the code of the refusal that follows if the request waits and the wait doesn't end in time. */
--- a/core/src/main/java/org/lacewingthread/core/traffic/ResultCode.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/ResultCode.java
@@ -78,6 +78,10 @@
         OUTCOME_UNKNOWN
     }
 
+    private static final int SERVICE_UNAVAILABLE = 503;
+    /** As long as the longest delay that an overloaded server causes. */
+    private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+
     private final int number;
     private final int httpStatus;
     private final Knowledge knowledge;
@@ -100,6 +104,14 @@
         return httpStatus;
     }
 
+    /**
+     * Returns the delay to state in Retry-After where a refusal has no known end, in milliseconds; 0 for codes that are not
+     * answered with 503.
+     */
+    public long defaultRetryAfterMillis() {
+        return httpStatus == SERVICE_UNAVAILABLE ? DEFAULT_RETRY_AFTER_MILLIS : 0;
+    }
+
     /** Returns what is known about whether the request ran. */
     public Knowledge knowledge() {
         return knowledge;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -197,10 +197,6 @@
         return connections.openedCount();
     }
 
-    long deniedRetries() {
-        return retryBudget.denied();
-    }
-
     long droppedResponses() {
         return droppedResponses.count();
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.function.LongSupplier;
@@ -21,8 +20,6 @@
  */
 final class ResponseSender {
     private static final double MILLIS_PER_SECOND = 1e3;
-    /** Retry-After of a 503 whose cause has no known end; the longest one of an overloaded server. */
-    private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
     private final HeaderNames headerNames;
     private final EventLog events;
@@ -96,8 +93,7 @@
         if (!requestId.isEmpty()) {
             headers.set(headerNames.requestId(), requestId);
         }
-        boolean needsDelay = code.httpStatus() == HttpResponseStatus.SERVICE_UNAVAILABLE.code();
-        long delayMillis = retryAfterMillis <= 0 && needsDelay ? DEFAULT_RETRY_AFTER_MILLIS : retryAfterMillis;
+        long delayMillis = retryAfterMillis > 0 ? retryAfterMillis : code.defaultRetryAfterMillis();
         if (delayMillis > 0) {
             headers.set(
                     HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", delayMillis / MILLIS_PER_SECOND));
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -105,19 +105,21 @@
         this.self = new VmStart(settings.vm(), random.nextLong(Long.MAX_VALUE));
         RequestDispatcher dispatcher = new RequestDispatcher(settings.dataCentre(), random.split(), serverViews.gate());
         this.coldServers = dispatcher.coldServers();
+        ServiceRetryBudget retryBudget = new ServiceRetryBudget(
+                settings.retryRatio(), retrySlackOf(ASSUMED_ENTRY_VM_COUNT), settings.retryWindowMillis());
         this.engine = new RequestEngine(
                 headerNames,
                 events,
                 metrics,
                 dispatcher,
                 trafficEventLoop,
-                new ServiceRetryBudget(
-                        settings.retryRatio(), retrySlackOf(ASSUMED_ENTRY_VM_COUNT), settings.retryWindowMillis()),
+                retryBudget,
                 RouterProcess::trafficNowMillis,
                 (service, key) -> controlLoop.onKeyRequested(service, key),
                 new ControlLimitLink(() -> controlLoop),
                 new LateCrashRecordLink(() -> controlLoop.crashRecords()),
                 new RelaySender.Access(settings.dataCentre(), this::relay, random.split()));
+        metrics.gauge("retries.denied", "extra attempts that the retry budget did not allow", retryBudget::denied);
         settings.hedging().ifPresent(hedging -> engine.hedges().enable(new HedgePolicy(hedging)));
         this.callerListener = ProcessLimits.callerListener(engine, RouterProcess::trafficNowMillis);
         this.relay = new RouterRelay(
@@ -272,7 +274,6 @@
         MemoryGauges.register(metrics, callerListener.account(), callerListener);
         metrics.gauge("unanswered", "requests without answer", engine::unansweredCount);
         metrics.gauge("waiting", "requests that wait for a server", engine::waitingCount);
-        metrics.gauge("retries.denied", "extra attempts that the retry budget did not allow", engine::deniedRetries);
         metrics.gauge("connections.opened", "connections opened to servers", engine::connectionsOpened);
         metrics.gauge("servers.answering", "servers that answered of late", () -> reach.answeringServers());
         metrics.gauge("leading", "1 while this VM leads the key ranges", () -> controlLoop.isLeading() ? 1 : 0);
