--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -256,7 +256,7 @@
             boolean hasId = response.headers().contains(echoedHeader.name());
             drop(hasId ? DroppedResponse.Reason.OTHER_ID : DroppedResponse.Reason.NO_ID, response);
         }
-        if (foreign && !isFramed(response)) {
+        if (foreign && !ResponseDecoder.isFramed(response)) {
             fail("a response that is not the request's has no end, so that none can follow it");
             return;
         }
@@ -302,7 +302,7 @@
             fail("a response arrived before the request was written");
             return;
         }
-        reusable &= requestWritten && isFramed(response) && HttpUtil.isKeepAlive(response);
+        reusable &= requestWritten && ResponseDecoder.isFramed(response) && HttpUtil.isKeepAlive(response);
         KeepAliveHeader.idleLimitMillis(response.headers().get(KeepAliveHeader.NAME))
                 .ifPresent(millis -> idleLimitMillis = millis);
         surplus = decoder.hasUndecodedBytes();
@@ -331,10 +331,6 @@
         }
     }
 
-    private static boolean isFramed(HttpResponse response) {
-        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
-    }
-
     private final class Expectation implements ResponseDecoder.Expectation {
         @Override
         public boolean awaitsResponse() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/ResponseDecoder.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ResponseDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
 
 /** Decodes responses, and only bytes that arrive while one is awaited. */
@@ -53,4 +54,9 @@
     boolean hasUndecodedBytes() {
         return actualReadableBytes() > 0;
     }
+
+    /** Returns whether a response says where it ends, so that another one can follow it. */
+    static boolean isFramed(HttpResponse response) {
+        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+    }
 }
