--- a/bench/src/main/java/org/lacewingthread/bench/OneCaller.java
+++ b/bench/src/main/java/org/lacewingthread/bench/OneCaller.java
@@ -85,8 +85,8 @@
             throw new IOException("a request was not answered with " + OK_STATUS + ": " + head);
         }
         int at = lines.indexOf("content-length:") + "content-length:".length();
-        in.readNBytes(Integer.parseInt(
-                lines.substring(at, lines.indexOf('\r', at)).trim()));
+        in.readNBytes(
+                Integer.parseInt(lines.substring(at, lines.indexOf('\r', at)).trim()));
     }
 
     private static String report(long[] nanos) {
