Close a connection whose caller stopped in a body when there are too many

Cause: 1,000 connections whose requests stop 10 bytes short of their bodies took all 280 connections that a router with 400 descriptors allows. None was idle, so each new connection was closed, and no other caller was answered until the idle timeout. Change: where no connection is idle, the one whose caller paused longest in a request, for 1 s at least, is closed. Its request has not run.

--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -362,14 +362,10 @@
 
     /** Closes the connection once all received requests are answered; later requests are ignored. */
     void drain() {
-        if (refusing) {
-            return;
-        }
-        if (isIdle()) {
+        if (!refusing && isIdle()) {
             close();
-        } else {
-            draining = true;
         }
+        draining |= !refusing;
     }
 
     long lastActiveMillis() {
@@ -383,7 +379,12 @@
 
     /** Returns whether no request is being received or waiting for a response, and no response for its caller. */
     boolean isIdle() {
-        return pendingResponses.isEmpty() && !hasHead() && unwrittenResponses == 0;
+        return !isAnswering() && !hasHead();
+    }
+
+    /** Returns whether a received request waits for its response, or a response for its caller. */
+    boolean isAnswering() {
+        return !pendingResponses.isEmpty() || unwrittenResponses > 0;
     }
 
     void close() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
@@ -30,6 +30,9 @@
  * }</pre>
  */
 public final class CallerListener {
+    /** Pause in a request body from which its connection may be closed for another one, once there are too many. */
+    private static final long MAX_PAUSE_IN_BODY_MILLIS = 1_000;
+
     private static final int ACCEPT_BACKLOG = 1_024;
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 1_000;
     /** How often waiting requests are looked at; short beside the time over which progress is measured. */
@@ -161,9 +164,12 @@
     void onOpened(CallerConnection connection) {
         connections.add(connection);
         if (connections.size() > maxConnections) {
+            long nowMillis = clockMillis.getAsLong();
             CallerConnection closed = connections.stream()
-                    .filter(other -> other != connection && other.isIdle())
-                    .min(Comparator.comparingLong(CallerConnection::lastActiveMillis))
+                    .filter(other -> other != connection && mayMakeRoom(other, nowMillis))
+                    .min(Comparator.comparing(CallerConnection::isIdle)
+                            .reversed()
+                            .thenComparingLong(CallerConnection::lastActiveMillis))
                     .orElse(connection);
             // Its channel reports the end only after this turn, in which further connections may open.
             connections.remove(closed);
@@ -173,6 +179,13 @@
         }
     }
 
+    /** Returns whether a connection is idle, or its caller stopped in the middle of a request, which has not run. */
+    private static boolean mayMakeRoom(CallerConnection connection, long nowMillis) {
+        boolean stalled =
+                !connection.isAnswering() && nowMillis - connection.lastActiveMillis() > MAX_PAUSE_IN_BODY_MILLIS;
+        return connection.isIdle() || stalled;
+    }
+
     private void reportConnectionLimit(boolean newest) {
         long nowMillis = clockMillis.getAsLong();
         if (nowMillis >= nextLimitReportMillis) {
