--- a/core/src/main/java/org/lacewingthread/core/traffic/ServiceRetryBudget.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/ServiceRetryBudget.java
@@ -24,6 +24,9 @@
     private final double ratio;
     private final long windowMillis;
     private final Map<ServiceId, AttemptWindow> windowByService = new HashMap<>();
+    /** Limits the attempts at full owners of keys, which nobody else can make. */
+    private final RetryBudget fullOwnerBudget;
+
     private double slack;
     private long denied;
 
@@ -44,6 +47,7 @@
         this.ratio = ratio;
         this.slack = slack;
         this.windowMillis = windowMillis;
+        this.fullOwnerBudget = new RetryBudget(ratio, slack);
     }
 
     /** Changes the extra attempts in a window beyond the share of the first attempts. */
@@ -56,6 +60,7 @@
 
     /** Counts the first attempt of a caller's request. */
     public void onFirstAttempt(ServiceId service, long nowMillis) {
+        fullOwnerBudget.onFirstAttempt();
         window(service).countFirst(nowMillis);
     }
 
@@ -75,6 +80,19 @@
         return true;
     }
 
+    /**
+     * Takes one extra attempt at the owner of a key that rejected the request because it is full; returns false if the budget
+     * is used up. Fewer are allowed than others, since they compete with the requests that wait for the same owner.
+     */
+    public boolean tryTakeAtFullOwner(ServiceId service, long nowMillis) {
+        if (!mayTake(service, nowMillis) || !fullOwnerBudget.tryTake()) {
+            denied++;
+            return false;
+        }
+        window(service).countExtra(nowMillis);
+        return true;
+    }
+
     /** Returns how often an extra attempt was asked for and not allowed. */
     public long denied() {
         return denied;
--- a/core/src/test/java/org/lacewingthread/core/traffic/ServiceRetryBudgetTest.java
+++ b/core/src/test/java/org/lacewingthread/core/traffic/ServiceRetryBudgetTest.java
@@ -45,6 +45,15 @@
         assertThat(budget.denied()).isEqualTo(1);
     }
 
+    /** Guards against many attempts at a full owner of keys, which take the room of the requests that wait for it. */
+    @Test
+    void attemptsAtFullOwnersAreLimitedToTheSlack() {
+        sendFirsts(READS, 0, WINDOW_MILLIS, 10);
+        assertThat(budget.tryTakeAtFullOwner(READS, WINDOW_MILLIS)).isTrue();
+        assertThat(budget.tryTakeAtFullOwner(READS, WINDOW_MILLIS)).isFalse();
+        assertThat(budget.tryTake(READS, WINDOW_MILLIS)).isTrue();
+    }
+
     /** Guards against retries that are saved up for longer than the window. */
     @Test
     void firstAttemptsBeforeTheWindowDoNotCount() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -68,10 +68,7 @@
      */
     void retryOrRefuse(ActiveRequest request, AttemptResult result, long restMillis) {
         boolean hopeless = restMillis > 0 && request.key.isPresent();
-        if (!hopeless
-                && request.attemptsLeft() > 0
-                && hasTimeToRetry(request)
-                && retryBudget.tryTake(request.service, clockMillis.getAsLong())) {
+        if (!hopeless && request.attemptsLeft() > 0 && hasTimeToRetry(request) && takesRetry(request, result)) {
             engine.submit(request);
             return;
         }
@@ -134,6 +131,14 @@
                 && retryBudget.tryTake(request.service, clockMillis.getAsLong());
     }
 
+    private boolean takesRetry(ActiveRequest request, AttemptResult result) {
+        long nowMillis = clockMillis.getAsLong();
+        boolean atFullOwner = result == AttemptResult.REJECTED && request.key.isPresent();
+        return atFullOwner
+                ? retryBudget.tryTakeAtFullOwner(request.service, nowMillis)
+                : retryBudget.tryTake(request.service, nowMillis);
+    }
+
     private boolean hasTimeToRetry(ActiveRequest request) {
         return !request.callerDisconnected
                 && request.deadlineMillis - clockMillis.getAsLong() > request.route.targetLatencyMillis() / 3;
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -119,7 +119,7 @@
                 new ControlLimitLink(() -> controlLoop),
                 new LateCrashRecordLink(() -> controlLoop.crashRecords()),
                 new RelaySender.Access(settings.dataCentre(), this::relay, random.split()));
-        metrics.gauge("retries.denied", "extra attempts that the retry budget did not allow", retryBudget::denied);
+        metrics.gauge("retry.budget.denied", "extra attempts that the retry budget did not allow", retryBudget::denied);
         settings.hedging().ifPresent(hedging -> engine.hedges().enable(new HedgePolicy(hedging)));
         this.callerListener = ProcessLimits.callerListener(engine, RouterProcess::trafficNowMillis);
         this.relay = new RouterRelay(
