review: a request that ran is answered 503 (REFUSED)

Shows that a sealed 503 of a backend without Lacewingthread-Not-Executed is forwarded to the caller of an at-most-once request, to whom 503 promises that it has not run. RequestRetries.retryOrFail forwards the response with its status, although the attempt counts as one that may have run.

--- /dev/null
+++ b/review/standins-2/BackendStandIn.java
@@ -0,0 +1,224 @@
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A sound backend server: runs some requests at a time, queues a few more and says so when it is full, echoes the attempt's
+ * id, seals its answers, and serves keys only while it holds them. It never ends a connection itself.
+ */
+class BackendStandIn {
+    private static final int QUEUE = 8;
+    private static final Pattern NUMBER = Pattern.compile("\"(from|to|fence|hold_ms)\"\\s*:\\s*([0-9]+)");
+
+    final String id;
+    final String service;
+    final int slots;
+    final long workMillis;
+    final int responseBytes;
+    private final ServerSocket listener;
+    private final Semaphore free;
+    private final AtomicInteger queued = new AtomicInteger();
+    private final AtomicInteger running = new AtomicInteger();
+    private final RunRecord record;
+    private final long bornUnixMillis = System.currentTimeMillis();
+    private final long[] heldUntilNanos = new long[65_536];
+    private final long[] fences = new long[65_536];
+
+    BackendStandIn(String id, String service, int slots, long workMillis, int responseBytes, RunRecord record)
+            throws IOException {
+        this.id = id;
+        this.service = service;
+        this.slots = slots;
+        this.workMillis = workMillis;
+        this.responseBytes = responseBytes;
+        this.record = record;
+        this.free = new Semaphore(slots, true);
+        listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
+        Threads.start("backend " + id, this::accept);
+    }
+
+    /** Writes the server's entry to the store, as it does at each check-in. */
+    void register(StoreStandIn store, int seq) {
+        store.put(
+                "keyed.servers",
+                id,
+                "{\"addr\":\"127.0.0.1:" + listener.getLocalPort() + "\",\"born\":" + bornUnixMillis
+                        + ",\"info\":{\"service\":\"" + service + "\",\"version\":\"v1\",\"zone\":\"maras\",\"slots\":"
+                        + slots + "},\"status\":{\"state\":\"ready\",\"seq\":" + seq + ",\"cold_left_ms\":0}}");
+    }
+
+    private void accept() throws IOException {
+        while (true) {
+            Socket socket = listener.accept();
+            Threads.start("backend connection", () -> serve(socket));
+        }
+    }
+
+    private void serve(Socket socket) throws IOException {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            InputStream in = new BufferedInputStream(socket.getInputStream(), 65_536);
+            OutputStream out = socket.getOutputStream();
+            while (true) {
+                HttpMessage request = HttpMessage.read(in);
+                if (request == null) {
+                    return;
+                }
+                out.write(answer(request));
+                out.flush();
+            }
+        } catch (IOException e) {
+            record.note("backend " + id + ": a connection ended: " + e.getMessage());
+        }
+    }
+
+    private byte[] answer(HttpMessage request) {
+        String target = request.headers.get("lacewingthread-target-instance");
+        if (target != null && !target.equals(id)) {
+            return response(421, "Lacewingthread-Instance-Id: " + id + "\r\n", new byte[0]);
+        }
+        String path = request.target();
+        if (path.equals("/grant")) {
+            return response(grant(request), "", new byte[0]);
+        }
+        if (path.equals("/release")) {
+            return response(200, "Lacewingthread-Handover: " + id + "\r\n", release(request));
+        }
+        if (path.equals("/health")) {
+            return response(200, "Lacewingthread-Instance-Id: " + id + "\r\n", new byte[0]);
+        }
+        return run(request);
+    }
+
+    /** Returns the status with which the next run ends; a run that fails here has run all the same. */
+    int statusOfRun() {
+        return 200;
+    }
+
+    private byte[] run(HttpMessage request) {
+        String attempt = request.headers.getOrDefault("lacewingthread-attempt-id", "");
+        String echo = "Lacewingthread-Attempt-Id: " + attempt + "\r\n";
+        if (!free.tryAcquire()) {
+            if (queued.incrementAndGet() > QUEUE) {
+                queued.decrementAndGet();
+                return response(503, echo + "Lacewingthread-Not-Executed: 1\r\n" + load(), new byte[0]);
+            }
+            free.acquireUninterruptibly();
+            queued.decrementAndGet();
+        }
+        running.incrementAndGet();
+        try {
+            record.ran(id, service, attempt, request.startLine, request.body.length);
+            TimeUnit.MILLISECONDS.sleep(workMillis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            running.decrementAndGet();
+            free.release();
+        }
+        String seal = "Lacewingthread-Server-Seal: " + id + "." + attempt + "\r\n";
+        return response(statusOfRun(), echo + seal + load(), new byte[responseBytes]);
+    }
+
+    private String load() {
+        return "Lacewingthread-Server-Load: " + running.get() + "," + queued.get() + "," + slots + "\r\n";
+    }
+
+    private static byte[] response(int status, String headers, byte[] body) {
+        String head = "HTTP/1.1 " + status + " X\r\nContent-Length: " + body.length + "\r\n" + headers + "\r\n";
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        bytes.writeBytes(head.getBytes(StandardCharsets.ISO_8859_1));
+        bytes.writeBytes(body);
+        return bytes.toByteArray();
+    }
+
+    private static Map<String, Long> numbers(HttpMessage request) {
+        Map<String, Long> numbers = new TreeMap<>();
+        Matcher matcher = NUMBER.matcher(new String(request.body, StandardCharsets.UTF_8));
+        while (matcher.find()) {
+            numbers.put(matcher.group(1), Long.parseLong(matcher.group(2)));
+        }
+        return numbers;
+    }
+
+    private synchronized int grant(HttpMessage request) {
+        Map<String, Long> order = numbers(request);
+        for (int key = order.get("from").intValue(); key <= order.get("to"); key++) {
+            if (fences[key] > order.get("fence")) {
+                return 409;
+            }
+        }
+        for (int key = order.get("from").intValue(); key <= order.get("to"); key++) {
+            fences[key] = order.get("fence");
+            heldUntilNanos[key] = System.nanoTime() + order.get("hold_ms") * 1_000_000;
+        }
+        return 200;
+    }
+
+    private synchronized byte[] release(HttpMessage request) {
+        Map<String, Long> order = numbers(request);
+        for (int key = order.get("from").intValue(); key <= order.get("to"); key++) {
+            heldUntilNanos[key] = 0;
+        }
+        return new byte[0];
+    }
+
+    /** An HTTP request with its whole body. */
+    static final class HttpMessage {
+        String startLine;
+        final Map<String, String> headers = new TreeMap<>();
+        byte[] body = new byte[0];
+
+        String target() {
+            return startLine.split(" ")[1];
+        }
+
+        /** Reads a message; returns null at the end of the connection. */
+        static HttpMessage read(InputStream in) throws IOException {
+            HttpMessage message = new HttpMessage();
+            message.startLine = line(in);
+            if (message.startLine == null) {
+                return null;
+            }
+            for (String line = line(in); line != null && !line.isEmpty(); line = line(in)) {
+                int colon = line.indexOf(':');
+                message.headers.put(
+                        line.substring(0, colon).trim().toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
+            }
+            int length = Integer.parseInt(message.headers.getOrDefault("content-length", "0"));
+            message.body = in.readNBytes(length);
+            if (message.body.length < length) {
+                throw new EOFException("the message ended after " + message.body.length + " of " + length + " bytes");
+            }
+            return message;
+        }
+
+        private static String line(InputStream in) throws IOException {
+            StringBuilder line = new StringBuilder();
+            for (int c = in.read(); c != '\n'; c = in.read()) {
+                if (c < 0) {
+                    return null;
+                }
+                if (c != '\r') {
+                    line.append((char) c);
+                }
+            }
+            return line.toString();
+        }
+    }
+}
--- /dev/null
+++ b/review/standins-2/RouterStandUp.java
@@ -0,0 +1,71 @@
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A router as deployed: a process with the run line of deploy/system.toml and settings for a loopback address. */
+final class RouterStandUp implements AutoCloseable {
+    private static final Pattern RUN = Pattern.compile("(?m)^run = \"([^\"]*)\"");
+
+    final String vm;
+    final int callerPort = freePort();
+    final int readinessPort = freePort();
+    final int metricsPort = freePort();
+    final int reportPort = freePort();
+    final Path log;
+    private final Process process;
+
+    RouterStandUp(String vm, String storeAddress, Path folder) throws IOException {
+        this.vm = vm;
+        Path settings = folder.resolve(vm + ".json");
+        log = folder.resolve(vm + ".log");
+        Files.writeString(
+                settings,
+                "{\"vm\":\"" + vm + "\",\"dataCentre\":\"maras\",\"address\":\"127.0.0.1\",\"callerAddress\":\"127.0.0.1:"
+                        + callerPort + "\",\"readinessAddress\":\"127.0.0.1:" + readinessPort + "\",\"storeAddress\":\""
+                        + storeAddress + "\",\"metricsPort\":" + metricsPort + ",\"reportPort\":" + reportPort
+                        + ",\"entryIntervalMillis\":870,\"bounds\":{\"drain_ms\":2000,\"grace_s\":6,"
+                        + "\"retry_budget_ratio\":0.2,\"budget_window_s\":10,\"budget_slack\":62,\"max_hold_ms\":10000}}");
+        Matcher run = RUN.matcher(Files.readString(Path.of("deploy/system.toml"), StandardCharsets.UTF_8));
+        if (!run.find()) {
+            throw new IOException("deploy/system.toml has no run line");
+        }
+        List<String> command = new ArrayList<>(Arrays.asList(run.group(1).split(" ")));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().put("LACEWINGTHREAD_SETTINGS", settings.toString());
+        builder.environment().put("LACEWINGTHREAD_BOOTSTRAP", "true");
+        builder.redirectErrorStream(true).redirectOutput(log.toFile());
+        process = builder.start();
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
