--- a/review/standins-2/BackendStandIn.java
+++ b/review/standins-2/BackendStandIn.java
@@ -16,12 +16,14 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 
 /**
  * A sound backend server: runs some requests at a time, queues a few more and says so when it is full, echoes the attempt's
  * id, seals its answers, and serves keys only while it holds them. It never ends a connection itself.
  */
 class BackendStandIn {
+    private static final int KEYS = 65_536;
     private static final int QUEUE = 8;
     private static final Pattern NUMBER = Pattern.compile("\"(from|to|fence|hold_ms)\"\\s*:\\s*([0-9]+)");
 
@@ -35,12 +37,28 @@
     private final AtomicInteger queued = new AtomicInteger();
     private final AtomicInteger running = new AtomicInteger();
     private final RunRecord record;
+    private final boolean keyed;
+    private final long[] heldUntilNanos = new long[KEYS];
+    private final long[] fences = new long[KEYS];
+    private final int[] runningByKey = new int[KEYS];
     private final long bornUnixMillis = System.currentTimeMillis();
-    private final long[] heldUntilNanos = new long[65_536];
-    private final long[] fences = new long[65_536];
+    volatile String state = "ready";
 
     BackendStandIn(String id, String service, int slots, long workMillis, int responseBytes, RunRecord record)
             throws IOException {
+        this(id, service, slots, workMillis, responseBytes, record, false);
+    }
+
+    BackendStandIn(
+            String id,
+            String service,
+            int slots,
+            long workMillis,
+            int responseBytes,
+            RunRecord record,
+            boolean keyed)
+            throws IOException {
+        this.keyed = keyed;
         this.id = id;
         this.service = service;
         this.slots = slots;
@@ -59,7 +77,7 @@
                 id,
                 "{\"addr\":\"127.0.0.1:" + listener.getLocalPort() + "\",\"born\":" + bornUnixMillis
                         + ",\"info\":{\"service\":\"" + service + "\",\"version\":\"v1\",\"zone\":\"maras\",\"slots\":"
-                        + slots + "},\"status\":{\"state\":\"ready\",\"seq\":" + seq + ",\"cold_left_ms\":0}}");
+                        + slots + "},\"status\":{\"state\":\"" + state + "\",\"seq\":" + seq + ",\"cold_left_ms\":0}}");
     }
 
     private void accept() throws IOException {
@@ -79,7 +97,7 @@
                 if (request == null) {
                     return;
                 }
-                out.write(answer(request));
+                out.write(answer(request, socket));
                 out.flush();
             }
         } catch (IOException e) {
@@ -87,17 +105,18 @@
         }
     }
 
-    private byte[] answer(HttpMessage request) {
+    private byte[] answer(HttpMessage request, Socket socket) {
         String target = request.headers.get("lacewingthread-target-instance");
         if (target != null && !target.equals(id)) {
             return response(421, "Lacewingthread-Instance-Id: " + id + "\r\n", new byte[0]);
         }
         String path = request.target();
         if (path.equals("/grant")) {
-            return response(grant(request), "", new byte[0]);
+            return response(onGrant(request, socket), "", new byte[0]);
         }
         if (path.equals("/release")) {
-            return response(200, "Lacewingthread-Handover: " + id + "\r\n", release(request));
+            release(request);
+            return response(200, "Lacewingthread-Handover: " + id + "\r\n", new byte[0]);
         }
         if (path.equals("/health")) {
             return response(200, "Lacewingthread-Instance-Id: " + id + "\r\n", new byte[0]);
@@ -121,6 +140,11 @@
             free.acquireUninterruptibly();
             queued.decrementAndGet();
         }
+        int key = Integer.parseInt(request.headers.getOrDefault("lacewingthread-shard-key", "0"));
+        if (keyed && !begin(key)) {
+            free.release();
+            return response(421, echo + "Lacewingthread-Not-Executed: 1\r\nLacewingthread-Instance-Id: " + id + "\r\n", new byte[0]);
+        }
         running.incrementAndGet();
         try {
             record.ran(id, service, attempt, request.startLine, request.body.length);
@@ -129,6 +153,7 @@
             Thread.currentThread().interrupt();
         } finally {
             running.decrementAndGet();
+            end(key);
             free.release();
         }
         String seal = "Lacewingthread-Server-Seal: " + id + "." + attempt + "\r\n";
@@ -156,26 +181,72 @@
         return numbers;
     }
 
-    private synchronized int grant(HttpMessage request) {
+    /** Returns whether the key is held, and counts a run on it then. */
+    private synchronized boolean begin(int key) {
+        if (heldUntilNanos[key] <= System.nanoTime()) {
+            return false;
+        }
+        runningByKey[key]++;
+        return true;
+    }
+
+    private synchronized void end(int key) {
+        if (keyed) {
+            runningByKey[key]--;
+            notifyAll();
+        }
+    }
+
+    /** Carries out a grant and returns the status of its answer. */
+    int onGrant(HttpMessage request, Socket socket) {
+        return grant(request, System.nanoTime());
+    }
+
+    /**
+     * Carries out a grant unless a higher fence was seen on one of its keys. Fences stay known after a release.
+     *
+     * @param arrivedNanos when the call arrived, from which its time counts
+     */
+    final int grant(HttpMessage request, long arrivedNanos) {
         Map<String, Long> order = numbers(request);
-        for (int key = order.get("from").intValue(); key <= order.get("to"); key++) {
-            if (fences[key] > order.get("fence")) {
-                return 409;
+        int from = order.get("from").intValue();
+        int to = order.get("to").intValue();
+        long untilNanos = arrivedNanos + order.get("hold_ms") * 1_000_000;
+        synchronized (this) {
+            for (int key = from; key <= to; key++) {
+                if (fences[key] > order.get("fence")) {
+                    return 409;
+                }
+            }
+            for (int key = from; key <= to; key++) {
+                fences[key] = order.get("fence");
+                heldUntilNanos[key] = untilNanos;
+            }
+            if (untilNanos > System.nanoTime()) {
+                record.took(id, from, to, order.get("fence"), untilNanos);
             }
-        }
-        for (int key = order.get("from").intValue(); key <= order.get("to"); key++) {
-            fences[key] = order.get("fence");
-            heldUntilNanos[key] = System.nanoTime() + order.get("hold_ms") * 1_000_000;
         }
         return 200;
     }
 
-    private synchronized byte[] release(HttpMessage request) {
+    /** Stops new work on the keys at once, and returns when the work that runs on them has ended. */
+    private synchronized void release(HttpMessage request) {
         Map<String, Long> order = numbers(request);
-        for (int key = order.get("from").intValue(); key <= order.get("to"); key++) {
+        int from = order.get("from").intValue();
+        int to = order.get("to").intValue();
+        for (int key = from; key <= to; key++) {
             heldUntilNanos[key] = 0;
+            fences[key] = Math.max(fences[key], order.get("fence"));
+        }
+        record.note(id + " released keys " + from + " to " + to + ", fence " + order.get("fence"));
+        while (IntStream.rangeClosed(from, to).anyMatch(key -> runningByKey[key] > 0)) {
+            try {
+                wait(20);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
         }
-        return new byte[0];
     }
 
     /** An HTTP request with its whole body. */
--- a/review/standins-2/RunRecord.java
+++ b/review/standins-2/RunRecord.java
@@ -3,8 +3,10 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Writes what was sent, answered and run to record.txt, with the milliseconds since the start. */
 final class RunRecord {
@@ -13,6 +15,8 @@
     private final Map<String, Integer> runsByAttempt = new ConcurrentHashMap<>();
     private final Map<String, String> targetByAttempt = new ConcurrentHashMap<>();
 
+    private final List<Take> takes = new CopyOnWriteArrayList<>();
+
     RunRecord(Path file) throws IOException {
         out = new PrintWriter(Files.newBufferedWriter(file, StandardCharsets.UTF_8), true);
     }
@@ -27,6 +31,25 @@
         note("ran " + attempt + " at " + server + " (" + service + "): " + startLine + ", body " + bodyBytes);
     }
 
+    /** A grant that took effect at a backend. */
+    record Take(long atNanos, String backend, int from, int to, long fence, long untilNanos) {
+        boolean sharesKeys(Take other) {
+            return from <= other.to && other.from <= to;
+        }
+    }
+
+    /** Records a grant that took effect while its time was not over. */
+    void took(String backend, int from, int to, long fence, long untilNanos) {
+        takes.add(new Take(System.nanoTime(), backend, from, to, fence, untilNanos));
+        note(backend + " holds keys " + from + " to " + to + ", fence " + fence + ", for "
+                + (untilNanos - System.nanoTime()) / 1_000_000 + " ms");
+    }
+
+    /** Returns the grants that took effect, in order. */
+    List<Take> takes() {
+        return List.copyOf(takes);
+    }
+
     /** Returns the target of the newest run of an attempt; null if it has not run. */
     String targetOf(String attempt) {
         return targetByAttempt.get(attempt);
