review: heads of short lines end the processes of two routers (Fault)

Shows that heads of legal size with very many short lines, which stop short of their end, end the process with an OutOfMemoryError: a head that the memory account gives up counts as free, but its lines stay in the decoder until the connection has ended. An Error in the main thread then ends the process.

--- a/review/standins-2/BackendStandIn.java
+++ b/review/standins-2/BackendStandIn.java
@@ -97,6 +97,9 @@
                 if (request == null) {
                     return;
                 }
+                if (answersOddly(request, socket)) {
+                    return;
+                }
                 out.write(answer(request, socket));
                 out.flush();
             }
@@ -105,6 +108,11 @@
         }
     }
 
+    /** Sends bytes of another kind than an answer; returns whether it did, after which the connection ends. */
+    boolean answersOddly(HttpMessage request, Socket socket) throws IOException {
+        return false;
+    }
+
     private byte[] answer(HttpMessage request, Socket socket) {
         String target = request.headers.get("lacewingthread-target-instance");
         if (target != null && !target.equals(id)) {
--- a/review/standins-2/RouterStandUp.java
+++ b/review/standins-2/RouterStandUp.java
@@ -15,13 +15,16 @@
 final class RouterStandUp implements AutoCloseable {
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"([^\"]*)\"");
 
+    private static final int MAX_DESCRIPTORS = 4_100;
+
     final String vm;
     final int callerPort = freePort();
     final int readinessPort = freePort();
     final int metricsPort = freePort();
     final int reportPort = freePort();
     final Path log;
-    private final Process process;
+    private final ProcessBuilder builder;
+    private volatile Process process;
 
     RouterStandUp(String vm, String storeAddress, Path folder) throws IOException {
         this.vm = vm;
@@ -38,14 +41,37 @@
         if (!run.find()) {
             throw new IOException("deploy/system.toml has no run line");
         }
-        List<String> command = new ArrayList<>(Arrays.asList(run.group(1).split(" ")));
-        ProcessBuilder builder = new ProcessBuilder(command);
+        // The descriptors that a small deployment gives a process; the shell is replaced by the program.
+        List<String> command = new ArrayList<>(
+                List.of("/bin/sh", "-c", "ulimit -n " + MAX_DESCRIPTORS + " 2>/dev/null; exec \"$@\"", "router"));
+        command.addAll(Arrays.asList(run.group(1).split(" ")));
+        builder = new ProcessBuilder(command);
         builder.environment().put("LACEWINGTHREAD_SETTINGS", settings.toString());
         builder.environment().put("LACEWINGTHREAD_BOOTSTRAP", "true");
-        builder.redirectErrorStream(true).redirectOutput(log.toFile());
+        builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        process = builder.start();
+    }
+
+    /** Starts the process again after it has ended, which is no first start of the deployment. */
+    void startAgain() throws IOException {
+        builder.environment().put("LACEWINGTHREAD_BOOTSTRAP", "false");
         process = builder.start();
     }
 
+    /** Returns the exit code of the process that has ended. */
+    int exitCode() {
+        return process.exitValue();
+    }
+
+    /** Returns the last lines of the log, shortened. */
+    String lastLines(int count) throws IOException {
+        List<String> lines = Files.readAllLines(log, StandardCharsets.ISO_8859_1);
+        return lines.subList(Math.max(0, lines.size() - count), lines.size()).stream()
+                .map(line -> line.substring(0, Math.min(line.length(), 300)))
+                .toList()
+                .toString();
+    }
+
     long pid() {
         return process.pid();
     }
