review: case 8 stays inside the share of its disruption

One failing backend of seven is 0.143 of the servers, above the 0.14 that the claim quotes; there are eight now.

--- a/review/8/src/FailedRuns.java
+++ b/review/8/src/FailedRuns.java
@@ -6,11 +6,11 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One backend of seven at a time fails a part of the requests that it runs and says so with its own sealed 503, without
+ * One backend of eight at a time fails a part of the requests that it runs and says so with its own sealed 503, without
  * Lacewingthread-Not-Executed. Checks that no at-most-once request that has run is answered 503.
  */
 final class FailedRuns {
-    private static final int BACKENDS = 7;
+    private static final int BACKENDS = 8;
     private static final double FAILED_SHARE = 0.45;
     private static final int REQUESTS = 1_600;
     /** Time for which one backend fails, before the next one does. */
