--- a/review/standins-3/Backend.java
+++ b/review/standins-3/Backend.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
@@ -25,6 +26,8 @@
     static final int KEYS = 65_536;
     private static final int SLOTS = 2;
     private static final int QUEUE = 4;
+    private static final long MIN_LATE_MILLIS = 2_000;
+    private static final long MAX_LATE_MILLIS = 12_000;
 
     /** A request that began to run. */
     record Run(String id, String method, String target, int key, int bodyHash, long startMillis) {}
@@ -42,6 +45,8 @@
     final Map<String, Long> arrivals = new ConcurrentHashMap<>();
     volatile long workMillis = 20;
     volatile boolean leaving;
+    /** Share of the grants that get no answer and are carried out 2 to 12 s later (applied_late). */
+    volatile double lateGrants;
     /** Bytes that are sent without end in place of each answer; null for none. */
     volatile byte[] endlessBytes;
     private final boolean sharded;
@@ -152,7 +157,14 @@
         if (!target.isEmpty() && !target.equals(id)) {
             respond(out, 421, "Lacewingthread-Not-Executed: 1\r\n" + echo(request), "");
         } else if (line[1].equals("/grant")) {
-            respond(out, grant(new String(request.body(), StandardCharsets.UTF_8)), "", "");
+            String order = new String(request.body(), StandardCharsets.UTF_8);
+            long arrivedNanos = System.nanoTime();
+            if (ThreadLocalRandom.current().nextDouble() < lateGrants) {
+                Threads.sleep(ThreadLocalRandom.current().nextLong(MIN_LATE_MILLIS, MAX_LATE_MILLIS));
+                grant(order, arrivedNanos);
+                throw new IOException("the grant gets no answer");
+            }
+            respond(out, grant(order, arrivedNanos), "", "");
         } else if (line[1].equals("/release")) {
             release(new String(request.body(), StandardCharsets.UTF_8));
             respond(out, 200, "Lacewingthread-Handover: token\r\n", "");
@@ -239,11 +251,11 @@
     }
 
     /** Applies a grant to its keys; refuses it as a whole if one of them has seen a higher fence. */
-    private int grant(String json) {
+    private int grant(String json, long arrivedNanos) {
         int from = (int) number(json, "from");
         int to = (int) number(json, "to");
         long fence = number(json, "fence");
-        long untilNanos = System.nanoTime() + number(json, "hold_ms") * 1_000_000;
+        long untilNanos = arrivedNanos + number(json, "hold_ms") * 1_000_000;
         synchronized (holds) {
             for (int key = from; key <= to; key++) {
                 if (holds[key] != null && holds[key].fence > fence) {
@@ -281,6 +293,9 @@
     /** Returns the keys that it holds now. */
     BitSet heldKeys() {
         BitSet held = new BitSet();
+        if (closed) {
+            return held;
+        }
         long nowNanos = System.nanoTime();
         synchronized (holds) {
             for (int key = 0; key < KEYS; key++) {
--- a/review/standins-3/Deployment.java
+++ b/review/standins-3/Deployment.java
@@ -89,5 +89,13 @@
     void end() {
         routers.forEach(Router::end);
         store.close();
+        try (var files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+            Files.delete(folder);
+        } catch (IOException e) {
+            System.err.println("the temporary folder remains: " + e);
+        }
     }
 }
--- a/review/standins-3/Router.java
+++ b/review/standins-3/Router.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -6,12 +7,15 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** A router as deployed: the run command of deploy/system.toml, and settings as in deploy/settings.json.template. */
 final class Router {
+    private static final int MIN_PORT = 12_000;
+    private static final int MAX_PORT = 32_000;
     final String vm;
     final int callerPort = freePort();
     private final int readinessPort = freePort();
@@ -48,11 +52,16 @@
         return new ArrayList<>(List.of(run.group(1).split(" +")));
     }
 
-    static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+    /** Returns a free port outside the usual range of outgoing connections, which could take it before the router does. */
+    private static int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            try (ServerSocket tcp = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+                    DatagramSocket udp = new DatagramSocket(port, InetAddress.getLoopbackAddress())) {
+                return port;
+            } catch (IOException e) {
+                // Another process uses it.
+            }
         }
     }
 
--- a/review/standins-3/Store.java
+++ b/review/standins-3/Store.java
@@ -28,7 +28,7 @@
     private static final long MAX_WAIT_MILLIS = 30_000;
     private static final int MIN_TTL_MILLIS = 1_000;
 
-    private record Entry(String key, byte[] value) {}
+    record Entry(String key, byte[] value) {}
 
     private static final class Member {
         long untilNanos;
