--- a/review/11/src/RequestInBody.java
+++ b/review/request-in-body/src/RequestInBody.java
@@ -19,15 +19,15 @@
     public static void main(String[] arguments) {
         int status = 2;
         try {
-            status = play(!"0".equals(System.getenv("TROUBLE")), new Record(Path.of(arguments[0])));
+            status = play(!"0".equals(System.getenv("TROUBLE")), new History(Path.of(arguments[0])));
         } catch (Exception e) {
             e.printStackTrace();
         }
         System.exit(status);
     }
 
-    private static int play(boolean trouble, Record record) throws Exception {
-        Deployment deployment = new Deployment(record, 0, 2);
+    private static int play(boolean trouble, History record) throws Exception {
+        SmallDeployment deployment = new SmallDeployment(record, 0, 2);
         Router router = deployment.startRouter(true);
         deployment.awaitServing(30_000);
         List<String> sent = new ArrayList<>();
@@ -42,7 +42,7 @@
                 exchange(router, coding, outer, inner, record);
             }
         }
-        Threads.sleep(SETTLE_MILLIS);
+        Daemons.sleep(SETTLE_MILLIS);
         int unasked = 0;
         for (Backend backend : deployment.plain) {
             for (Backend.Run run : backend.runs) {
@@ -56,7 +56,7 @@
     }
 
     /** Sends one request, whose body is another one as text, and reads what comes back until the connection is quiet. */
-    private static void exchange(Router router, String coding, String outer, String inner, Record record)
+    private static void exchange(Router router, String coding, String outer, String inner, History record)
             throws Exception {
         String body = "POST /entry/in-body HTTP/1.1\r\nHost: " + Client.HOST + "\r\nLacewingthread-Attempt-Id: " + inner
                 + "\r\nLacewingthread-Deadline-Ms: 500\r\nContent-Length: 0\r\n\r\n";
