Router: a server's 408, 429 or 503 for a request that ran is not forwarded

What callers saw: a caller of an at-most-once request got 503 (or 429, 408) although a server had run the request.

Cause: the status of a server's response was treated as data. A 5xx without Not-Executed was noted as an attempt that may have run, so that no second attempt followed, and was then forwarded with its status; a sealed 408 or 429 counted as an ordinary answer. The same held for a response that another entry VM forwards.

Change: NotRunStatus knows which statuses promise. Each response to a caller takes a ResponseStatus, which holds a status together with what is known about the run and can't be built with a promise for a request that may have run; ResultCode is built on it. A server's 408, 429 or 503 without Not-Executed counts as a failure of the server: a repeatable request is sent again as after any 5xx, and otherwise its caller gets 502 (SERVER_FAILED, 4004) without the server's seal. The log event response.replaced names server and status, a counter counts them.

--- a/core/src/main/java/org/lacewingthread/core/traffic/ResultCode.java
+++ b/core/src/main/java/org/lacewingthread/core/traffic/ResultCode.java
@@ -63,6 +63,8 @@
     REPEAT_UNKNOWN(4002, 409, Knowledge.OUTCOME_UNKNOWN, "an earlier attempt may have run; its outcome is not known"),
     /** The connection to the relaying entry VM was lost. */
     RELAY_LOST(4003, 502, Knowledge.OUTCOME_UNKNOWN, "the request may have run; the relay to its owner was lost"),
+    /** The server answered a request that may have run with a status that promises that it did not run. */
+    SERVER_FAILED(4004, 502, Knowledge.OUTCOME_UNKNOWN, "the request may have run; its server failed it"),
     /** The router failed internally before the request was sent. */
     INTERNAL_NOT_RUN(5000, 500, Knowledge.NOT_RUN, "the router failed before the request was sent"),
     /** The router failed internally after the request may have been sent. */
@@ -78,19 +80,16 @@
         OUTCOME_UNKNOWN
     }
 
-    private static final int SERVICE_UNAVAILABLE = 503;
     /** As long as the longest delay that an overloaded server causes. */
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
     private final int number;
-    private final int httpStatus;
-    private final Knowledge knowledge;
+    private final ResponseStatus status;
     private final String message;
 
     ResultCode(int number, int httpStatus, Knowledge knowledge, String message) {
         this.number = number;
-        this.httpStatus = httpStatus;
-        this.knowledge = knowledge;
+        this.status = new ResponseStatus(httpStatus, knowledge);
         this.message = message;
     }
 
@@ -99,9 +98,14 @@
         return number;
     }
 
+    /** Returns the status that is sent with this code. */
+    public ResponseStatus status() {
+        return status;
+    }
+
     /** Returns the HTTP status that is sent with this code. */
     public int httpStatus() {
-        return httpStatus;
+        return status.httpStatus();
     }
 
     /**
@@ -109,12 +113,12 @@
      * answered with 503.
      */
     public long defaultRetryAfterMillis() {
-        return httpStatus == SERVICE_UNAVAILABLE ? DEFAULT_RETRY_AFTER_MILLIS : 0;
+        return httpStatus() == NotRunStatus.SERVICE_UNAVAILABLE.code() ? DEFAULT_RETRY_AFTER_MILLIS : 0;
     }
 
     /** Returns what is known about whether the request ran. */
     public Knowledge knowledge() {
-        return knowledge;
+        return status.knowledge();
     }
 
     /** Returns the message that is sent to the caller. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/explain/EndCause.java
@@ -92,6 +92,13 @@
             Set.of("server.orders", "server.entry-gone"),
             end -> "server " + end.text("server")
                     + " received it and did not respond before the deadline, so it may have run"),
+    FALSE_PROMISE(
+            Set.of(4004),
+            "",
+            Set.of("response.replaced", "server."),
+            end -> "server " + end.text("server")
+                    + " may have run it and answered with a status that promises that it did not, so a failure without"
+                    + " that promise was sent in place of its response: " + end.text("reason")),
     NO_SECOND_ATTEMPT(
             Set.of(4001),
             "no second attempt",
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -27,6 +27,7 @@
 import org.lacewingthread.core.memory.EvictionReason;
 import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.memory.MemoryHolder;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.daemon.http.BodySlices;
 
 /**
@@ -250,7 +251,8 @@
         PendingResponse pending = newResponse(false, false);
         pendingResponses.addLast(pending);
         requestHandler.onInvalidRequest(status, reason);
-        pending.respond(status, IncomingRequest.rejectionHeaders(status), Unpooled.EMPTY_BUFFER);
+        // The request was not read to its end, and is passed on only as a whole.
+        pending.respond(ResponseStatus.notRun(status), IncomingRequest.rejectionHeaders(status), Unpooled.EMPTY_BUFFER);
     }
 
     private void writeReadyResponses() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/PendingResponse.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/PendingResponse.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import org.lacewingthread.core.traffic.ResponseStatus;
 
 /** Response to one request, held until all earlier responses have been written and its caller has taken it. */
 final class PendingResponse implements CallerResponder {
@@ -38,17 +39,16 @@
     }
 
     @Override
-    public void respond(int status, HttpHeaders headers, ByteBuf body) {
+    public void respond(ResponseStatus status, HttpHeaders headers, ByteBuf body) {
         if (response != null) {
             return;
         }
         onFinished();
+        HttpResponseStatus httpStatus = HttpResponseStatus.valueOf(status.httpStatus());
         response = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status),
-                headRequest ? Unpooled.EMPTY_BUFFER : body.retainedDuplicate());
+                HttpVersion.HTTP_1_1, httpStatus, headRequest ? Unpooled.EMPTY_BUFFER : body.retainedDuplicate());
         response.headers().set(headers);
-        if (status != HttpResponseStatus.NO_CONTENT.code() && status != HttpResponseStatus.NOT_MODIFIED.code()) {
+        if (!httpStatus.equals(HttpResponseStatus.NO_CONTENT) && !httpStatus.equals(HttpResponseStatus.NOT_MODIFIED)) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
         if (untaken.hold(response)) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
@@ -17,6 +17,7 @@
 import org.lacewingthread.core.memory.MemoryUse;
 import org.lacewingthread.core.serving.Route;
 import org.lacewingthread.core.serving.WeightedService;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
@@ -111,7 +112,7 @@
     /** Each request needs a responder of its own, since the engine finds requests by it. */
     private static final class RelayResponder implements CallerResponder {
         @Override
-        public void respond(int status, HttpHeaders headers, ByteBuf body) {
+        public void respond(ResponseStatus status, HttpHeaders headers, ByteBuf body) {
             throw new IllegalStateException("a relayed request is answered to the entry VM that relayed it");
         }
     }
@@ -156,11 +157,12 @@
     }
 
     /** Sends a server's complete response to the entry VM that relayed the request. */
-    static void respond(ResponseSink sink, ServerStart server, int status, HttpHeaders headers, ByteBuf body) {
+    static void respond(
+            ResponseSink sink, ServerStart server, ResponseStatus status, HttpHeaders headers, ByteBuf body) {
         List<HeaderField> fields = new ArrayList<>();
         fields.add(RelayAttempt.answeredBy(server));
         headers.forEach(header -> fields.add(new HeaderField(header.getKey(), header.getValue())));
-        sink.onHead(status, fields);
+        sink.onHead(status.httpStatus(), fields);
         ByteBuf unread = body.duplicate();
         while (unread.isReadable()) {
             byte[] chunk = new byte[Math.min(MAX_CHUNK_BYTES, unread.readableBytes())];
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -30,7 +30,6 @@
     /** Attempts that may fail before the request is sent; more of them would only delay the refusal. */
     private static final int MAX_UNSENT_ATTEMPTS = 3;
 
-    private static final int FIRST_SERVER_ERROR = 500;
     /** Ample, since data centres are only a few milliseconds apart. */
     private static final int CONNECT_TIMEOUT_MILLIS = 400;
     /** Idle connections are closed after this time, well before the servers close them. */
@@ -359,7 +358,7 @@
             retries.retryOrRefuse(request, result, dispatcher.restMillis(server.start(), clockMillis.getAsLong()));
         } else {
             request.mayHaveRun = true;
-            boolean fromServer = result == AttemptResult.SERVER_FAILED && response.status() >= FIRST_SERVER_ERROR;
+            boolean fromServer = result == AttemptResult.SERVER_FAILED;
             retries.retryOrFail(
                     request,
                     fromServer ? Optional.of(response) : Optional.empty(),
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
@@ -6,8 +6,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.exchange.Failure;
@@ -33,21 +36,48 @@
         this.clockMillis = clockMillis;
     }
 
-    /** Forwards a server's response to the caller. */
+    /**
+     * Forwards the response of a server that ran the request. One whose status promises that it did not is replaced by a
+     * failure of this router without the server's seal.
+     */
     void forwardResponse(ActiveRequest request, FullResponse response) {
-        if (request.callerDisconnected) {
-            return;
+        Optional<ResponseStatus> status = ResponseStatus.ofServer(response.status());
+        if (status.isEmpty()) {
+            replaceFalsePromise(request, response);
+        } else if (!request.callerDisconnected) {
+            forward(request, status.get(), response);
         }
+    }
+
+    private void forward(ActiveRequest request, ResponseStatus status, FullResponse response) {
         HttpHeaders headers = new DefaultHttpHeaders();
         RequestHeaders.copyEndToEnd(response.headers(), headers);
         headers.set(headerNames.requestId(), request.requestId);
         if (request.relayedBy.isPresent()) {
             ServerStart server = request.attempt.orElseThrow().decision.server().start();
-            RelayReceiver.respond(request.relayedBy.get(), server, response.status(), headers, response.body());
+            RelayReceiver.respond(request.relayedBy.get(), server, status, headers, response.body());
         } else {
-            request.callerRequest.responder().respond(response.status(), headers, response.body());
+            request.callerRequest.responder().respond(status, headers, response.body());
         }
-        logRequestEnd(request, ResultCode.DONE, response.status(), null);
+        logRequestEnd(request, ResultCode.DONE, status.httpStatus(), null);
+    }
+
+    private void replaceFalsePromise(ActiveRequest request, FullResponse response) {
+        metrics.onResponseReplaced(response.status());
+        events.write(
+                "response.replaced",
+                "request",
+                request.requestId,
+                "server",
+                serverOf(request),
+                "status",
+                response.status(),
+                "sealed",
+                response.headers().contains(headerNames.serverSeal()));
+        failWithUnknownOutcome(
+                request,
+                ResultCode.SERVER_FAILED,
+                "the server answered " + response.status() + ", but may have run it");
     }
 
     /** Refuses a request that no server has run. */
@@ -99,7 +129,7 @@
                     HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", delayMillis / MILLIS_PER_SECOND));
         }
         String body = code.number() + " " + code.message() + "\n";
-        request.responder().respond(code.httpStatus(), headers, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        request.responder().respond(code.status(), headers, Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
     }
 
     private void logRequestEnd(ActiveRequest request, ResultCode code, int status, String reason) {
@@ -126,9 +156,7 @@
                         ? request.lastSentMillis.getAsLong() - request.callerRequest.arrivedMillis()
                         : null,
                 "server",
-                request.attempt
-                        .map(attempt -> attempt.decision.server().start().server())
-                        .orElse(null),
+                serverOf(request),
                 "sends",
                 request.sentAttempts,
                 "relayed_here",
@@ -140,4 +168,10 @@
                 "reason",
                 reason);
     }
+
+    private static ServerId serverOf(ActiveRequest request) {
+        return request.attempt
+                .map(attempt -> attempt.decision.server().start().server())
+                .orElse(null);
+    }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -58,6 +58,12 @@
                 .increment();
     }
 
+    /** Counts a server's response that was replaced because its status falsely promises that the request did not run. */
+    void onResponseReplaced(int status) {
+        registry.counter("lacewingthread.router.responses.replaced", "status", Integer.toString(status))
+                .increment();
+    }
+
     void onUnknownDataCentre() {
         registry.counter("lacewingthread.router.unknown", "evacuated", "data-centre")
                 .increment();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ServerResponses.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ServerResponses.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import org.lacewingthread.core.dispatch.AttemptResult;
 import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.traffic.NotRunStatus;
 import org.lacewingthread.daemon.http.FullResponse;
 
 /** Classifies the responses of servers. */
@@ -15,8 +16,9 @@
     private ServerResponses() {}
 
     /**
-     * Returns the result of an attempt. Unless the server refused the request or failed, a response without its seal
-     * counts as {@link AttemptResult#BROKEN}, and so does a success with a content encoding.
+     * Returns the result of an attempt. A server that promises by the status that it did not run the request, but does
+     * not state so in its headers, counts as failed. Unless the server refused the request or failed, a response without
+     * its seal counts as {@link AttemptResult#BROKEN}, and so does a success with a content encoding.
      */
     static AttemptResult classify(FullResponse response, HeaderNames names, ServerId expected) {
         if (response.status() == MISDIRECTED) {
@@ -33,7 +35,7 @@
         if (success) {
             return sealed && !encodedBody ? AttemptResult.ANSWERED : AttemptResult.BROKEN;
         }
-        if (response.status() >= FIRST_SERVER_ERROR) {
+        if (response.status() >= FIRST_SERVER_ERROR || NotRunStatus.includes(response.status())) {
             return AttemptResult.SERVER_FAILED;
         }
         return sealed ? AttemptResult.ANSWERED : AttemptResult.BROKEN;
--- a/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
@@ -21,9 +21,11 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.lacewingthread.core.serving.CallerLimits;
+import org.lacewingthread.core.traffic.ResponseStatus;
 
 /** Tests caller connections over real sockets; the test decides when each request is answered. */
 class CallerListenerTest {
+    private static final ResponseStatus OK = ResponseStatus.ofServer(200).orElseThrow();
     private static final int READ_TIMEOUT_MILLIS = 5_000;
     /** More than the buffers of a connection hold. */
     private static final int LARGE_BODY_BYTES = 16 << 20;
@@ -51,7 +53,7 @@
 
         @Override
         public void onRequestWhileStopping(CallerRequest request) {
-            request.responder().respond(503, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+            request.responder().respond(ResponseStatus.notRun(503), new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
         }
 
         @Override
@@ -92,7 +94,7 @@
         CallerRequest request = requestHandler.requests.get(index);
         traffic.execute(() -> request.responder()
                 .respond(
-                        200,
+                        OK,
                         new DefaultHttpHeaders(),
                         Unpooled.copiedBuffer("for " + request.target(), StandardCharsets.US_ASCII)));
     }
@@ -118,8 +120,7 @@
         await().until(() -> requestHandler.requests.size() == 1);
         byte[] largeBody = new byte[LARGE_BODY_BYTES];
         CallerRequest first = requestHandler.requests.get(0);
-        traffic.submit(() ->
-                        first.responder().respond(200, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(largeBody)))
+        traffic.submit(() -> first.responder().respond(OK, new DefaultHttpHeaders(), Unpooled.wrappedBuffer(largeBody)))
                 .syncUninterruptibly();
         send("/2", "/3");
         await().during(SETTLE_MILLIS, TimeUnit.MILLISECONDS).until(() -> requestHandler.requests.size() == 1);
--- a/daemon/src/test/java/org/lacewingthread/daemon/intake/RequestReaderFuzzTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/intake/RequestReaderFuzzTest.java
@@ -20,6 +20,7 @@
 import net.jqwik.api.Property;
 import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.serving.CallerLimits;
+import org.lacewingthread.core.traffic.ResponseStatus;
 
 /**
  * Reads valid, cut and damaged requests in random pieces. Guards against bodies that change with the pieces they come in,
@@ -27,6 +28,7 @@
  * property request.fuzz.rounds sets the requests of each try.
  */
 class RequestReaderFuzzTest {
+    private static final ResponseStatus OK = ResponseStatus.ofServer(200).orElseThrow();
     private static final int ROUNDS = Integer.getInteger("request.fuzz.rounds", 20);
     private static final long MAX_MEMORY_BYTES = 400_000;
     private static final int MAX_BODY_BYTES = 200_000;
@@ -44,7 +46,7 @@
         @Override
         public void onRequest(CallerRequest request) {
             bodies.add(ByteBufUtil.getBytes(request.body()));
-            request.responder().respond(200, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
+            request.responder().respond(OK, new DefaultHttpHeaders(), Unpooled.EMPTY_BUFFER);
         }
 
         @Override
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
@@ -66,6 +66,7 @@
     final AtomicLong nowMillis = new AtomicLong(10_000);
     final List<Integer> answeredStatuses = new CopyOnWriteArrayList<>();
     final List<Optional<String>> answeredRetryAfters = new CopyOnWriteArrayList<>();
+    final List<Optional<String>> answeredSeals = new CopyOnWriteArrayList<>();
     final RecordingCrashRecordLink crashRecordLink = new RecordingCrashRecordLink();
     private final List<HttpServer> servers = new ArrayList<>();
     /** Carries relayed requests; tests that relay replace it. */
@@ -176,7 +177,8 @@
                 nowMillis.get(),
                 (status, responseHeaders, body) -> {
                     answeredRetryAfters.add(Optional.ofNullable(responseHeaders.get("Retry-After")));
-                    answeredStatuses.add(status);
+                    answeredSeals.add(Optional.ofNullable(responseHeaders.get("Seal")));
+                    answeredStatuses.add(status.httpStatus());
                 }));
     }
 }
