Relays, dispatch and replays: no promise of "not run" for a run

A 408, 421, 429 or 503 of a server that ran the request reached the caller also through an entry VM of an older version, through the dispatch of the first product, which asked its own header on 503 and 409 only, and out of an idempotency record.

Change: ResponseSink takes a ResponseStatus, so that no sink can be given such a status. Three places build one from a number: the relay's client, which ends the relayed request with SERVER_FAILED; the dispatch attempt, whose request counts as one that may have run, so that a repeatable one is sent again; and the replay of a recorded outcome. The stand-in server has the fault "failed".

--- a/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerResponse.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerResponse.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
@@ -69,9 +70,9 @@
     }
 
     @Override
-    public void onHead(int status, List<HeaderField> headers) {
+    public void onHead(ResponseStatus status, List<HeaderField> headers) {
         exchange.getIoThread().execute(() -> {
-            exchange.setStatusCode(status);
+            exchange.setStatusCode(status.httpStatus());
             HeaderMap target = exchange.getResponseHeaders();
             for (HeaderField field : headers) {
                 if (!field.name().toLowerCase(Locale.ROOT).startsWith(INTERNAL_HEADER_PREFIX)) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/DispatchAttempt.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/DispatchAttempt.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.lacewingthread.core.traffic.IdempotencyRecord.Outcome;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.core.traffic.RetryDecision.FailedAttempt;
 import org.lacewingthread.daemon.backend.BackendConnectionPool;
 import org.lacewingthread.daemon.backend.BackendRequest;
@@ -31,6 +32,9 @@
     private long sentMillis = NOT_SENT;
     private boolean responseStarted;
     private boolean refused;
+    /** Whether the server ran the request and answered with a status that promises that it did not. */
+    private boolean falselyPromised;
+
     private boolean ended;
     private boolean holdsSlot = true;
     private boolean bodyTooLarge;
@@ -137,11 +141,16 @@
             retryAfterMillis = parseSecondsToMillis(headerOf(RETRY_AFTER_HEADER));
             return;
         }
+        Optional<ResponseStatus> forwarded = ResponseStatus.ofServer(status);
+        falselyPromised = forwarded.isEmpty();
+        if (falselyPromised) {
+            return;
+        }
         if (!pending.claimResponse(this)) {
             dispatcher.onSuperseded(this);
             return;
         }
-        pending.forwardHead(status, headers);
+        pending.forwardHead(forwarded.get(), headers);
     }
 
     private String headerOf(String name) {
@@ -160,7 +169,7 @@
 
     @Override
     public void onBody(byte[] chunk, Runnable consumed) {
-        if (ended || refused) {
+        if (ended || refused || falselyPromised) {
             consumed.run();
             return;
         }
@@ -188,6 +197,8 @@
         markEnded();
         if (refused) {
             dispatcher.onRefused(this);
+        } else if (falselyPromised) {
+            dispatcher.onFalsePromise(this, status);
         } else {
             dispatcher.onResponseComplete(this);
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalIdempotencyRecords.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalIdempotencyRecords.java
@@ -23,6 +23,7 @@
 import org.lacewingthread.core.traffic.IdempotencyRecords;
 import org.lacewingthread.core.traffic.IdempotencyRecords.Decision;
 import org.lacewingthread.core.traffic.RecordContinuity;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.exchange.HeaderField;
 import org.lacewingthread.daemon.exchange.RoutedRequest;
@@ -231,13 +232,19 @@
         return false;
     }
 
+    /** Passes a recorded outcome on; one that an older version stored may falsely promise that there was no run. */
     private static void replayOutcome(Outcome outcome, PendingRequest pending) {
+        Optional<ResponseStatus> status = ResponseStatus.ofServer(outcome.status());
+        if (status.isEmpty()) {
+            pending.fail(ResultCode.SERVER_FAILED, 0, "the server answered " + outcome.status() + " to its run");
+            return;
+        }
         List<HeaderField> headers = new ArrayList<>();
         for (int i = 0; i + 1 < outcome.headers().size(); i += 2) {
             headers.add(
                     new HeaderField(outcome.headers().get(i), outcome.headers().get(i + 1)));
         }
-        pending.forwardHead(outcome.status(), headers);
+        pending.forwardHead(status.get(), headers);
         if (outcome.body().length > 0) {
             pending.forwardBody(outcome.body(), () -> {});
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/PendingRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/PendingRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
@@ -59,7 +60,7 @@
         return holdUntilMillis;
     }
 
-    void forwardHead(int status, List<HeaderField> headers) {
+    void forwardHead(ResponseStatus status, List<HeaderField> headers) {
         if (!ended.get()) {
             sink.onHead(status, headers);
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RelayedResponseSink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RelayedResponseSink.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
@@ -40,7 +41,7 @@
     }
 
     @Override
-    public void onHead(int status, List<HeaderField> headers) {
+    public void onHead(ResponseStatus status, List<HeaderField> headers) {
         responseStarted = true;
         pendingRequest.sink().onHead(status, headers);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerDispatcher.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerDispatcher.java
@@ -1,7 +1,9 @@
 package org.lacewingthread.daemon.dispatch;
 
 import io.undertow.connector.ByteBufferPool;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.lacewingthread.core.config.ServerSpec;
 import org.lacewingthread.core.control.ServerLoad;
@@ -22,6 +24,7 @@
  * Confined to one I/O thread, except {@link #submit}, {@link #drainedViewNumber} and the counts shown by metrics.
  */
 final class ServerDispatcher {
+    private static final System.Logger LOG = System.getLogger(ServerDispatcher.class.getName());
     private static final String UNREACHABLE_DETAIL = "its server can't be reached";
     private static final long CONNECT_RETRY_MILLIS = 1_000;
     private static final long REFUSED_RETRY_MILLIS = 100;
@@ -38,6 +41,9 @@
     private final InFlightAttempts inFlight = new InFlightAttempts();
     private final SendPermitIssuer permitIssuer;
     private final LoadMeter loadMeter;
+    /** Statuses of the server that were replaced and logged. */
+    private final Set<Integer> loggedPromises = new HashSet<>();
+
     private volatile long drainedViewNumber = -1;
 
     ServerDispatcher(ServerSpec server, ServerDispatcherContext context, XnioIoThread ioThread, ByteBufferPool pool) {
@@ -212,6 +218,30 @@
                 "server \"" + server.id() + "\" refused it before running it");
     }
 
+    /** Ends an attempt whose server ran the request, but answered with a status that promises that it did not. */
+    void onFalsePromise(DispatchAttempt attempt, int status) {
+        inFlight.remove(attempt);
+        freeSlotOf(attempt);
+        if (loggedPromises.add(status)) {
+            LOG.log(
+                    System.Logger.Level.WARNING,
+                    "server \"{0}\" answered request \"{1}\" with {2}, but did not state that it did not run it; such"
+                            + " responses are replaced by result {3}",
+                    server.id(),
+                    attempt.pending().request().requestId(),
+                    status,
+                    ResultCode.SERVER_FAILED.number());
+        }
+        attempt.pending().markMayHaveRun();
+        retryOrEnd(
+                attempt.pending(),
+                FailedAttempt.MAY_HAVE_RUN,
+                ResultCode.SERVER_FAILED,
+                0,
+                "server \"" + server.id() + "\" answered " + status + ", but may have run it");
+        processQueue();
+    }
+
     void onNeverSent(DispatchAttempt attempt, String detail) {
         freeSlotOf(attempt);
         PendingRequest pending = attempt.pending();
--- a/daemon/src/main/java/org/lacewingthread/daemon/entry/RosterRelayDirectory.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/entry/RosterRelayDirectory.java
@@ -10,6 +10,7 @@
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.log.RosterMember;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.dispatch.RelayDirectory;
 import org.lacewingthread.daemon.dispatch.TrafficState;
@@ -80,7 +81,7 @@
         }
 
         @Override
-        public void onHead(int status, List<HeaderField> headers) {
+        public void onHead(ResponseStatus status, List<HeaderField> headers) {
             sink.onHead(status, headers);
         }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/exchange/ResponseSink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/exchange/ResponseSink.java
@@ -1,6 +1,7 @@
 package org.lacewingthread.daemon.exchange;
 
 import java.util.List;
+import org.lacewingthread.core.traffic.ResponseStatus;
 
 /**
  * Receives one response: either {@link #onFailure} alone; or {@link #onHead}, any number of {@link #onBody},
@@ -9,12 +10,12 @@
  */
 public interface ResponseSink {
     /**
-     * Receives the status and header fields sent by the backend server.
+     * Receives the status and header fields sent by the backend server, which ran the request.
      *
-     * @param status HTTP status
+     * @param status HTTP status; never one that promises that the request did not run
      * @param headers header fields for the caller
      */
-    void onHead(int status, List<HeaderField> headers);
+    void onHead(ResponseStatus status, List<HeaderField> headers);
 
     /**
      * Receives the next part of the body.
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayClient.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayClient.java
@@ -4,7 +4,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.LongSupplier;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.RelayedRequest;
@@ -54,7 +56,7 @@
     private Cancellation handle(long deadlineMillis, StartEncoder encoder, ResponseSink sink) {
         StreamHandle stream = new StreamHandle();
         link.loop().execute(() -> start(stream, deadlineMillis, encoder, sink));
-        return () -> link.loop().execute(() -> cancel(stream));
+        return () -> link.loop().execute(() -> cancel(stream.streamId));
     }
 
     /** Holds the stream id of a relayed request, which the event loop assigns when it sends the request. */
@@ -84,10 +86,10 @@
         }
     }
 
-    private void cancel(StreamHandle stream) {
-        if (openSinks.remove(stream.streamId) != null) {
+    private void cancel(long streamId) {
+        if (openSinks.remove(streamId) != null) {
             sendBestEffort(PeerWire.Frame.newBuilder()
-                    .setRequestCancel(PeerWire.RequestCancel.newBuilder().setStream(stream.streamId))
+                    .setRequestCancel(PeerWire.RequestCancel.newBuilder().setStream(streamId))
                     .build());
         }
     }
@@ -106,9 +108,17 @@
 
     private void onHead(PeerWire.ResponseHead head) {
         ResponseSink sink = openSinks.get(head.getStream());
-        if (sink != null) {
-            sink.onHead(head.getStatus(), RequestCodec.decodeHeaders(head.getHeadersList()));
+        if (sink == null) {
+            return;
+        }
+        Optional<ResponseStatus> status = ResponseStatus.ofServer(head.getStatus());
+        if (status.isPresent()) {
+            sink.onHead(status.get(), RequestCodec.decodeHeaders(head.getHeadersList()));
+            return;
         }
+        // An older version forwards each status of its servers as it came.
+        cancel(head.getStream());
+        sink.onFailure(new Failure(ResultCode.SERVER_FAILED, 0, "its server answered " + head.getStatus()));
     }
 
     private void onBody(PeerWire.ResponseBody body) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayServer.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayServer.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.function.LongSupplier;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
 import org.lacewingthread.daemon.exchange.RelayedRequest;
@@ -97,9 +98,9 @@
         }
 
         @Override
-        public void onHead(int status, List<HeaderField> headers) {
+        public void onHead(ResponseStatus status, List<HeaderField> headers) {
             PeerWire.ResponseHead.Builder head =
-                    PeerWire.ResponseHead.newBuilder().setStream(stream).setStatus(status);
+                    PeerWire.ResponseHead.newBuilder().setStream(stream).setStatus(status.httpStatus());
             headers.forEach(header -> head.addHeaders(RequestCodec.encode(header)));
             write(PeerWire.Frame.newBuilder().setResponseHead(head).build());
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/CountedSink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/CountedSink.java
@@ -7,6 +7,7 @@
 import org.lacewingthread.core.memory.MemoryHolder;
 import org.lacewingthread.core.memory.MemoryHolding;
 import org.lacewingthread.core.memory.MemoryUse;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
 import org.lacewingthread.daemon.exchange.ResponseSink;
@@ -30,7 +31,7 @@
     }
 
     @Override
-    public void onHead(int status, List<HeaderField> headers) {
+    public void onHead(ResponseStatus status, List<HeaderField> headers) {
         RelayAttempt.serverIn(headers)
                 .ifPresent(start -> server = start.server().value());
         sink.onHead(status, headers);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
@@ -9,6 +9,7 @@
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.reachability.RelayPeer;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.exchange.Failure;
 import org.lacewingthread.daemon.exchange.HeaderField;
@@ -115,8 +116,8 @@
     }
 
     @Override
-    public void onHead(int responseStatus, List<HeaderField> fields) {
-        status = responseStatus;
+    public void onHead(ResponseStatus responseStatus, List<HeaderField> fields) {
+        status = responseStatus.httpStatus();
         for (HeaderField field : fields) {
             if (server.isEmpty() && field.name().equals(ANSWERED_BY)) {
                 server = Optional.of(parseServer(field.value()));
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
@@ -162,7 +162,7 @@
         List<HeaderField> fields = new ArrayList<>();
         fields.add(RelayAttempt.answeredBy(server));
         headers.forEach(header -> fields.add(new HeaderField(header.getKey(), header.getValue())));
-        sink.onHead(status.httpStatus(), fields);
+        sink.onHead(status, fields);
         ByteBuf unread = body.duplicate();
         while (unread.isReadable()) {
             byte[] chunk = new byte[Math.min(MAX_CHUNK_BYTES, unread.readableBytes())];
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/BackendFaultTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/BackendFaultTest.java
@@ -87,6 +87,7 @@
                 Arguments.of("response delayed", none.withDelayedAnswers(50, 1), "1000", "1000"),
                 Arguments.of("response duplicated", none.withAnswerFault(AnswerFault.DUPLICATED, 1), "1000", "1000"),
                 Arguments.of("response crossed", none.withAnswerFault(AnswerFault.CROSSED, 1), "4001", "1000"),
+                Arguments.of("run answered with 503", none.withAnswerFault(AnswerFault.FAILED, 1), "4004", "1000"),
                 Arguments.of("response truncated", none.withAnswerFault(AnswerFault.TRUNCATED, 1), ABORTED, ABORTED));
     }
 
@@ -113,6 +114,16 @@
         }
     }
 
+    /** Guards against "not run" for a repeatable request that ran, and against giving it up after one run. */
+    @Test
+    void lookupWhoseRunIsAnswered503IsSentAgain() throws Exception {
+        backend.setFaults(BackendFaults.NONE.withAnswerFault(AnswerFault.FAILED, 1));
+        assertThat(caller.get("/rugs/1").statusCode()).isEqualTo(200);
+        assertThat(backend.runs()).hasSize(2);
+        backend.setFaults(BackendFaults.NONE.withAnswerFault(AnswerFault.FAILED, 0));
+        assertThat(caller.get("/rugs/2").statusCode()).isEqualTo(502);
+    }
+
     @Test
     void holdAnsweredAfterItsDeadlineStaysUnknown() throws Exception {
         backend.setFaults(BackendFaults.NONE.withDelayedAnswers(400, 1));
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/RequestHistoryTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/RequestHistoryTest.java
@@ -160,6 +160,7 @@
                 none.withAnswerFault(AnswerFault.CROSSED, 1),
                 none.withAnswerFault(AnswerFault.DUPLICATED, 1),
                 none.withAnswerFault(AnswerFault.TRUNCATED, 1),
+                none.withAnswerFault(AnswerFault.FAILED, 2),
                 none.withDelayedAnswers(30, 2),
                 none.withShedding(true),
                 none.withFrozen(true));
--- a/standin/src/main/java/org/lacewingthread/standin/AnswerFault.java
+++ b/standin/src/main/java/org/lacewingthread/standin/AnswerFault.java
@@ -44,6 +44,14 @@
             sender.send(sender.otherRequestsAnswer(answer));
         }
     },
+    /** Status 503 is sent without the header that states that the request did not run. */
+    @JsonProperty("failed")
+    FAILED {
+        @Override
+        void deliver(AnswerSender sender, Answer answer) {
+            sender.sendUnavailable(answer);
+        }
+    },
     /** Half of the body is sent, then the connection is closed. */
     @JsonProperty("truncated")
     TRUNCATED {
--- a/standin/src/test/java/org/lacewingthread/standin/BackendServerContractTest.java
+++ b/standin/src/test/java/org/lacewingthread/standin/BackendServerContractTest.java
@@ -68,6 +68,7 @@
         "DELAYED,    true,  r1,       true",
         "DUPLICATED, true,  r1,       true",
         "CROSSED,    true,  stranger, true",
+        "FAILED,     true,  r1,       true",
         "TRUNCATED,  true,  r1,       false"
     })
     void requestWithAnswerFaultRunsExactlyOnce(AnswerFault fault, boolean answered, String id, boolean complete)
