Router: whether a request may have run follows from its attempts

What callers could see: a false "not run" wherever one of six places forgot to note that an attempt may have run, or one of five to ask.

Change: an attempt knows by its result whether the server may have run it, and a request by all its attempts, those of other VMs included. The result of a relayed request that is not repeated is the one that the other VM reported.

--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/PendingRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/PendingRequest.java
@@ -82,8 +82,8 @@
 
     /** Ends the request with a failure; reports "outcome unknown" for "not run" if an earlier attempt may have run. */
     void fail(ResultCode code, long retryAfterMillis, String detail) {
-        if (mayHaveRun && code.knowledge() == ResultCode.Knowledge.NOT_RUN) {
-            fail(ResultCode.OUTCOME_UNKNOWN, retryAfterMillis, "an earlier attempt may have run; then " + detail);
+        if (contradictsAttempts(code)) {
+            fail(ResultCode.OUTCOME_UNKNOWN, retryAfterMillis, withEarlier(detail));
             return;
         }
         if (ended.compareAndSet(false, true)) {
@@ -91,6 +91,23 @@
         }
     }
 
+    /** Passes on the failure of the relay that responds to this request's sink, as {@link #fail} does for own ones. */
+    void forwardRelayFailure(Failure failure) {
+        sink.onFailure(
+                contradictsAttempts(failure.code())
+                        ? new Failure(
+                                ResultCode.OUTCOME_UNKNOWN, failure.retryAfterMillis(), withEarlier(failure.detail()))
+                        : failure);
+    }
+
+    private boolean contradictsAttempts(ResultCode code) {
+        return mayHaveRun && code.knowledge() == ResultCode.Knowledge.NOT_RUN;
+    }
+
+    private static String withEarlier(String detail) {
+        return "an earlier attempt may have run; then " + detail;
+    }
+
     /** Assigns the response to the first attempt that claims it; returns whether the given attempt is that one. */
     boolean claimResponse(DispatchAttempt attempt) {
         if (answeringAttempt == null) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RelayedResponseSink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RelayedResponseSink.java
@@ -61,7 +61,7 @@
         if (mayReroute(failure)) {
             reroute(failure);
         } else {
-            pendingRequest.sink().onFailure(failure);
+            pendingRequest.forwardRelayFailure(failure);
         }
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -1,11 +1,13 @@
 package org.lacewingthread.daemon.router;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.stream.Stream;
+import org.lacewingthread.core.dispatch.AttemptResult;
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.dispatch.DispatchRequest;
 import org.lacewingthread.core.id.ServerId;
@@ -48,6 +50,11 @@
     /** The newest attempt that another entry VM makes for this one; empty if there was none. */
     Optional<RelayAttempt> relayAttempt = Optional.empty();
 
+    /** All attempts, ended or not, from whose results it follows whether a server may have run the request. */
+    private final List<Attempt> attempts = new ArrayList<>();
+
+    private final List<RelayAttempt> relayAttempts = new ArrayList<>();
+
     /** Entry VMs that the request was relayed to. */
     final Set<RelayPeer> relayedTo = new HashSet<>();
 
@@ -68,8 +75,6 @@
     int handedOverAttempts;
     /** Attempts that failed before the request was sent. */
     int unsentAttempts;
-    /** Whether a server may have run the request. */
-    boolean mayHaveRun;
 
     boolean finished;
     /** Called when the request is finished. */
@@ -86,6 +91,7 @@
         OptionalLong sentMillis = OptionalLong.empty();
 
         boolean ended;
+        private boolean mayHaveRunAtEnd;
         /** Whether the server counts as full since the answer was overdue. */
         boolean overdue;
         /** Crashes in a row under the request that were known when it was sent. */
@@ -96,6 +102,21 @@
             this.startedNanos = startedNanos;
         }
 
+        /** Ends the attempt; later, its connection may carry other requests. */
+        void end(AttemptResult result) {
+            mayHaveRunAtEnd = result.mayHaveRun(mayHaveBeenSent());
+            ended = true;
+        }
+
+        private boolean mayHaveBeenSent() {
+            return connection != null && connection.mayHaveSent();
+        }
+
+        /** Returns whether the server may have run the request. */
+        boolean mayHaveRun() {
+            return ended ? mayHaveRunAtEnd : mayHaveBeenSent();
+        }
+
         /** Appends the server and the attempt's result. */
         void addToSummary(StringBuilder summary, String result) {
             summary.append(' ')
@@ -124,13 +145,23 @@
         this.relayedBy = relayedBy;
     }
 
-    /**
-     * Returns whether a server may have received an attempt. The connection of one that ended may have other requests, so it
-     * doesn't tell.
-     */
-    boolean isSent() {
-        return Stream.concat(attempt.stream(), hedge.stream())
-                .anyMatch(sent -> sent.connection != null && (sent.ended || sent.connection.mayHaveSent()));
+    /** Creates an attempt at the chosen server. */
+    Attempt startAttempt(Decision.Send decision) {
+        Attempt started = new Attempt(decision, System.nanoTime());
+        attempts.add(started);
+        return started;
+    }
+
+    /** Sets the newest attempt that another entry VM makes for this one. */
+    void startRelayAttempt(RelayAttempt started) {
+        relayAttempt = Optional.of(started);
+        relayAttempts.add(started);
+    }
+
+    /** Returns whether a server may have run the request, in an attempt of this VM or of one that it was relayed to. */
+    boolean mayHaveRun() {
+        return attempts.stream().anyMatch(Attempt::mayHaveRun)
+                || relayAttempts.stream().anyMatch(RelayAttempt::mayHaveRun);
     }
 
     /** Returns how many more servers the request may be sent to, by this VM and those that it is relayed to. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -48,14 +48,14 @@
 
     /** Starts an attempt at the chosen server; {@link RequestEngine} is told how it ends. */
     void send(ActiveRequest request, Decision.Send decision) {
-        ActiveRequest.Attempt attempt = new ActiveRequest.Attempt(decision, System.nanoTime());
+        ActiveRequest.Attempt attempt = request.startAttempt(decision);
         request.attempt = Optional.of(attempt);
         acquire(request, attempt);
     }
 
     /** Starts a second attempt at another server beside the one under way. */
     void sendHedge(ActiveRequest request, Decision.Send decision) {
-        ActiveRequest.Attempt attempt = new ActiveRequest.Attempt(decision, System.nanoTime());
+        ActiveRequest.Attempt attempt = request.startAttempt(decision);
         request.hedge = Optional.of(attempt);
         acquire(request, attempt);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/CutOffRequests.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/CutOffRequests.java
@@ -52,7 +52,6 @@
             if (attempt.get().connection == null) {
                 engine.onFailure(request, attempt.get(), AttemptResult.NOT_SENT, "no server can be reached");
             } else if (relays.hasPeer() && retries.tryRepeat(request)) {
-                request.mayHaveRun = true;
                 attempt.get().addToSummary(request.attemptSummary, "no server can be reached");
                 engine.abandonAttempt(request);
                 engine.submit(request);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/HedgedAttempts.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/HedgedAttempts.java
@@ -136,19 +136,14 @@
         loser.ifPresent(attempt -> abandon(request, attempt));
     }
 
-    /**
-     * Returns whether a request whose attempt failed still awaits another one, which then is its only attempt.
-     *
-     * @param mayHaveRun whether the server may have run the failed attempt
-     */
-    boolean otherAttemptContinues(ActiveRequest request, ActiveRequest.Attempt failed, boolean mayHaveRun) {
+    /** Returns whether a request whose attempt failed still awaits another one, which then is its only attempt. */
+    boolean otherAttemptContinues(ActiveRequest request, ActiveRequest.Attempt failed) {
         if (request.hedge.isEmpty()) {
             return false;
         }
         Optional<ActiveRequest.Attempt> other = request.hedge.get() == failed ? request.attempt : request.hedge;
         request.attempt = other;
         request.hedge = Optional.empty();
-        request.mayHaveRun |= mayHaveRun;
         return other.filter(attempt -> !attempt.ended).isPresent();
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
@@ -34,6 +34,7 @@
     private int handedOverAttempts = 1;
     private int status;
     private boolean ended;
+    private boolean mayHaveRun = true;
 
     /** Receives the end of an attempt; one of the methods is called once. */
     interface Listener {
@@ -98,6 +99,11 @@
         handedOverAttempts = attempts;
     }
 
+    /** Returns whether a server may have run the request; true until the other entry VM tells that none has. */
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
     boolean isEnded() {
         return ended;
     }
@@ -151,7 +157,10 @@
 
     @Override
     public void onFailure(Failure failure) {
-        end(() -> listener.onFailure(this, failure));
+        end(() -> {
+            mayHaveRun = failure.code().knowledge() != ResultCode.Knowledge.NOT_RUN;
+            listener.onFailure(this, failure);
+        });
     }
 
     private void end(Runnable result) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
@@ -180,7 +180,7 @@
         engine.crashGuard().endTrial(request);
         RelayAttempt attempt = new RelayAttempt(peer, nowMillis, account, clockMillis, this);
         requests.put(attempt, request);
-        request.relayAttempt = Optional.of(attempt);
+        request.startRelayAttempt(attempt);
         request.relayedTo.add(peer);
         pendingByPeer.merge(peer, 1, Integer::sum);
         events.write(
@@ -281,17 +281,13 @@
                         .ifPresent(owner -> unreachableUntilMillis.put(owner, nowMillis + SERVER_EXCLUSION_MILLIS));
             }
             if (failure.code().knowledge() == ResultCode.Knowledge.OUTCOME_UNKNOWN) {
-                request.mayHaveRun = true;
                 retries.retryOrFail(
-                        request,
-                        Optional.empty(),
-                        "relayed to " + attempt.peer().vm() + ": " + failure.detail());
+                        request, failure.code(), "relayed to " + attempt.peer().vm() + ": " + failure.detail());
             } else if (peerFailed || mayAskAnother) {
                 request.sentAttempts--;
                 request.handedOverAttempts -= attempt.handedOverAttempts() - 1;
                 engine.submit(request);
             } else {
-                engine.finish(request);
                 retries.refuseRelayed(request, failure);
             }
         });
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
@@ -44,15 +44,13 @@
 
     private void end(ActiveRequest request) {
         request.queuedRequest.ifPresent(dispatcher::cancel);
-        boolean sent = request.isSent() || request.isRelayPending() || request.mayHaveRun;
         engine.finish(request);
-        if (sent) {
+        if (request.mayHaveRun()) {
             request.attempt.ifPresent(
                     attempt -> connections.closeIdle(attempt.decision.server().start()));
-            responder.failWithUnknownOutcome(
-                    request, ResultCode.OUTCOME_UNKNOWN, "the deadline passed after the request was sent");
+            responder.fail(request, ResultCode.OUTCOME_UNKNOWN, 0, "the deadline passed after the request was sent");
         } else {
-            responder.refuse(request, ResultCode.OVERLOADED, "the deadline passed before the request was sent", 0);
+            responder.fail(request, ResultCode.OVERLOADED, 0, "the deadline passed before the request was sent");
         }
         engine.abandonAttempt(request);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -18,6 +18,7 @@
 import org.lacewingthread.core.registry.ServerEntry;
 import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.core.serving.ServingConfiguration;
+import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.core.traffic.ServiceRetryBudget;
 import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.http.ConnectionPool;
@@ -324,7 +325,7 @@
         if (attempt.ended) {
             return false;
         }
-        attempt.ended = true;
+        attempt.end(result);
         double elapsedMillis = (System.nanoTime() - attempt.startedNanos) / 1e6;
         metrics.onAttempt(result, elapsedMillis);
         applyDecisions(
@@ -352,17 +353,14 @@
             hedges.onAnswered(request, attempt);
             finish(request);
             responder.forwardResponse(request, response);
-        } else if (hedges.otherAttemptContinues(request, attempt, !result.isRefusedByServer())) {
+        } else if (hedges.otherAttemptContinues(request, attempt)) {
             return;
+        } else if (result == AttemptResult.BROKEN) {
+            retries.retryOrFail(request, ResultCode.ANSWER_LOST, "the server's response is not usable");
         } else if (result.isRefusedByServer()) {
             retries.retryOrRefuse(request, result, dispatcher.restMillis(server.start(), clockMillis.getAsLong()));
         } else {
-            request.mayHaveRun = true;
-            boolean fromServer = result == AttemptResult.SERVER_FAILED;
-            retries.retryOrFail(
-                    request,
-                    fromServer ? Optional.of(response) : Optional.empty(),
-                    "the server's response is not usable");
+            retries.retryOrForward(request, response);
         }
     }
 
@@ -377,18 +375,16 @@
             return;
         }
         attempt.addToSummary(request.attemptSummary, reason);
-        boolean mayHaveRun = result == AttemptResult.BROKEN || result == AttemptResult.OVERDUE;
-        if (mayHaveRun) {
+        if (result == AttemptResult.BROKEN || result == AttemptResult.OVERDUE) {
             crashGuard.onBroken(request, attempt);
         }
-        if (request.finished || hedges.otherAttemptContinues(request, attempt, mayHaveRun)) {
+        if (request.finished || hedges.otherAttemptContinues(request, attempt)) {
             return;
         }
-        request.mayHaveRun |= mayHaveRun;
         if (result == AttemptResult.OVERDUE) {
             retries.repeat(request);
         } else if (result == AttemptResult.BROKEN) {
-            retries.retryOrFail(request, Optional.empty(), reason);
+            retries.retryOrFail(request, ResultCode.ANSWER_LOST, reason);
         } else if (++request.unsentAttempts < MAX_UNSENT_ATTEMPTS) {
             submit(request);
         } else if (result == AttemptResult.WITHHELD || !relays.trySend(request)) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -1,6 +1,5 @@
 package org.lacewingthread.daemon.router;
 
-import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.dispatch.AttemptResult;
 import org.lacewingthread.core.dispatch.RefusalCause;
@@ -27,38 +26,27 @@
         this.clockMillis = clockMillis;
     }
 
-    /** Refuses a request that can't be sent now; fails it if an earlier attempt may have run. */
+    /** Refuses a request that can't be sent now. */
     void refuse(ActiveRequest request, RefusalCause cause, long retryAfterMillis) {
-        if (request.mayHaveRun) {
-            engine.finish(request);
-            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "no second attempt: " + cause);
-            return;
-        }
-        engine.finish(request);
         String limitedBy = cause == RefusalCause.LIMITED
                 ? request.limitedServer.map(server -> " by " + server).orElse("")
                 : "";
-        responder.refuse(request, cause.resultCode(), cause + limitedBy, retryAfterMillis);
+        finish(request, cause.resultCode(), retryAfterMillis, cause + limitedBy);
     }
 
-    /** Refuses a request that could not be sent to several servers; fails it if an earlier attempt may have run. */
+    /** Refuses a request that could not be sent to several servers. */
     void refuseUnsent(ActiveRequest request, String reason) {
-        engine.finish(request);
-        if (request.mayHaveRun) {
-            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "no second attempt: " + reason);
-        } else {
-            responder.refuse(request, ResultCode.OWNER_UNREACHABLE, reason, REJECTED_RETRY_AFTER_MILLIS);
-        }
+        finish(request, ResultCode.OWNER_UNREACHABLE, REJECTED_RETRY_AFTER_MILLIS, reason);
     }
 
-    /** Refuses a request under which servers ended; fails it if an earlier attempt may have run. */
+    /** Refuses a request under which servers ended. */
     void refuseQuarantined(ActiveRequest request, long retryAfterMillis, String reason) {
+        finish(request, ResultCode.CRASHES_SERVERS, retryAfterMillis, reason);
+    }
+
+    private void finish(ActiveRequest request, ResultCode code, long retryAfterMillis, String reason) {
         engine.finish(request);
-        if (request.mayHaveRun) {
-            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "no second attempt: " + reason);
-        } else {
-            responder.refuse(request, ResultCode.CRASHES_SERVERS, reason, retryAfterMillis);
-        }
+        responder.fail(request, code, retryAfterMillis, reason);
     }
 
     /**
@@ -72,37 +60,36 @@
             engine.submit(request);
             return;
         }
-        engine.finish(request);
-        if (request.mayHaveRun) {
-            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "the server rejected a retry: " + result);
-        } else {
-            responder.refuse(
-                    request,
-                    ResultCode.OWNER_REFUSED,
-                    "the server rejected the request: " + result,
-                    Math.max(REJECTED_RETRY_AFTER_MILLIS, hopeless ? restMillis : 0));
+        finish(
+                request,
+                ResultCode.OWNER_REFUSED,
+                Math.max(REJECTED_RETRY_AFTER_MILLIS, hopeless ? restMillis : 0),
+                "the server rejected the request: " + result);
+    }
+
+    /** Sends a request again whose server ran it and reports a failure, or forwards the server's response. */
+    void retryOrForward(ActiveRequest request, FullResponse failure) {
+        if (tryRepeat(request)) {
+            repeat(request);
+            return;
         }
+        engine.finish(request);
+        responder.forwardResponse(request, failure);
     }
 
     /**
      * Sends a request again that a server may have run, or fails it.
      *
-     * @param failure response of the server that reports its failure, which is forwarded if the request is not sent again
+     * @param code result that the caller gets if the request is not sent again
      */
-    void retryOrFail(ActiveRequest request, Optional<FullResponse> failure, String reason) {
+    void retryOrFail(ActiveRequest request, ResultCode code, String reason) {
         long deniedBefore = retryBudget.denied();
         if (tryRepeat(request)) {
             repeat(request);
             return;
         }
-        engine.finish(request);
         boolean overBudget = retryBudget.denied() > deniedBefore;
-        if (failure.isPresent()) {
-            responder.forwardResponse(request, failure.get());
-        } else {
-            responder.failWithUnknownOutcome(
-                    request, ResultCode.ANSWER_LOST, overBudget ? reason + "; the retry budget is used up" : reason);
-        }
+        finish(request, code, 0, overBudget ? reason + "; the retry budget is used up" : reason);
     }
 
     /** Sends a request again, once the test of its last server has ended. */
@@ -112,15 +99,11 @@
         }
     }
 
-    /** Refuses a finished request that another entry VM refused; fails it if an earlier attempt may have run. */
+    /** Refuses a request that another entry VM refused. */
     void refuseRelayed(ActiveRequest request, Failure failure) {
-        if (request.mayHaveRun) {
-            responder.failWithUnknownOutcome(request, ResultCode.ANSWER_LOST, "no second attempt: " + failure.detail());
-        } else {
-            // The deadline passed before a byte was relayed, so that no server has run the request.
-            ResultCode code = failure.code() == ResultCode.DEADLINE_PASSED ? ResultCode.OVERLOADED : failure.code();
-            responder.refuse(request, code, failure.detail(), failure.retryAfterMillis());
-        }
+        // The deadline passed before a byte was relayed, so that no server has run the request.
+        ResultCode code = failure.code() == ResultCode.DEADLINE_PASSED ? ResultCode.OVERLOADED : failure.code();
+        finish(request, code, failure.retryAfterMillis(), failure.detail());
     }
 
     /** Returns whether a request that was sent may be sent once more, and takes that from the budget if so. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
@@ -74,27 +74,28 @@
                 response.status(),
                 "sealed",
                 response.headers().contains(headerNames.serverSeal()));
-        failWithUnknownOutcome(
+        fail(
                 request,
                 ResultCode.SERVER_FAILED,
+                0,
                 "the server answered " + response.status() + ", but may have run it");
     }
 
-    /** Refuses a request that no server has run. */
-    void refuse(ActiveRequest request, ResultCode code, String reason, long retryAfterMillis) {
+    /**
+     * Answers a request that got no usable response. If a server may have run it, a code that states that it did not run is
+     * replaced by {@link ResultCode#ANSWER_LOST}.
+     *
+     * @param retryAfterMillis delay to state in Retry-After, or 0 for the default of the code
+     */
+    void fail(ActiveRequest request, ResultCode code, long retryAfterMillis, String reason) {
         if (request.callerDisconnected) {
             return;
         }
-        send(request, code, retryAfterMillis, reason);
-        logRequestEnd(request, code, code.httpStatus(), reason);
-    }
-
-    /** Fails a request that a server may have run. */
-    void failWithUnknownOutcome(ActiveRequest request, ResultCode code, String reason) {
-        if (request.callerDisconnected) {
+        if (code.knowledge() == ResultCode.Knowledge.NOT_RUN && request.mayHaveRun()) {
+            fail(request, ResultCode.ANSWER_LOST, 0, "no second attempt: " + reason);
             return;
         }
-        send(request, code, 0, reason);
+        send(request, code, retryAfterMillis, reason);
         logRequestEnd(request, code, code.httpStatus(), reason);
     }
 
