--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
@@ -41,12 +40,12 @@
      * failure of this router without the server's seal.
      */
     void forwardResponse(ActiveRequest request, FullResponse response) {
-        Optional<ResponseStatus> status = ResponseStatus.ofServer(response.status());
-        if (status.isEmpty()) {
-            replaceFalsePromise(request, response);
-        } else if (!request.callerDisconnected) {
-            forward(request, status.get(), response);
+        if (request.callerDisconnected) {
+            return;
         }
+        ResponseStatus.ofServer(response.status())
+                .ifPresentOrElse(
+                        status -> forward(request, status, response), () -> replaceFalsePromise(request, response));
     }
 
     private void forward(ActiveRequest request, ResponseStatus status, FullResponse response) {
