Tests: a refused connection is tried by a client without connections

Cause, as the message of the exception shows: the set-up's read leaves an idle connection of the same client to the same address. The client sends on it until it has noticed that the stand-in closed it, and must then report an unknown outcome. So the test asserted what it had not set up. It now uses a client of its own with the same time limits; the assertions are the same.

--- a/daemon/src/test/java/org/lacewingthread/daemon/platform/PlatformLogContractTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/platform/PlatformLogContractTest.java
@@ -30,6 +30,7 @@
 class PlatformLogContractTest {
     private static final String STREAM = "routing";
     private static final LogOffset FIRST = new LogOffset(0);
+    private static final PlatformClient.Timeouts TIMEOUTS = new PlatformClient.Timeouts(2_000, 400);
 
     private final AtomicLong nanos = new AtomicLong();
     private LogServiceStandIn service;
@@ -42,7 +43,7 @@
     @BeforeEach
     void start() throws IOException {
         service = new LogServiceStandIn(0, nanos::get);
-        client = PlatformClient.open(new PlatformClient.Timeouts(2_000, 400));
+        client = PlatformClient.open(TIMEOUTS);
         log = new HttpPlatformLog(client, service.uri(), STREAM);
         setUpClient = PlatformClient.open(new PlatformClient.Timeouts(10_000, 10_000));
         setUpLog = new HttpPlatformLog(setUpClient, service.uri(), STREAM);
@@ -213,14 +214,17 @@
         assertThat(((LogException.Expired) thrown).oldestOffset()).isEqualTo(offset(oldest));
     }
 
+    /** Uses a client without connections, since what is sent on an open one may arrive before its end is noticed. */
     @Test
-    void refusedConnectionThrowsUnavailable() {
+    void refusedConnectionThrowsUnavailable() throws IOException {
         URI uri = service.uri();
         service.close();
-        PlatformLog unreachable = new HttpPlatformLog(client, uri, STREAM);
+        try (PlatformClient unconnected = PlatformClient.open(TIMEOUTS)) {
+            PlatformLog unreachable = new HttpPlatformLog(unconnected, uri, STREAM);
 
-        assertThatThrownBy(() -> unreachable.append(bytes("a"))).isInstanceOf(LogException.Unavailable.class);
-        assertThatThrownBy(() -> unreachable.read(FIRST, 1)).isInstanceOf(LogException.Unavailable.class);
+            assertThatThrownBy(() -> unreachable.append(bytes("a"))).isInstanceOf(LogException.Unavailable.class);
+            assertThatThrownBy(() -> unreachable.read(FIRST, 1)).isInstanceOf(LogException.Unavailable.class);
+        }
     }
 
     @Test
