First product's dispatch: one end for attempts without an outcome; lint

An attempt that its server refused and one that it failed with a false promise now end in one method; the health tracker logs the latter. A rejected request is answered by PendingResponse.

--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/DispatchAttempt.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/DispatchAttempt.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.lacewingthread.core.traffic.IdempotencyRecord.Outcome;
 import org.lacewingthread.core.traffic.ResponseStatus;
+import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.core.traffic.RetryDecision.FailedAttempt;
 import org.lacewingthread.daemon.backend.BackendConnectionPool;
 import org.lacewingthread.daemon.backend.BackendRequest;
@@ -196,9 +197,18 @@
         }
         markEnded();
         if (refused) {
-            dispatcher.onRefused(this);
+            // "Not run" is certain: the server said so itself.
+            dispatcher.onNoOutcome(
+                    this,
+                    FailedAttempt.REFUSED_BEFORE_RUNNING,
+                    ResultCode.OWNER_REFUSED,
+                    "refused it before running it");
         } else if (falselyPromised) {
-            dispatcher.onFalsePromise(this, status);
+            dispatcher.onNoOutcome(
+                    this,
+                    FailedAttempt.MAY_HAVE_RUN,
+                    ResultCode.SERVER_FAILED,
+                    "answered " + status + ", but may have run it");
         } else {
             dispatcher.onResponseComplete(this);
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerDispatcher.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerDispatcher.java
@@ -1,9 +1,7 @@
 package org.lacewingthread.daemon.dispatch;
 
 import io.undertow.connector.ByteBufferPool;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.lacewingthread.core.config.ServerSpec;
 import org.lacewingthread.core.control.ServerLoad;
@@ -24,7 +22,6 @@
  * Confined to one I/O thread, except {@link #submit}, {@link #drainedViewNumber} and the counts shown by metrics.
  */
 final class ServerDispatcher {
-    private static final System.Logger LOG = System.getLogger(ServerDispatcher.class.getName());
     private static final String UNREACHABLE_DETAIL = "its server can't be reached";
     private static final long CONNECT_RETRY_MILLIS = 1_000;
     private static final long REFUSED_RETRY_MILLIS = 100;
@@ -41,9 +38,6 @@
     private final InFlightAttempts inFlight = new InFlightAttempts();
     private final SendPermitIssuer permitIssuer;
     private final LoadMeter loadMeter;
-    /** Statuses of the server that were replaced and logged. */
-    private final Set<Integer> loggedPromises = new HashSet<>();
-
     private volatile long drainedViewNumber = -1;
 
     ServerDispatcher(ServerSpec server, ServerDispatcherContext context, XnioIoThread ioThread, ByteBufferPool pool) {
@@ -205,41 +199,17 @@
         }
     }
 
-    void onRefused(DispatchAttempt attempt) {
-        inFlight.remove(attempt);
-        freeSlotOf(attempt);
-        long retryAfterMillis = Math.max(REFUSED_RETRY_MILLIS, attempt.retryAfterMillis());
-        // "Not run" is certain: the server said so itself.
-        retryOrEnd(
-                attempt.pending(),
-                FailedAttempt.REFUSED_BEFORE_RUNNING,
-                ResultCode.OWNER_REFUSED,
-                retryAfterMillis,
-                "server \"" + server.id() + "\" refused it before running it");
-    }
-
-    /** Ends an attempt whose server ran the request, but answered with a status that promises that it did not. */
-    void onFalsePromise(DispatchAttempt attempt, int status) {
+    /** Ends an attempt whose server answered, but that it did not run the request, or may have run it without an outcome. */
+    void onNoOutcome(DispatchAttempt attempt, FailedAttempt known, ResultCode code, String detail) {
         inFlight.remove(attempt);
         freeSlotOf(attempt);
-        if (loggedPromises.add(status)) {
-            LOG.log(
-                    System.Logger.Level.WARNING,
-                    "server \"{0}\" answered request \"{1}\" with {2}, but did not state that it did not run it; such"
-                            + " responses are replaced by result {3}",
-                    server.id(),
-                    attempt.pending().request().requestId(),
-                    status,
-                    ResultCode.SERVER_FAILED.number());
+        boolean notRun = known.isProvablyNotRun();
+        if (!notRun) {
+            attempt.pending().markMayHaveRun();
+            healthTracker.onFalsePromise(detail);
         }
-        attempt.pending().markMayHaveRun();
-        retryOrEnd(
-                attempt.pending(),
-                FailedAttempt.MAY_HAVE_RUN,
-                ResultCode.SERVER_FAILED,
-                0,
-                "server \"" + server.id() + "\" answered " + status + ", but may have run it");
-        processQueue();
+        long retryAfterMillis = notRun ? Math.max(REFUSED_RETRY_MILLIS, attempt.retryAfterMillis()) : 0;
+        retryOrEnd(attempt.pending(), known, code, retryAfterMillis, "server \"" + server.id() + "\" " + detail);
     }
 
     void onNeverSent(DispatchAttempt attempt, String detail) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerHealthTracker.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerHealthTracker.java
@@ -1,6 +1,8 @@
 package org.lacewingthread.daemon.dispatch;
 
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.control.ServerCondition;
@@ -13,6 +15,8 @@
  * health probes that it asks for, and reports changes to the listener. Confined to one I/O thread.
  */
 final class ServerHealthTracker {
+    private static final System.Logger LOG = System.getLogger(ServerHealthTracker.class.getName());
+
     private final ServerId server;
     private final HealthProber probe;
     private final DispatchListener listener;
@@ -20,6 +24,7 @@
     private final LongConsumer onProbeAnswered;
     private final Runnable onUnreachable;
     private final ServerHealthMonitor monitor;
+    private final Set<String> loggedFalsePromises = new HashSet<>();
     private ServerCondition reportedCondition = ServerCondition.REACHABLE;
 
     /**
@@ -63,6 +68,18 @@
         reportChange();
     }
 
+    /**
+     * Logs, once for each status, that responses of the server are replaced because they promise that it did not run the
+     * request, but do not state so in the header.
+     *
+     * @param detail the status, in words
+     */
+    void onFalsePromise(String detail) {
+        if (loggedFalsePromises.add(detail)) {
+            LOG.log(System.Logger.Level.WARNING, "server \"{0}\" {1}; its response is replaced", server, detail);
+        }
+    }
+
     /** Probes the server if a probe is due. */
     void tick(long oldestSentMillis) {
         long nowMillis = clockMillis.getAsLong();
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.lacewingthread.daemon.intake;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -27,7 +26,6 @@
 import org.lacewingthread.core.memory.EvictionReason;
 import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.memory.MemoryHolder;
-import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.daemon.http.BodySlices;
 
 /**
@@ -251,8 +249,7 @@
         PendingResponse pending = newResponse(false, false);
         pendingResponses.addLast(pending);
         requestHandler.onInvalidRequest(status, reason);
-        // The request was not read to its end, and is passed on only as a whole.
-        pending.respond(ResponseStatus.notRun(status), IncomingRequest.rejectionHeaders(status), Unpooled.EMPTY_BUFFER);
+        pending.reject(status);
     }
 
     private void writeReadyResponses() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/PendingResponse.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/PendingResponse.java
@@ -56,6 +56,11 @@
         }
     }
 
+    /** Responds to a request that was not read to its end, and therefore never passed on. */
+    void reject(int status) {
+        respond(ResponseStatus.notRun(status), IncomingRequest.rejectionHeaders(status), Unpooled.EMPTY_BUFFER);
+    }
+
     @Override
     public void onFinished() {
         if (received != null) {
