--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalIdempotencyRecords.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalIdempotencyRecords.java
@@ -232,7 +232,7 @@
         return false;
     }
 
-    /** Passes a recorded outcome on; one that an older version stored may falsely promise that there was no run. */
+    /** Passes a recorded outcome on, unless its status promises that the request did not run; older versions stored such. */
     private static void replayOutcome(Outcome outcome, PendingRequest pending) {
         Optional<ResponseStatus> status = ResponseStatus.ofServer(outcome.status());
         if (status.isEmpty()) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerDispatcher.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/ServerDispatcher.java
@@ -199,7 +199,7 @@
         }
     }
 
-    /** Ends an attempt whose server answered, but that it did not run the request, or may have run it without an outcome. */
+    /** Ends an attempt whose response is not passed on: the server refused the request, or answered with a false promise. */
     void onNoOutcome(DispatchAttempt attempt, FailedAttempt known, ResultCode code, String detail) {
         inFlight.remove(attempt);
         freeSlotOf(attempt);
