--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/IdempotencyTakeoverTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/IdempotencyTakeoverTest.java
@@ -51,6 +51,10 @@
             onResult.accept(replicationResult);
         }
 
+        synchronized boolean holdsOutcome() {
+            return puts.stream().anyMatch(record -> record.state() == State.DONE);
+        }
+
         private IdempotencyRecord withStatus(IdempotencyRecord record) {
             Outcome outcome = record.outcome();
             return new IdempotencyRecord(
@@ -105,6 +109,7 @@
     void recordIsCopiedBeforeTheRequestIsSentAndAgainWithItsOutcome() throws Exception {
         publishDispatcher(ControlViewFactory.SELF);
         hold("Idempotency-Key", "k");
+        await().until(second::holdsOutcome);
         assertThat(second.puts).extracting(IdempotencyRecord::state).containsExactly(State.MAY_HAVE_RUN, State.DONE);
     }
 
@@ -201,6 +206,8 @@
                     .post("/holds/1", "{}", "Idempotency-Key", "k", "Lacewingthread-Attempt", "2");
             assertThat(Caller.resultOf(response)).isEqualTo("1000");
             assertThat(backend.runs()).hasSize(1);
+            // The response is whole for its caller before the VM has recorded the outcome.
+            await().until(second::holdsOutcome);
             return response.body();
         }
     }
