--- a/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/AttemptResult.java
@@ -20,8 +20,6 @@
     WITHHELD(false, false, true),
     /** The connection failed during the attempt, or the response was unusable. */
     BROKEN(false, true, false),
-    /** The answer was overdue, so that the server most likely was full and dropped the request without an answer. */
-    OVERDUE(false, false, false),
     /** The attempt timed out, or its caller no longer waits for it. */
     ABANDONED(false, false, false);
 
--- a/core/src/main/java/org/lacewingthread/core/dispatch/OverdueAttempts.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/OverdueAttempts.java
@@ -49,6 +49,18 @@
                 && elapsedMillis >= overdueAfterMillis(state, send.expectedMillis());
     }
 
+    /**
+     * Backs off from the server of an overdue attempt whose request is sent to another server as well. The attempt takes no
+     * slot from now on, since the server most likely dropped the request.
+     */
+    public void onRepeated(Decision.Send send, long nowMillis) {
+        ServerLoadState state = servers.get(send.server().start());
+        if (state != null) {
+            state.onSilent(nowMillis);
+            silentOwners.onLost(send, state);
+        }
+    }
+
     /**
      * Backs off from the server of an overdue attempt that is still awaited, since the request must not be repeated or
      * can't be.
--- a/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/ServerLoadState.java
@@ -156,8 +156,6 @@
         if (result == AttemptResult.ANSWERED) {
             answers++;
             silentSinceAnswer = 0;
-        } else if (result == AttemptResult.OVERDUE) {
-            onSilent(nowMillis);
         }
         boolean rejected = result == AttemptResult.REJECTED || result == AttemptResult.BROKEN;
         int longQueuePerSlot = isThrottled() ? THROTTLED_LONG_QUEUE_PER_SLOT : LONG_QUEUE_PER_SLOT;
--- a/core/src/main/java/org/lacewingthread/core/dispatch/SilentOwners.java
+++ b/core/src/main/java/org/lacewingthread/core/dispatch/SilentOwners.java
@@ -1,8 +1,6 @@
 package org.lacewingthread.core.dispatch;
 
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
@@ -16,8 +14,15 @@
 final class SilentOwners {
     private final Set<ServiceId> silentServices = new HashSet<>();
     private final Set<ServiceId> servicesThatReject = new HashSet<>();
-    /** Requests that are most likely lost, by number, with the server that has not answered. */
-    private final Map<Long, ServerStart> lost = new HashMap<>();
+    /** Attempts that are most likely lost, since their servers have not answered. */
+    private final Set<LostAttempt> lost = new HashSet<>();
+
+    /** An attempt to have a server run a request. */
+    private record LostAttempt(long requestNumber, ServerStart server) {
+        static LostAttempt of(Decision.Send send) {
+            return new LostAttempt(send.request().number(), send.server().start());
+        }
+    }
 
     /** Records that a server said that it is full, so that none of its service is silent. */
     void onRejected(ServiceId service) {
@@ -36,14 +41,20 @@
         if (send.request().key().isEmpty() || rejects(service)) {
             return false;
         }
-        lost.put(send.request().number(), send.server().start());
-        state.onLost();
+        onLost(send, state);
         return silentServices.add(service);
     }
 
+    /** Records that a server most likely dropped a request, so that the attempt takes no slot of it. */
+    void onLost(Decision.Send send, ServerLoadState state) {
+        if (lost.add(LostAttempt.of(send))) {
+            state.onLost();
+        }
+    }
+
     /** Records the end of an attempt; returns whether it counted as lost. */
     boolean onEnded(Decision.Send send) {
-        return lost.remove(send.request().number(), send.server().start());
+        return lost.remove(LostAttempt.of(send));
     }
 
     /** Returns whether a request may be sent to a server now. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -11,6 +11,7 @@
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.dispatch.DispatchRequest;
 import org.lacewingthread.core.id.ServerId;
+import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.ServiceId;
 import org.lacewingthread.core.quarantine.RequestFingerprint;
 import org.lacewingthread.core.reachability.RelayPeer;
@@ -41,12 +42,9 @@
 
     /** The request as submitted to the dispatcher, while it waits for a server. */
     Optional<DispatchRequest> queuedRequest = Optional.empty();
-    /** The current or last attempt; empty until a server is chosen. */
+    /** The newest attempt under way, or the last one if all have ended; empty until a server is chosen. */
     Optional<Attempt> attempt = Optional.empty();
 
-    /** Second attempt at another server while {@link #attempt} is overdue; empty if there is none. */
-    Optional<Attempt> hedge = Optional.empty();
-
     /** The newest attempt that another entry VM makes for this one; empty if there was none. */
     Optional<RelayAttempt> relayAttempt = Optional.empty();
 
@@ -94,6 +92,13 @@
         private boolean mayHaveRunAtEnd;
         /** Whether the server counts as full since the answer was overdue. */
         boolean overdue;
+
+        /** Whether the request was to be sent to another server as well, since the answer was overdue. */
+        boolean repeated;
+
+        /** Whether the hedge policy asked for it, beside an earlier attempt. */
+        boolean hedge;
+
         /** Crashes in a row under the request that were known when it was sent. */
         int knownCrashRounds;
 
@@ -102,6 +107,21 @@
             this.startedNanos = startedNanos;
         }
 
+        /**
+         * Resets the connection, which most servers take as the order to stop; only for a finished request.
+         *
+         * @param timedOut whether the server had all the time that the request has
+         * @return result of the attempt
+         */
+        AttemptResult abort(boolean timedOut) {
+            // A server that began to answer and did not end within the time may be sending without end.
+            boolean endless = timedOut && connection != null && connection.isReceiving();
+            if (connection != null) {
+                connection.abort();
+            }
+            return endless ? AttemptResult.BROKEN : AttemptResult.ABANDONED;
+        }
+
         /** Ends the attempt; later, its connection may carry other requests. */
         void end(AttemptResult result) {
             mayHaveRunAtEnd = result.mayHaveRun(mayHaveBeenSent());
@@ -145,13 +165,36 @@
         this.relayedBy = relayedBy;
     }
 
-    /** Creates an attempt at the chosen server. */
+    /** Creates an attempt at the chosen server, beside those under way. */
     Attempt startAttempt(Decision.Send decision) {
         Attempt started = new Attempt(decision, System.nanoTime());
         attempts.add(started);
+        triedServers.add(decision.server().start().server());
+        attempt = Optional.of(started);
         return started;
     }
 
+    /** Returns the attempts of this VM whose response may still come, oldest first. */
+    List<Attempt> openAttempts() {
+        return attempts.stream().filter(started -> !started.ended).toList();
+    }
+
+    /** Makes the newest attempt that is under way the current one, if there is one. */
+    void selectOpenAttempt() {
+        openAttempts().stream().reduce((older, newer) -> newer).ifPresent(newest -> attempt = Optional.of(newest));
+    }
+
+    /** Returns whether an attempt at a server is under way. */
+    boolean isUnderWayAt(ServerStart server) {
+        return openAttempts().stream()
+                .anyMatch(open -> open.decision.server().start().equals(server));
+    }
+
+    /** Returns whether a response may still come, from a server or from another entry VM. */
+    boolean isAwaited() {
+        return attempts.stream().anyMatch(started -> !started.ended) || isRelayPending();
+    }
+
     /** Sets the newest attempt that another entry VM makes for this one. */
     void startRelayAttempt(RelayAttempt started) {
         relayAttempt = Optional.of(started);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.dispatch.AttemptResult;
@@ -48,15 +47,13 @@
 
     /** Starts an attempt at the chosen server; {@link RequestEngine} is told how it ends. */
     void send(ActiveRequest request, Decision.Send decision) {
-        ActiveRequest.Attempt attempt = request.startAttempt(decision);
-        request.attempt = Optional.of(attempt);
-        acquire(request, attempt);
+        acquire(request, request.startAttempt(decision));
     }
 
-    /** Starts a second attempt at another server beside the one under way. */
+    /** Starts an attempt at another server that the hedge policy asked for. */
     void sendHedge(ActiveRequest request, Decision.Send decision) {
         ActiveRequest.Attempt attempt = request.startAttempt(decision);
-        request.hedge = Optional.of(attempt);
+        attempt.hedge = true;
         acquire(request, attempt);
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/CrashGuard.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/CrashGuard.java
@@ -230,6 +230,13 @@
         return true;
     }
 
+    /** Returns whether a request waits here to be sent, again or for the first time. */
+    boolean isWaiting(ActiveRequest request) {
+        return repeatsUntilMillis.containsKey(request)
+                || heldUntilMillis.containsKey(request)
+                || reserving.containsValue(request);
+    }
+
     /** Acquits a request that a server has answered, and the server of having ended. */
     void onResponse(ActiveRequest request, ServerStart server, AttemptResult result) {
         if (endedServers.onAnswer(server, clockMillis.getAsLong())) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/CutOffRequests.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/CutOffRequests.java
@@ -1,6 +1,5 @@
 package org.lacewingthread.daemon.router;
 
-import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.dispatch.AttemptResult;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
@@ -35,8 +34,8 @@
     }
 
     /**
-     * Moves the requests that wait, and those that were sent and may be repeated. Others are awaited, since a server may
-     * have run them.
+     * Moves the requests that wait, and hands those that were sent and may be repeated to other entry VMs as well. All that
+     * were sent are awaited, since a server may be at work on them.
      */
     void onCutOffChanged(boolean cutOff) {
         engine.applyDecisions(dispatcher.onCutOffChanged(cutOff, clockMillis.getAsLong()));
@@ -45,15 +44,13 @@
         }
         connections.closeAllIdle();
         for (ActiveRequest request : activeRequests.all()) {
-            Optional<ActiveRequest.Attempt> attempt = request.attempt.filter(current -> !current.ended);
-            if (attempt.isEmpty()) {
-                continue;
-            }
-            if (attempt.get().connection == null) {
-                engine.onFailure(request, attempt.get(), AttemptResult.NOT_SENT, "no server can be reached");
-            } else if (relays.hasPeer() && retries.tryRepeat(request)) {
-                attempt.get().addToSummary(request.attemptSummary, "no server can be reached");
-                engine.abandonAttempt(request);
+            request.openAttempts().stream()
+                    .filter(attempt -> attempt.connection == null)
+                    .forEach(attempt ->
+                            engine.onFailure(request, attempt, AttemptResult.NOT_SENT, "no server can be reached"));
+            boolean sent = !request.openAttempts().isEmpty();
+            if (sent && !request.isRelayPending() && relays.hasPeer() && retries.tryRepeat(request)) {
+                request.attemptSummary.append(" no server can be reached");
                 engine.submit(request);
             }
         }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/HedgedAttempts.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/HedgedAttempts.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
-import org.lacewingthread.core.dispatch.AttemptResult;
 import org.lacewingthread.core.dispatch.Decision;
 import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.hedging.HedgePolicy;
@@ -11,9 +10,8 @@
 import org.lacewingthread.daemon.events.EventLog;
 
 /**
- * Makes a second attempt at another server when the first one of a repeatable request without key is overdue. The first
- * whole response wins; the other attempt is cancelled by closing its connection. Does nothing until it is enabled. Runs on
- * the traffic thread.
+ * Makes a second attempt at another server when the first one of a repeatable request without key is slower than most. The
+ * first whole response wins. Does nothing until it is enabled. Runs on the traffic thread.
  */
 final class HedgedAttempts {
     private static final double NANOS_PER_MILLI = 1e6;
@@ -71,7 +69,8 @@
     private boolean mayHedge(ActiveRequest request) {
         return request.key.isEmpty()
                 && request.route.repeatability().maySendAgain(true)
-                && request.hedge.isEmpty()
+                && request.openAttempts().size() == 1
+                && request.queuedRequest.isEmpty()
                 && request.attemptsLeft() > 0
                 && !request.onTrial
                 && !request.callerDisconnected
@@ -99,7 +98,6 @@
             return;
         }
         ActiveRequest.Attempt first = request.attempt.orElseThrow();
-        request.triedServers.add(second.get().server().start().server());
         metrics.onHedge("SENT");
         events.write(
                 "request.hedged",
@@ -116,52 +114,15 @@
         sender.sendHedge(request, second.get());
     }
 
-    /** Records the attempt whose response is delivered, and cancels the other one. */
+    /** Records the attempt whose response is delivered. */
     void onAnswered(ActiveRequest request, ActiveRequest.Attempt winner) {
         policy.ifPresent(known -> known.onAnswered(
                 request.service,
                 winner.decision.expectedMillis(),
                 (System.nanoTime() - winner.startedNanos) / NANOS_PER_MILLI,
                 clockMillis.getAsLong()));
-        if (request.hedge.isEmpty()) {
-            return;
-        }
-        boolean secondWon = request.hedge.get() == winner;
-        if (secondWon) {
+        if (winner.hedge) {
             metrics.onHedge("WON");
         }
-        Optional<ActiveRequest.Attempt> loser = secondWon ? request.attempt : request.hedge;
-        request.attempt = Optional.of(winner);
-        request.hedge = Optional.empty();
-        loser.ifPresent(attempt -> abandon(request, attempt));
-    }
-
-    /** Returns whether a request whose attempt failed still awaits another one, which then is its only attempt. */
-    boolean otherAttemptContinues(ActiveRequest request, ActiveRequest.Attempt failed) {
-        if (request.hedge.isEmpty()) {
-            return false;
-        }
-        Optional<ActiveRequest.Attempt> other = request.hedge.get() == failed ? request.attempt : request.hedge;
-        request.attempt = other;
-        request.hedge = Optional.empty();
-        return other.filter(attempt -> !attempt.ended).isPresent();
-    }
-
-    /** Cancels the second attempt, if there is one. */
-    void abandon(ActiveRequest request) {
-        Optional<ActiveRequest.Attempt> second = request.hedge;
-        request.hedge = Optional.empty();
-        second.ifPresent(attempt -> abandon(request, attempt));
-    }
-
-    private void abandon(ActiveRequest request, ActiveRequest.Attempt attempt) {
-        if (attempt.ended) {
-            return;
-        }
-        if (attempt.connection != null) {
-            attempt.connection.abort();
-        }
-        attempt.addToSummary(request.attemptSummary, "cancelled");
-        engine.endAttempt(attempt, AttemptResult.ABANDONED, Optional.empty());
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
@@ -138,6 +138,7 @@
     boolean trySend(ActiveRequest request) {
         long nowMillis = clockMillis.getAsLong();
         boolean mayRelay = request.relayedBy.isEmpty()
+                && !request.isRelayPending()
                 && request.relayedTo.size() < MAX_PEERS_PER_REQUEST
                 && request.attemptsLeft() > 0
                 && request.deadlineMillis - nowMillis > 2 * RESPONSE_MARGIN_MILLIS
@@ -280,7 +281,11 @@
                         .ownerOf(request.toDispatchRequest())
                         .ifPresent(owner -> unreachableUntilMillis.put(owner, nowMillis + SERVER_EXCLUSION_MILLIS));
             }
-            if (failure.code().knowledge() == ResultCode.Knowledge.OUTCOME_UNKNOWN) {
+            boolean outcomeUnknown = failure.code().knowledge() == ResultCode.Knowledge.OUTCOME_UNKNOWN;
+            if (outcomeUnknown && request.isAwaited()) {
+                return;
+            }
+            if (outcomeUnknown) {
                 retries.retryOrFail(
                         request, failure.code(), "relayed to " + attempt.peer().vm() + ": " + failure.detail());
             } else if (peerFailed || mayAskAnother) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
@@ -1,15 +1,12 @@
 package org.lacewingthread.daemon.router;
 
-import org.lacewingthread.core.dispatch.RequestDispatcher;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.traffic.ResultCode;
-import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.http.ConnectionPool;
 
 /** Ends requests whose deadline has passed, and attempts whose answer is overdue. Runs on the traffic thread. */
 final class RequestDeadlines {
     private final RequestEngine engine;
-    private final RequestDispatcher dispatcher;
     private final ConnectionPool<ServerStart> connections;
     private final ResponseSender responder;
     private final ActiveRequests activeRequests;
@@ -17,21 +14,18 @@
 
     RequestDeadlines(
             RequestEngine engine,
-            RequestDispatcher dispatcher,
             ConnectionPool<ServerStart> connections,
             ResponseSender responder,
             ActiveRequests activeRequests,
-            RequestRetries retries,
-            EventLog events) {
+            OverdueRequests overdue) {
         this.engine = engine;
-        this.dispatcher = dispatcher;
         this.connections = connections;
         this.responder = responder;
         this.activeRequests = activeRequests;
-        this.overdue = new OverdueRequests(engine, dispatcher, retries, events);
+        this.overdue = overdue;
     }
 
-    /** Answers all requests whose deadline has passed, and sends overdue ones again. */
+    /** Answers all requests whose deadline has passed, and sends overdue ones to other servers as well. */
     void endExpired(long nowMillis) {
         for (ActiveRequest request : activeRequests.all()) {
             if (nowMillis >= request.deadlineMillis) {
@@ -43,15 +37,14 @@
     }
 
     private void end(ActiveRequest request) {
-        request.queuedRequest.ifPresent(dispatcher::cancel);
+        request.openAttempts()
+                .forEach(attempt ->
+                        connections.closeIdle(attempt.decision.server().start()));
         engine.finish(request);
         if (request.mayHaveRun()) {
-            request.attempt.ifPresent(
-                    attempt -> connections.closeIdle(attempt.decision.server().start()));
             responder.fail(request, ResultCode.OUTCOME_UNKNOWN, 0, "the deadline passed after the request was sent");
         } else {
             responder.fail(request, ResultCode.OVERLOADED, 0, "the deadline passed before the request was sent");
         }
-        engine.abandonAttempt(request);
     }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -94,8 +94,8 @@
         this.relays = new RelaySender(relayAccess, dispatcher, this, retries, responder, events, clockMillis);
         this.cutOffRequests =
                 new CutOffRequests(this, dispatcher, connections, relays, retries, activeRequests, clockMillis);
-        this.deadlines =
-                new RequestDeadlines(this, dispatcher, connections, responder, activeRequests, retries, events);
+        OverdueRequests overdue = new OverdueRequests(this, dispatcher, retries, metrics, events);
+        this.deadlines = new RequestDeadlines(this, connections, responder, activeRequests, overdue);
         this.crashGuard = new CrashGuard(
                 this,
                 retries,
@@ -237,9 +237,8 @@
         submit(relayed);
     }
 
-    /** Decides about a request, for the first time or again. */
+    /** Decides about a request, for the first time or again; attempts that are under way go on. */
     void submit(ActiveRequest request) {
-        request.attempt = Optional.empty();
         if (crashGuard.admit(request)) {
             dispatch(request);
         }
@@ -265,8 +264,7 @@
             }
             request.queuedRequest = Optional.empty();
             if (decision instanceof Decision.Send send) {
-                request.triedServers.add(send.server().start().server());
-                sender.send(request, send);
+                send(request, send);
             } else if (decision instanceof Decision.Refuse refuse && !relay(request, refuse)) {
                 if (refuse.cause().isWithheld()) {
                     metrics.onWithheld(refuse.cause());
@@ -276,17 +274,29 @@
         }
     }
 
+    private void send(ActiveRequest request, Decision.Send decision) {
+        if (request.isUnderWayAt(decision.server().start())) {
+            applyDecisions(dispatcher.onAttemptEnded(
+                    decision, AttemptResult.WITHHELD, 0, Optional.empty(), clockMillis.getAsLong()));
+        } else {
+            sender.send(request, decision);
+        }
+    }
+
     private boolean relay(ActiveRequest request, Decision.Refuse refuse) {
         return refuse.cause().mayBeSentByOthers() && relays.trySend(request);
     }
 
-    /** Ends a request; its response is sent by the caller of this method. */
+    /** Ends a request and all that is under way for it; its response is sent by the caller of this method. */
     void finish(ActiveRequest request) {
         request.finished = true;
+        request.queuedRequest.ifPresent(dispatcher::cancel);
         request.onFinished.run();
         request.callerRequest.responder().onFinished();
         activeRequests.remove(request);
         crashGuard.onFinished(request);
+        relays.cancel(request);
+        request.openAttempts().forEach(attempt -> abandon(request, attempt));
     }
 
     @Override
@@ -295,29 +305,19 @@
             request.queuedRequest.ifPresent(dispatcher::cancel);
             responder.logCallerDisconnected(request);
             request.callerDisconnected = true;
-            boolean mustFinish = (request.attempt.isPresent() || request.isRelayPending())
-                    && !request.route.repeatability().maySendAgain(true);
+            boolean mustFinish =
+                    request.isAwaited() && !request.route.repeatability().maySendAgain(true);
             if (!mustFinish) {
                 finish(request);
-                abandonAttempt(request);
             }
         });
     }
 
-    /** Ends the attempt that is under way, if there is one. */
-    void abandonAttempt(ActiveRequest request) {
-        relays.cancel(request);
-        hedges.abandon(request);
-        request.attempt.filter(attempt -> !attempt.ended).ifPresent(attempt -> {
-            // A server that began to answer and did not end within the time may be sending without end.
-            boolean endless =
-                    !request.callerDisconnected && attempt.connection != null && attempt.connection.isReceiving();
-            AttemptResult result = endless ? AttemptResult.BROKEN : AttemptResult.ABANDONED;
-            if (attempt.connection != null) {
-                attempt.connection.abort();
-            }
-            endAttempt(attempt, result, Optional.empty());
-        });
+    private void abandon(ActiveRequest request, ActiveRequest.Attempt attempt) {
+        boolean timedOut = !request.callerDisconnected && clockMillis.getAsLong() >= request.deadlineMillis;
+        AttemptResult result = attempt.abort(timedOut);
+        attempt.addToSummary(request.attemptSummary, "cancelled");
+        endAttempt(attempt, result, Optional.empty());
     }
 
     /** Records the end of an attempt; returns false if it had ended before. */
@@ -351,9 +351,10 @@
         }
         if (result == AttemptResult.ANSWERED) {
             hedges.onAnswered(request, attempt);
+            request.attempt = Optional.of(attempt);
             finish(request);
             responder.forwardResponse(request, response);
-        } else if (hedges.otherAttemptContinues(request, attempt)) {
+        } else if (goesOn(request)) {
             return;
         } else if (result == AttemptResult.BROKEN) {
             retries.retryOrFail(request, ResultCode.ANSWER_LOST, "the server's response is not usable");
@@ -369,21 +370,25 @@
         responseObservers.onForwarded(server, response);
     }
 
-    /** Called when an attempt ended without a response; {@link AttemptResult#BROKEN} or OVERDUE if it was sent. */
+    /** Returns whether a request whose attempt failed awaits another one, or waits to be sent again already. */
+    private boolean goesOn(ActiveRequest request) {
+        request.selectOpenAttempt();
+        return request.isAwaited() || request.queuedRequest.isPresent() || crashGuard.isWaiting(request);
+    }
+
+    /** Called when an attempt ended without a response; {@link AttemptResult#BROKEN} if it was sent. */
     void onFailure(ActiveRequest request, ActiveRequest.Attempt attempt, AttemptResult result, String reason) {
         if (!endAttempt(attempt, result, Optional.empty())) {
             return;
         }
         attempt.addToSummary(request.attemptSummary, reason);
-        if (result == AttemptResult.BROKEN || result == AttemptResult.OVERDUE) {
+        if (result == AttemptResult.BROKEN) {
             crashGuard.onBroken(request, attempt);
         }
-        if (request.finished || hedges.otherAttemptContinues(request, attempt)) {
+        if (request.finished || goesOn(request)) {
             return;
         }
-        if (result == AttemptResult.OVERDUE) {
-            retries.repeat(request);
-        } else if (result == AttemptResult.BROKEN) {
+        if (result == AttemptResult.BROKEN) {
             retries.retryOrFail(request, ResultCode.ANSWER_LOST, reason);
         } else if (++request.unsentAttempts < MAX_UNSENT_ATTEMPTS) {
             submit(request);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestRetries.java
@@ -44,7 +44,11 @@
         finish(request, ResultCode.CRASHES_SERVERS, retryAfterMillis, reason);
     }
 
+    /** Answers a request without a server's response, unless one may still come; its deadline ends the wait for that. */
     private void finish(ActiveRequest request, ResultCode code, long retryAfterMillis, String reason) {
+        if (request.isAwaited()) {
+            return;
+        }
         engine.finish(request);
         responder.fail(request, code, retryAfterMillis, reason);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -73,6 +73,12 @@
         registry.counter("lacewingthread.router.evacuations.unreadable").increment();
     }
 
+    /** Counts an attempt whose answer is overdue: {@code REPEATED} if another server is asked as well, or {@code AWAITED}. */
+    void onOverdue(String outcome) {
+        registry.counter("lacewingthread.router.attempts.overdue", "outcome", outcome)
+                .increment();
+    }
+
     /** Counts a second attempt: {@code SENT} and later {@code WON} if its response came first. */
     void onHedge(String outcome) {
         registry.counter("lacewingthread.router.hedges", "outcome", outcome).increment();
