--- a/daemon/src/main/java/org/lacewingthread/daemon/router/CountedSink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/CountedSink.java
@@ -1,6 +1,7 @@
 package org.lacewingthread.daemon.router;
 
 import java.util.List;
+import java.util.function.IntConsumer;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.memory.EvictionReason;
 import org.lacewingthread.core.memory.MemoryAccount;
@@ -20,20 +21,28 @@
     private final ResponseSink sink;
     private final MemoryAccount account;
     private final LongSupplier clockMillis;
+    private final IntConsumer unwrittenResponses;
     private String server = "relayed";
     /** Null while there are no bytes. */
     private MemoryHolding memory;
 
-    CountedSink(ResponseSink sink, MemoryAccount account, LongSupplier clockMillis) {
+    /**
+     * Creates a sink for one response.
+     *
+     * @param unwrittenResponses receives 1 when a server's response is there, and -1 when the connection has taken it
+     */
+    CountedSink(ResponseSink sink, MemoryAccount account, LongSupplier clockMillis, IntConsumer unwrittenResponses) {
         this.sink = sink;
         this.account = account;
         this.clockMillis = clockMillis;
+        this.unwrittenResponses = unwrittenResponses;
     }
 
     @Override
     public void onHead(ResponseStatus status, List<HeaderField> headers) {
         RelayAttempt.serverIn(headers)
                 .ifPresent(start -> server = start.server().value());
+        unwrittenResponses.accept(1);
         sink.onHead(status, headers);
     }
 
@@ -49,7 +58,10 @@
 
     @Override
     public void onEnd() {
-        sink.onEnd(this::release);
+        sink.onEnd(() -> {
+            release();
+            unwrittenResponses.accept(-1);
+        });
     }
 
     @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
@@ -44,6 +44,8 @@
     private final LongSupplier clockMillis;
     private final BooleanSupplier takesRequests;
     private int relayedCount;
+    /** Responses that the connections to other entry VMs have not taken yet. */
+    private int unwrittenResponses;
 
     /**
      * Creates a receiver.
@@ -79,7 +81,7 @@
         relayedCount++;
         CallerRequest request = toCallerRequest(relayed);
         MemoryHolding memory = hold(relayed.body().length);
-        ResponseSink counted = new CountedSink(sink, account, clockMillis);
+        ResponseSink counted = new CountedSink(sink, account, clockMillis, change -> unwrittenResponses += change);
         engine.onRelayedRequest(number -> toActiveRequest(number, relayed, request, counted), () -> {
             relayedCount--;
             account.release(memory, clockMillis.getAsLong());
@@ -87,6 +89,11 @@
         return () -> engine.onCallerDisconnected(request);
     }
 
+    /** Returns whether no relayed request is at work here, and each response was handed to its entry VM. */
+    boolean isIdle() {
+        return relayedCount == 0 && unwrittenResponses == 0;
+    }
+
     private MemoryHolding hold(long bytes) {
         MemoryHolder neverAsked = new MemoryHolder() {
             @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -75,6 +75,7 @@
     private final ServerViews serverViews;
     private final RequestEngine engine;
     private final ColdServers coldServers;
+    private final RelayReceiver relayReceiver;
     private final RouterRelay relay;
     private final CallerListener callerListener;
     private final OperatorPages operatorPages;
@@ -122,16 +123,13 @@
         metrics.gauge("retry.budget.denied", "extra attempts that the retry budget did not allow", retryBudget::denied);
         settings.hedging().ifPresent(hedging -> engine.hedges().enable(new HedgePolicy(hedging)));
         this.callerListener = ProcessLimits.callerListener(engine, RouterProcess::trafficNowMillis);
+        this.relayReceiver = new RelayReceiver(
+                engine,
+                callerListener.account(),
+                RouterProcess::trafficNowMillis,
+                () -> !stopping && !engine.links().isCutOff());
         this.relay = new RouterRelay(
-                self,
-                settings.dataCentre(),
-                trafficEventLoop,
-                new RelayReceiver(
-                        engine,
-                        callerListener.account(),
-                        RouterProcess::trafficNowMillis,
-                        () -> !stopping && !engine.links().isCutOff()),
-                RouterProcess::trafficNowMillis);
+                self, settings.dataCentre(), trafficEventLoop, relayReceiver, RouterProcess::trafficNowMillis);
         RouteExplainer explainer = new RouteExplainer(
                 engine,
                 dispatcher,
@@ -354,8 +352,9 @@
     }
 
     /**
-     * Stops the process: reports itself as not ready to the load balancer, finishes running requests and closes each
-     * kept connection with its next response. Returns when no connection is left or the stop time is over.
+     * Stops the process: reports itself as not ready to the load balancer, finishes running requests, those of other entry
+     * VMs included, and closes each kept connection with its next response. Returns when no connection and no request is
+     * left, or the stop time is over.
      *
      * @throws InterruptedException if the thread is interrupted while it waits
      */
@@ -366,21 +365,21 @@
         events.write("process.stopping", "deadline_in_ms", deadlineMillis - startedMillis);
         controlLoop.leave();
         trafficEventLoop.execute(callerListener::closeAfterNextResponse);
-        CountDownLatch connectionsClosed = new CountDownLatch(1);
+        CountDownLatch idle = new CountDownLatch(1);
         trafficEventLoop.scheduleAtFixedRate(
                 () -> {
                     boolean removedFromBalancer = trafficNowMillis() - startedMillis >= BALANCER_REMOVAL_MILLIS;
                     if (removedFromBalancer) {
                         callerListener.drain();
                     }
-                    if (removedFromBalancer && callerListener.connectionCount() == 0) {
-                        connectionsClosed.countDown();
+                    if (removedFromBalancer && callerListener.connectionCount() == 0 && relayReceiver.isIdle()) {
+                        idle.countDown();
                     }
                 },
                 STOP_CHECK_INTERVAL_MILLIS,
                 STOP_CHECK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
-        boolean allClosed = connectionsClosed.await(deadlineMillis - startedMillis, TimeUnit.MILLISECONDS);
-        events.write("process.stopped", "quiet", allClosed, "unanswered", engine.unansweredCount());
+        boolean quiet = idle.await(deadlineMillis - startedMillis, TimeUnit.MILLISECONDS);
+        events.write("process.stopped", "quiet", quiet, "unanswered", engine.unansweredCount());
     }
 }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RelayedResponseMemoryTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RelayedResponseMemoryTest.java
@@ -79,7 +79,7 @@
     /** Also guards against responses that are given up although they are ready. */
     @Test
     void responseForAnotherVmCountsUntilItsConnectionTookIt() {
-        CountedSink sink = new CountedSink(new SlowSink(), account, () -> 0);
+        CountedSink sink = new CountedSink(new SlowSink(), account, () -> 0, change -> {});
         sink.onHead(OK, FIELDS);
         sink.onBody(new byte[90_000], () -> {});
         sink.onEnd();
