--- a/core/src/test/java/org/lacewingthread/core/traffic/ResponseStatusTest.java
+++ b/core/src/test/java/org/lacewingthread/core/traffic/ResponseStatusTest.java
@@ -25,4 +25,14 @@
     void statusThatPromisesNothingIsForwarded(int httpStatus) {
         assertThat(ResponseStatus.ofServer(httpStatus)).contains(new ResponseStatus(httpStatus, Knowledge.DONE));
     }
+
+    /** Guards against a number that is no status of a response on any way to a caller. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, 0, 99, 100, 199, 600, 999})
+    void numberThatIsNoStatusOfAResponseIsNotForwarded(int number) {
+        assertThat(ResponseStatus.ofServer(number)).isEmpty();
+        assertThatThrownBy(() -> ResponseStatus.notRun(number))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining(Integer.toString(number));
+    }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/http/ResponseDecoder.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/ResponseDecoder.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.ReferenceCountUtil;
+import java.util.regex.Pattern;
 
 /** Decodes responses, and only bytes that arrive while one is awaited. */
 final class ResponseDecoder extends HttpResponseDecoder {
@@ -14,6 +15,9 @@
     private static final int MAX_CHUNK_BYTES = 65_536;
     private static final int FIRST_FINAL_STATUS = 200;
 
+    /** RFC 9112, section 4: three digits; RFC 9110, section 15: the first one names the class, 1 to 5. */
+    private static final Pattern STATUS_CODE = Pattern.compile("[1-5][0-9]{2}");
+
     private final Expectation expectation;
 
     /** What a connection awaits. */
@@ -43,6 +47,16 @@
         expectation.onUnaskedBytes();
     }
 
+    /** Rejects a status line whose status is no HTTP status code, which makes the response malformed. */
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        if (!STATUS_CODE.matcher(statusLine[1]).matches()) {
+            throw new IllegalArgumentException(
+                    "\"" + statusLine[1] + "\" is no HTTP status code; expected three digits, 100 to 599");
+        }
+        return super.createMessage(statusLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         boolean isFinal =
