--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeCoordinator.java
@@ -69,19 +69,19 @@
      * Creates a coordinator without a table, which therefore doesn't lead, that reports its decisions to a listener.
      *
      * @param clockLeadMillis returns by how much the clock may have run ahead so far, in milliseconds; never decreases
-     * @param firstStart whether the deployment starts for the first time, so that an empty log shows that no key is held
+     * @param firstUse tells whether an empty log shows that no key is held
      */
     public RangeCoordinator(
             Leader self,
             RangeLeaseTimes times,
             RangeEventListener listener,
             LongSupplier clockLeadMillis,
-            boolean firstStart) {
+            FirstUse firstUse) {
         this.self = self;
         this.times = times;
         this.listener = listener;
         this.clockLeadMillis = clockLeadMillis;
-        this.eras = new StoreEras(firstStart);
+        this.eras = new StoreEras(firstUse);
         this.holds = new RangeHolds(times, listener, serverLinks, clockLeadMillis);
     }
 
--- a/core/src/main/java/org/lacewingthread/core/keyrange/StoreEras.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/StoreEras.java
@@ -14,10 +14,9 @@
     /** Time of answers that there have not been; far from overflow. */
     private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
 
-    private final boolean firstStart;
+    private final FirstUse firstUse;
     private long era;
     private boolean known;
-    private boolean changed;
     private long changedSteadyMillis = NEVER_MILLIS;
     private long answeredMillis = NEVER_MILLIS;
     private long answeredInAnyEraMillis = NEVER_MILLIS;
@@ -27,10 +26,10 @@
     /**
      * Creates a history without a known era.
      *
-     * @param firstStart whether the deployment starts for the first time, so that no earlier process can have led
+     * @param firstUse tells whether an empty log shows that no table was ever recorded
      */
-    StoreEras(boolean firstStart) {
-        this.firstStart = firstStart;
+    StoreEras(FirstUse firstUse) {
+        this.firstUse = firstUse;
     }
 
     long era() {
@@ -48,7 +47,7 @@
         if (known && newEra <= era) {
             return false;
         }
-        changed = known;
+        boolean changed = known;
         known = true;
         if (changed && termEra == era) {
             answeredInTermEraMillis = answeredMillis;
@@ -106,12 +105,8 @@
         return table.era() != era && !isFirstUse(table, logEnd);
     }
 
-    /**
-     * Returns whether no table has ever been recorded. An empty log alone does not show that: the store may have lost the
-     * tables before this process started.
-     */
     private boolean isFirstUse(RangeTable table, long logEnd) {
-        return firstStart && !changed && logEnd == 0 && table.term() == 0;
+        return firstUse.isProven() && logEnd == 0 && table.term() == 0;
     }
 
     /**
--- a/core/src/test/java/org/lacewingthread/core/keyrange/GrantWindowTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/GrantWindowTest.java
@@ -34,7 +34,7 @@
             TIMES,
             RangeEventListener.NONE,
             () -> 0,
-            false);
+            new FirstUse(false, 0));
     private final List<ServerStart> servers = new ArrayList<>();
     private final Set<ServerStart> silent = new HashSet<>();
     /** When a range was last granted, by its first key. */
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeEventListenerTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeEventListenerTest.java
@@ -28,7 +28,7 @@
 
     private final List<String> reported = new ArrayList<>();
     private final RangeCoordinator coordinator =
-            new RangeCoordinator(SELF, TIMES, new RecordingListener(), () -> 0, false);
+            new RangeCoordinator(SELF, TIMES, new RecordingListener(), () -> 0, new FirstUse(false, 0));
     private long nowMillis = 1_000;
     private long logEnd = 3;
 
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
@@ -42,6 +42,8 @@
     final Map<String, SimulatedVm> vms = new TreeMap<>();
     final SimulatedStore store = new SimulatedStore();
     final Set<String> disconnectedFromStore = new HashSet<>();
+    /** VMs whose calls the store refuses, with its era. */
+    final Set<String> refusedByStore = new HashSet<>();
     /** VMs that take no steps, although they still receive answers. */
     final Set<String> stoppedVms = new HashSet<>();
     /** VMs that exchange no messages with other VMs. */
@@ -105,7 +107,7 @@
     }
 
     void addVm(String name) {
-        vms.put(name, new SimulatedVm(name, random.nextLong(1L << 40)));
+        vms.put(name, new SimulatedVm(name, random.nextLong(1L << 40), nowMillis));
     }
 
     ServerStart addServer(String name, long startedMillis) {
@@ -213,6 +215,10 @@
         }
         RangeTable table = store.newest();
         LogPosition position = store.position();
+        vm.firstUse.onEraStated(position.era(), nowMillis);
+        if (refusedByStore.contains(vm.name)) {
+            return;
+        }
         long askedAtMillis = nowMillis;
         if (vm.readDelayMillis == 0) {
             coordinator.onTable(table, position, nowMillis);
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeTermNumberTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeTermNumberTest.java
@@ -24,7 +24,7 @@
             TIMES,
             RangeEventListener.NONE,
             () -> 0,
-            false);
+            new FirstUse(false, 0));
 
     private CoordinatorAction.RecordTable stepToRecord() {
         ServiceView view =
--- a/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedVm.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedVm.java
@@ -9,6 +9,7 @@
 final class SimulatedVm {
     final String name;
     RangeCoordinator coordinator;
+    FirstUse firstUse;
     /** Time from the request until the answer of each read of the table; the answer tells the state at the request. */
     long readDelayMillis;
 
@@ -24,19 +25,21 @@
     long pausedUntilMillis = Long.MIN_VALUE / 2;
     private final List<Runnable> waitingAnswers = new ArrayList<>();
 
-    SimulatedVm(String name, long startedMillis) {
+    /** Starts the VM's first process at a time of the simulation. */
+    SimulatedVm(String name, long startedMillis, long nowMillis) {
         this.name = name;
-        start(startedMillis, true);
+        start(startedMillis, new FirstUse(true, nowMillis));
     }
 
     /** Starts a process in place of the present one. */
     void restart(long startedMillis) {
-        start(startedMillis, false);
+        start(startedMillis, new FirstUse(false, 0));
     }
 
-    private void start(long startedMillis, boolean firstStart) {
+    private void start(long startedMillis, FirstUse ofProcess) {
+        firstUse = ofProcess;
         Leader leader = new Leader(new VmStart(new VmId(name), startedMillis), "10.0.0.1", 7_000);
-        coordinator = new RangeCoordinator(leader, RangeSimulation.TIMES, RangeEventListener.NONE, () -> 0, firstStart);
+        coordinator = new RangeCoordinator(leader, RangeSimulation.TIMES, RangeEventListener.NONE, () -> 0, firstUse);
         waitingAnswers.clear();
         readPending = false;
     }
--- a/core/src/test/java/org/lacewingthread/core/keyrange/StoreEraRestartTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/StoreEraRestartTest.java
@@ -125,6 +125,47 @@
         assertOneHolderAndFullService();
     }
 
+    private void loseAllTablesBeforeTheStoreAnswers(String vm) {
+        simulation.leaderCandidate = vm;
+        simulation.ready.remove(first);
+        loseAllTables();
+        simulation.refusedByStore.clear();
+        simulation.disconnectedFromStore.clear();
+        // The others read the store's new era later than this VM.
+        simulation.disconnectedFromStore.addAll(List.of("a", "b"));
+        simulation.schedule(400, simulation.disconnectedFromStore::clear);
+    }
+
+    /** Review case 10: a VM that the store refused until the loss took the empty log for that of a new deployment. */
+    @ParameterizedTest
+    @ValueSource(longs = {300, 1_500, 4_000, 10_000})
+    void vmThatTheStoreRefusesUntilTheLossWaits(long refusedMillis) {
+        simulation.refusedByStore.add("c");
+        simulation.runFor(refusedMillis);
+        loseAllTablesBeforeTheStoreAnswers("c");
+        assertOneHolderAndFullService();
+    }
+
+    /** Guards against a VM that has heard nothing of the store until the loss, and so of no change of its era either. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_500, 4_000, 10_000})
+    void vmThatTheStoreLeavesUnansweredUntilTheLossWaits(long silentMillis) {
+        simulation.disconnectedFromStore.add("c");
+        simulation.runFor(silentMillis);
+        loseAllTablesBeforeTheStoreAnswers("c");
+        assertOneHolderAndFullService();
+    }
+
+    /** Guards against a VM that stands still from its start until after the loss. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_500, 4_000, 10_000})
+    void vmThatIsFrozenFromItsStartUntilTheLossWaits(long frozenMillis) {
+        simulation.pause("c", frozenMillis);
+        simulation.runFor(frozenMillis - 100);
+        loseAllTablesBeforeTheStoreAnswers("c");
+        assertOneHolderAndFullService();
+    }
+
     /** Guards against an outage of all keys when a deployment starts on a store that has gone back before. */
     @Test
     void firstStartOnAStoreOfALaterEraServesAtOnce() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ControlLoop.java
@@ -5,11 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.lacewingthread.core.id.DataCentreId;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.id.ServerStart;
@@ -17,6 +15,7 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.AppendResult;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
+import org.lacewingthread.core.keyrange.FirstUse;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.LogPosition;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
@@ -55,6 +54,7 @@
     private final CrashRecordExchange.Receiver crashRecordReceiver;
     private final ReportChannel reportChannel;
     private final Platform platform;
+    private final FirstUse firstUse;
     private final RangeCoordinator coordinator;
     private final ControlClock clock;
     private final EventLoop eventLoop;
@@ -81,7 +81,7 @@
             Leader self,
             DataCentreId dataCentre,
             RangeLeaseTimes leaseTimes,
-            boolean firstStart,
+            FirstUse firstUse,
             ServerViews serverViews,
             ColdServerSettings coldServerSettings,
             Platform platform,
@@ -96,11 +96,12 @@
             RangeCommandSender.CallListener callListener,
             CrashRecordExchange.Receiver crashRecordReceiver) {
         this.self = self.process();
+        this.firstUse = firstUse;
         this.serverViews = serverViews;
         this.registry = serverViews.registry();
         this.platform = platform;
         this.eventLogger = new ControlEventLogger(events, this::storeSilenceMillis);
-        this.coordinator = new RangeCoordinator(self, leaseTimes, eventLogger, clock::leadMillis, firstStart);
+        this.coordinator = new RangeCoordinator(self, leaseTimes, eventLogger, clock::leadMillis, firstUse);
         this.clock = clock;
         this.formerLeaders = new FormerLeaderMessages(this.self, coordinator, clock);
         this.loadReports = new LoadReports(
@@ -334,18 +335,12 @@
 
     @Override
     public void onServerChanged(ServerEntry entry) {
-        rememberAddress(entry);
+        rangeCommands.rememberAddress(entry, publishedServers);
         registry.put(entry);
         eventLogger.logServerSeen(entry);
         publish(clock.nowMillis());
     }
 
-    private void rememberAddress(ServerEntry entry) {
-        Set<ServerStart> registered =
-                publishedServers.stream().map(KnownServer::start).collect(Collectors.toSet());
-        rangeCommands.rememberAddress(entry, registered);
-    }
-
     @Override
     public void onServerRemoved(ServerId server) {
         registry.remove(server, clock.nowMillis());
@@ -355,7 +350,7 @@
 
     @Override
     public void onServersListed(List<ServerEntry> entries) {
-        entries.forEach(this::rememberAddress);
+        entries.forEach(entry -> rangeCommands.rememberAddress(entry, publishedServers));
         registry.replaceAll(entries, clock.nowMillis());
         serversKnown = true;
         events.write("servers.listed", "count", entries.size());
@@ -379,8 +374,10 @@
     }
 
     @Override
-    public void onNewStoreEra() {
-        metrics.onNewStoreEra();
+    public void onStoreEra(long era) {
+        if (firstUse.onEraStated(era, clock.nowMillis())) {
+            metrics.onNewStoreEra();
+        }
     }
 
     @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/Platform.java
@@ -99,8 +99,11 @@
          */
         void onRangeTableUnchanged(long era, long askedAtMillis);
 
-        /** Called when the store came back from an older copy, before anything of its new era is passed on. */
-        void onNewStoreEra();
+        /**
+         * Called with the era that the store's first answer states, and with each later one, in which it came back from an older
+         * copy, before anything of the era is passed on. An answer that refuses a call states the era as well.
+         */
+        void onStoreEra(long era);
 
         /** Called with whether this entry VM is the one that should lead. */
         void onLeaderSelection(boolean selected);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RangeCommandSender.java
@@ -2,16 +2,19 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
 import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.RangeCoordinator;
 import org.lacewingthread.core.keyrange.ReleaseOutcome;
 import org.lacewingthread.core.registry.ServerEntry;
+import org.lacewingthread.core.registry.ServerRegistry.KnownServer;
 import org.lacewingthread.daemon.events.EventLog;
 
 /**
@@ -69,9 +72,11 @@
      *
      * @param registered servers whose addresses are kept when there are too many
      */
-    void rememberAddress(ServerEntry entry, Set<ServerStart> registered) {
+    void rememberAddress(ServerEntry entry, List<KnownServer> registered) {
         if (lastKnownEntries.size() >= MAX_REMEMBERED_ADDRESSES) {
-            lastKnownEntries.keySet().retainAll(registered);
+            lastKnownEntries
+                    .keySet()
+                    .retainAll(registered.stream().map(KnownServer::start).collect(Collectors.toSet()));
         }
         lastKnownEntries.put(entry.start(), entry);
     }
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -17,6 +17,7 @@
 import org.lacewingthread.core.hedging.HedgePolicy;
 import org.lacewingthread.core.id.ServerStart;
 import org.lacewingthread.core.id.VmStart;
+import org.lacewingthread.core.keyrange.FirstUse;
 import org.lacewingthread.core.keyrange.Leader;
 import org.lacewingthread.core.keyrange.RangeTable;
 import org.lacewingthread.core.quarantine.CrashRecord;
@@ -187,7 +188,7 @@
                 leader,
                 settings.dataCentre(),
                 settings.leaseTimes(),
-                settings.firstStart(),
+                new FirstUse(settings.firstStart(), controlClock.nowMillis()),
                 serverViews,
                 settings.coldServers(),
                 followed,
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeCommandSenderTest.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,6 +21,7 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.AppendResult;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
+import org.lacewingthread.core.keyrange.FirstUse;
 import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.KeyRange;
 import org.lacewingthread.core.keyrange.Leader;
@@ -50,7 +50,7 @@
                     new RangeLeaseTimes(4_000, 1_000, 10_000, 3_000, 0.03),
                     RangeEventListener.NONE,
                     () -> 0,
-                    false),
+                    new FirstUse(false, 0)),
             clock,
             events,
             new RangeCommandLog(events, new RouterMetrics(), 8),
@@ -119,7 +119,7 @@
     void rememberServer() {
         sender.rememberAddress(
                 new ServerEntry(SERVER, ORDERS, "10.0.0.9", 8_181, new DataCentreId("maras"), 2, false, false),
-                Set.of());
+                List.of());
     }
 
     private List<Object> sentAfter(long delayMillis) {
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RangeHoldClockTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RangeHoldClockTest.java
@@ -15,6 +15,7 @@
 import org.lacewingthread.core.id.VmStart;
 import org.lacewingthread.core.keyrange.AppendResult;
 import org.lacewingthread.core.keyrange.CoordinatorAction;
+import org.lacewingthread.core.keyrange.FirstUse;
 import org.lacewingthread.core.keyrange.GrantOutcome;
 import org.lacewingthread.core.keyrange.KeyLoad;
 import org.lacewingthread.core.keyrange.Leader;
@@ -38,7 +39,7 @@
             new RangeLeaseTimes(HOLD_MILLIS, 1_000, 10_000, 3_000, 0.03),
             RangeEventListener.NONE,
             () -> this.clock.leadMillis(),
-            false);
+            new FirstUse(false, 0));
     private final List<String> violations = new ArrayList<>();
     private long trueMillis = 1_000;
     private long timeOfDayMillis = 1_000_000;
