--- a/daemon/src/main/java/org/lacewingthread/daemon/caller/RequestHead.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/caller/RequestHead.java
@@ -3,6 +3,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.Protocols;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -16,6 +18,7 @@
 import org.lacewingthread.daemon.dispatch.TrafficState;
 import org.lacewingthread.daemon.exchange.HeaderField;
 import org.lacewingthread.daemon.exchange.RoutedRequest;
+import org.lacewingthread.daemon.http.RequestFraming;
 import org.lacewingthread.daemon.settings.EntrySettings.CallerLimits;
 
 /**
@@ -63,6 +66,7 @@
             throws RefusedException {
         HeaderMap headers = exchange.getRequestHeaders();
         checkHeaderSize(exchange, limits);
+        checkFraming(exchange);
         long deadlineMillis = nowMillis + parseDeadlineMillis(headers, limits);
         Optional<String> key = idempotencyKey(headers);
         checkAttempt(headers);
@@ -120,6 +124,17 @@
         }
     }
 
+    private static void checkFraming(HttpServerExchange exchange) throws RefusedException {
+        HeaderValues codings = exchange.getRequestHeaders().get(Headers.TRANSFER_ENCODING);
+        RequestFraming framing = RequestFraming.of(
+                codings == null ? List.of() : List.copyOf(codings),
+                exchange.getProtocol().equals(Protocols.HTTP_1_1));
+        if (!framing.isKnown()) {
+            exchange.setPersistent(false);
+            throw new RefusedException(ResultCode.MALFORMED_REQUEST, framing.reason());
+        }
+    }
+
     private static long parseDeadlineMillis(HeaderMap headers, CallerLimits limits) throws RefusedException {
         String text = headers.getFirst(DEADLINE_HEADER);
         if (text == null) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -22,6 +21,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.memory.EvictionReason;
 import org.lacewingthread.core.memory.MemoryAccount;
@@ -169,17 +169,9 @@
     }
 
     private void onHead(HttpRequest request) {
-        if (request.decoderResult().isFailure()) {
-            boolean tooLarge = request.decoderResult().cause() instanceof TooLongFrameException;
-            reject(
-                    tooLarge ? 431 : 400,
-                    "malformed request head: " + request.decoderResult().cause());
-            return;
-        }
-        if (HttpUtil.getContentLength(request, 0L) > listener.limits().maxBodyBytes()) {
-            reject(
-                    413,
-                    "the request body exceeds the limit of " + listener.limits().maxBodyBytes() + " bytes");
+        Optional<HeadRefusal> refusal = HeadRefusal.of(request, listener.limits());
+        if (refusal.isPresent()) {
+            reject(refusal.get().httpStatus(), refusal.get().reason());
             return;
         }
         headReadMillis = lastActiveMillis;
--- a/daemon/src/test/java/org/lacewingthread/daemon/caller/InvalidRequestTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/caller/InvalidRequestTest.java
@@ -133,6 +133,19 @@
         assertNothingInFlightAndNothingExecuted();
     }
 
+    /** Guards against a request that stands in the body of another one, whose end is not known. */
+    @ParameterizedTest
+    @ValueSource(strings = {"gzip", "identity", "gzip, chunked", "chunked, gzip", "chunked, chunked", "xchunked", ""})
+    void requestInABodyWhoseTransferCodingIsNotUnderstoodIsNotRun(String coding) throws Exception {
+        try (RawHttpCaller caller = new RawHttpCaller(bench.callerServer.port())) {
+            String inner = "POST /holds/2 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+            caller.send("POST /holds/1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + inner);
+            caller.shutdownOutput();
+            assertThat(caller.readToEnd()).doesNotContain(" 200 ").doesNotContain("Exception");
+        }
+        assertNothingInFlightAndNothingExecuted();
+    }
+
     @Test
     void truncatedBodyIsNotSentToTheServer() throws Exception {
         try (RawHttpCaller caller = new RawHttpCaller(bench.callerServer.port())) {
--- a/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
@@ -20,6 +20,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingthread.core.serving.CallerLimits;
 import org.lacewingthread.core.traffic.ResponseStatus;
 
@@ -248,4 +251,45 @@
         write("Host: a\r\n\r\n");
         await().until(() -> requestHandler.requests.size() == 1);
     }
+
+    /** Guards against a request that stands in the body of another one, whose end is not known. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = ';',
+            value = {
+                "Transfer-Encoding: gzip; 400",
+                "Transfer-Encoding: identity; 400",
+                "Transfer-Encoding: xchunked; 400",
+                "Transfer-Encoding:; 400",
+                "Transfer-Encoding: chunked, gzip; 400",
+                "Transfer-Encoding: chunked, chunked; 400",
+                "Transfer-Encoding: gzip, chunked; 501",
+                "Transfer-Encoding: gzip|Transfer-Encoding: chunked; 501",
+                "Transfer-Encoding: chunked|Transfer-Encoding: identity; 400"
+            })
+    void requestWhoseTransferCodingIsNotUnderstoodIsRefusedAndItsConnectionEnds(String headers, int status)
+            throws IOException {
+        String inner = "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n";
+        write("POST /1 HTTP/1.1\r\nHost: a\r\n" + headers.replace("|", "\r\n") + "\r\n\r\n" + inner);
+        assertThat(readToEnd()).startsWith("HTTP/1.1 " + status + " ").containsOnlyOnce("HTTP/1.1");
+        assertThat(requestHandler.requests).isEmpty();
+    }
+
+    /** A transfer coding exists since HTTP/1.1; what stands between may not know where such a request ends. */
+    @Test
+    void chunkedRequestOfHttp10IsRefused() throws IOException {
+        write("POST /1 HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+        assertThat(readToEnd()).startsWith("HTTP/1.1 400 ");
+        assertThat(requestHandler.requests).isEmpty();
+    }
+
+    /** Guards against refusals of proper requests. */
+    @ParameterizedTest
+    @ValueSource(strings = {"chunked", "Chunked", " chunked "})
+    void chunkedRequestIsPassedOn(String coding) throws IOException {
+        write("POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " + coding + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+        await().until(() -> requestHandler.requests.size() == 1);
+        assertThat(requestHandler.requests.get(0).body().toString(StandardCharsets.US_ASCII))
+                .isEqualTo("abc");
+    }
 }
