--- a/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/http/OutboundConnection.java
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -107,7 +106,7 @@
                                 new OutboundConnection((TrackedChannel) channel, memory, host + ":" + port);
                         channel.pipeline()
                                 .addLast(connection.decoder)
-                                .addLast(new HttpRequestEncoder())
+                                .addLast(new ForwardedRequestEncoder())
                                 .addLast(new ChunkedWriteHandler())
                                 .addLast(connection.new Handler());
                     }
