--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -48,7 +48,9 @@
     private final Deque<PendingResponse> pendingResponses = new ArrayDeque<>();
     private final MemoryAccount account;
     private Channel channel;
+    /** Null once a request was rejected. */
     private RequestDecoder decoder;
+
     private String callerAddress = "";
     /** The request that is being received; null between requests. */
     private IncomingRequest incoming;
@@ -143,7 +145,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        int undecodedBytes = decoder.undecodedBytes();
+        int undecodedBytes = decoder == null ? 0 : decoder.undecodedBytes();
         if (!closing && !draining && (incoming != null || undecodedBytes > 0)) {
             receiving().onUndecoded(undecodedBytes);
         }
@@ -236,6 +238,11 @@
 
     private void reject(int status, String reason) {
         dropIncoming();
+        if (decoder != null) {
+            // Frees what it holds of the request; what still arrives is ignored.
+            channel.pipeline().remove(decoder);
+            decoder = null;
+        }
         closing = true;
         updateReading();
         PendingResponse pending = newResponse(false, false);
