--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeSimulation.java
@@ -42,8 +42,6 @@
     final Map<String, SimulatedVm> vms = new TreeMap<>();
     final SimulatedStore store = new SimulatedStore();
     final Set<String> disconnectedFromStore = new HashSet<>();
-    /** VMs whose calls the store refuses, with its era. */
-    final Set<String> refusedByStore = new HashSet<>();
     /** VMs that take no steps, although they still receive answers. */
     final Set<String> stoppedVms = new HashSet<>();
     /** VMs that exchange no messages with other VMs. */
@@ -215,25 +213,20 @@
         }
         RangeTable table = store.newest();
         LogPosition position = store.position();
+        long askedAtMillis = nowMillis;
         vm.firstUse.onEraStated(position.era(), nowMillis);
-        if (refusedByStore.contains(vm.name)) {
+        if (vm.refusedByStore) {
             return;
         }
-        long askedAtMillis = nowMillis;
         if (vm.readDelayMillis == 0) {
-            coordinator.onTable(table, position, nowMillis);
-            coordinator.onStoreAnswer(position.era(), askedAtMillis);
+            SimulatedVm.read(coordinator, table, position, askedAtMillis, nowMillis);
         } else if (!vm.readPending) {
             vm.readPending = true;
             schedule(vm.readDelayMillis, () -> {
                 vm.readPending = false;
                 if (!disconnectedFromStore.contains(vm.name)) {
                     vm.receive(
-                            () -> {
-                                coordinator.onTable(table, position, nowMillis);
-                                coordinator.onStoreAnswer(position.era(), askedAtMillis);
-                            },
-                            nowMillis);
+                            () -> SimulatedVm.read(coordinator, table, position, askedAtMillis, nowMillis), nowMillis);
                 }
             });
         }
--- a/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedVm.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/SimulatedVm.java
@@ -14,6 +14,8 @@
     long readDelayMillis;
 
     boolean readPending;
+    /** Whether the store refuses the VM's calls, with its era. */
+    boolean refusedByStore;
     /** Whether the VM takes a step before it handles the answers that arrived while it stood still. */
     boolean stepsBeforeWaitingAnswers;
 
@@ -48,6 +50,13 @@
         return nowMillis < pausedUntilMillis;
     }
 
+    /** Hands the answer to a read to the process that asked. */
+    static void read(
+            RangeCoordinator coordinator, RangeTable table, LogPosition position, long askedAtMillis, long nowMillis) {
+        coordinator.onTable(table, position, nowMillis);
+        coordinator.onStoreAnswer(position.era(), askedAtMillis);
+    }
+
     void receive(Runnable answer, long nowMillis) {
         if (isPaused(nowMillis)) {
             waitingAnswers.add(answer);
--- a/core/src/test/java/org/lacewingthread/core/keyrange/StoreEraRestartTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/StoreEraRestartTest.java
@@ -129,7 +129,7 @@
         simulation.leaderCandidate = vm;
         simulation.ready.remove(first);
         loseAllTables();
-        simulation.refusedByStore.clear();
+        simulation.vms.get(vm).refusedByStore = false;
         simulation.disconnectedFromStore.clear();
         // The others read the store's new era later than this VM.
         simulation.disconnectedFromStore.addAll(List.of("a", "b"));
@@ -140,7 +140,7 @@
     @ParameterizedTest
     @ValueSource(longs = {300, 1_500, 4_000, 10_000})
     void vmThatTheStoreRefusesUntilTheLossWaits(long refusedMillis) {
-        simulation.refusedByStore.add("c");
+        simulation.vms.get("c").refusedByStore = true;
         simulation.runFor(refusedMillis);
         loseAllTablesBeforeTheStoreAnswers("c");
         assertOneHolderAndFullService();
