--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalDispatcher.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/LocalDispatcher.java
@@ -87,6 +87,8 @@
                 this::reportDrainedView,
                 pending -> returnToRouter.accept(pending));
         state.addPreparation(records::prepareView);
+        // Requests are routed by a view as soon as it is published.
+        state.addPreparation(this::openServerDispatchers);
         state.addListener(this::onViewPublished);
         worker.getIoThread().executeAtInterval(this::measureLoad, LOAD_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         worker.getIoThread().executeAtInterval(this::tick, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
@@ -115,9 +117,7 @@
     }
 
     private void onViewPublished() {
-        ControlView view = state.snapshot().view();
         records.onViewPublished();
-        openServerDispatchers(view);
         for (ServerDispatcher dispatcher : serverDispatchers.values()) {
             dispatcher.ioThread().execute(dispatcher::onViewPublished);
         }
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/BackendFaultTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/BackendFaultTest.java
@@ -6,6 +6,9 @@
 import java.net.ServerSocket;
 import java.net.http.HttpResponse;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Stream;
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.AfterEach;
@@ -238,6 +241,18 @@
         assertThat(second.runs()).hasSize(1);
     }
 
+    /** Guards against a refusal of a request that is routed before the dispatcher of its new server is there. */
+    @Test
+    void requestIsServedWhileTheViewThatNamesItsNewServerIsPublished() throws Exception {
+        AtomicReference<CompletableFuture<HttpResponse<String>>> lookup = new AtomicReference<>();
+        fixture.firstListener = () -> {
+            lookup.set(caller.getAsync("/rugs/1"));
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(100));
+        };
+        publishOwner(secondServer);
+        assertThat(lookup.get().get().body()).contains("\"server\":\"s2\"");
+    }
+
     @Test
     void cancelledHoldCompletesAndItsOutcomeIsStored() throws Exception {
         backend.setFaults(BackendFaults.NONE.withServiceMillis(300));
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/TrafficFixture.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/TrafficFixture.java
@@ -29,6 +29,9 @@
     public final List<Long> drainedViews = new CopyOnWriteArrayList<>();
     public final RequestRouter router;
     public final CallerServer callerServer;
+    /** Called for each published view before the listeners of the product. */
+    volatile Runnable firstListener = () -> {};
+
     private final XnioWorker worker;
     private final LocalDispatcher dispatcher;
 
@@ -44,6 +47,7 @@
                         .set(Options.WORKER_TASK_CORE_THREADS, 1)
                         .set(Options.WORKER_TASK_MAX_THREADS, 1)
                         .getMap());
+        state.addListener(() -> firstListener.run());
         TrafficMetrics metrics = new TrafficMetrics(registry);
         dispatcher = new LocalDispatcher(
                 state,
