--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
@@ -44,8 +44,10 @@
     /** When the first of the consecutive unanswered grants failed; empty while the owner answers. */
     Optional<Long> unansweredSinceMillis = Optional.empty();
 
-    /** Since when answers have been in doubt; empty while the owner's newest answer is certain. */
-    private Optional<Long> inDoubtSinceMillis = Optional.empty();
+    /** When the newest answer came if it is in doubt; empty if it is certain. */
+    private Optional<Long> newestDoubtMillis = Optional.empty();
+    /** Since when the range has had to move while answers of its owner are in doubt; empty otherwise. */
+    private Optional<Long> moveInDoubtSinceMillis = Optional.empty();
 
     /** When the newest grant that the owner certainly accepted was sent; far in the past before the first one. */
     long acceptedSentMillis = Long.MIN_VALUE / 2;
@@ -124,7 +126,7 @@
 
     void onGranted(RangeLeaseTimes times, long sentMillis, long nowMillis) {
         acceptedSentMillis = sentMillis;
-        inDoubtSinceMillis = Optional.empty();
+        newestDoubtMillis = Optional.empty();
         becomeHeld(times, nowMillis);
     }
 
@@ -135,13 +137,29 @@
      */
     void onGrantedInDoubt(RangeLeaseTimes times, long newFence, long nowMillis) {
         fence = newFence;
-        inDoubtSinceMillis = inDoubtSinceMillis.or(() -> Optional.of(nowMillis));
+        newestDoubtMillis = Optional.of(nowMillis);
         becomeHeld(times, nowMillis);
     }
 
-    /** Returns whether no answer since a time has been certain, although there were some. */
-    boolean hasBeenInDoubtSince(long millis) {
-        return inDoubtSinceMillis.filter(since -> since <= millis).isPresent();
+    /** Records whether the owner has to give up the range, which it can once an answer of it is certain. */
+    void setHasToMove(boolean hasToMove, long nowMillis) {
+        moveInDoubtSinceMillis = hasToMove && newestDoubtMillis.isPresent()
+                ? moveInDoubtSinceMillis.or(() -> Optional.of(nowMillis))
+                : Optional.empty();
+    }
+
+    /** Returns whether the next call is due; a grant whose answer is in doubt is repeated soon if the range has to move. */
+    boolean isCallDue(long nowMillis) {
+        boolean repeatsSoon = moveInDoubtSinceMillis.isPresent()
+                && newestDoubtMillis
+                        .filter(doubt -> nowMillis >= doubt + RETRY_MILLIS)
+                        .isPresent();
+        return !isCallPending() && (repeatsSoon || nowMillis >= nextCallAtMillis);
+    }
+
+    /** Returns whether the range has had to move since a time or earlier, and no answer was certain. */
+    boolean isMoveInDoubtSince(long millis) {
+        return moveInDoubtSinceMillis.filter(since -> since <= millis).isPresent();
     }
 
     private void becomeHeld(RangeLeaseTimes times, long nowMillis) {
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHolds.java
@@ -210,8 +210,9 @@
         liveness.removeExpired(nowMillis);
         ledger.removeExpired(nowMillis);
         holds.forEach(hold -> startGrantingIfFree(hold, nowMillis));
+        holds.forEach(hold -> hold.setHasToMove(hasToMove(hold, services.get(hold.service)), nowMillis));
         List<RangeHold> due = holds.stream()
-                .filter(hold -> !hold.isCallPending() && nowMillis >= hold.nextCallAtMillis)
+                .filter(hold -> hold.isCallDue(nowMillis))
                 .filter(hold -> movesAllowed || hold.phase == RangeHold.Phase.HELD)
                 .filter(hold -> !isRecipientClosed(hold, services.get(hold.service)))
                 .sorted(MOST_URGENT_FIRST)
@@ -312,7 +313,7 @@
         }
         boolean unregistered = view != null && !view.registered().contains(hold.owner);
         return liveness.isUnresponsiveOrEnded(hold.owner)
-                || (hasToMove(hold, view) && hold.hasBeenInDoubtSince(nowMillis - MAX_DOUBT_MILLIS))
+                || hold.isMoveInDoubtSince(nowMillis - MAX_DOUBT_MILLIS)
                 || (unregistered && !ledger.isConfirmed(hold.service, hold.owner, hold.range, nowMillis));
     }
 
--- a/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorFaultTest.java
+++ b/core/src/test/java/org/lacewingthread/core/keyrange/RangeCoordinatorFaultTest.java
@@ -252,7 +252,10 @@
                 : Optional.empty();
         simulation.runUntil(() -> renewals.get() > 0, 2_000);
         simulation.ready.remove(drained);
-        simulation.runFor(10_000);
+        // Long before the grant in doubt expires.
+        simulation.runFor(1_000);
+        assertDrainedHoldsNoKey();
+        simulation.runFor(9_000);
         assertDrainedHoldsNoKey();
         assertOneHolderAndFullServiceAfterFaults();
     }
