--- a/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/GrantLedger.java
@@ -22,8 +22,8 @@
  * }</pre>
  *
  * <p>A grant is pending until its call is answered or aborted. It is settled once it can't newly take effect: because
- * the server answered it, or because the server accepted a higher fence for the keys. An answer in doubt settles nothing. Only settled grants are cleared by
- * a release, since an unanswered one may be applied after the release.
+ * the server answered it for certain, or because the server accepted a higher fence for the keys. Only settled grants are
+ * cleared by a release, since another one may be applied after the release.
  *
  * <p>Calls name the id of a server, so a grant for one start may take effect at a later start with the same id, which has
  * seen no fence. Grants therefore count for the id. An accepted grant settles another one of a server that may restart
--- a/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
+++ b/core/src/main/java/org/lacewingthread/core/keyrange/RangeHold.java
@@ -44,7 +44,7 @@
     /** When the first of the consecutive unanswered grants failed; empty while the owner answers. */
     Optional<Long> unansweredSinceMillis = Optional.empty();
 
-    /** When the newest answer came if it is in doubt; empty if it is certain. */
+    /** When the newest answer came, if it is in doubt; empty otherwise. */
     private Optional<Long> newestDoubtMillis = Optional.empty();
     /** Since when the range has had to move while answers of its owner are in doubt; empty otherwise. */
     private Optional<Long> moveInDoubtSinceMillis = Optional.empty();
@@ -127,6 +127,7 @@
     void onGranted(RangeLeaseTimes times, long sentMillis, long nowMillis) {
         acceptedSentMillis = sentMillis;
         newestDoubtMillis = Optional.empty();
+        handover = Optional.empty();
         becomeHeld(times, nowMillis);
     }
 
@@ -165,7 +166,6 @@
     private void becomeHeld(RangeLeaseTimes times, long nowMillis) {
         phase = Phase.HELD;
         unansweredSinceMillis = Optional.empty();
-        handover = Optional.empty();
         boolean fullHold = lastGrantMillis == times.holdMillis();
         nextCallAtMillis = fullHold ? nowMillis + times.renewalIntervalMillis() : nowMillis;
     }
