--- a/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerResponse.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerResponse.java
@@ -47,6 +47,7 @@
     private ResultCode result = ResultCode.DONE;
     private boolean ended;
     private boolean finished;
+    private volatile boolean abandoned;
 
     private record Chunk(ByteBuffer bytes, Runnable consumed) {}
 
@@ -69,6 +70,11 @@
         beforeFirstWrite = action;
     }
 
+    @Override
+    public boolean isAbandoned() {
+        return abandoned;
+    }
+
     @Override
     public void onHead(ResponseStatus status, List<HeaderField> headers) {
         exchange.getIoThread().execute(() -> {
@@ -232,6 +238,7 @@
 
     /** Discards the unwritten part of the response after the connection was closed. */
     void abandon() {
+        abandoned = true;
         abort(ResultCode.CANCELLED);
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/PendingRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/PendingRequest.java
@@ -16,6 +16,7 @@
     private final ResponseSink sink;
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile RequestHandler.Cancellation cancelAction = () -> {};
+    private volatile boolean cancelled;
     private volatile boolean mayHaveRun;
     private DispatchAttempt answeringAttempt;
     private int attemptCount;
@@ -162,6 +163,12 @@
     }
 
     void cancel() {
+        cancelled = true;
         cancelAction.cancel();
     }
+
+    /** Returns whether it is known that the caller has left; known on all threads before the request is cancelled on one. */
+    boolean hasCallerLeft() {
+        return cancelled || sink.isAbandoned();
+    }
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RelayedResponseSink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/RelayedResponseSink.java
@@ -40,6 +40,11 @@
         cancellation.cancel();
     }
 
+    @Override
+    public boolean isAbandoned() {
+        return pendingRequest.hasCallerLeft();
+    }
+
     @Override
     public void onHead(ResponseStatus status, List<HeaderField> headers) {
         responseStarted = true;
--- a/daemon/src/main/java/org/lacewingthread/daemon/entry/RosterRelayDirectory.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/entry/RosterRelayDirectory.java
@@ -80,6 +80,11 @@
             this.sink = sink;
         }
 
+        @Override
+        public boolean isAbandoned() {
+            return sink.isAbandoned();
+        }
+
         @Override
         public void onHead(ResponseStatus status, List<HeaderField> headers) {
             sink.onHead(status, headers);
--- a/daemon/src/main/java/org/lacewingthread/daemon/exchange/ResponseSink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/exchange/ResponseSink.java
@@ -39,6 +39,12 @@
         passedOn.run();
     }
 
+    /**
+     * Returns whether it is known that nobody waits for the response any more. May look at the connection first, so that
+     * requests are cancelled before this returns.
+     */
+    boolean isAbandoned();
+
     /** Ends a response that is missing or incomplete. */
     void onFailure(Failure failure);
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -27,6 +27,7 @@
 import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.memory.MemoryHolder;
 import org.lacewingthread.daemon.http.BodySlices;
+import org.lacewingthread.daemon.reading.WatchedChannel;
 
 /**
  * Handles one caller's HTTP/1.1 connection. Pipelined requests are processed concurrently; responses are
@@ -46,6 +47,9 @@
     private final CallerRequestHandler requestHandler;
     private final LongSupplier clockMillis;
     private final Deque<PendingResponse> pendingResponses = new ArrayDeque<>();
+    /** Complete requests of the present read, which are handled once all of it is decoded. */
+    private final Deque<PendingResponse> newRequests = new ArrayDeque<>();
+
     private final MemoryAccount account;
     private Channel channel;
     /** Null once a request was rejected. */
@@ -55,7 +59,13 @@
     /** The request that is being received; null between requests. */
     private IncomingRequest incoming;
 
+    /** How many of {@link #newRequests} were read while reading was paused; they wait until it is resumed. */
+    private int readAheadRequests;
+
     private long headReadMillis;
+    private long headArrivedMillis;
+    /** Whether a read is being decoded, so that no further one may start. */
+    private boolean decoding;
     /** Whether the account lets the caller wait. */
     private boolean paused;
     /** Responses of which a part was not written. */
@@ -149,11 +159,29 @@
         if (!closing && !draining && (incoming != null || undecodedBytes > 0)) {
             receiving().onUndecoded(undecodedBytes);
         }
+        decoding = false;
+        if (WatchedChannel.isReadAhead(channel)) {
+            readAheadRequests = newRequests.size();
+        } else {
+            WatchedChannel.afterRead(channel, this::handleNewRequests);
+        }
         context.fireChannelReadComplete();
     }
 
+    private void handleNewRequests() {
+        readAheadRequests = 0;
+        for (PendingResponse next = newRequests.poll(); next != null; next = newRequests.poll()) {
+            if (refusing) {
+                requestHandler.onRequestWhileStopping(next.request);
+            } else {
+                requestHandler.onRequest(next.request);
+            }
+        }
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        decoding = true;
         try {
             if (closing) {
                 return;
@@ -177,6 +205,7 @@
             return;
         }
         headReadMillis = lastActiveMillis;
+        headArrivedMillis = WatchedChannel.arrivedMillis(channel, clockMillis);
         IncomingRequest received = receiving();
         received.onHead(request);
         if (received.exceedsMemory()) {
@@ -217,15 +246,22 @@
         paused = false;
         PendingResponse pending = newResponse(request.method().equals(HttpMethod.HEAD), HttpUtil.isKeepAlive(request));
         pending.request = new CallerRequest(
-                request.method().name(), request.uri(), request.headers(), body, headReadMillis, pending);
+                request.method().name(),
+                request.uri(),
+                request.headers(),
+                body,
+                headArrivedMillis,
+                headReadMillis,
+                pending);
         pending.received = received;
         pendingResponses.addLast(pending);
+        newRequests.addLast(pending);
         updateReading();
-        if (refusing) {
-            requestHandler.onRequestWhileStopping(pending.request);
-        } else {
-            requestHandler.onRequest(pending.request);
-        }
+    }
+
+    /** Returns whether the caller has closed the connection. */
+    boolean hasCallerLeft() {
+        return decoding ? !channel.isActive() : !WatchedChannel.isOpenNow(channel);
     }
 
     private PendingResponse newResponse(boolean headRequest, boolean keepAlive) {
@@ -233,7 +269,7 @@
             requestHandler.onResponseGivenUp(bytes, reason.label());
             close();
         });
-        return new PendingResponse(headRequest, keepAlive, untaken, this::writeReadyResponses);
+        return new PendingResponse(headRequest, keepAlive, untaken, this::writeReadyResponses, this::hasCallerLeft);
     }
 
     private void reject(int status, String reason) {
@@ -305,8 +341,12 @@
      * no memory for its request. What follows the last request is read and ignored.
      */
     private void updateReading() {
-        boolean takes = pendingResponses.size() < MAX_PIPELINED_REQUESTS && channel.isWritable() && !paused;
-        channel.config().setAutoRead(closing || takes);
+        boolean takes =
+                pendingResponses.size() - readAheadRequests < MAX_PIPELINED_REQUESTS && channel.isWritable() && !paused;
+        WatchedChannel.setReading(channel, closing || takes);
+        if (takes && readAheadRequests > 0) {
+            channel.eventLoop().execute(this::handleNewRequests);
+        }
     }
 
     @Override
@@ -326,6 +366,8 @@
                 .forEach(pending -> requestHandler.onCallerDisconnected(pending.request));
         pendingResponses.forEach(PendingResponse::release);
         pendingResponses.clear();
+        newRequests.clear();
+        readAheadRequests = 0;
     }
 
     private boolean hasHead() {
@@ -347,6 +389,13 @@
         }
     }
 
+    /** Notices that the caller left while reading is paused. */
+    void checkCaller() {
+        if (!channel.config().isAutoRead() && isAnswering() && !decoding) {
+            WatchedChannel.isOpenNow(channel);
+        }
+    }
+
     /** Refuses the request that is being received if its head takes too long; returns whether it was refused. */
     boolean refuseLateHead(long limitMillis, long nowMillis) {
         boolean late = incoming != null
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerListener.java
@@ -4,9 +4,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
+import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.stream.ChunkedWriteHandler;
 import java.util.Comparator;
@@ -20,13 +19,14 @@
 import org.lacewingthread.core.serving.CallerLimits;
 import org.lacewingthread.core.serving.HeadTimer;
 import org.lacewingthread.daemon.http.OutboundSockets;
+import org.lacewingthread.daemon.reading.WatchedLoop;
 
 /**
  * Accepts connections from callers. All methods except {@link #open} must be called on the traffic event loop.
  *
  * <pre>{@code
  * CallerListener listener = new CallerListener(requestHandler, clockMillis, account, 3_000);
- * listener.open(eventLoopGroup, "10.1.0.35", 8144);
+ * listener.open(traffic, "10.1.0.35", 8144);
  * }</pre>
  */
 public final class CallerListener {
@@ -79,16 +79,17 @@
     /**
      * Binds the port and waits until it accepts connections.
      *
-     * @param traffic event loop group that runs all connections
+     * @param traffic event loop that runs all connections; it must use the same clock
      * @param host address to bind
      * @param port port to bind; 0 selects a free one
      * @return the listening channel
      * @throws InterruptedException if the thread is interrupted while waiting
      */
-    public Channel open(EventLoopGroup traffic, String host, int port) throws InterruptedException {
+    public Channel open(WatchedLoop traffic, String host, int port) throws InterruptedException {
+        EventLoop eventLoop = traffic.eventLoop();
         ServerBootstrap bootstrap = new ServerBootstrap()
-                .group(traffic)
-                .channel(NioServerSocketChannel.class)
+                .group(eventLoop)
+                .channelFactory(traffic::newServerChannel)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -106,12 +107,12 @@
                     }
                 });
         serverChannel = bootstrap.bind(host, port).sync().channel();
-        traffic.scheduleAtFixedRate(
+        eventLoop.scheduleAtFixedRate(
                 this::checkTimeouts,
                 TIMEOUT_CHECK_INTERVAL_MILLIS,
                 TIMEOUT_CHECK_INTERVAL_MILLIS,
                 TimeUnit.MILLISECONDS);
-        traffic.scheduleAtFixedRate(
+        eventLoop.scheduleAtFixedRate(
                 this::tick, ACCOUNT_INTERVAL_MILLIS, ACCOUNT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         return serverChannel;
     }
@@ -222,6 +223,7 @@
         long nowMillis = clockMillis.getAsLong();
         headTimer.tick(nowMillis);
         account.tick(nowMillis);
+        List.copyOf(connections).forEach(CallerConnection::checkCaller);
         limits.headerTimeoutMillis()
                 .ifPresent(limitMillis -> lateHeads.addAndGet(List.copyOf(connections).stream()
                         .filter(connection -> connection.refuseLateHead(limitMillis, nowMillis))
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerResponder.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerResponder.java
@@ -15,6 +15,9 @@
      */
     void respond(ResponseStatus status, HttpHeaders headers, ByteBuf body);
 
+    /** Returns whether nobody waits for the response any more; looks at the connection if it was not read of late. */
+    boolean hasCallerLeft();
+
     /** Called when the request is finished, whether it was answered or not; its memory may be counted as free. */
     default void onFinished() {}
 }
--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/PendingResponse.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/PendingResponse.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.function.BooleanSupplier;
 import org.lacewingthread.core.traffic.ResponseStatus;
 
 /** Response to one request, held until all earlier responses have been written and its caller has taken it. */
@@ -15,6 +16,7 @@
     private final boolean headRequest;
     private final UntakenResponse untaken;
     private final Runnable whenReady;
+    private final BooleanSupplier callerLeft;
     final boolean keepAlive;
     /** The request; null if an invalid one is answered. */
     CallerRequest request;
@@ -30,12 +32,19 @@
      * @param keepAlive whether the connection stays open afterwards
      * @param untaken counts the response
      * @param whenReady called when the response may be written
+     * @param callerLeft tells whether the caller has left
      */
-    PendingResponse(boolean headRequest, boolean keepAlive, UntakenResponse untaken, Runnable whenReady) {
+    PendingResponse(
+            boolean headRequest,
+            boolean keepAlive,
+            UntakenResponse untaken,
+            Runnable whenReady,
+            BooleanSupplier callerLeft) {
         this.headRequest = headRequest;
         this.keepAlive = keepAlive;
         this.untaken = untaken;
         this.whenReady = whenReady;
+        this.callerLeft = callerLeft;
     }
 
     @Override
@@ -56,6 +65,11 @@
         }
     }
 
+    @Override
+    public boolean hasCallerLeft() {
+        return callerLeft.getAsBoolean();
+    }
+
     /** Responds to a request that was not read to its end, and therefore never passed on. */
     void reject(int status) {
         respond(ResponseStatus.notRun(status), IncomingRequest.rejectionHeaders(status), Unpooled.EMPTY_BUFFER);
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/EntryVmConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/EntryVmConnection.java
@@ -66,6 +66,11 @@
         }
     }
 
+    @Override
+    public void onReadComplete() {
+        relay.ifPresent(RelayServer::onReadComplete);
+    }
+
     @Override
     public void onDisconnected() {
         relay.ifPresent(RelayServer::onDisconnected);
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerNetwork.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.util.Map;
 import java.util.Optional;
@@ -89,7 +90,7 @@
      * @throws IOException if the address can't be bound
      */
     public void start(String host, int port) throws IOException {
-        server.start(eventLoopGroup, host, port);
+        server.start(eventLoopGroup, NioServerSocketChannel::new, host, port);
     }
 
     /** Returns the bound port; the system chooses one if port 0 was requested. */
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerServer.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/PeerServer.java
@@ -2,13 +2,14 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import org.lacewingthread.core.id.VmStart;
@@ -29,6 +30,9 @@
         /** Called for each frame. */
         void onFrame(PeerWire.Frame frame);
 
+        /** Called when all frames of a read were handed over. */
+        void onReadComplete();
+
         /** Called when the connection was closed. */
         void onDisconnected();
 
@@ -48,10 +52,11 @@
         this.handlers = handlers;
     }
 
-    void start(EventLoopGroup group, String host, int port) throws IOException {
+    void start(EventLoopGroup group, ChannelFactory<? extends ServerChannel> channels, String host, int port)
+            throws IOException {
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(group)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(channels)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -107,6 +112,13 @@
             handler = handlers.create(sender, hello.getPurpose(), context.channel());
         }
 
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+            if (handler != null) {
+                handler.onReadComplete();
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             if (handler != null) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayServer.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayServer.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.daemon.exchange.Failure;
@@ -16,14 +17,21 @@
 import org.lacewingthread.daemon.exchange.ResponseSink;
 import org.lacewingthread.daemon.exchange.RoutedRequest;
 import org.lacewingthread.daemon.peer.wire.PeerWire;
+import org.lacewingthread.daemon.reading.WatchedChannel;
 
-/** Handles the requests that another entry VM relays over one connection; confined to its event loop. */
+/**
+ * Handles the requests that another entry VM relays over one connection. A request is handled once the read that brought it
+ * is decoded, so that it can be cancelled by what came with it. Confined to the connection's event loop.
+ */
 final class RelayServer implements PeerServer.ConnectionHandler {
     private final Channel channel;
     private final RequestHandler handler;
     private final RelayedRequest.Handler routerHandler;
     private final LongSupplier clockMillis;
     private final Map<Long, Exchange> exchanges = new HashMap<>();
+    private final Queue<Exchange> newExchanges = new ArrayDeque<>();
+    /** Whether a read is being decoded, so that no further one may start. */
+    private boolean decoding;
 
     /**
      * Creates a server for one connection.
@@ -41,6 +49,7 @@
 
     @Override
     public void onFrame(PeerWire.Frame frame) {
+        decoding = true;
         switch (frame.getBodyCase()) {
             case REQUEST_START -> start(frame.getRequestStart());
             case ROUTE_REQUEST_START -> start(frame.getRouteRequestStart());
@@ -52,23 +61,43 @@
     }
 
     private void start(PeerWire.RequestStart start) {
-        RoutedRequest request = RequestCodec.decode(start, clockMillis.getAsLong());
-        Exchange exchange = new Exchange(start.getStream());
-        exchanges.put(start.getStream(), exchange);
-        exchange.cancellation = handler.handle(request, exchange);
+        RoutedRequest request = RequestCodec.decode(start, arrivedMillis());
+        open(start.getStream(), exchange -> handler.handle(request, exchange));
     }
 
     private void start(PeerWire.RouteRequestStart start) {
-        RelayedRequest request = RequestCodec.decode(start, clockMillis.getAsLong());
-        Exchange exchange = new Exchange(start.getStream());
-        exchanges.put(start.getStream(), exchange);
-        exchange.cancellation = routerHandler.handle(request, exchange);
+        RelayedRequest request = RequestCodec.decode(start, arrivedMillis());
+        open(start.getStream(), exchange -> routerHandler.handle(request, exchange));
+    }
+
+    private long arrivedMillis() {
+        return WatchedChannel.arrivedMillis(channel, clockMillis);
+    }
+
+    private void open(long stream, Function<ResponseSink, RequestHandler.Cancellation> handling) {
+        Exchange exchange = new Exchange(stream, handling);
+        exchanges.put(stream, exchange);
+        newExchanges.add(exchange);
+    }
+
+    @Override
+    public void onReadComplete() {
+        decoding = false;
+        WatchedChannel.afterRead(channel, this::handleNewExchanges);
+    }
+
+    private void handleNewExchanges() {
+        for (Exchange next = newExchanges.poll(); next != null; next = newExchanges.poll()) {
+            if (exchanges.get(next.stream) == next) {
+                next.cancellation = next.handling.apply(next);
+            }
+        }
     }
 
     private void cancel(long stream) {
         Exchange exchange = exchanges.remove(stream);
-        if (exchange != null && exchange.cancellation != null) {
-            exchange.cancellation.cancel();
+        if (exchange != null) {
+            exchange.cancel();
         }
     }
 
@@ -84,17 +113,36 @@
     public void onDisconnected() {
         List<Exchange> open = List.copyOf(exchanges.values());
         exchanges.clear();
-        open.stream().filter(exchange -> exchange.cancellation != null).forEach(e -> e.cancellation.cancel());
+        open.forEach(Exchange::cancel);
     }
 
     /** Writes the response of one relayed request to the connection. */
     private final class Exchange implements ResponseSink {
         private final long stream;
+        private final Function<ResponseSink, RequestHandler.Cancellation> handling;
         private final Queue<Runnable> unconsumedCallbacks = new ArrayDeque<>();
+        /** Null until the request is handled. */
         private RequestHandler.Cancellation cancellation;
 
-        Exchange(long stream) {
+        private volatile boolean cancelled;
+
+        Exchange(long stream, Function<ResponseSink, RequestHandler.Cancellation> handling) {
             this.stream = stream;
+            this.handling = handling;
+        }
+
+        @Override
+        public boolean isAbandoned() {
+            boolean mayRead = channel.eventLoop().inEventLoop() && !decoding;
+            boolean open = mayRead ? WatchedChannel.isOpenNow(channel) : channel.isActive();
+            return !open || cancelled;
+        }
+
+        private void cancel() {
+            cancelled = true;
+            if (cancellation != null) {
+                cancellation.cancel();
+            }
         }
 
         @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/RouterRelay.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RouterRelay.java
@@ -1,6 +1,5 @@
 package org.lacewingthread.daemon.peer;
 
-import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.Map;
@@ -15,6 +14,7 @@
 import org.lacewingthread.daemon.exchange.ResponseSink;
 import org.lacewingthread.daemon.exchange.RoutedRequest;
 import org.lacewingthread.daemon.peer.wire.PeerWire;
+import org.lacewingthread.daemon.reading.WatchedLoop;
 
 /**
  * Carries requests between routers, for a router that can't reach a server and another one that can. A request that was
@@ -22,7 +22,7 @@
  * unknown. All methods must be called on the event loop.
  *
  * <pre>{@code
- * RouterRelay relay = new RouterRelay(self, dataCentre, eventLoop, handler, clock);
+ * RouterRelay relay = new RouterRelay(self, dataCentre, traffic, handler, clock);
  * relay.listen("10.0.0.7", 7400);
  * relay.send(peer, request, sink);
  * }</pre>
@@ -30,7 +30,7 @@
 public final class RouterRelay {
     private final VmStart self;
     private final DataCentreId dataCentre;
-    private final EventLoop eventLoop;
+    private final WatchedLoop traffic;
     private final LongSupplier clockMillis;
     private final PeerServer server;
     private final Map<RelayPeer, Link> links = new HashMap<>();
@@ -41,19 +41,19 @@
      * Creates a relay; no port or connection is opened yet.
      *
      * @param self this process
-     * @param eventLoop event loop that runs all connections
+     * @param traffic event loop that runs all connections; it must use the same clock
      * @param handler handles requests that other routers relay to this one
      * @param clockMillis monotonic clock in milliseconds
      */
     public RouterRelay(
             VmStart self,
             DataCentreId dataCentre,
-            EventLoop eventLoop,
+            WatchedLoop traffic,
             RelayedRequest.Handler handler,
             LongSupplier clockMillis) {
         this.self = self;
         this.dataCentre = dataCentre;
-        this.eventLoop = eventLoop;
+        this.traffic = traffic;
         this.clockMillis = clockMillis;
         this.server = new PeerServer((sender, purpose, connection) ->
                 new RelayServer(connection, RouterRelay::rejectPlannedRequest, handler, clockMillis));
@@ -70,7 +70,7 @@
      * @throws IOException if the address can't be bound
      */
     public void listen(String host, int port) throws IOException {
-        server.start(eventLoop, host, port);
+        server.start(traffic.eventLoop(), traffic::newServerChannel, host, port);
     }
 
     /** Relays a request to another router; returns what cancels it. */
@@ -82,7 +82,7 @@
         RelayClient client = new RelayClient(clockMillis);
         RosterMember member = new RosterMember(new VmStart(peer.vm(), 0), peer.host(), peer.port());
         PeerWire.Frame hello = PeerProtocol.hello(self, dataCentre, PeerWire.Purpose.TRAFFIC);
-        PeerLink link = new PeerLink(member, hello, eventLoop, clockMillis, new PeerLink.Listener() {
+        PeerLink link = new PeerLink(member, hello, traffic.eventLoop(), clockMillis, new PeerLink.Listener() {
             @Override
             public void onFrame(PeerWire.Frame frame) {
                 client.onFrame(frame);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -190,6 +190,11 @@
                 .anyMatch(open -> open.decision.server().start().equals(server));
     }
 
+    /** Returns whether a server may be at work on an attempt of this VM that has not ended. */
+    boolean isAtServer() {
+        return openAttempts().stream().anyMatch(Attempt::mayHaveRun);
+    }
+
     /** Returns whether a response may still come, from a server or from another entry VM. */
     boolean isAwaited() {
         return attempts.stream().anyMatch(started -> !started.ended) || isRelayPending();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/AttemptSender.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.dispatch.AttemptResult;
@@ -28,6 +29,7 @@
     private final RequestDispatcher dispatcher;
     private final LongSupplier clockMillis;
     private final RequestEngine engine;
+    private final FinalSendCheck finalCheck;
     private final EventLog events;
 
     AttemptSender(
@@ -36,12 +38,14 @@
             RequestDispatcher dispatcher,
             LongSupplier clockMillis,
             RequestEngine engine,
+            FinalSendCheck finalCheck,
             EventLog events) {
         this.headerNames = headerNames;
         this.connections = connections;
         this.dispatcher = dispatcher;
         this.clockMillis = clockMillis;
         this.engine = engine;
+        this.finalCheck = finalCheck;
         this.events = events;
     }
 
@@ -86,15 +90,29 @@
             connections.release(decision.server().start(), connection);
             engine.onFailure(request, attempt, AttemptResult.WITHHELD, "copies of the request end servers");
         } else {
-            send(request, attempt, connection);
+            sendIfCleared(request, attempt, connection);
         }
     }
 
+    private void sendIfCleared(ActiveRequest request, ActiveRequest.Attempt attempt, OutboundConnection connection) {
+        Optional<FinalSendCheck.Clearance> clearance = finalCheck.tryClear(request);
+        if (clearance.isPresent() && !attempt.ended) {
+            send(request, attempt, connection, clearance.get());
+            return;
+        }
+        connections.release(attempt.decision.server().start(), connection);
+        engine.endAttempt(attempt, AttemptResult.WITHHELD, Optional.empty());
+    }
+
     private static InetSocketAddress address(ServerEntry server) {
         return new InetSocketAddress(server.host(), server.port());
     }
 
-    private void send(ActiveRequest request, ActiveRequest.Attempt attempt, OutboundConnection connection) {
+    private void send(
+            ActiveRequest request,
+            ActiveRequest.Attempt attempt,
+            OutboundConnection connection,
+            FinalSendCheck.Clearance clearance) {
         attempt.connection = connection;
         request.usedConnections.add(connection);
         logIfLeaving(request, attempt);
@@ -105,7 +123,7 @@
         request.lastSentMillis = attempt.sentMillis;
         OutboundConnection.EchoedHeader echoedHeader =
                 new OutboundConnection.EchoedHeader(headerNames.requestId(), request.requestId);
-        connection.send(buildRequest(request, attempt), echoedHeader, new ResponseListener() {
+        connection.send(buildRequest(request, attempt, clearance), echoedHeader, new ResponseListener() {
             @Override
             public void onResponse(FullResponse response) {
                 engine.onResponse(request, attempt, response);
@@ -141,15 +159,15 @@
                         (System.nanoTime() - attempt.startedNanos) / NANOS_PER_MILLI));
     }
 
-    private FullHttpRequest buildRequest(ActiveRequest request, ActiveRequest.Attempt attempt) {
+    private FullHttpRequest buildRequest(
+            ActiveRequest request, ActiveRequest.Attempt attempt, FinalSendCheck.Clearance clearance) {
         FullHttpRequest outbound = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
                 HttpMethod.valueOf(request.callerRequest.method()),
                 request.callerRequest.target(),
                 request.callerRequest.body().retainedDuplicate());
         RequestHeaders.copyEndToEnd(request.callerRequest.headers(), outbound.headers());
-        long remainingMillis = Math.max(1, request.deadlineMillis - clockMillis.getAsLong());
-        outbound.headers().set(headerNames.deadlineMillis(), remainingMillis);
+        outbound.headers().set(headerNames.deadlineMillis(), clearance.leftMillis());
         outbound.headers().set(headerNames.requestId(), request.requestId);
         outbound.headers()
                 .set(
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/CountedSink.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/CountedSink.java
@@ -38,6 +38,11 @@
         this.unwrittenResponses = unwrittenResponses;
     }
 
+    @Override
+    public boolean isAbandoned() {
+        return sink.isAbandoned();
+    }
+
     @Override
     public void onHead(ResponseStatus status, List<HeaderField> headers) {
         RelayAttempt.serverIn(headers)
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayAttempt.java
@@ -121,6 +121,11 @@
         }
     }
 
+    @Override
+    public boolean isAbandoned() {
+        return ended;
+    }
+
     @Override
     public void onHead(ResponseStatus responseStatus, List<HeaderField> fields) {
         status = responseStatus.httpStatus();
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelayReceiver.java
@@ -79,7 +79,7 @@
             return () -> {};
         }
         relayedCount++;
-        CallerRequest request = toCallerRequest(relayed);
+        CallerRequest request = toCallerRequest(relayed, sink);
         MemoryHolding memory = hold(relayed.body().length);
         ResponseSink counted = new CountedSink(sink, account, clockMillis, change -> unwrittenResponses += change);
         engine.onRelayedRequest(number -> toActiveRequest(number, relayed, request, counted), () -> {
@@ -118,13 +118,24 @@
 
     /** Each request needs a responder of its own, since the engine finds requests by it. */
     private static final class RelayResponder implements CallerResponder {
+        private final ResponseSink sink;
+
+        RelayResponder(ResponseSink sink) {
+            this.sink = sink;
+        }
+
+        @Override
+        public boolean hasCallerLeft() {
+            return sink.isAbandoned();
+        }
+
         @Override
         public void respond(ResponseStatus status, HttpHeaders headers, ByteBuf body) {
             throw new IllegalStateException("a relayed request is answered to the entry VM that relayed it");
         }
     }
 
-    private static CallerRequest toCallerRequest(RelayedRequest relayed) {
+    private static CallerRequest toCallerRequest(RelayedRequest relayed, ResponseSink sink) {
         HttpHeaders headers = new DefaultHttpHeaders();
         relayed.headers().forEach(field -> headers.add(field.name(), field.value()));
         long arrivedMillis = relayed.targetAtMillis() - relayed.targetLatencyMillis();
@@ -134,7 +145,8 @@
                 headers,
                 Unpooled.wrappedBuffer(relayed.body()),
                 arrivedMillis,
-                new RelayResponder());
+                arrivedMillis,
+                new RelayResponder(sink));
     }
 
     private static ActiveRequest toActiveRequest(
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RelaySender.java
@@ -54,6 +54,7 @@
     private final Access access;
     private final RequestDispatcher dispatcher;
     private final RequestEngine engine;
+    private final FinalSendCheck finalCheck;
     private final RequestRetries retries;
     private final ResponseSender responder;
     private final EventLog events;
@@ -84,6 +85,7 @@
             Access access,
             RequestDispatcher dispatcher,
             RequestEngine engine,
+            FinalSendCheck finalCheck,
             RequestRetries retries,
             ResponseSender responder,
             EventLog events,
@@ -91,6 +93,7 @@
         this.access = access;
         this.dispatcher = dispatcher;
         this.engine = engine;
+        this.finalCheck = finalCheck;
         this.retries = retries;
         this.responder = responder;
         this.events = events;
@@ -131,7 +134,7 @@
     }
 
     /**
-     * Hands a request to another entry VM.
+     * Hands a request to another entry VM, or ends it if its caller has left or its time is over.
      *
      * @return false if it has to be refused here
      */
@@ -147,7 +150,7 @@
             return false;
         }
         Optional<RelayPeer> peer = choosePeer(request.relayedTo, nowMillis);
-        peer.ifPresent(chosen -> send(request, chosen, nowMillis));
+        peer.ifPresent(chosen -> finalCheck.tryClear(request).ifPresent(cleared -> send(request, chosen, cleared)));
         return peer.isPresent();
     }
 
@@ -177,9 +180,9 @@
         return pendingByPeer.getOrDefault(peer, 0) + penalty + access.random().nextDouble();
     }
 
-    private void send(ActiveRequest request, RelayPeer peer, long nowMillis) {
+    private void send(ActiveRequest request, RelayPeer peer, FinalSendCheck.Clearance clearance) {
         engine.crashGuard().endTrial(request);
-        RelayAttempt attempt = new RelayAttempt(peer, nowMillis, account, clockMillis, this);
+        RelayAttempt attempt = new RelayAttempt(peer, clockMillis.getAsLong(), account, clockMillis, this);
         requests.put(attempt, request);
         request.startRelayAttempt(attempt);
         request.relayedTo.add(peer);
@@ -193,8 +196,8 @@
                 "peers",
                 peers.size(),
                 "left_ms",
-                request.deadlineMillis - nowMillis);
-        RelayedRequest relayed = toRelayedRequest(request);
+                clearance.leftMillis());
+        RelayedRequest relayed = toRelayedRequest(request, clearance);
         request.sentAttempts++;
         request.handedOverAttempts += relayed.maxAttempts() - 1;
         attempt.setHandedOverAttempts(relayed.maxAttempts());
@@ -208,7 +211,7 @@
         return request.attemptsLeft() - (keepsOne ? 1 : 0);
     }
 
-    private RelayedRequest toRelayedRequest(ActiveRequest request) {
+    private RelayedRequest toRelayedRequest(ActiveRequest request, FinalSendCheck.Clearance clearance) {
         HttpHeaders endToEnd = new DefaultHttpHeaders();
         RequestHeaders.copyEndToEnd(request.callerRequest.headers(), endToEnd);
         List<HeaderField> headers = new ArrayList<>();
@@ -222,7 +225,7 @@
                 request.route.repeatability(),
                 request.route.priority(),
                 attemptsToHandOver(request),
-                request.deadlineMillis - RESPONSE_MARGIN_MILLIS,
+                clearance.deadlineMillis() - RESPONSE_MARGIN_MILLIS,
                 request.toDispatchRequest().targetAtMillis(),
                 request.route.targetLatencyMillis(),
                 request.callerRequest.method(),
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestDeadlines.java
@@ -36,8 +36,10 @@
         }
     }
 
-    private void end(ActiveRequest request) {
-        request.openAttempts()
+    /** Answers a request whose deadline has passed; servers that were sent it and did not answer may be out of reach. */
+    void end(ActiveRequest request) {
+        request.openAttempts().stream()
+                .filter(attempt -> attempt.sentMillis.isPresent())
                 .forEach(attempt ->
                         connections.closeIdle(attempt.decision.server().start()));
         engine.finish(request);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -42,6 +42,7 @@
     private final ServerLinkMonitor links;
     private final ConnectionPool<ServerStart> connections;
     private final DroppedResponseLog droppedResponses;
+    private final FinalSendCheck finalCheck;
     private final AttemptSender sender;
     private final ResponseSender responder;
     private final ServiceRetryBudget retryBudget;
@@ -85,13 +86,15 @@
         links.setConnections(connections);
         this.droppedResponses = new DroppedResponseLog(events, clockMillis);
         connections.setDropListener(droppedResponses::onDropped);
-        this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, events);
+        this.finalCheck = new FinalSendCheck(this, metrics, clockMillis);
+        this.sender = new AttemptSender(headerNames, connections, dispatcher, clockMillis, this, finalCheck, events);
         this.responder = new ResponseSender(headerNames, events, metrics, clockMillis);
         this.responseObservers = new ResponseObservers(headerNames, dispatcher, limitLink, events, metrics);
         this.admission = new RequestAdmission(headerNames, routing, responder);
         this.retryBudget = retryBudget;
         this.retries = new RequestRetries(this, responder, retryBudget, clockMillis);
-        this.relays = new RelaySender(relayAccess, dispatcher, this, retries, responder, events, clockMillis);
+        this.relays =
+                new RelaySender(relayAccess, dispatcher, this, finalCheck, retries, responder, events, clockMillis);
         this.cutOffRequests =
                 new CutOffRequests(this, dispatcher, connections, relays, retries, activeRequests, clockMillis);
         OverdueRequests overdue = new OverdueRequests(this, dispatcher, retries, metrics, events);
@@ -239,7 +242,7 @@
 
     /** Decides about a request, for the first time or again; attempts that are under way go on. */
     void submit(ActiveRequest request) {
-        if (crashGuard.admit(request)) {
+        if (finalCheck.tryClear(request).isPresent() && crashGuard.admit(request)) {
             dispatch(request);
         }
     }
@@ -301,16 +304,31 @@
 
     @Override
     public void onCallerDisconnected(CallerRequest callerRequest) {
-        activeRequests.find(callerRequest.responder()).ifPresent(request -> {
-            request.queuedRequest.ifPresent(dispatcher::cancel);
-            responder.logCallerDisconnected(request);
-            request.callerDisconnected = true;
-            boolean mustFinish =
-                    request.isAwaited() && !request.route.repeatability().maySendAgain(true);
-            if (!mustFinish) {
-                finish(request);
-            }
-        });
+        activeRequests.find(callerRequest.responder()).ifPresent(this::onCallerLeft);
+    }
+
+    /**
+     * Ends a request whose caller has left. One that must not repeat and at which a server may be at work is awaited; nothing
+     * else of it is sent.
+     */
+    void onCallerLeft(ActiveRequest request) {
+        if (request.finished || request.callerDisconnected) {
+            return;
+        }
+        responder.logCallerDisconnected(request);
+        request.callerDisconnected = true;
+        request.queuedRequest.ifPresent(dispatcher::cancel);
+        request.queuedRequest = Optional.empty();
+        if (request.route.repeatability().maySendAgain(true) || !request.isAtServer()) {
+            finish(request);
+        } else {
+            relays.cancel(request);
+        }
+    }
+
+    /** Ends a request whose deadline has passed. */
+    void onTimeOver(ActiveRequest request) {
+        deadlines.end(request);
     }
 
     private void abandon(ActiveRequest request, ActiveRequest.Attempt attempt) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ResponseSender.java
@@ -115,7 +115,10 @@
 
     /** Logs a request whose caller disconnected before it got a response. */
     void logCallerDisconnected(ActiveRequest request) {
-        logRequestEnd(request, ResultCode.CANCELLED, ResultCode.CANCELLED.httpStatus(), "the caller disconnected");
+        String reason = request.isAtServer()
+                ? "the caller disconnected while a server had the request"
+                : "the caller disconnected";
+        logRequestEnd(request, ResultCode.CANCELLED, ResultCode.CANCELLED.httpStatus(), reason);
     }
 
     private void send(CallerRequest request, String requestId, ResultCode code, long retryAfterMillis) {
@@ -134,6 +137,7 @@
 
     private void logRequestEnd(ActiveRequest request, ResultCode code, int status, String reason) {
         long elapsedMillis = clockMillis.getAsLong() - request.callerRequest.arrivedMillis();
+        long readLateMillis = request.callerRequest.readMillis() - request.callerRequest.arrivedMillis();
         metrics.onAnswer(code, request.route.name(), elapsedMillis);
         events.write(
                 "request.ended",
@@ -151,6 +155,8 @@
                 status,
                 "elapsed_ms",
                 elapsedMillis,
+                "read_late_ms",
+                readLateMillis > 0 ? readLateMillis : null,
                 "until_sent_ms",
                 request.lastSentMillis.isPresent()
                         ? request.lastSentMillis.getAsLong() - request.callerRequest.arrivedMillis()
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterMetrics.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.lacewingthread.core.arrival.ReadProgress;
 import org.lacewingthread.core.dispatch.AttemptResult;
 import org.lacewingthread.core.dispatch.PermitIssuer;
 import org.lacewingthread.core.dispatch.RefusalCause;
@@ -32,6 +33,24 @@
                 .record(Math.round(elapsedMillis * 1e3), TimeUnit.MICROSECONDS);
     }
 
+    /**
+     * Counts a pass of the traffic thread over its sockets that came late.
+     *
+     * @param sinceLastMillis time since the last pass began
+     */
+    void onTrafficPass(long sinceLastMillis) {
+        if (sinceLastMillis > ReadProgress.MAX_AGE_MILLIS) {
+            timer("lacewingthread.router.passes.late", "thread", "traffic", "route", "all")
+                    .record(sinceLastMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Counts a request that was not sent although a server was chosen, or another entry VM. */
+    void onSendWithheld(SendObstacle obstacle) {
+        registry.counter("lacewingthread.router.sends.withheld", "obstacle", obstacle.name())
+                .increment();
+    }
+
     void onGrantEnded(ServiceId service, GrantOutcome outcome, long elapsedMillis) {
         timer("lacewingthread.router.grants", "outcome", outcome.name(), "service", service.value())
                 .record(elapsedMillis, TimeUnit.MILLISECONDS);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RouterProcess.java
@@ -33,6 +33,7 @@
 import org.lacewingthread.daemon.exchange.ResponseSink;
 import org.lacewingthread.daemon.intake.CallerListener;
 import org.lacewingthread.daemon.peer.RouterRelay;
+import org.lacewingthread.daemon.reading.WatchedLoop;
 
 /**
  * A router process. The traffic thread handles requests; the control thread keeps configuration, servers and ranges.
@@ -68,9 +69,10 @@
     private final RouterSettings settings;
     private final EventLog events;
     private final RouterMetrics metrics = new RouterMetrics();
-    private final NioEventLoopGroup trafficGroup = new NioEventLoopGroup(1, new DefaultThreadFactory("traffic", true));
+    private final WatchedLoop traffic =
+            new WatchedLoop("traffic", RouterProcess::trafficNowMillis, metrics::onTrafficPass);
     private final NioEventLoopGroup controlGroup = new NioEventLoopGroup(1, new DefaultThreadFactory("control", true));
-    private final EventLoop trafficEventLoop = trafficGroup.next();
+    private final EventLoop trafficEventLoop = traffic.eventLoop();
     private final EventLoop controlEventLoop = controlGroup.next();
     private final ControlClock controlClock = new ControlClock();
     private final ServerViews serverViews;
@@ -129,8 +131,8 @@
                 callerListener.account(),
                 RouterProcess::trafficNowMillis,
                 () -> !stopping && !engine.links().isCutOff());
-        this.relay = new RouterRelay(
-                self, settings.dataCentre(), trafficEventLoop, relayReceiver, RouterProcess::trafficNowMillis);
+        this.relay =
+                new RouterRelay(self, settings.dataCentre(), traffic, relayReceiver, RouterProcess::trafficNowMillis);
         RouteExplainer explainer = new RouteExplainer(
                 engine,
                 dispatcher,
@@ -204,7 +206,7 @@
                 new CrashRecordReceiver());
         registerGauges(followed);
         callerListener.open(
-                trafficGroup,
+                traffic,
                 settings.callerAddress().getHostString(),
                 settings.callerAddress().getPort());
         new StatusListener(events, (method, target) -> CompletableFuture.completedStage(readiness()))
@@ -271,6 +273,8 @@
 
     private void registerGauges(Platform followed) {
         MemoryGauges.register(metrics, callerListener.account(), callerListener);
+        metrics.gauge(
+                "read.age.millis", "milliseconds for which bytes may have waited to be read", traffic::readAgeMillis);
         metrics.gauge("unanswered", "requests without answer", engine::unansweredCount);
         metrics.gauge("waiting", "requests that wait for a server", engine::waitingCount);
         metrics.gauge("connections.opened", "connections opened to servers", engine::connectionsOpened);
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/RelayedResponseSinkTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/RelayedResponseSinkTest.java
@@ -23,6 +23,11 @@
     private final List<ResultCode> failures = new ArrayList<>();
 
     private final ResponseSink caller = new ResponseSink() {
+        @Override
+        public boolean isAbandoned() {
+            return false;
+        }
+
         @Override
         public void onHead(ResponseStatus status, List<HeaderField> headers) {}
 
--- a/daemon/src/test/java/org/lacewingthread/daemon/dispatch/SplitKeyTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/dispatch/SplitKeyTest.java
@@ -93,6 +93,11 @@
 
     /** Consumes a response without looking at it. */
     private static final class DiscardingSink implements ResponseSink {
+        @Override
+        public boolean isAbandoned() {
+            return false;
+        }
+
         @Override
         public void onHead(ResponseStatus status, List<HeaderField> headers) {}
 
--- a/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/intake/CallerListenerTest.java
@@ -4,7 +4,7 @@
 import static org.awaitility.Awaitility.await;
 
 import io.netty.buffer.Unpooled;
-import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -25,6 +26,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.lacewingthread.core.serving.CallerLimits;
 import org.lacewingthread.core.traffic.ResponseStatus;
+import org.lacewingthread.daemon.reading.WatchedLoop;
 
 /** Tests caller connections over real sockets; the test decides when each request is answered. */
 class CallerListenerTest {
@@ -34,8 +36,12 @@
     private static final int LARGE_BODY_BYTES = 16 << 20;
 
     private static final long SETTLE_MILLIS = 300;
+    /** Unanswered requests at which the reading of a connection pauses. */
+    private static final int PIPELINED = 64;
 
-    private final NioEventLoopGroup traffic = new NioEventLoopGroup(1);
+    private final WatchedLoop watched =
+            new WatchedLoop("traffic", () -> System.nanoTime() / 1_000_000, sinceLastMillis -> {});
+    private final EventLoop traffic = watched.eventLoop();
     private final RecordingRequestHandler requestHandler = new RecordingRequestHandler();
     private CallerListener listener;
     private Socket caller;
@@ -43,6 +49,7 @@
     /** Records requests and connection failures; throws on request when {@code failing} is set. */
     private static final class RecordingRequestHandler implements CallerRequestHandler {
         private final List<CallerRequest> requests = new CopyOnWriteArrayList<>();
+        private final List<CallerRequest> disconnected = new CopyOnWriteArrayList<>();
         private final List<Integer> failures = new CopyOnWriteArrayList<>();
         private volatile boolean failing;
 
@@ -60,7 +67,9 @@
         }
 
         @Override
-        public void onCallerDisconnected(CallerRequest request) {}
+        public void onCallerDisconnected(CallerRequest request) {
+            disconnected.add(request);
+        }
 
         @Override
         public void onInvalidRequest(int status, String reason) {}
@@ -75,7 +84,7 @@
     void open() throws IOException, InterruptedException {
         listener = new CallerListener(requestHandler, () -> System.nanoTime() / 1_000_000);
         InetSocketAddress address =
-                (InetSocketAddress) listener.open(traffic, "127.0.0.1", 0).localAddress();
+                (InetSocketAddress) listener.open(watched, "127.0.0.1", 0).localAddress();
         caller = new Socket(InetAddress.getLoopbackAddress(), address.getPort());
         caller.setSoTimeout(READ_TIMEOUT_MILLIS);
     }
@@ -83,7 +92,7 @@
     @AfterEach
     void close() throws IOException {
         caller.close();
-        traffic.shutdownGracefully();
+        watched.close();
     }
 
     private void send(String... targets) throws IOException {
@@ -131,6 +140,33 @@
         await().until(() -> requestHandler.requests.size() == 3);
     }
 
+    /** Guards against requests at servers whose caller left while the reading of its connection was paused. */
+    @Test
+    void departureIsNoticedWhileReadingIsPaused() throws IOException {
+        String[] targets = new String[PIPELINED];
+        Arrays.setAll(targets, index -> "/" + index);
+        send(targets);
+        await().until(() -> requestHandler.requests.size() >= PIPELINED);
+        caller.close();
+        await().atMost(1, TimeUnit.SECONDS).until(() -> requestHandler.disconnected.size() >= PIPELINED);
+    }
+
+    /** Guards against requests that are lost because they were read while reading was paused. */
+    @Test
+    void requestsThatWereReadWhileReadingWasPausedAreHandledOnceItIsResumed() throws IOException {
+        String[] targets = new String[PIPELINED];
+        Arrays.setAll(targets, index -> "/" + index);
+        send(targets);
+        await().until(() -> requestHandler.requests.size() == PIPELINED);
+        send("/next");
+        await().during(SETTLE_MILLIS, TimeUnit.MILLISECONDS).until(() -> requestHandler.requests.size() == PIPELINED);
+        for (int i = 0; i < PIPELINED; i++) {
+            respond(i);
+        }
+        await().until(() -> requestHandler.requests.size() == PIPELINED + 1);
+        assertThat(requestHandler.requests.get(PIPELINED).target()).isEqualTo("/next");
+    }
+
     @Test
     void drainAnswersPendingRequestsAndIgnoresLaterOnes() throws IOException {
         send("/1", "/2");
--- a/daemon/src/test/java/org/lacewingthread/daemon/peer/RecordingSink.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/peer/RecordingSink.java
@@ -15,6 +15,11 @@
     volatile boolean ended;
     volatile Failure failure;
 
+    @Override
+    public boolean isAbandoned() {
+        return false;
+    }
+
     @Override
     public void onHead(ResponseStatus newStatus, List<HeaderField> headers) {
         status = newStatus.httpStatus();
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
@@ -2,6 +2,7 @@
 
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -35,9 +36,11 @@
 import org.lacewingthread.core.serving.ServiceSpec;
 import org.lacewingthread.core.serving.ServingConfiguration;
 import org.lacewingthread.core.serving.WeightedService;
+import org.lacewingthread.core.traffic.ResponseStatus;
 import org.lacewingthread.core.traffic.ServiceRetryBudget;
 import org.lacewingthread.daemon.events.EventLog;
 import org.lacewingthread.daemon.intake.CallerRequest;
+import org.lacewingthread.daemon.intake.CallerResponder;
 
 /**
  * A request engine alone, with backend servers over real sockets and a clock that the test moves. Routes {@code orders}
@@ -76,6 +79,10 @@
 
     final RequestDispatcher dispatcher = new RequestDispatcher(HERE, new SplittableRandom(1));
     RequestEngine engine;
+    /** Whether callers have left when the engine asks; their connections tell it nothing by themselves. */
+    volatile boolean callerLeft;
+    /** The request that was sent last; null before that. */
+    volatile CallerRequest lastRequest;
 
     @BeforeEach
     void startEngine() {
@@ -169,16 +176,30 @@
         if (key != null) {
             headers.add("Key", key);
         }
-        engine.onRequest(new CallerRequest(
+        CallerRequest request = new CallerRequest(
                 "POST",
                 "/" + route + "/1",
                 headers,
                 Unpooled.EMPTY_BUFFER,
                 nowMillis.get(),
-                (status, responseHeaders, body) -> {
-                    answeredRetryAfters.add(Optional.ofNullable(responseHeaders.get("Retry-After")));
-                    answeredSeals.add(Optional.ofNullable(responseHeaders.get("Seal")));
-                    answeredStatuses.add(status.httpStatus());
-                }));
+                nowMillis.get(),
+                new RecordingResponder());
+        lastRequest = request;
+        engine.onRequest(request);
+    }
+
+    /** Records responses, and tells whether the caller has left as the test says. */
+    private final class RecordingResponder implements CallerResponder {
+        @Override
+        public boolean hasCallerLeft() {
+            return callerLeft;
+        }
+
+        @Override
+        public void respond(ResponseStatus status, HttpHeaders responseHeaders, ByteBuf body) {
+            answeredRetryAfters.add(Optional.ofNullable(responseHeaders.get("Retry-After")));
+            answeredSeals.add(Optional.ofNullable(responseHeaders.get("Seal")));
+            answeredStatuses.add(status.httpStatus());
+        }
     }
 }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/HedgedRequestTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/HedgedRequestTest.java
@@ -94,4 +94,25 @@
         assertThat(answeredStatuses).containsExactly(200);
         assertThat(arrivals).hasValue(1);
     }
+
+    /** Guards against a second server at work for a caller that left while the first one stalled. */
+    @Test
+    void requestOfACallerThatLeftUnseenIsNotHedged() throws Exception {
+        callerLeft = false;
+        eventLoop.execute(() -> {
+            for (int i = 0; i < 10; i++) {
+                policy.onFirstAttempt();
+            }
+            request("reads", null);
+        });
+        await().until(() -> arrivals.get() == 1);
+        callerLeft = true;
+        eventLoop.execute(() -> {
+            nowMillis.addAndGet(1_000);
+            engine.tick();
+            engine.tick();
+        });
+        await().until(() -> engine.unansweredCount() == 0);
+        assertThat(arrivals).hasValue(1);
+    }
 }
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/RelayedResponseMemoryTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/RelayedResponseMemoryTest.java
@@ -92,6 +92,11 @@
 
     /** Sink whose connection takes nothing until the test says so. */
     private final class SlowSink implements ResponseSink {
+        @Override
+        public boolean isAbandoned() {
+            return false;
+        }
+
         @Override
         public void onHead(ResponseStatus status, List<HeaderField> headers) {}
 
