First product: the dispatcher asks for the caller before it writes a request

The detector of departures began to look only after the request had been handed to the router, and a cancellation took effect only when the dispatcher's thread came to it. Fix: the connection is looked at before the request is routed, and the permit to send asks whether the caller has left. Evidence: AbandonedRequestTest; by reading, it was sent before.

--- a/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerExchange.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/caller/CallerExchange.java
@@ -58,7 +58,9 @@
             public void onBody(byte[] body) {
                 response.beforeFirstWrite(
                         DisconnectDetector.start(exchange, () -> IoUtils.safeClose(exchange.getConnection())));
-                cancellation = router.handle(head.withBody(body), response);
+                if (exchange.getConnection().isOpen()) {
+                    cancellation = router.handle(head.withBody(body), response);
+                }
             }
 
             @Override
--- a/daemon/src/main/java/org/lacewingthread/daemon/caller/DisconnectDetector.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/caller/DisconnectDetector.java
@@ -24,8 +24,8 @@
     }
 
     /**
-     * Starts detection after the whole request was read. Returns the action that stops it, which must run before
-     * the exchange ends.
+     * Starts detection after the whole request was read, with a look at what has arrived behind it. Returns the action that
+     * stops detection, which must run before the exchange ends.
      */
     static Runnable start(HttpServerExchange exchange, Runnable onDisconnected) {
         boolean supported = exchange.getConnection() instanceof HttpServerConnection connection
@@ -37,6 +37,7 @@
                 new DisconnectDetector((HttpServerConnection) exchange.getConnection(), onDisconnected);
         detector.source.setReadReadyHandler(detector);
         detector.source.resumeReads();
+        detector.readReady();
         return detector::stop;
     }
 
--- a/daemon/src/main/java/org/lacewingthread/daemon/dispatch/SendPermitIssuer.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/dispatch/SendPermitIssuer.java
@@ -5,6 +5,7 @@
 import java.util.function.LongSupplier;
 import org.lacewingthread.core.id.ServerId;
 import org.lacewingthread.core.routing.RoutingTable.Route;
+import org.lacewingthread.core.traffic.ResultCode;
 import org.lacewingthread.daemon.backend.SendPermit;
 import org.lacewingthread.daemon.exchange.HeaderField;
 import org.lacewingthread.daemon.exchange.RoutedRequest;
@@ -39,8 +40,13 @@
         return clockMillis.getAsLong() < state.snapshot().view().dispatchDeadlineMillis();
     }
 
-    /** Issues a permit if lease, owner and deadline allow sending; called right before the first byte is written. */
+    /** Issues a permit if caller, lease, owner and deadline allow sending; called right before the first byte is written. */
     Optional<SendPermit> issuePermit(PendingRequest pending) {
+        if (pending.hasCallerLeft()) {
+            // "Not run" is certain: no byte of this attempt was written, and PendingRequest knows of earlier ones.
+            pending.fail(ResultCode.CANCELLED, 0, "the caller left before the request was sent");
+            return Optional.empty();
+        }
         RoutedRequest request = pending.request();
         TrafficState.Snapshot snapshot = state.snapshot();
         long nowMillis = clockMillis.getAsLong();
