--- a/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/intake/CallerConnection.java
@@ -2,12 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -26,7 +23,6 @@
 import org.lacewingthread.core.memory.EvictionReason;
 import org.lacewingthread.core.memory.MemoryAccount;
 import org.lacewingthread.core.memory.MemoryHolder;
-import org.lacewingthread.daemon.http.BodySlices;
 import org.lacewingthread.daemon.reading.WatchedChannel;
 
 /**
@@ -37,20 +33,14 @@
     /** Number of unanswered requests on one connection at which reading pauses. */
     private static final int MAX_PIPELINED_REQUESTS = 64;
 
-    /** Time that a caller has to close its side of the connection after the last response. */
-    private static final long LINGER_MILLIS = 1_000;
-
-    /** A caller that takes longer for a response than this gets the idle timeout to take the rest of it. */
-    private static final long SLOW_MILLIS = 100;
-
     private final CallerListener listener;
     private final CallerRequestHandler requestHandler;
     private final LongSupplier clockMillis;
     private final Deque<PendingResponse> pendingResponses = new ArrayDeque<>();
-    /** Complete requests of the present read, which are handled once all of it is decoded. */
-    private final Deque<PendingResponse> newRequests = new ArrayDeque<>();
+    private final NewRequests newRequests = new NewRequests(this::handle);
 
     private final MemoryAccount account;
+    private final ResponseWriter writer;
     private Channel channel;
     /** Null once a request was rejected. */
     private RequestDecoder decoder;
@@ -59,21 +49,12 @@
     /** The request that is being received; null between requests. */
     private IncomingRequest incoming;
 
-    /** How many of {@link #newRequests} were read while reading was paused; they wait until it is resumed. */
-    private int readAheadRequests;
-
     private long headReadMillis;
     private long headArrivedMillis;
-    /** Whether a read is being decoded, so that no further one may start. */
-    private boolean decoding;
     /** Whether the account lets the caller wait. */
     private boolean paused;
-    /** Responses of which a part was not written. */
-    private int unwrittenResponses;
 
     private long lastActiveMillis;
-    /** Whether the caller took a response slowly, so that the network may still hold a part of it. */
-    private boolean slowCaller;
 
     private boolean closing;
     private boolean draining;
@@ -84,6 +65,7 @@
         this.requestHandler = requestHandler;
         this.account = listener.account();
         this.clockMillis = clockMillis;
+        this.writer = new ResponseWriter(clockMillis, () -> lastActiveMillis = clockMillis.getAsLong());
     }
 
     /** Creates the decoder of this connection, which must precede it in the pipeline. */
@@ -159,29 +141,21 @@
         if (!closing && !draining && (incoming != null || undecodedBytes > 0)) {
             receiving().onUndecoded(undecodedBytes);
         }
-        decoding = false;
-        if (WatchedChannel.isReadAhead(channel)) {
-            readAheadRequests = newRequests.size();
-        } else {
-            WatchedChannel.afterRead(channel, this::handleNewRequests);
-        }
+        newRequests.onReadComplete(channel);
         context.fireChannelReadComplete();
     }
 
-    private void handleNewRequests() {
-        readAheadRequests = 0;
-        for (PendingResponse next = newRequests.poll(); next != null; next = newRequests.poll()) {
-            if (refusing) {
-                requestHandler.onRequestWhileStopping(next.request);
-            } else {
-                requestHandler.onRequest(next.request);
-            }
+    private void handle(CallerRequest request) {
+        if (refusing) {
+            requestHandler.onRequestWhileStopping(request);
+        } else {
+            requestHandler.onRequest(request);
         }
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        decoding = true;
+        newRequests.onDecoding();
         try {
             if (closing) {
                 return;
@@ -255,21 +229,17 @@
                 pending);
         pending.received = received;
         pendingResponses.addLast(pending);
-        newRequests.addLast(pending);
+        newRequests.add(pending.request);
         updateReading();
     }
 
-    /** Returns whether the caller has closed the connection. */
-    boolean hasCallerLeft() {
-        return decoding ? !channel.isActive() : !WatchedChannel.isOpenNow(channel);
-    }
-
     private PendingResponse newResponse(boolean headRequest, boolean keepAlive) {
         UntakenResponse untaken = new UntakenResponse(account, clockMillis, callerAddress, (bytes, reason) -> {
             requestHandler.onResponseGivenUp(bytes, reason.label());
             close();
         });
-        return new PendingResponse(headRequest, keepAlive, untaken, this::writeReadyResponses, this::hasCallerLeft);
+        return new PendingResponse(
+                headRequest, keepAlive, untaken, this::writeReadyResponses, () -> !newRequests.isOpen(channel));
     }
 
     private void reject(int status, String reason) {
@@ -297,12 +267,12 @@
             if (last) {
                 pending.response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
                 closing = true;
-                write(pending, this::closeAfterLinger);
+                writer.write(channel, pending, this::closeAfterLinger);
                 channel.flush();
                 cancelPendingRequests();
                 return;
             }
-            write(pending, this::closeIfDrained);
+            writer.write(channel, pending, this::closeIfDrained);
         }
         if (written) {
             channel.flush();
@@ -311,23 +281,6 @@
         }
     }
 
-    private void write(PendingResponse pending, Runnable whenWritten) {
-        FullHttpResponse whole = pending.response;
-        DefaultHttpResponse head = new DefaultHttpResponse(whole.protocolVersion(), whole.status(), whole.headers());
-        unwrittenResponses++;
-        long startedMillis = clockMillis.getAsLong();
-        ChannelFuture written = BodySlices.write(channel, whole, head, bytes -> {
-            lastActiveMillis = clockMillis.getAsLong();
-            pending.onTaken(bytes);
-        });
-        written.addListener(future -> {
-            unwrittenResponses--;
-            slowCaller |= clockMillis.getAsLong() - startedMillis >= SLOW_MILLIS;
-            pending.release();
-            whenWritten.run();
-        });
-    }
-
     /** Closes a draining connection once the caller has taken the last response. */
     private void closeIfDrained() {
         if (draining && !closing && isIdle()) {
@@ -341,11 +294,11 @@
      * no memory for its request. What follows the last request is read and ignored.
      */
     private void updateReading() {
-        boolean takes =
-                pendingResponses.size() - readAheadRequests < MAX_PIPELINED_REQUESTS && channel.isWritable() && !paused;
+        int unanswered = pendingResponses.size() - newRequests.readAheadCount();
+        boolean takes = unanswered < MAX_PIPELINED_REQUESTS && channel.isWritable() && !paused;
         WatchedChannel.setReading(channel, closing || takes);
-        if (takes && readAheadRequests > 0) {
-            channel.eventLoop().execute(this::handleNewRequests);
+        if (takes) {
+            newRequests.onResumed(channel);
         }
     }
 
@@ -354,9 +307,8 @@
         updateReading();
     }
 
-    /** Closes after {@link #LINGER_MILLIS} ms, or the idle timeout if the caller is slow. */
     private void closeAfterLinger() {
-        LingeringClose.close(channel, slowCaller ? listener.limits().idleTimeoutMillis() : LINGER_MILLIS);
+        writer.closeAfterLinger(channel, listener.limits().idleTimeoutMillis());
     }
 
     /** Cancels the unanswered requests that follow the last response on this connection. */
@@ -367,7 +319,6 @@
         pendingResponses.forEach(PendingResponse::release);
         pendingResponses.clear();
         newRequests.clear();
-        readAheadRequests = 0;
     }
 
     private boolean hasHead() {
@@ -391,8 +342,8 @@
 
     /** Notices that the caller left while reading is paused. */
     void checkCaller() {
-        if (!channel.config().isAutoRead() && isAnswering() && !decoding) {
-            WatchedChannel.isOpenNow(channel);
+        if (!channel.config().isAutoRead() && isAnswering()) {
+            newRequests.isOpen(channel);
         }
     }
 
@@ -431,7 +382,7 @@
 
     /** Returns whether a received request waits for its response, or a response for its caller. */
     boolean isAnswering() {
-        return !pendingResponses.isEmpty() || unwrittenResponses > 0;
+        return !pendingResponses.isEmpty() || writer.isWriting();
     }
 
     void close() {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestEngine.java
@@ -55,6 +55,7 @@
     private final RequestAdmission admission;
     private final ResponseObservers responseObservers;
     private final ActiveRequests activeRequests = new ActiveRequests();
+    private final CallerDepartures departures;
     private final CutOffRequests cutOffRequests;
     private final RequestDeadlines deadlines;
     private final CrashGuard crashGuard;
@@ -95,6 +96,7 @@
         this.retries = new RequestRetries(this, responder, retryBudget, clockMillis);
         this.relays =
                 new RelaySender(relayAccess, dispatcher, this, finalCheck, retries, responder, events, clockMillis);
+        this.departures = new CallerDepartures(this, dispatcher, relays, responder);
         this.cutOffRequests =
                 new CutOffRequests(this, dispatcher, connections, relays, retries, activeRequests, clockMillis);
         OverdueRequests overdue = new OverdueRequests(this, dispatcher, retries, metrics, events);
@@ -156,6 +158,10 @@
         return links;
     }
 
+    RequestDeadlines deadlines() {
+        return deadlines;
+    }
+
     HedgedAttempts hedges() {
         return hedges;
     }
@@ -304,31 +310,7 @@
 
     @Override
     public void onCallerDisconnected(CallerRequest callerRequest) {
-        activeRequests.find(callerRequest.responder()).ifPresent(this::onCallerLeft);
-    }
-
-    /**
-     * Ends a request whose caller has left. One that must not repeat and at which a server may be at work is awaited; nothing
-     * else of it is sent.
-     */
-    void onCallerLeft(ActiveRequest request) {
-        if (request.finished || request.callerDisconnected) {
-            return;
-        }
-        responder.logCallerDisconnected(request);
-        request.callerDisconnected = true;
-        request.queuedRequest.ifPresent(dispatcher::cancel);
-        request.queuedRequest = Optional.empty();
-        if (request.route.repeatability().maySendAgain(true) || !request.isAtServer()) {
-            finish(request);
-        } else {
-            relays.cancel(request);
-        }
-    }
-
-    /** Ends a request whose deadline has passed. */
-    void onTimeOver(ActiveRequest request) {
-        deadlines.end(request);
+        activeRequests.find(callerRequest.responder()).ifPresent(departures::end);
     }
 
     private void abandon(ActiveRequest request, ActiveRequest.Attempt attempt) {
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/SendObstacle.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/SendObstacle.java
@@ -6,7 +6,7 @@
     CALLER_LEFT {
         @Override
         void end(RequestEngine engine, ActiveRequest request) {
-            engine.onCallerLeft(request);
+            engine.onCallerDisconnected(request.callerRequest);
         }
     },
 
@@ -14,7 +14,7 @@
     TIME_OVER {
         @Override
         void end(RequestEngine engine, ActiveRequest request) {
-            engine.onTimeOver(request);
+            engine.deadlines().end(request);
         }
     };
 
