A server at work on a request that was read late is not given up before the caller's time is over

Cause: since the caller's time counted from the earliest moment at which the request can have arrived, also for what was sent. Fix: that time decides only whether the request is sent; what was sent is awaited, and servers are told, as counted from the reading.

--- a/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/ActiveRequest.java
@@ -28,7 +28,7 @@
     final Route route;
     final ServiceId service;
     final OptionalInt key;
-    /** End of the caller's wait or of the route's timeout, whichever is earlier, on the traffic clock. */
+    /** End of the caller's wait or of the route's timeout, whichever is earlier, counted from the reading of the request. */
     final long deadlineMillis;
     /** Sends the response to the router that relayed the request; empty if it comes from a caller of this VM. */
     final Optional<ResponseSink> relayedBy;
@@ -190,6 +190,11 @@
                 .anyMatch(open -> open.decision.server().start().equals(server));
     }
 
+    /** Returns the time up to which the caller waits even if the request arrived as early as it can have. */
+    long sendUntilMillis() {
+        return deadlineMillis - (callerRequest.readMillis() - callerRequest.arrivedMillis());
+    }
+
     /** Returns whether a server may be at work on an attempt of this VM that has not ended. */
     boolean isAtServer() {
         return openAttempts().stream().anyMatch(Attempt::mayHaveRun);
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/FinalSendCheck.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/FinalSendCheck.java
@@ -56,7 +56,7 @@
         if (callerLeft) {
             return withhold(request, SendObstacle.CALLER_LEFT);
         }
-        if (nowMillis >= request.deadlineMillis) {
+        if (nowMillis >= request.sendUntilMillis()) {
             return withhold(request, SendObstacle.TIME_OVER);
         }
         return Optional.of(new Clearance(request.deadlineMillis, nowMillis));
--- a/daemon/src/main/java/org/lacewingthread/daemon/router/RequestAdmission.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/router/RequestAdmission.java
@@ -50,7 +50,7 @@
                 route,
                 resolved.service().orElseThrow(),
                 resolved.key(),
-                deadlineMillis(request.arrivedMillis(), waitMillis, route),
+                deadlineMillis(request.readMillis(), waitMillis, route),
                 Optional.empty()));
     }
 
@@ -76,11 +76,11 @@
      *
      * @param callerWaitMillis how long the caller waits; empty if it doesn't say
      */
-    static long deadlineMillis(long arrivedMillis, Optional<Long> callerWaitMillis, Route route) {
+    static long deadlineMillis(long readMillis, Optional<Long> callerWaitMillis, Route route) {
         long waitMillis = callerWaitMillis
                 .map(millis -> Math.max(1, millis - RESPONSE_MARGIN_MILLIS))
                 .orElse(route.timeoutMillis());
-        return arrivedMillis + Math.min(waitMillis, route.timeoutMillis());
+        return readMillis + Math.min(waitMillis, route.timeoutMillis());
     }
 
     private Optional<ActiveRequest> refuse(CallerRequest request, String requestId, ResultCode code, String reason) {
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/EngineFixture.java
@@ -81,6 +81,8 @@
     RequestEngine engine;
     /** Whether callers have left when the engine asks; their connections tell it nothing by themselves. */
     volatile boolean callerLeft;
+    /** How much earlier than they are read requests can have arrived. */
+    volatile long readLateMillis;
     /** The request that was sent last; null before that. */
     volatile CallerRequest lastRequest;
 
@@ -181,7 +183,7 @@
                 "/" + route + "/1",
                 headers,
                 Unpooled.EMPTY_BUFFER,
-                nowMillis.get(),
+                nowMillis.get() - readLateMillis,
                 nowMillis.get(),
                 new RecordingResponder());
         lastRequest = request;
--- a/daemon/src/test/java/org/lacewingthread/daemon/router/FinalSendCheckTest.java
+++ b/daemon/src/test/java/org/lacewingthread/daemon/router/FinalSendCheckTest.java
@@ -52,6 +52,7 @@
         arrivals.incrementAndGet();
         onArrival.run();
         exchange.getResponseHeaders().add("Attempt", "a-1");
+        exchange.getResponseHeaders().add("Seal", "seal");
         if (status == 503) {
             exchange.getResponseHeaders().add("Not-Executed", "1");
         }
@@ -122,6 +123,40 @@
         assertThat(answeredStatuses).containsExactly(503);
     }
 
+    /** Guards against a request that is sent although its time may have been over before it was read. */
+    @Test
+    void requestThatWasReadTooLateIsRefused() throws InterruptedException {
+        readLateMillis = TIMEOUT_MILLIS;
+        eventLoop.execute(() -> {
+            knowServers();
+            request("desk", null);
+        });
+        await().until(() -> !answeredStatuses.isEmpty());
+        assertEndedWithArrivals(0);
+        assertThat(answeredStatuses).containsExactly(503);
+    }
+
+    /** Guards against a server at work that is given up because its request can have arrived long before it was read. */
+    @Test
+    void requestThatWasReadLateIsAwaitedForItsWholeTime() throws InterruptedException {
+        readLateMillis = TIMEOUT_MILLIS / 2;
+        AtomicInteger unanswered = new AtomicInteger(-1);
+        onArrival = () -> eventLoop
+                .submit(() -> {
+                    nowMillis.addAndGet(TIMEOUT_MILLIS * 3 / 4);
+                    engine.tick();
+                    unanswered.set(engine.unansweredCount());
+                })
+                .syncUninterruptibly();
+        eventLoop.execute(() -> {
+            knowServers();
+            request("desk", null);
+        });
+        await().until(() -> !answeredStatuses.isEmpty());
+        assertThat(unanswered).hasValue(1);
+        assertThat(answeredStatuses).containsExactly(200);
+    }
+
     /** Guards against a retry for a caller that left while the first server had the request. */
     @ParameterizedTest
     @ValueSource(ints = {503, 500})
