--- a/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayServer.java
+++ b/daemon/src/main/java/org/lacewingthread/daemon/peer/RelayServer.java
@@ -61,19 +61,15 @@
     }
 
     private void start(PeerWire.RequestStart start) {
-        RoutedRequest request = RequestCodec.decode(start, arrivedMillis());
+        RoutedRequest request = RequestCodec.decode(start, clockMillis.getAsLong());
         open(start.getStream(), exchange -> handler.handle(request, exchange));
     }
 
     private void start(PeerWire.RouteRequestStart start) {
-        RelayedRequest request = RequestCodec.decode(start, arrivedMillis());
+        RelayedRequest request = RequestCodec.decode(start, clockMillis.getAsLong());
         open(start.getStream(), exchange -> routerHandler.handle(request, exchange));
     }
 
-    private long arrivedMillis() {
-        return WatchedChannel.arrivedMillis(channel, clockMillis);
-    }
-
     private void open(long stream, Function<ResponseSink, RequestHandler.Cancellation> handling) {
         Exchange exchange = new Exchange(stream, handling);
         exchanges.put(stream, exchange);
