--- a/review/standins-3/BackendStandIn.java
+++ b/review/standins-3/BackendStandIn.java
@@ -16,7 +16,7 @@
 
 /** A backend as PROTOCOL.md describes it: slots, a queue, keys that it was granted, and its load in each answer. */
 class BackendStandIn implements AutoCloseable {
-    private static final int QUEUE = 8;
+    private static final int USUAL_QUEUE = 8;
     /** Idle connections are closed after this time, which the Keep-Alive header states. */
     private static final int IDLE_SECONDS = 10;
 
@@ -30,6 +30,7 @@
 
     final AtomicInteger ran = new AtomicInteger();
     final AtomicInteger rejected = new AtomicInteger();
+    private final int queue;
     private final Recorder recorder;
     private final ServerSocket listener;
     private final Semaphore free;
@@ -43,6 +44,19 @@
 
     BackendStandIn(Recorder recorder, String id, String service, boolean sharded, int slots, long workMillis)
             throws IOException {
+        this(recorder, id, service, sharded, slots, workMillis, USUAL_QUEUE);
+    }
+
+    /**
+     * Creates a backend that is ready once it has its keys.
+     *
+     * @param slots requests that it runs at a time
+     * @param queue further requests that wait there; more are rejected
+     */
+    BackendStandIn(
+            Recorder recorder, String id, String service, boolean sharded, int slots, long workMillis, int queue)
+            throws IOException {
+        this.queue = queue;
         this.recorder = recorder;
         this.id = id;
         this.service = service;
@@ -130,7 +144,7 @@
             return;
         }
         long deadline = Long.parseLong(request.headers().getOrDefault("Lacewingthread-Deadline-Ms", "60000"));
-        if (waiting.get() >= QUEUE) {
+        if (waiting.get() >= queue) {
             reject(request, out, 503);
             return;
         }
@@ -188,12 +202,20 @@
         out.flush();
     }
 
+    /** Returns whether the backend holds a key now. */
+    synchronized boolean holds(int key) {
+        return heldUntilNanos[key] - System.nanoTime() > 0;
+    }
+
+    /** Called when the backend accepts a grant. */
+    void onGranted(int from, int to, long fence) {}
+
     private synchronized boolean holds(Request request) {
         if (!sharded) {
             return true;
         }
         int key = Integer.parseInt(request.headers().getOrDefault("Lacewingthread-Shard-Key", "-1"));
-        return key >= 0 && heldUntilNanos[key] - System.nanoTime() > 0;
+        return key >= 0 && holds(key);
     }
 
     private static long field(String json, String name) {
@@ -224,6 +246,9 @@
                 heldUntilNanos[key] = grant ? until : System.nanoTime();
             }
         }
+        if (grant) {
+            onGranted(from, to, fence);
+        }
         recorder.debug(id + " " + request.target() + " " + json);
         if (!grant) {
             while (running.get() > 0) {
--- a/review/standins-3/StoreStandIn.java
+++ b/review/standins-3/StoreStandIn.java
@@ -27,11 +27,48 @@
     private final Map<String, Long> memberExpiryMillis = new LinkedHashMap<>();
     private final Map<Integer, String> partitionOwners = new HashMap<>();
     private long generation = 1;
+    /** Value of the header Store-Era; 0 for none. */
+    private long era;
+    private volatile boolean away;
 
-    private record Entry(String key, byte[] value) {}
+    private record Entry(String key, byte[] value, long writtenMillis) {}
+
+    /** Addresses that the store names instead of the registered ones, by the port at which it is asked. */
+    private final Map<Integer, Map<String, String>> addressesByPort = new java.util.concurrent.ConcurrentHashMap<>();
+
+    private final List<HttpServer> views = new ArrayList<>();
 
     StoreStandIn() throws IOException {
-        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 256);
+        server = listen();
+    }
+
+    /**
+     * Opens an address at which the store names other addresses of backends, so that the links of one router to the backends
+     * lead through proxies.
+     *
+     * @param addresses address to name for each registered address; may change later
+     */
+    String openView(Map<String, String> addresses) throws IOException {
+        HttpServer view = listen();
+        views.add(view);
+        addressesByPort.put(view.getAddress().getPort(), addresses);
+        return "127.0.0.1:" + view.getAddress().getPort();
+    }
+
+    private byte[] valueFor(HttpExchange exchange, Entry entry) {
+        Map<String, String> addresses = addressesByPort.get(exchange.getLocalAddress().getPort());
+        if (addresses == null) {
+            return entry.value();
+        }
+        String text = new String(entry.value(), StandardCharsets.ISO_8859_1);
+        for (Map.Entry<String, String> address : addresses.entrySet()) {
+            text = text.replace("\"" + address.getKey() + "\"", "\"" + address.getValue() + "\"");
+        }
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private HttpServer listen() throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 256);
         server.setExecutor(Executors.newCachedThreadPool(task -> {
             Thread thread = new Thread(task, "store");
             thread.setDaemon(true);
@@ -43,6 +80,7 @@
         server.createContext("/log-join", this::join);
         server.createContext("/log-leave", this::leave);
         server.start();
+        return server;
     }
 
     String address() {
@@ -51,10 +89,42 @@
 
     /** Writes a record as the operator or a backend does; an empty value removes the key. */
     synchronized void put(String topic, String key, String value) {
-        topic(topic).add(new Entry(key, value.getBytes(StandardCharsets.UTF_8)));
+        topic(topic).add(new Entry(key, value.getBytes(StandardCharsets.UTF_8), System.currentTimeMillis()));
         notifyAll();
     }
 
+    /** States an era from now on. */
+    synchronized void setEra(long newEra) {
+        era = newEra;
+    }
+
+    /**
+     * Is away for a moment and comes back from a copy. What the system wrote since the copy is gone, and what the operator and
+     * the backends wrote is written again.
+     *
+     * @param awayMillis how long the store is away
+     * @param copyAgeMillis age of the copy when the store goes away
+     */
+    void comeBackFromCopy(long awayMillis, long copyAgeMillis) throws InterruptedException {
+        long copiedMillis = System.currentTimeMillis() - copyAgeMillis;
+        away = true;
+        Thread.sleep(awayMillis);
+        synchronized (this) {
+            topics.forEach((name, log) -> {
+                List<Entry> lost = log.stream()
+                        .filter(entry -> entry.writtenMillis() > copiedMillis)
+                        .toList();
+                log.removeAll(lost);
+                if (name.equals("keyed.op") || name.equals("keyed.servers")) {
+                    log.addAll(lost);
+                }
+            });
+            era++;
+            away = false;
+            notifyAll();
+        }
+    }
+
     private List<Entry> topic(String name) {
         return topics.computeIfAbsent(name, key -> new ArrayList<>());
     }
@@ -76,6 +146,9 @@
         } catch (InterruptedException e) {
             throw new IOException(e);
         }
+        if (refusesWhileAway(exchange)) {
+            return;
+        }
         String answer;
         int status = 200;
         synchronized (this) {
@@ -90,7 +163,10 @@
                     byte[] record = in.readNBytes(in.readInt());
                     int keyLength = record[0] & 0xff;
                     String key = new String(record, 1, keyLength, StandardCharsets.UTF_8);
-                    log.add(new Entry(key, java.util.Arrays.copyOfRange(record, 1 + keyLength, record.length)));
+                    log.add(new Entry(
+                            key,
+                            java.util.Arrays.copyOfRange(record, 1 + keyLength, record.length),
+                            System.currentTimeMillis()));
                 }
                 notifyAll();
                 answer = "{\"offset\":" + offset + ",\"end\":" + log.size() + "}";
@@ -102,11 +178,19 @@
     private void read(HttpExchange exchange) throws IOException {
         Map<String, String> query = query(exchange);
         int from = Integer.parseInt(query.get("from"));
+        if (refusesWhileAway(exchange)) {
+            return;
+        }
+        long eraOfCall = era;
         long until = System.currentTimeMillis() + Long.parseLong(query.getOrDefault("wait_ms", "0"));
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         DataOutputStream out = new DataOutputStream(bytes);
         synchronized (this) {
             List<Entry> log = topic(query.get("topic"));
+            if (from > log.size()) {
+                respond(exchange, 410, "{\"first\":0}".getBytes(StandardCharsets.UTF_8));
+                return;
+            }
             while (from >= log.size() && System.currentTimeMillis() < until) {
                 try {
                     wait(Math.max(1, until - System.currentTimeMillis()));
@@ -114,20 +198,28 @@
                     throw new IOException(e);
                 }
             }
+            if (away || era != eraOfCall) {
+                exchange.close();
+                return;
+            }
             out.writeLong(log.size());
             out.writeLong(0);
             for (Entry entry : log.subList(Math.min(from, log.size()), log.size())) {
                 byte[] key = entry.key().getBytes(StandardCharsets.UTF_8);
-                out.writeInt(1 + key.length + entry.value().length);
+                byte[] value = valueFor(exchange, entry);
+                out.writeInt(1 + key.length + value.length);
                 out.writeByte(key.length);
                 out.write(key);
-                out.write(entry.value());
+                out.write(value);
             }
         }
         respond(exchange, 200, bytes.toByteArray());
     }
 
     private void newest(HttpExchange exchange) throws IOException {
+        if (refusesWhileAway(exchange)) {
+            return;
+        }
         StringBuilder json = new StringBuilder("{\"items\":[");
         synchronized (this) {
             List<Entry> log = topic(query(exchange).get("topic"));
@@ -141,7 +233,7 @@
                 if (entry.value().length > 0) {
                     json.append(separator)
                             .append("{\"key\":\"" + entry.key() + "\",\"value\":\""
-                                    + Base64.getEncoder().encodeToString(entry.value()) + "\",\"offset\":" + offset
+                                    + Base64.getEncoder().encodeToString(valueFor(exchange, entry)) + "\",\"offset\":" + offset
                                     + "}");
                     separator = ",";
                 }
@@ -162,6 +254,9 @@
 
     private void join(HttpExchange exchange) throws IOException {
         String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+        if (refusesWhileAway(exchange)) {
+            return;
+        }
         String member = field(body, "member");
         String topic = body.replaceAll("(?s).*\"topics\"\\s*:\\s*\\[\\s*\"([^\"]*)\".*", "$1");
         StringBuilder parts = new StringBuilder();
@@ -218,7 +313,18 @@
         respond(exchange, 200, "{}".getBytes(StandardCharsets.UTF_8));
     }
 
-    private static void respond(HttpExchange exchange, int status, byte[] body) throws IOException {
+    /** Closes the connection of a call without an answer while the store is away. */
+    private boolean refusesWhileAway(HttpExchange exchange) {
+        if (away) {
+            exchange.close();
+        }
+        return away;
+    }
+
+    private void respond(HttpExchange exchange, int status, byte[] body) throws IOException {
+        if (era > 0) {
+            exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
+        }
         exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
         exchange.getResponseBody().write(body);
         exchange.close();
@@ -227,5 +333,6 @@
     @Override
     public void close() {
         server.stop(0);
+        views.forEach(view -> view.stop(0));
     }
 }
